--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+GO        ?= go
+BIN       := bin
+CHECKS    ?= 20000
+LINT      := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+WIRE      := github.com/google/wire/cmd/wire@v0.7.0
+
+# The packages whose tests draw their cases by rapid; only these know its flags.
+IMPORTS   := {{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}
+STATEFUL   = $(shell $(GO) list -f '$(IMPORTS)' ./... | grep pgregory.net/rapid | cut -d' ' -f1)
+PLAIN      = $(filter-out $(STATEFUL),$(shell $(GO) list ./...))
+
+.PHONY: all build run test lint fmt fuzz generate clean
+
+all: build
+
+build: ## build the one program of all roles
+	$(GO) build -o $(BIN)/boragehub ./cmd/boragehub
+
+run: build ## start the whole system on loopback, show the main job, stop it
+	bash scripts/run.sh
+
+test: ## all tests under the race detector, with fixed seeds
+	$(GO) test -race -timeout 8m $(PLAIN)
+	$(if $(STATEFUL),$(GO) test -race -timeout 8m $(STATEFUL) -rapid.seed=1 -rapid.nofailfile)
+
+fuzz: ## the stateful tests for long, with fresh seeds
+	$(GO) test -timeout 60m $(STATEFUL) -rapid.checks=$(CHECKS) -rapid.nofailfile
+
+lint: $(BIN)/golangci-lint ## formatter and linter
+	$(BIN)/golangci-lint fmt --diff
+	$(BIN)/golangci-lint run ./...
+
+fmt: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint fmt
+
+generate: $(BIN)/wire ## the committed wire_gen.go files
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(GO) generate ./...
+
+$(BIN)/golangci-lint:
+	GOBIN=$(CURDIR)/$(BIN) $(GO) install $(LINT)
+
+$(BIN)/wire:
+	GOBIN=$(CURDIR)/$(BIN) $(GO) install $(WIRE)
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/event/process.go
@@ -0,0 +1,9 @@
+package event
+
+// Events of every process.
+var (
+	ProcessStarted  = register(1000, "process_started", "A process is up and has its addresses.")
+	ProcessStopping = register(1001, "process_stopping", "A process got SIGTERM or SIGINT and winds down.")
+	ProcessStopped  = register(1002, "process_stopped", "A process ended in order.")
+	ProcessFailed   = register(1003, "process_failed", "A process could not start or go on.")
+)
--- /dev/null
+++ b/failure/failure_test.go
@@ -0,0 +1,65 @@
+package failure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+)
+
+func TestTableIsComplete(t *testing.T) {
+	codes := map[string]Kind{}
+
+	for _, k := range Kinds() {
+		a := k.Answer()
+		if a.Status < 400 || a.Type == "" || a.Code == "" {
+			t.Errorf("kind %d: got incomplete answer %+v", k, a)
+		}
+
+		if other, ok := codes[a.Code]; ok {
+			t.Errorf("kinds %d and %d: got the same code %q", other, k, a.Code)
+		}
+
+		codes[a.Code] = k
+	}
+
+	if got, want := len(table), kinds; got != want {
+		t.Errorf("table: got %d rows, want %d", got, want)
+	}
+}
+
+func TestKindOf(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		want Kind
+	}{
+		{"own", New(QueueFull, "full"), QueueFull},
+		{"wrapped", fmt.Errorf("outer: %w", New(Draining, "leaving")), Draining},
+		{"cancelled", context.Canceled, Cancelled},
+		{"expired", context.DeadlineExceeded, Timeout},
+		{"foreign", io.EOF, Internal},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := KindOf(c.err); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAfterLeavesTheOriginalAlone(t *testing.T) {
+	first := New(RateLimited, "slow down")
+	second := first.After(time.Second)
+
+	if got, want := first.RetryAfter(), time.Duration(0); got != want {
+		t.Errorf("first: got %v, want %v", got, want)
+	}
+
+	if got, want := second.RetryAfter(), time.Second; got != want {
+		t.Errorf("second: got %v, want %v", got, want)
+	}
+}
