--- /dev/null
+++ b/peer/dialer.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/quic-go/quic-go"
+
+	"boragehub/event"
+	"boragehub/failure"
+	"boragehub/message"
+)
+
+// Dialer opens conversations, over one connection for each peer.
+type Dialer struct {
+	cfg Config
+	log logr.Logger
+
+	mu    sync.Mutex
+	slots map[Address]*slot
+}
+
+// slot is the place of one peer's connection.
+type slot struct {
+	mu   sync.Mutex // held while dialling, so that a peer is dialled once
+	conn *connection
+}
+
+// connection is a QUIC connection with a UDP socket of its own.
+type connection struct {
+	q      *quic.Conn
+	socket *quic.Transport
+}
+
+// NewDialer returns a Dialer that has no connections yet.
+func NewDialer(cfg Config, log logr.Logger) *Dialer {
+	return &Dialer{cfg: cfg.withDefaults(), log: log, slots: map[Address]*slot{}}
+}
+
+// Open starts a conversation with the peer at a, dialling if needed. Errors are
+// failure.TargetLost (nothing was sent) or those of ctx.
+func (d *Dialer) Open(ctx context.Context, a Address) (*Stream, error) {
+	s := d.slot(a)
+
+	c, err := d.connect(ctx, s, a)
+	if err != nil {
+		return nil, err
+	}
+
+	q, err := c.q.OpenStreamSync(ctx)
+	if err != nil {
+		d.abandon(s, a, c, err)
+
+		return nil, failure.Wrap(failure.TargetLost, err, "no conversation with %s could be opened", a.VM)
+	}
+
+	return newStream(q, d.cfg, func(err error) { d.abandon(s, a, c, err) }), nil
+}
+
+// Ask opens a conversation, sends m and returns the one answer.
+func (d *Dialer) Ask(ctx context.Context, a Address, m message.Message) (message.Message, error) {
+	s, err := d.Open(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+
+	defer s.Close()
+
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+
+	if err := s.Send(m); err != nil {
+		return nil, err
+	}
+
+	return s.Receive()
+}
+
+// Forget closes the connection to a, as when its VM is gone.
+func (d *Dialer) Forget(a Address) {
+	d.mu.Lock()
+	s := d.slots[a]
+	delete(d.slots, a)
+	d.mu.Unlock()
+
+	if s == nil {
+		return
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.conn.close(codeStopped)
+	s.conn = nil
+}
+
+// Close closes all connections.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+
+	all := make([]Address, 0, len(d.slots))
+	for a := range d.slots {
+		all = append(all, a)
+	}
+
+	d.mu.Unlock()
+
+	for _, a := range all {
+		d.Forget(a)
+	}
+}
+
+func (d *Dialer) slot(a Address) *slot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	s := d.slots[a]
+	if s == nil {
+		s = &slot{}
+		d.slots[a] = s
+	}
+
+	return s
+}
+
+func (d *Dialer) connect(ctx context.Context, s *slot, a Address) (*connection, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.conn != nil && s.conn.q.Context().Err() == nil {
+		return s.conn, nil
+	}
+
+	s.conn.close(codeStopped)
+	s.conn = nil
+
+	c, err := d.dial(ctx, a)
+	if err != nil {
+		event.Fail(d.log, err, event.PeerLost, "vm", a.VM, "addr", a.Addr)
+
+		return nil, failure.Wrap(failure.TargetLost, err, "%s can't be reached", a.VM)
+	}
+
+	event.Log(d.log, event.PeerConnected, "vm", a.VM, "addr", a.Addr)
+
+	s.conn = c
+
+	return c, nil
+}
+
+// dial takes a new UDP socket for every connection: a machine on the way that
+// has lost track of the old flow would lose a new connection from the same port
+// as well.
+func (d *Dialer) dial(ctx context.Context, a Address) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.DialTimeout)
+	defer cancel()
+
+	to, err := net.ResolveUDPAddr("udp", a.Addr)
+	if err != nil {
+		return nil, err
+	}
+
+	socket, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return nil, err
+	}
+
+	tr := &quic.Transport{Conn: socket}
+
+	q, err := tr.Dial(ctx, to, clientTLS(d.cfg.TLS, a.VM), d.cfg.quic())
+	if err != nil {
+		_ = tr.Close()
+		_ = socket.Close()
+
+		return nil, err
+	}
+
+	return &connection{q: q, socket: tr}, nil
+}
+
+// abandon gives c up unless it was replaced already.
+func (d *Dialer) abandon(s *slot, a Address, c *connection, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.conn != c {
+		return
+	}
+
+	s.conn = nil
+
+	c.close(codeSilent)
+	event.Fail(d.log, cause, event.PeerLost, "vm", a.VM, "addr", a.Addr)
+}
+
+func (c *connection) close(code quic.ApplicationErrorCode) {
+	if c == nil {
+		return
+	}
+
+	_ = c.q.CloseWithError(code, "")
+	_ = c.socket.Close()
+	_ = c.socket.Conn.Close()
+}
