--- a/store/client.go
+++ b/store/client.go
@@ -34,65 +34,48 @@
 
 // Put writes a copy; failure.StoreFull when there is no room.
 func (c Client) Put(ctx context.Context, id string, b []byte) error {
-	resp, err := c.do(ctx, http.MethodPut, "/objects/"+url.PathEscape(id), b)
+	a, err := c.do(ctx, http.MethodPut, objectPath(id), b)
 	if err != nil {
 		return err
 	}
 
-	defer drain(resp.Body)
-
-	switch resp.StatusCode {
+	switch a.status {
 	case http.StatusCreated, http.StatusOK:
 		return nil
 	case http.StatusInsufficientStorage:
 		return failure.New(failure.StoreFull, "store %s is full", c.Address)
 	default:
-		return unexpected(resp)
+		return a.unexpected()
 	}
 }
 
 // Get reads a copy as it is in the store; the caller opens it. A copy that is
 // not there is failure.TornCopy like any other that can't be used.
 func (c Client) Get(ctx context.Context, id string) ([]byte, error) {
-	resp, err := c.do(ctx, http.MethodGet, "/objects/"+url.PathEscape(id), nil)
+	a, err := c.do(ctx, http.MethodGet, objectPath(id), nil)
 	if err != nil {
 		return nil, err
 	}
 
-	defer drain(resp.Body)
-
-	if resp.StatusCode == http.StatusNotFound {
+	switch a.status {
+	case http.StatusOK:
+		return a.body, nil
+	case http.StatusNotFound:
 		return nil, torn("store %s has no copy %s", c.Address, id)
+	default:
+		return nil, a.unexpected()
 	}
-
-	if resp.StatusCode != http.StatusOK {
-		return nil, unexpected(resp)
-	}
-
-	most := c.MaxBytes
-	if most <= 0 {
-		most = DefaultMaxBytes
-	}
-
-	b, err := io.ReadAll(io.LimitReader(resp.Body, most))
-	if err != nil {
-		return nil, failure.Wrap(failure.TornCopy, err, "copy %s was cut on its way", id)
-	}
-
-	return b, nil
 }
 
-// Delete frees a copy.
+// Delete frees a copy; one that is gone already is no error.
 func (c Client) Delete(ctx context.Context, id string) error {
-	resp, err := c.do(ctx, http.MethodDelete, "/objects/"+url.PathEscape(id), nil)
+	a, err := c.do(ctx, http.MethodDelete, objectPath(id), nil)
 	if err != nil {
 		return err
 	}
 
-	defer drain(resp.Body)
-
-	if resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotFound {
-		return unexpected(resp)
+	if a.status != http.StatusNoContent && a.status != http.StatusNotFound {
+		return a.unexpected()
 	}
 
 	return nil
@@ -102,28 +85,36 @@
 func (c Client) Space(ctx context.Context) (Space, error) {
 	var s Space
 
-	resp, err := c.do(ctx, http.MethodGet, "/space", nil)
+	a, err := c.do(ctx, http.MethodGet, "/space", nil)
 	if err != nil {
 		return s, err
 	}
 
-	defer drain(resp.Body)
-
-	if resp.StatusCode != http.StatusOK {
-		return s, unexpected(resp)
+	if a.status != http.StatusOK {
+		return s, a.unexpected()
 	}
 
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	if err := json.Unmarshal(a.body, &s); err != nil {
 		return s, failure.Wrap(failure.TargetLost, err, "store %s gave no space", c.Address)
 	}
 
 	return s, nil
 }
 
-func (c Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+// answer is a store's whole answer.
+type answer struct {
+	status int
+	body   []byte
+}
+
+func (a answer) unexpected() error {
+	return failure.New(failure.TargetLost, "the store answered %d", a.status)
+}
+
+func (c Client) do(ctx context.Context, method, path string, body []byte) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, failure.Wrap(failure.Internal, err, "store address %q", c.Address)
+		return answer{}, failure.Wrap(failure.Internal, err, "store address %q", c.Address)
 	}
 
 	client := c.HTTP
@@ -133,23 +124,29 @@
 
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, failure.Wrap(failure.TargetLost, err, "store %s does not answer", c.Address)
+		return answer{}, failure.Wrap(failure.TargetLost, err, "store %s does not answer", c.Address)
 	}
 
-	return resp, nil
-}
+	defer func() { _ = resp.Body.Close() }()
 
-// NewHTTP returns an HTTP client that gives a store up after timeout.
-func NewHTTP(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout}
+	most := c.MaxBytes
+	if most <= 0 {
+		most = DefaultMaxBytes
+	}
+
+	got, err := io.ReadAll(io.LimitReader(resp.Body, most))
+	if err != nil {
+		return answer{}, failure.Wrap(failure.TornCopy, err, "the answer of store %s was cut", c.Address)
+	}
+
+	return answer{status: resp.StatusCode, body: got}, nil
 }
 
-func unexpected(resp *http.Response) error {
-	return failure.New(failure.TargetLost, "the store answered %s", resp.Status)
+func objectPath(id string) string {
+	return "/objects/" + url.PathEscape(id)
 }
 
-// drain reads what is left, so that the connection can be used again.
-func drain(r io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(r, 64<<10))
-	_ = r.Close()
+// NewHTTP returns an HTTP client that gives a store up after timeout.
+func NewHTTP(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout}
 }
