--- /dev/null
+++ b/engine/complete.go
@@ -0,0 +1,182 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"boragehub/failure"
+)
+
+// Completion is a prompt to run.
+type Completion struct {
+	// Model is the model's name.
+	Model string `json:"model"`
+	// Prompt is the rendered text.
+	Prompt string `json:"prompt"`
+	// MaxTokens bounds the whole answer, ResumeText included.
+	MaxTokens int `json:"max_tokens"`
+	// Stream is always set by Complete.
+	Stream bool `json:"stream"`
+	// Priority orders those that wait; lower is sooner.
+	Priority int `json:"priority"`
+	// CacheSalt keeps organisations' blocks apart.
+	CacheSalt string `json:"cache_salt"`
+	// WeightVersion is the version that must be loaded.
+	WeightVersion string `json:"weight_version,omitempty"`
+	// Adapter is the adapter to use.
+	Adapter string `json:"adapter,omitempty"`
+	// RequestID names the request in the engine's logs.
+	RequestID string `json:"request_id"`
+	// ResumeText is the part of the answer that is there already.
+	ResumeText string `json:"resume_text,omitempty"`
+}
+
+// Usage counts a run's tokens.
+type Usage struct {
+	// PromptTokens and CompletionTokens are the lengths of prompt and answer.
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	// Details tells how much of the prompt came from the cache.
+	Details struct {
+		// CachedTokens were not computed.
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// Piece is a part of an answer; the last one has Finish and Usage.
+type Piece struct {
+	// Text is what came.
+	Text string
+	// Finish is the finish reason, empty before the end.
+	Finish string
+	// Usage is set with Finish.
+	Usage Usage
+}
+
+type chunk struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+var (
+	dataPrefix = []byte("data: ")
+	doneMark   = []byte("[DONE]")
+)
+
+// maxLine bounds one line of the stream.
+const maxLine = 1 << 20
+
+// Complete runs q and hands each piece to take, in order. It returns nil only
+// after the engine's own end mark: an answer that stops earlier is an error, so
+// that a cut answer never passes for a whole one. An error of take ends the run.
+func (c Client) Complete(ctx context.Context, q Completion, take func(Piece) error) error {
+	q.Stream = true
+
+	b, err := json.Marshal(q)
+	if err != nil {
+		return failure.Wrap(failure.Internal, err, "a completion could not be encoded")
+	}
+
+	resp, err := c.send(ctx, http.MethodPost, "/v1/completions", "application/json", b)
+	if err != nil {
+		return err
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+
+	return read(resp.Body, take)
+}
+
+// refusal maps an engine's refusal, which it gives before anything runs.
+func refusal(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		return failure.New(failure.WrongVersion, "the engine has other weights loaded")
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return failure.New(failure.QueueFull, "the engine is full")
+	case http.StatusBadRequest, http.StatusNotFound:
+		return failure.New(failure.BadRequest, "the engine refused the request: %s", text)
+	default:
+		return failure.New(failure.TargetLost, "the engine answered %d", resp.StatusCode)
+	}
+}
+
+func read(r io.Reader, take func(Piece) error) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+
+	finished := false
+
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), dataPrefix)
+		if !ok {
+			continue
+		}
+
+		if bytes.Equal(data, doneMark) {
+			if !finished {
+				return failure.New(failure.TargetLost, "the engine ended an answer without a finish reason")
+			}
+
+			return nil
+		}
+
+		p, err := decode(data)
+		if err != nil {
+			return err
+		}
+
+		finished = finished || p.Finish != ""
+
+		if err := take(p); err != nil {
+			return err
+		}
+	}
+
+	return failure.Wrap(failure.TargetLost, cause(lines.Err()), "the engine's answer was cut")
+}
+
+func cause(err error) error {
+	if err == nil {
+		return errors.New("the connection ended before the end mark")
+	}
+
+	return err
+}
+
+func decode(data []byte) (Piece, error) {
+	var k chunk
+	if err := json.Unmarshal(data, &k); err != nil {
+		return Piece{}, failure.Wrap(failure.TargetLost, err, "a piece of the engine's answer could not be read")
+	}
+
+	var p Piece
+
+	if len(k.Choices) > 0 {
+		p.Text = k.Choices[0].Text
+
+		if f := k.Choices[0].FinishReason; f != nil {
+			p.Finish = *f
+		}
+	}
+
+	if k.Usage != nil {
+		p.Usage = *k.Usage
+	}
+
+	return p, nil
+}
