--- /dev/null
+++ b/setting/level.go
@@ -0,0 +1,95 @@
+package setting
+
+import (
+	"reflect"
+	"time"
+)
+
+// overrides are the values that one level of the tree changes; nil inherits.
+// Each field bears the name of the field of Values that it overrides, its key
+// and its bounds.
+type overrides struct {
+	Class             *Class    `toml:"class" validate:"omitnil"`
+	Deadline          *Duration `toml:"deadline" validate:"omitnil,gte=10ms,lte=1h"`
+	Timeout           *Duration `toml:"timeout" validate:"omitnil,gte=10ms,lte=24h"`
+	UsualGap          *Duration `toml:"usual_gap" validate:"omitnil,gte=1s,lte=2160h"`
+	FirstTokenWeight  *float64  `toml:"first_token_weight" validate:"omitnil,gte=0,lte=1000"`
+	RecomputedWeight  *float64  `toml:"recomputed_weight" validate:"omitnil,gte=0,lte=1000"`
+	MaxBodyBytes      *int64    `toml:"max_body_bytes" validate:"omitnil,gte=1024,lte=268435456"`
+	MaxPromptTokens   *int      `toml:"max_prompt_tokens" validate:"omitnil,gte=1,lte=16777216"`
+	MaxOutputTokens   *int      `toml:"max_output_tokens" validate:"omitnil,gte=1,lte=1048576"`
+	RequestsPerSecond *float64  `toml:"requests_per_second" validate:"omitnil,gt=0,lte=100000"`
+	RequestBurst      *int      `toml:"request_burst" validate:"omitnil,gte=1,lte=100000"`
+	Share             *float64  `toml:"share" validate:"omitnil,gt=0,lte=1000"`
+	MaxAttempts       *int      `toml:"max_attempts" validate:"omitnil,gte=1,lte=5"`
+	RetryRatio        *float64  `toml:"retry_ratio" validate:"omitnil,gte=0,lte=1"`
+	HedgeAfter        *Duration `toml:"hedge_after" validate:"omitnil,gte=0s,lte=1m"`
+	KeyMemory         *Duration `toml:"key_memory" validate:"omitnil,gte=1m,lte=168h"`
+	ParkMinTokens     *int      `toml:"park_min_tokens" validate:"omitnil,gte=16,lte=16777216"`
+	ParkCopies        *int      `toml:"park_copies" validate:"omitnil,gte=1,lte=3"`
+	PrefetchAhead     *Duration `toml:"prefetch_ahead" validate:"omitnil,gte=0s,lte=1h"`
+	QuarantineCrashes *int      `toml:"quarantine_crashes" validate:"omitnil,gte=1,lte=2"`
+	QuarantineMemory  *Duration `toml:"quarantine_memory" validate:"omitnil,gte=1m,lte=168h"`
+	IdempotentMethods *[]string `toml:"idempotent_methods" validate:"omitnil,dive,oneof=GET HEAD OPTIONS PUT DELETE POST PATCH"`
+}
+
+// apply returns v with what o changes. It runs when a tree is read, never for a request.
+func (o *overrides) apply(v Values) Values {
+	from := reflect.ValueOf(o).Elem()
+	to := reflect.ValueOf(&v).Elem()
+
+	for i := range from.NumField() {
+		field := from.Field(i)
+		if field.IsNil() {
+			continue
+		}
+
+		target := to.FieldByName(from.Type().Field(i).Name)
+		target.Set(field.Elem().Convert(target.Type()))
+	}
+
+	return v
+}
+
+// Duration is a length of time that settings write as text with its unit, such as "30s".
+type Duration time.Duration
+
+// MarshalText returns d with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText sets d from text with a unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+
+	*d = Duration(v)
+
+	return nil
+}
+
+// siteLevel is what `[site.NAME]` holds.
+type siteLevel struct {
+	overrides
+	Services map[string]serviceLevel `toml:"service" validate:"dive,keys,object_name,endkeys"`
+}
+
+// serviceLevel is what `[site.NAME.service.NAME]` holds.
+type serviceLevel struct {
+	overrides
+	Organisations map[string]organisationLevel `toml:"organisation" validate:"dive,keys,object_name,endkeys"`
+}
+
+// organisationLevel is what `[site.NAME.service.NAME.organisation.NAME]` holds.
+type organisationLevel struct {
+	overrides
+	Workloads map[string]workloadLevel `toml:"workload" validate:"dive,keys,object_name,endkeys"`
+}
+
+// workloadLevel is what `[site.NAME.service.NAME.organisation.NAME.workload.NAME]` holds.
+type workloadLevel struct {
+	overrides
+}
--- a/setting/values.go
+++ b/setting/values.go
@@ -6,10 +6,26 @@
 // The root holds defaults. Below it stand sites, in them services, in these
 // organisations, in these workloads. Each level overrides what it names and
 // inherits the rest, so the Values in force for one request are found by going
-// down from the root along its Path.
+// down from the root along its Path. Beside the inherited values the tree holds
+// the objects of the operators' world: data centres, links, services,
+// organisations, and what they wish of weights and of targets to be drained.
+//
+// Parse reads and checks a tree; an error names file, line and key of every
+// fault. Effective is called for each request: it neither locks nor allocates.
+//
+//	tree, err := setting.Parse("settings.toml", text)
+//	values := tree.Effective(setting.Path{Site: "bc-south", Service: "boragehub-llm"})
+//
+// # A process
+//
+// LoadProcess reads the file of one process: its role, addresses and keys,
+// which the tree can't hold because a process needs them to reach the tree.
 package setting
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Class orders requests by how soon they need an answer. The zero Class is Standard.
 type Class uint8
@@ -26,6 +42,41 @@
 	Background
 )
 
+// classWords is indexed by Class.
+var classWords = [...]string{
+	Standard:    "standard",
+	Urgent:      "urgent",
+	Interactive: "interactive",
+	Background:  "background",
+}
+
+// String returns the word for c in settings.
+func (c Class) String() string {
+	if int(c) >= len(classWords) {
+		return fmt.Sprintf("class(%d)", uint8(c))
+	}
+
+	return classWords[c]
+}
+
+// MarshalText returns the word for c.
+func (c Class) MarshalText() ([]byte, error) {
+	return []byte(c.String()), nil
+}
+
+// UnmarshalText sets c by its word.
+func (c *Class) UnmarshalText(text []byte) error {
+	for i, word := range classWords {
+		if word == string(text) {
+			*c = Class(i)
+
+			return nil
+		}
+	}
+
+	return fmt.Errorf("%q is no class, want one of %v", text, classWords)
+}
+
 // Values are the settings in force for one request. A zero value is never in
 // force: the root gives each of them a default.
 type Values struct {
@@ -43,6 +94,8 @@
 	RecomputedWeight float64
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// MaxPromptTokens bounds a prompt.
+	MaxPromptTokens int
 	// MaxOutputTokens bounds an answer.
 	MaxOutputTokens int
 	// RequestsPerSecond is the organisation's rate at one site.
@@ -55,12 +108,48 @@
 	MaxAttempts int
 	// RetryRatio bounds retries to this part of first attempts.
 	RetryRatio float64
+	// HedgeAfter is how long an idempotent request of a plain service waits before it is sent a second time; 0s never hedges.
+	HedgeAfter time.Duration
 	// KeyMemory is how long an Idempotency-Key is remembered.
 	KeyMemory time.Duration
 	// ParkMinTokens is the shortest context worth a copy in a store.
 	ParkMinTokens int
+	// ParkCopies is how many stores hold a copy of a parked context.
+	ParkCopies int
+	// PrefetchAhead is how long before its usual return a context is brought back; 0s never prefetches.
+	PrefetchAhead time.Duration
 	// QuarantineCrashes is how many targets one request may crash before it is refused.
 	QuarantineCrashes int
+	// QuarantineMemory is how long a request that crashed targets stays refused.
+	QuarantineMemory time.Duration
 	// IdempotentMethods are the methods of a plain service that may be repeated.
 	IdempotentMethods []string
 }
+
+// Defaults returns the values that the root has where it names none.
+func Defaults() Values {
+	return Values{
+		Class:             Standard,
+		Deadline:          10 * time.Second,
+		Timeout:           5 * time.Minute,
+		UsualGap:          10 * time.Minute,
+		FirstTokenWeight:  1,
+		RecomputedWeight:  1,
+		MaxBodyBytes:      8 << 20,
+		MaxPromptTokens:   1 << 20,
+		MaxOutputTokens:   16384,
+		RequestsPerSecond: 50,
+		RequestBurst:      100,
+		Share:             1,
+		MaxAttempts:       3,
+		RetryRatio:        0.1,
+		HedgeAfter:        0,
+		KeyMemory:         24 * time.Hour,
+		ParkMinTokens:     512,
+		ParkCopies:        1,
+		PrefetchAhead:     0,
+		QuarantineCrashes: 2,
+		QuarantineMemory:  time.Hour,
+		IdempotentMethods: []string{"GET", "HEAD", "OPTIONS"},
+	}
+}
