side: begin the guard of one target

Cause: entries route by late beliefs; admission, weight version, copies and crashes must be judged at first hand.

--- a/message/message.go
+++ b/message/message.go
@@ -14,7 +14,7 @@
 // Every conversation has a stream of its own. The opener sends one request and
 // reads answers until a final one:
 //
-//	Run     → Token… Done      or Refused
+//	Run     → Token… Done      or Refused, before it Crashed when the target died
 //	Call    → Reply            or Refused
 //	Locate  → Located          or Refused
 //	Learn   → Ack              or Refused
@@ -120,8 +120,6 @@
 	ImportedTokens int `cbor:"5,keyasint"`
 	// Load is the target's load at the end.
 	Load Load `cbor:"6,keyasint"`
-	// Held describes the context that the engine now holds.
-	Held Holding `cbor:"7,keyasint"`
 }
 
 // Refused ends a conversation without a result.
@@ -188,31 +186,32 @@
 	Store bool `cbor:"2,keyasint,omitempty"`
 	// DataCentre is where Holder is.
 	DataCentre string `cbor:"3,keyasint"`
-	// Tail is the hash of the last block held.
-	Tail prompt.Hash `cbor:"4,keyasint"`
-	// Blocks is how many leading blocks are held.
-	Blocks int `cbor:"5,keyasint"`
+	// Blocks is how many leading blocks are held; in Located how many of them
+	// the chain asked for shares.
+	Blocks int `cbor:"4,keyasint"`
 	// Version is the weight version of the blocks.
-	Version string `cbor:"6,keyasint"`
-	// Copy is the sealed copy's id in the store.
-	Copy string `cbor:"7,keyasint,omitempty"`
+	Version string `cbor:"5,keyasint"`
+	// Copy is the sealed copy's id in the store; see store.CopyID.
+	Copy string `cbor:"6,keyasint,omitempty"`
 	// Bytes is the copy's size.
-	Bytes int64 `cbor:"8,keyasint,omitempty"`
+	Bytes int64 `cbor:"7,keyasint,omitempty"`
 	// Address is where the store answers.
-	Address string `cbor:"9,keyasint,omitempty"`
+	Address string `cbor:"8,keyasint,omitempty"`
 	// AgeMS is how long ago this was known to be so, in milliseconds.
-	AgeMS int64 `cbor:"10,keyasint,omitempty"`
+	AgeMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
-// Locate asks an owner what it knows of the contexts under Anchor.
+// Locate asks an owner who holds leading blocks of a context.
 type Locate struct {
 	// Anchor is the hash of the context's opening.
 	Anchor prompt.Hash `cbor:"1,keyasint"`
+	// Chain is the prompt's chain.
+	Chain prompt.Chain `cbor:"2,keyasint"`
 }
 
 // Located answers Locate.
 type Located struct {
-	// Holdings are all that the owner knows; the asker matches their tails.
+	// Holdings are those that share leading blocks with the chain, deepest first.
 	Holdings []Holding `cbor:"1,keyasint"`
 }
 
@@ -220,10 +219,12 @@
 type Learn struct {
 	// Anchor is the hash of the context's opening.
 	Anchor prompt.Hash `cbor:"1,keyasint"`
+	// Chain is the chain of what is held; empty when it is gone.
+	Chain prompt.Chain `cbor:"2,keyasint,omitempty"`
 	// Holding is what is held.
-	Holding Holding `cbor:"2,keyasint"`
+	Holding Holding `cbor:"3,keyasint"`
 	// Gone says that it is held no longer.
-	Gone bool `cbor:"3,keyasint,omitempty"`
+	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Ack says that a message was taken in.
--- /dev/null
+++ b/side/guard.go
@@ -0,0 +1,286 @@
+package side
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"boragehub/engine"
+	"boragehub/failure"
+	"boragehub/message"
+)
+
+// guard is the admission truth of one target.
+type guard struct {
+	maxWaiting int
+
+	mu       sync.Mutex
+	up       bool
+	draining bool
+	info     engine.Info
+	load     engine.Load
+	next     uint64
+	inFlight map[uint64]*flight
+	idle     chan struct{} // closed and replaced whenever nothing is in flight
+}
+
+// flight is a request that was given to the target.
+type flight struct {
+	fingerprint string
+	boot        string
+	ended       bool
+}
+
+func newGuard(maxWaiting int) *guard {
+	return &guard{maxWaiting: maxWaiting, inFlight: map[uint64]*flight{}, idle: make(chan struct{})}
+}
+
+// plainRunning is how many calls a plain service is taken to run at once.
+const plainRunning = 64
+
+// enter admits a request or refuses it before anything ran. version is the
+// weight version that it needs, empty for a plain call.
+func (g *guard) enter(now time.Time, fingerprint, version string) (uint64, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	switch {
+	case g.draining:
+		return 0, failure.New(failure.Draining, "the target is leaving").After(time.Second)
+	case !g.up:
+		return 0, failure.New(failure.NotReady, "the target is not ready").After(time.Second)
+	case version != "" && version != g.info.WeightVersion:
+		return 0, failure.New(failure.WrongVersion, "the target holds version %s, not %s", g.info.WeightVersion, version).After(time.Second)
+	case g.live() >= g.places()+g.maxWaiting:
+		return 0, failure.New(failure.QueueFull, "the target has %d requests", g.live()).After(g.wait1(now))
+	}
+
+	g.next++
+	g.inFlight[g.next] = &flight{fingerprint: fingerprint, boot: g.info.BootID}
+
+	return g.next, nil
+}
+
+// leave ends a request. One that was lost with its target stays on the books
+// until watch has seen whether the target died of it.
+func (g *guard) leave(id uint64, lost bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	f := g.inFlight[id]
+	if f == nil {
+		return
+	}
+
+	f.ended = true
+
+	if !lost {
+		delete(g.inFlight, id)
+	}
+
+	if g.live() == 0 {
+		close(g.idle)
+		g.idle = make(chan struct{})
+	}
+}
+
+// live counts the requests that have not ended.
+func (g *guard) live() int {
+	n := 0
+
+	for _, f := range g.inFlight {
+		if !f.ended {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (g *guard) places() int {
+	if g.info.MaxRunning > 0 {
+		return g.info.MaxRunning
+	}
+
+	return plainRunning
+}
+
+// wait1 estimates the time until a place is free: the prefill that waits, spread
+// over what the engine computes in a second.
+func (g *guard) wait1(time.Time) time.Duration {
+	if g.info.PrefillRate <= 0 {
+		return time.Second
+	}
+
+	seconds := float64(g.load.WaitingTokens) / g.info.PrefillRate
+
+	return max(time.Duration(seconds*float64(time.Second)), 100*time.Millisecond)
+}
+
+// observe takes in what the target says of itself. When the target has another
+// boot than before it returns the requests that ran on the old one.
+func (g *guard) observe(info engine.Info, load engine.Load) (first bool, oldBoot string, crashed []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	first = !g.up
+	g.up = info.Ready()
+
+	if g.info.BootID != "" && g.info.BootID != info.BootID {
+		oldBoot = g.info.BootID
+		crashed = g.reap(oldBoot)
+	} else {
+		g.forgive()
+	}
+
+	g.info = info
+	g.load = load
+
+	return first && g.up, oldBoot, crashed
+}
+
+// died notes that nothing listens at the target's address any more.
+func (g *guard) died() (last bool, boot string, crashed []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	last = g.up
+	g.up = false
+
+	return last, g.info.BootID, g.reap(g.info.BootID)
+}
+
+// silent notes that the target does not answer though something listens.
+func (g *guard) silent() (last bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	last = g.up
+	g.up = false
+
+	return last
+}
+
+// reap takes the requests of a boot that ended off the books.
+func (g *guard) reap(boot string) []string {
+	var fingerprints []string
+
+	for id, f := range g.inFlight {
+		if f.boot != boot {
+			continue
+		}
+
+		fingerprints = append(fingerprints, f.fingerprint)
+
+		// Those that have not ended yet will notice by themselves; without a
+		// boot they can't be reaped twice.
+		f.boot = ""
+
+		if f.ended {
+			delete(g.inFlight, id)
+		}
+	}
+
+	return fingerprints
+}
+
+// forgive drops lost requests after all: the target lives, so it did not die of them.
+func (g *guard) forgive() {
+	for id, f := range g.inFlight {
+		if f.ended {
+			delete(g.inFlight, id)
+		}
+	}
+}
+
+func (g *guard) drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.draining = true
+}
+
+func (g *guard) ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.up && !g.draining
+}
+
+func (g *guard) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.live()
+}
+
+// wait returns when nothing is in flight or ctx ends.
+func (g *guard) wait(ctx context.Context) {
+	for {
+		g.mu.Lock()
+		n, idle := g.live(), g.idle
+		g.mu.Unlock()
+
+		if n == 0 {
+			return
+		}
+
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// engineInfo returns what the engine last said of itself.
+func (g *guard) engineInfo() engine.Info {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.info
+}
+
+func (g *guard) state(now time.Time) message.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return message.State{
+		Boot:          g.info.BootID,
+		Model:         g.info.Model,
+		Version:       g.info.WeightVersion,
+		BlockTokens:   g.info.BlockTokens,
+		Ready:         g.up && !g.draining,
+		Draining:      g.draining,
+		Load:          g.loadAt(now),
+		PrefillRate:   g.info.PrefillRate,
+		DecodeRate:    g.info.DecodeRate,
+		MaxRunning:    g.places(),
+		BytesPerToken: g.info.BytesPerToken,
+	}
+}
+
+// loadAt combines the target's own report, which lags, with what is known here
+// at first hand: at least the requests in flight are there.
+func (g *guard) loadAt(now time.Time) message.Load {
+	live := g.live()
+	running := min(live, g.places())
+	l := message.Load{
+		Running:       max(g.load.Running, running),
+		Waiting:       max(g.load.Waiting, live-running),
+		WaitingTokens: g.load.WaitingTokens,
+	}
+
+	if g.load.AtMS > 0 {
+		l.AgeMS = max(0, now.UnixMilli()-g.load.AtMS)
+	}
+
+	return l
+}
+
+func (g *guard) currentLoad(now time.Time) message.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.loadAt(now)
+}
--- /dev/null
+++ b/side/run.go
@@ -0,0 +1,203 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"boragehub/engine"
+	"boragehub/event"
+	"boragehub/failure"
+	"boragehub/message"
+	"boragehub/peer"
+	"boragehub/prompt"
+	"boragehub/store"
+)
+
+// run is one run of a prompt, from admission to its last token.
+type run struct {
+	message.Run
+	s        *Side
+	to       *peer.Stream
+	chain    prompt.Chain
+	imported int
+	index    int
+	text     []byte
+	began    time.Time
+	first    time.Duration
+	usage    engine.Usage
+	finish   string
+}
+
+// run answers a Run. What it returns has not been told to the entry yet.
+func (s *Side) run(ctx context.Context, to *peer.Stream, m message.Run) error {
+	now := time.Now()
+
+	if m.Version == "" {
+		return failure.New(failure.BadMessage, "a run names no weight version")
+	}
+
+	id, err := s.guard.enter(now, m.Fingerprint, m.Version)
+	if err != nil {
+		event.Log(s.cfg.Log, event.RunRefused, "request_id", m.RequestID, "reason", err.Error())
+
+		return err
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.TimeoutMS)*time.Millisecond)
+	defer cancel()
+
+	r := &run{Run: m, s: s, to: to, index: m.ResumeTokens, began: now}
+	r.prepare(ctx)
+
+	err = r.complete(ctx)
+	lost := failure.KindOf(err) == failure.TargetLost && err != nil
+	s.guard.leave(id, lost)
+
+	if lost {
+		r.witness(ctx)
+	}
+
+	event.Log(s.cfg.Log, event.RunEnded, "request_id", m.RequestID, "tokens", r.index, "cached_tokens", r.usage.Details.CachedTokens,
+		"imported_blocks", r.imported, "first_token_ms", r.first.Milliseconds(), "took_ms", time.Since(now).Milliseconds(), "outcome", outcome(err))
+
+	if err != nil {
+		return err
+	}
+
+	r.offerPark()
+
+	return r.done()
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "done"
+	}
+
+	return failure.KindOf(err).String()
+}
+
+func (r *run) scope() prompt.Scope {
+	return prompt.Scope{Salt: r.Salt, Model: r.Model, Version: r.Version, Adapter: r.Adapter}
+}
+
+// prepare finds out what the engine holds of the prompt and imports a copy where
+// that brings more. A copy that can't be used only costs the time of the attempt.
+func (r *run) prepare(ctx context.Context) {
+	r.chain = r.scope().Chain(r.Prompt, r.s.guard.engineInfo().BlockTokens)
+	warm := r.s.held.prefix(r.chain)
+
+	for _, c := range r.Copies {
+		id, err := store.ParseCopyID(c.Copy)
+		if err != nil || id.Blocks() <= warm || id.Blocks() > len(r.chain) || c.Version != r.Version {
+			continue
+		}
+
+		err = r.fetch(ctx, c, id)
+		if err == nil {
+			break
+		}
+
+		event.Fail(r.s.cfg.Log, err, event.CopyRejected, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy)
+	}
+
+	event.Log(r.s.cfg.Log, event.RunAdmitted, "request_id", r.RequestID, "organisation", r.Organisation, "blocks", len(r.chain),
+		"warm_blocks", warm, "imported_blocks", r.imported, "weight_version", r.Version)
+}
+
+// fetch brings one copy into the engine after verifying it.
+func (r *run) fetch(ctx context.Context, c message.Holding, id store.CopyID) error {
+	began := time.Now()
+
+	sealed, err := store.Client{Address: c.Address, HTTP: r.s.stores}.Get(ctx, c.Copy)
+	if err != nil {
+		return err
+	}
+
+	body, err := store.Open(sealed, r.header(c.Copy, id.Blocks(), r.chain))
+	if err != nil {
+		return err
+	}
+
+	blocks, err := r.s.engine.Import(ctx, body)
+	if err != nil {
+		return err
+	}
+
+	r.imported = min(blocks, id.Blocks())
+	r.s.held.add(r.chain[:r.imported])
+	event.Log(r.s.cfg.Log, event.CopyImported, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy, "blocks", blocks,
+		"bytes", len(sealed), "took_ms", time.Since(began).Milliseconds())
+
+	return nil
+}
+
+// header says what a copy of the first blocks of chain must be of.
+func (r *run) header(id string, blocks int, chain prompt.Chain) store.Header {
+	return store.Header{
+		ID:           id,
+		Organisation: r.Organisation,
+		Model:        r.Model,
+		Version:      r.Version,
+		Adapter:      r.Adapter,
+		Tail:         chain[blocks-1],
+		Blocks:       blocks,
+	}
+}
+
+// complete runs the prompt and passes each token on.
+func (r *run) complete(ctx context.Context) error {
+	q := engine.Completion{
+		Model:         r.Model,
+		Prompt:        r.Prompt,
+		MaxTokens:     r.MaxTokens,
+		Priority:      r.Priority,
+		CacheSalt:     r.Salt,
+		WeightVersion: r.Version,
+		Adapter:       r.Adapter,
+		RequestID:     r.RequestID,
+		ResumeText:    r.Resume,
+	}
+
+	return r.s.engine.Complete(ctx, q, r.take)
+}
+
+func (r *run) take(p engine.Piece) error {
+	if p.Finish != "" {
+		r.finish = p.Finish
+		r.usage = p.Usage
+	}
+
+	if p.Text == "" {
+		return nil
+	}
+
+	if r.first == 0 {
+		r.first = time.Since(r.began)
+	}
+
+	t := message.Token{Index: r.index, Text: p.Text}
+	r.index++
+	r.text = append(r.text, p.Text...)
+
+	return r.to.Send(t)
+}
+
+// witness finds out at once whether the engine died, and tells the entry before
+// the refusal: it must know not to try this request on a third target.
+func (r *run) witness(ctx context.Context) {
+	if c := r.s.probe(context.WithoutCancel(ctx)); c != nil {
+		_ = r.to.Send(*c)
+	}
+}
+
+func (r *run) done() error {
+	return r.to.Send(message.Done{
+		Tokens:         r.index,
+		Finish:         r.finish,
+		PromptTokens:   r.usage.PromptTokens,
+		CachedTokens:   r.usage.Details.CachedTokens,
+		ImportedTokens: r.imported * r.s.guard.engineInfo().BlockTokens,
+		Load:           r.s.guard.currentLoad(time.Now()),
+	})
+}
--- /dev/null
+++ b/side/side.go
@@ -0,0 +1,225 @@
+// Package side is the process beside each target: the guard of what the target
+// is given and the witness of what it does.
+//
+// # Model
+//
+// Entries route by beliefs that are late. The side process is where belief ends:
+// it admits or refuses at first hand, checks that the target holds the weight
+// version that a run asks for, follows the cache events, verifies every copy
+// before the engine gets it, and tells the entries when its target crashed and
+// what ran then.
+//
+// # Duties
+//
+// Each runs in a goroutine of its own; rings join them:
+//
+//	watch    asks the target how it is, notices a new boot
+//	events   follows the engine's cache events
+//	park     exports contexts and seals them in stores
+//	report   tells entries of copies and crashes
+//
+// Conversations from entries come through Handle, each in its own goroutine.
+package side
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/claim"
+	"boragehub/engine"
+	"boragehub/event"
+	"boragehub/failure"
+	"boragehub/message"
+	"boragehub/peer"
+	"boragehub/ring"
+	"boragehub/vm"
+)
+
+// Sizes of the rings between duties.
+const (
+	parkRing   = 64
+	reportRing = 256
+)
+
+// entryRole is the role that a peer's certificate must bear to give work.
+const entryRole = "entry"
+
+// Claims records the runs of non-idempotent calls; see package claim.
+type Claims interface {
+	Claim(ctx context.Context, now time.Time, q claim.Request) (claim.Ticket, error)
+	Settle(ctx context.Context, t claim.Ticket, o claim.Outcome) error
+	Withdraw(ctx context.Context, t claim.Ticket) error
+}
+
+// Opener opens conversations with peers; *peer.Dialer is one.
+type Opener interface {
+	Ask(ctx context.Context, a peer.Address, m message.Message) (message.Message, error)
+}
+
+// Lister knows the platform's list of VMs; *vm.Follower is one.
+type Lister interface {
+	List() *vm.List
+}
+
+// Config says what a side process guards.
+type Config struct {
+	// VM and DataCentre are where it runs.
+	VM         string
+	DataCentre string
+	// Service is what the target serves.
+	Service string
+	// Plain says that the target is a plain service and not an engine.
+	Plain bool
+	// Address is the target's IP and port.
+	Address string
+	// MaxWaiting is how many requests may be admitted beyond those that the
+	// target runs at once; zero is DefaultMaxWaiting.
+	MaxWaiting int
+	// DrainTimeout is how long a planned stop waits for what runs.
+	DrainTimeout time.Duration
+	// Claims records non-idempotent calls; nil refuses them.
+	Claims Claims
+	// Peers opens conversations with entries.
+	Peers Opener
+	// VMs knows the entries and stores.
+	VMs Lister
+	// Log gets a line for each decision.
+	Log logr.Logger
+}
+
+// DefaultMaxWaiting is how many requests wait at a target where Config says nothing.
+const DefaultMaxWaiting = 64
+
+// Side is a side process. Use New.
+type Side struct {
+	cfg     Config
+	engine  engine.Client
+	plain   *http.Client
+	stores  *http.Client
+	guard   *guard
+	held    *held
+	parks   *ring.Ring[parkJob]
+	reports *ring.Ring[report]
+	parked  *parkedSet
+}
+
+// storeTimeout bounds the transfer of one copy.
+const storeTimeout = 30 * time.Second
+
+// engineConnections is how many idle connections to the engine are kept.
+const engineConnections = 256
+
+// newPlainClient returns the client for calls that may not be repeated. Go's
+// transport sends a request again by itself when a kept connection breaks under
+// it and an Idempotency-Key makes it look safe, and a client follows redirects;
+// a plain service would then run a booking twice with nobody having asked for
+// it. On a fresh connection for each call neither can happen.
+func newPlainClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// New returns a Side that has not seen its target yet.
+func New(cfg Config) *Side {
+	if cfg.MaxWaiting <= 0 {
+		cfg.MaxWaiting = DefaultMaxWaiting
+	}
+
+	return &Side{
+		cfg:     cfg,
+		engine:  engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: engineConnections}}},
+		plain:   newPlainClient(),
+		stores:  &http.Client{Timeout: storeTimeout, Transport: &http.Transport{}},
+		guard:   newGuard(cfg.MaxWaiting),
+		held:    newHeld(),
+		parks:   ring.New[parkJob](parkRing),
+		reports: ring.New[report](reportRing),
+		parked:  newParkedSet(),
+	}
+}
+
+// Run does the duties until ctx ends.
+func (s *Side) Run(ctx context.Context) {
+	duties := []func(context.Context){s.watch, s.report}
+	if !s.cfg.Plain {
+		duties = append(duties, s.followEvents, s.park)
+	}
+
+	var all sync.WaitGroup
+
+	for _, duty := range duties {
+		all.Go(func() { duty(ctx) })
+	}
+
+	all.Wait()
+}
+
+// Ready reports whether new work is taken.
+func (s *Side) Ready() bool { return s.guard.ready() }
+
+// Drain refuses new work at once and waits until nothing runs, the drain
+// timeout passes or ctx ends.
+func (s *Side) Drain(ctx context.Context) {
+	event.Log(s.cfg.Log, event.DrainBegan, "running", s.guard.count())
+	s.guard.drain()
+
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.DrainTimeout)
+	defer cancel()
+
+	s.guard.wait(ctx)
+	event.Log(s.cfg.Log, event.DrainEnded, "running", s.guard.count())
+}
+
+// Handle answers one conversation of an entry.
+func (s *Side) Handle(ctx context.Context, from peer.Identity, t *peer.Stream) {
+	m, err := t.Receive()
+	if err != nil {
+		return
+	}
+
+	if from.Role != entryRole {
+		peer.Refuse(t, failure.New(failure.Forbidden, "role %q gives no work", from.Role))
+
+		return
+	}
+
+	// The run ends with the conversation: an entry that cancels or is gone has
+	// nobody left to answer.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	stop := context.AfterFunc(t.Context(), cancel)
+	defer stop()
+
+	switch m := m.(type) {
+	case message.Ask:
+		err = t.Send(s.state(time.Now()))
+	case message.Run:
+		err = s.run(ctx, t, m)
+	case message.Call:
+		err = s.call(ctx, t, m)
+	default:
+		err = failure.New(failure.BadMessage, "message type %d begins no conversation here", m.Type())
+	}
+
+	if err != nil {
+		peer.Refuse(t, err)
+	}
+}
+
+// state describes the target at first hand.
+func (s *Side) state(now time.Time) message.State {
+	st := s.guard.state(now)
+	st.VM = s.cfg.VM
+	st.Service = s.cfg.Service
+
+	return st
+}
--- /dev/null
+++ b/side/watch.go
@@ -0,0 +1,156 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"boragehub/engine"
+	"boragehub/event"
+	"boragehub/message"
+)
+
+// Timing of the watch.
+const (
+	watchEvery   = 250 * time.Millisecond
+	watchTimeout = time.Second
+	eventsWait   = 10 * time.Second
+	eventsPause  = 500 * time.Millisecond
+)
+
+// watch asks the target how it is until ctx ends.
+func (s *Side) watch(ctx context.Context) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+
+	for {
+		s.probe(ctx)
+
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probe asks once. It returns the crash that it noticed, if any.
+func (s *Side) probe(ctx context.Context) *message.Crashed {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+
+	info, load, err := s.inspect(ctx)
+	if err == nil {
+		first, boot, crashed := s.guard.observe(info, load)
+		if first {
+			event.Log(s.cfg.Log, event.TargetUp, "boot", info.BootID, "weight_version", info.WeightVersion)
+		}
+
+		return s.crashed(boot, crashed)
+	}
+
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		last, boot, crashed := s.guard.died()
+		if last {
+			event.Fail(s.cfg.Log, err, event.TargetDown)
+		}
+
+		return s.crashed(boot, crashed)
+	}
+
+	if s.guard.silent() {
+		event.Fail(s.cfg.Log, err, event.TargetDown)
+	}
+
+	return nil
+}
+
+func (s *Side) inspect(ctx context.Context) (engine.Info, engine.Load, error) {
+	if s.cfg.Plain {
+		load, err := s.engine.Load(ctx)
+
+		return engine.Info{State: "ready"}, load, err
+	}
+
+	info, err := s.engine.Info(ctx)
+	if err != nil {
+		return info, engine.Load{}, err
+	}
+
+	load, err := s.engine.Load(ctx)
+
+	return info, load, err
+}
+
+// crashed tells the entries what ran when the target died.
+func (s *Side) crashed(boot string, fingerprints []string) *message.Crashed {
+	if len(fingerprints) == 0 {
+		return nil
+	}
+
+	m := &message.Crashed{Target: s.cfg.VM, Boot: boot, Fingerprints: fingerprints}
+	event.Log(s.cfg.Log, event.TargetCrashed, "boot", boot, "requests", len(fingerprints), "fingerprints", fingerprints)
+	s.tellAll(*m)
+
+	return m
+}
+
+// followEvents keeps held in step with the engine until ctx ends.
+func (s *Side) followEvents(ctx context.Context) {
+	for ctx.Err() == nil {
+		ok, err := s.nextEvents(ctx)
+		if err == nil && !ok {
+			err = s.resync(ctx)
+		}
+
+		if err != nil && ctx.Err() == nil {
+			event.Fail(s.cfg.Log.V(1), err, event.EventsLost)
+			s.engine.HTTP.CloseIdleConnections()
+			pause(ctx, eventsPause)
+		}
+	}
+}
+
+func (s *Side) nextEvents(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, eventsWait+watchTimeout)
+	defer cancel()
+
+	e, err := s.engine.Events(ctx, s.held.position(), eventsWait)
+	if err != nil {
+		return false, err
+	}
+
+	return s.held.apply(e), nil
+}
+
+// resync reads the whole list. Without it a removal lost in a gap would leave a
+// context believed warm that the engine computes anew each time.
+func (s *Side) resync(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+
+	b, err := s.engine.Blocks(ctx)
+	if err != nil {
+		return err
+	}
+
+	s.held.reset(b)
+	event.Log(s.cfg.Log, event.EventsGap, "boot", b.BootID, "seq", b.Seq, "blocks", len(b.Hashes))
+
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// statusOK reports a status that a plain service gives for work done.
+func statusOK(status int) bool { return status < http.StatusInternalServerError }
