route, directory, link, parking: decide where prompts go and what is kept

Cause: the whole path needs its decisions: which engine takes a prompt and how its context comes there, what is known of contexts, what is promised on links, what is copied to stores.

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,177 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// rate is a byte a microsecond.
+const rate = 1e6
+
+// If two windows overlapped, both transfers would be late and every estimate of
+// a time to first token that counted on them wrong.
+func TestPromisesNeverExceedTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(Config{BytesPerSecond: rate, MaxWindows: 12})
+		now := epoch
+
+		var live []uint64
+
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				q := Request{
+					Bytes:        rapid.Int64Range(0, 5e6).Draw(t, "bytes"),
+					Class:        Class(rapid.IntRange(0, 2).Draw(t, "class")),
+					Organisation: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
+					Latest:       time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "latest")),
+				}
+				n := l.Len()
+
+				w, ok := l.Reserve(now, q)
+				if !ok {
+					if q.Latest == 0 && n < 12 && l.Len() < n {
+						t.Fatal("refused with room")
+					}
+
+					return
+				}
+
+				if q.Latest > 0 && w.End.Sub(now) > q.Latest {
+					t.Fatalf("end: got %v, want at most %v", w.End.Sub(now), q.Latest)
+				}
+
+				live = append(live, w.ID)
+			},
+			"done": func(t *rapid.T) {
+				if len(live) > 0 {
+					l.Done(now, rapid.SampledFrom(live).Draw(t, "id"))
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "wait")))
+			},
+			"": func(t *rapid.T) { checkWindows(t, l, now) },
+		})
+	})
+}
+
+func checkWindows(t *rapid.T, l *Link, now time.Time) {
+	l.settle(now)
+
+	all := l.Windows(nil)
+	for i, w := range all {
+		if w.Start.After(now) && w.Length() < time.Duration(w.Bytes)*time.Microsecond {
+			t.Fatalf("window %d: got %v for %d bytes, want it to hold them", w.ID, w.Length(), w.Bytes)
+		}
+
+		if i == 0 {
+			continue
+		}
+
+		before := all[i-1]
+		if w.Start.Before(before.End) {
+			t.Fatalf("windows %d and %d overlap", before.ID, w.ID)
+		}
+
+		if before.Start.After(now) && w.Class < before.Class {
+			t.Fatalf("window %d of class %v stands before %v", before.ID, before.Class, w.Class)
+		}
+	}
+}
+
+func TestImportsGoBeforeExports(t *testing.T) {
+	l := New(Config{BytesPerSecond: rate})
+	running, _ := l.Reserve(epoch, Request{Bytes: 1e6, Class: Export})
+	export, _ := l.Reserve(epoch, Request{Bytes: 1e6, Class: Export})
+	estimate := l.Estimate(epoch, 1e6)
+	imported, _ := l.Reserve(epoch, Request{Bytes: 1e6, Class: Import})
+
+	if got, want := imported.Start, running.End; !got.Equal(want) {
+		t.Errorf("import: got start %v, want %v", got, want)
+	}
+
+	if got, want := imported.End.Sub(epoch), estimate; got != want {
+		t.Errorf("import: got end %v, want the estimate %v", got, want)
+	}
+
+	export, _ = l.Window(epoch, export.ID)
+	if got, want := export.Start, imported.End; !got.Equal(want) {
+		t.Errorf("export: got start %v, want %v", got, want)
+	}
+}
+
+// A transfer ends early, or its holder dies and never says that it ended. The
+// others must move forward, or the link would stand idle while callers wait.
+func TestWrongEstimates(t *testing.T) {
+	cases := []struct {
+		name  string
+		after time.Duration
+		done  bool
+		want  time.Duration
+	}{
+		{"early", 500 * time.Millisecond, true, 500 * time.Millisecond},
+		{"late", 2 * time.Second, false, 2250 * time.Millisecond},
+		{"lost", 4 * time.Second, false, 4 * time.Second},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := New(Config{BytesPerSecond: rate})
+			first, _ := l.Reserve(epoch, Request{Bytes: 1e6})
+			now := epoch.Add(c.after)
+
+			if c.done {
+				l.Done(now, first.ID)
+			}
+
+			w, _ := l.Reserve(now, Request{Bytes: 1e6})
+			if got := w.Start.Sub(epoch).Truncate(time.Microsecond); got != c.want {
+				t.Errorf("start: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// One organisation fills the link with imports. Another one's single import
+// must not wait for all of them.
+func TestOrganisationsShare(t *testing.T) {
+	l := New(Config{BytesPerSecond: rate})
+	for range 20 {
+		l.Reserve(epoch, Request{Bytes: 1e6, Organisation: "large"})
+	}
+
+	w, _ := l.Reserve(epoch, Request{Bytes: 1e6, Organisation: "small"})
+	if got, want := w.Start.Sub(epoch), 2*time.Second; got > want {
+		t.Errorf("start: got %v, want at most %v", got, want)
+	}
+}
+
+func TestSlowerLinkStretchesWhatIsPromised(t *testing.T) {
+	l := New(Config{BytesPerSecond: rate})
+	l.Reserve(epoch, Request{Bytes: 1e6})
+	w, _ := l.Reserve(epoch, Request{Bytes: 1e6})
+	l.SetRate(epoch, rate/10)
+
+	w, _ = l.Window(epoch, w.ID)
+	if got, want := w.Length(), 10*time.Second; got != want {
+		t.Errorf("length: got %v, want %v", got, want)
+	}
+}
+
+func BenchmarkReserve(b *testing.B) {
+	l := New(Config{BytesPerSecond: rate})
+	for range 32 {
+		l.Reserve(epoch, Request{Bytes: 1e6, Organisation: "a"})
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		w, _ := l.Reserve(epoch, Request{Bytes: 1e6, Organisation: "b"})
+		l.Done(epoch, w.ID)
+	}
+}
--- /dev/null
+++ b/parking/parking.go
@@ -0,0 +1,318 @@
+// Package parking decides what becomes of a context between its visits: whether
+// it is copied to a store, to which, what a full store drops, and whether it is
+// brought back to an engine before its return is seen.
+//
+// # Model
+//
+// A context returns after a gap whose usual length the settings know for each
+// workload; the chance of a return within a time is taken as exponential, so
+// that it needs no history. A copy saves the prefill of its tokens when the
+// context returns after the engine evicted it and before the store does. It
+// costs time on the link, which imports need first, and room in the store. All
+// is weighed in seconds, so that one Config serves small and large models.
+//
+// # Example
+//
+//	d := parking.Decide(now, cfg, ctx, view)
+//	if d.Export() {
+//		copyTo(view.Stores[d.First()].Name)
+//	}
+package parking
+
+import (
+	"math"
+	"time"
+)
+
+// Config weighs the decisions. Zero fields take their defaults.
+type Config struct {
+	// MinTokens is the shortest context worth a copy; 256 when zero.
+	MinTokens int
+	// LinkWeight is the cost of one second of link time, against one second of
+	// prefill saved; 0.2 when zero.
+	LinkWeight float64
+	// StoreLoss is the chance that a store is lost before a context returns;
+	// 0.05 when zero. A second copy is made where that chance of losing the
+	// saving outweighs the link time of the copy.
+	StoreLoss float64
+	// PrefetchChance is the chance of a return within Lead from which a context
+	// is prefetched; 0.5 when zero.
+	PrefetchChance float64
+	// Lead is how far ahead a prefetch looks; 5 seconds when zero.
+	Lead time.Duration
+}
+
+// The defaults of Config.
+const (
+	defaultMinTokens      = 256
+	defaultLinkWeight     = 0.2
+	defaultStoreLoss      = 0.05
+	defaultPrefetchChance = 0.5
+	defaultLead           = 5 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.MinTokens <= 0 {
+		c.MinTokens = defaultMinTokens
+	}
+
+	if c.LinkWeight <= 0 {
+		c.LinkWeight = defaultLinkWeight
+	}
+
+	if c.StoreLoss <= 0 {
+		c.StoreLoss = defaultStoreLoss
+	}
+
+	if c.PrefetchChance <= 0 {
+		c.PrefetchChance = defaultPrefetchChance
+	}
+
+	if c.Lead <= 0 {
+		c.Lead = defaultLead
+	}
+
+	return c
+}
+
+// Context is what is to be kept or not.
+type Context struct {
+	// Tokens is its length.
+	Tokens int
+	// Parked is how many of its leading tokens a store already has.
+	Parked int
+	// Bytes is the size of a copy of what no store has yet.
+	Bytes int64
+	// PrefillTokensPerSecond is the speed at which it would be recomputed.
+	PrefillTokensPerSecond float64
+	// Visits is how often it was seen.
+	Visits int
+	// Seen is when it was last used.
+	Seen time.Time
+	// UsualGap is the usual time between two visits.
+	UsualGap time.Duration
+}
+
+// Room is a store as it is believed to be.
+type Room struct {
+	// Name is the store's VM name.
+	Name string
+	// Free and Total are its room in bytes.
+	Free, Total int64
+	// Transfer is the estimated time of the copy, behind what is promised.
+	Transfer time.Duration
+	// Density is the value a byte of the least valuable copy in it, in seconds
+	// of prefill a byte; what is dropped to make room.
+	Density float64
+	// Down says that it doesn't answer.
+	Down bool
+}
+
+// View is what is known around a context.
+type View struct {
+	// Stays is how long the engine is expected to keep the context.
+	Stays time.Duration
+	// Stores are the stores; at most MaxStores are looked at.
+	Stores []Room
+}
+
+// MaxStores is how many stores a decision weighs.
+const MaxStores = 16
+
+// Reason says why a context gets a copy or none. The zero Reason is Worth.
+type Reason uint8
+
+// The reasons.
+const (
+	// Worth means that the copy is expected to save more than it costs.
+	Worth Reason = iota
+	// TooShort means that the context is not worth the trouble.
+	TooShort
+	// StaysWarm means that it will most likely return before it is evicted.
+	StaysWarm
+	// LinkDear means that the link's time costs more than the copy saves.
+	LinkDear
+	// NoRoom means that every store is down or full of what is worth more.
+	NoRoom
+)
+
+// String returns the snake-case name of r.
+func (r Reason) String() string {
+	return [...]string{"worth", "too_short", "stays_warm", "link_dear", "no_room"}[r]
+}
+
+// Decision is the outcome of Decide.
+type Decision struct {
+	reason        Reason
+	first, second int
+	saving, cost  float64
+}
+
+// Export reports whether the context is to be copied.
+func (d Decision) Export() bool { return d.reason == Worth }
+
+// Reason returns why.
+func (d Decision) Reason() Reason { return d.reason }
+
+// First returns the index of the store for the copy, -1 for none.
+func (d Decision) First() int { return d.first }
+
+// Second returns the index of the store for a second copy, -1 for none.
+func (d Decision) Second() int { return d.second }
+
+// Saving returns the expected seconds of prefill saved.
+func (d Decision) Saving() float64 { return d.saving }
+
+// Fields returns the decision as keys and values of one log line.
+func (d Decision) Fields(v View) []any {
+	fields := []any{"reason", d.reason.String(), "saving_s", d.saving, "cost_s", d.cost}
+	if d.first >= 0 {
+		fields = append(fields, "store", v.Stores[d.first].Name)
+	}
+
+	if d.second >= 0 {
+		fields = append(fields, "second_store", v.Stores[d.second].Name)
+	}
+
+	return fields
+}
+
+// Decide returns whether a context is copied to a store, and to which.
+func Decide(now time.Time, cfg Config, c Context, v View) Decision {
+	cfg = cfg.withDefaults()
+	d := Decision{first: -1, second: -1}
+
+	if c.Tokens-c.Parked < cfg.MinTokens {
+		d.reason = TooShort
+		return d
+	}
+
+	d.saving = Saving(now, c, v.Stays)
+	if d.saving <= 0 {
+		d.reason = StaysWarm
+		return d
+	}
+
+	d.place(cfg, c, v)
+
+	return d
+}
+
+// place chooses the stores: the one with the quickest way first, and a second
+// one where the loss of the first would hurt.
+func (d *Decision) place(cfg Config, c Context, v View) {
+	density := d.saving / float64(max(c.Bytes, 1))
+	d.reason = NoRoom
+
+	for i := range min(len(v.Stores), MaxStores) {
+		s := &v.Stores[i]
+		if s.Down || c.Bytes > s.Total || (c.Bytes > s.Free && s.Density >= density) {
+			continue
+		}
+
+		cost := cfg.LinkWeight * s.Transfer.Seconds()
+		if cost > d.saving {
+			if d.reason == NoRoom {
+				d.reason = LinkDear
+			}
+
+			continue
+		}
+
+		d.take(i, cost, v)
+	}
+
+	if d.first < 0 {
+		return
+	}
+
+	d.reason = Worth
+
+	if d.second >= 0 && d.saving*cfg.StoreLoss < cfg.LinkWeight*v.Stores[d.second].Transfer.Seconds() {
+		d.second = -1
+	}
+}
+
+func (d *Decision) take(i int, cost float64, v View) {
+	switch {
+	case d.first < 0 || less(v.Stores[i], v.Stores[d.first]):
+		d.second = d.first
+		d.first = i
+		d.cost = cost
+	case d.second < 0 || less(v.Stores[i], v.Stores[d.second]):
+		d.second = i
+	}
+}
+
+// less prefers the store with the shorter transfer, then the one with more room.
+func less(a, b Room) bool {
+	if a.Transfer != b.Transfer {
+		return a.Transfer < b.Transfer
+	}
+
+	return a.Free > b.Free
+}
+
+// Saving returns the expected seconds of prefill that a copy of c saves: its
+// tokens times the chance that it returns only after the engine evicted it.
+func Saving(now time.Time, c Context, stays time.Duration) float64 {
+	if c.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+
+	prefill := float64(c.Tokens-c.Parked) / c.PrefillTokensPerSecond
+
+	return prefill * ReturnChance(now, c) * (1 - within(stays, c.UsualGap))
+}
+
+// ReturnChance returns the chance that c returns at all: it rises with each
+// visit and falls as its usual gap passes without one.
+func ReturnChance(now time.Time, c Context) float64 {
+	visits := float64(max(c.Visits, 1))
+	returned := visits / (visits + 1)
+
+	if c.UsualGap <= 0 {
+		return returned
+	}
+
+	late := max(now.Sub(c.Seen), 0).Seconds() / c.UsualGap.Seconds()
+	// Bayes: the longer it stays away, the likelier it is that it is over.
+	still := returned * math.Exp(-late)
+
+	return still / (still + 1 - returned)
+}
+
+// within returns the chance that a gap is over within d.
+func within(d, usual time.Duration) float64 {
+	if usual <= 0 {
+		return 0
+	}
+
+	return 1 - math.Exp(-max(d, 0).Seconds()/usual.Seconds())
+}
+
+// Density returns the value a byte of a stored copy: what a store that is full
+// drops the least of first.
+func Density(now time.Time, c Context) float64 {
+	if c.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+
+	return float64(c.Tokens) / c.PrefillTokensPerSecond * ReturnChance(now, c) / float64(max(c.Bytes, 1))
+}
+
+// Prefetch reports whether a context is brought back to an engine now: its
+// return within the lead time is likely enough and the link free enough.
+func Prefetch(now time.Time, cfg Config, c Context, transfer time.Duration) bool {
+	cfg = cfg.withDefaults()
+	if c.UsualGap <= 0 || transfer > cfg.Lead {
+		return false
+	}
+
+	due := c.Seen.Add(c.UsualGap)
+	if now.Before(due.Add(-cfg.Lead)) || now.After(due.Add(cfg.Lead)) {
+		return false
+	}
+
+	return ReturnChance(now, c) >= cfg.PrefetchChance
+}
