publication: decide by the log's order, follow it, pass it on

Cause: settings must be in force everywhere within seconds and never revert, with two operators, a log that goes away and forgets, and 2,100 processes. Ruled out: each process polling the log (2,100 long polls on a service that takes several hundred appends a second); the whole tree in each record (megabytes a change at 10,000 organisations); deciding by what a release can parse (two releases would disagree on the order for ever). Before: nothing was published.

--- /dev/null
+++ b/setting/publication/publication_test.go
@@ -0,0 +1,131 @@
+package publication
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/failure"
+	"boragehub/setting"
+)
+
+func text(attempts int) []byte {
+	return []byte(strings.Replace(setting.Example(), "max_attempts = 3", "max_attempts = "+string(rune('0'+attempts)), 1))
+}
+
+func publish(log Log, id string, based uint64, b []byte) (uint64, error) {
+	return Publish(context.Background(), PublishConfig{Log: log, Wait: time.Nanosecond},
+		Change{ID: id, Based: based, Author: "ann", Name: id, Text: b})
+}
+
+func follower(log Log, vm string) *Follower {
+	return NewFollower(FollowerConfig{Log: log, Self: Member{vm, "a"}, Logger: logr.Discard()})
+}
+
+func TestPublishedComesIntoForce(t *testing.T) {
+	log := newFakeLog()
+	f := follower(log, "e1")
+
+	if f.Ready() {
+		t.Error("got ready without a version")
+	}
+
+	version, err := publish(log, "one", 0, text(2))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if err := f.readLog(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+
+	p := f.Current()
+	if got, want := p.Version(), version; got != want {
+		t.Errorf("version: got %d, want %d", got, want)
+	}
+
+	if got, want := p.Tree().Effective(setting.Path{}).MaxAttempts, 2; got != want {
+		t.Errorf("max_attempts: got %d, want %d", got, want)
+	}
+}
+
+// Two operators edit the same version. Both are told "ok" by a naive publisher
+// and the first one's change is gone without a word.
+func TestSecondOperatorIsToldWhatToRebaseOn(t *testing.T) {
+	log := newFakeLog()
+
+	first, err := publish(log, "one", 0, text(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	second, err := publish(log, "two", first, text(2))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	_, err = publish(log, "three", first, text(4))
+	if got, want := failure.KindOf(err), failure.Conflict; got != want {
+		t.Fatalf("got %v (%v), want %v", got, err, want)
+	}
+
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %T, want a ConflictError", err)
+	}
+
+	if got, want := conflict.InForce, second; got != want {
+		t.Errorf("in force: got %d, want %d", got, want)
+	}
+
+	if got, want := len(conflict.Changes), 1; got != want {
+		t.Fatalf("changes: got %v, want %d", conflict.Changes, want)
+	}
+
+	if got, want := conflict.Changes[0], (setting.Change{Key: "max_attempts", Before: "3", After: "2"}); got != want {
+		t.Errorf("change: got %v, want %v", got, want)
+	}
+}
+
+func TestRebaseKeepsBothChanges(t *testing.T) {
+	base := text(3)
+	mine := text(2)
+	theirs := []byte(strings.Replace(string(base), "claim_shards = 16", "claim_shards = 8", 1))
+
+	b, err := Rebase(base, mine, theirs)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	got := string(b)
+	want := strings.Replace(string(mine), "claim_shards = 16", "claim_shards = 8", 1)
+
+	if got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+
+	if _, err := Rebase(base, mine, text(4)); failure.KindOf(err) != failure.Conflict {
+		t.Errorf("same line: got %v, want a conflict", err)
+	}
+}
+
+// The log takes a change in, and the connection breaks before it says so. A
+// publisher that tries again without reading on is then told of a conflict with
+// itself, and its operator undoes a change that is in force.
+func TestLostAnswerIsSettledByReadingOn(t *testing.T) {
+	log := newFakeLog()
+	log.loseAnswers = 1
+
+	version, err := publish(log, "one", 0, text(2))
+	if err != nil || version != 1 {
+		t.Errorf("got %d %v, want version 1", version, err)
+	}
+
+	if got, want := log.appends, 1; got != want {
+		t.Errorf("appends: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/setting/publication/publish.go
@@ -0,0 +1,459 @@
+package publication
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"boragehub/failure"
+	"boragehub/journal"
+	"boragehub/setting"
+)
+
+// Change is what an operator publishes.
+type Change struct {
+	// ID is unique to the change.
+	ID string
+	// Based is the version that the operator started from; zero when none was published yet.
+	Based uint64
+	// Author is the operator.
+	Author string
+	// Note says why; may be empty.
+	Note string
+	// Name is the file that errors name.
+	Name string
+	// Text is the whole tree as it is to be.
+	Text []byte
+}
+
+// PublishConfig says how Publish reaches the log.
+type PublishConfig struct {
+	// Log is the log service.
+	Log Log
+	// Attempts is how often an append is tried; zero is DefaultAttempts.
+	Attempts int
+	// Wait is how long one read waits for the change to show; zero is DefaultShowWait.
+	Wait time.Duration
+}
+
+// Defaults of PublishConfig.
+const (
+	DefaultAttempts = 4
+	DefaultShowWait = 500 * time.Millisecond
+)
+
+// ConflictError tells an operator what came between.
+type ConflictError struct {
+	// Based is the version that the operator started from.
+	Based uint64
+	// InForce is the version to rebase on.
+	InForce uint64
+	// Author, Note and At are those of the version in force.
+	Author string
+	Note   string
+	At     time.Time
+	// Changes are the keys that differ from Based to InForce; nil when the log
+	// no longer keeps Based.
+	Changes []setting.Change
+	// Text is the text in force.
+	Text []byte
+	// BasedText is the text of Based; nil when the log no longer keeps it.
+	BasedText []byte
+}
+
+// Error returns the message.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("version %d by %s is in force, the change was based on %d", e.InForce, e.Author, e.Based)
+}
+
+// Publish puts c into the log and returns its version once it is in force by
+// the log's order. Errors: BadSettings; Conflict with a *ConflictError;
+// LogUnavailable when nothing was published; OutcomeUnknown when the log went
+// away before it told, so that the change may still come into force.
+func Publish(ctx context.Context, cfg PublishConfig, c Change) (uint64, error) {
+	if cfg.Attempts <= 0 {
+		cfg.Attempts = DefaultAttempts
+	}
+
+	if cfg.Wait <= 0 {
+		cfg.Wait = DefaultShowWait
+	}
+
+	if _, err := setting.Parse(c.Name, c.Text); err != nil {
+		return 0, err
+	}
+
+	p := newPublisher(cfg, c)
+
+	if err := p.reader.catchUp(ctx, 0); err != nil {
+		return 0, err
+	}
+
+	if p.reader.replica.head.version != c.Based {
+		return 0, p.conflict()
+	}
+
+	if p.reader.replica.head.hash == setting.HashOf(c.Text) && c.Based > 0 {
+		return c.Based, nil // nothing changes
+	}
+
+	return p.publish(ctx)
+}
+
+// publisher is one try to publish.
+type publisher struct {
+	cfg    PublishConfig
+	change Change
+	reader *history
+	ids    []string
+	// verdicts are those of the records that bear one of ids.
+	verdicts  []verdict
+	basedText []byte
+}
+
+func newPublisher(cfg PublishConfig, c Change) *publisher {
+	p := &publisher{cfg: cfg, change: c, reader: newHistory(cfg.Log)}
+
+	p.reader.seen = func(v verdict) {
+		if slices.Contains(p.ids, v.id) {
+			p.verdicts = append(p.verdicts, v)
+		}
+	}
+	p.reader.advanced = func(h head) {
+		if h.version == c.Based {
+			p.basedText = h.text
+		}
+	}
+
+	return p
+}
+
+// publish appends until the log's order has decided.
+func (p *publisher) publish(ctx context.Context) (uint64, error) {
+	base := p.reader.replica.head
+	payload := encode(newContent(base.text, p.change.Text))
+	hash := setting.HashOf(p.change.Text)
+
+	for attempt := range p.cfg.Attempts {
+		// A change whose parts were interrupted gets a new id: late parts of
+		// the old one must not be taken for those of the new.
+		id := fmt.Sprintf("%s.%d", p.change.ID, p.interruptions())
+		if !slices.Contains(p.ids, id) {
+			p.ids = append(p.ids, id)
+		}
+
+		one := record{
+			Kind: changeRecord, ID: id, Based: p.change.Based,
+			Author: p.change.Author, Note: p.change.Note, Hash: hash[:],
+		}
+
+		p.append(ctx, split(one, payload))
+
+		err := p.settle(ctx)
+		if version, done, outcome := p.outcome(); done {
+			return version, outcome
+		}
+
+		if ctx.Err() != nil {
+			break
+		}
+
+		if err != nil {
+			pause(ctx, p.cfg.Wait<<attempt)
+		}
+	}
+
+	return 0, failure.New(failure.OutcomeUnknown,
+		"the log did not tell whether the change %s took effect; it may still do so: see ctl config history", p.change.ID)
+}
+
+// append writes the parts; what came of it is told by reading on.
+func (p *publisher) append(ctx context.Context, parts [][]byte) {
+	for _, part := range parts {
+		if _, err := p.cfg.Log.Append(ctx, Stream, [][]byte{part}); err != nil {
+			return
+		}
+	}
+}
+
+// settle reads on until the change has been decided or doesn't show.
+func (p *publisher) settle(ctx context.Context) error {
+	if err := p.reader.catchUp(ctx, 0); err != nil {
+		return err
+	}
+
+	if len(p.verdicts) > 0 {
+		return nil
+	}
+
+	return p.reader.catchUp(ctx, p.cfg.Wait)
+}
+
+func (p *publisher) interruptions() int {
+	n := 0
+
+	for _, v := range p.verdicts {
+		if v.reason == reasonInterrupted {
+			n++
+		}
+	}
+
+	return n
+}
+
+// outcome returns what the log's order decided, if it has.
+func (p *publisher) outcome() (uint64, bool, error) {
+	conflict := false
+
+	for _, v := range p.verdicts {
+		switch v.reason {
+		case accepted:
+			return v.offset, true, nil
+		case reasonConflict:
+			conflict = true
+		case reasonDamaged:
+			return 0, true, failure.New(failure.Internal, "the change arrived damaged in the log at offset %d", v.offset)
+		case reasonInterrupted:
+		}
+	}
+
+	if conflict || p.reader.replica.head.version != p.change.Based {
+		return 0, true, p.conflict()
+	}
+
+	return 0, false, nil
+}
+
+// conflict returns what came between.
+func (p *publisher) conflict() error {
+	h := p.reader.replica.head
+	e := &ConflictError{
+		Based: p.change.Based, InForce: h.version, Author: h.author, Note: h.note, At: h.at,
+		Text: h.text, BasedText: p.basedText,
+	}
+
+	if p.basedText != nil || p.change.Based == 0 {
+		e.Changes = differences(p.basedText, h.text)
+	}
+
+	return failure.Wrap(failure.Conflict, e, "version %d by %s came first; rebase on it", h.version, h.author)
+}
+
+// differences returns the keys that differ; nil when a text is from another
+// release and can't be read.
+func differences(a, b []byte) []setting.Change {
+	before, err := setting.Parse("before", a)
+	if err != nil {
+		return nil
+	}
+
+	after, err := setting.Parse("after", b)
+	if err != nil {
+		return nil
+	}
+
+	return setting.Diff(before, after)
+}
+
+// Rebase returns theirs with what mine changes of base. It fails with Conflict
+// when both change the same lines.
+func Rebase(base, mine, theirs []byte) ([]byte, error) {
+	ours, other := makePatch(base, mine), makePatch(base, theirs)
+
+	if ours.touches(other) {
+		return nil, failure.New(failure.Conflict, "both changes touch the same lines; edit the version in force by hand")
+	}
+
+	return merge(ours, other).apply(base)
+}
+
+// span is the part of a base that a hunk covers.
+type span struct {
+	from, to int
+	add      []byte
+}
+
+// spans returns the places of p in its base.
+func (p patch) spans() []span {
+	at := 0
+
+	spans := make([]span, 0, len(p))
+	for _, h := range p {
+		at += h.Keep
+		spans = append(spans, span{at, at + h.Drop, h.Add})
+		at += h.Drop
+	}
+
+	return spans
+}
+
+// touches says whether a place of p meets one of q.
+func (p patch) touches(q patch) bool {
+	for _, a := range p.spans() {
+		for _, b := range q.spans() {
+			if a.from <= b.to && b.from <= a.to {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
+// merge returns the patch that does what both do.
+func merge(p, q patch) patch {
+	spans := append(p.spans(), q.spans()...)
+	slices.SortFunc(spans, func(a, b span) int { return a.from - b.from })
+
+	at := 0
+
+	merged := make(patch, 0, len(spans))
+	for _, s := range spans {
+		merged = append(merged, hunk{Keep: s.from - at, Drop: s.to - s.from, Add: s.add})
+		at = s.to
+	}
+
+	return merged
+}
+
+// history reads the stream from its start.
+type history struct {
+	log     Log
+	replica *replica
+	// seen and advanced are called for each verdict and each new head.
+	seen     func(verdict)
+	advanced func(head)
+}
+
+func newHistory(log Log) *history {
+	h := &history{log: log, replica: newReplica()}
+	h.replica.decided = func(v verdict) {
+		if h.seen != nil {
+			h.seen(v)
+		}
+	}
+
+	return h
+}
+
+// catchUp reads to the end of the stream; the last read waits for more.
+func (h *history) catchUp(ctx context.Context, wait time.Duration) error {
+	for {
+		batch, err := h.log.Read(ctx, Stream, h.replica.from(), mostRecords, wait)
+
+		var trimmed *journal.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > h.replica.from() {
+			h.replica.trimmed(trimmed.First)
+
+			continue
+		}
+
+		if err != nil {
+			return failure.Wrap(failure.LogUnavailable, err, "the settings can't be read from the log")
+		}
+
+		h.replica.trimmed(batch.First)
+
+		for _, rec := range batch.Records {
+			h.feed(rec)
+		}
+
+		if h.replica.from() >= batch.Next {
+			return h.check()
+		}
+	}
+}
+
+func (h *history) feed(rec journal.Record) {
+	before := h.replica.head.version
+
+	h.replica.feed(rec)
+
+	if h.advanced != nil && h.replica.head.version > before {
+		h.advanced(h.replica.head)
+	}
+}
+
+// check refuses to go on without knowing what is in force.
+func (h *history) check() error {
+	if h.replica.synced() {
+		return nil
+	}
+
+	return failure.New(failure.Unavailable,
+		"the log no longer keeps the settings in force; a running process has to write them again first")
+}
+
+// Entry is one line of the history of changes.
+type Entry struct {
+	// Offset is the place in the log, and the version of an accepted change.
+	Offset uint64 `json:"offset"`
+	// Accepted says whether the change came into force.
+	Accepted bool `json:"accepted"`
+	// Reason is "accepted" or why it didn't.
+	Reason string `json:"reason"`
+	// Based is the version that the change was made from.
+	Based uint64 `json:"based"`
+	// Author and Note are the operator's.
+	Author string `json:"author"`
+	Note   string `json:"note,omitempty"`
+	// At is when the log took the change in.
+	At time.Time `json:"at"`
+	// ID is the change's unique id.
+	ID string `json:"id"`
+}
+
+// Read returns what is in force by the log, and the newest most changes,
+// oldest first. The version is nil when nothing was published yet.
+func Read(ctx context.Context, log Log, most int) (*Published, []Entry, error) {
+	var entries []Entry
+
+	h := newHistory(log)
+	h.seen = func(v verdict) {
+		entries = append(entries, Entry{
+			v.offset, v.reason == accepted, v.reason.String(), v.based, v.author, v.note, v.at, v.id,
+		})
+		entries = entries[max(len(entries)-most, 0):]
+	}
+
+	if err := h.catchUp(ctx, 0); err != nil {
+		return nil, nil, err
+	}
+
+	newest := h.replica.head
+	if newest.version == 0 {
+		return nil, entries, nil
+	}
+
+	tree, err := setting.Parse("settings", newest.text)
+	if err != nil {
+		return nil, entries, err
+	}
+
+	return &Published{head: newest, tree: tree}, entries, nil
+}
+
+// TextAt returns the text of an accepted version that the log still keeps.
+func TextAt(ctx context.Context, log Log, version uint64) ([]byte, error) {
+	var text []byte
+
+	h := newHistory(log)
+	h.advanced = func(at head) {
+		if at.version == version {
+			text = bytes.Clone(at.text)
+		}
+	}
+
+	if err := h.catchUp(ctx, 0); err != nil {
+		return nil, err
+	}
+
+	if text == nil {
+		return nil, failure.New(failure.BadRequest, "version %d was not accepted or is no longer kept", version)
+	}
+
+	return text, nil
+}
