--- a/journal/reader.go
+++ b/journal/reader.go
@@ -50,14 +50,15 @@
 	cfg  ReaderConfig
 	down bool
 
-	mu    sync.Mutex
-	next  uint64
-	first uint64
-	seen  map[uuid.UUID]mark
-	parts assembly
-	mode  mode
-	best  *found
-	atEnd time.Time
+	mu     sync.Mutex
+	next   uint64
+	first  uint64
+	seen   map[uuid.UUID]mark
+	parts  assembly
+	mode   mode
+	best   *found
+	atEnd  time.Time
+	synced bool
 }
 
 // mode is what a Reader is after.
@@ -110,6 +111,14 @@
 	return max(now.Sub(r.atEnd), 0)
 }
 
+// Synced reports whether the Reader ever was at the end of the stream.
+func (r *Reader) Synced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.synced
+}
+
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	wait := newBackoff()
@@ -196,6 +205,8 @@
 	// process that was paused meanwhile may read much later. Only an empty poll
 	// is known to have been answered after its wait.
 	r.atEnd = start
+	r.synced = true
+
 	if len(b.Records) == 0 && r.cfg.Clock().Sub(start) >= wait {
 		r.atEnd = start.Add(wait)
 	}
