claim: run a non-idempotent request at most once by a home for each shard

Cause: a booking that is sent twice must run once, also when entries, side processes or the log fail between. Ruled out: a lease for the home, which would end during every outage longer than the lease; go-rendezvous' Remove, which panics on the last node.

--- /dev/null
+++ b/claim/home_test.go
@@ -0,0 +1,81 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+
+	"boragehub/failure"
+	"boragehub/journal/memory"
+)
+
+// key returns a UUIDv7 issued now by the test's clock.
+func key(t *testing.T) string {
+	t.Helper()
+
+	u, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return u.String()
+}
+
+// started runs a Home until the test's bubble ends it.
+func started(ctx context.Context, wg *sync.WaitGroup, cfg HomeConfig) *Home {
+	h := NewHome(cfg)
+	wg.Go(func() { h.Run(ctx) })
+
+	return h
+}
+
+func TestHomeRunsOnceAndReplays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+
+		var wg sync.WaitGroup
+
+		fleet := func() Fleet { return Fleet{Version: 1, VMs: []string{"a"}} }
+		h := started(ctx, &wg, HomeConfig{Log: memory.New(), Service: "booking-api", Shards: 2, VM: "a", Fleet: fleet})
+
+		time.Sleep(5 * time.Second)
+
+		if got, want := len(h.Homes()), 2; got != want {
+			t.Fatalf("homes: got %d, want %d", got, want)
+		}
+
+		q := Request{Organisation: "o", Key: key(t), Fingerprint: "f"}
+
+		ticket, err := h.Claim(ctx, time.Now(), q)
+		if err != nil || ticket.Outcome != nil || ticket.LogLess {
+			t.Fatalf("first claim: got %+v %v, want leave to run", ticket, err)
+		}
+
+		if _, err := h.Claim(ctx, time.Now(), q); failure.KindOf(err) != failure.KeyBusy {
+			t.Errorf("claim while running: got %v, want key busy", err)
+		}
+
+		if err := h.Settle(ctx, ticket, Outcome{Status: 201}); err != nil {
+			t.Fatal(err)
+		}
+
+		time.Sleep(time.Second)
+
+		ticket, err = h.Claim(ctx, time.Now(), q)
+		if err != nil || ticket.Outcome == nil || ticket.Outcome.Status != 201 {
+			t.Errorf("claim after the run: got %+v %v, want the outcome", ticket, err)
+		}
+
+		if err := h.Drain(ctx); err != nil || len(h.Homes()) != 0 {
+			t.Errorf("drain: got %v and homes %v, want none", err, h.Homes())
+		}
+
+		cancel()
+		wg.Wait()
+	})
+}
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -111,6 +111,15 @@
 	return max(now.Sub(r.atEnd), 0)
 }
 
+// AtEnd returns when the Reader last knew itself to be at the end of the stream;
+// false before it ever was.
+func (r *Reader) AtEnd() (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.atEnd, r.synced
+}
+
 // Synced reports whether the Reader ever was at the end of the stream.
 func (r *Reader) Synced() bool {
 	r.mu.Lock()
