--- /dev/null
+++ b/cmd/boragehub/provide.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zerologr"
+	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"boragehub/certificate"
+	"boragehub/claim"
+	"boragehub/entry"
+	"boragehub/failure"
+	"boragehub/journal"
+	"boragehub/operator"
+	"boragehub/peer"
+	"boragehub/setting"
+	"boragehub/setting/exchange"
+	"boragehub/setting/publication"
+	"boragehub/side"
+	"boragehub/vm"
+)
+
+// commonSet makes what every process of the running system has.
+var commonSet = wire.NewSet(
+	provideLogger,
+	provideKeys,
+	providePeerConfig,
+	providePeerServer,
+	provideList,
+	provideJournal,
+	provideFollower,
+	newRelay,
+	operator.NewRegistry,
+	peer.NewDialer,
+	wire.Struct(new(common), "*"),
+)
+
+// debugLevel is the verbosity of lines that operators want only at times.
+const debugLevel = 1
+
+func provideLogger(cfg setting.Process) logr.Logger {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	zerologr.VerbosityFieldName = ""
+	zerologr.NameFieldName = "part"
+
+	level := zerolog.InfoLevel
+
+	switch cfg.LogLevel {
+	case "debug":
+		level = zerolog.DebugLevel - debugLevel
+	case "error":
+		level = zerolog.ErrorLevel
+	}
+
+	z := zerolog.New(os.Stdout).Level(level).With().Timestamp().
+		Str("role", string(cfg.Role)).Str("vm", cfg.VM).Str("data_centre", cfg.DataCentre).Logger()
+
+	return zerologr.New(&z)
+}
+
+func provideKeys(cfg setting.Process, log logr.Logger) (*certificate.Keeper, error) {
+	return certificate.NewKeeper(certificate.KeeperConfig{
+		CAFile:          cfg.TLS.CAFile,
+		CertificateFile: cfg.TLS.CertificateFile,
+		KeyFile:         cfg.TLS.KeyFile,
+		Protocols:       []string{peer.Protocol},
+		Logger:          log,
+	})
+}
+
+func providePeerConfig(keys *certificate.Keeper) peer.Config {
+	return peer.Config{TLS: keys.TLS()}
+}
+
+func providePeerServer(cfg setting.Process, p peer.Config, log logr.Logger) (*peer.Server, error) {
+	return peer.Listen(p, cfg.Listen.Peers, log)
+}
+
+func provideList(cfg setting.Process, log logr.Logger, r *relay) *vm.Follower {
+	return vm.NewFollower(vm.FollowerConfig{
+		URL:    cfg.Platform.VMListURL,
+		Log:    log,
+		OnList: func(now time.Time, l *vm.List) { r.list(now, l) },
+	})
+}
+
+func provideJournal(cfg setting.Process) *journal.Client {
+	return journal.NewClient(journal.ClientConfig{URL: cfg.Platform.LogURL})
+}
+
+func provideFollower(cfg setting.Process, log logr.Logger, j *journal.Client, d *peer.Dialer, list *vm.Follower, r *relay) *publication.Follower {
+	return publication.NewFollower(publication.FollowerConfig{
+		Log:     j,
+		Self:    publication.Member{VM: cfg.VM, DataCentre: cfg.DataCentre},
+		Members: func() []publication.Member { return exchange.Members(list.List()) },
+		Peers:   exchange.Peers{Asker: d, VMs: list},
+		Logger:  log,
+		Changed: func(p *publication.Published) { r.settings(time.Now(), p) },
+	})
+}
+
+func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, registry *prometheus.Registry) *entry.Entry {
+	e := entry.New(entry.Config{
+		VM:          cfg.VM,
+		DataCentre:  cfg.DataCentre,
+		Site:        cfg.Site,
+		MaxRequests: cfg.Limits.MaxRequests,
+		Settings:    settings,
+		Peers:       d,
+		VMs:         list,
+		Log:         log,
+	})
+	registry.MustRegister(e.Collectors()...)
+
+	return e
+}
+
+func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, e *entry.Entry) (*operator.Server, error) {
+	return operator.Listen(operator.Config{
+		Addr:     cfg.Listen.Operators,
+		Registry: registry,
+		Checks:   []operator.Check{{Name: "entry", Ready: e.Ready}},
+		Views:    e.Views(),
+	})
+}
+
+// provideHomes returns the home of the target's idempotency keys; nil beside an
+// engine, whose runs may be repeated.
+func provideHomes(cfg setting.Process, log logr.Logger, j *journal.Client, list *vm.Follower) *claim.Home {
+	if cfg.Target.Kind != setting.PlainService {
+		return nil
+	}
+
+	return claim.NewHome(claim.HomeConfig{
+		Log:     j,
+		Service: cfg.Target.Service,
+		VM:      cfg.VM,
+		Fleet:   func() claim.Fleet { return fleetOf(list.List(), cfg.Target.Service) },
+		Logger:  log,
+	})
+}
+
+// fleetOf returns the VMs of a service as the platform lists them.
+func fleetOf(l *vm.List, service string) claim.Fleet {
+	f := claim.Fleet{Version: l.Version(), Leaving: map[string]bool{}}
+
+	for _, m := range l.All() {
+		if m.Service != service {
+			continue
+		}
+
+		f.VMs = append(f.VMs, m.Name)
+
+		if m.State == vm.Leaving {
+			f.Leaving[m.Name] = true
+		}
+	}
+
+	return f
+}
+
+func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, homes *claim.Home) (*side.Side, error) {
+	u, err := url.Parse(cfg.Target.URL)
+	if err != nil {
+		return nil, failure.Wrap(failure.BadSettings, err, "target %q", cfg.Target.URL)
+	}
+
+	c := side.Config{
+		VM:           cfg.VM,
+		DataCentre:   cfg.DataCentre,
+		Service:      cfg.Target.Service,
+		Plain:        cfg.Target.Kind == setting.PlainService,
+		Address:      u.Host,
+		DrainTimeout: time.Duration(cfg.Limits.DrainTimeout),
+		Settings:     settings,
+		Peers:        d,
+		VMs:          list,
+		Log:          log,
+	}
+
+	if homes != nil {
+		c.Claims = homes
+	}
+
+	return side.New(c), nil
+}
+
+func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, s *side.Side) (*operator.Server, error) {
+	return operator.Listen(operator.Config{
+		Addr:     cfg.Listen.Operators,
+		Registry: registry,
+		Checks:   []operator.Check{{Name: "target", Ready: s.Ready}},
+	})
+}
--- /dev/null
+++ b/cmd/boragehub/wire.go
@@ -0,0 +1,23 @@
+//go:build wireinject
+
+package main
+
+import (
+	"github.com/google/wire"
+
+	"boragehub/setting"
+)
+
+//go:generate wire
+
+func newEntryProcess(cfg setting.Process) (*entryProcess, error) {
+	wire.Build(commonSet, provideEntry, provideEntryOperators, wire.Struct(new(entryProcess), "*"))
+
+	return nil, nil
+}
+
+func newSideProcess(cfg setting.Process) (*sideProcess, error) {
+	wire.Build(commonSet, provideHomes, provideSide, provideSideOperators, wire.Struct(new(sideProcess), "*"))
+
+	return nil, nil
+}
--- a/engine/complete.go
+++ b/engine/complete.go
@@ -12,8 +12,45 @@
 	"boragehub/failure"
 )
 
+// Sampling holds the caller's wishes that only the engine reads.
+type Sampling struct {
+	// Temperature and TopP shape the draw of tokens; nil leaves it to the engine.
+	Temperature *float64 `json:"temperature,omitempty"`
+	TopP        *float64 `json:"top_p,omitempty"`
+	// PresencePenalty and FrequencyPenalty discourage repetition.
+	PresencePenalty  *float64 `json:"presence_penalty,omitempty"`
+	FrequencyPenalty *float64 `json:"frequency_penalty,omitempty"`
+	// Seed makes the draw repeatable.
+	Seed *int64 `json:"seed,omitempty"`
+	// Stop are texts that end the answer.
+	Stop Stops `json:"stop,omitempty"`
+}
+
+// Stops are texts that end an answer. In JSON it may be one text or a list.
+type Stops []string
+
+// UnmarshalJSON reads one text or a list.
+func (s *Stops) UnmarshalJSON(b []byte) error {
+	var one string
+	if json.Unmarshal(b, &one) == nil {
+		*s = Stops{one}
+
+		return nil
+	}
+
+	var list []string
+	if err := json.Unmarshal(b, &list); err != nil {
+		return err
+	}
+
+	*s = list
+
+	return nil
+}
+
 // Completion is a prompt to run.
 type Completion struct {
+	Sampling
 	// Model is the model's name.
 	Model string `json:"model"`
 	// Prompt is the rendered text.
--- /dev/null
+++ b/entry/job.go
@@ -0,0 +1,378 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"boragehub/engine"
+	"boragehub/event"
+	"boragehub/failure"
+	"boragehub/message"
+	"boragehub/quarantine"
+	"boragehub/retry"
+	"boragehub/setting"
+	"boragehub/target"
+)
+
+// job is a prompt on its way through this entry.
+type job struct {
+	e            *Entry
+	id           string
+	organisation string
+	workload     string
+	service      string
+	model        string
+	values       setting.Values
+	text         string
+	opening      string
+	maxTokens    int
+	sampling     engine.Sampling
+	fingerprint  quarantine.Fingerprint
+	standing     quarantine.Standing
+	seed         uint64
+	arrived      time.Time
+	to           sink
+
+	attempt int
+	tried   map[string]bool
+	views   []*contextView
+	index   int    // tokens passed on to the caller
+	answer  []byte // their text
+	first   time.Duration
+}
+
+// salt keeps the organisation's blocks apart from all others'.
+func (j *job) salt() string { return "organisation/" + j.organisation }
+
+// run serves j until its answer is whole or it is given up. A request given up
+// on is answered at once: waiting longer would only keep its caller from asking
+// elsewhere.
+func (j *job) run(ctx context.Context) (message.Done, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.values.Timeout)
+	defer cancel()
+
+	j.e.budget.First(time.Now())
+
+	var last error
+
+	for j.attempt = 1; ; j.attempt++ {
+		if err := j.check(time.Now()); err != nil {
+			return message.Done{}, err
+		}
+
+		r, found := j.route(ctx)
+		if !found {
+			return message.Done{}, j.nowhere(last)
+		}
+
+		d, sent, err := j.try(ctx, r)
+		if err == nil {
+			return d, nil
+		}
+
+		last = err
+
+		if !j.again(ctx, sent, err) {
+			return message.Done{}, err
+		}
+
+		j.tried[r.target.VM] = true
+	}
+}
+
+// check refuses a request that has crashed its targets.
+func (j *job) check(now time.Time) error {
+	var err error
+
+	j.standing, err = j.e.ward.Check(now, j.fingerprint)
+
+	return err
+}
+
+// nowhere is the answer when no target is left to try.
+func (j *job) nowhere(last error) error {
+	if last != nil {
+		return last
+	}
+
+	return failure.New(failure.Unavailable, "no engine of %s can take the request", j.service).After(j.e.comeBack())
+}
+
+// comeBack spreads callers over the second in which something may have changed.
+func (e *Entry) comeBack() time.Duration {
+	return time.Second + time.Duration(e.seed()%uint64(time.Second))
+}
+
+// again decides whether a failed attempt is followed by another.
+func (j *job) again(ctx context.Context, sent bool, err error) bool {
+	kind := failure.KindOf(err)
+	may := ctx.Err() == nil && retry.May(retry.Attempt{
+		Idempotent: true,
+		Sent:       sent,
+		Kind:       kind,
+		Number:     j.attempt,
+		Most:       j.values.MaxAttempts,
+	})
+
+	if !may {
+		event.Log(j.e.cfg.Log, event.RepeatRefused, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "reason", "not_allowed")
+
+		return false
+	}
+
+	if !j.e.budget.Allow(time.Now()) {
+		event.Log(j.e.cfg.Log, event.RepeatRefused, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "reason", "budget")
+
+		return false
+	}
+
+	wait := retry.BackoffConfig{}.Backoff(j.attempt, rand.New(rand.NewPCG(j.seed, uint64(j.attempt))))
+	event.Log(j.e.cfg.Log, event.RequestRepeated, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "wait_ms", wait.Milliseconds())
+	j.e.metrics.retries.Inc()
+
+	return pause(ctx, wait)
+}
+
+// pause reports whether it could wait to the end.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try runs j at one target. sent says that the run may have begun there.
+func (j *job) try(ctx context.Context, r routed) (d message.Done, sent bool, err error) {
+	began := time.Now()
+	s := j.e.targets.Sent(began, r.target.VM, max(0, len(r.view.chain)))
+
+	d, sent, err = j.converse(ctx, r)
+
+	now := time.Now()
+	j.e.note(j.e.targets.Done(now, s, standing(err, sent)))
+
+	kind := "done"
+	if err != nil {
+		kind = failure.KindOf(err).String()
+		j.suspect(now, r, sent, err)
+	} else {
+		j.e.ward.Completed(now, j.fingerprint)
+	}
+
+	event.Log(j.e.cfg.Log, event.AttemptEnded, "request_id", j.id, "attempt", j.attempt, "vm", r.target.VM, "outcome", kind,
+		"tokens", j.index, "took_ms", now.Sub(began).Milliseconds())
+
+	return d, sent, err
+}
+
+// standing tells the table of targets what an attempt says of its target.
+func standing(err error, sent bool) target.Outcome {
+	if err == nil {
+		return target.Succeeded
+	}
+
+	switch failure.KindOf(err) {
+	case failure.TargetLost, failure.BadMessage, failure.ProtocolMismatch:
+		return target.Failed
+	case failure.Draining:
+		return target.RefusedDraining
+	case failure.NotReady:
+		if !sent {
+			return target.Failed
+		}
+
+		return target.Neutral
+	default:
+		return target.Neutral
+	}
+}
+
+// suspect counts a target that was lost under j as possibly crashed by it, also
+// when no side process is left to say so. It is taken back when the target turns
+// out to be alive with the same boot.
+func (j *job) suspect(now time.Time, r routed, sent bool, err error) {
+	if !sent || failure.KindOf(err) != failure.TargetLost {
+		return
+	}
+
+	j.e.crashed(now, quarantine.Crash{
+		Target:  r.target.VM,
+		Boot:    r.target.BootID,
+		At:      now,
+		Running: []quarantine.Fingerprint{j.fingerprint},
+	})
+}
+
+// converse is the conversation of one attempt.
+func (j *job) converse(ctx context.Context, r routed) (d message.Done, sent bool, err error) {
+	s, err := j.e.cfg.Peers.Open(ctx, sideOf(r.target))
+	if err != nil {
+		return d, false, err
+	}
+
+	defer s.Close()
+
+	// The caller's going away ends the run at the engine and frees its place.
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+
+	if err := s.Send(j.message(ctx, r)); err != nil {
+		return d, true, err
+	}
+
+	d, err = j.receive(s)
+	if err != nil && ctx.Err() != nil {
+		err = failure.As(context.Cause(ctx))
+	}
+
+	sent = true
+
+	if err != nil && failure.KindOf(err).Answer().Ran == failure.NotRun {
+		sent = false
+	}
+
+	if err == nil {
+		j.took(r, d)
+	}
+
+	return d, sent, err
+}
+
+// receiver is the part of a conversation that answers come from.
+type receiver interface {
+	Receive() (message.Message, error)
+}
+
+// receive passes the tokens on until the answer is whole.
+func (j *job) receive(s receiver) (message.Done, error) {
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			return message.Done{}, err
+		}
+
+		switch m := m.(type) {
+		case message.Token:
+			if err := j.take(m); err != nil {
+				return message.Done{}, err
+			}
+		case message.Crashed:
+			j.e.crashed(time.Now(), m.Crash)
+		case message.Done:
+			return m, j.complete(m)
+		default:
+			_, err := message.Expect[message.Done](m)
+
+			return message.Done{}, err
+		}
+	}
+}
+
+// take passes one token on. Its index must follow the last one that the caller
+// has: after a resume, or when answers cross, a token could otherwise come twice
+// or be left out, and the caller would have no way to notice.
+func (j *job) take(t message.Token) error {
+	if t.Index != j.index {
+		event.Log(j.e.cfg.Log, event.AnswerCrossed, "request_id", j.id, "index", t.Index, "want", j.index)
+
+		return failure.New(failure.TargetLost, "token %d came where %d was due", t.Index, j.index)
+	}
+
+	if j.index == 0 {
+		j.first = time.Since(j.arrived)
+		j.e.metrics.firstToken(j, j.first)
+	}
+
+	if err := j.to.token(t.Text); err != nil {
+		return failure.Wrap(failure.Cancelled, err, "the caller is gone")
+	}
+
+	j.index++
+	j.answer = append(j.answer, t.Text...)
+
+	return nil
+}
+
+// complete checks that the caller has as many tokens as the target gave.
+func (j *job) complete(d message.Done) error {
+	if d.Tokens != j.index {
+		return failure.New(failure.TargetLost, "the answer has %d tokens of %d", j.index, d.Tokens)
+	}
+
+	return nil
+}
+
+// message is what the target's side process is asked to run.
+func (j *job) message(ctx context.Context, r routed) message.Run {
+	left := j.values.Timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+
+	return message.Run{
+		RequestID:     j.id,
+		Organisation:  j.organisation,
+		Fingerprint:   j.fingerprint,
+		Suspect:       j.standing == quarantine.Suspect,
+		Model:         j.model,
+		Version:       r.view.version,
+		Salt:          j.salt(),
+		Prompt:        j.text,
+		Resume:        string(j.answer),
+		ResumeTokens:  j.index,
+		MaxTokens:     j.maxTokens,
+		Sampling:      j.sampling,
+		Priority:      priority(j.values.Class),
+		TimeoutMS:     left.Milliseconds(),
+		Anchor:        r.view.anchor,
+		Copies:        r.copies,
+		ParkMinTokens: j.values.ParkMinTokens,
+		UsualGapMS:    j.values.UsualGap.Milliseconds(),
+	}
+}
+
+// priority is the engine's number for a class; lower is sooner.
+func priority(c setting.Class) int {
+	switch c {
+	case setting.Urgent:
+		return 0
+	case setting.Interactive:
+		return 1
+	case setting.Background:
+		return 3
+	default:
+		return 2
+	}
+}
+
+// took notes what a finished run tells: the target's load, and that its engine
+// now holds the context up to the end of the answer.
+func (j *job) took(r routed, d message.Done) {
+	now := time.Now()
+	j.e.targets.ObserveLoad(now, r.target.VM, loadOf(d.Load))
+	j.e.metrics.computed(j, d)
+
+	scope := j.scopeOf(r.view.version)
+	chain := scope.Chain(j.text+string(j.answer), blockTokens(j.e.speeds.get(r.target.VM)))
+
+	if len(chain) == 0 {
+		return
+	}
+
+	j.e.learns.Offer(learning{m: message.Learn{
+		Anchor: r.view.anchor,
+		Chain:  chain,
+		Holding: message.Holding{
+			Holder:     r.target.VM,
+			DataCentre: r.target.DataCentre,
+			Blocks:     len(chain),
+			Version:    r.view.version,
+		},
+	}})
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"boragehub/failure"
+	"boragehub/message"
+)
+
+// metrics are an entry's measures. Labels are bounded: services and workloads
+// come from the settings, kinds from the closed list, and organisations are no
+// label, since there are ten thousand of them.
+type metrics struct {
+	firstTokens *prometheus.HistogramVec
+	prompts     *prometheus.CounterVec
+	cached      *prometheus.CounterVec
+	imported    *prometheus.CounterVec
+	answers     *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	retries     prometheus.Counter
+}
+
+const namespace = "boragehub"
+
+func newMetrics() *metrics {
+	labels := []string{"service", "workload"}
+
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+
+	return &metrics{
+		firstTokens: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "first_token_seconds",
+			Help:      "Time from a prompt's arrival to its first token.",
+			Buckets:   []float64{.01, .025, .05, .1, .2, .35, .5, .7, .92, 1.3, 2, 4, 8, 16, 32, 64},
+		}, labels),
+		prompts:  counter("prompt_tokens_total", "Tokens of the prompts answered.", labels...),
+		cached:   counter("cached_tokens_total", "Prompt tokens that were not computed.", labels...),
+		imported: counter("imported_tokens_total", "Prompt tokens that were imported from a store for their run.", labels...),
+		answers:  counter("answers_total", "Whole answers given.", labels...),
+		refusals: counter("failures_total", "Requests answered with an error, by kind.", "kind"),
+		retries:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Attempts beyond the first."}),
+	}
+}
+
+// Collectors returns the entry's metrics for a registry.
+func (e *Entry) Collectors() []prometheus.Collector {
+	m := e.metrics
+	gauge := func(name, help string, get func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, get)
+	}
+
+	return []prometheus.Collector{
+		m.firstTokens, m.prompts, m.cached, m.imported, m.answers, m.refusals, m.retries,
+		gauge("requests_in_work", "Requests in work now.", func() float64 { return float64(e.active.Load()) }),
+		gauge("places_used", "Places of the gate that are taken.", e.gate.Used),
+		gauge("targets_known", "Targets held in the table.", func() float64 { return float64(e.targets.Len()) }),
+		gauge("contexts_owned", "Contexts that this entry keeps for the directory.", func() float64 { return float64(e.owned.contexts()) }),
+		gauge("settings_version", "Version of the settings in force.", func() float64 { return float64(e.version()) }),
+		gauge("learnings_refused_total", "Reports of holdings dropped for want of room.", func() float64 { return float64(e.learns.Refused()) }),
+	}
+}
+
+func (o *owned) contexts() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.table.Contexts()
+}
+
+// version returns the version of the settings in force, zero before any.
+func (e *Entry) version() uint64 {
+	if p := e.policy.Load(); p != nil {
+		return p.version
+	}
+
+	return 0
+}
+
+func (m *metrics) firstToken(j *job, d time.Duration) {
+	m.firstTokens.WithLabelValues(j.service, j.workload).Observe(d.Seconds())
+}
+
+func (m *metrics) computed(j *job, d message.Done) {
+	m.prompts.WithLabelValues(j.service, j.workload).Add(float64(d.PromptTokens))
+	m.cached.WithLabelValues(j.service, j.workload).Add(float64(d.CachedTokens))
+	m.imported.WithLabelValues(j.service, j.workload).Add(float64(d.ImportedTokens))
+	m.answers.WithLabelValues(j.service, j.workload).Inc()
+}
+
+func (m *metrics) refused(k failure.Kind) {
+	m.refusals.WithLabelValues(k.String()).Inc()
+}
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"boragehub/event"
+	"boragehub/message"
+	"boragehub/peer"
+	"boragehub/quarantine"
+	"boragehub/target"
+)
+
+// The watch asks at most one side process every watchEvery. A question and its
+// answer take about 400 bytes on the wire, so an entry spends at most 2 KB a
+// second on it however many targets it knows; load comes mostly on the answers
+// that flow anyway.
+const (
+	watchEvery   = 200 * time.Millisecond
+	watchTimeout = 2 * time.Second
+)
+
+// watch asks one side process after the other how its target is.
+func (e *Entry) watch(ctx context.Context) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+
+	var queue []target.Target
+
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+
+		if len(queue) == 0 {
+			queue = e.watched()
+		}
+
+		if len(queue) == 0 {
+			continue
+		}
+
+		go e.ask(ctx, queue[0])
+
+		queue = queue[1:]
+	}
+}
+
+// watched returns the targets that this entry keeps a connection to.
+func (e *Entry) watched() []target.Target {
+	var all []target.Target
+
+	for _, service := range e.targets.Services() {
+		for _, t := range e.targets.Subset(service) {
+			if t.SideAddress != "" {
+				all = append(all, t)
+			}
+		}
+	}
+
+	return all
+}
+
+// ask asks one side process for its state.
+func (e *Entry) ask(ctx context.Context, t target.Target) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+
+	var version uint64
+	if p := e.policy.Load(); p != nil {
+		version = p.version
+	}
+
+	m, err := e.cfg.Peers.Ask(ctx, sideOf(t), message.Ask{SettingsVersion: version})
+	if err != nil {
+		return
+	}
+
+	s, err := message.Expect[message.State](m)
+	if err != nil {
+		return
+	}
+
+	e.hello(time.Now(), t, s)
+}
+
+func sideOf(t target.Target) peer.Address {
+	return peer.Address{VM: t.VM, Addr: t.SideAddress}
+}
+
+// hello takes in what a side process says of its target.
+func (e *Entry) hello(now time.Time, t target.Target, s message.State) {
+	state := target.Loading
+
+	switch {
+	case s.Draining:
+		state = target.Draining
+	case s.Ready:
+		state = target.Ready
+	}
+
+	if s.Boot != "" && t.BootID != "" && s.Boot != t.BootID {
+		e.owned.forgetHolder(t.VM)
+		event.Log(e.cfg.Log, event.HolderForgotten, "vm", t.VM, "boot", s.Boot)
+	}
+
+	if s.Ready && s.Boot == t.BootID {
+		e.ward.Survived(now, t.VM, s.Boot)
+	}
+
+	e.speeds.set(t.VM, speed{
+		prefill:       s.PrefillRate,
+		decode:        s.DecodeRate,
+		maxRunning:    s.MaxRunning,
+		blockTokens:   s.BlockTokens,
+		bytesPerToken: s.BytesPerToken,
+	})
+	e.homes.set(t.Service, t.VM, s.Homes)
+	e.note(e.targets.ObserveHello(now, target.Hello{
+		VM:            t.VM,
+		BootID:        s.Boot,
+		Sequence:      s.Sequence,
+		State:         state,
+		DataCentre:    t.DataCentre,
+		Service:       t.Service,
+		Address:       t.Address,
+		SideAddress:   t.SideAddress,
+		Model:         s.Model,
+		WeightVersion: s.Version,
+		Load:          loadOf(s.Load),
+	}))
+}
+
+func loadOf(l message.Load) target.Load {
+	return target.Load{
+		Running:       l.Running,
+		Waiting:       l.Waiting,
+		WaitingTokens: l.WaitingTokens,
+		Age:           time.Duration(l.AgeMS) * time.Millisecond,
+	}
+}
+
+// crashed takes in what ran when a target died.
+func (e *Entry) crashed(now time.Time, c quarantine.Crash) {
+	for _, f := range e.ward.Crashed(now, c) {
+		event.Log(e.cfg.Log, event.RequestQuarantine, "fingerprint", fingerprintText(f), "vm", c.Target)
+	}
+}
+
+// speed is what an engine says of itself.
+type speed struct {
+	prefill, decode            float64
+	maxRunning                 int
+	blockTokens, bytesPerToken int
+}
+
+// speeds holds the speeds of the engines that were heard.
+type speeds struct {
+	mu   sync.Mutex
+	byVM map[string]speed
+}
+
+func (s *speeds) set(vm string, v speed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.byVM[vm] = v
+}
+
+func (s *speeds) get(vm string) speed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.byVM[vm]
+}
--- a/message/message.go
+++ b/message/message.go
@@ -26,8 +26,10 @@
 package message
 
 import (
+	"boragehub/engine"
 	"boragehub/failure"
 	"boragehub/prompt"
+	"boragehub/quarantine"
 )
 
 // Version is the protocol version that this program speaks.
@@ -72,7 +74,7 @@
 	// Organisation is the caller's organisation.
 	Organisation string `cbor:"2,keyasint"`
 	// Fingerprint identifies organisation and content, for quarantine.
-	Fingerprint string `cbor:"3,keyasint"`
+	Fingerprint quarantine.Fingerprint `cbor:"3,keyasint"`
 	// Model, Version, Adapter and Salt are the scope of the prompt's blocks.
 	Model   string `cbor:"4,keyasint"`
 	Version string `cbor:"5,keyasint"`
@@ -96,6 +98,13 @@
 	Copies []Holding `cbor:"15,keyasint,omitempty"`
 	// ParkMinTokens is the shortest context to export; zero exports none.
 	ParkMinTokens int `cbor:"16,keyasint,omitempty"`
+	// UsualGapMS is the usual time until the context returns, in milliseconds.
+	UsualGapMS int64 `cbor:"17,keyasint,omitempty"`
+	// Suspect says that the request ran on a target that died: it must not run
+	// beside another suspect.
+	Suspect bool `cbor:"18,keyasint,omitempty"`
+	// Sampling holds the caller's wishes that only the engine reads.
+	Sampling engine.Sampling `cbor:"19,keyasint,omitempty"`
 }
 
 // Token is a piece of an answer.
@@ -139,7 +148,7 @@
 	// Organisation is the caller's organisation.
 	Organisation string `cbor:"2,keyasint"`
 	// Fingerprint identifies organisation and content.
-	Fingerprint string `cbor:"3,keyasint"`
+	Fingerprint quarantine.Fingerprint `cbor:"3,keyasint"`
 	// Service is the plain service's name.
 	Service string `cbor:"4,keyasint"`
 	// Method, Path, ContentType and Body are the HTTP call.
@@ -265,6 +274,8 @@
 	BytesPerToken int `cbor:"14,keyasint,omitempty"`
 	// Homes are the claim shards whose home this side process is.
 	Homes []int `cbor:"15,keyasint,omitempty"`
+	// Sequence rises with each State of one boot.
+	Sequence uint64 `cbor:"16,keyasint"`
 }
 
 // Fetch asks a peer for the settings after a version.
@@ -283,12 +294,8 @@
 
 // Crashed reports the requests that ran when a target died.
 type Crashed struct {
-	// Target is the VM whose target died.
-	Target string `cbor:"1,keyasint"`
-	// Boot is the target's boot that ended.
-	Boot string `cbor:"2,keyasint"`
-	// Fingerprints are the requests that ran.
-	Fingerprints []string `cbor:"3,keyasint"`
+	// Crash is the report.
+	Crash quarantine.Crash `cbor:"1,keyasint"`
 }
 
 // Type returns the number of each message on the wire.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,8 +37,8 @@
 	DefaultMaxStreams  = 4096
 )
 
-// protocol is the ALPN name; it changes with message.Version.
-const protocol = "boragehub/1"
+// Protocol is the ALPN name; it changes with message.Version.
+const Protocol = "boragehub/1"
 
 // Config says how connections behave. Its zero value uses the defaults.
 type Config struct {
@@ -123,7 +123,7 @@
 func clientTLS(base *tls.Config, vm string) *tls.Config {
 	c := base.Clone()
 	c.ServerName = vm
-	c.NextProtos = []string{protocol}
+	c.NextProtos = []string{Protocol}
 	c.MinVersion = tls.VersionTLS13
 
 	return c
@@ -132,7 +132,7 @@
 // serverTLS returns the TLS settings to listen with.
 func serverTLS(base *tls.Config) *tls.Config {
 	c := base.Clone()
-	c.NextProtos = []string{protocol}
+	c.NextProtos = []string{Protocol}
 	c.MinVersion = tls.VersionTLS13
 	c.ClientAuth = tls.RequireAndVerifyClientCert
 
--- a/setting/process.go
+++ b/setting/process.go
@@ -64,6 +64,8 @@
 type ProcessTarget struct {
 	// Service is the service that the target belongs to.
 	Service string `toml:"service" validate:"omitempty,object_name"`
+	// Kind is engine or plain; empty means engine.
+	Kind ServiceKind `toml:"kind" validate:"omitempty,oneof=engine plain"`
 	// URL is where the target listens.
 	URL string `toml:"url" validate:"omitempty,http_url"`
 }
@@ -86,6 +88,9 @@
 	MaxRequests int `toml:"max_requests" validate:"gte=0,lte=1000000"`
 	// MaxHeaderBytes bounds a request's header.
 	MaxHeaderBytes int `toml:"max_header_bytes" validate:"gte=0,lte=1048576"`
+	// BalancerGrace is how long an entry that stops still takes callers after it
+	// has become unready, so that the platform's balancer has noticed.
+	BalancerGrace Duration `toml:"balancer_grace" validate:"gte=0s,lte=5m"`
 	// DrainTimeout is how long a planned stop waits for requests in work.
 	DrainTimeout Duration `toml:"drain_timeout" validate:"gte=0s,lte=1h"`
 }
@@ -95,6 +100,7 @@
 	defaultMaxConnections = 10000
 	defaultMaxRequests    = 4096
 	defaultMaxHeaderBytes = 16 << 10
+	defaultBalancerGrace  = 5 * time.Second
 	defaultDrainTimeout   = time.Minute
 	defaultLogLevel       = "info"
 )
@@ -162,6 +168,10 @@
 		p.Limits.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
 
+	if p.Limits.BalancerGrace == 0 {
+		p.Limits.BalancerGrace = Duration(defaultBalancerGrace)
+	}
+
 	if p.Limits.DrainTimeout == 0 {
 		p.Limits.DrainTimeout = Duration(defaultDrainTimeout)
 	}
--- a/side/call.go
+++ b/side/call.go
@@ -30,7 +30,7 @@
 func (s *Side) call(ctx context.Context, to *peer.Stream, m message.Call) error {
 	now := time.Now()
 
-	id, err := s.guard.enter(now, m.Fingerprint, "")
+	id, err := s.guard.enter(m.Fingerprint, "")
 	if err != nil {
 		event.Log(s.cfg.Log, event.RunRefused, "request_id", m.RequestID, "reason", err.Error())
 
@@ -82,7 +82,7 @@
 	ticket, err := s.cfg.Claims.Claim(ctx, now, claim.Request{
 		Organisation: m.Organisation,
 		Key:          m.Key,
-		Fingerprint:  m.Fingerprint,
+		Fingerprint:  string(m.Fingerprint[:]),
 		Deadline:     deadline,
 	})
 	if err != nil {
@@ -114,6 +114,10 @@
 
 		return reply, failure.Wrap(failure.Unavailable, err, "the service is down").After(time.Second)
 	default:
+		if lost := s.cfg.Claims.Lose(ctx, ticket); lost != nil {
+			event.Fail(s.cfg.Log, lost, event.ReportLost, "request_id", m.RequestID)
+		}
+
 		return reply, failure.Wrap(failure.OutcomeUnknown, err, "the call may have run; it will not be run again")
 	}
 }
--- a/side/guard.go
+++ b/side/guard.go
@@ -5,16 +5,21 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"boragehub/engine"
 	"boragehub/failure"
 	"boragehub/message"
+	"boragehub/quarantine"
 )
 
 // guard is the admission truth of one target.
 type guard struct {
 	maxWaiting int
+	self       string // new with each start of this process
 
 	mu       sync.Mutex
+	sequence uint64
 	up       bool
 	draining bool
 	info     engine.Info
@@ -26,13 +31,13 @@
 
 // flight is a request that was given to the target.
 type flight struct {
-	fingerprint string
+	fingerprint quarantine.Fingerprint
 	boot        string
 	ended       bool
 }
 
 func newGuard(maxWaiting int) *guard {
-	return &guard{maxWaiting: maxWaiting, inFlight: map[uint64]*flight{}, idle: make(chan struct{})}
+	return &guard{maxWaiting: maxWaiting, self: uuid.NewString(), inFlight: map[uint64]*flight{}, idle: make(chan struct{})}
 }
 
 // plainRunning is how many calls a plain service is taken to run at once.
@@ -40,7 +45,7 @@
 
 // enter admits a request or refuses it before anything ran. version is the
 // weight version that it needs, empty for a plain call.
-func (g *guard) enter(now time.Time, fingerprint, version string) (uint64, error) {
+func (g *guard) enter(fingerprint quarantine.Fingerprint, version string) (uint64, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -52,11 +57,11 @@
 	case version != "" && version != g.info.WeightVersion:
 		return 0, failure.New(failure.WrongVersion, "the target holds version %s, not %s", g.info.WeightVersion, version).After(time.Second)
 	case g.live() >= g.places()+g.maxWaiting:
-		return 0, failure.New(failure.QueueFull, "the target has %d requests", g.live()).After(g.wait1(now))
+		return 0, failure.New(failure.QueueFull, "the target has %d requests", g.live()).After(g.untilRoom())
 	}
 
 	g.next++
-	g.inFlight[g.next] = &flight{fingerprint: fingerprint, boot: g.info.BootID}
+	g.inFlight[g.next] = &flight{fingerprint: fingerprint, boot: g.boot()}
 
 	return g.next, nil
 }
@@ -105,9 +110,9 @@
 	return plainRunning
 }
 
-// wait1 estimates the time until a place is free: the prefill that waits, spread
+// untilRoom estimates the time until a place is free: the prefill that waits, spread
 // over what the engine computes in a second.
-func (g *guard) wait1(time.Time) time.Duration {
+func (g *guard) untilRoom() time.Duration {
 	if g.info.PrefillRate <= 0 {
 		return time.Second
 	}
@@ -119,7 +124,7 @@
 
 // observe takes in what the target says of itself. When the target has another
 // boot than before it returns the requests that ran on the old one.
-func (g *guard) observe(info engine.Info, load engine.Load) (first bool, oldBoot string, crashed []string) {
+func (g *guard) observe(info engine.Info, load engine.Load) (first bool, oldBoot string, crashed []quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -127,7 +132,7 @@
 	g.up = info.Ready()
 
 	if g.info.BootID != "" && g.info.BootID != info.BootID {
-		oldBoot = g.info.BootID
+		oldBoot = g.boot()
 		crashed = g.reap(oldBoot)
 	} else {
 		g.forgive()
@@ -140,14 +145,14 @@
 }
 
 // died notes that nothing listens at the target's address any more.
-func (g *guard) died() (last bool, boot string, crashed []string) {
+func (g *guard) died() (last bool, boot string, crashed []quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	last = g.up
 	g.up = false
 
-	return last, g.info.BootID, g.reap(g.info.BootID)
+	return last, g.boot(), g.reap(g.boot())
 }
 
 // silent notes that the target does not answer though something listens.
@@ -161,9 +166,13 @@
 	return last
 }
 
+// boot names one life of target and side process: a drained side process that
+// is started again must not be taken for the one that said it was leaving.
+func (g *guard) boot() string { return g.info.BootID + "." + g.self }
+
 // reap takes the requests of a boot that ended off the books.
-func (g *guard) reap(boot string) []string {
-	var fingerprints []string
+func (g *guard) reap(boot string) []quarantine.Fingerprint {
+	var fingerprints []quarantine.Fingerprint
 
 	for id, f := range g.inFlight {
 		if f.boot != boot {
@@ -245,8 +254,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
+	g.sequence++
+
 	return message.State{
-		Boot:          g.info.BootID,
+		Sequence:      g.sequence,
+		Boot:          g.boot(),
 		Model:         g.info.Model,
 		Version:       g.info.WeightVersion,
 		BlockTokens:   g.info.BlockTokens,
--- a/side/run.go
+++ b/side/run.go
@@ -36,13 +36,23 @@
 		return failure.New(failure.BadMessage, "a run names no weight version")
 	}
 
-	id, err := s.guard.enter(now, m.Fingerprint, m.Version)
+	id, err := s.guard.enter(m.Fingerprint, m.Version)
 	if err != nil {
 		event.Log(s.cfg.Log, event.RunRefused, "request_id", m.RequestID, "reason", err.Error())
 
 		return err
 	}
 
+	if m.Suspect {
+		if !s.apart.Begin(m.Fingerprint) {
+			s.guard.leave(id, false)
+
+			return failure.New(failure.QueueFull, "another request under suspicion is running").After(time.Second)
+		}
+
+		defer s.apart.End(m.Fingerprint)
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.TimeoutMS)*time.Millisecond)
 	defer cancel()
 
@@ -148,6 +158,7 @@
 // complete runs the prompt and passes each token on.
 func (r *run) complete(ctx context.Context) error {
 	q := engine.Completion{
+		Sampling:      r.Sampling,
 		Model:         r.Model,
 		Prompt:        r.Prompt,
 		MaxTokens:     r.MaxTokens,
--- a/side/side.go
+++ b/side/side.go
@@ -35,7 +35,9 @@
 	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/peer"
+	"boragehub/quarantine"
 	"boragehub/ring"
+	"boragehub/setting/exchange"
 	"boragehub/vm"
 )
 
@@ -53,6 +55,9 @@
 	Claim(ctx context.Context, now time.Time, q claim.Request) (claim.Ticket, error)
 	Settle(ctx context.Context, t claim.Ticket, o claim.Outcome) error
 	Withdraw(ctx context.Context, t claim.Ticket) error
+	Lose(ctx context.Context, t claim.Ticket) error
+	// Homes returns the shards whose home this process is.
+	Homes() []int
 }
 
 // Opener opens conversations with peers; *peer.Dialer is one.
@@ -81,6 +86,8 @@
 	MaxWaiting int
 	// DrainTimeout is how long a planned stop waits for what runs.
 	DrainTimeout time.Duration
+	// Settings are passed on to other processes.
+	Settings exchange.Keeper
 	// Claims records non-idempotent calls; nil refuses them.
 	Claims Claims
 	// Peers opens conversations with entries.
@@ -100,15 +107,21 @@
 	engine  engine.Client
 	plain   *http.Client
 	stores  *http.Client
+	rooming *http.Client
 	guard   *guard
 	held    *held
 	parks   *ring.Ring[parkJob]
 	reports *ring.Ring[report]
 	parked  *parkedSet
+	apart   quarantine.Isolation
 }
 
-// storeTimeout bounds the transfer of one copy.
-const storeTimeout = 30 * time.Second
+// storeTimeout bounds the transfer of one copy, roomTimeout the question for a
+// store's room.
+const (
+	storeTimeout = 30 * time.Second
+	roomTimeout  = time.Second
+)
 
 // engineConnections is how many idle connections to the engine are kept.
 const engineConnections = 256
@@ -138,6 +151,7 @@
 		engine:  engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: engineConnections}}},
 		plain:   newPlainClient(),
 		stores:  &http.Client{Timeout: storeTimeout, Transport: &http.Transport{}},
+		rooming: &http.Client{Timeout: roomTimeout, Transport: &http.Transport{}},
 		guard:   newGuard(cfg.MaxWaiting),
 		held:    newHeld(),
 		parks:   ring.New[parkJob](parkRing),
@@ -185,7 +199,7 @@
 		return
 	}
 
-	if from.Role != entryRole {
+	if givesWork(m) && from.Role != entryRole {
 		peer.Refuse(t, failure.New(failure.Forbidden, "role %q gives no work", from.Role))
 
 		return
@@ -207,6 +221,12 @@
 	case message.Call:
 		err = s.call(ctx, t, m)
 	default:
+		if answer, ok := exchange.Answer(time.Now(), s.cfg.Settings, from, m); ok {
+			err = t.Send(answer)
+
+			break
+		}
+
 		err = failure.New(failure.BadMessage, "message type %d begins no conversation here", m.Type())
 	}
 
@@ -215,11 +235,25 @@
 	}
 }
 
+// givesWork reports whether only an entry may send m.
+func givesWork(m message.Message) bool {
+	switch m.(type) {
+	case message.Run, message.Call:
+		return true
+	default:
+		return false
+	}
+}
+
 // state describes the target at first hand.
 func (s *Side) state(now time.Time) message.State {
 	st := s.guard.state(now)
 	st.VM = s.cfg.VM
 	st.Service = s.cfg.Service
 
+	if s.cfg.Claims != nil {
+		st.Homes = s.cfg.Claims.Homes()
+	}
+
 	return st
 }
--- a/side/watch.go
+++ b/side/watch.go
@@ -10,6 +10,7 @@
 	"boragehub/engine"
 	"boragehub/event"
 	"boragehub/message"
+	"boragehub/quarantine"
 )
 
 // Timing of the watch.
@@ -85,13 +86,13 @@
 }
 
 // crashed tells the entries what ran when the target died.
-func (s *Side) crashed(boot string, fingerprints []string) *message.Crashed {
-	if len(fingerprints) == 0 {
+func (s *Side) crashed(boot string, running []quarantine.Fingerprint) *message.Crashed {
+	if len(running) == 0 {
 		return nil
 	}
 
-	m := &message.Crashed{Target: s.cfg.VM, Boot: boot, Fingerprints: fingerprints}
-	event.Log(s.cfg.Log, event.TargetCrashed, "boot", boot, "requests", len(fingerprints), "fingerprints", fingerprints)
+	m := &message.Crashed{Crash: quarantine.Crash{Target: s.cfg.VM, Boot: boot, At: time.Now(), Running: running}}
+	event.Log(s.cfg.Log, event.TargetCrashed, "boot", boot, "requests", len(running))
 	s.tellAll(*m)
 
 	return m
