boragehub: serve a returning prompt from one end to the other

Before: no whole path. Found on the way: an engine's answer that is asked for again leaves its copy before the copy's end; the seal now holds the whole chain, so such a copy is of use up to that point. A side process waited for its first cache event before it read the engine's list; it reads the list first. An entry called itself ready before it had heard of any target.

--- a/cmd/boragehub/main.go
+++ b/cmd/boragehub/main.go
@@ -46,7 +46,7 @@
 
 // attach puts all subcommands on the program.
 func attach() []command {
-	return append(roles(), standins()...)
+	return append(append(roles(), controls()...), standins()...)
 }
 
 // roles are the processes of a running system.
--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zerologr"
-	"github.com/google/wire"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -25,21 +24,6 @@
 	"boragehub/vm"
 )
 
-// commonSet makes what every process of the running system has.
-var commonSet = wire.NewSet(
-	provideLogger,
-	provideKeys,
-	providePeerConfig,
-	providePeerServer,
-	provideList,
-	provideJournal,
-	provideFollower,
-	newRelay,
-	operator.NewRegistry,
-	peer.NewDialer,
-	wire.Struct(new(common), "*"),
-)
-
 // debugLevel is the verbosity of lines that operators want only at times.
 const debugLevel = 1
 
@@ -58,7 +42,7 @@
 	}
 
 	z := zerolog.New(os.Stdout).Level(level).With().Timestamp().
-		Str("role", string(cfg.Role)).Str("vm", cfg.VM).Str("data_centre", cfg.DataCentre).Logger()
+		Str("role", string(cfg.Role)).Str("self", cfg.VM).Logger()
 
 	return zerologr.New(&z)
 }
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -5,9 +5,26 @@
 import (
 	"github.com/google/wire"
 
+	"boragehub/operator"
+	"boragehub/peer"
 	"boragehub/setting"
 )
 
+// commonSet makes what every process of the running system has.
+var commonSet = wire.NewSet(
+	provideLogger,
+	provideKeys,
+	providePeerConfig,
+	providePeerServer,
+	provideList,
+	provideJournal,
+	provideFollower,
+	newRelay,
+	operator.NewRegistry,
+	peer.NewDialer,
+	wire.Struct(new(common), "*"),
+)
+
 //go:generate wire
 
 func newEntryProcess(cfg setting.Process) (*entryProcess, error) {
--- /dev/null
+++ b/cmd/trial/main.go
@@ -0,0 +1,300 @@
+// Command trial is the caller in the trial run of scripts/run.sh: it shows the
+// main job on a system that the script has started, and fails unless each step
+// was seen.
+//
+//	trial --entry http://127.0.0.1:9101 --entry http://127.0.0.1:9102 --key KEY \
+//	      --engine http://127.0.0.1:8001 --engine http://127.0.0.1:8002
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+
+	"boragehub/failure"
+)
+
+// Bounds of the trial.
+const (
+	callTimeout = 20 * time.Second
+	waitLimit   = 20 * time.Second
+	waitPause   = 100 * time.Millisecond
+)
+
+// trial is one run against a system.
+type trial struct {
+	entries  []string
+	engines  []string
+	stores   []string
+	key      string
+	model    string
+	service  string
+	workload string
+	http     *http.Client
+}
+
+func main() {
+	t := &trial{http: &http.Client{Timeout: callTimeout}, model: "shuttle-8b", service: "booking-api"}
+
+	flaggy.SetName("trial")
+	flaggy.SetDescription("Shows the main job on a running system.")
+	flaggy.StringSlice(&t.entries, "e", "entry", "callers' URL of an entry; may be repeated")
+	flaggy.StringSlice(&t.engines, "g", "engine", "URL of an engine stand-in; may be repeated")
+	flaggy.StringSlice(&t.stores, "s", "store", "URL of a store stand-in; may be repeated")
+	flaggy.String(&t.key, "k", "key", "API key of an organisation")
+	flaggy.String(&t.workload, "w", "workload", "workload to name")
+	flaggy.Parse()
+
+	if err := t.run(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "trial:", err)
+		os.Exit(1)
+	}
+}
+
+// step is one thing that has to be seen.
+type step struct {
+	name string
+	do   func(ctx context.Context) (seen string, err error)
+}
+
+func (t *trial) run(ctx context.Context) error {
+	var first, second turn
+
+	key := uuid.Must(uuid.NewV7()).String()
+	opening := []message{
+		{"system", "You answer riders of the airport shuttle."},
+		{"user", "Fare rules: " + strings.Repeat("a child under five rides free with an adult; ", 60) + "Is there a seat at noon?"},
+	}
+
+	steps := []step{
+		{"a prompt is answered", func(ctx context.Context) (string, error) {
+			var err error
+			first, err = t.chat(ctx, t.entries[0], opening)
+
+			return first.seen(), err
+		}},
+		{"its context is copied to a store", func(ctx context.Context) (string, error) {
+			return t.until(ctx, func() (string, error) { return t.parked(ctx) })
+		}},
+		{"its context leaves the engines' memory", t.evict},
+		{"its continuation, by the other entry, gets the context from a store", func(ctx context.Context) (string, error) {
+			next := append(append([]message{}, opening...), message{"assistant", first.text}, message{"user", "And at one?"})
+
+			var err error
+
+			second, err = t.chat(ctx, t.entries[len(t.entries)-1], next)
+			if err == nil && second.usage.Details.CachedTokens < first.usage.PromptTokens {
+				err = failure.New(failure.Internal, "only %d of %d tokens were not recomputed", second.usage.Details.CachedTokens, second.usage.PromptTokens)
+			}
+
+			return second.seen(), err
+		}},
+		{"a booking is made", func(ctx context.Context) (string, error) {
+			return t.until(ctx, func() (string, error) { return t.book(ctx, t.entries[0], key) })
+		}},
+		{"the same booking, sent again to the other entry, runs no second time", func(ctx context.Context) (string, error) {
+			return t.book(ctx, t.entries[len(t.entries)-1], key)
+		}},
+	}
+
+	for i, s := range steps {
+		began := time.Now()
+
+		seen, err := s.do(ctx)
+		if err != nil {
+			return failure.Wrap(failure.Internal, err, "step %d, %s", i+1, s.name)
+		}
+
+		fmt.Printf("%d. %s (%d ms)\n   %s\n", i+1, s.name, time.Since(began).Milliseconds(), seen)
+	}
+
+	return nil
+}
+
+// until tries again until it succeeds or the limit has passed.
+func (t *trial) until(ctx context.Context, do func() (string, error)) (string, error) {
+	limit := time.Now().Add(waitLimit)
+
+	for {
+		seen, err := do()
+		if err == nil || time.Now().After(limit) || ctx.Err() != nil {
+			return seen, err
+		}
+
+		time.Sleep(waitPause)
+	}
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// turn is one answered prompt.
+type turn struct {
+	id    string
+	text  string
+	usage usage
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func (t turn) seen() string {
+	return fmt.Sprintf("request %s: %d of %d prompt tokens not computed; answer %q", t.id, t.usage.Details.CachedTokens, t.usage.PromptTokens, shorten(t.text))
+}
+
+const shown = 60
+
+func shorten(s string) string {
+	if len(s) <= shown {
+		return s
+	}
+
+	return s[:shown] + "…"
+}
+
+func (t *trial) chat(ctx context.Context, entry string, messages []message) (turn, error) {
+	var got struct {
+		Choices []struct {
+			Message message `json:"message"`
+		} `json:"choices"`
+		Usage usage `json:"usage"`
+	}
+
+	header, err := t.call(ctx, entry+"/v1/chat/completions", "", struct {
+		Model     string    `json:"model"`
+		Messages  []message `json:"messages"`
+		MaxTokens int       `json:"max_tokens"`
+	}{t.model, messages, 32}, &got)
+	if err != nil {
+		return turn{}, err
+	}
+
+	if len(got.Choices) != 1 || got.Usage.CompletionTokens == 0 {
+		return turn{}, failure.New(failure.Internal, "the answer is not whole")
+	}
+
+	return turn{id: header.Get("X-Request-Id"), text: got.Choices[0].Message.Content, usage: got.Usage}, nil
+}
+
+// parked looks whether each store has a copy.
+func (t *trial) parked(ctx context.Context) (string, error) {
+	copies := 0
+
+	for _, s := range t.stores {
+		var got struct {
+			Objects []struct {
+				ID string `json:"id"`
+			} `json:"objects"`
+		}
+
+		if _, err := t.do(ctx, http.MethodGet, s+"/objects", "", nil, &got); err != nil {
+			return "", err
+		}
+
+		copies += len(got.Objects)
+	}
+
+	if copies < len(t.stores) {
+		return "", failure.New(failure.Internal, "%d copies in %d stores", copies, len(t.stores))
+	}
+
+	return fmt.Sprintf("%d copies in %d stores", copies, len(t.stores)), nil
+}
+
+// evict makes the engines drop their caches, as other prompts would in time.
+func (t *trial) evict(ctx context.Context) (string, error) {
+	for _, e := range t.engines {
+		if _, err := t.call(ctx, e+"/faults", "", map[string]bool{"evict_all": true}, nil); err != nil {
+			return "", err
+		}
+	}
+
+	return fmt.Sprintf("%d engines dropped their caches", len(t.engines)), nil
+}
+
+func (t *trial) book(ctx context.Context, entry, key string) (string, error) {
+	var got struct {
+		VM  string `json:"vm"`
+		Run int    `json:"run"`
+	}
+
+	header, err := t.call(ctx, entry+"/v1/services/"+t.service+"/bookings", key, map[string]any{"seats": 2}, &got)
+	if err != nil {
+		return "", err
+	}
+
+	if got.Run != 1 {
+		return "", failure.New(failure.Internal, "the booking is run %d of its service", got.Run)
+	}
+
+	return fmt.Sprintf("request %s: run %d at %s, replayed %q", header.Get("X-Request-Id"), got.Run, got.VM, header.Get("Idempotency-Replayed")), nil
+}
+
+// call posts q as JSON and reads the answer into got, unless that is nil.
+func (t *trial) call(ctx context.Context, url, key string, q, got any) (http.Header, error) {
+	b, err := json.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+
+	return t.do(ctx, http.MethodPost, url, key, b, got)
+}
+
+func (t *trial) do(ctx context.Context, method, url, key string, body []byte, got any) (http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+t.key)
+
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+
+	if t.workload != "" {
+		req.Header.Set("X-Workload", t.workload)
+	}
+
+	resp, err := t.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if resp.StatusCode >= http.StatusBadRequest {
+		var failed struct {
+			Error struct {
+				Message string `json:"message"`
+				Code    string `json:"code"`
+			} `json:"error"`
+		}
+
+		_ = json.NewDecoder(resp.Body).Decode(&failed)
+
+		return nil, failure.New(failure.Internal, "%s: %s: %s", resp.Status, failed.Error.Code, failed.Error.Message)
+	}
+
+	if got == nil {
+		return resp.Header, nil
+	}
+
+	return resp.Header, json.NewDecoder(resp.Body).Decode(got)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,6 +100,7 @@
 	homes   homes
 	active  atomic.Int64
 	leaving atomic.Bool
+	seen    atomic.Bool // the watch has asked all targets once
 
 	linkMu sync.Mutex
 	links  *link.Table
@@ -155,9 +156,10 @@
 }
 
 // Ready reports whether callers can be served: settings are in force, the
-// platform's list is known and no planned stop has begun.
+// platform's list is known, its targets were asked once and no planned stop has
+// begun.
 func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.cfg.Settings.Current() != nil && e.cfg.VMs.List().Version() > 0
+	return !e.leaving.Load() && e.policy.Load() != nil && e.seen.Load()
 }
 
 // Leave begins a planned stop: /readyz fails from now on, so that the
@@ -207,7 +209,11 @@
 // note logs changes of targets' standing.
 func (e *Entry) note(changes []target.Change) {
 	for _, c := range changes {
-		event.Log(e.cfg.Log, event.TargetChanged, "vm", c.VM, "reason", c.Reason.String(), "until", c.Until)
+		if c.Until.IsZero() {
+			event.Log(e.cfg.Log, event.TargetChanged, "vm", c.VM, "reason", c.Reason.String())
+		} else {
+			event.Log(e.cfg.Log, event.TargetChanged, "vm", c.VM, "reason", c.Reason.String(), "until", c.Until)
+		}
 	}
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -17,7 +17,6 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/limit"
-	"boragehub/organisation"
 	"boragehub/quarantine"
 	"boragehub/setting"
 )
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -276,7 +276,7 @@
 
 // home returns the target beside which the key's home is believed to run.
 func (c *call) home(targets []target.Target) (target.Target, bool) {
-	shard := claim.Shard(c.request.organisation, c.message.Key, c.service.ClaimShards)
+	shard := claim.Shard(c.request.organisation, c.message.Key, claim.DefaultShards)
 
 	vm, known := c.e.homes.get(c.service.Name, shard)
 	for _, t := range targets {
--- a/entry/router.go
+++ b/entry/router.go
@@ -74,10 +74,11 @@
 		sp := j.e.speeds.get(firstOf(targets, version))
 		v := j.view(ctx, version, blockTokens(sp))
 		candidates := j.describe(now, targets, v)
-		d := j.decide(now, candidates, v, sp)
+		copies := j.copies(v)
+		d := j.decide(now, candidates, v, copies, sp)
 
 		if d.Found() && (!found || d.Cost(d.Target()).Total < best.decision.Cost(best.decision.Target()).Total) {
-			best = routed{target: targets[d.Target()], view: v, decision: d, copies: j.copies(v)}
+			best = routed{target: targets[d.Target()], view: v, decision: d, copies: foremost(copies, d.Source())}
 			found = true
 		}
 
@@ -87,6 +88,18 @@
 	return best, found
 }
 
+// foremost returns copies with the one at index i first, so that the side process
+// tries the one whose link was weighed before the others.
+func foremost(copies []message.Holding, i int) []message.Holding {
+	if i <= 0 || i >= len(copies) {
+		return copies
+	}
+
+	all := append([]message.Holding{copies[i]}, copies[:i]...)
+
+	return append(all, copies[i+1:]...)
+}
+
 func (j *job) logDecision(d route.Decision, candidates []route.Candidate) {
 	e := event.RouteRefused
 	if d.Found() {
@@ -226,7 +239,7 @@
 	return all
 }
 
-func (j *job) decide(now time.Time, candidates []route.Candidate, v *contextView, sp speed) route.Decision {
+func (j *job) decide(now time.Time, candidates []route.Candidate, v *contextView, copies []message.Holding, sp speed) route.Decision {
 	q := route.Request{
 		Tokens:        prompt.Tokens(j.text) + j.index,
 		Version:       v.version,
@@ -237,16 +250,16 @@
 
 	for _, h := range v.holdings {
 		q.Computed = max(q.Computed, h.Blocks*blockTokens(sp))
+	}
 
-		if h.Store {
-			q.Sources = append(q.Sources, route.Source{
-				Name:       h.Holder,
-				DataCentre: h.DataCentre,
-				Tokens:     h.Blocks * blockTokens(sp),
-				Store:      true,
-				Learned:    now.Add(-time.Duration(h.AgeMS) * time.Millisecond),
-			})
-		}
+	for _, h := range copies {
+		q.Sources = append(q.Sources, route.Source{
+			Name:       h.Holder,
+			DataCentre: h.DataCentre,
+			Tokens:     h.Blocks * blockTokens(sp),
+			Store:      true,
+			Learned:    now.Add(-time.Duration(h.AgeMS) * time.Millisecond),
+		})
 	}
 
 	return route.Decide(now, route.Config{
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -21,6 +21,10 @@
 	watchTimeout = 2 * time.Second
 )
 
+// firstPass bounds how many side processes are asked at once when an entry
+// starts, before it takes callers.
+const firstPass = 16
+
 // watch asks one side process after the other how its target is.
 func (e *Entry) watch(ctx context.Context) {
 	tick := time.NewTicker(watchEvery)
@@ -43,12 +47,40 @@
 			continue
 		}
 
+		if !e.seen.Load() {
+			e.askAll(ctx, queue)
+			e.seen.Store(true)
+
+			queue = nil
+
+			continue
+		}
+
 		go e.ask(ctx, queue[0])
 
 		queue = queue[1:]
 	}
 }
 
+// askAll asks many side processes and returns when all have answered or failed.
+func (e *Entry) askAll(ctx context.Context, targets []target.Target) {
+	var all sync.WaitGroup
+
+	room := make(chan struct{}, firstPass)
+
+	for _, t := range targets {
+		room <- struct{}{}
+
+		all.Go(func() {
+			e.ask(ctx, t)
+
+			<-room
+		})
+	}
+
+	all.Wait()
+}
+
 // watched returns the targets that this entry keeps a connection to.
 func (e *Entry) watched() []target.Target {
 	var all []target.Target
--- a/side/held.go
+++ b/side/held.go
@@ -55,6 +55,14 @@
 	return h.seq
 }
 
+// isSynced reports whether the list was read since the last gap.
+func (h *held) isSynced() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.synced
+}
+
 // apply takes events in and reports whether they follow without a gap. After a
 // gap nothing is taken in: a removal may be among what was lost, and the list
 // must be read anew.
@@ -62,7 +70,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if !h.synced || e.BootID != h.boot || e.FirstSeq > h.seq+1 {
+	if e.BootID != h.boot || e.FirstSeq > h.seq+1 {
+		h.synced = false
+
 		return false
 	}
 
--- a/side/park.go
+++ b/side/park.go
@@ -184,7 +184,7 @@
 		return parkedCopy{}, err
 	}
 
-	sealed, err := store.Seal(j.run.header(id.String(), blocks, j.chain), body)
+	sealed, err := store.Seal(j.run.header(id.String(), j.chain[:blocks]), body)
 	if err != nil {
 		return parkedCopy{}, err
 	}
--- a/side/run.go
+++ b/side/run.go
@@ -98,12 +98,11 @@
 	warm := r.s.held.prefix(r.chain)
 
 	for _, c := range r.Copies {
-		id, err := store.ParseCopyID(c.Copy)
-		if err != nil || id.Blocks() <= warm || id.Blocks() > len(r.chain) || c.Version != r.Version {
+		if c.Version != r.Version || min(c.Blocks, len(r.chain)) <= warm {
 			continue
 		}
 
-		err = r.fetch(ctx, c, id)
+		err := r.fetch(ctx, c, warm)
 		if err == nil {
 			break
 		}
@@ -115,8 +114,9 @@
 		"warm_blocks", warm, "imported_blocks", r.imported, "weight_version", r.Version)
 }
 
-// fetch brings one copy into the engine after verifying it.
-func (r *run) fetch(ctx context.Context, c message.Holding, id store.CopyID) error {
+// fetch brings one copy into the engine after verifying it. The engine believes
+// what it is given, so nothing unverified may reach it.
+func (r *run) fetch(ctx context.Context, c message.Holding, warm int) error {
 	began := time.Now()
 
 	sealed, err := store.Client{Address: c.Address, HTTP: r.s.stores}.Get(ctx, c.Copy)
@@ -124,34 +124,36 @@
 		return err
 	}
 
-	body, err := store.Open(sealed, r.header(c.Copy, id.Blocks(), r.chain))
+	body, blocks, err := store.Open(sealed, r.header(c.Copy, r.chain))
 	if err != nil {
 		return err
 	}
 
-	blocks, err := r.s.engine.Import(ctx, body)
-	if err != nil {
+	if blocks <= warm {
+		return failure.New(failure.TornCopy, "the copy brings %d blocks where %d are warm", blocks, warm)
+	}
+
+	if _, err := r.s.engine.Import(ctx, body); err != nil {
 		return err
 	}
 
-	r.imported = min(blocks, id.Blocks())
-	r.s.held.add(r.chain[:r.imported])
+	r.imported = blocks
+	r.s.held.add(r.chain[:blocks])
 	event.Log(r.s.cfg.Log, event.CopyImported, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy, "blocks", blocks,
 		"bytes", len(sealed), "took_ms", time.Since(began).Milliseconds())
 
 	return nil
 }
 
-// header says what a copy of the first blocks of chain must be of.
-func (r *run) header(id string, blocks int, chain prompt.Chain) store.Header {
+// header says what a copy of chain must be of.
+func (r *run) header(id string, chain prompt.Chain) store.Header {
 	return store.Header{
 		ID:           id,
 		Organisation: r.Organisation,
 		Model:        r.Model,
 		Version:      r.Version,
 		Adapter:      r.Adapter,
-		Tail:         chain[blocks-1],
-		Blocks:       blocks,
+		Chain:        chain,
 	}
 }
 
--- a/side/side.go
+++ b/side/side.go
@@ -210,7 +210,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	stop := context.AfterFunc(t.Context(), cancel)
+	stop := context.AfterFunc(t.Context(), cancel) //nolint:contextcheck // the peer's end of it
 	defer stop()
 
 	switch m := m.(type) {
--- a/side/watch.go
+++ b/side/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -115,6 +114,10 @@
 }
 
 func (s *Side) nextEvents(ctx context.Context) (bool, error) {
+	if !s.held.isSynced() {
+		return false, nil
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, eventsWait+watchTimeout)
 	defer cancel()
 
@@ -152,6 +155,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// statusOK reports a status that a plain service gives for work done.
-func statusOK(status int) bool { return status < http.StatusInternalServerError }
--- a/store/copy.go
+++ b/store/copy.go
@@ -11,8 +11,8 @@
 )
 
 // CopyID names a copy: a UUIDv7, which is never used twice and tells when the
-// copy was made, and the number of blocks, which tells a reader whether all of
-// the copy is of use before it fetches it.
+// copy was made, and the number of blocks, which tells a reader what a transfer
+// will cost.
 type CopyID struct {
 	id     uuid.UUID
 	blocks int
--- a/store/seal.go
+++ b/store/seal.go
@@ -13,9 +13,13 @@
 //
 // with a SHA-256 hash over all bytes before it.
 //
-//	b := store.Seal(store.Header{Tail: tail, Blocks: 12, Version: "v1"}, body)
-//	err := client.Put(ctx, id, b)
-//	body, err := store.Open(b, want)
+//	b, err := store.Seal(store.Header{Chain: chain, Version: "v1"}, body)
+//	err = client.Put(ctx, id, b)
+//	body, blocks, err := store.Open(b, want)
+//
+// A returning prompt need not go on where the copy ends: an answer that is asked
+// for again shares only the blocks before it. So the header holds the copy's
+// whole chain, and Open tells how many leading blocks are of use.
 package store
 
 import (
@@ -31,11 +35,7 @@
 
 var magic = []byte("boragehub copy 1\n")
 
-const (
-	lengthSize = 4
-	// maxHeader bounds what is believed of a length in a damaged copy.
-	maxHeader = 4 << 10
-)
+const lengthSize = 4
 
 // Header says what a copy is of.
 type Header struct {
@@ -47,12 +47,10 @@
 	Model   string `cbor:"3,keyasint"`
 	Version string `cbor:"4,keyasint"`
 	Adapter string `cbor:"5,keyasint,omitempty"`
-	// Tail is the hash of the last block.
-	Tail prompt.Hash `cbor:"6,keyasint"`
-	// Blocks is how many blocks the body holds, from the first on.
-	Blocks int `cbor:"7,keyasint"`
+	// Chain are the hashes of the blocks in the body, from the first on.
+	Chain prompt.Chain `cbor:"6,keyasint"`
 	// Bytes is the body's length.
-	Bytes int64 `cbor:"8,keyasint"`
+	Bytes int64 `cbor:"7,keyasint"`
 }
 
 // Seal returns the bytes of a copy. It sets h.Bytes.
@@ -74,24 +72,38 @@
 	return append(b, sum[:]...), nil
 }
 
-// Open returns the body of a copy if it is whole and is what want says; want's
-// Bytes is not compared. Every other case is failure.TornCopy.
-func Open(b []byte, want Header) ([]byte, error) {
+// Open returns the body of a copy if it is whole and belongs to what want says,
+// and how many of its leading blocks are those of want.Chain; at least one is.
+// Every other case is failure.TornCopy.
+func Open(b []byte, want Header) (body []byte, blocks int, err error) {
 	h, body, err := split(b)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 
 	if int64(len(body)) != h.Bytes {
-		return nil, torn("the copy has %d bytes of %d", len(body), h.Bytes)
+		return nil, 0, torn("the copy has %d bytes of %d", len(body), h.Bytes)
+	}
+
+	if !h.belongs(want) {
+		return nil, 0, torn("the copy is of another context")
 	}
 
-	want.Bytes = h.Bytes
-	if h != want {
-		return nil, torn("the copy is of another context")
+	blocks = h.Chain.Shared(want.Chain)
+	if blocks == 0 {
+		return nil, 0, torn("the copy shares no block with the prompt")
 	}
 
-	return body, nil
+	return body, blocks, nil
+}
+
+// belongs reports whether h names the copy, the owner and the weights of want.
+func (h Header) belongs(want Header) bool {
+	return h.ID == want.ID &&
+		h.Organisation == want.Organisation &&
+		h.Model == want.Model &&
+		h.Version == want.Version &&
+		h.Adapter == want.Adapter
 }
 
 func split(b []byte) (Header, []byte, error) {
@@ -108,7 +120,7 @@
 	}
 
 	n := binary.BigEndian.Uint32(b[len(magic):fixed])
-	if n > maxHeader || fixed+int(n) > end {
+	if int64(fixed)+int64(n) > int64(end) {
 		return h, nil, torn("the copy's header is cut")
 	}
 
