publication: publish again after the log forgot what was in force

Ruled out: a recovery that holds wherever it lands. Before: a dead end. After: a recovery holds only right behind the end of the log that its operator saw; every reader can tell that. Changes in parts, races within an append and mended faults are drawn too.

--- a/setting/publication/assembler.go
+++ b/setting/publication/assembler.go
@@ -15,8 +15,7 @@
 // assembly is a record of which parts are missing.
 type assembly struct {
 	record
-	start uint64
-	next  int
+	next int
 }
 
 // decodeRecord reads a record; false means that it is none of ours.
@@ -54,7 +53,8 @@
 			return nil, &part
 		}
 
-		o = &assembly{record: part, start: offset, next: 1}
+		o = &assembly{record: part, next: 1}
+		o.start = offset
 		o.Payload = bytes.Clone(part.Payload)
 		a.open = o
 	}
--- a/setting/publication/follower.go
+++ b/setting/publication/follower.go
@@ -98,6 +98,8 @@
 	cfg     FollowerConfig
 	current atomic.Pointer[Published]
 	news    *ring.Ring[uint64]
+	// partBytes bounds one record of a snapshot.
+	partBytes int
 
 	mu      sync.Mutex
 	replica *replica
@@ -118,10 +120,11 @@
 // NewFollower returns a Follower without a version.
 func NewFollower(cfg FollowerConfig) *Follower {
 	f := &Follower{
-		cfg:     cfg.withDefaults(),
-		news:    ring.New[uint64](1),
-		replica: newReplica(),
-		askers:  map[string]asker{},
+		cfg:       cfg.withDefaults(),
+		partBytes: partBytes,
+		news:      ring.New[uint64](1),
+		replica:   newReplica(),
+		askers:    map[string]asker{},
 	}
 	f.replica.decided = f.logRefusal
 	f.replica.diverged = func(offset uint64) {
@@ -468,7 +471,7 @@
 		Version: h.version, Read: read, AtMS: h.at.UnixMilli(),
 	}
 
-	for _, part := range split(one, encode(whole)) {
+	for _, part := range split(one, encode(whole), f.partBytes) {
 		if _, err := f.cfg.Log.Append(ctx, Stream, [][]byte{part}); err != nil {
 			return failure.Wrap(failure.LogUnavailable, err, "the settings could not be written to the log again")
 		}
--- a/setting/publication/log_test.go
+++ b/setting/publication/log_test.go
@@ -20,19 +20,30 @@
 	now     time.Time
 
 	down bool
+	// downFor is for how many calls more the log is out.
+	downFor int
 	// loseAnswers is how many of the next appends take effect and fail.
 	loseAnswers int
 	// late holds back appends that fail, to be taken in by arrive.
 	holdBack int
 	late     [][]byte
-	appends  int
-	bytes    int
+	// before are run one each before the next appends.
+	before  []func()
+	appends int
+	bytes   int
 }
 
 func newFakeLog() *fakeLog {
 	return &fakeLog{first: 1, now: time.Unix(1_700_000_000, 0)}
 }
 
+// out says whether this call finds the log out.
+func (l *fakeLog) out() bool {
+	l.downFor--
+
+	return l.down || l.downFor >= 0
+}
+
 func (l *fakeLog) next() uint64 { return l.first + uint64(len(l.records)) }
 
 func (l *fakeLog) add(data []byte) uint64 {
@@ -45,13 +56,19 @@
 }
 
 func (l *fakeLog) Append(_ context.Context, stream string, records [][]byte) (uint64, error) {
+	if n := len(l.before) - 1; n >= 0 {
+		run := l.before[n]
+		l.before = l.before[:n]
+		run()
+	}
+
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	switch {
 	case stream != Stream:
 		return 0, fmt.Errorf("stream %q", stream)
-	case l.down:
+	case l.out():
 		return 0, errDown
 	case l.holdBack > 0:
 		l.holdBack--
@@ -101,7 +118,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.down {
+	if l.out() {
 		return journal.Batch{}, errDown
 	}
 
--- a/setting/publication/publication_test.go
+++ b/setting/publication/publication_test.go
@@ -129,3 +129,50 @@
 		t.Errorf("appends: got %d, want %d", got, want)
 	}
 }
+
+// The log forgets the settings before anyone wrote them again, and an operator
+// publishes a tree to recover. The record is held up on its way, the operator is
+// told of a conflict, another one recovers, and then the first record arrives. A
+// user notices that settings which were in force for a while are gone.
+// (Found by TestAcceptedSettingsNeverRevert, seed 11455200776972050946.)
+func TestLateRecoveryTakesNothingBack(t *testing.T) {
+	log := newFakeLog()
+
+	if _, err := publish(log, "one", 0, text(1)); err != nil {
+		t.Fatal(err)
+	}
+
+	log.trim(0)
+
+	recoverWith := func(id string, b []byte) (uint64, error) {
+		return Publish(t.Context(), PublishConfig{Log: log, Wait: time.Nanosecond, Attempts: 1},
+			Change{ID: id, Author: "ann", Name: id, Text: b, Recover: true})
+	}
+
+	log.holdBack = 1
+	if _, err := recoverWith("late", text(2)); failure.KindOf(err) != failure.OutcomeUnknown {
+		t.Fatalf("held back: got %v, want %v", err, failure.OutcomeUnknown)
+	}
+
+	version, err := recoverWith("other", text(4))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	log.arrive()
+
+	f := follower(log, "e1")
+	for range 2 { // the first read learns what is kept
+		if err := f.readLog(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	if got, want := f.Current().Version(), version; got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+
+	if _, err := recoverWith("again", text(2)); failure.KindOf(err) != failure.Conflict {
+		t.Errorf("recover what is known: got %v, want %v", err, failure.Conflict)
+	}
+}
--- a/setting/publication/publish.go
+++ b/setting/publication/publish.go
@@ -27,6 +27,9 @@
 	Name string
 	// Text is the whole tree as it is to be.
 	Text []byte
+	// Recover publishes although the log no longer tells what is in force.
+	// Where it does tell, the change is refused with Conflict.
+	Recover bool
 }
 
 // PublishConfig says how Publish reaches the log.
@@ -37,6 +40,8 @@
 	Attempts int
 	// Wait is how long one read waits for the change to show; zero is DefaultShowWait.
 	Wait time.Duration
+	// partBytes bounds one record; zero is the package's bound. Tests set it.
+	partBytes int
 }
 
 // Defaults of PublishConfig.
@@ -82,17 +87,28 @@
 		cfg.Wait = DefaultShowWait
 	}
 
+	if cfg.partBytes <= 0 {
+		cfg.partBytes = partBytes
+	}
+
 	if _, err := setting.Parse(c.Name, c.Text); err != nil {
 		return 0, err
 	}
 
 	p := newPublisher(cfg, c)
 
-	if err := p.reader.catchUp(ctx, 0); err != nil {
+	err := p.reader.catchUp(ctx, 0)
+	if c.Recover && failure.KindOf(err) == failure.Unavailable {
+		p.change.Based = p.reader.replica.from() - 1
+
+		return p.publish(ctx)
+	}
+
+	if err != nil {
 		return 0, err
 	}
 
-	if p.reader.replica.head.version != c.Based {
+	if p.reader.replica.head.version != c.Based || c.Recover {
 		return 0, p.conflict()
 	}
 
@@ -147,10 +163,10 @@
 
 		one := record{
 			Kind: changeRecord, ID: id, Based: p.change.Based,
-			Author: p.change.Author, Note: p.change.Note, Hash: hash[:],
+			Author: p.change.Author, Note: p.change.Note, Hash: hash[:], Recovers: p.change.Recover,
 		}
 
-		p.append(ctx, split(one, payload))
+		p.append(ctx, split(one, payload, p.cfg.partBytes))
 
 		err := p.settle(ctx)
 		if version, done, outcome := p.outcome(); done {
@@ -220,13 +236,23 @@
 		}
 	}
 
-	if conflict || p.reader.replica.head.version != p.change.Based {
+	if conflict || p.passed() {
 		return 0, true, p.conflict()
 	}
 
 	return 0, false, nil
 }
 
+// passed says that the change can't be accepted any more, also if it is still
+// under way.
+func (p *publisher) passed() bool {
+	if p.change.Recover {
+		return p.reader.replica.from() > p.change.Based+1
+	}
+
+	return p.reader.replica.head.version != p.change.Based
+}
+
 // conflict returns what came between.
 func (p *publisher) conflict() error {
 	h := p.reader.replica.head
--- a/setting/publication/record.go
+++ b/setting/publication/record.go
@@ -51,6 +51,14 @@
 	Version uint64 `cbor:"10,keyasint,omitempty"`
 	Read    uint64 `cbor:"11,keyasint,omitempty"`
 	AtMS    int64  `cbor:"12,keyasint,omitempty"`
+	// Recovers says that the log forgot what was in force before any process
+	// wrote it again. Based is then the end of the log as the operator saw it,
+	// and the change holds only if it stands right behind: all readers can tell
+	// that, and one that arrives late takes nothing back.
+	Recovers bool `cbor:"13,keyasint,omitempty"`
+
+	// start is the offset of the first part, set on reading.
+	start uint64
 }
 
 // content is a new text, whole or as a patch of the text that it was based on.
@@ -133,13 +141,14 @@
 	return b
 }
 
-// split returns r as the records to append, its payload divided into parts.
-func split(r record, payload []byte) [][]byte {
-	r.Parts = max((len(payload)+partBytes-1)/partBytes, 1)
+// split returns r as the records to append, its payload divided into parts of
+// at most most bytes.
+func split(r record, payload []byte, most int) [][]byte {
+	r.Parts = max((len(payload)+most-1)/most, 1)
 
 	records := make([][]byte, 0, r.Parts)
 	for r.Part = range r.Parts {
-		n := min(partBytes, len(payload))
+		n := min(most, len(payload))
 		r.Payload = payload[:n]
 		payload = payload[n:]
 
--- a/setting/publication/replica.go
+++ b/setting/publication/replica.go
@@ -82,6 +82,7 @@
 	next      uint64
 	waiting   []journal.Record
 	bytes     int
+	changes   assembler
 	snapshots assembler
 }
 
@@ -176,7 +177,12 @@
 
 // decide accepts or refuses a whole change.
 func (r *replica) decide(rec journal.Record, one record) {
-	if one.Based != r.head.version {
+	fits := one.Based == r.head.version
+	if one.Recovers {
+		fits = one.inPlace()
+	}
+
+	if !fits {
 		r.tell(rec, one, reasonConflict)
 
 		return
@@ -246,19 +252,14 @@
 		s.waiting = s.waiting[1:]
 	}
 
-	part, ok := decodeRecord(rec.Data)
-	if !ok || part.Kind != snapshotRecord {
-		return
-	}
-
-	one, _ := s.snapshots.take(rec.Offset, part)
+	one := s.whole(rec)
 	if one == nil {
 		return
 	}
 
 	// A snapshot made before the first record that was seen leaves a gap in
 	// which a change may have been accepted.
-	if one.Read+1 < s.start || one.Version < r.head.version {
+	if one.Read+1 < s.start {
 		return
 	}
 
@@ -272,6 +273,10 @@
 		return
 	}
 
+	if one.Kind == changeRecord {
+		r.tell(rec, *one, accepted)
+	}
+
 	if one.Version > r.head.version {
 		r.steps = nil
 		r.whole = nil
@@ -284,6 +289,34 @@
 	r.resume(one.Read)
 }
 
+// inPlace says whether a change that recovers stands where it was meant to.
+func (r *record) inPlace() bool { return r.start == r.Based+1 }
+
+// whole returns a snapshot, or a change that recovers, when rec completes it.
+func (s *scan) whole(rec journal.Record) *record {
+	part, ok := decodeRecord(rec.Data)
+	if !ok {
+		return nil
+	}
+
+	if part.Kind == snapshotRecord {
+		one, _ := s.snapshots.take(rec.Offset, part)
+
+		return one
+	}
+
+	one, _ := s.changes.take(rec.Offset, part)
+	if one == nil || !one.Recovers || !one.inPlace() {
+		return nil
+	}
+
+	one.Version = rec.Offset
+	one.Read = rec.Offset
+	one.AtMS = rec.At.UnixMilli()
+
+	return one
+}
+
 // resume ends the search: head is in force at offset read, and the records
 // seen after it are decided in order.
 func (r *replica) resume(read uint64) {
--- a/setting/publication/stateful_test.go
+++ b/setting/publication/stateful_test.go
@@ -35,6 +35,12 @@
 	newest uint64
 }
 
+// smallPart makes most changes take several records.
+const smallPart = 40
+
+// rounds is how often the faults of one run are mended.
+const rounds = 3
+
 // draft returns a small tree in which an operator wrote a number of their own.
 func draft(n, pad int) string {
 	return fmt.Sprintf("request_burst = %d\n# %s\n", n+1, strings.Repeat("x", pad))
@@ -43,23 +49,39 @@
 func (m *fleet) start(i int) {
 	m.starts++
 	m.followers[i] = follower(m.log, fmt.Sprintf("e%d", i))
+	m.followers[i].partBytes = smallPart
 	m.highest[i] = 0
 	m.cut[i] = false
 }
 
+// shown returns the version that an operator starts from: mostly what the log
+// says, now and then what a process that lags shows.
+func (m *fleet) shown(t *rapid.T) uint64 {
+	p := m.followers[rapid.IntRange(0, len(m.followers)-1).Draw(t, "seen")].Current()
+	if rapid.IntRange(0, 3).Draw(t, "lagging") > 0 {
+		if newest, _, err := Read(context.Background(), m.log, 1); err == nil {
+			p = newest
+		}
+	}
+
+	if p == nil {
+		return 0
+	}
+
+	return p.Version()
+}
+
 // publish lets an operator publish, based on what some follower shows them.
 func (m *fleet) publish(t *rapid.T) {
-	based := uint64(0)
-	if p := m.followers[rapid.IntRange(0, len(m.followers)-1).Draw(t, "seen")].Current(); p != nil {
-		based = p.Version()
-	}
+	based := m.shown(t)
 
 	m.tries++
 	text := draft(m.tries, rapid.IntRange(0, 40).Draw(t, "pad"))
-	cfg := PublishConfig{Log: m.log, Attempts: 2, Wait: time.Nanosecond}
+	cfg := PublishConfig{Log: m.log, Attempts: 3, Wait: time.Nanosecond, partBytes: smallPart}
 
 	version, err := Publish(context.Background(), cfg, Change{
 		ID: fmt.Sprint("c", m.tries), Based: based, Author: "ann", Name: "draft", Text: []byte(text),
+		Recover: rapid.IntRange(0, 9).Draw(t, "recover") == 0,
 	})
 
 	switch kind := failure.KindOf(err); {
@@ -74,6 +96,12 @@
 
 		m.oracle.told[version] = text
 		m.oracle.newest = version
+
+		if b, err := TextAt(context.Background(), m.log, version); err == nil && string(b) != text {
+			t.Fatalf("version %d: the log holds %q, its operator published %q", version, b, text)
+		} else if failure.KindOf(err) == failure.BadRequest && err != nil {
+			t.Fatalf("version %d: its operator was told that it is in force, the log: %v", version, err)
+		}
 	case kind == failure.Conflict:
 		m.oracle.lost[text] = true
 	case kind == failure.OutcomeUnknown, kind == failure.LogUnavailable, kind == failure.Unavailable:
@@ -121,7 +149,10 @@
 
 // settle mends all faults and lets everybody read and talk.
 func (m *fleet) settle(t *rapid.T) {
-	m.log.down = false
+	m.log.downFor = 0
+	m.log.loseAnswers = 0
+	m.log.holdBack = 0
+	m.log.before = nil
 	m.log.arrive()
 
 	for range 3 {
@@ -175,18 +206,27 @@
 
 		var old []Handover
 
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"publish": m.publish,
+			"race": func(t *rapid.T) {
+				// The other operator's append comes before the one that follows.
+				m.log.before = append(m.log.before, func() { m.publish(t) })
+			},
 			"read": func(t *rapid.T) {
 				if i := any.Draw(t, "reader"); !m.cut[i] {
 					_ = m.followers[i].readLog(context.Background(), 0)
 				}
 			},
-			"handOver":   func(t *rapid.T) { m.handOver(t, any.Draw(t, "from"), any.Draw(t, "to")) },
-			"remember":   func(t *rapid.T) { old = append(old, m.followers[any.Draw(t, "from")].HandOver(time.Time{}, "", 0)) },
+			"handOver": func(t *rapid.T) { m.handOver(t, any.Draw(t, "from"), any.Draw(t, "to")) },
+			"remember": func(t *rapid.T) { old = append(old, m.followers[any.Draw(t, "from")].HandOver(time.Time{}, "", 0)) },
+			"readOn": func(*rapid.T) {
+				for i := range m.followers {
+					_ = m.followers[i].readLog(context.Background(), 0)
+				}
+			},
 			"restart":    func(t *rapid.T) { m.start(any.Draw(t, "restarted")) },
 			"cut":        func(t *rapid.T) { i := any.Draw(t, "cut"); m.cut[i] = !m.cut[i] },
-			"logDown":    func(t *rapid.T) { m.log.down = !m.log.down },
+			"logDown":    func(t *rapid.T) { m.log.downFor = rapid.IntRange(0, 8).Draw(t, "calls") },
 			"loseAnswer": func(t *rapid.T) { m.log.loseAnswers = rapid.IntRange(0, 3).Draw(t, "lost") },
 			"holdBack":   func(t *rapid.T) { m.log.holdBack = rapid.IntRange(0, 3).Draw(t, "held") },
 			"arrive":     func(*rapid.T) { m.log.arrive() },
@@ -194,8 +234,16 @@
 				_ = m.followers[any.Draw(t, "writer")].Snapshot(context.Background(), "s")
 			},
 			"trim": func(t *rapid.T) {
-				// Retention passes only what a snapshot repeats, unless nobody could write one.
-				m.log.trim(rapid.IntRange(0, 6).Draw(t, "kept"))
+				// Mostly a snapshot was written before retention passes the records.
+				kept := rapid.IntRange(0, 12).Draw(t, "kept")
+				if rapid.IntRange(0, 3).Draw(t, "unprepared") > 0 {
+					f := m.followers[any.Draw(t, "holder")]
+					if f.readLog(context.Background(), 0) != nil || f.Snapshot(context.Background(), fmt.Sprint("s", m.starts)) != nil {
+						return
+					}
+				}
+
+				m.log.trim(kept)
 			},
 			"lateOffer": func(t *rapid.T) {
 				if len(old) > 0 {
@@ -203,11 +251,14 @@
 				}
 			},
 			"": m.check,
-		})
+		}
 
-		m.settle(t)
-		m.check(t)
-		m.converged(t)
+		for range rounds {
+			t.Repeat(actions)
+			m.settle(t)
+			m.check(t)
+			m.converged(t)
+		}
 	})
 }
 
