--- a/setting/level.go
+++ b/setting/level.go
@@ -93,3 +93,71 @@
 type workloadLevel struct {
 	overrides
 }
+
+// Keys returns the keys of Values, in the order of its fields.
+func Keys() []string {
+	t := reflect.TypeFor[overrides]()
+
+	keys := make([]string, t.NumField())
+	for i := range keys {
+		keys[i] = t.Field(i).Tag.Get("toml")
+	}
+
+	return keys
+}
+
+// names says whether o changes the value called key.
+func (o *overrides) names(key string) bool {
+	v := reflect.ValueOf(o).Elem()
+
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("toml") == key {
+			return !v.Field(i).IsNil()
+		}
+	}
+
+	return false
+}
+
+// Source returns the level that gives key its value for p: its path, "root" or
+// "default".
+func (t *Tree) Source(p Path, key string) string {
+	from := "default"
+	if t.doc.names(key) {
+		from = "root"
+	}
+
+	site, ok := t.doc.Sites[p.Site]
+	if !ok {
+		return from
+	}
+
+	if site.names(key) {
+		from = p.Site
+	}
+
+	service, ok := site.Services[p.Service]
+	if !ok {
+		return from
+	}
+
+	if service.names(key) {
+		from = p.Site + "/" + p.Service
+	}
+
+	organisation, ok := service.Organisations[p.Organisation]
+	if !ok {
+		return from
+	}
+
+	if organisation.names(key) {
+		from = p.Site + "/" + p.Service + "/" + p.Organisation
+	}
+
+	workload, ok := organisation.Workloads[p.Workload]
+	if ok && workload.names(key) {
+		from = p.String()
+	}
+
+	return from
+}
