--- /dev/null
+++ b/limit/gate_test.go
@@ -0,0 +1,318 @@
+package limit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"boragehub/failure"
+	"boragehub/setting"
+)
+
+var epoch = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// oracle knows what was let in and what the rules promise. It keeps plain lists
+// and adds them up anew each time.
+type oracle struct {
+	places  float64
+	weights map[string]float64
+	held    []held
+	times   map[string][]time.Time // of those let in
+}
+
+type held struct {
+	organisation string
+	cost         float64
+	permit       Permit
+}
+
+func (o *oracle) used(organisation string) float64 {
+	sum := 0.0
+
+	for _, h := range o.held {
+		if organisation == "" || h.organisation == organisation {
+			sum += h.cost
+		}
+	}
+
+	return sum
+}
+
+// evenShare is what the organisation may hold when all the others want everything.
+func (o *oracle) evenShare(organisation string) float64 {
+	sum := 0.0
+	for _, w := range o.weights {
+		sum += w
+	}
+
+	return o.places * o.weights[organisation] / sum
+}
+
+// TestGateAgainstOracle lets organisations of all weights and classes crowd one
+// entry while its capacity changes. A user of an organisation within its share
+// must never be refused because of what others hold above theirs, and a refusal
+// always says when to come again.
+func TestGateAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := &oracle{places: 20, weights: map[string]float64{"a": 1, "b": 2, "c": 1, "d": 4}, times: map[string][]time.Time{}}
+		g := NewGate(GateConfig{Places: o.places, Seed: 1})
+		now := epoch
+
+		const (
+			perSecond = 50.0
+			burst     = 10
+		)
+
+		rt.Repeat(map[string]func(*rapid.T){
+			"pass": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"release": func(rt *rapid.T) {
+				if len(o.held) == 0 {
+					return
+				}
+
+				i := rapid.IntRange(0, len(o.held)-1).Draw(rt, "which")
+				g.Release(now, o.held[i].permit)
+				o.held = append(o.held[:i:i], o.held[i+1:]...)
+			},
+			"admit": func(rt *rapid.T) {
+				q := Request{
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "organisation"),
+					Class:        setting.Class(rapid.IntRange(0, 3).Draw(rt, "class")),
+					Rate:         perSecond, Burst: burst,
+					Cost: float64(rapid.IntRange(1, 3).Draw(rt, "cost")),
+				}
+				q.Weight = o.weights[q.Organisation]
+
+				if rapid.Bool().Draw(rt, "deadline") {
+					q.Deadline = now.Add(time.Duration(rapid.IntRange(-100, 1000).Draw(rt, "left")) * time.Millisecond)
+					q.Wait = time.Duration(rapid.IntRange(0, 1000).Draw(rt, "wait")) * time.Millisecond
+				}
+
+				p, err := g.Admit(now, q)
+				if err == nil {
+					o.held = append(o.held, held{q.Organisation, q.Cost, p})
+					o.times[q.Organisation] = append(o.times[q.Organisation], now)
+				}
+
+				checkVerdict(rt, now, o, q, err)
+			},
+			"": func(rt *rapid.T) {
+				if got, want := g.Used(), o.used(""); got != want {
+					rt.Fatalf("places used: got %v, want %v", got, want)
+				}
+
+				for name, times := range o.times {
+					checkRate(rt, name, times, perSecond, burst)
+				}
+			},
+		})
+	})
+}
+
+func checkVerdict(rt *rapid.T, now time.Time, o *oracle, q Request, err error) {
+	hopeless := !q.Deadline.IsZero() && now.Add(q.Wait).After(q.Deadline)
+	used, own := o.used(""), o.used(q.Organisation)
+
+	if err == nil {
+		if hopeless {
+			rt.Fatal("got let in past its deadline")
+		}
+
+		if used > o.places && used > q.Cost {
+			rt.Fatalf("got %v places used, want at most %v", used, o.places)
+		}
+
+		return
+	}
+
+	e := failure.As(err)
+	if e.RetryAfter() <= 0 || e.RetryAfter() > 75*time.Second {
+		rt.Fatalf("%v: got Retry-After %v, want one within 75 s", e.Kind(), e.RetryAfter())
+	}
+
+	switch e.Kind() { //nolint:exhaustive // the rest is an error
+	case failure.DeadlineHopeless:
+		if !hopeless {
+			rt.Fatal("got deadline_hopeless though the deadline can be met")
+		}
+	case failure.ShareExceeded:
+		if own+q.Cost <= o.evenShare(q.Organisation) {
+			rt.Fatalf("got share_exceeded with %v of an even share of %v", own+q.Cost, o.evenShare(q.Organisation))
+		}
+	case failure.QueueFull:
+		if used+q.Cost <= o.places*0.75 {
+			rt.Fatalf("got queue_full with %v of %v places used", used, o.places)
+		}
+	case failure.RateLimited:
+	default:
+		rt.Fatalf("got kind %v", e.Kind())
+	}
+}
+
+// checkRate counts, for each window that ends now, what was let in.
+func checkRate(rt *rapid.T, name string, times []time.Time, perSecond float64, burst int) {
+	for i := range times {
+		span := times[len(times)-1].Sub(times[i]).Seconds()
+		if got, most := float64(len(times)-i), float64(burst)+perSecond*span+0.001; got > most {
+			rt.Fatalf("%s: got %v let in within %v s, want at most %v", name, got, span, most)
+		}
+	}
+}
+
+// Callers make up organisations, or many appear at once; the entry's memory must
+// not grow with them.
+func TestAccountsAreBounded(t *testing.T) {
+	g := NewGate(GateConfig{Organisations: 100, Remember: time.Minute})
+
+	for i := range 1000 {
+		p, err := g.Admit(epoch, Request{Organisation: fmt.Sprint(i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		g.Release(epoch, p)
+	}
+
+	if got, want := g.Len(), 100; got != want {
+		t.Errorf("accounts: got %d, want %d", got, want)
+	}
+
+	for range 100 {
+		p, _ := g.Admit(epoch.Add(time.Hour), Request{Organisation: "late"})
+		g.Release(epoch.Add(time.Hour), p)
+	}
+
+	if got, want := g.Len(), 1; got != want {
+		t.Errorf("accounts after an hour: got %d, want %d", got, want)
+	}
+}
+
+// A flood is refused within one second. Were all told the same Retry-After, they
+// would come back as the same flood and be refused again for ever.
+func TestRetryAfterSpreadsCallers(t *testing.T) {
+	g := NewGate(GateConfig{Seed: 7})
+	back := map[int]int{}
+
+	for range 220 {
+		_, err := g.Admit(epoch, Request{Organisation: "a", Rate: 10, Burst: 20})
+		if err != nil {
+			back[int(failure.As(err).RetryAfter().Seconds())]++
+		}
+	}
+
+	most := 0
+	for _, n := range back {
+		most = max(most, n)
+	}
+
+	if len(back) < 20 || most > 15 {
+		t.Errorf("callers by second: got %v, want at least 20 seconds with at most 15 each", back)
+	}
+}
+
+// run is one run in the model of TestTenfoldSender.
+type run struct {
+	ends   time.Time
+	permit Permit
+}
+
+type runs []run
+
+func (r runs) Len() int           { return len(r) }
+func (r runs) Less(i, j int) bool { return r[i].ends.Before(r[j].ends) }
+func (r runs) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+func (r *runs) Push(x any)        { *r = append(*r, x.(run)) }
+func (r *runs) Pop() any {
+	old := *r
+	x := old[len(old)-1]
+	*r = old[:len(old)-1]
+
+	return x
+}
+
+// crowd sends for ten organisations at one entry with 100 places, each run 2 s
+// on average, 8 organisations at 4 a second, two large ones at 8: 96% of the
+// places wanted. The first large one sends factor times as much, all urgent. It
+// returns the part let in of it and of the others.
+func crowd(seed uint64, factor float64, fair bool) (large, others float64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	g := NewGate(GateConfig{Places: 100, Seed: seed})
+
+	if !fair {
+		g.cfg.Pressure = 1e9
+	}
+
+	var (
+		under runs
+		next  [10]time.Time
+		sent  [2]float64
+		let   [2]float64
+	)
+
+	rates := [10]float64{8 * factor, 8, 4, 4, 4, 4, 4, 4, 4, 4}
+	wait := func(i int) time.Duration { return time.Duration(rng.ExpFloat64() / rates[i] * float64(time.Second)) }
+
+	for i := range next {
+		next[i] = epoch.Add(wait(i))
+	}
+
+	for {
+		who := 0
+		for i := range next {
+			if next[i].Before(next[who]) {
+				who = i
+			}
+		}
+
+		now := next[who]
+		if now.After(epoch.Add(2 * time.Minute)) {
+			return let[0] / sent[0], let[1] / sent[1]
+		}
+
+		next[who] = now.Add(wait(who))
+
+		for len(under) > 0 && !under[0].ends.After(now) {
+			r := heap.Pop(&under).(run)
+			g.Release(r.ends, r.permit)
+		}
+
+		group := min(who, 1)
+		sent[group]++
+
+		class := setting.Interactive
+		if who == 0 {
+			class = setting.Urgent
+		}
+
+		p, err := g.Admit(now, Request{Organisation: fmt.Sprint(who), Class: class})
+		if err != nil {
+			continue
+		}
+
+		let[group]++
+
+		heap.Push(&under, run{now.Add(time.Duration(rng.ExpFloat64() * 2 * float64(time.Second))), p})
+	}
+}
+
+// One organisation sends ten times as much as usual, all of it urgent. The users
+// of the others must hardly notice.
+func TestTenfoldSender(t *testing.T) {
+	for seed := range uint64(5) {
+		_, before := crowd(seed, 1, true)
+		large, after := crowd(seed, 10, true)
+		_, unfair := crowd(seed, 10, false)
+
+		t.Logf("seed %d: others let in %.3f at usual load, %.3f with one sending tenfold (%.3f without shares); of the large one %.3f", seed, before, after, unfair, large)
+
+		if after < before-0.1 {
+			t.Errorf("seed %d: others let in: got %.3f, want at most a tenth under %.3f", seed, after, before)
+		}
+	}
+}
--- a/target/load.go
+++ b/target/load.go
@@ -16,45 +16,51 @@
 	n     int
 }
 
-// sendings are the requests sent at about one time.
+// sendings are the requests sent at about one time, in Unix nanoseconds.
 type sendings struct {
-	at            time.Time
-	count, tokens int
+	first, last   int64
+	count, tokens int32
 }
 
-// add counts a request sent at now.
+// add counts a request sent at now. When all slots are taken the two oldest
+// become one.
 func (a *ahead) add(now time.Time, tokens int) {
-	if a.n > 0 && now.Sub(a.slots[a.n-1].at) <= aheadGrain {
-		a.slots[a.n-1].count++
-		a.slots[a.n-1].tokens += tokens
+	at := now.UnixNano()
+
+	if a.n > 0 && at-a.slots[a.n-1].first <= int64(aheadGrain) {
+		s := &a.slots[a.n-1]
+		s.last = max(s.last, at)
+		s.count++
+		s.tokens += int32(tokens)
 
 		return
 	}
 
 	if a.n == aheadSlots {
+		a.slots[1].first = a.slots[0].first
 		a.slots[1].count += a.slots[0].count
 		a.slots[1].tokens += a.slots[0].tokens
 		copy(a.slots[:], a.slots[1:])
 		a.n--
 	}
 
-	a.slots[a.n] = sendings{at: now, count: 1, tokens: tokens}
+	a.slots[a.n] = sendings{first: at, last: at, count: 1, tokens: int32(tokens)}
 	a.n++
 }
 
 // remove takes back a request that was sent at and has ended. One that a load
 // report has covered already is in no slot.
-func (a *ahead) remove(at time.Time, tokens int) {
-	for i := a.n - 1; i >= 0; i-- {
+func (a *ahead) remove(sent time.Time, tokens int) {
+	at := sent.UnixNano()
+
+	for i := range a.n {
 		s := &a.slots[i]
-		if s.at.After(at) && i > 0 {
+		if at < s.first || at > s.last || s.count == 0 {
 			continue
 		}
 
-		if s.count > 0 && (i > 0 || !s.at.After(at) || a.n == aheadSlots) {
-			s.count--
-			s.tokens = max(s.tokens-tokens, 0)
-		}
+		s.count--
+		s.tokens = max(s.tokens-int32(tokens), 0)
 
 		return
 	}
@@ -62,10 +68,10 @@
 
 // covered drops what was sent up to a load's measurement, which counts it.
 func (a *ahead) covered(by time.Time) {
-	n := 0
+	n, at := 0, by.UnixNano()
 
 	for i := range a.n {
-		if a.slots[i].at.After(by) && a.slots[i].count > 0 {
+		if a.slots[i].last > at && a.slots[i].count > 0 {
 			a.slots[n] = a.slots[i]
 			n++
 		}
@@ -77,8 +83,8 @@
 // total returns the requests and their prompt tokens.
 func (a *ahead) total() (count, tokens int) {
 	for i := range a.n {
-		count += a.slots[i].count
-		tokens += a.slots[i].tokens
+		count += int(a.slots[i].count)
+		tokens += int(a.slots[i].tokens)
 	}
 
 	return count, tokens
