--- a/limit/gate.go
+++ b/limit/gate.go
@@ -48,7 +48,9 @@
 	Entries int
 	// Organisations bounds the accounts; more share one. 16384 when zero.
 	Organisations int
-	// Pressure is the part of the places above which shares are enforced. 0.7 when zero.
+	// Pressure is the part of a class's places above which shares are enforced.
+	// 0.9 when zero: lower ones refuse more at usual load and help the others
+	// no more when one organisation sends too much.
 	Pressure float64
 	// MostAfter bounds Retry-After. 60 s when zero.
 	MostAfter time.Duration
@@ -64,7 +66,7 @@
 	}
 
 	if c.Pressure <= 0 {
-		c.Pressure = 0.7
+		c.Pressure = 0.9
 	}
 
 	if c.MostAfter <= 0 {
@@ -333,11 +335,14 @@
 // unfair refuses a request of an organisation that holds its share while
 // places are short.
 func (g *Gate) unfair(now time.Time, a *account, q Request) error {
-	if g.places <= 0 || g.used+q.Cost <= g.places*g.cfg.Pressure || a.used == 0 {
+	// Shares are of the class's own part of the places: of all places, a flood
+	// of background requests would fill that part before it reached its share.
+	room := g.places * part(q.Class)
+	if g.places <= 0 || g.used+q.Cost <= room*g.cfg.Pressure || a.used == 0 {
 		return nil
 	}
 
-	share := a.weight * g.waterLevel(now)
+	share := a.weight * g.waterLevel(now) * part(q.Class)
 	if a.used+q.Cost <= share {
 		return nil
 	}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,145 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"boragehub/failure"
+)
+
+var epoch = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// Targets fail and every request wants to be repeated. Were all allowed, what is
+// left of the fleet would get double the load just then.
+func TestBudgetAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := BudgetConfig{Ratio: rapid.SampledFrom([]float64{0.1, 0.2, 0.5}).Draw(rt, "ratio"), Floor: 2}
+		b := NewBudget(cfg)
+		now := epoch
+
+		var firsts, repeats []time.Time
+
+		within := func(times []time.Time, span time.Duration) int {
+			n := 0
+
+			for _, at := range times {
+				if now.Sub(at) < span {
+					n++
+				}
+			}
+
+			return n
+		}
+
+		rt.Repeat(map[string]func(*rapid.T){
+			"pass": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"first": func(*rapid.T) {
+				b.First(now)
+				firsts = append(firsts, now)
+			},
+			"repeat": func(rt *rapid.T) {
+				allowed := b.Allow(now)
+				if allowed {
+					repeats = append(repeats, now)
+				}
+
+				// The budget's window moves by a tenth at a time.
+				short, long := 9*time.Second, 10*time.Second
+				if got, most := within(repeats, short), cfg.Ratio*float64(within(firsts, long))+2; allowed && float64(got) > most {
+					rt.Fatalf("repeats: got %d in the window, want at most %.1f", got, most)
+				}
+
+				if got, most := within(repeats, long)+1, cfg.Ratio*float64(within(firsts, short))+2; !allowed && float64(got) <= most {
+					rt.Fatalf("got refused with %d repeats in the window, want up to %.1f allowed", got, most)
+				}
+			},
+		})
+	})
+}
+
+func TestMay(t *testing.T) {
+	cases := []struct {
+		name string
+		a    Attempt
+		want bool
+	}{
+		{"idempotent, target lost", Attempt{Idempotent: true, Sent: true, Kind: failure.TargetLost, Number: 1, Most: 3}, true},
+		{"idempotent, attempts used up", Attempt{Idempotent: true, Sent: true, Kind: failure.TargetLost, Number: 3, Most: 3}, false},
+		{"idempotent, part answered", Attempt{Idempotent: true, Sent: true, Kind: failure.TargetLost, Number: 1, Most: 3, Answered: true}, false},
+		{"idempotent, the request is wrong", Attempt{Idempotent: true, Sent: true, Kind: failure.BadRequest, Number: 1, Most: 3}, false},
+		{"idempotent, deadline over", Attempt{Idempotent: true, Sent: true, Kind: failure.Timeout, Number: 1, Most: 3}, false},
+		{"idempotent, quarantined", Attempt{Idempotent: true, Sent: true, Kind: failure.Quarantined, Number: 1, Most: 3}, false},
+		{"booking, target lost", Attempt{Sent: true, Kind: failure.TargetLost, Number: 1, Most: 3}, false},
+		{"booking, never sent", Attempt{Kind: failure.TargetLost, Number: 1, Most: 3}, true},
+		{"booking, refused as draining", Attempt{Sent: true, Kind: failure.Draining, Number: 1, Most: 3}, true},
+		{"booking, unintelligible answer", Attempt{Sent: true, Kind: failure.BadMessage, Number: 1, Most: 3}, false},
+		{"booking, log unavailable", Attempt{Sent: true, Kind: failure.LogUnavailable, Number: 1, Most: 3}, false},
+		{"booking, outcome unknown", Attempt{Sent: true, Kind: failure.OutcomeUnknown, Number: 1, Most: 3}, false},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := May(c.a); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// A booking whose target fell silent may have gone through. Whatever the kind of
+// failure, a repeat without a promise that nothing ran would charge twice.
+func TestBookingIsRepeatedOnlyOnAPromise(t *testing.T) {
+	for _, k := range failure.Kinds() {
+		got := May(Attempt{Sent: true, Kind: k, Number: 1, Most: 9})
+		if got && k.Answer().Ran != failure.NotRun {
+			t.Errorf("%v: got repeated, want not: it may have run", k)
+		}
+	}
+}
+
+func TestMayHedge(t *testing.T) {
+	late := Hedge{Idempotent: true, Waited: 2 * time.Second, Usual: time.Second, Left: time.Second}
+	booking, suspect, again, soon := late, late, late, late
+	booking.Idempotent = false
+	suspect.Suspect = true
+	again.Hedged = true
+	soon.Waited = time.Second / 2
+
+	cases := []struct {
+		name string
+		h    Hedge
+		want bool
+	}{
+		{"late", late, true},
+		{"not idempotent", booking, false},
+		{"suspect", suspect, false},
+		{"hedged before", again, false},
+		{"not late yet", soon, false},
+		{"nothing known", Hedge{}, false},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := MayHedge(c.h); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestBackoffGrowsWithinItsBounds(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	cfg := BackoffConfig{First: 20 * time.Millisecond, Most: 100 * time.Millisecond}
+
+	for n, most := range []time.Duration{20, 20, 40, 80, 100, 100} {
+		got := cfg.Backoff(n, rng)
+		if got < most*time.Millisecond/2 || got > most*time.Millisecond {
+			t.Errorf("attempt %d: got %v, want between half and the whole of %v ms", n, got, most)
+		}
+	}
+}
--- a/target/table.go
+++ b/target/table.go
@@ -88,10 +88,11 @@
 	listAt      time.Time
 
 	bootID, model, version, role string
+	started                      time.Time
 	sequence                     uint64
 	state                        State
-	saidDraining                 bool // by the present boot
-	oldBoots                     [4]string
+	saidDraining                 bool      // by the present boot
+	oldBoots                     [4]string // newest first
 	heardAt                      time.Time
 
 	load      Load
@@ -271,17 +272,13 @@
 		return nil
 	}
 
-	if h.BootID == r.bootID && h.Sequence != 0 && h.Sequence <= r.sequence {
-		return nil
-	}
-
-	if h.BootID != r.bootID && slices.Contains(r.oldBoots[:], h.BootID) {
+	if t.late(now, r, h) {
 		return nil
 	}
 
 	var changes []Change
 	if h.BootID != r.bootID {
-		changes = appendChange(changes, r.boot(h.BootID))
+		changes = appendChange(changes, r.boot(h))
 	}
 
 	if r.address == "" {
@@ -301,15 +298,33 @@
 	return changes
 }
 
+// late reports whether h was overtaken by what was heard since. A hello of an
+// earlier boot that arrives after a later boot said draining would bring a
+// leaving target back. Boot ids have no order, and the clock of a VM that was
+// replaced under the same name may be behind; so an earlier start counts only
+// as long as a message can have been under way.
+func (t *Table) late(now time.Time, r *row, h Hello) bool {
+	if h.BootID == r.bootID {
+		return h.Sequence != 0 && h.Sequence <= r.sequence
+	}
+
+	if slices.Contains(r.oldBoots[:], h.BootID) {
+		return true
+	}
+
+	return h.Started.Before(r.started) && !h.Started.IsZero() && now.Sub(r.heardAt) <= t.cfg.SilentAfter
+}
+
 // boot starts anew for a target that was started again.
-func (r *row) boot(id string) Change {
+func (r *row) boot(h Hello) Change {
 	first := r.bootID == ""
 	if !first {
 		copy(r.oldBoots[1:], r.oldBoots[:])
 		r.oldBoots[0] = r.bootID
 	}
 
-	r.bootID = id
+	r.bootID = h.BootID
+	r.started = h.Started
 	r.sequence = 0
 	r.state = Unknown
 	r.saidDraining = false
--- a/target/target.go
+++ b/target/target.go
@@ -141,6 +141,9 @@
 	VM string
 	// BootID is new at each start of the target.
 	BootID string
+	// Started is when that boot began, by the VM's own clock; zero when not known.
+	// It tells a late hello of an earlier boot from a new boot's first one.
+	Started time.Time
 	// Sequence rises with each hello of one boot; an older one is ignored.
 	Sequence uint64
 	// State is the target's state.
