--- a/weights/plan.go
+++ b/weights/plan.go
@@ -16,16 +16,25 @@
 //
 // # Orders and fences
 //
-// Orders bear the fencing number of the leader's lease. A new leader waits for
-// Config.Settle after it got the lease, in which engines report the loads that
-// the old one started; a paused old leader's later orders are refused by the
-// side processes as stale. A given order that isn't seen yet is remembered by
-// the caller as Ordered until OrderPatience is over.
+// Orders bear the fencing number of the leader's lease. A new leader first
+// announces its number to every side process (AnnounceFence) and orders nothing
+// in a data centre until each engine heard there has confirmed it: an order of
+// the old leader that is still under way is refused from then on, and one that
+// came before shows in the same report as a load. Engines that aren't heard are
+// waited for during Config.Settle and then left out.
+//
+// A Board keeps what the engines said and which orders were given, and makes the
+// View.
 //
 // # Example
 //
-//	p := weights.Plan(now, cfg, weights.View{Wanted: wanted, Engines: engines, Fence: lease.Offset, Since: lease.At})
-//	for _, o := range p.Orders { … }
+//	b := weights.NewBoard(weights.BoardConfig{})
+//	b.Hear(now, report)
+//	r := weights.Plan(now, cfg, b.View(now, wanted, lease.Offset, lease.At))
+//	for _, o := range r.Orders {
+//		b.Ordered(now, o)
+//		b.Answered(now, o, send(o))
+//	}
 package weights
 
 import (
@@ -40,7 +49,9 @@
 	Loads int
 	// DataCentreLoads overrides Loads by data centre.
 	DataCentreLoads map[string]int
-	// Settle is how long a new leader only watches. 5 s when zero.
+	// Settle is how long a new leader waits for engines that aren't heard, before
+	// it orders in their data centre. It must be longer than an order can be under
+	// way. 10 s when zero.
 	Settle time.Duration
 	// OrderPatience is how long a given order counts as a load though the engine
 	// doesn't show it. 30 s when zero.
@@ -55,7 +66,7 @@
 
 func (c Config) withDefaults() Config {
 	c.Loads = or(c.Loads, 2)
-	c.Settle = or(c.Settle, 5*time.Second)
+	c.Settle = or(c.Settle, 10*time.Second)
 	c.OrderPatience = or(c.OrderPatience, 30*time.Second)
 	c.Trial = or(c.Trial, 10*time.Second)
 	c.Failures = or(c.Failures, 2)
@@ -73,16 +84,13 @@
 	return v
 }
 
-// State is what an engine says of itself. The zero State is Lost.
+// State is what an engine says of itself. The zero State is Ready.
 type State uint8
 
 // The states.
 const (
-	// Lost means that nothing was heard lately; it counts as not ready, and as
-	// loading when it last said so.
-	Lost State = iota
-	// Ready means that it serves.
-	Ready
+	// Ready means that it serves, or would if it had weights.
+	Ready State = iota
 	// Loading means that it loads.
 	Loading
 	// Leaving means that it drains for good.
@@ -91,10 +99,10 @@
 
 // String returns the snake-case name of s.
 func (s State) String() string {
-	return [...]string{"lost", "ready", "loading", "leaving"}[min(s, Leaving)]
+	return [...]string{"ready", "loading", "leaving"}[min(s, Leaving)]
 }
 
-// Engine is what one engine says, and what was ordered of it.
+// Engine is what one engine last said, and what was ordered of it.
 type Engine struct {
 	// VM and DataCentre say which.
 	VM, DataCentre string
@@ -110,13 +118,17 @@
 	State State
 	// Since is when it reached State.
 	Since time.Time
+	// Lost says that it was not heard lately.
+	Lost bool
 	// Running is how many requests it runs.
 	Running int
 	// FailedVersion is the version whose load failed last; FailedAt is when.
 	FailedVersion string
 	FailedAt      time.Time
-	// Ordered is when the caller last gave it an order that it has not answered
-	// for; zero for none.
+	// Fence is the highest fencing number that its side process has confirmed.
+	Fence uint64
+	// Ordered is when it was last given an order that it has not answered for;
+	// zero for none.
 	Ordered time.Time
 }
 
@@ -153,6 +165,8 @@
 	Engines []Engine
 	// Fence is the fencing number of the lease under which orders are given.
 	Fence uint64
+	// Number is the number of the last order given.
+	Number uint64
 	// Since is when the lease was got.
 	Since time.Time
 }
@@ -168,14 +182,17 @@
 	LoadAdapter Kind = "load_adapter"
 	// SetRole changes the role.
 	SetRole Kind = "set_role"
+	// AnnounceFence asks the side process to remember the fencing number, and
+	// nothing of the engine.
+	AnnounceFence Kind = "announce_fence"
 )
 
 // Order is one order to an engine, through its side process.
 type Order struct {
 	// VM is the engine's VM.
 	VM string
-	// Fence is the fencing number.
-	Fence uint64
+	// Fence is the fencing number, and Number counts the orders given under it.
+	Fence, Number uint64
 	// Kind says which of the fields below count.
 	Kind Kind
 	// Model, Version, Adapter and Role are what to load or to be.
@@ -189,7 +206,7 @@
 const (
 	// NoHalt means that the roll goes on or is done.
 	NoHalt Halt = iota
-	// Settling means that a new leader watches first.
+	// Settling means that the fencing number is not confirmed everywhere yet.
 	Settling
 	// Trying means that the first engine's trial is not over.
 	Trying
@@ -199,7 +216,7 @@
 	LoadsFull
 	// VersionFailed means that the version's loads failed, and there is no fallback.
 	VersionFailed
-	// EnginesLost means that the engines left to do are not heard.
+	// EnginesLost means that the engines left to do are not heard, or failed just now.
 	EnginesLost
 )
 
@@ -233,15 +250,13 @@
 
 // Plan returns the orders to give at now.
 func Plan(now time.Time, cfg Config, v View) Result {
-	p := &planner{now: now, cfg: cfg.withDefaults(), view: v, loads: map[string]int{}}
+	p := &planner{now: now, cfg: cfg.withDefaults(), view: v, loads: map[string]int{}, closed: map[string]bool{}}
 
 	engines := slices.Clone(v.Engines)
-	slices.SortFunc(engines, func(a, b Engine) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(engines, byName)
 
 	for _, e := range engines {
-		if p.busy(e) {
-			p.loads[e.DataCentre]++
-		}
+		p.count(e)
 	}
 
 	var r Result
@@ -256,15 +271,35 @@
 	return r
 }
 
+func byName(a, b Engine) int { return cmp.Compare(a.VM, b.VM) }
+
 // planner is the work of one Plan.
 type planner struct {
 	now    time.Time
 	cfg    Config
 	view   View
-	loads  map[string]int // by data centre, those ordered now included
+	loads  map[string]int  // by data centre, those ordered now included
+	closed map[string]bool // data centres where the fence isn't confirmed
 	orders []Order
 }
 
+// count takes e into its data centre's loads, and announces the fence to it.
+func (p *planner) count(e Engine) {
+	if p.busy(e) {
+		p.loads[e.DataCentre]++
+	}
+
+	if e.Fence >= p.view.Fence {
+		return
+	}
+
+	if !e.Lost || p.now.Sub(p.view.Since) < p.cfg.Settle {
+		p.closed[e.DataCentre] = true
+	}
+
+	p.add(e, Order{Kind: AnnounceFence})
+}
+
 // busy reports whether e loads, or was ordered to and may not show it yet. An
 // engine that fell silent while loading may still be loading.
 func (p *planner) busy(e Engine) bool {
@@ -310,8 +345,6 @@
 	}
 
 	switch {
-	case p.now.Sub(p.view.Since) < p.cfg.Settle:
-		g.Halt = Settling
 	case failed:
 		g.Halt = VersionFailed
 	case len(todo) > 0:
@@ -325,7 +358,7 @@
 
 // ready reports whether e serves and was not just ordered away.
 func (p *planner) ready(e Engine) bool {
-	return e.State == Ready && !p.pending(e) && e.Version != ""
+	return e.State == Ready && !e.Lost && !p.pending(e) && e.Version != ""
 }
 
 // aim returns the version to go to; failed says that there is none to go to. It
@@ -401,7 +434,7 @@
 			running = true
 		}
 
-		if e.Version == version && e.State == Ready && !p.pending(e) {
+		if e.Version == version && p.ready(e) {
 			running = true
 			over = over || p.now.Sub(e.Since) >= p.cfg.Trial
 		}
@@ -429,8 +462,10 @@
 // mayLoad reports why e may not load now; NoHalt when it may.
 func (p *planner) mayLoad(w Wanted, e Engine, ready int) Halt {
 	switch {
-	case e.State == Lost || (!e.FailedAt.IsZero() && p.now.Sub(e.FailedAt) < p.cfg.RetryAfter):
+	case e.Lost || (!e.FailedAt.IsZero() && p.now.Sub(e.FailedAt) < p.cfg.RetryAfter):
 		return EnginesLost
+	case p.closed[e.DataCentre]:
+		return Settling
 	case !p.room(e.DataCentre):
 		return LoadsFull
 	case p.ready(e) && ready-1 < w.MinReady:
@@ -442,16 +477,22 @@
 
 // order gives an order; every kind but SetRole takes part in the loads.
 func (p *planner) order(e Engine, o Order) {
-	o.VM = e.VM
-	o.Fence = p.view.Fence
-	o.Model = e.Model
-	p.orders = append(p.orders, o)
+	p.add(e, o)
 
 	if o.Kind != SetRole {
 		p.loads[e.DataCentre]++
 	}
 }
 
+// add completes an order.
+func (p *planner) add(e Engine, o Order) {
+	o.VM = e.VM
+	o.Model = e.Model
+	o.Fence = p.view.Fence
+	o.Number = p.view.Number + uint64(len(p.orders)) + 1
+	p.orders = append(p.orders, o)
+}
+
 // rest orders adapters and roles once all have the version.
 func (p *planner) rest(w Wanted, engines []Engine, ready int) {
 	given := len(p.orders)
--- /dev/null
+++ b/weights/plan_test.go
@@ -0,0 +1,440 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"boragehub/failure"
+)
+
+var epoch = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// site is the model that Plan is tried on: engines with their side processes,
+// two leaders of which one may be paused and wake, and messages that are late
+// or lost. What it checks it knows from the engines themselves.
+type site struct {
+	now     time.Time
+	engines []*engine
+	leaders []*leader
+	fence   uint64
+	wanted  []Wanted
+	most    map[string]int // loads at once by data centre, as seen
+	wire    []orderSent
+	reports []reportSent
+	loads   int // begun
+}
+
+type engine struct {
+	Report
+	busy, failing bool
+	ends, changed time.Time
+	order         Order
+}
+
+type leader struct {
+	board *Board
+	fence uint64
+	since time.Time
+	ready []Order // planned and not sent: what a pause interrupts
+}
+
+type orderSent struct {
+	order Order
+	at    time.Time
+	from  *leader
+}
+
+type reportSent struct {
+	Report
+	at time.Time
+}
+
+// underWay is how long a message is delivered at most after it was sent.
+const underWay = 5 * time.Second
+
+// loadsAtOnce is what the weight store of the model bears in one data centre.
+const loadsAtOnce = 2
+
+func newSite(engines, minReady int) *site {
+	s := &site{now: epoch, most: map[string]int{}, wanted: []Wanted{{Model: "m", Version: "v1", MinReady: minReady}}}
+
+	for i := range engines {
+		s.engines = append(s.engines, &engine{changed: epoch, Report: Report{
+			VM: fmt.Sprintf("engine-%02d", i), DataCentre: []string{"yvr-east", "yvr-west"}[i%2], Model: "m", Boot: "1", Version: "v1",
+		}})
+	}
+
+	for range 2 {
+		s.leaders = append(s.leaders, &leader{board: NewBoard(BoardConfig{})})
+	}
+
+	return s
+}
+
+// lead gives the lease to a leader.
+func (s *site) lead(l *leader) {
+	s.fence++
+	l.fence = s.fence
+	l.since = s.now
+}
+
+// report sends what an engine says now to both leaders.
+func (s *site) report(e *engine) {
+	e.Sequence++
+	r := e.Report
+	r.StateAge = s.now.Sub(e.changed)
+	s.reports = append(s.reports, reportSent{r, s.now})
+}
+
+// take lets a side process take an order, as its fence allows.
+func (s *site) take(o orderSent) error {
+	for _, e := range s.engines {
+		if e.VM != o.order.VM {
+			continue
+		}
+
+		if o.order.Fence < e.Fence {
+			return failure.New(failure.StaleFence, "an older fence")
+		}
+
+		if o.order.Fence > e.Fence {
+			e.Accepted = 0
+		}
+
+		e.Fence = o.order.Fence
+		e.Accepted = max(e.Accepted, o.order.Number)
+
+		if o.order.Kind == AnnounceFence {
+			return nil
+		}
+
+		if e.busy {
+			return failure.New(failure.QueueFull, "it loads already")
+		}
+
+		s.begin(e, o.order)
+	}
+
+	return nil
+}
+
+func (s *site) begin(e *engine, o Order) {
+	e.busy = true
+	e.order = o
+	e.State = Loading
+	e.changed = s.now
+	e.ends = s.now.Add(2 * time.Second)
+	s.loads++
+
+	n := 0
+	for _, other := range s.engines {
+		if other.busy && other.DataCentre == e.DataCentre {
+			n++
+		}
+	}
+
+	s.most[e.DataCentre] = max(s.most[e.DataCentre], n)
+}
+
+// end ends the loads that are over.
+func (s *site) end() {
+	for _, e := range s.engines {
+		if !e.busy || e.ends.After(s.now) {
+			continue
+		}
+
+		e.busy = false
+		e.State = Ready
+		e.changed = s.now
+
+		switch {
+		case e.failing && e.order.Kind == LoadWeights && e.order.Version == "bad":
+			e.FailedVersion = e.order.Version
+		case e.order.Kind == LoadWeights:
+			e.Version = e.order.Version
+		case e.order.Kind == LoadAdapter:
+			e.Adapters = append(e.Adapters, e.order.Adapter)
+		case e.order.Kind == SetRole:
+			e.Role = e.order.Role
+		}
+	}
+}
+
+// ready counts the engines that serve.
+func (s *site) ready() int {
+	n := 0
+
+	for _, e := range s.engines {
+		if !e.busy && e.State == Ready {
+			n++
+		}
+	}
+
+	return n
+}
+
+// plan lets a leader plan; what it orders is sent by send.
+func (s *site) plan(l *leader) Result {
+	r := Plan(s.now, Config{Loads: loadsAtOnce}, l.board.View(s.now, s.wanted, l.fence, l.since))
+	l.ready = nil
+
+	for _, o := range r.Orders {
+		l.board.Ordered(s.now, o)
+		l.ready = append(l.ready, o)
+	}
+
+	return r
+}
+
+func (s *site) send(l *leader) {
+	for _, o := range l.ready {
+		s.wire = append(s.wire, orderSent{o, s.now, l})
+	}
+
+	l.ready = nil
+}
+
+// settle lets the site run without faults under the newest leader.
+func (s *site) settle(l *leader, span time.Duration) Result {
+	var r Result
+
+	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(time.Second) {
+		s.end()
+
+		for _, e := range s.engines {
+			e.Sequence++
+			report := e.Report
+			report.StateAge = s.now.Sub(e.changed)
+			l.board.Hear(s.now, report)
+		}
+
+		r = s.plan(l)
+		for _, o := range l.ready {
+			l.board.Answered(s.now, o, s.take(orderSent{o, s.now, l}))
+		}
+	}
+
+	return r
+}
+
+// newest returns the leader that holds the lease.
+func (s *site) newest() *leader {
+	if s.leaders[0].fence > s.leaders[1].fence {
+		return s.leaders[0]
+	}
+
+	return s.leaders[1]
+}
+
+// older returns the leader that held the lease before.
+func (s *site) older() *leader {
+	if s.newest() == s.leaders[0] {
+		return s.leaders[1]
+	}
+
+	return s.leaders[0]
+}
+
+// faults returns what may happen at any moment.
+func (s *site) faults(rt *rapid.T) map[string]func(*rapid.T) {
+	someLeader := func() *leader { return rapid.SampledFrom(s.leaders).Draw(rt, "leader") }
+
+	return map[string]func(*rapid.T){
+		"pass": func(rt *rapid.T) {
+			s.now = s.now.Add(time.Duration(rapid.IntRange(100, 4000).Draw(rt, "ms")) * time.Millisecond)
+			s.end()
+		},
+		"report all": func(*rapid.T) {
+			for _, e := range s.engines {
+				s.report(e)
+			}
+		},
+		"report": func(rt *rapid.T) { s.report(rapid.SampledFrom(s.engines).Draw(rt, "engine")) },
+		"hear all": func(*rapid.T) {
+			l := someLeader()
+			for _, r := range s.reports {
+				s.hear(l, r)
+			}
+		},
+		"hear": func(rt *rapid.T) {
+			if len(s.reports) > 0 {
+				s.hear(someLeader(), rapid.SampledFrom(s.reports).Draw(rt, "report"))
+			}
+		},
+		"plan":     func(*rapid.T) { s.plan(s.newest()) },
+		"send":     func(*rapid.T) { s.send(someLeader()) },
+		"take":     s.takeOne,
+		"take all": s.takeAll,
+		"replace":  func(*rapid.T) { s.lead(s.older()) },
+		"publish": func(rt *rapid.T) {
+			s.wanted[0].Version = rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(rt, "version")
+		},
+	}
+}
+
+// hear gives a report to a leader unless it is too old to be under way.
+func (s *site) hear(l *leader, r reportSent) {
+	if s.now.Sub(r.at) <= underWay {
+		l.board.Hear(s.now, r.Report)
+	}
+}
+
+// takeOne delivers or loses one order, and maybe the answer to it.
+func (s *site) takeOne(rt *rapid.T) {
+	if len(s.wire) == 0 {
+		return
+	}
+
+	i := rapid.IntRange(0, len(s.wire)-1).Draw(rt, "order")
+	o := s.wire[i]
+	s.wire = append(s.wire[:i:i], s.wire[i+1:]...)
+
+	if s.now.Sub(o.at) > underWay || rapid.IntRange(0, 9).Draw(rt, "lost") == 0 {
+		return
+	}
+
+	if err := s.take(o); rapid.Bool().Draw(rt, "answered") {
+		o.from.board.Answered(s.now, o.order, err)
+	}
+}
+
+// takeAll delivers all orders that are under way.
+func (s *site) takeAll(*rapid.T) {
+	for _, o := range s.wire {
+		if s.now.Sub(o.at) <= underWay {
+			o.from.board.Answered(s.now, o.order, s.take(o))
+		}
+	}
+
+	s.wire = nil
+}
+
+// TestRollAgainstEngines rolls versions while the leader is replaced, paused and
+// woken, and reports, orders and answers are late, crossed and lost. Users would
+// notice too many engines gone at once, or loads that slow each other down.
+func TestRollAgainstEngines(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		engines := rapid.IntRange(4, 10).Draw(rt, "engines")
+		minReady := rapid.IntRange(1, engines-1).Draw(rt, "min ready")
+		s := newSite(engines, minReady)
+		s.lead(s.leaders[0])
+
+		actions := s.faults(rt)
+		actions[""] = func(rt *rapid.T) {
+			for dc, n := range s.most {
+				if n > loadsAtOnce {
+					rt.Fatalf("%s: got %d loads at once, want at most %d", dc, n, loadsAtOnce)
+				}
+			}
+
+			if got := s.ready(); got < minReady {
+				rt.Fatalf("ready: got %d engines, want at least %d", got, minReady)
+			}
+		}
+
+		rt.Repeat(actions)
+		s.settle(s.newest(), 3*time.Minute)
+
+		for _, e := range s.engines {
+			if got, want := e.Version, s.wanted[0].Version; got != want {
+				rt.Fatalf("%s: got version %s in the end, want %s", e.VM, got, want)
+			}
+		}
+	})
+}
+
+// A version's weights are broken, and each engine that loads them fails. Were the
+// roll to go on, or to be tried again by each new leader, all engines would be
+// taken out one after the other.
+func TestFailedVersionStopsOrFallsBack(t *testing.T) {
+	cases := []struct {
+		name, fallback string
+		want           Progress
+	}{
+		{"stops", "", Progress{Model: "m", Version: "bad", Left: 6, Ready: 6, Halt: VersionFailed}},
+		{"falls back", "v1", Progress{Model: "m", Version: "v1", FellBack: true, Done: 6, Ready: 6}},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(6, 4)
+			for _, e := range s.engines {
+				e.failing = true
+			}
+
+			s.wanted[0].Version, s.wanted[0].Fallback = "bad", c.fallback
+			s.lead(s.leaders[0])
+			s.settle(s.leaders[0], 5*time.Minute)
+			s.lead(s.leaders[1])
+			r := s.settle(s.leaders[1], 5*time.Minute)
+
+			if got := r.Progress[0]; got != c.want {
+				t.Errorf("progress: got %+v, want %+v", got, c.want)
+			}
+
+			if got, want := s.loads, 2; got != want {
+				t.Errorf("loads: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// A version is published, goes well on the first engine and is then rolled back
+// by operators halfway. Each engine may be loaded once for each publication; a
+// plan that swings would load some more often and keep users waiting.
+func TestRollbackLoadsNoEngineTwice(t *testing.T) {
+	s := newSite(8, 6)
+	s.lead(s.leaders[0])
+	s.wanted[0].Version = "v2"
+	s.settle(s.leaders[0], 16*time.Second)
+
+	rolled := s.loads
+	if rolled == 0 || rolled == 8 {
+		t.Fatalf("loads before the rollback: got %d of 8, want some", rolled)
+	}
+
+	s.wanted[0].Version = "v1"
+	s.lead(s.leaders[1])
+	r := s.settle(s.leaders[1], 3*time.Minute)
+
+	if got, want := s.loads, 2*rolled; got != want {
+		t.Errorf("loads: got %d, want %d", got, want)
+	}
+
+	if got, want := r.Progress[0], (Progress{Model: "m", Version: "v1", Done: 8, Ready: 8}); got != want {
+		t.Errorf("progress: got %+v, want %+v", got, want)
+	}
+}
+
+// Operators want adapters and roles besides. They come one after the other, so
+// that no two loads too many run and no engine changes back and forth.
+func TestAdaptersAndRoles(t *testing.T) {
+	s := newSite(6, 3)
+	s.wanted[0].Adapters = []string{"fares", "ferries"}
+	s.wanted[0].Roles = []RoleCount{{Role: "prefill", Count: 2}}
+	s.lead(s.leaders[0])
+	s.settle(s.leaders[0], 5*time.Minute)
+
+	prefill := 0
+
+	for _, e := range s.engines {
+		if got, want := len(e.Adapters), 2; got != want {
+			t.Errorf("%s: got %d adapters, want %d", e.VM, got, want)
+		}
+
+		if e.Role == "prefill" {
+			prefill++
+		}
+	}
+
+	if got, want := prefill, 2; got != want {
+		t.Errorf("engines with role prefill: got %d, want %d", got, want)
+	}
+
+	if got, want := s.loads, 14; got != want {
+		t.Errorf("orders carried out: got %d, want %d", got, want)
+	}
+}
--- a/weights/role.go
+++ b/weights/role.go
@@ -12,20 +12,20 @@
 	var spare []Engine
 
 	for _, e := range engines {
-		if p.pending(e) {
-			return // one change at a time
+		// What an engine is about to be doesn't show while it changes. Were another
+		// one changed meanwhile, one of them would have to change back.
+		if p.busy(e) {
+			return
 		}
 
-		if !p.ready(e) {
+		if e.State != Leaving && e.Role != "" && wanted[e.Role] > 0 {
+			wanted[e.Role]--
 			continue
 		}
 
-		if e.Role == "" || wanted[e.Role] <= 0 {
+		if p.ready(e) && !p.closed[e.DataCentre] {
 			spare = append(spare, e)
-			continue
 		}
-
-		wanted[e.Role]--
 	}
 
 	for _, r := range w.Roles {
