entry: give each service a gate, with places by what its targets run

Cause: one gate for all services let a crowd before one take another's places, and it had no capacity at all, so shares were never enforced; the deadline was checked against no expected wait. Places now follow the targets heard, and the wait is the route decision's own estimate for an empty prompt.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,7 +29,6 @@
 
 	"boragehub/directory"
 	"boragehub/event"
-	"boragehub/limit"
 	"boragehub/link"
 	"boragehub/message"
 	"boragehub/organisation"
@@ -89,7 +88,7 @@
 type Entry struct {
 	cfg     Config
 	targets *target.Table
-	gate    *limit.Gate
+	gates   *gates
 	ward    *quarantine.Ward
 	budget  *retry.Budget
 	learns  *ring.Ring[learning]
@@ -131,7 +130,7 @@
 	return &Entry{
 		cfg:     cfg,
 		targets: target.NewTable(target.TableConfig{Self: cfg.VM, DataCentre: cfg.DataCentre}),
-		gate:    limit.NewGate(limit.GateConfig{Seed: cfg.Seed}),
+		gates:   newGates(cfg.Seed),
 		ward:    quarantine.NewWard(quarantine.WardConfig{}),
 		budget:  retry.NewBudget(retry.BudgetConfig{}),
 		learns:  ring.New[learning](learnRing),
@@ -191,7 +190,7 @@
 	}
 
 	e.note(e.targets.ObserveList(now, listed))
-	e.gate.SetEntries(now, max(entries, 1))
+	e.gates.setEntries(now, max(entries, 1))
 }
 
 // OnSettings takes a new version of the settings in.
--- a/entry/http.go
+++ b/entry/http.go
@@ -16,7 +16,6 @@
 
 	"boragehub/event"
 	"boragehub/failure"
-	"boragehub/limit"
 	"boragehub/quarantine"
 	"boragehub/setting"
 )
@@ -189,30 +188,6 @@
 	return failure.New(failure.Forbidden, "organisation %s may not use %s", q.organisation, service)
 }
 
-// admit passes the gate.
-func (e *Entry) admit(q request, v setting.Values) (release func(), err error) {
-	now := time.Now()
-
-	p, err := e.gate.Admit(now, limit.Request{
-		Organisation: q.organisation,
-		Class:        v.Class,
-		Rate:         v.RequestsPerSecond,
-		Burst:        v.RequestBurst,
-		Weight:       v.Share,
-		Deadline:     q.arrived.Add(v.Deadline),
-	})
-	if err != nil {
-		event.Log(e.cfg.Log, event.RequestRefused, "request_id", q.id, "organisation", q.organisation, "class", v.Class.String(),
-			"kind", failure.KindOf(err).String(), "retry_after_ms", failure.As(err).RetryAfter().Milliseconds())
-
-		return nil, err
-	}
-
-	event.Log(e.cfg.Log.V(1), event.RequestAdmitted, "request_id", q.id, "organisation", q.organisation, "class", v.Class.String(), "places_used", e.gate.Used())
-
-	return func() { e.gate.Release(time.Now(), p) }, nil
-}
-
 func (e *Entry) chat(ctx context.Context, q request, r *http.Request, w http.ResponseWriter) error {
 	return e.prompt(ctx, q, r, w, chatShape)
 }
@@ -244,7 +219,7 @@
 
 	v := e.values(q, service)
 
-	release, err := e.admit(q, v)
+	release, err := e.admit(q, service, v, e.expectedWait(q.arrived, service, e.seed()))
 	if err != nil {
 		return err
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,7 +57,7 @@
 	return []prometheus.Collector{
 		m.firstTokens, m.prompts, m.cached, m.imported, m.answers, m.refusals, m.retries,
 		gauge("requests_in_work", "Requests in work now.", func() float64 { return float64(e.active.Load()) }),
-		gauge("places_used", "Places of the gate that are taken.", e.gate.Used),
+		gauge("places_used", "Places of the gate that are taken.", e.gates.used),
 		gauge("targets_known", "Targets held in the table.", func() float64 { return float64(e.targets.Len()) }),
 		gauge("contexts_owned", "Contexts that this entry keeps for the directory.", func() float64 { return float64(e.owned.contexts()) }),
 		gauge("settings_version", "Version of the settings in force.", func() float64 { return float64(e.version()) }),
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -39,7 +39,7 @@
 		return err
 	}
 
-	release, err := e.admit(q, c.values)
+	release, err := e.admit(q, c.service.Name, c.values, 0)
 	if err != nil {
 		return err
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -183,28 +183,12 @@
 	all := make([]route.Candidate, len(targets))
 
 	for i, t := range targets {
-		sp := j.e.speeds.get(t.VM)
-		c := route.Candidate{
-			Name:                   t.VM,
-			DataCentre:             t.DataCentre,
-			Version:                t.WeightVersion,
-			Draining:               t.State == target.Draining,
-			Suspected:              t.Doubted,
-			Tried:                  j.tried[t.VM],
-			Delay:                  j.e.delay(t.DataCentre),
-			LoadAt:                 now.Add(-t.Load.Age),
-			Running:                t.Load.Running,
-			Waiting:                t.Load.Waiting,
-			WaitingPrefillTokens:   t.Load.WaitingTokens,
-			SentTokens:             t.AheadTokens,
-			SentRequests:           t.Ahead,
-			MaxRunning:             sp.maxRunning,
-			PrefillTokensPerSecond: sp.prefill,
-		}
+		c := j.e.candidate(now, t)
+		c.Tried = j.tried[t.VM]
 
 		for _, h := range v.holdings {
 			if !h.Store && h.Holder == t.VM {
-				c.Warm = h.Blocks * blockTokens(sp)
+				c.Warm = h.Blocks * blockTokens(j.e.speeds.get(t.VM))
 				c.WarmAt = now.Add(-time.Duration(h.AgeMS) * time.Millisecond)
 			}
 		}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -41,6 +41,7 @@
 
 		if len(queue) == 0 {
 			queue = e.watched()
+			e.measure(time.Now())
 		}
 
 		if len(queue) == 0 {
@@ -49,6 +50,7 @@
 
 		if !e.seen.Load() {
 			e.askAll(ctx, queue)
+			e.measure(time.Now())
 			e.seen.Store(true)
 
 			queue = nil
