placement, side, quarantine: order weights under a fence, post crashes to the log

Cause: nothing placed weights, side processes were no fence for engines that ignore fencing numbers, and a crash was known only to the entries told at that moment. One entry of each data centre leads by a lease; a side process that has forgotten the fence takes no order before it is announced; crashes go to a stream of the log besides. Found on the way: an entry took every lost line for a crash, so two cuts would have quarantined a request that harmed nobody; it now asks on a new connection first.

--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -16,10 +16,14 @@
 	"boragehub/certificate"
 	"boragehub/claim"
 	"boragehub/entry"
+	"boragehub/entry/placement"
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/journal/lease"
 	"boragehub/operator"
 	"boragehub/peer"
+	"boragehub/quarantine"
+	"boragehub/quarantine/notice"
 	"boragehub/setting"
 	"boragehub/setting/publication"
 	"boragehub/side"
@@ -37,12 +41,14 @@
 type relay struct {
 	list     func(time.Time, *vm.List)
 	settings func(time.Time, *publication.Published)
+	crash    func(time.Time, quarantine.Crash)
 }
 
 func newRelay() *relay {
 	return &relay{
 		list:     func(time.Time, *vm.List) {},
 		settings: func(time.Time, *publication.Published) {},
+		crash:    func(time.Time, quarantine.Crash) {},
 	}
 }
 
@@ -55,18 +61,21 @@
 	server   *peer.Server
 	list     *vm.Follower
 	settings *publication.Follower
+	crashes  *notice.Board
 	relay    *relay
 }
 
 // duties are those that run in every process until it ends.
 func (c *common) duties() []func(context.Context) {
-	return []func(context.Context){c.keys.Run, c.list.Run, c.settings.Run}
+	return []func(context.Context){c.keys.Run, c.list.Run, c.settings.Run, c.crashes.Run}
 }
 
 // entryProcess is an entry with all that it needs.
 type entryProcess struct {
 	common
 	entry     *entry.Entry
+	lease     *lease.Keeper
+	leader    *placement.Leader
 	operators *operator.Server
 }
 
@@ -133,6 +142,7 @@
 func (p *entryProcess) run() error {
 	p.relay.list = p.entry.OnList
 	p.relay.settings = p.entry.OnSettings
+	p.relay.crash = p.entry.Crashed
 
 	l, err := net.Listen("tcp", p.cfg.Listen.Callers) //nolint:noctx // bound once, at start
 	if err != nil {
@@ -146,7 +156,7 @@
 		MaxHeaderBytes:    p.cfg.Limits.MaxHeaderBytes,
 	}
 
-	stop := background(append(p.duties(), p.entry.Run, p.operators.Run, func(ctx context.Context) {
+	stop := background(append(p.duties(), p.entry.Run, p.lease.Run, p.leader.Run, p.operators.Run, func(ctx context.Context) {
 		_ = p.server.Serve(ctx, p.entry.Handle)
 	})...)
 
--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -7,16 +7,21 @@
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zerologr"
+	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"boragehub/certificate"
 	"boragehub/claim"
 	"boragehub/entry"
+	"boragehub/entry/placement"
 	"boragehub/failure"
 	"boragehub/journal"
+	"boragehub/journal/lease"
 	"boragehub/operator"
 	"boragehub/peer"
+	"boragehub/quarantine"
+	"boragehub/quarantine/notice"
 	"boragehub/setting"
 	"boragehub/setting/exchange"
 	"boragehub/setting/publication"
@@ -88,7 +93,26 @@
 	})
 }
 
-func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, registry *prometheus.Registry) *entry.Entry {
+// provideBoard returns the board of crashes; an entry reads it, a side process
+// only writes.
+func provideBoard(cfg setting.Process, log logr.Logger, j *journal.Client, r *relay) *notice.Board {
+	c := notice.Config{Log: j, Logger: log}
+	if cfg.Role == setting.EntryRole {
+		c.Heard = func(k quarantine.Crash) { r.crash(time.Now(), k) }
+	}
+
+	return notice.New(c)
+}
+
+func provideLease(cfg setting.Process, log logr.Logger, j *journal.Client) *lease.Keeper {
+	return placement.NewKeeper(j, cfg.DataCentre, cfg.VM+"/"+uuid.NewString(), log)
+}
+
+func provideLeader(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, k *lease.Keeper) *placement.Leader {
+	return placement.New(placement.Config{DataCentre: cfg.DataCentre, Lease: k, Peers: d, VMs: list, Settings: settings, Log: log})
+}
+
+func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, registry *prometheus.Registry) *entry.Entry {
 	e := entry.New(entry.Config{
 		VM:          cfg.VM,
 		DataCentre:  cfg.DataCentre,
@@ -97,6 +121,7 @@
 		Settings:    settings,
 		Peers:       d,
 		VMs:         list,
+		Post:        board.Post,
 		Log:         log,
 	})
 	registry.MustRegister(e.Collectors()...)
@@ -148,7 +173,7 @@
 	return f
 }
 
-func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, homes *claim.Home) (*side.Side, error) {
+func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, homes *claim.Home) (*side.Side, error) {
 	u, err := url.Parse(cfg.Target.URL)
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "target %q", cfg.Target.URL)
@@ -162,6 +187,7 @@
 		Address:      u.Host,
 		DrainTimeout: time.Duration(cfg.Limits.DrainTimeout),
 		Settings:     settings,
+		Post:         board.Post,
 		Peers:        d,
 		VMs:          list,
 		Log:          log,
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -20,6 +20,7 @@
 	provideJournal,
 	provideFollower,
 	newRelay,
+	provideBoard,
 	operator.NewRegistry,
 	peer.NewDialer,
 	wire.Struct(new(common), "*"),
@@ -28,7 +29,7 @@
 //go:generate wire
 
 func newEntryProcess(cfg setting.Process) (*entryProcess, error) {
-	wire.Build(commonSet, provideEntry, provideEntryOperators, wire.Struct(new(entryProcess), "*"))
+	wire.Build(commonSet, provideLease, provideLeader, provideEntry, provideEntryOperators, wire.Struct(new(entryProcess), "*"))
 
 	return nil, nil
 }
--- a/cmd/boragehub/wire_gen.go
+++ b/cmd/boragehub/wire_gen.go
@@ -31,6 +31,7 @@
 	follower := provideList(cfg, logger, mainRelay)
 	client := provideJournal(cfg)
 	publicationFollower := provideFollower(cfg, logger, client, dialer, follower, mainRelay)
+	board := provideBoard(cfg, logger, client, mainRelay)
 	mainCommon := common{
 		cfg:      cfg,
 		log:      logger,
@@ -39,10 +40,13 @@
 		server:   server,
 		list:     follower,
 		settings: publicationFollower,
+		crashes:  board,
 		relay:    mainRelay,
 	}
 	registry := operator.NewRegistry()
-	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, registry)
+	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, board, registry)
+	leaseKeeper := provideLease(cfg, logger, client)
+	leader := provideLeader(cfg, logger, dialer, follower, publicationFollower, leaseKeeper)
 	operatorServer, err := provideEntryOperators(cfg, registry, entry)
 	if err != nil {
 		return nil, err
@@ -50,6 +54,8 @@
 	mainEntryProcess := &entryProcess{
 		common:    mainCommon,
 		entry:     entry,
+		lease:     leaseKeeper,
+		leader:    leader,
 		operators: operatorServer,
 	}
 	return mainEntryProcess, nil
@@ -71,6 +77,7 @@
 	follower := provideList(cfg, logger, mainRelay)
 	client := provideJournal(cfg)
 	publicationFollower := provideFollower(cfg, logger, client, dialer, follower, mainRelay)
+	board := provideBoard(cfg, logger, client, mainRelay)
 	mainCommon := common{
 		cfg:      cfg,
 		log:      logger,
@@ -79,10 +86,11 @@
 		server:   server,
 		list:     follower,
 		settings: publicationFollower,
+		crashes:  board,
 		relay:    mainRelay,
 	}
 	home := provideHomes(cfg, logger, client, follower)
-	side, err := provideSide(cfg, logger, dialer, follower, publicationFollower, home)
+	side, err := provideSide(cfg, logger, dialer, follower, publicationFollower, board, home)
 	if err != nil {
 		return nil, err
 	}
@@ -111,5 +119,6 @@
 	provideList,
 	provideJournal,
 	provideFollower,
-	newRelay, operator.NewRegistry, peer.NewDialer, wire.Struct(new(common), "*"),
+	newRelay,
+	provideBoard, operator.NewRegistry, peer.NewDialer, wire.Struct(new(common), "*"),
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,8 @@
 	Peers Opener
 	// VMs knows the targets, stores and entries.
 	VMs Lister
+	// Post puts a crash into the log; nil does nothing.
+	Post func(quarantine.Crash)
 	// Log gets a line for each decision.
 	Log logr.Logger
 	// Seed makes the draws among equal targets repeatable; zero draws one.
--- a/entry/job.go
+++ b/entry/job.go
@@ -160,7 +160,7 @@
 	kind := "done"
 	if err != nil {
 		kind = failure.KindOf(err).String()
-		j.suspect(now, r, sent, err)
+		j.suspect(ctx, r, sent, err)
 	} else {
 		j.e.ward.Completed(now, j.fingerprint)
 	}
@@ -194,19 +194,33 @@
 }
 
 // suspect counts a target that was lost under j as possibly crashed by it, also
-// when no side process is left to say so. It is taken back when the target turns
-// out to be alive with the same boot.
-func (j *job) suspect(now time.Time, r routed, sent bool, err error) {
-	if !sent || failure.KindOf(err) != failure.TargetLost {
+// when no side process is left to say so.
+func (j *job) suspect(ctx context.Context, r routed, sent bool, err error) {
+	if sent && failure.KindOf(err) == failure.TargetLost {
+		j.e.lost(ctx, r.target, j.fingerprint)
+	}
+}
+
+// lost finds out whether a target that was lost while it ran a request has died,
+// by a question on a new connection. Without the question a cut line would be
+// taken for a crash, and two of them would quarantine a request that harmed
+// nobody. No answer counts as a crash until the target is heard with the same
+// boot: to spare the next target is worth more than this request.
+func (e *Entry) lost(ctx context.Context, t target.Target, f quarantine.Fingerprint) {
+	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+	defer cancel()
+
+	if s, err := e.state(ctx, t); err == nil && s.Ready && s.Boot == t.BootID {
 		return
 	}
 
-	j.e.crashed(now, quarantine.Crash{
-		Target:  r.target.VM,
-		Boot:    r.target.BootID,
-		At:      now,
-		Running: []quarantine.Fingerprint{j.fingerprint},
-	})
+	now := time.Now()
+	c := quarantine.Crash{Target: t.VM, Boot: t.BootID, At: now, Running: []quarantine.Fingerprint{f}}
+	e.Crashed(now, c)
+
+	if e.cfg.Post != nil {
+		e.cfg.Post(c)
+	}
 }
 
 // converse is the conversation of one attempt.
@@ -263,7 +277,7 @@
 				return message.Done{}, err
 			}
 		case message.Crashed:
-			j.e.crashed(time.Now(), m.Crash)
+			j.e.Crashed(time.Now(), m.Crash)
 		case message.Done:
 			return m, j.complete(m)
 		default:
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -191,7 +191,7 @@
 		e.owned.learn(now, m)
 		err = t.Send(message.Ack{})
 	case message.Crashed:
-		e.crashed(now, m.Crash)
+		e.Crashed(now, m.Crash)
 		err = t.Send(message.Ack{})
 	default:
 		if answer, ok := exchange.Answer(now, e.cfg.Settings, from, m); ok {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -303,6 +303,10 @@
 	kind := "done"
 	if err != nil {
 		kind = failure.KindOf(err).String()
+
+		if sent && failure.KindOf(err) == failure.TargetLost {
+			c.e.lost(ctx, t, c.message.Fingerprint)
+		}
 	} else {
 		c.e.ward.Completed(now, c.message.Fingerprint)
 		c.e.targets.ObserveLoad(now, t.VM, loadOf(reply.Load))
@@ -353,7 +357,7 @@
 		}
 
 		if crashed, ok := m.(message.Crashed); ok {
-			c.e.crashed(time.Now(), crashed.Crash)
+			c.e.Crashed(time.Now(), crashed.Crash)
 
 			continue
 		}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -19,6 +19,7 @@
 const (
 	watchEvery   = 200 * time.Millisecond
 	watchTimeout = 2 * time.Second
+	lostTimeout  = 500 * time.Millisecond
 )
 
 // firstPass bounds how many side processes are asked at once when an entry
@@ -98,27 +99,24 @@
 	return all
 }
 
-// ask asks one side process for its state.
+// ask asks one side process for its state and takes the answer in.
 func (e *Entry) ask(ctx context.Context, t target.Target) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 
-	var version uint64
-	if p := e.policy.Load(); p != nil {
-		version = p.version
-	}
-
-	m, err := e.cfg.Peers.Ask(ctx, sideOf(t), message.Ask{SettingsVersion: version})
-	if err != nil {
-		return
+	if s, err := e.state(ctx, t); err == nil {
+		e.hello(time.Now(), t, s)
 	}
+}
 
-	s, err := message.Expect[message.State](m)
+// state asks one side process for its state.
+func (e *Entry) state(ctx context.Context, t target.Target) (message.State, error) {
+	m, err := e.cfg.Peers.Ask(ctx, sideOf(t), message.Ask{SettingsVersion: e.version()})
 	if err != nil {
-		return
+		return message.State{}, err
 	}
 
-	e.hello(time.Now(), t, s)
+	return message.Expect[message.State](m)
 }
 
 func sideOf(t target.Target) peer.Address {
@@ -177,8 +175,8 @@
 	}
 }
 
-// crashed takes in what ran when a target died.
-func (e *Entry) crashed(now time.Time, c quarantine.Crash) {
+// Crashed takes in what ran when a target died.
+func (e *Entry) Crashed(now time.Time, c quarantine.Crash) {
 	for _, f := range e.ward.Crashed(now, c) {
 		event.Log(e.cfg.Log, event.RequestQuarantine, "fingerprint", fingerprintText(f), "vm", c.Target)
 	}
--- a/message/codec.go
+++ b/message/codec.go
@@ -96,6 +96,7 @@
 	TypeFetch:    into[Fetch],
 	TypeSettings: into[Settings],
 	TypeCrashed:  into[Crashed],
+	TypeOrder:    into[Order],
 }
 
 func decode(t Type, body []byte) (Message, error) {
--- a/message/message.go
+++ b/message/message.go
@@ -21,6 +21,7 @@
 //	Ask     → State            or Refused
 //	Fetch   → Settings         or Refused
 //	Crashed → Ack              or Refused
+//	Order   → Ack              or Refused
 //
 // Beat may come at any time from either end; it says that the sender lives.
 package message
@@ -56,6 +57,7 @@
 	TypeFetch
 	TypeSettings
 	TypeCrashed
+	TypeOrder
 )
 
 // Message is one of the messages of this package.
@@ -276,6 +278,21 @@
 	Homes []int `cbor:"15,keyasint,omitempty"`
 	// Sequence rises with each State of one boot.
 	Sequence uint64 `cbor:"16,keyasint"`
+	// Loading says that the engine loads weights.
+	Loading bool `cbor:"17,keyasint,omitempty"`
+	// StateAgeMS is for how long the engine has been loading or not, in milliseconds.
+	StateAgeMS int64 `cbor:"18,keyasint,omitempty"`
+	// Role and Adapters are what the engine has.
+	Role     string   `cbor:"19,keyasint,omitempty"`
+	Adapters []string `cbor:"20,keyasint,omitempty"`
+	// FailedVersion is the weight version whose load failed last, FailedAgeMS
+	// how long ago, in milliseconds.
+	FailedVersion string `cbor:"21,keyasint,omitempty"`
+	FailedAgeMS   int64  `cbor:"22,keyasint,omitempty"`
+	// Fence is the highest fencing number seen, Accepted the number of the last
+	// order accepted under it.
+	Fence    uint64 `cbor:"23,keyasint,omitempty"`
+	Accepted uint64 `cbor:"24,keyasint,omitempty"`
 }
 
 // Fetch asks a peer for the settings after a version.
@@ -298,6 +315,19 @@
 	Crash quarantine.Crash `cbor:"1,keyasint"`
 }
 
+// Order is an order to the engine, checked by its side process.
+type Order struct {
+	// Fence is the fencing number of the leader's lease, Number counts its orders.
+	Fence  uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+	// Kind is one of the kinds of package weights.
+	Kind string `cbor:"3,keyasint"`
+	// Version, Adapter and Role are what to load or to be.
+	Version string `cbor:"4,keyasint,omitempty"`
+	Adapter string `cbor:"5,keyasint,omitempty"`
+	Role    string `cbor:"6,keyasint,omitempty"`
+}
+
 // Type returns the number of each message on the wire.
 func (Beat) Type() Type     { return TypeBeat }
 func (Run) Type() Type      { return TypeRun }      //nolint:revive // documented on Message
@@ -315,6 +345,7 @@
 func (Fetch) Type() Type    { return TypeFetch }    //nolint:revive // documented on Message
 func (Settings) Type() Type { return TypeSettings } //nolint:revive // documented on Message
 func (Crashed) Type() Type  { return TypeCrashed }  //nolint:revive // documented on Message
+func (Order) Type() Type    { return TypeOrder }    //nolint:revive // documented on Message
 
 // Refusal turns err into the message that tells a peer of it.
 func Refusal(err error) Refused {
--- a/side/side.go
+++ b/side/side.go
@@ -90,6 +90,8 @@
 	Settings exchange.Keeper
 	// Claims records non-idempotent calls; nil refuses them.
 	Claims Claims
+	// Post puts a crash into the log; nil does nothing.
+	Post func(quarantine.Crash)
 	// Peers opens conversations with entries.
 	Peers Opener
 	// VMs knows the entries and stores.
@@ -114,6 +116,9 @@
 	reports *ring.Ring[report]
 	parked  *parkedSet
 	apart   quarantine.Isolation
+	orders  orders
+
+	ordering sync.Mutex // one order at a time reaches the engine
 }
 
 // storeTimeout bounds the transfer of one copy, roomTimeout the question for a
@@ -220,6 +225,8 @@
 		err = s.run(ctx, t, m)
 	case message.Call:
 		err = s.call(ctx, t, m)
+	case message.Order:
+		err = s.order(ctx, t, m)
 	default:
 		if answer, ok := exchange.Answer(time.Now(), s.cfg.Settings, from, m); ok {
 			err = t.Send(answer)
@@ -238,7 +245,7 @@
 // givesWork reports whether only an entry may send m.
 func givesWork(m message.Message) bool {
 	switch m.(type) {
-	case message.Run, message.Call:
+	case message.Run, message.Call, message.Order:
 		return true
 	default:
 		return false
@@ -251,6 +258,8 @@
 	st.VM = s.cfg.VM
 	st.Service = s.cfg.Service
 
+	s.orders.describe(now, &st)
+
 	if s.cfg.Claims != nil {
 		st.Homes = s.cfg.Claims.Homes()
 	}
--- a/side/watch.go
+++ b/side/watch.go
@@ -44,6 +44,11 @@
 	info, load, err := s.inspect(ctx)
 	if err == nil {
 		first, boot, crashed := s.guard.observe(info, load)
+
+		if failed := s.orders.observe(time.Now(), info); failed != "" {
+			event.Log(s.cfg.Log, event.LoadFailed, "weight_version", failed)
+		}
+
 		if first {
 			event.Log(s.cfg.Log, event.TargetUp, "boot", info.BootID, "weight_version", info.WeightVersion)
 		}
@@ -94,6 +99,10 @@
 	event.Log(s.cfg.Log, event.TargetCrashed, "boot", boot, "requests", len(running))
 	s.tellAll(*m)
 
+	if s.cfg.Post != nil {
+		s.cfg.Post(m.Crash)
+	}
+
 	return m
 }
 
