event: remember what was logged about each request

Cause: to tell why a request went where it went, an operator had to search the logs of every VM. Each process keeps the lines of its last 4,096 requests and shows them to operators; lines for debugging are kept too.

--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -15,6 +15,7 @@
 	"boragehub/claim"
 	"boragehub/entry"
 	"boragehub/entry/placement"
+	"boragehub/event/recorder"
 	"boragehub/failure"
 	"boragehub/journal"
 	"boragehub/journal/lease"
@@ -32,7 +33,15 @@
 // debugLevel is the verbosity of lines that operators want only at times.
 const debugLevel = 1
 
-func provideLogger(cfg setting.Process) logr.Logger {
+// recordedRequests is how many requests a process can explain; at two kilobytes
+// each that is 8 MB.
+const recordedRequests = 4096
+
+func provideRecorder(cfg setting.Process) *recorder.Recorder {
+	return recorder.New(cfg.VM, recordedRequests)
+}
+
+func provideLogger(cfg setting.Process, r *recorder.Recorder) logr.Logger {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	zerologr.VerbosityFieldName = ""
 	zerologr.NameFieldName = "part"
@@ -49,7 +58,7 @@
 	z := zerolog.New(os.Stdout).Level(level).With().Timestamp().
 		Str("role", string(cfg.Role)).Str("self", cfg.VM).Logger()
 
-	return zerologr.New(&z)
+	return logr.New(r.Sink(zerologr.NewLogSink(&z)))
 }
 
 func provideKeys(cfg setting.Process, log logr.Logger) (*certificate.Keeper, error) {
@@ -129,12 +138,20 @@
 	return e
 }
 
-func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, e *entry.Entry) (*operator.Server, error) {
+// explain shows operators what was logged about a request.
+func explain(r *recorder.Recorder) operator.View {
+	return operator.View{Name: "explain", Get: func(q string) any { return r.Lines(q) }}
+}
+
+func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, e *entry.Entry, l *placement.Leader, r *recorder.Recorder) (*operator.Server, error) {
 	return operator.Listen(operator.Config{
 		Addr:     cfg.Listen.Operators,
 		Registry: registry,
 		Checks:   []operator.Check{{Name: "entry", Ready: e.Ready}},
-		Views:    e.Views(),
+		Views: append(e.Views(), explain(r), operator.View{
+			Name: "weights",
+			Get:  func(string) any { return l.Progress() },
+		}),
 	})
 }
 
@@ -200,10 +217,11 @@
 	return side.New(c), nil
 }
 
-func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, s *side.Side) (*operator.Server, error) {
+func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, s *side.Side, r *recorder.Recorder) (*operator.Server, error) {
 	return operator.Listen(operator.Config{
 		Addr:     cfg.Listen.Operators,
 		Registry: registry,
 		Checks:   []operator.Check{{Name: "target", Ready: s.Ready}},
+		Views:    []operator.View{explain(r)},
 	})
 }
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -12,6 +12,7 @@
 
 // commonSet makes what every process of the running system has.
 var commonSet = wire.NewSet(
+	provideRecorder,
 	provideLogger,
 	provideKeys,
 	providePeerConfig,
--- a/cmd/boragehub/wire_gen.go
+++ b/cmd/boragehub/wire_gen.go
@@ -16,7 +16,8 @@
 // Injectors from wire.go:
 
 func newEntryProcess(cfg setting.Process) (*entryProcess, error) {
-	logger := provideLogger(cfg)
+	recorder := provideRecorder(cfg)
+	logger := provideLogger(cfg, recorder)
 	keeper, err := provideKeys(cfg, logger)
 	if err != nil {
 		return nil, err
@@ -47,7 +48,7 @@
 	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, board, registry)
 	leaseKeeper := provideLease(cfg, logger, client)
 	leader := provideLeader(cfg, logger, dialer, follower, publicationFollower, leaseKeeper)
-	operatorServer, err := provideEntryOperators(cfg, registry, entry)
+	operatorServer, err := provideEntryOperators(cfg, registry, entry, leader, recorder)
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +63,8 @@
 }
 
 func newSideProcess(cfg setting.Process) (*sideProcess, error) {
-	logger := provideLogger(cfg)
+	recorder := provideRecorder(cfg)
+	logger := provideLogger(cfg, recorder)
 	keeper, err := provideKeys(cfg, logger)
 	if err != nil {
 		return nil, err
@@ -95,7 +97,7 @@
 		return nil, err
 	}
 	registry := operator.NewRegistry()
-	operatorServer, err := provideSideOperators(cfg, registry, side)
+	operatorServer, err := provideSideOperators(cfg, registry, side, recorder)
 	if err != nil {
 		return nil, err
 	}
@@ -112,6 +114,7 @@
 
 // commonSet makes what every process of the running system has.
 var commonSet = wire.NewSet(
+	provideRecorder,
 	provideLogger,
 	provideKeys,
 	providePeerConfig,
