--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -25,6 +25,7 @@
 	"boragehub/quarantine"
 	"boragehub/quarantine/notice"
 	"boragehub/setting"
+	"boragehub/setting/exchange"
 	"boragehub/setting/publication"
 	"boragehub/side"
 	"boragehub/vm"
@@ -76,6 +77,8 @@
 	entry     *entry.Entry
 	lease     *lease.Keeper
 	leader    *placement.Leader
+	writes    settingsLease
+	snapshots *exchange.Snapshotter
 	operators *operator.Server
 }
 
@@ -156,7 +159,7 @@
 		MaxHeaderBytes:    p.cfg.Limits.MaxHeaderBytes,
 	}
 
-	stop := background(append(p.duties(), p.entry.Run, p.lease.Run, p.leader.Run, p.operators.Run, func(ctx context.Context) {
+	stop := background(append(p.duties(), p.entry.Run, p.lease.Run, p.leader.Run, p.writes.Run, p.snapshots.Run, p.operators.Run, func(ctx context.Context) {
 		_ = p.server.Serve(ctx, p.entry.Handle)
 	})...)
 
--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -117,6 +117,17 @@
 	return placement.NewKeeper(j, cfg.DataCentre, cfg.VM+"/"+uuid.NewString(), log)
 }
 
+// settingsLease is the lease of the process that writes the settings again.
+type settingsLease struct{ *lease.Keeper }
+
+func provideSettingsLease(cfg setting.Process, log logr.Logger, j *journal.Client) settingsLease {
+	return settingsLease{lease.NewKeeper(lease.Config{Log: j, Name: exchange.LeaseName, Holder: cfg.VM + "/" + uuid.NewString(), Logger: log})}
+}
+
+func provideSnapshotter(log logr.Logger, k settingsLease, f *publication.Follower) *exchange.Snapshotter {
+	return &exchange.Snapshotter{Lease: k, Settings: f, Log: log}
+}
+
 func provideLeader(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, k *lease.Keeper) *placement.Leader {
 	return placement.New(placement.Config{DataCentre: cfg.DataCentre, Lease: k, Peers: d, VMs: list, Settings: settings, Log: log})
 }
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -30,7 +30,7 @@
 //go:generate wire
 
 func newEntryProcess(cfg setting.Process) (*entryProcess, error) {
-	wire.Build(commonSet, provideLease, provideLeader, provideEntry, provideEntryOperators, wire.Struct(new(entryProcess), "*"))
+	wire.Build(commonSet, provideLease, provideLeader, provideSettingsLease, provideSnapshotter, provideEntry, provideEntryOperators, wire.Struct(new(entryProcess), "*"))
 
 	return nil, nil
 }
--- a/cmd/boragehub/wire_gen.go
+++ b/cmd/boragehub/wire_gen.go
@@ -48,6 +48,8 @@
 	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, board, registry)
 	leaseKeeper := provideLease(cfg, logger, client)
 	leader := provideLeader(cfg, logger, dialer, follower, publicationFollower, leaseKeeper)
+	mainSettingsLease := provideSettingsLease(cfg, logger, client)
+	snapshotter := provideSnapshotter(logger, mainSettingsLease, publicationFollower)
 	operatorServer, err := provideEntryOperators(cfg, registry, entry, leader, recorder)
 	if err != nil {
 		return nil, err
@@ -57,6 +59,8 @@
 		entry:     entry,
 		lease:     leaseKeeper,
 		leader:    leader,
+		writes:    mainSettingsLease,
+		snapshots: snapshotter,
 		operators: operatorServer,
 	}
 	return mainEntryProcess, nil
