store: drop the oldest copies when a store is full

Cause: a full store refused every new copy for ever, while the copies in it belonged to contexts that no longer return. A context that is used is parked again under a new id, so age by id tells which did not return for longest; the owner of a copy that turns out to be gone is told.

--- a/side/park.go
+++ b/side/park.go
@@ -189,7 +189,7 @@
 		return parkedCopy{}, err
 	}
 
-	if err := (store.Client{Address: to.Address, HTTP: s.stores}).Put(ctx, id.String(), sealed); err != nil {
+	if err := s.write(ctx, to, id.String(), sealed); err != nil {
 		return parkedCopy{}, err
 	}
 
@@ -213,6 +213,29 @@
 	return parkedCopy{id: id.String(), address: to.Address, holder: to.Name, blocks: blocks}, nil
 }
 
+// write puts a copy into a store, once more after making room when it is full.
+func (s *Side) write(ctx context.Context, to vm.VM, id string, sealed []byte) error {
+	c := store.Client{Address: to.Address, HTTP: s.stores}
+
+	err := c.Put(ctx, id, sealed)
+	if err == nil || failure.KindOf(err) != failure.StoreFull {
+		return err
+	}
+
+	all, listed := c.List(ctx)
+	if listed != nil {
+		return err
+	}
+
+	for _, o := range store.Oldest(all, int64(len(sealed))) {
+		if c.Delete(ctx, o.ID) == nil {
+			event.Log(s.cfg.Log, event.ContextEvicted, "store", to.Name, "copy", o.ID, "bytes", o.Bytes)
+		}
+	}
+
+	return c.Put(ctx, id, sealed)
+}
+
 // free deletes a copy that a longer one has replaced. A reader that is still
 // fetching it gets a cut copy, which its seal shows, and goes on without.
 func (s *Side) free(ctx context.Context, c parkedCopy) {
--- a/side/run.go
+++ b/side/run.go
@@ -108,6 +108,7 @@
 		}
 
 		event.Fail(r.s.cfg.Log, err, event.CopyRejected, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy)
+		r.disown(c, err)
 	}
 
 	event.Log(r.s.cfg.Log, event.RunAdmitted, "request_id", r.RequestID, "organisation", r.Organisation, "blocks", len(r.chain),
@@ -145,6 +146,14 @@
 	return nil
 }
 
+// disown tells the owner of a copy that can't be used, so that nobody is sent to
+// it again. A store that only does not answer keeps its copies.
+func (r *run) disown(c message.Holding, err error) {
+	if failure.KindOf(err) == failure.TornCopy {
+		r.s.tellOwner(r.Anchor, message.Learn{Anchor: r.Anchor, Holding: c, Gone: true})
+	}
+}
+
 // header says what a copy of chain must be of.
 func (r *run) header(id string, chain prompt.Chain) store.Header {
 	return store.Header{
--- a/store/client.go
+++ b/store/client.go
@@ -101,6 +101,36 @@
 	return s, nil
 }
 
+// Object is one line of a store's list.
+type Object struct {
+	// ID is the copy's id.
+	ID string `json:"id"`
+	// Bytes is its size.
+	Bytes int64 `json:"bytes"`
+}
+
+// List asks for all that the store holds.
+func (c Client) List(ctx context.Context) ([]Object, error) {
+	a, err := c.do(ctx, http.MethodGet, "/objects", nil)
+	if err != nil {
+		return nil, err
+	}
+
+	if a.status != http.StatusOK {
+		return nil, a.unexpected()
+	}
+
+	var got struct {
+		Objects []Object `json:"objects"`
+	}
+
+	if err := json.Unmarshal(a.body, &got); err != nil {
+		return nil, failure.Wrap(failure.TargetLost, err, "store %s gave no list", c.Address)
+	}
+
+	return got.Objects, nil
+}
+
 // answer is a store's whole answer.
 type answer struct {
 	status int
