publication: copy the hash that is handed on

Cause: a handover of the whole text pointed at the hash of the version in force, which the sender overwrites with the next one; the receiver then refused good settings.

--- a/setting/publication/handover.go
+++ b/setting/publication/handover.go
@@ -76,7 +76,7 @@
 
 	h.steps = []step{{
 		Version: r.head.version, Based: r.head.based, Author: r.head.author, Note: r.head.note,
-		AtMS: r.head.at.UnixMilli(), Hash: r.head.hash[:], Payload: r.whole,
+		AtMS: r.head.at.UnixMilli(), Hash: slices.Clone(r.head.hash[:]), Payload: r.whole,
 	}}
 
 	return h
--- a/setting/publication/publication_test.go
+++ b/setting/publication/publication_test.go
@@ -176,3 +176,40 @@
 		t.Errorf("recover what is known: got %v, want %v", err, failure.Conflict)
 	}
 }
+
+// What one process hands to another must not change while it is on its way and
+// the sender goes on. Otherwise its hash no longer fits, and the other process
+// refuses good settings. (Found by TestAcceptedSettingsNeverRevert, seed 623287.)
+func TestHandoverStaysAsItWas(t *testing.T) {
+	log := newFakeLog()
+	from, to := follower(log, "e1"), follower(log, "e2")
+
+	first, err := publish(log, "one", 0, text(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if err := from.readLog(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+
+	from.replica.steps = nil // the whole text is handed over
+
+	h := from.HandOver(time.Time{}, "e2", 0)
+
+	if _, err := publish(log, "two", first, text(2)); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := from.readLog(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := to.Offer(h); err != nil {
+		t.Errorf("got %v, want it taken", err)
+	}
+
+	if got, want := to.Current().Version(), first; got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+}
--- a/setting/publication/stateful_test.go
+++ b/setting/publication/stateful_test.go
@@ -21,8 +21,10 @@
 	// highest is the highest version that each follower ever had in force since it started.
 	highest []uint64
 	starts  int
-	tries   int
-	oracle  oracle
+	// snapshots numbers the snapshots; each has an id of its own.
+	snapshots int
+	tries     int
+	oracle    oracle
 }
 
 // oracle knows only what the operators were told, and reads the text back.
@@ -147,6 +149,12 @@
 	}
 }
 
+func (m *fleet) snapshot(writer int) error {
+	m.snapshots++
+
+	return m.followers[writer].Snapshot(context.Background(), fmt.Sprint("s", m.snapshots))
+}
+
 // settle mends all faults and lets everybody read and talk.
 func (m *fleet) settle(t *rapid.T) {
 	m.log.downFor = 0
@@ -231,14 +239,15 @@
 			"holdBack":   func(t *rapid.T) { m.log.holdBack = rapid.IntRange(0, 3).Draw(t, "held") },
 			"arrive":     func(*rapid.T) { m.log.arrive() },
 			"snapshot": func(t *rapid.T) {
-				_ = m.followers[any.Draw(t, "writer")].Snapshot(context.Background(), "s")
+				_ = m.snapshot(any.Draw(t, "writer"))
 			},
 			"trim": func(t *rapid.T) {
 				// Mostly a snapshot was written before retention passes the records.
 				kept := rapid.IntRange(0, 12).Draw(t, "kept")
 				if rapid.IntRange(0, 3).Draw(t, "unprepared") > 0 {
-					f := m.followers[any.Draw(t, "holder")]
-					if f.readLog(context.Background(), 0) != nil || f.Snapshot(context.Background(), fmt.Sprint("s", m.starts)) != nil {
+					holder := any.Draw(t, "holder")
+					f := m.followers[holder]
+					if f.readLog(context.Background(), 0) != nil || m.snapshot(holder) != nil {
 						return
 					}
 				}
