entry, side, quarantine: let suspects wait for their turn and keep them from dead places

Cause, found by the first tests with real processes: when an engine VM died in the middle of six answers, all that ran there became suspects. A suspect's home could be the very engine that died, so its answer was broken off with the other engines idle (error: target_lost, costs: engine-1=already_tried); and two suspects sent to one engine refused each other (queue_full) until their attempts were used up. Ruled out: the resume itself (the tokens were right up to the break). Change: the home is chosen among targets that did not die under the request, and a suspect waits at its target for its turn.

--- a/entry/router.go
+++ b/entry/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"boragehub/directory"
@@ -125,9 +126,20 @@
 		return usable
 	}
 
-	names := make([]string, len(usable))
-	for i, t := range usable {
-		names[i] = t.VM
+	return j.home(usable)
+}
+
+// home returns the one target on which a request under suspicion may run: not
+// one that died while it ran there, nor one that it was tried at.
+func (j *job) home(usable []target.Target) []target.Target {
+	died := j.e.ward.Places(j.fingerprint)
+
+	var names []string
+
+	for _, t := range usable {
+		if !j.tried[t.VM] && !slices.Contains(died, t.VM) {
+			names = append(names, t.VM)
+		}
 	}
 
 	home := quarantine.Home(j.fingerprint, names)
--- /dev/null
+++ b/incident/system_test.go
@@ -0,0 +1,668 @@
+package incident
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"boragehub/certificate"
+	"boragehub/journal"
+	"boragehub/organisation"
+	"boragehub/setting/publication"
+)
+
+// program is the built program.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "boragehub")
+	if err != nil {
+		panic(err)
+	}
+
+	program = filepath.Join(dir, "boragehub")
+
+	build := exec.Command("go", "build", "-o", program, "../cmd/boragehub")
+	build.Stderr = os.Stderr
+
+	code := 1
+	if build.Run() == nil {
+		code = m.Run()
+	}
+
+	_ = os.RemoveAll(dir)
+
+	os.Exit(code)
+}
+
+// limit bounds every wait of the tests. It is far longer than anything should
+// take and only ends a test that would never end.
+const limit = 60 * time.Second
+
+// process is one running process.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	out  *os.File
+	done chan struct{}
+}
+
+// system is a running system.
+type system struct {
+	t        *testing.T
+	dir      string
+	log      string // URLs of the platform
+	vms      string
+	entries  []string // callers' URLs
+	engines  map[string]string
+	plains   map[string]string
+	operator map[string]string
+	running  map[string]*process
+	keys     *certificate.Authority
+	key      string
+	list     []map[string]string
+	oracle   string
+}
+
+// shape says how large a system is.
+type shape struct {
+	engines, plains int
+	// decode is the engines' speed in tokens a second.
+	decode float64
+}
+
+const settings = `
+class = "standard"
+park_min_tokens = 64
+max_attempts = 4
+retry_ratio = 1.0
+
+[[data_centre]]
+name = "yvr-east"
+site = "bc-south"
+region = "lower-mainland"
+
+[[service]]
+name = "boragehub-llm"
+kind = "engine"
+models = ["shuttle-8b"]
+weight_version = "v1"
+
+[[service]]
+name = "booking-api"
+kind = "plain"
+idempotent_paths = ["/seats"]
+
+[[organisation]]
+name = "desk-agents"
+keys = [%q]
+%s
+`
+
+// start starts a system and waits until it serves.
+func start(t *testing.T, of shape) *system {
+	t.Helper()
+
+	s := &system{
+		t: t, dir: t.TempDir(), engines: map[string]string{}, plains: map[string]string{},
+		operator: map[string]string{}, running: map[string]*process{},
+	}
+
+	t.Cleanup(s.end)
+
+	var err error
+	if s.keys, err = certificate.NewAuthority(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := s.keys.Write(s.dir); err != nil {
+		t.Fatal(err)
+	}
+
+	s.log, s.vms = "http://"+tcp(t), "http://"+tcp(t)
+	s.run("log", "standin", "log", "--listen", host(s.log))
+	s.ready(s.log + "/healthz")
+
+	store := tcp(t)
+	s.run("store", "standin", "store", "--listen", store)
+	s.add("prompt-vault", "store", "", store, "")
+
+	s.oracle = "http://" + tcp(t)
+	s.engine("oracle", s.oracle, 2000)
+
+	for i := range of.engines {
+		s.target(fmt.Sprintf("engine-%d", i+1), "boragehub-llm", "engine", of.decode)
+	}
+
+	for i := range of.plains {
+		s.target(fmt.Sprintf("booking-%d", i+1), "booking-api", "plain", 0)
+	}
+
+	for i := range 2 {
+		s.entry(fmt.Sprintf("entry-%d", i+1))
+	}
+
+	b, err := json.Marshal(s.list)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	file := filepath.Join(s.dir, "vms.json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+
+	s.run("vms", "standin", "vms", "--listen", host(s.vms), "--file", file)
+	s.ready(s.vms + "/healthz")
+
+	s.startAll()
+	s.publish("")
+
+	for _, url := range s.operator {
+		s.ready(url + "/readyz")
+	}
+
+	return s
+}
+
+// startAll starts the system's own processes.
+func (s *system) startAll() {
+	for name := range s.operator {
+		s.startOne(name)
+	}
+}
+
+func (s *system) startOne(name string) {
+	role := "side"
+	if strings.HasPrefix(name, "entry") {
+		role = "entry"
+	}
+
+	s.run(name, role, "--settings", s.file(name))
+}
+
+func (s *system) file(name string) string { return filepath.Join(s.dir, name+".toml") }
+
+func host(url string) string { return strings.TrimPrefix(url, "http://") }
+
+// tcp and udp return a free address.
+func tcp(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer l.Close()
+
+	return l.Addr().String()
+}
+
+func udp(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer l.Close()
+
+	return l.LocalAddr().String()
+}
+
+func (s *system) add(name, kind, service, address, side string) {
+	s.list = append(s.list, map[string]string{
+		"vm": name, "data_centre": "yvr-east", "kind": kind, "service": service,
+		"address": address, "side_address": side, "state": "live",
+	})
+}
+
+func (s *system) engine(name, url string, decode float64) {
+	s.run(name, "standin", "engine", "--listen", host(url), "--model", "shuttle-8b", "--weight-version", "v1",
+		"--decode", fmt.Sprint(decode))
+	s.ready(url + "/healthz")
+}
+
+// target starts a target and writes the settings of its side process.
+func (s *system) target(name, service, kind string, decode float64) {
+	url := "http://" + tcp(s.t)
+
+	if kind == "engine" {
+		s.engines[name] = url
+		s.engine(name+"-target", url, decode)
+	} else {
+		s.plains[name] = url
+		s.run(name+"-target", "standin", "plain", "--listen", host(url), "--service", service, "--vm", name)
+		s.ready(url + "/healthz")
+	}
+
+	peers := udp(s.t)
+	s.add(name, kind, service, host(url), peers)
+	s.configure(name, "side", peers, "", fmt.Sprintf("[target]\nservice = %q\nkind = %q\nurl = %q\n", service, kind, url))
+}
+
+func (s *system) entry(name string) {
+	peers, callers := udp(s.t), tcp(s.t)
+	s.entries = append(s.entries, "http://"+callers)
+	s.add(name, "entry", "", callers, peers)
+	s.configure(name, "entry", peers, fmt.Sprintf("callers = %q\n", callers), "")
+}
+
+func (s *system) configure(name, role, peers, callers, target string) {
+	pair, err := s.keys.Issue(time.Now(), certificate.Subject{VM: name, Role: role})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	if err := pair.Write(s.dir, name); err != nil {
+		s.t.Fatal(err)
+	}
+
+	operators := tcp(s.t)
+	s.operator[name] = "http://" + operators
+	text := fmt.Sprintf(`role = %q
+vm = %q
+data_centre = "yvr-east"
+site = "bc-south"
+[listen]
+peers = %q
+operators = %q
+%s[platform]
+log_url = %q
+vm_list_url = %q
+[tls]
+ca_file = %q
+certificate_file = %q
+key_file = %q
+[limits]
+balancer_grace = "100ms"
+drain_timeout = "30s"
+%s`, role, name, peers, operators, callers, s.log, s.vms, filepath.Join(s.dir, certificate.AuthorityFile),
+		filepath.Join(s.dir, name+".pem"), filepath.Join(s.dir, name+".key"), target)
+
+	if err := os.WriteFile(s.file(name), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// run starts one process.
+func (s *system) run(name string, args ...string) {
+	s.t.Helper()
+
+	out, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	p := &process{name: name, cmd: exec.Command(program, args...), out: out, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+
+	if err := p.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+
+	s.running[name] = p
+}
+
+// signal sends a signal to one process by its id.
+func (s *system) signal(name string, sig syscall.Signal) {
+	s.t.Helper()
+
+	if err := s.running[name].cmd.Process.Signal(sig); err != nil {
+		s.t.Fatalf("%s: %v", name, err)
+	}
+}
+
+// kill ends a process at once and waits until it is gone.
+func (s *system) kill(name string) {
+	s.t.Helper()
+	s.signal(name, syscall.SIGKILL)
+	<-s.running[name].done
+}
+
+// stop ends a process in order and waits; it must end with status 0.
+func (s *system) stop(name string) {
+	s.t.Helper()
+	s.signal(name, syscall.SIGTERM)
+	<-s.running[name].done
+
+	if got, want := s.running[name].cmd.ProcessState.ExitCode(), 0; got != want {
+		s.t.Errorf("%s: got status %d, want %d", name, got, want)
+	}
+}
+
+// end kills what still runs, and shows the logs of a test that failed.
+func (s *system) end() {
+	for _, p := range s.running {
+		select {
+		case <-p.done:
+		default:
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+
+		_ = p.out.Close()
+
+		if s.t.Failed() {
+			s.show(p.name)
+		}
+	}
+}
+
+// shownLines is how much of each log a failed test shows.
+const shownLines = 25
+
+func (s *system) show(name string) {
+	b, _ := os.ReadFile(filepath.Join(s.dir, name+".log"))
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	s.t.Logf("--- %s\n%s", name, strings.Join(lines[max(0, len(lines)-shownLines):], "\n"))
+}
+
+// eventually waits until f holds.
+func (s *system) eventually(what string, f func() bool) {
+	s.t.Helper()
+
+	end := time.Now().Add(limit)
+
+	for !f() {
+		if time.Now().After(end) {
+			s.t.Fatalf("never: %s", what)
+		}
+
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (s *system) ready(url string) {
+	s.t.Helper()
+	s.eventually(url+" answers 200", func() bool { return status(url) == http.StatusOK })
+}
+
+func status(url string) int {
+	client := http.Client{Timeout: time.Second}
+
+	resp, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+
+	defer resp.Body.Close()
+
+	return resp.StatusCode
+}
+
+// publish publishes the settings with more at the end and returns the version.
+func (s *system) publish(more string) uint64 {
+	s.t.Helper()
+
+	log := journal.NewClient(journal.ClientConfig{URL: s.log})
+	based := uint64(0)
+
+	if s.key == "" {
+		s.key, _ = organisation.NewKey()
+	} else if now, _, err := publication.Read(context.Background(), log, 1); err != nil {
+		s.t.Fatal(err)
+	} else {
+		based = now.Version()
+	}
+
+	v, err := publication.Publish(context.Background(), publication.PublishConfig{Log: log}, publication.Change{
+		ID: uuid.NewString(), Based: based, Author: "test", Name: "settings.toml",
+		Text: []byte(fmt.Sprintf(settings, organisation.HashKey(s.key), more)),
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	return v
+}
+
+// faults sets switches of a stand-in.
+func (s *system) faults(url string, switches map[string]any) {
+	s.t.Helper()
+
+	b, _ := json.Marshal(switches)
+
+	resp, err := http.Post(url+"/faults", "application/json", bytes.NewReader(b))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	defer resp.Body.Close()
+
+	if resp.StatusCode != http.StatusOK {
+		s.t.Fatalf("faults of %s: %s", url, resp.Status)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status   int
+	code     string
+	ran      string
+	after    string
+	replayed bool
+	text     string
+	finished bool
+	body     []byte
+	err      error
+}
+
+func (s *system) post(ctx context.Context, url, key string, body any) (*http.Response, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	req.Header.Set("Content-Type", "application/json")
+
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+
+	return http.DefaultClient.Do(req)
+}
+
+// prompt sends a prompt and streams the answer; seen is called with the number
+// of tokens after each one.
+func (s *system) prompt(url, text string, tokens int, seen func(int)) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+
+	resp, err := s.post(ctx, url+"/v1/completions", "", map[string]any{
+		"model": "shuttle-8b", "prompt": text, "max_tokens": tokens, "stream": true,
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+
+	defer resp.Body.Close()
+
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp)
+	}
+
+	return stream(resp.Body, seen)
+}
+
+func refused(resp *http.Response) answer {
+	var got struct {
+		Error struct{ Code, Ran, Message string }
+	}
+
+	b, err := io.ReadAll(resp.Body)
+	_ = json.Unmarshal(b, &got)
+
+	return answer{
+		status: resp.StatusCode, code: got.Error.Code, ran: got.Error.Ran, body: b,
+		after: resp.Header.Get("Retry-After"), err: err,
+	}
+}
+
+func stream(r io.Reader, seen func(int)) answer {
+	a := answer{status: http.StatusOK}
+	whole, n := &strings.Builder{}, 0
+
+	b := make([]byte, 0, 64<<10)
+	buf := make([]byte, 4<<10)
+
+	for {
+		k, err := r.Read(buf)
+		b = append(b, buf[:k]...)
+
+		for {
+			i := bytes.Index(b, []byte("\n\n"))
+			if i < 0 {
+				break
+			}
+
+			data := strings.TrimPrefix(string(b[:i]), "data: ")
+			b = b[i+2:]
+
+			if data == "[DONE]" {
+				a.finished = true
+
+				continue
+			}
+
+			var piece struct {
+				Choices []struct{ Text string }
+				Error   struct{ Code string }
+			}
+
+			_ = json.Unmarshal([]byte(data), &piece)
+
+			a.code += piece.Error.Code
+
+			if len(piece.Choices) > 0 && piece.Choices[0].Text != "" {
+				whole.WriteString(piece.Choices[0].Text)
+
+				n++
+
+				if seen != nil {
+					seen(n)
+				}
+			}
+		}
+
+		if err != nil {
+			a.text = whole.String()
+
+			if !errors.Is(err, io.EOF) {
+				a.err = err
+			}
+
+			return a
+		}
+	}
+}
+
+// want returns the right answer to a prompt, from the oracle.
+func (s *system) want(text string, tokens int) string {
+	s.t.Helper()
+
+	a := s.prompt(s.oracle, text, tokens, nil)
+	if !a.finished {
+		s.t.Fatalf("the oracle gave %+v", a)
+	}
+
+	return a.text
+}
+
+// book makes a booking.
+func (s *system) book(url, key string, seats int) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+
+	resp, err := s.post(ctx, url+"/v1/services/booking-api/bookings", key, map[string]int{"seats": seats})
+	if err != nil {
+		return answer{err: err}
+	}
+
+	defer resp.Body.Close()
+
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refused(resp)
+	}
+
+	b, err := io.ReadAll(resp.Body)
+
+	return answer{status: resp.StatusCode, body: b, err: err, replayed: resp.Header.Get("Idempotency-Replayed") == "true"}
+}
+
+// runs counts how often each key was carried out, over all plain services.
+func (s *system) runs() map[string]int {
+	s.t.Helper()
+
+	count := map[string]int{}
+
+	for _, url := range s.plains {
+		resp, err := http.Get(url + "/runs")
+		if err != nil {
+			continue // this service was killed; what it ran is lost with it
+		}
+
+		var list []struct {
+			Key string `json:"idempotency_key"`
+		}
+
+		b, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+
+		if err := json.Unmarshal(b, &list); err != nil {
+			var wrapped struct {
+				Runs []struct {
+					Key string `json:"idempotency_key"`
+				} `json:"runs"`
+			}
+
+			if err := json.Unmarshal(b, &wrapped); err != nil {
+				s.t.Fatalf("runs: %v in %s", err, b)
+			}
+
+			list = wrapped.Runs
+		}
+
+		for _, r := range list {
+			count[r.Key]++
+		}
+	}
+
+	return count
+}
+
+// homed waits until every shard of the bookings has its home.
+func (s *system) homed() {
+	s.t.Helper()
+	s.eventually("a booking is made", func() bool {
+		return s.book(s.entries[0], uuid.Must(uuid.NewV7()).String(), 1).status == http.StatusOK
+	})
+}
--- a/side/run.go
+++ b/side/run.go
@@ -10,6 +10,7 @@
 	"boragehub/message"
 	"boragehub/peer"
 	"boragehub/prompt"
+	"boragehub/quarantine"
 	"boragehub/store"
 )
 
@@ -43,19 +44,19 @@
 		return err
 	}
 
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.TimeoutMS)*time.Millisecond)
+	defer cancel()
+
 	if m.Suspect {
-		if !s.apart.Begin(m.Fingerprint) {
+		if err := s.isolate(ctx, m.Fingerprint); err != nil {
 			s.guard.leave(id, false)
 
-			return failure.New(failure.QueueFull, "another request under suspicion is running").After(time.Second)
+			return err
 		}
 
 		defer s.apart.End(m.Fingerprint)
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.TimeoutMS)*time.Millisecond)
-	defer cancel()
-
 	r := &run{Run: m, s: s, to: to, index: m.ResumeTokens, began: now}
 	r.prepare(ctx)
 
@@ -79,6 +80,24 @@
 	return r.done()
 }
 
+// isolatePause is the time between two looks whether a suspect may run.
+const isolatePause = 20 * time.Millisecond
+
+// isolate waits until no other suspect runs on the target. When an engine dies,
+// all that ran on it are suspects, and most of them are in the middle of an
+// answer that somebody reads: they wait for their turn rather than fail.
+func (s *Side) isolate(ctx context.Context, f quarantine.Fingerprint) error {
+	for !s.apart.Begin(f) {
+		pause(ctx, isolatePause)
+
+		if ctx.Err() != nil {
+			return failure.New(failure.QueueFull, "other requests under suspicion are running").After(time.Second)
+		}
+	}
+
+	return nil
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "done"
