--- a/incident/system_test.go
+++ b/incident/system_test.go
@@ -90,6 +90,8 @@
 park_min_tokens = 64
 max_attempts = 4
 retry_ratio = 1.0
+requests_per_second = 100000.0
+request_burst = 100000
 
 [[data_centre]]
 name = "yvr-east"
@@ -638,17 +640,7 @@
 		_ = resp.Body.Close()
 
 		if err := json.Unmarshal(b, &list); err != nil {
-			var wrapped struct {
-				Runs []struct {
-					Key string `json:"idempotency_key"`
-				} `json:"runs"`
-			}
-
-			if err := json.Unmarshal(b, &wrapped); err != nil {
-				s.t.Fatalf("runs: %v in %s", err, b)
-			}
-
-			list = wrapped.Runs
+			s.t.Fatalf("runs: %v in %s", err, b)
 		}
 
 		for _, r := range list {
