standin: set switches first, act on them afterwards

Cause: a change of switches called the stand-in under the lock that the switches are read with, so evict_all hung the engine, and a switch that acts once stayed set. Ruled out: reading switches without a lock. Before: the test of lost events hung until its deadline. After: the engine tests pass under the race detector. Conclusion: the posted switches are handed on by value after the lock is released, and Reset clears those that act once.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -180,14 +180,18 @@
 	ws.Route(ws.POST("/orders").To(s.order))
 }
 
+// Reset resets the switches that act once.
+func (f *Faults) Reset() {
+	f.Silent.Reset()
+	f.EvictAll = false
+}
+
 // changed does what acts once.
-func (s *Server) changed(f *Faults) {
+func (s *Server) changed(f Faults) {
 	if !f.EvictAll {
 		return
 	}
 
-	f.EvictAll = false
-
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer w.Body.Close()
+	defer func() { _ = w.Body.Close() }()
 
 	b, err := io.ReadAll(w.Body)
 	if err != nil {
@@ -220,9 +221,10 @@
 // A prompt brings its engine down each time it runs. Whoever counts engines has
 // to see each crash and no answer.
 func TestCrashPrompt(t *testing.T) {
-	crashes := 0
+	var crashes atomic.Int32
+
 	cfg := fast()
-	cfg.Crash = func() { crashes++ }
+	cfg.Crash = func() { crashes.Add(1) }
 	cfg.Faults.CrashPrompt = "poison"
 	_, url := start(t, cfg)
 	body, _ := json.Marshal(Request{Model: "casemodel", Prompt: "a poison pill"})
@@ -233,7 +235,7 @@
 		t.Errorf("got status %d, want a cut connection", w.StatusCode)
 	}
 
-	if got, want := crashes, 1; got != want {
+	if got, want := crashes.Load(), int32(1); got != want {
 		t.Errorf("got %d crashes, want %d", got, want)
 	}
 }
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -101,7 +101,7 @@
 		streams: map[string]*stream{},
 	}
 	s.Host = standin.New(standin.Config[Faults]{Faults: cfg.Faults, Changed: s.changed, Routes: s.routes})
-	s.changed(&cfg.Faults)
+	s.changed(cfg.Faults)
 
 	return s
 }
@@ -113,7 +113,7 @@
 }
 
 // changed puts the rate in force.
-func (s *Server) changed(f *Faults) {
+func (s *Server) changed(f Faults) {
 	limit := f.AppendsPerSecond
 
 	switch {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -42,22 +42,20 @@
 	Silent bool `json:"silent"`
 }
 
-// take reports whether the switch was set and resets it.
-func (s *Silent) take() bool {
-	set := s.Silent
-	s.Silent = false
+// silenced reports whether the switch was set.
+func (s *Silent) silenced() bool { return s.Silent }
 
-	return set
-}
+// Reset resets the switch, since it acts once.
+func (s *Silent) Reset() { s.Silent = false }
 
 // Config configures a Host. F is the struct of the stand-in's switches; it
 // embeds Silent.
 type Config[F any] struct {
 	// Faults are the switches at the start.
 	Faults F
-	// Changed is called after each change of switches and may reset those that
-	// act once. Nil does nothing.
-	Changed func(f *F)
+	// Changed is called after each change with the switches as they were posted.
+	// Switches that act once are reset by a method Reset of *F. Nil does nothing.
+	Changed func(f F)
 	// Routes adds the stand-in's own calls.
 	Routes func(ws *restful.WebService)
 	// StopTimeout is how long Serve waits for open requests; zero is 30 s.
@@ -120,32 +118,42 @@
 }
 
 func (h *Host[F]) change(q *restful.Request, w *restful.Response) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	next := h.faults
-	d := json.NewDecoder(q.Request.Body)
-	d.DisallowUnknownFields()
-
-	if err := d.Decode(&next); err != nil {
+	posted, err := h.set(q.Request.Body)
+	if err != nil {
 		Fail(w, http.StatusBadRequest, "bad_faults", err.Error())
 		return
 	}
 
-	if s, ok := any(&next).(interface{ take() bool }); ok && s.take() {
+	if s, ok := any(&posted).(interface{ silenced() bool }); ok && s.silenced() {
 		h.silence.fall(q.Request.Context())
 	}
 
-	h.faults = next
-
 	if h.cfg.Changed != nil {
-		h.mu.Unlock()
-		h.cfg.Changed(&next)
-		h.mu.Lock()
+		h.cfg.Changed(posted)
+	}
+
+	Reply(w, http.StatusOK, h.Faults())
+}
+
+// set sets the switches that body names and returns them all as posted.
+func (h *Host[F]) set(body io.Reader) (F, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	posted := h.faults
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(&posted); err != nil {
+		return posted, err
+	}
+
+	h.faults = posted
+	if r, ok := any(&h.faults).(interface{ Reset() }); ok {
+		r.Reset()
 	}
 
-	h.faults = next
-	Reply(w, http.StatusOK, next)
+	return posted, nil
 }
 
 // Problem is the error shape of a stand-in, the one of the OpenAI API.
--- a/standin/vault/vault.go
+++ b/standin/vault/vault.go
@@ -73,7 +73,7 @@
 
 	s := &Server{cfg: cfg, link: rate.NewLimiter(rate.Inf, chunk), objects: map[string][]byte{}}
 	s.Host = standin.New(standin.Config[Faults]{Faults: cfg.Faults, Changed: s.changed, Routes: s.routes})
-	s.changed(&cfg.Faults)
+	s.changed(cfg.Faults)
 
 	return s
 }
@@ -88,7 +88,7 @@
 }
 
 // changed puts the rate of the link in force.
-func (s *Server) changed(f *Faults) {
+func (s *Server) changed(f Faults) {
 	limit := rate.Limit(f.BytesPerSecond)
 	if f.BytesPerSecond == 0 {
 		limit = rate.Inf
