--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -84,10 +84,10 @@
 // Server is the stand-in. Use New.
 type Server struct {
 	*standin.Host[Faults]
-	cfg     Config
-	limiter *rate.Limiter
+	cfg Config
 
 	mu      sync.Mutex
+	limiter *rate.Limiter
 	rng     *rand.Rand
 	streams map[string]*stream
 }
@@ -96,7 +96,6 @@
 func New(cfg Config) *Server {
 	s := &Server{
 		cfg:     cfg,
-		limiter: rate.NewLimiter(0, 0),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 		streams: map[string]*stream{},
 	}
@@ -112,20 +111,31 @@
 	ws.Route(ws.GET("/streams/{name}/records").To(s.read))
 }
 
-// changed puts the rate in force.
+// changed puts the rate in force, with a second's worth of appends to begin with.
 func (s *Server) changed(f Faults) {
-	limit := f.AppendsPerSecond
+	limit := rate.Limit(f.AppendsPerSecond)
 
 	switch {
 	case limit < 0:
-		s.limiter.SetLimit(rate.Inf)
+		limit = rate.Inf
 	case limit == 0:
 		limit = defaultRate
-		fallthrough
-	default:
-		s.limiter.SetLimit(rate.Limit(limit))
-		s.limiter.SetBurst(max(int(limit), 1))
 	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.limiter == nil || s.limiter.Limit() != limit {
+		s.limiter = rate.NewLimiter(limit, max(int(limit), 1))
+	}
+}
+
+// allow reports whether the rate of appends has room for one more.
+func (s *Server) allow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.limiter.Allow()
 }
 
 // available delays the call and answers it when the service is down.
@@ -160,7 +170,7 @@
 	case size > MaxAppend:
 		standin.Fail(w, http.StatusRequestEntityTooLarge, "too_large", "over 1 MiB of records")
 		return
-	case !s.limiter.Allow():
+	case !s.allow():
 		w.Header().Set("Retry-After", "1")
 		standin.Fail(w, http.StatusTooManyRequests, "rate_limited", "too many appends")
 
