experiment: measure the decisions on virtual time; parking: learn gaps

Cause: nothing argued for the decisions but opinion. The first runs showed that stores were full of contexts that never return: the chance of a return counted visits only, and a byte kept for a long gap was worth as much as one kept for a short one. Ruled out: the choice of engine (copies that exist are used) and the window of exports (few are gone before it); nearly all that was recomputed had been evicted by a store.

--- /dev/null
+++ b/experiment/command.go
@@ -0,0 +1,106 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+)
+
+// Command is the subcommand "experiment" of the program. Use Attach.
+type Command struct {
+	sub                              *flaggy.Subcommand
+	cfg                              Config
+	loads, policies, without, faulty string
+}
+
+// all is the word for every value of a list.
+const all = "all"
+
+// Attach adds the subcommand at the given position.
+func Attach(position int) *Command {
+	c := &Command{sub: flaggy.NewSubcommand("experiment"), loads: "0.8", policies: all, without: Nothing.String(), faulty: None.String()}
+	c.cfg = Config{Deployment: Coastal().Name, Seed: 1, Seeds: 1}.withDefaults()
+	c.sub.Description = "Measure the decisions against baselines on virtual time."
+	c.sub.String(&c.cfg.Deployment, "d", "deployment", "coastal or bureau")
+	c.sub.String(&c.loads, "l", "loads", "loads in parts of the capacity without reuse, as in 0.5,0.8,0.95,1.2")
+	c.sub.String(&c.policies, "p", "policies", "all, or some of "+join(Policies()))
+	c.sub.String(&c.without, "w", "without", "ideas to switch off in turn: all, or some of "+join(Withouts()))
+	c.sub.String(&c.faulty, "f", "fault", "one of "+join(Faults()))
+	c.sub.UInt64(&c.cfg.Seed, "s", "seed", "the first seed")
+	c.sub.Int(&c.cfg.Seeds, "n", "seeds", "how many seeds to run")
+	c.sub.Duration(&c.cfg.Warmup, "", "warmup", "virtual time before anything is measured")
+	c.sub.Duration(&c.cfg.Measured, "", "measured", "virtual time measured")
+	c.sub.Int(&c.cfg.Workers, "j", "workers", "how many runs go on at once")
+	c.sub.String(&c.cfg.CSV, "", "csv", "file for a line of figures for each run and workload")
+	c.sub.String(&c.cfg.Plot, "", "plot", "file for a plot over the loads, .svg or .png")
+	flaggy.AttachSubcommand(c.sub, position)
+
+	return c
+}
+
+// Used reports whether the subcommand was given.
+func (c *Command) Used() bool { return c.sub.Used }
+
+// Run carries out the experiment and writes its table to w.
+func (c *Command) Run(w io.Writer) error {
+	cfg := c.cfg
+
+	var err error
+
+	if cfg.Policies, err = parse(Policies(), c.policies); err != nil {
+		return err
+	}
+
+	if cfg.Without, err = parse(Withouts(), c.without); err != nil {
+		return err
+	}
+
+	if cfg.Fault, err = named(Faults(), c.faulty); err != nil {
+		return err
+	}
+
+	cfg.Loads = nil
+
+	for _, word := range strings.Split(c.loads, ",") {
+		load, err := strconv.ParseFloat(word, 64)
+		if err != nil || load <= 0 {
+			return fmt.Errorf("load %q: want a number over 0", word)
+		}
+
+		cfg.Loads = append(cfg.Loads, load)
+	}
+
+	return Run(cfg, w)
+}
+
+// parse reads a list of names with commas between, or all.
+func parse[T fmt.Stringer](values []T, names string) ([]T, error) {
+	if names == all {
+		return values, nil
+	}
+
+	var chosen []T
+
+	for _, name := range strings.Split(names, ",") {
+		x, err := named(values, name)
+		if err != nil {
+			return nil, err
+		}
+
+		chosen = append(chosen, x)
+	}
+
+	return chosen, nil
+}
+
+func join[T fmt.Stringer](values []T) string {
+	names := make([]string, len(values))
+	for i, v := range values {
+		names[i] = v.String()
+	}
+
+	return strings.Join(names, ", ")
+}
--- a/link/link.go
+++ b/link/link.go
@@ -7,7 +7,7 @@
 // and prefetches take what time imports leave and are moved back when a new
 // import needs their slot. Within a class the organisation that was given the
 // fewest bytes for its share goes first. A transfer that has begun keeps its
-// slot until it is done, so exports are best cut into chunks.
+// slot until it is done, so long ones are cut into chunks by ReserveChunks.
 //
 // Estimates are wrong: a transfer that ends early frees the rest of its slot,
 // and one that lasts longer pushes the others back, until it is given up as
@@ -50,6 +50,8 @@
 	Latency time.Duration
 	// MaxWindows bounds the transfers promised at once; 256 when zero.
 	MaxWindows int
+	// ChunkBytes is the most that ReserveChunks puts into one window; 1 GiB when zero.
+	ChunkBytes int64
 	// Overrun is how long after its usual length a transfer that was not reported
 	// done keeps its slot, as a part of that length; 2 when zero.
 	Overrun float64
@@ -59,6 +61,7 @@
 const (
 	defaultRate    = 1.25e9
 	defaultWindows = 256
+	defaultChunk   = 1 << 30
 	defaultOverrun = 2
 )
 
@@ -68,6 +71,8 @@
 	Bytes int64
 	// Class orders it.
 	Class Class
+	// Rank orders it within its class, the lower the sooner.
+	Rank int
 	// Organisation is whose context it is.
 	Organisation string
 	// Share is the organisation's weight; 1 when zero.
@@ -80,8 +85,9 @@
 type Window struct {
 	// ID identifies the window on its link; it starts at 1.
 	ID uint64
-	// Class is the class asked for.
+	// Class and Rank are those asked for.
 	Class Class
+	Rank  int
 	// Organisation is whose context it is.
 	Organisation string
 	// Bytes is the size of the transfer.
@@ -117,6 +123,10 @@
 		cfg.MaxWindows = defaultWindows
 	}
 
+	if cfg.ChunkBytes <= 0 {
+		cfg.ChunkBytes = defaultChunk
+	}
+
 	if cfg.Overrun <= 0 {
 		cfg.Overrun = defaultOverrun
 	}
@@ -161,6 +171,15 @@
 	return max(l.free.Sub(now), 0)
 }
 
+// Backlog returns how long the transfers of all classes that are promised still take.
+func (l *Link) Backlog(now time.Time) time.Duration {
+	if len(l.windows) == 0 {
+		return 0
+	}
+
+	return max(l.windows[len(l.windows)-1].End.Sub(now), 0)
+}
+
 // Estimate returns the time from now until an import of bytes would be over.
 func (l *Link) Estimate(now time.Time, bytes int64) time.Duration {
 	return l.Wait(now) + l.length(bytes)
@@ -175,7 +194,7 @@
 		return Window{}, false
 	}
 
-	w := Window{ID: l.last + 1, Class: q.Class, Organisation: q.Organisation, Bytes: q.Bytes, Start: now}
+	w := Window{ID: l.last + 1, Class: q.Class, Rank: q.Rank, Organisation: q.Organisation, Bytes: q.Bytes, Start: now}
 	w.End = now.Add(l.length(q.Bytes))
 	w.order = l.tag(q)
 	begun := l.begun(now)
@@ -194,6 +213,28 @@
 	return w, true
 }
 
+// ReserveChunks promises a window for each chunk of a transfer and appends their
+// ids to dst. A more pressing transfer goes between two chunks and so need not
+// wait for the whole of a long one. Chunks for which there is no window left are
+// sent when those before them are done.
+func (l *Link) ReserveChunks(now time.Time, q Request, dst []uint64) []uint64 {
+	for left := q.Bytes; left > 0; left -= l.cfg.ChunkBytes {
+		q.Bytes = min(left, l.cfg.ChunkBytes)
+
+		w, ok := l.Reserve(now, q)
+		if !ok {
+			return dst
+		}
+
+		dst = append(dst, w.ID)
+	}
+
+	return dst
+}
+
+// Chunk returns the most that ReserveChunks puts into one window, in bytes.
+func (l *Link) Chunk() int64 { return l.cfg.ChunkBytes }
+
 // Done ends window id, whether or not its slot is over; others move forward.
 func (l *Link) Done(now time.Time, id uint64) {
 	l.settle(now)
@@ -323,6 +364,8 @@
 	switch {
 	case a.Class != b.Class:
 		return int(a.Class) - int(b.Class)
+	case a.Rank != b.Rank:
+		return a.Rank - b.Rank
 	case a.order < b.order:
 		return -1
 	case a.order > b.order:
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -150,6 +150,27 @@
 	}
 }
 
+// A case file of many gigabytes comes over the link just before a clerk's short
+// context is asked for. The clerk must wait for a chunk and not for the file.
+func TestPressingImportGoesBetweenChunks(t *testing.T) {
+	l := New(Config{BytesPerSecond: rate, ChunkBytes: 1e6})
+	file := l.ReserveChunks(epoch, Request{Bytes: 5_500_000, Rank: 2}, nil)
+
+	if got, want := len(file), 6; got != want {
+		t.Fatalf("chunks: got %d, want %d", got, want)
+	}
+
+	w, _ := l.Reserve(epoch, Request{Bytes: 1e5})
+	if got, want := w.Start.Sub(epoch), time.Second; got != want {
+		t.Errorf("pressing: got start %v, want %v", got, want)
+	}
+
+	last, _ := l.Window(epoch, file[5])
+	if got, want := last.End.Sub(epoch), 5600*time.Millisecond; got != want {
+		t.Errorf("last chunk: got end %v, want %v", got, want)
+	}
+}
+
 func TestSlowerLinkStretchesWhatIsPromised(t *testing.T) {
 	l := New(Config{BytesPerSecond: rate})
 	l.Reserve(epoch, Request{Bytes: 1e6})
--- a/parking/parking.go
+++ b/parking/parking.go
@@ -4,9 +4,8 @@
 //
 // # Model
 //
-// A context returns after a gap whose usual length the settings know for each
-// workload; the chance of a return within a time is taken as exponential, so
-// that it needs no history. A copy saves the prefill of its tokens when the
+// A context returns after a gap, or not at all. Gaps learns for each workload
+// how long its gaps are and how many visits are the last. A copy saves the prefill of its tokens when the
 // context returns after the engine evicted it and before the store does. It
 // costs time on the link, which imports need first, and room in the store. All
 // is weighed in seconds, so that one Config serves small and large models.
@@ -19,10 +18,7 @@
 //	}
 package parking
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Config weighs the decisions. Zero fields take their defaults.
 type Config struct {
@@ -42,6 +38,10 @@
 	Lead time.Duration
 }
 
+// worthwhile is the least expected saving, in seconds of prefill, that is worth
+// the trouble of a copy.
+const worthwhile = 0.001
+
 // The defaults of Config.
 const (
 	defaultMinTokens      = 256
@@ -85,12 +85,10 @@
 	Bytes int64
 	// PrefillTokensPerSecond is the speed at which it would be recomputed.
 	PrefillTokensPerSecond float64
-	// Visits is how often it was seen.
-	Visits int
 	// Seen is when it was last used.
 	Seen time.Time
-	// UsualGap is the usual time between two visits.
-	UsualGap time.Duration
+	// Gaps is what is known of the gaps of its workload; it is needed.
+	Gaps *Gaps
 }
 
 // Room is a store as it is believed to be.
@@ -101,8 +99,8 @@
 	Free, Total int64
 	// Transfer is the estimated time of the copy, behind what is promised.
 	Transfer time.Duration
-	// Density is the value a byte of the least valuable copy in it, in seconds
-	// of prefill a byte; what is dropped to make room.
+	// Density is that of the least valuable copy in it, which is dropped to
+	// make room.
 	Density float64
 	// Down says that it doesn't answer.
 	Down bool
@@ -130,15 +128,16 @@
 	TooShort
 	// StaysWarm means that it will most likely return before it is evicted.
 	StaysWarm
-	// LinkDear means that the link's time costs more than the copy saves.
-	LinkDear
-	// NoRoom means that every store is down or full of what is worth more.
+	// TooDear means that the link's time and what a full store would have to
+	// drop cost more than the copy saves.
+	TooDear
+	// NoRoom means that every store is down or too small.
 	NoRoom
 )
 
 // String returns the snake-case name of r.
 func (r Reason) String() string {
-	return [...]string{"worth", "too_short", "stays_warm", "link_dear", "no_room"}[r]
+	return [...]string{"worth", "too_short", "stays_warm", "too_dear", "no_room"}[r]
 }
 
 // Decision is the outcome of Decide.
@@ -182,44 +181,41 @@
 	cfg = cfg.withDefaults()
 	d := Decision{first: -1, second: -1}
 
-	if c.Tokens-c.Parked < cfg.MinTokens {
+	if c.Tokens < cfg.MinTokens {
 		d.reason = TooShort
 		return d
 	}
 
-	d.saving = Saving(now, c, v.Stays)
-	if d.saving <= 0 {
+	d.saving = Saving(c, v.Stays)
+	if d.saving < worthwhile {
 		d.reason = StaysWarm
 		return d
 	}
 
-	d.place(cfg, c, v)
+	d.place(now, cfg, c, v)
 
 	return d
 }
 
-// place chooses the stores: the one with the quickest way first, and a second
-// one where the loss of the first would hurt.
-func (d *Decision) place(cfg Config, c Context, v View) {
-	density := d.saving / float64(max(c.Bytes, 1))
+// place chooses the store where a copy costs least, and a second one where the
+// loss of the first would hurt.
+func (d *Decision) place(now time.Time, cfg Config, c Context, v View) {
+	p := placing{cfg: cfg, c: c, saving: d.saving, density: Density(now, c)}
 	d.reason = NoRoom
 
-	for i := range min(len(v.Stores), MaxStores) {
-		s := &v.Stores[i]
-		if s.Down || c.Bytes > s.Total || (c.Bytes > s.Free && s.Density >= density) {
-			continue
-		}
-
-		cost := cfg.LinkWeight * s.Transfer.Seconds()
-		if cost > d.saving {
-			if d.reason == NoRoom {
-				d.reason = LinkDear
-			}
+	var second float64
 
-			continue
+	for i := range min(len(v.Stores), MaxStores) {
+		cost, ok := p.cost(&v.Stores[i])
+
+		switch {
+		case !ok:
+		case d.first < 0 || cost < d.cost:
+			d.second, second = d.first, d.cost
+			d.first, d.cost = i, cost
+		case d.second < 0 || cost < second:
+			d.second, second = i, cost
 		}
-
-		d.take(i, cost, v)
 	}
 
 	if d.first < 0 {
@@ -228,91 +224,69 @@
 
 	d.reason = Worth
 
-	if d.second >= 0 && d.saving*cfg.StoreLoss < cfg.LinkWeight*v.Stores[d.second].Transfer.Seconds() {
-		d.second = -1
+	if d.cost >= d.saving {
+		d.first, d.reason = -1, TooDear
 	}
-}
 
-func (d *Decision) take(i int, cost float64, v View) {
-	switch {
-	case d.first < 0 || less(v.Stores[i], v.Stores[d.first]):
-		d.second = d.first
-		d.first = i
-		d.cost = cost
-	case d.second < 0 || less(v.Stores[i], v.Stores[d.second]):
-		d.second = i
+	if d.first < 0 || second >= d.saving*cfg.StoreLoss {
+		d.second = -1
 	}
 }
 
-// less prefers the store with the shorter transfer, then the one with more room.
-func less(a, b Room) bool {
-	if a.Transfer != b.Transfer {
-		return a.Transfer < b.Transfer
-	}
-
-	return a.Free > b.Free
+// placing holds what the costs of all stores have in common.
+type placing struct {
+	cfg             Config
+	c               Context
+	saving, density float64
 }
 
-// Saving returns the expected seconds of prefill that a copy of c saves: its
-// tokens times the chance that it returns only after the engine evicted it.
-func Saving(now time.Time, c Context, stays time.Duration) float64 {
-	if c.PrefillTokensPerSecond <= 0 {
-		return 0
+// cost returns the cost of a copy in s in seconds of prefill: its time on the
+// link and, in a full store, what has to be dropped for it.
+func (p *placing) cost(s *Room) (float64, bool) {
+	if s.Down || p.c.Bytes > s.Total {
+		return 0, false
 	}
 
-	prefill := float64(c.Tokens-c.Parked) / c.PrefillTokensPerSecond
-
-	return prefill * ReturnChance(now, c) * (1 - within(stays, c.UsualGap))
-}
-
-// ReturnChance returns the chance that c returns at all: it rises with each
-// visit and falls as its usual gap passes without one.
-func ReturnChance(now time.Time, c Context) float64 {
-	visits := float64(max(c.Visits, 1))
-	returned := visits / (visits + 1)
-
-	if c.UsualGap <= 0 {
-		return returned
+	cost := p.cfg.LinkWeight * s.Transfer.Seconds()
+	if p.c.Bytes > s.Free && p.density > 0 {
+		// Room is exchanged byte for byte, so values compare as densities do.
+		cost += p.saving * s.Density / p.density
 	}
 
-	late := max(now.Sub(c.Seen), 0).Seconds() / c.UsualGap.Seconds()
-	// Bayes: the longer it stays away, the likelier it is that it is over.
-	still := returned * math.Exp(-late)
-
-	return still / (still + 1 - returned)
+	return cost, true
 }
 
-// within returns the chance that a gap is over within d.
-func within(d, usual time.Duration) float64 {
-	if usual <= 0 {
+// Saving returns the expected seconds of prefill that a copy of c saves: its
+// tokens times the chance that it returns only after the engine evicted it.
+func Saving(c Context, stays time.Duration) float64 {
+	if c.PrefillTokensPerSecond <= 0 {
 		return 0
 	}
 
-	return 1 - math.Exp(-max(d, 0).Seconds()/usual.Seconds())
+	return float64(c.Tokens-c.Parked) / c.PrefillTokensPerSecond * c.Gaps.After(stays)
 }
 
-// Density returns the value a byte of a stored copy: what a store that is full
-// drops the least of first.
+// Density returns the value of a stored copy a byte and a second: what a store
+// that is full drops the least of first. The time until the return counts, since
+// the same room can serve several contexts that return soon in place of one.
 func Density(now time.Time, c Context) float64 {
 	if c.PrefillTokensPerSecond <= 0 {
 		return 0
 	}
 
-	return float64(c.Tokens) / c.PrefillTokensPerSecond * ReturnChance(now, c) / float64(max(c.Bytes, 1))
+	prefill := float64(c.Tokens-c.Parked) / c.PrefillTokensPerSecond
+	away := max(now.Sub(c.Seen), 0)
+
+	return prefill * c.Gaps.Index(away) / float64(max(c.Bytes, 1))
 }
 
 // Prefetch reports whether a context is brought back to an engine now: its
 // return within the lead time is likely enough and the link free enough.
 func Prefetch(now time.Time, cfg Config, c Context, transfer time.Duration) bool {
 	cfg = cfg.withDefaults()
-	if c.UsualGap <= 0 || transfer > cfg.Lead {
-		return false
-	}
-
-	due := c.Seen.Add(c.UsualGap)
-	if now.Before(due.Add(-cfg.Lead)) || now.After(due.Add(cfg.Lead)) {
+	if transfer > cfg.Lead {
 		return false
 	}
 
-	return ReturnChance(now, c) >= cfg.PrefetchChance
+	return c.Gaps.Within(max(now.Sub(c.Seen), 0), cfg.Lead) >= cfg.PrefetchChance
 }
