weights: prove the fence, late reports and lost answers

Cause: with the guards taken out on a copy (fence not waited for, overtaken report believed, any error taking an order back) no test failed, so they were not proved. Before: 3 guards without a test that fails. Conclusion: a draw must hold the sequence that a guard is for, or the guard needs a test of its own.

--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -261,6 +261,16 @@
 		"wake":       func(*rapid.T) { s.send(s.older()) },
 		"take":       s.takeOne,
 		"replace":    func(*rapid.T) { s.lead(s.older()) },
+		"pause, replace, wake": func(rt *rapid.T) {
+			s.plan(s.newest())
+			s.lead(s.older())
+			s.round(rt)
+			s.send(s.older())
+
+			for range rapid.IntRange(0, len(s.wire)).Draw(rt, "orders taken") {
+				s.takeOne(rt)
+			}
+		},
 		"publish": func(rt *rapid.T) {
 			s.wanted[0].Version = rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(rt, "version")
 		},
@@ -445,3 +455,74 @@
 		t.Errorf("orders carried out: got %d, want %d", got, want)
 	}
 }
+
+func boardWith(engines ...Report) *Board {
+	b := NewBoard(BoardConfig{})
+	for _, r := range engines {
+		r.DataCentre, r.Model, r.Version, r.Boot = "yvr-east", "m", "v1", "1"
+		b.Hear(epoch, r)
+	}
+
+	return b
+}
+
+// A leader is paused and another one takes over. An engine that has not seen the
+// new fencing number could still take an order of the old leader; so the new one
+// must not count it as idle. Users would notice loads that slow each other down.
+func TestNewLeaderWaitsForItsFence(t *testing.T) {
+	wanted := []Wanted{{Model: "m", Version: "v2", MinReady: 1}}
+	b := boardWith(Report{VM: "a", Fence: 2}, Report{VM: "b", Fence: 1})
+
+	r := Plan(epoch, Config{}, b.View(epoch, wanted, 2, epoch))
+	if len(r.Orders) != 1 || r.Orders[0].Kind != AnnounceFence || r.Orders[0].VM != "b" {
+		t.Errorf("orders: got %+v, want the fence announced to b and nothing else", r.Orders)
+	}
+
+	if got, want := r.Progress[0].Halt, Settling; got != want {
+		t.Errorf("halt: got %v, want %v", got, want)
+	}
+
+	b.Hear(epoch, Report{VM: "b", DataCentre: "yvr-east", Model: "m", Version: "v1", Boot: "1", Sequence: 2, Fence: 2})
+
+	r = Plan(epoch, Config{}, b.View(epoch, wanted, 2, epoch))
+	if len(r.Orders) != 1 || r.Orders[0].Kind != LoadWeights {
+		t.Errorf("orders once confirmed: got %+v, want one load", r.Orders)
+	}
+}
+
+// A report was sent before an engine began to load and comes after one that shows
+// the load. Were it believed, one load too many would be ordered.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	b := boardWith(Report{VM: "a", Sequence: 5, State: Loading}, Report{VM: "a", Sequence: 4})
+
+	if got, want := b.View(epoch, nil, 1, epoch).Engines[0].State, Loading; got != want {
+		t.Errorf("state: got %v, want %v", got, want)
+	}
+}
+
+// The answer to an order is lost or refuses it. Only a refusal that is certain
+// frees its place among the loads.
+func TestOrderWithoutACertainRefusalCounts(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"accepted", nil, true},
+		{"connection lost", failure.New(failure.TargetLost, "cut"), true},
+		{"stale fence", failure.New(failure.StaleFence, "old"), false},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := boardWith(Report{VM: "a", Sequence: 1, Fence: 1})
+			o := Order{VM: "a", Kind: LoadWeights, Fence: 1, Number: 1}
+			b.Ordered(epoch, o)
+			b.Answered(epoch, o, c.err)
+
+			if got := !b.View(epoch, nil, 1, epoch).Engines[0].Ordered.IsZero(); got != c.want {
+				t.Errorf("order counts: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
