--- a/cmd/boragehub/ctl.go
+++ b/cmd/boragehub/ctl.go
@@ -4,85 +4,165 @@
 	"context"
 	"fmt"
 	"os"
-	"strings"
+	"path/filepath"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/go-logr/logr"
 	"github.com/integrii/flaggy"
 
 	"boragehub/certificate"
+	"boragehub/ctl"
 	"boragehub/failure"
 	"boragehub/journal"
-	"boragehub/setting/publication"
+	"boragehub/peer"
+	"boragehub/vm"
 )
 
+// listWait bounds how long ctl waits for the list of VMs.
+const listWait = 5 * time.Second
+
+// console is what all operators' commands share.
+type console struct {
+	log    string
+	vms    string
+	keys   string
+	name   string
+	author string
+	json   bool
+
+	sub    *flaggy.Subcommand
+	config *ctl.ConfigMenu
+	made   *ctl.KeysMenu
+	fleet  *ctl.FleetMenu
+	wishes *ctl.WishMenu
+}
+
 // controls are the operators' subcommands.
 func controls() []command {
-	ctl := flaggy.NewSubcommand("ctl")
-	ctl.Description = "What operators do."
-
-	dir, processes := new(string), new([]string)
-	keys := flaggy.NewSubcommand("keys")
-	keys.Description = "Makes a set of keys for a trial."
-	keys.String(dir, "d", "dir", "folder to write")
-	keys.StringSlice(processes, "p", "process", "NAME:ROLE; may be repeated")
-	ctl.AttachSubcommand(keys, 1)
-
-	config := flaggy.NewSubcommand("config")
-	publish := flaggy.NewSubcommand("publish")
-	log, author, file := new(string), new(string), new(string)
-	publish.String(log, "l", "log", "URL of the log service")
-	publish.String(author, "a", "author", "who publishes")
-	publish.AddPositionalValue(file, "FILE", 1, true, "the tree")
-	config.AttachSubcommand(publish, 1)
-	ctl.AttachSubcommand(config, 1)
-	flaggy.AttachSubcommand(ctl, 1)
-
-	return []command{
-		{keys, func() int { return exit(makeKeys(*dir, *processes)) }},
-		{publish, func() int { return exit(publishTree(*log, *author, *file)) }},
+	c := &console{
+		log:    os.Getenv("BORAGEHUB_LOG"),
+		vms:    os.Getenv("BORAGEHUB_VMS"),
+		keys:   os.Getenv("BORAGEHUB_KEYS"),
+		name:   fallback(os.Getenv("BORAGEHUB_NAME"), "operator"),
+		author: fallback(os.Getenv("BORAGEHUB_AUTHOR"), os.Getenv("USER")),
+		sub:    flaggy.NewSubcommand("ctl"),
 	}
+
+	c.sub.Description = "What operators do: settings, fleet, explanations, keys."
+	c.sub.String(&c.log, "", "log", "URL of the log service (BORAGEHUB_LOG)")
+	c.sub.String(&c.vms, "", "vms", "URL of the list of VMs (BORAGEHUB_VMS)")
+	c.sub.String(&c.keys, "", "keys-from", "folder with ca.pem and the operator's keys (BORAGEHUB_KEYS)")
+	c.sub.String(&c.name, "", "name", "name on the operator's certificate (BORAGEHUB_NAME)")
+	c.sub.String(&c.author, "", "author", "who publishes (BORAGEHUB_AUTHOR)")
+	c.sub.Bool(&c.json, "", "json", "write JSON for scripts")
+
+	c.config = ctl.AttachConfig(c.sub)
+	c.made = ctl.AttachKeys(c.sub)
+	c.fleet = ctl.AttachFleet(c.sub)
+	c.wishes = ctl.AttachWishes(c.sub)
+
+	flaggy.AttachSubcommand(c.sub, 1)
+
+	return []command{{c.sub, c.run}}
 }
 
-func makeKeys(dir string, processes []string) error {
-	a, err := certificate.NewAuthority(time.Now())
+func fallback(s, otherwise string) string {
+	if s == "" {
+		return otherwise
+	}
+
+	return s
+}
+
+// run carries out the chosen command and returns its documented exit status.
+func (c *console) run() int {
+	ctx, cancel := signalled()
+	defer cancel()
+
+	err := c.choose(ctx)
 	if err != nil {
-		return err
+		fmt.Fprintln(os.Stderr, "boragehub:", err)
 	}
 
-	if err := a.Write(dir); err != nil {
+	return ctl.Exit(err)
+}
+
+func (c *console) choose(ctx context.Context) error {
+	terminal := ctl.Terminal{Out: os.Stdout, Err: os.Stderr, JSON: c.json}
+
+	if ran, err := c.made.Run(time.Now(), terminal); ran {
 		return err
 	}
 
-	for _, p := range processes {
-		vm, role, _ := strings.Cut(p, ":")
+	log := journal.NewClient(journal.ClientConfig{URL: c.log})
 
-		pair, err := a.Issue(time.Now(), certificate.Subject{VM: vm, Role: role})
-		if err != nil {
+	switch {
+	case c.fleet.Chosen():
+		return c.reach(ctx, func(r ctl.Reach) error {
+			return c.fleet.Run(ctx, ctl.Fleets{Terminal: terminal, Reach: r})
+		})
+	case c.wishes.Chosen():
+		if err := c.needsLog(); err != nil {
 			return err
 		}
 
-		if err := pair.Write(dir, vm); err != nil {
+		return c.wishes.Run(ctx, ctl.Wishes{Terminal: terminal, Log: log, Author: c.author})
+	case c.config.NeedsFleet():
+		return c.reach(ctx, func(r ctl.Reach) error {
+			_, err := c.config.Run(ctx, ctl.ConfigConfig{Terminal: terminal, Log: log, Fleet: r, Author: c.author})
+
+			return err
+		})
+	}
+
+	if c.config.NeedsLog() {
+		if err := c.needsLog(); err != nil {
 			return err
 		}
 	}
 
+	ran, err := c.config.Run(ctx, ctl.ConfigConfig{Terminal: terminal, Log: log, Author: c.author})
+	if !ran {
+		flaggy.ShowHelp("")
+
+		return failure.New(failure.BadRequest, "ctl needs a command")
+	}
+
+	return err
+}
+
+func (c *console) needsLog() error {
+	if c.log == "" {
+		return failure.New(failure.BadSettings, "--log or BORAGEHUB_LOG must name the log service")
+	}
+
 	return nil
 }
 
-func publishTree(log, author, file string) error {
-	text, err := os.ReadFile(file)
+// reach gives do the means to ask the fleet.
+func (c *console) reach(ctx context.Context, do func(ctl.Reach) error) error {
+	if c.vms == "" || c.keys == "" {
+		return failure.New(failure.BadSettings, "--vms and --keys-from (or BORAGEHUB_VMS and BORAGEHUB_KEYS) are needed to ask the fleet")
+	}
+
+	keys, err := certificate.NewKeeper(certificate.KeeperConfig{
+		CAFile:          filepath.Join(c.keys, certificate.AuthorityFile),
+		CertificateFile: filepath.Join(c.keys, c.name+".pem"),
+		KeyFile:         filepath.Join(c.keys, c.name+".key"),
+		Protocols:       []string{peer.Protocol},
+		Logger:          logr.Discard(),
+	})
 	if err != nil {
-		return failure.Wrap(failure.BadSettings, err, "settings")
+		return err
 	}
 
-	v, err := publication.Publish(context.Background(), publication.PublishConfig{Log: journal.NewClient(journal.ClientConfig{URL: log})},
-		publication.Change{ID: uuid.NewString(), Author: author, Name: file, Text: text})
+	list, err := vm.Fetch(ctx, c.vms, listWait)
 	if err != nil {
 		return err
 	}
 
-	fmt.Println("published as version", v)
+	d := peer.NewDialer(peer.Config{TLS: keys.TLS()}, logr.Discard())
+	defer d.Close()
 
-	return nil
+	return do(ctl.Reach{Asker: d, List: list})
 }
--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -132,7 +132,12 @@
 	return placement.New(placement.Config{DataCentre: cfg.DataCentre, Lease: k, Peers: d, VMs: list, Settings: settings, Log: log})
 }
 
-func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, registry *prometheus.Registry) *entry.Entry {
+// weightsView shows how far the rolls are that this entry leads.
+func weightsView(l *placement.Leader) operator.View {
+	return operator.View{Name: "weights", Get: func(string) any { return l.Rolls() }}
+}
+
+func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, l *placement.Leader, r *recorder.Recorder, registry *prometheus.Registry) *entry.Entry {
 	e := entry.New(entry.Config{
 		VM:          cfg.VM,
 		DataCentre:  cfg.DataCentre,
@@ -142,6 +147,7 @@
 		Peers:       d,
 		VMs:         list,
 		Post:        board.Post,
+		Views:       []operator.View{explain(r), weightsView(l)},
 		Log:         log,
 	})
 	registry.MustRegister(e.Collectors()...)
@@ -154,15 +160,12 @@
 	return operator.View{Name: "explain", Get: func(q string) any { return r.Lines(q) }}
 }
 
-func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, e *entry.Entry, l *placement.Leader, r *recorder.Recorder) (*operator.Server, error) {
+func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, e *entry.Entry) (*operator.Server, error) {
 	return operator.Listen(operator.Config{
 		Addr:     cfg.Listen.Operators,
 		Registry: registry,
 		Checks:   []operator.Check{{Name: "entry", Ready: e.Ready}},
-		Views: append(e.Views(), explain(r), operator.View{
-			Name: "weights",
-			Get:  func(string) any { return l.Progress() },
-		}),
+		Views:    e.Views(),
 	})
 }
 
@@ -201,7 +204,17 @@
 	return f
 }
 
-func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, homes *claim.Home) (*side.Side, error) {
+func provideSideViews(r *recorder.Recorder, f *publication.Follower) []operator.View {
+	return []operator.View{explain(r), {Name: "settings", Get: func(string) any {
+		if p := f.Current(); p != nil {
+			return operator.SettingsDocument{Version: p.Version()}
+		}
+
+		return operator.SettingsDocument{}
+	}}}
+}
+
+func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, homes *claim.Home, views []operator.View) (*side.Side, error) {
 	u, err := url.Parse(cfg.Target.URL)
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "target %q", cfg.Target.URL)
@@ -218,6 +231,7 @@
 		Post:         board.Post,
 		Peers:        d,
 		VMs:          list,
+		Views:        views,
 		Log:          log,
 	}
 
@@ -228,11 +242,11 @@
 	return side.New(c), nil
 }
 
-func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, s *side.Side, r *recorder.Recorder) (*operator.Server, error) {
+func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, s *side.Side, views []operator.View) (*operator.Server, error) {
 	return operator.Listen(operator.Config{
 		Addr:     cfg.Listen.Operators,
 		Registry: registry,
 		Checks:   []operator.Check{{Name: "target", Ready: s.Ready}},
-		Views:    []operator.View{explain(r)},
+		Views:    views,
 	})
 }
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -36,7 +36,7 @@
 }
 
 func newSideProcess(cfg setting.Process) (*sideProcess, error) {
-	wire.Build(commonSet, provideHomes, provideSide, provideSideOperators, wire.Struct(new(sideProcess), "*"))
+	wire.Build(commonSet, provideHomes, provideSideViews, provideSide, provideSideOperators, wire.Struct(new(sideProcess), "*"))
 
 	return nil, nil
 }
--- a/cmd/boragehub/wire_gen.go
+++ b/cmd/boragehub/wire_gen.go
@@ -44,13 +44,13 @@
 		crashes:  board,
 		relay:    mainRelay,
 	}
-	registry := operator.NewRegistry()
-	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, board, registry)
 	leaseKeeper := provideLease(cfg, logger, client)
 	leader := provideLeader(cfg, logger, dialer, follower, publicationFollower, leaseKeeper)
+	registry := operator.NewRegistry()
+	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, board, leader, recorder, registry)
 	mainSettingsLease := provideSettingsLease(cfg, logger, client)
 	snapshotter := provideSnapshotter(logger, mainSettingsLease, publicationFollower)
-	operatorServer, err := provideEntryOperators(cfg, registry, entry, leader, recorder)
+	operatorServer, err := provideEntryOperators(cfg, registry, entry)
 	if err != nil {
 		return nil, err
 	}
@@ -96,12 +96,13 @@
 		relay:    mainRelay,
 	}
 	home := provideHomes(cfg, logger, client, follower)
-	side, err := provideSide(cfg, logger, dialer, follower, publicationFollower, board, home)
+	v := provideSideViews(recorder, publicationFollower)
+	side, err := provideSide(cfg, logger, dialer, follower, publicationFollower, board, home, v)
 	if err != nil {
 		return nil, err
 	}
 	registry := operator.NewRegistry()
-	operatorServer, err := provideSideOperators(cfg, registry, side, recorder)
+	operatorServer, err := provideSideOperators(cfg, registry, side, v)
 	if err != nil {
 		return nil, err
 	}
--- a/directory/table.go
+++ b/directory/table.go
@@ -374,3 +374,21 @@
 
 	return contextBytes + holdingBytes*int64(len(r.held)) + markBytes*int64(longest)
 }
+
+// Holdings returns all that is believed of an anchor's contexts, for operators.
+func (t *Table) Holdings(now time.Time, anchor prompt.Hash) []Holding {
+	r, ok := t.contexts.Peek(anchor)
+	if !ok {
+		return nil
+	}
+
+	var all []Holding
+
+	for i := range r.held {
+		if e := &r.held[i]; e.Kind != Engine || e.Age(now) <= t.cfg.EngineAge {
+			all = append(all, e.Holding)
+		}
+	}
+
+	return all
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"boragehub/event"
 	"boragehub/link"
 	"boragehub/message"
+	"boragehub/operator"
 	"boragehub/organisation"
 	"boragehub/peer"
 	"boragehub/quarantine"
@@ -77,6 +78,8 @@
 	VMs Lister
 	// Post puts a crash into the log; nil does nothing.
 	Post func(quarantine.Crash)
+	// Views are documents for operators besides the entry's own.
+	Views []operator.View
 	// Log gets a line for each decision.
 	Log logr.Logger
 	// Seed makes the draws among equal targets repeatable; zero draws one.
@@ -129,7 +132,7 @@
 		cfg.Seed = rand.Uint64()
 	}
 
-	return &Entry{
+	e := &Entry{
 		cfg:     cfg,
 		targets: target.NewTable(target.TableConfig{Self: cfg.VM, DataCentre: cfg.DataCentre}),
 		gates:   newGates(cfg.Seed),
@@ -143,6 +146,9 @@
 		links:   link.NewTable(link.Config{BytesPerSecond: localBytesPerSecond}, link.Config{BytesPerSecond: remoteBytesPerSecond}),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
+	e.cfg.Views = append(e.ownViews(), cfg.Views...)
+
+	return e
 }
 
 // Run does the duties until ctx ends.
--- a/entry/http.go
+++ b/entry/http.go
@@ -268,7 +268,7 @@
 	if err == nil {
 		event.Log(e.cfg.Log, event.RequestAnswered, "request_id", j.id, "organisation", j.organisation, "workload", j.workload,
 			"prompt_tokens", d.PromptTokens, "cached_tokens", d.CachedTokens, "imported_tokens", d.ImportedTokens, "tokens", d.Tokens,
-			"first_token_ms", j.first.Milliseconds(), "attempts", j.attempt, "took_ms", time.Since(j.arrived).Milliseconds())
+			"first_token_ms", j.first.Milliseconds(), "attempts", j.attempt, "anchor", j.views[0].anchor.String(), "took_ms", time.Since(j.arrived).Milliseconds())
 
 		return j.to.done(d)
 	}
--- a/entry/job.go
+++ b/entry/job.go
@@ -332,6 +332,7 @@
 	return message.Run{
 		RequestID:     j.id,
 		Organisation:  j.organisation,
+		Workload:      j.workload,
 		Fingerprint:   j.fingerprint,
 		Suspect:       j.standing == quarantine.Suspect,
 		Model:         j.model,
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -9,6 +9,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/message"
+	"boragehub/operator"
 	"boragehub/peer"
 	"boragehub/prompt"
 	"boragehub/setting/exchange"
@@ -81,6 +82,14 @@
 	return holdings
 }
 
+// all returns every holding under an anchor.
+func (o *owned) all(now time.Time, anchor prompt.Hash) []directory.Holding {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.table.Holdings(now, anchor)
+}
+
 // forgetHolder drops what is believed of an engine that started anew.
 func (o *owned) forgetHolder(name string) {
 	o.mu.Lock()
@@ -194,7 +203,12 @@
 		e.Crashed(now, m.Crash)
 		err = t.Send(message.Ack{})
 	default:
-		if answer, ok := exchange.Answer(now, e.cfg.Settings, from, m); ok {
+		answer, ok := exchange.Answer(now, e.cfg.Settings, from, m)
+		if !ok {
+			answer, ok = operator.Answer(e.cfg.Views, m)
+		}
+
+		if ok {
 			err = t.Send(answer)
 
 			break
--- a/entry/placement/leader.go
+++ b/entry/placement/leader.go
@@ -96,12 +96,37 @@
 	return &Leader{cfg: cfg, board: weights.NewBoard(weights.BoardConfig{})}
 }
 
-// Progress returns how far the rolls are; empty while another process leads.
-func (l *Leader) Progress() []weights.Progress {
+// Roll is how far one model's roll is, as operators see it.
+type Roll struct {
+	// Model and WeightVersion say what is rolled out.
+	Model         string `json:"model"`
+	WeightVersion string `json:"weight_version"`
+	// FellBack says that the wanted version failed and this is the one before.
+	FellBack bool `json:"fell_back"`
+	// Done, Loading, Left and Ready count engines.
+	Done    int `json:"done"`
+	Loading int `json:"loading"`
+	Left    int `json:"left"`
+	Ready   int `json:"ready"`
+	// Halt is why nothing goes on, "none" when something does.
+	Halt string `json:"halt"`
+}
+
+// Rolls returns how far the rolls are; empty while another process leads.
+func (l *Leader) Rolls() []Roll {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return l.progress
+	all := make([]Roll, len(l.progress))
+
+	for i, p := range l.progress {
+		all[i] = Roll{
+			Model: p.Model, WeightVersion: p.Version, FellBack: p.FellBack,
+			Done: p.Done, Loading: p.Loading, Left: p.Left, Ready: p.Ready, Halt: p.Halt.String(),
+		}
+	}
+
+	return all
 }
 
 // Run leads whenever this process holds the lease, until ctx ends.
--- a/entry/view.go
+++ b/entry/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"boragehub/operator"
+	"boragehub/prompt"
 )
 
 // targetView is a target as operators see it.
@@ -34,13 +35,66 @@
 	Targets         []targetView `json:"targets"`
 }
 
+// contextDocument is what an entry tells of a context.
+type contextDocument struct {
+	Anchor   string            `json:"anchor"`
+	Owner    string            `json:"owner"`
+	Holdings []holdingDocument `json:"holdings"`
+}
+
+type holdingDocument struct {
+	Holder        string `json:"holder"`
+	Kind          string `json:"kind"`
+	DataCentre    string `json:"data_centre"`
+	Blocks        int    `json:"blocks"`
+	WeightVersion string `json:"weight_version"`
+	Copy          string `json:"copy,omitempty"`
+	Bytes         int64  `json:"bytes,omitempty"`
+	AgeMS         int64  `json:"age_ms"`
+}
+
 // Views returns the documents that operators may ask of an entry.
-func (e *Entry) Views() []operator.View {
+func (e *Entry) Views() []operator.View { return e.cfg.Views }
+
+func (e *Entry) ownViews() []operator.View {
 	return []operator.View{
 		{Name: "fleet", Get: func(string) any { return e.fleet(time.Now()) }},
+		{Name: "settings", Get: func(string) any { return operator.SettingsDocument{Version: e.version()} }},
+		{Name: "context", Get: func(q string) any { return e.context(time.Now(), q) }},
 	}
 }
 
+// context tells what this entry knows of the context with an anchor.
+func (e *Entry) context(now time.Time, text string) contextDocument {
+	d := contextDocument{Anchor: text, Holdings: []holdingDocument{}}
+
+	var anchor prompt.Hash
+
+	if err := anchor.UnmarshalText([]byte(text)); err != nil {
+		return d
+	}
+
+	d.Owner = e.cfg.VM
+	if owner, self := e.owner(anchor); !self {
+		d.Owner = owner.VM
+	}
+
+	for _, h := range e.owned.all(now, anchor) {
+		d.Holdings = append(d.Holdings, holdingDocument{
+			Holder:        h.Name,
+			Kind:          h.Kind.String(),
+			DataCentre:    h.DataCentre,
+			Blocks:        h.Blocks,
+			WeightVersion: h.Version,
+			Copy:          h.Copy,
+			Bytes:         h.Bytes,
+			AgeMS:         h.Age(now).Milliseconds(),
+		})
+	}
+
+	return d
+}
+
 func (e *Entry) fleet(now time.Time) fleetView {
 	v := fleetView{
 		VM:              e.cfg.VM,
--- a/incident/settings_test.go
+++ b/incident/settings_test.go
@@ -27,7 +27,7 @@
 		return f
 	}
 
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	_ = json.NewDecoder(resp.Body).Decode(&f)
 
@@ -105,7 +105,7 @@
 		s.t.Fatal(err)
 	}
 
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	var got []json.RawMessage
 
--- a/incident/system_test.go
+++ b/incident/system_test.go
@@ -210,7 +210,7 @@
 		t.Fatal(err)
 	}
 
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 
 	return l.Addr().String()
 }
@@ -223,7 +223,7 @@
 		t.Fatal(err)
 	}
 
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 
 	return l.LocalAddr().String()
 }
@@ -410,7 +410,7 @@
 		return 0
 	}
 
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	return resp.StatusCode
 }
@@ -452,7 +452,7 @@
 		s.t.Fatal(err)
 	}
 
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	if resp.StatusCode != http.StatusOK {
 		s.t.Fatalf("faults of %s: %s", url, resp.Status)
@@ -506,7 +506,7 @@
 		return answer{err: err}
 	}
 
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	if resp.StatusCode != http.StatusOK {
 		return refused(resp)
@@ -609,7 +609,7 @@
 		return answer{err: err}
 	}
 
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	if resp.StatusCode >= http.StatusBadRequest {
 		return refused(resp)
--- a/message/codec.go
+++ b/message/codec.go
@@ -97,6 +97,8 @@
 	TypeSettings: into[Settings],
 	TypeCrashed:  into[Crashed],
 	TypeOrder:    into[Order],
+	TypeView:     into[View],
+	TypeViewed:   into[Viewed],
 }
 
 func decode(t Type, body []byte) (Message, error) {
--- a/message/message.go
+++ b/message/message.go
@@ -22,6 +22,7 @@
 //	Fetch   → Settings         or Refused
 //	Crashed → Ack              or Refused
 //	Order   → Ack              or Refused
+//	View    → Viewed           or Refused
 //
 // Beat may come at any time from either end; it says that the sender lives.
 package message
@@ -58,6 +59,8 @@
 	TypeSettings
 	TypeCrashed
 	TypeOrder
+	TypeView
+	TypeViewed
 )
 
 // Message is one of the messages of this package.
@@ -107,6 +110,8 @@
 	Suspect bool `cbor:"18,keyasint,omitempty"`
 	// Sampling holds the caller's wishes that only the engine reads.
 	Sampling engine.Sampling `cbor:"19,keyasint,omitempty"`
+	// Workload is the caller's workload, by which gaps between visits are learned.
+	Workload string `cbor:"20,keyasint,omitempty"`
 }
 
 // Token is a piece of an answer.
@@ -328,6 +333,20 @@
 	Role    string `cbor:"6,keyasint,omitempty"`
 }
 
+// View asks a process for a document that operators may see.
+type View struct {
+	// Name is the document's name.
+	Name string `cbor:"1,keyasint"`
+	// Query narrows it, as a request's id does for "explain".
+	Query string `cbor:"2,keyasint,omitempty"`
+}
+
+// Viewed answers View.
+type Viewed struct {
+	// JSON is the document.
+	JSON []byte `cbor:"1,keyasint"`
+}
+
 // Type returns the number of each message on the wire.
 func (Beat) Type() Type     { return TypeBeat }
 func (Run) Type() Type      { return TypeRun }      //nolint:revive // documented on Message
@@ -346,6 +365,8 @@
 func (Settings) Type() Type { return TypeSettings } //nolint:revive // documented on Message
 func (Crashed) Type() Type  { return TypeCrashed }  //nolint:revive // documented on Message
 func (Order) Type() Type    { return TypeOrder }    //nolint:revive // documented on Message
+func (View) Type() Type     { return TypeView }     //nolint:revive // documented on Message
+func (Viewed) Type() Type   { return TypeViewed }   //nolint:revive // documented on Message
 
 // Refusal turns err into the message that tells a peer of it.
 func Refusal(err error) Refused {
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -11,6 +11,8 @@
 key=trial-key-of-the-desk-agents
 pids=()
 names=()
+export BORAGEHUB_LOG="http://127.0.0.1:$((base + 1))" BORAGEHUB_VMS="http://127.0.0.1:$((base + 2))"
+export BORAGEHUB_KEYS="$work/keys" BORAGEHUB_AUTHOR=trial
 
 stop_all() {
   for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill -TERM "${pids[i]}" 2>/dev/null || true; done
@@ -103,7 +105,7 @@
 }
 
 echo "Keys, settings and the list of VMs in $work"
-"$bin" ctl keys --dir "$work/keys" -p entry-1:entry -p entry-2:entry -p engine-1:side -p engine-2:side -p booking-1:side >/dev/null
+"$bin" ctl keys --directory "$work/keys" -p entry-1:entry -p entry-2:entry -p engine-1:side -p engine-2:side -p booking-1:side -p operator:operator >/dev/null
 
 cat >"$work/vms.json" <<EOF
 [$(line entry-1 yvr-east entry "" "$(address 102)" "$(address 100)"),
@@ -142,16 +144,23 @@
 for port in 101 111 121 131 141; do wait_for "http://$(address $port)/healthz"; done
 
 echo "An operator publishes the settings"
-"$bin" ctl config publish --log "http://$(address 1)" --author trial "$work/settings.toml" || fail "the settings were not published"
+"$bin" ctl config publish "$work/settings.toml" --wait 10s || fail "the settings were not published"
 for port in 101 111 121 131 141; do wait_for "http://$(address $port)/readyz"; done
 
 "$trial" --entry "http://$(address 102)" --entry "http://$(address 112)" \
   --engine "http://$(address 20)" --engine "http://$(address 21)" \
-  --store "http://$(address 30)" --store "http://$(address 31)" --key "$key" --workload curb || fail "a step was not seen"
-
-echo "The decisions that led there"
-grep -h -E '"(route_decided|call_decided|context_parked|copy_parked|copy_imported|claim_decided|claim_replayed)"' "$work"/e*.log "$work"/booking-1.log |
-  grep -v level=debug | cut -c1-400
+  --store "http://$(address 30)" --store "http://$(address 31)" --key "$key" --workload curb |
+  tee "$work/trial.out" || fail "a step was not seen"
+
+# The continuation is step 4; its request is named in the line that follows.
+request=$(sed -n '/^4\. /{n;s/.*request \([^:]*\):.*/\1/p}' "$work/trial.out")
+echo
+echo "The fleet, by ctl fleet"
+"$bin" ctl fleet || fail "the fleet was not shown"
+echo
+echo "The decisions that led to the continuation's answer, by ctl explain $request"
+"$bin" ctl explain "$request" | cut -c1-260 || fail "the continuation was not explained"
+echo
 for e in route_decided call_decided copy_parked copy_imported; do
   grep -q "\"$e\"" "$work"/*.log || fail "no line $e was logged"
 done
--- a/side/park.go
+++ b/side/park.go
@@ -33,22 +33,50 @@
 // uses it.
 type parkedSet struct {
 	byAnchor *lru.LRU[prompt.Hash, parkedCopy]
+	gaps     *lru.LRU[workload, *parking.Gaps]
 }
 
+// workload is whose contexts return after about the same gaps.
+type workload struct{ organisation, name string }
+
+// maxWorkloads bounds the workloads whose gaps a side process learns; each takes
+// about 1.5 KB.
+const maxWorkloads = 512
+
 // parkedCopy is one copy that this process made.
 type parkedCopy struct {
 	id      string
 	address string
 	holder  string
 	blocks  int
-	visits  int
+	seen    time.Time
 }
 
 func newParkedSet() *parkedSet {
 	// NewLRU fails only for a size under one.
 	l, _ := lru.NewLRU[prompt.Hash, parkedCopy](maxParked, nil)
+	g, _ := lru.NewLRU[workload, *parking.Gaps](maxWorkloads, nil)
+
+	return &parkedSet{byAnchor: l, gaps: g}
+}
+
+// visited notes a visit and returns what is known of its workload's gaps.
+func (p *parkedSet) visited(j parkJob, old parkedCopy) *parking.Gaps {
+	key := workload{j.run.Organisation, j.run.Workload}
+
+	g, ok := p.gaps.Get(key)
+	if !ok {
+		g = parking.NewGaps(time.Duration(j.run.UsualGapMS) * time.Millisecond)
+		p.gaps.Add(key, g)
+	}
+
+	g.Visited()
+
+	if !old.seen.IsZero() {
+		g.Returned(j.seen.Sub(old.seen))
+	}
 
-	return &parkedSet{byAnchor: l}
+	return g
 }
 
 // offerPark hands the finished context to the park duty. A full ring loses the
@@ -90,8 +118,14 @@
 	defer cancel()
 
 	old, _ := s.parked.byAnchor.Get(j.run.Anchor)
+	gaps := s.parked.visited(j, old)
 	rooms, stores := s.rooms(ctx)
-	d := s.decidePark(j, old, rooms)
+	d := s.decidePark(j, old, gaps, rooms)
+
+	if old.id != "" {
+		old.seen = j.seen
+		s.parked.byAnchor.Add(j.run.Anchor, old)
+	}
 
 	event.Log(s.cfg.Log, parkEvent(d), append([]any{"request_id", j.run.RequestID}, d.Fields(rooms)...)...)
 
@@ -119,7 +153,7 @@
 		}
 	}
 
-	made.visits = old.visits + 1
+	made.seen = j.seen
 	s.parked.byAnchor.Add(j.run.Anchor, made)
 	s.free(ctx, old)
 
@@ -135,7 +169,7 @@
 }
 
 // decidePark weighs the copy with what is known at first hand.
-func (s *Side) decidePark(j parkJob, old parkedCopy, rooms parking.View) parking.Decision {
+func (s *Side) decidePark(j parkJob, old parkedCopy, gaps *parking.Gaps, rooms parking.View) parking.Decision {
 	info := s.guard.engineInfo()
 	tokens := len(j.chain) * info.BlockTokens
 	parked := min(old.blocks*info.BlockTokens, tokens)
@@ -145,9 +179,8 @@
 		Parked:                 parked,
 		Bytes:                  int64(tokens) * int64(info.BytesPerToken),
 		PrefillTokensPerSecond: info.PrefillRate,
-		Visits:                 old.visits + 1,
 		Seen:                   j.seen,
-		UsualGap:               time.Duration(j.run.UsualGapMS) * time.Millisecond,
+		Gaps:                   gaps,
 	}, rooms)
 }
 
--- a/side/side.go
+++ b/side/side.go
@@ -34,6 +34,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/message"
+	"boragehub/operator"
 	"boragehub/peer"
 	"boragehub/quarantine"
 	"boragehub/ring"
@@ -96,6 +97,8 @@
 	Peers Opener
 	// VMs knows the entries and stores.
 	VMs Lister
+	// Views are documents for operators.
+	Views []operator.View
 	// Log gets a line for each decision.
 	Log logr.Logger
 }
@@ -228,7 +231,12 @@
 	case message.Order:
 		err = s.order(ctx, t, m)
 	default:
-		if answer, ok := exchange.Answer(time.Now(), s.cfg.Settings, from, m); ok {
+		answer, ok := exchange.Answer(time.Now(), s.cfg.Settings, from, m)
+		if !ok {
+			answer, ok = operator.Answer(s.cfg.Views, m)
+		}
+
+		if ok {
 			err = t.Send(answer)
 
 			break
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -135,3 +135,16 @@
 	case <-ctx.Done():
 	}
 }
+
+// Fetch asks for the list once.
+func Fetch(ctx context.Context, url string, timeout time.Duration) (*List, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
+	f := NewFollower(FollowerConfig{URL: url, Log: logr.Discard()})
+	if err := f.poll(ctx); err != nil {
+		return nil, err
+	}
+
+	return f.List(), nil
+}
