route: give up imports that last too long; link: measure the rate

Cause: with links at a tenth of their rate the urgent workload's p95 rose to 43 s (coastal) and 41 s (bureau) for as long as the fault lasted: the estimate that chose an import was made before the link slowed, and the import was waited for. Ruled out: sharing all promises between entries (42 s and 39 s), imports without windows (44 s), which change the order on the link and not the waiting; giving up as soon as recomputing would be sooner, which in the normal case raised the recomputed share from 0.21 to 0.25 and from 0.19 to 0.24. Conclusion: both kept. link.Done takes the bytes that came; Cancel gives a window back.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -23,6 +23,7 @@
 	pending int           // of these, those its engine still counts as to come
 	version int           // weight version of what was imported
 
+	placed    bool
 	importing bool
 	imported  int
 	started   bool
@@ -101,6 +102,7 @@
 			e.running++
 			e.pinned += need
 			e.cache.pin(j.v.c, need)
+			j.placed = true
 			e.placed = append(e.placed, j)
 		}
 	}
--- a/experiment/pipe.go
+++ b/experiment/pipe.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"slices"
 	"time"
 
 	"boragehub/link"
@@ -24,10 +25,24 @@
 }
 
 // send starts a transfer and calls done when it is over.
-func (p *pipe) send(class link.Class, bytes int64, done func()) {
+func (p *pipe) send(class link.Class, bytes int64, done func()) *flow {
 	p.advance()
 	p.bytes[class] += float64(bytes)
-	p.flows = append(p.flows, &flow{left: float64(bytes), done: done})
+	f := &flow{left: float64(bytes), done: done}
+	p.flows = append(p.flows, f)
+	p.plan()
+
+	return f
+}
+
+// cancel ends a transfer before it is over.
+func (p *pipe) cancel(f *flow) {
+	p.advance()
+
+	if i := slices.Index(p.flows, f); i >= 0 {
+		p.flows = slices.Delete(p.flows, i, i+1)
+	}
+
 	p.plan()
 }
 
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -54,6 +54,10 @@
 	EngineImports
 	// Windows starts each transfer at once in place of its promised window.
 	Windows
+	// GivingUp waits for each import to its end, however slow.
+	GivingUp
+	// Measuring takes links for as fast as they are at their best.
+	Measuring
 	// Doubt takes old load reports at their word.
 	Doubt
 	// OwnSent forgets what the entry sent since the last load report.
@@ -80,7 +84,7 @@
 // String returns the snake-case name of x.
 func (x Without) String() string {
 	return [...]string{
-		"nothing", "stores", "engine_imports", "windows", "doubt", "own_sent", "classes",
+		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "doubt", "own_sent", "classes",
 		"park_weighing", "value_eviction", "second_copies", "segments", "own_links",
 		"recomputed_weight", "no_prefetch",
 	}[x]
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -157,6 +158,10 @@
 func (w *world) links() *link.Table {
 	cfg := link.Config{BytesPerSecond: w.d.LinkBytesPerSecond, Latency: w.d.Apart}
 
+	if w.without == Measuring {
+		cfg.Measurable = math.MaxInt64
+	}
+
 	return link.NewTable(cfg, cfg)
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -11,11 +11,12 @@
 //
 // Estimates are wrong: a transfer that ends early frees the rest of its slot,
 // and one that lasts longer pushes the others back, until it is given up as
-// lost. Whoever holds a window asks Window for where it stands now.
+// lost. The rate is measured on each transfer that is done; what was measured
+// counts less as it ages, so that a link which was slow is tried again. Whoever holds a window asks Window for where it stands now.
 //
 //	l := link.New(link.Config{BytesPerSecond: 1.25e9})
 //	w, ok := l.Reserve(now, link.Request{Bytes: 200 << 20, Class: link.Import, Organisation: "a"})
-//	l.Done(later, w.ID)
+//	l.Done(later, w.ID, 200<<20)
 package link
 
 import (
@@ -44,7 +45,7 @@
 
 // Config describes a Link. Zero fields take their defaults.
 type Config struct {
-	// BytesPerSecond is the rate of the link; 1.25 GB/s when zero.
+	// BytesPerSecond is the rate of the link at its best; 1.25 GB/s when zero.
 	BytesPerSecond float64
 	// Latency is added to each transfer.
 	Latency time.Duration
@@ -52,6 +53,8 @@
 	MaxWindows int
 	// ChunkBytes is the most that ReserveChunks puts into one window; 1 GiB when zero.
 	ChunkBytes int64
+	// Measurable is the least transfer from which the rate is learned; 8 MiB when zero.
+	Measurable int64
 	// Overrun is how long after its usual length a transfer that was not reported
 	// done keeps its slot, as a part of that length; 2 when zero.
 	Overrun float64
@@ -63,6 +66,7 @@
 	defaultWindows = 256
 	defaultChunk   = 1 << 30
 	defaultOverrun = 2
+	defaultLeast   = 8 << 20
 )
 
 // Request asks for a window.
@@ -109,6 +113,9 @@
 	windows []Window // in order of Start, without overlaps
 	last    uint64
 	virtual float64
+	rate    float64 // as of the last call
+	lack    float64 // how far below its best the rate was measured
+	lackAt  time.Time
 	given   map[string]float64 // the order of each organisation's last window
 	free    time.Time          // when the last import promised ends
 }
@@ -127,11 +134,15 @@
 		cfg.ChunkBytes = defaultChunk
 	}
 
+	if cfg.Measurable <= 0 {
+		cfg.Measurable = defaultLeast
+	}
+
 	if cfg.Overrun <= 0 {
 		cfg.Overrun = defaultOverrun
 	}
 
-	return &Link{cfg: cfg, given: map[string]float64{}}
+	return &Link{cfg: cfg, rate: cfg.BytesPerSecond, given: map[string]float64{}}
 }
 
 // Len returns the number of windows promised.
@@ -152,17 +163,37 @@
 	return l.windows[i], true
 }
 
-// Rate returns the rate of the link in bytes a second.
-func (l *Link) Rate() float64 { return l.cfg.BytesPerSecond }
+// Rate returns the rate of the link in bytes a second as it was measured; the
+// older the measurement, the nearer to the link's best.
+func (l *Link) Rate(now time.Time) float64 {
+	if l.lack == 0 {
+		return l.cfg.BytesPerSecond
+	}
+
+	age := max(now.Sub(l.lackAt), 0)
 
-// SetRate notes the rate that was measured; windows not yet begun are cut anew.
-func (l *Link) SetRate(now time.Time, bytesPerSecond float64) {
-	if bytesPerSecond <= 0 {
+	return l.cfg.BytesPerSecond - l.lack*math.Exp2(-float64(age)/float64(trust))
+}
+
+// The way in which the rate is measured.
+const (
+	// trust is after how long a measurement counts half.
+	trust = 20 * time.Second
+	// weight is the weight of one transfer against those before.
+	weight = 0.5
+)
+
+// measure learns the rate from a transfer of bytes that took so long.
+func (l *Link) measure(now time.Time, bytes int64, took time.Duration) {
+	took -= l.cfg.Latency
+	if bytes < l.cfg.Measurable || took <= 0 {
 		return
 	}
 
-	l.cfg.BytesPerSecond = bytesPerSecond
-	l.settle(now)
+	before := l.Rate(now)
+	seen := min(float64(bytes)/took.Seconds(), l.cfg.BytesPerSecond)
+	l.lack = l.cfg.BytesPerSecond - (before + weight*(seen-before))
+	l.lackAt = now
 }
 
 // Wait returns how long a new import would wait for the transfer that runs and
@@ -235,8 +266,17 @@
 // Chunk returns the most that ReserveChunks puts into one window, in bytes.
 func (l *Link) Chunk() int64 { return l.cfg.ChunkBytes }
 
-// Done ends window id, whether or not its slot is over; others move forward.
-func (l *Link) Done(now time.Time, id uint64) {
+// Done ends window id after the given bytes came over; others move forward.
+func (l *Link) Done(now time.Time, id uint64, bytes int64) {
+	if i := l.find(id); i >= 0 {
+		l.measure(now, bytes, now.Sub(l.windows[i].Start))
+	}
+
+	l.Cancel(now, id)
+}
+
+// Cancel gives window id back, whether or not it has begun; others move forward.
+func (l *Link) Cancel(now time.Time, id uint64) {
 	l.settle(now)
 	l.drop(now, id)
 }
@@ -257,7 +297,7 @@
 }
 
 func (l *Link) length(bytes int64) time.Duration {
-	seconds := float64(max(bytes, 0)) / l.cfg.BytesPerSecond
+	seconds := float64(max(bytes, 0)) / l.rate
 
 	return l.cfg.Latency + time.Duration(math.Ceil(seconds*float64(time.Second)))
 }
@@ -296,6 +336,8 @@
 func (l *Link) settle(now time.Time) {
 	var free time.Time
 
+	l.rate = l.Rate(now)
+
 	for len(l.windows) > 0 {
 		w := &l.windows[0]
 		w.Start = later(w.Start, free)
--- a/link/table.go
+++ b/link/table.go
@@ -42,5 +42,5 @@
 func (t *Table) Way(now time.Time, from, to string) (wait time.Duration, bytesPerSecond float64) {
 	l := t.Between(from, to)
 
-	return l.cfg.Latency + l.Wait(now), l.Rate()
+	return l.cfg.Latency + l.Wait(now), l.Rate(now)
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -139,6 +139,32 @@
 	}
 }
 
+func TestGiveUpImport(t *testing.T) {
+	cases := []struct {
+		name      string
+		cfg       Config
+		elapsed   time.Duration
+		part      float64
+		recompute time.Duration
+		want      bool
+	}{
+		{"just begun", Config{}, time.Millisecond, 0, 0, false},
+		{"nothing has come", Config{}, 2 * time.Second, 0, time.Second, true},
+		{"nothing yet, but recomputing takes longer", Config{}, time.Second, 0, 2 * time.Second, false},
+		{"nearly there", Config{}, 10 * time.Second, 0.95, time.Second, false},
+		{"recomputing weighs more", Config{FirstTokenWeight: 0.2, RecomputedWeight: 1}, time.Second, 0.2, time.Second, false},
+		{"a tenth of the speed", Config{}, time.Second, 0.1, time.Second, true},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := GiveUpImport(c.cfg, c.elapsed, c.part, c.recompute); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 func TestDecideCall(t *testing.T) {
 	cases := []struct {
 		name       string
