--- a/experiment/choose.go
+++ b/experiment/choose.go
@@ -307,6 +307,11 @@
 		PrefillTokensPerSecond: x.spec.PrefillTokensPerSecond,
 	}
 
+	c.BusyTokens = min(r.pending[classes-1]-r.pending[class], x.spec.Chunk) / 2
+	if w.without == Busy {
+		c.BusyTokens = 0
+	}
+
 	if w.policy != Clairvoyant && w.without != OwnSent {
 		c.SentTokens, c.SentRequests = w.sentSince(e, x, r.at, class)
 	}
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -58,6 +58,8 @@
 	GivingUp
 	// Measuring takes links for as fast as they are at their best.
 	Measuring
+	// Busy overlooks the chunk of a less pressing prefill that runs.
+	Busy
 	// Doubt takes old load reports at their word.
 	Doubt
 	// OwnSent forgets what the entry sent since the last load report.
@@ -84,7 +86,7 @@
 // String returns the snake-case name of x.
 func (x Without) String() string {
 	return [...]string{
-		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "doubt", "own_sent", "classes",
+		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "busy", "doubt", "own_sent", "classes",
 		"park_weighing", "value_eviction", "second_copies", "segments", "own_links",
 		"recomputed_weight", "no_prefetch",
 	}[x]
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -103,7 +103,7 @@
 // prefill that stands before it, or the time until a place is free.
 func (e *estimate) queue() float64 {
 	c := e.c
-	prefill := float64(c.WaitingPrefillTokens+c.SentTokens) * e.perToken
+	prefill := float64(c.WaitingPrefillTokens+c.BusyTokens+c.SentTokens) * e.perToken
 
 	over := c.Running + c.Waiting + c.SentRequests + 1 - c.MaxRunning
 	if c.MaxRunning <= 0 || over <= 0 {
--- a/route/route.go
+++ b/route/route.go
@@ -116,6 +116,9 @@
 	// WaitingPrefillTokens are the tokens still to be computed before a new
 	// request of the same priority, of the load report.
 	WaitingPrefillTokens int
+	// BusyTokens are the tokens of less pressing prefill that are expected to run
+	// to the end of their chunk first: half a chunk where there is any.
+	BusyTokens int
 	// SentTokens are the tokens to be computed of what this entry sent there
 	// since the load report, and SentRequests their number.
 	SentTokens, SentRequests int
