weights: group engines by model once

Cause: Plan copied all engines for each model. Ruled out: keeping the View sorted, since the Board is a map and would sort as well.

--- /dev/null
+++ b/weights/bench_test.go
@@ -0,0 +1,59 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// sizes are engines and models: today's larger site, ten times as many, and two
+// years on.
+var sizes = []struct{ engines, models int }{{18, 1}, {180, 4}, {1700, 35}}
+
+func filled(engines, models int) (*Board, []Wanted) {
+	b := NewBoard(BoardConfig{})
+
+	var wanted []Wanted
+	for i := range models {
+		wanted = append(wanted, Wanted{Model: fmt.Sprint(i), Version: "v2", MinReady: engines / models / 2})
+	}
+
+	for i := range engines {
+		b.Hear(epoch, Report{
+			VM: fmt.Sprintf("engine-%04d", i), DataCentre: fmt.Sprintf("dc-%02d", i%11), Model: fmt.Sprint(i % models),
+			Boot: "1", Sequence: 1, Version: "v1", Fence: 1, StateAge: time.Hour,
+		})
+	}
+
+	return b, wanted
+}
+
+func each(b *testing.B, f func(b *testing.B, engines, models int)) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("engines=%d/models=%d", s.engines, s.models), func(b *testing.B) {
+			b.ReportAllocs()
+			f(b, s.engines, s.models)
+		})
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	each(b, func(b *testing.B, engines, models int) {
+		board, wanted := filled(engines, models)
+		v := board.View(epoch, wanted, 1, epoch)
+
+		for b.Loop() {
+			Plan(epoch, Config{}, v)
+		}
+	})
+}
+
+func BenchmarkView(b *testing.B) {
+	each(b, func(b *testing.B, engines, models int) {
+		board, wanted := filled(engines, models)
+
+		for b.Loop() {
+			board.View(epoch, wanted, 1, epoch)
+		}
+	})
+}
--- a/weights/board.go
+++ b/weights/board.go
@@ -1,7 +1,6 @@
 package weights
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -144,7 +143,7 @@
 	delete(b.engines, vm)
 }
 
-// View returns what Plan looks at.
+// View returns what Plan looks at, in no order.
 func (b *Board) View(now time.Time, wanted []Wanted, fence uint64, since time.Time) View {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -163,7 +162,5 @@
 		v.Engines = append(v.Engines, e)
 	}
 
-	slices.SortFunc(v.Engines, byName)
-
 	return v
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -253,7 +253,7 @@
 	p := &planner{now: now, cfg: cfg.withDefaults(), view: v, loads: map[string]int{}, closed: map[string]bool{}}
 
 	engines := slices.Clone(v.Engines)
-	slices.SortFunc(engines, byName)
+	slices.SortFunc(engines, byModel)
 
 	for _, e := range engines {
 		p.count(e)
@@ -262,8 +262,14 @@
 	var r Result
 
 	for _, w := range v.Wanted {
-		own := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Model != w.Model })
-		r.Progress = append(r.Progress, p.model(w, own))
+		first, _ := slices.BinarySearchFunc(engines, w.Model, func(e Engine, m string) int { return cmp.Compare(e.Model, m) })
+		last := first
+
+		for last < len(engines) && engines[last].Model == w.Model {
+			last++
+		}
+
+		r.Progress = append(r.Progress, p.model(w, engines[first:last]))
 	}
 
 	r.Orders = p.orders
@@ -271,7 +277,7 @@
 	return r
 }
 
-func byName(a, b Engine) int { return cmp.Compare(a.VM, b.VM) }
+func byModel(a, b Engine) int { return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.VM, b.VM)) }
 
 // planner is the work of one Plan.
 type planner struct {
