target: stop at 64 candidates

Cause: a service of 1,700 targets cost 199,633 ns a call (BenchmarkCandidates), ten times the aim for a whole routing decision. Ruled out: keeping a cached list, since load and doubt change with each answer. Conclusion: nearest 64 by data centre, then region; a holder of a context that is farther off is found by Table.Target.

--- a/target/table.go
+++ b/target/table.go
@@ -31,6 +31,9 @@
 	// ForgetAfter is how long a gone target is remembered, so that a VM that
 	// wakes from a freeze isn't taken for a new one. 24 h when zero.
 	ForgetAfter time.Duration
+	// Offer bounds the targets that Candidates returns when none is doubted; the
+	// nearest go first. 64 when zero.
+	Offer int
 	// Most bounds the number of targets. 8192 when zero.
 	Most int
 }
@@ -44,6 +47,7 @@
 	c.DoubtShare = or(c.DoubtShare, 0.5)
 	c.ProbePatience = or(c.ProbePatience, 30*time.Second)
 	c.ForgetAfter = or(c.ForgetAfter, 24*time.Hour)
+	c.Offer = or(c.Offer, 64)
 	c.Most = or(c.Most, 8192)
 
 	return c
@@ -523,7 +527,9 @@
 }
 
 // AppendCandidates appends the targets of a service that may get work, those
-// known well first. It does not allocate when dst has room.
+// known well first. It does not allocate when dst has room. In a large pool it
+// stops at Offer: weighing more costs more than it wins, and one farther off
+// that holds a context is found by Target.
 //
 // Doubt may be this entry's own fault (its cable, its clock); so when it would
 // take more than DoubtShare of the pool, the doubted are offered too, marked.
@@ -545,8 +551,13 @@
 
 		usable++
 
-		if !t.doubted(now, r) {
-			dst = append(dst, r.target(now))
+		if t.doubted(now, r) {
+			continue
+		}
+
+		dst = append(dst, r.target(now))
+		if len(dst)-start == t.cfg.Offer {
+			return dst
 		}
 	}
 
