--- /dev/null
+++ b/retry/bench_test.go
@@ -0,0 +1,19 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+func BenchmarkBudget(b *testing.B) {
+	b.ReportAllocs()
+
+	budget := NewBudget(BudgetConfig{})
+	now := epoch
+
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		budget.First(now)
+		budget.Allow(now)
+	}
+}
