--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -33,9 +33,9 @@
 // debugLevel is the verbosity of lines that operators want only at times.
 const debugLevel = 1
 
-// recordedRequests is how many requests a process can explain; at two kilobytes
-// each that is 8 MB.
-const recordedRequests = 4096
+// recordedRequests is how many requests a process can explain; at about four
+// kilobytes each that is 8 MB.
+const recordedRequests = 2048
 
 func provideRecorder(cfg setting.Process) *recorder.Recorder {
 	return recorder.New(cfg.VM, recordedRequests)
--- a/event/recorder/recorder.go
+++ b/event/recorder/recorder.go
@@ -44,13 +44,22 @@
 	self string
 
 	mu       sync.Mutex
-	requests *lru.LRU[string, []Line]
+	requests *lru.LRU[string, []kept]
+}
+
+// kept is a line as it was logged; what operators read is made when they ask,
+// since most lines are never read.
+type kept struct {
+	at    time.Time
+	name  string
+	err   string
+	pairs []any
 }
 
 // New returns a Recorder for the VM self that remembers so many requests.
 func New(self string, requests int) *Recorder {
 	// NewLRU fails only for a size under one.
-	l, _ := lru.NewLRU[string, []Line](max(requests, 1), nil)
+	l, _ := lru.NewLRU[string, []kept](max(requests, 1), nil)
 
 	return &Recorder{self: self, requests: l}
 }
@@ -60,9 +69,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	lines, _ := r.requests.Peek(request)
+	all, _ := r.requests.Peek(request)
+	lines := make([]Line, len(all))
+
+	for i, k := range all {
+		lines[i] = Line{At: k.at, Self: r.self, Name: k.name, Error: k.err, Fields: fields(k.pairs)}
+	}
 
-	return append([]Line{}, lines...)
+	return lines
 }
 
 // Len returns the number of requests remembered.
@@ -74,12 +88,12 @@
 }
 
 func (r *Recorder) keep(name, failed string, pairs []any) {
-	request, fields := split(pairs)
+	request := requestOf(pairs)
 	if request == "" {
 		return
 	}
 
-	line := Line{At: time.Now(), Self: r.self, Name: name, Error: failed, Fields: fields}
+	line := kept{at: time.Now(), name: name, err: failed, pairs: pairs}
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -90,27 +104,30 @@
 	}
 }
 
-// split returns the request that a line names, and the line's other fields.
-func split(pairs []any) (request string, fields map[string]any) {
+// requestOf returns the request that a line names, empty for none.
+func requestOf(pairs []any) string {
 	for i := 0; i+1 < len(pairs); i += 2 {
 		if pairs[i] == requestKey {
-			request, _ = pairs[i+1].(string)
+			request, _ := pairs[i+1].(string)
+
+			return request
 		}
 	}
 
-	if request == "" {
-		return "", nil
-	}
+	return ""
+}
 
-	fields = make(map[string]any, len(pairs)/2)
+// fields returns a line's other keys and values.
+func fields(pairs []any) map[string]any {
+	m := make(map[string]any, len(pairs)/2)
 
 	for i := 0; i+1 < len(pairs); i += 2 {
 		if key, ok := pairs[i].(string); ok && key != requestKey {
-			fields[key] = pairs[i+1]
+			m[key] = pairs[i+1]
 		}
 	}
 
-	return request, fields
+	return m
 }
 
 // Sink returns a sink that records and passes every line on to next.
--- a/operator/server.go
+++ b/operator/server.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -152,6 +153,9 @@
 		mux.Handle("GET /metrics", promhttp.HandlerFor(cfg.Registry, promhttp.HandlerOpts{}))
 	}
 
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+
 	for _, v := range cfg.Views {
 		mux.HandleFunc("GET /debug/"+v.Name, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Type", "application/json")
