standin: answer calls that accept only JSON

Cause: a route of go-restful that names no media type refuses every Accept header but */* with 406. Found by the official client at an entry, where the same happens. Before: the tests of the stand-ins, now with Accept: application/json, got 406. After: they pass.

--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -419,6 +419,22 @@
 	return true
 }
 
+// Runs returns how many runs began.
+func (s *Server) Runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.runs)
+}
+
+// Running returns how many requests have a place.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.running
+}
+
 func (s *Server) listRuns(_ *restful.Request, w *restful.Response) {
 	s.mu.Lock()
 	runs := slices.Clone(s.runs)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -83,7 +83,8 @@
 		faults:    cfg.Faults,
 		stopping:  make(chan struct{}),
 	}
-	ws := new(restful.WebService)
+	// Without it a call that accepts only JSON would be refused with 406.
+	ws := new(restful.WebService).Produces("*/*")
 	ws.Route(ws.GET("/healthz").To(h.health))
 	ws.Route(ws.GET("/faults").To(h.show))
 	ws.Route(ws.POST("/faults").To(h.change))
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -48,6 +48,8 @@
 		b.t.Fatal(err)
 	}
 
+	r.Header.Set("Accept", "application/json")
+
 	w, err := b.client.Do(r)
 	if err != nil {
 		return cut, ""
