--- a/claim/desk.go
+++ b/claim/desk.go
@@ -20,8 +20,8 @@
 	DefaultMaxLocal = 1 << 16
 	// DefaultMaxBody bounds the body of an outcome that is recorded.
 	DefaultMaxBody = 16 << 10
-	// DefaultMaxOutage is how long a home goes on without the log.
-	DefaultMaxOutage = 12 * time.Hour
+	// DefaultRetention is for how long the log is taken to keep records.
+	DefaultRetention = 24 * time.Hour
 	// silence is how long without an answer to a read makes the log silent. It is
 	// above the poll's wait of a shard's reader.
 	silence = 3 * time.Second
@@ -46,9 +46,9 @@
 	Patience time.Duration
 	// MaxPause is how long the process may stand still; zero is DefaultMaxPause.
 	MaxPause time.Duration
-	// MaxOutage is how long a home goes on without the log. It must be below
-	// half of the time for which the log keeps records. Zero is DefaultMaxOutage.
-	MaxOutage time.Duration
+	// Retention is for how long the log keeps records at the least; zero is
+	// DefaultRetention.
+	Retention time.Duration
 	// MaxLocal bounds the runs that the log does not hold yet; zero is DefaultMaxLocal.
 	MaxLocal int
 	// MaxBody bounds the body of a recorded outcome; zero is DefaultMaxBody.
@@ -58,7 +58,7 @@
 func (c DeskConfig) withDefaults() DeskConfig {
 	c.Patience = positive(c.Patience, DefaultPatience)
 	c.MaxPause = positive(c.MaxPause, DefaultMaxPause)
-	c.MaxOutage = positive(c.MaxOutage, DefaultMaxOutage)
+	c.Retention = positive(c.Retention, DefaultRetention)
 	c.MaxLocal = positive(c.MaxLocal, DefaultMaxLocal)
 	c.MaxBody = positive(c.MaxBody, DefaultMaxBody)
 
@@ -120,6 +120,7 @@
 	yielding bool      // the shard is given back for another to take
 	asked    uint64    // the term for which a release is on its way
 	behind   bool      // records are missing that the log holds
+	first    uint64    // the oldest offset that the log keeps
 	ticked   time.Time // when the process last ran
 	synced   time.Time // when the records read were last known to be all
 	frozen   time.Time // since when this process may have missed a change
@@ -127,7 +128,7 @@
 
 // NewDesk returns a Desk that has read nothing.
 func NewDesk(cfg DeskConfig) *Desk {
-	return &Desk{cfg: cfg.withDefaults(), ledger: NewLedger(cfg.Ledger), local: map[ID]*Run{}, behind: true}
+	return &Desk{cfg: cfg.withDefaults(), ledger: NewLedger(cfg.Ledger), local: map[ID]*Run{}, behind: true, first: 1}
 }
 
 // Ledger returns what the records say.
@@ -160,13 +161,13 @@
 		return r, err
 	}
 
-	if len(d.local) >= d.cfg.MaxLocal {
-		return nil, failure.New(failure.QueueFull, "too many claims wait for the log").After(outageAfter)
-	}
-
 	silent := d.silent(now)
-	if silent && !d.trusted(now) {
-		return nil, failure.New(failure.LogUnavailable, "the log does not answer").After(outageAfter)
+
+	switch {
+	case silent && !d.trusted(now):
+		return nil, d.refusal(now)
+	case len(d.local) >= d.cfg.MaxLocal:
+		return nil, failure.New(failure.QueueFull, "too many claims wait for the log").After(outageAfter)
 	}
 
 	return d.open(now, id, fingerprint, issued, silent), nil
@@ -397,8 +398,11 @@
 	}
 }
 
-// Synced says that the process had read all that the log held at a time.
-func (d *Desk) Synced(at time.Time) {
+// Synced says that the process had read all that the log held at a time, and
+// which was the oldest offset kept.
+func (d *Desk) Synced(at time.Time, first uint64) {
+	d.first = max(d.first, first)
+
 	if at.After(d.synced) {
 		d.synced = at
 		d.behind = false
@@ -435,9 +439,30 @@
 	return len(d.unread) > 0 && now.Sub(d.unread[0].asked) >= d.cfg.Patience
 }
 
+// certain tells whether no other process can have become the home since this one
+// last read the whole log.
+//
+// A process that finds no home in all that the log keeps becomes the home. So a
+// home stays certain only while the log must still keep what tells of it.
+func (d *Desk) certain(now time.Time) bool {
+	asserted := time.UnixMilli(d.ledger.Holder().AssertedMS)
+	limit := d.cfg.Retention - 2*time.Duration(d.ledger.skew)*time.Millisecond
+
+	return d.frozen.IsZero() && now.Sub(asserted) < limit
+}
+
 // trusted tells whether the process may run before it has written.
-func (d *Desk) trusted(now time.Time) bool {
-	return !d.cfg.RefuseInOutage && d.frozen.IsZero() && now.Sub(d.synced) < d.cfg.MaxOutage
+func (d *Desk) trusted(now time.Time) bool { return !d.cfg.RefuseInOutage && d.certain(now) }
+
+// refusal returns the answer while the log is silent. LogUnavailable says that
+// the key did not run at all, which a process can't know that may have been
+// succeeded meanwhile.
+func (d *Desk) refusal(now time.Time) error {
+	if d.certain(now) {
+		return failure.New(failure.LogUnavailable, "the log does not answer").After(outageAfter)
+	}
+
+	return failure.New(failure.NotReady, "this process may no longer be the home of the key").After(outageAfter)
 }
 
 // Tick looks for claims that have waited long enough. Those of a home that may
@@ -474,7 +499,7 @@
 		return
 	}
 
-	d.takeBack(r, failure.New(failure.LogUnavailable, "the log does not answer").After(outageAfter))
+	d.takeBack(r, d.refusal(now))
 }
 
 // takeBack ends a run that was not carried out. Its claim may be in the log or
--- a/claim/home.go
+++ b/claim/home.go
@@ -21,8 +21,6 @@
 	// DefaultRebalance is how long the first candidate of a shard is listed
 	// before another home yields to it.
 	DefaultRebalance = time.Minute
-	// DefaultRetention is for how long the log is taken to keep records.
-	DefaultRetention = 24 * time.Hour
 	// DefaultSnapshotRecords is how many records follow a snapshot before the next.
 	DefaultSnapshotRecords = 50000
 	// tickEvery is how often a Home looks whether something is due.
@@ -32,8 +30,6 @@
 	// snapshotsPerRetention is how often the state is written again while the log
 	// keeps a record.
 	snapshotsPerRetention = 4
-	// outagesPerRetention bounds how long a home goes on without the log.
-	outagesPerRetention = 2
 	// recordsPerRun is how many records a run makes at most.
 	recordsPerRun = 2
 )
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -52,8 +52,12 @@
 	Listed uint64 `cbor:"5,keyasint"`
 	// Released says that it gave the shard back.
 	Released bool `cbor:"6,keyasint"`
-	// Asserted is the offset of the newest record that says all this.
+	// Asserted is an offset: a reader that has everything from there on knows all
+	// this. It is that of the home record, or follows what a snapshot covers.
 	Asserted uint64 `cbor:"7,keyasint"`
+	// AssertedMS is a time by the log's clock, in Unix milliseconds, before which
+	// the record at Asserted was not written.
+	AssertedMS int64 `cbor:"8,keyasint"`
 }
 
 // LedgerConfig is what all who read a shard have to agree on.
@@ -112,6 +116,9 @@
 // Len returns how many keys are remembered.
 func (l *Ledger) Len() int { return len(l.entries) }
 
+// Now returns the newest time that the log has told.
+func (l *Ledger) Now() time.Time { return time.UnixMilli(l.now) }
+
 // Cut returns the issue time up to which keys without a record are uncertain.
 func (l *Ledger) Cut() time.Time { return time.UnixMilli(l.cut) }
 
@@ -150,7 +157,7 @@
 	case kindHome:
 		l.take(offset, at, r)
 	case kindKeep:
-		l.keep(offset, r)
+		l.keep(r)
 	case kindRelease:
 		l.holder.Released = l.holder.Released || l.counts(r)
 	case kindClaim:
@@ -184,7 +191,7 @@
 
 	l.holder = Holder{
 		VM: r.Home.VM, Incarnation: r.Home.Incarnation, Term: offset,
-		LogLess: r.Home.LogLess, Listed: r.Home.Listed, Asserted: offset,
+		LogLess: r.Home.LogLess, Listed: r.Home.Listed, Asserted: offset, AssertedMS: at,
 	}
 }
 
@@ -192,8 +199,8 @@
 func (l *Ledger) allowed(r record) bool {
 	h := r.Home
 
-	// A home that is not to be found in what the log keeps has not repeated
-	// itself for longer than it may go on by itself.
+	// A home that can't be found in what the log keeps has not repeated itself
+	// for longer than it may go on by itself; see Desk.certain.
 	if h.Basis == BasisFirst {
 		return l.holder.Asserted < h.From
 	}
@@ -216,14 +223,18 @@
 
 // keep repeats that the home is still there. A reader that lacks the home record
 // learns at least that there is one, and waits for a snapshot to tell which.
-func (l *Ledger) keep(offset uint64, r record) {
-	if l.holder.Term == 0 {
-		l.holder.Asserted = offset
+func (l *Ledger) keep(r record) {
+	if l.holder.Term != 0 && !l.counts(r) {
+		return
 	}
 
-	if l.counts(r) {
+	if l.holder.Term != 0 {
 		l.holder.Listed = r.Home.Listed
-		l.holder.Asserted = offset
+	}
+
+	if next := r.Home.Covers + 1; next > l.holder.Asserted {
+		l.holder.Asserted = next
+		l.holder.AssertedMS = r.Home.CoversMS
 	}
 }
 
--- a/claim/record.go
+++ b/claim/record.go
@@ -87,8 +87,12 @@
 	LogLess bool `cbor:"4,keyasint,omitempty"`
 	// Listed is a version of the platform's list that has the VM.
 	Listed uint64 `cbor:"5,keyasint,omitempty"`
-	// From is the oldest offset that the writer has read from.
+	// From is the oldest offset that the log kept when the writer had read it all.
 	From uint64 `cbor:"6,keyasint,omitempty"`
+	// Covers is the last offset that the snapshot before a keep record covers.
+	Covers uint64 `cbor:"7,keyasint,omitempty"`
+	// CoversMS is the log's newest time as of Covers.
+	CoversMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // encode encodes r, which can't fail.
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -33,7 +34,6 @@
 	paused     bool      // the process had stood still when it was last looked at
 	cut        time.Time // the cut when it was last looked at
 	topped     time.Time // since when another process is the first candidate
-	kept       time.Time // when the home last repeated itself
 }
 
 func newShard(cfg HomeConfig, number int, cancel context.CancelFunc) *shard {
@@ -43,7 +43,7 @@
 	s.desk = NewDesk(DeskConfig{
 		VM: cfg.VM, Incarnation: cfg.Incarnation, Ledger: cfg.Ledger, RefuseInOutage: cfg.RefuseInOutage,
 		Patience: cfg.Patience, MaxLocal: cfg.MaxLocal, MaxBody: cfg.MaxBody,
-		MaxOutage: cfg.Retention / outagesPerRetention,
+		Retention: cfg.Retention,
 	})
 	s.writer = journal.NewWriter(journal.WriterConfig{
 		Log: cfg.Log, Stream: stream, Interval: cfg.Interval, Limit: cfg.Limit,
@@ -133,14 +133,14 @@
 // abandon ends a run whose caller no longer waits. Nobody gets its ticket, so
 // that it was not run stays true.
 func (s *shard) abandon(ctx context.Context, r *Run) error {
-	err := error(failure.New(failure.LogUnavailable, "the claim was not recorded in time").After(refusedAfter))
-	if ctx.Err() == context.Canceled { //nolint:errorlint // the context returns it bare
-		err = failure.As(ctx.Err())
-	}
-
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	err := s.desk.refusal(s.cfg.Clock())
+	if errors.Is(ctx.Err(), context.Canceled) {
+		err = failure.As(ctx.Err())
+	}
+
 	if !s.desk.Abandon(r, err) {
 		s.desk.Withdraw(r)
 	}
@@ -160,13 +160,13 @@
 
 // tick does what is due and tells whether the shard is being yielded.
 func (s *shard) tick(now time.Time, f Fleet, rank int, stop, mayYield bool) bool {
-	atEnd, synced := s.reader.AtEnd()
+	atEnd, first, synced := s.reader.AtEnd()
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if synced {
-		s.desk.Synced(atEnd)
+		s.desk.Synced(atEnd, first)
 	}
 
 	s.desk.Tick(now)
@@ -179,7 +179,7 @@
 	switch {
 	case s.silent || s.desk.behind:
 	case s.desk.Home():
-		s.tend(now, f, rank, mayYield)
+		s.tend(now, rank, mayYield)
 	default:
 		if basis, ok := s.succession.Next(now, s.desk, f, rank); ok {
 			s.desk.Ask(basis, f)
@@ -192,13 +192,8 @@
 	return s.desk.yielding
 }
 
-// tend does what a home owes to its shard.
-func (s *shard) tend(now time.Time, f Fleet, rank int, mayYield bool) {
-	if now.Sub(s.kept) >= s.cfg.Retention/snapshotsPerRetention {
-		s.kept = now
-		s.desk.Keep(f)
-	}
-
+// tend yields the shard to a process that has been its first candidate for long.
+func (s *shard) tend(now time.Time, rank int, mayYield bool) {
 	if rank == 0 || s.topped.IsZero() {
 		s.topped = now
 	}
@@ -214,7 +209,7 @@
 	holder := s.desk.ledger.Holder()
 	mine := s.desk.mine(holder)
 
-	s.noticeHome(now, holder, mine)
+	s.noticeHome(holder, mine)
 	s.was = holder
 
 	if cut := s.desk.ledger.Cut(); mine && cut.After(s.cut) {
@@ -232,13 +227,12 @@
 }
 
 // noticeHome logs changes of the home.
-func (s *shard) noticeHome(now time.Time, holder Holder, mine bool) {
+func (s *shard) noticeHome(holder Holder, mine bool) {
 	was := s.desk.mine(s.was)
 
 	switch {
 	case mine && (!was || holder.Term != s.was.Term):
 		s.topped = time.Time{}
-		s.kept = now
 		event.Log(s.cfg.Logger, event.ClaimHomeTaken, "service", s.cfg.Service, "shard", s.number,
 			"term", holder.Term, "basis", s.succession.basis.String())
 	case was && holder.Released && holder.Term == s.was.Term:
@@ -309,13 +303,29 @@
 	return s.desk.Home()
 }
 
+// snapshot writes the state, and then that the home is still there: in this
+// order, so that whoever finds the second also finds the first.
 func (s *shard) snapshot(ctx context.Context) bool {
+	var at time.Time
+
 	snap, ok := s.reader.Capture(func() []byte {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 
+		at = s.desk.ledger.Now()
+
 		return s.desk.ledger.Encode()
 	})
 
-	return ok && s.writer.WriteSnapshot(ctx, snap) == nil
+	if !ok || s.writer.WriteSnapshot(ctx, snap) != nil {
+		return false
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.desk.Keep(s.cfg.Fleet(), snap.Covers(), at)
+	s.flush()
+
+	return true
 }
--- a/claim/takeover.go
+++ b/claim/takeover.go
@@ -77,7 +77,7 @@
 	switch {
 	case s.basis == BasisReborn:
 		return 0
-	case s.basis == BasisFirst && d.ledger.from > 1:
+	case s.basis == BasisFirst && d.first > 1:
 		return wait + lostDelay
 	default:
 		return wait
@@ -91,7 +91,7 @@
 	switch {
 	case d.mine(h):
 		return 0, false
-	case h.Asserted < d.ledger.from:
+	case h.Asserted < d.first:
 		return BasisFirst, true
 	case h.Term == 0:
 		return 0, false
@@ -109,16 +109,22 @@
 // Ask puts the record by which this process becomes the home into the outbox.
 func (d *Desk) Ask(b Basis, f Fleet) { d.write(d.homeRecord(kindHome, b, f)) }
 
-// Keep puts the record into the outbox by which the home repeats that it is there.
-func (d *Desk) Keep(f Fleet) {
-	if d.Home() && f.Has(d.cfg.VM) {
-		d.write(d.homeRecord(kindKeep, 0, f))
+// Keep puts the record into the outbox by which the home repeats that it is
+// there. A snapshot must have been written that covers the records up to covers,
+// of which the newest was of the time at.
+func (d *Desk) Keep(f Fleet, covers uint64, at time.Time) {
+	if !d.Home() || !f.Has(d.cfg.VM) {
+		return
 	}
+
+	r := d.homeRecord(kindKeep, 0, f)
+	r.Home.Covers, r.Home.CoversMS = covers, at.UnixMilli()
+	d.write(r)
 }
 
 func (d *Desk) homeRecord(k kind, b Basis, f Fleet) record {
 	return record{Kind: k, Term: d.ledger.Holder().Term, Home: &homeRecord{
 		VM: d.cfg.VM, Incarnation: d.cfg.Incarnation, Basis: b,
-		LogLess: !d.cfg.RefuseInOutage, Listed: f.Version, From: d.ledger.from,
+		LogLess: !d.cfg.RefuseInOutage, Listed: f.Version, From: d.first,
 	}}
 }
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -111,13 +111,13 @@
 	return max(now.Sub(r.atEnd), 0)
 }
 
-// AtEnd returns when the Reader last knew itself to be at the end of the stream;
-// false before it ever was.
-func (r *Reader) AtEnd() (time.Time, bool) {
+// AtEnd returns when the Reader last knew itself to be at the end of the stream,
+// and the oldest offset that the service kept then; false before it ever was.
+func (r *Reader) AtEnd() (at time.Time, first uint64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return r.atEnd, r.synced
+	return r.atEnd, r.first, r.synced
 }
 
 // Synced reports whether the Reader ever was at the end of the stream.
