entry, side, ctl: serve targets without side process, give up silent engines, hedge

Cause: a target with no side process could not be served at all; a connection to an engine that fell silent in the middle of an answer kept its caller until the timeout; plain calls that may be repeated waited for one slow target; imports were weighed and never promised on their link. Change: direct service with what is lost written down; a watchdog on the engine's stream; hedges within the retry budget; windows on links, ended by the side process's own word; ctl weights status, roll and unroll. Tests: answers outlive silent connections and are whole without a side process.

--- a/cmd/boragehub/ctl.go
+++ b/cmd/boragehub/ctl.go
@@ -35,6 +35,7 @@
 	made   *ctl.KeysMenu
 	fleet  *ctl.FleetMenu
 	wishes *ctl.WishMenu
+	rolls  *ctl.WeightsMenu
 }
 
 // controls are the operators' subcommands.
@@ -59,7 +60,7 @@
 	c.config = ctl.AttachConfig(c.sub)
 	c.made = ctl.AttachKeys(c.sub)
 	c.fleet = ctl.AttachFleet(c.sub)
-	c.wishes = ctl.AttachWishes(c.sub)
+	c.wishes, c.rolls = ctl.AttachWishes(c.sub)
 
 	flaggy.AttachSubcommand(c.sub, 1)
 
@@ -101,6 +102,10 @@
 		return c.reach(ctx, func(r ctl.Reach) error {
 			return c.fleet.Run(ctx, ctl.Fleets{Terminal: terminal, Reach: r})
 		})
+	case c.rolls.Chosen():
+		return c.reach(ctx, func(r ctl.Reach) error {
+			return ctl.Fleets{Terminal: terminal, Reach: r}.Weights(ctx)
+		})
 	case c.wishes.Chosen():
 		if err := c.needsLog(); err != nil {
 			return err
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -280,7 +280,7 @@
 
 // FleetMenu is the commands of Fleets on the program's command line.
 type FleetMenu struct {
-	fleet, explain, context, weights *flaggy.Subcommand
+	fleet, explain, context *flaggy.Subcommand
 
 	request, anchor string
 }
@@ -295,14 +295,13 @@
 	m.explain.AddPositionalValue(&m.request, "REQUEST_ID", 1, true, "The request's id, from its X-Request-Id.")
 	m.context = command(parent, "context", "Show where a context is held.", "boragehub ctl context 6f1c…")
 	m.context.AddPositionalValue(&m.anchor, "ANCHOR", 1, true, "The context's anchor, from the line request_answered.")
-	m.weights = command(parent, "weights", "Show how far the rolls of weights are.", "boragehub ctl weights")
 
 	return m
 }
 
 // Chosen says whether one of the commands was chosen.
 func (m *FleetMenu) Chosen() bool {
-	return m.fleet.Used || m.explain.Used || m.context.Used || m.weights.Used
+	return m.fleet.Used || m.explain.Used || m.context.Used
 }
 
 // Run carries out the chosen command.
@@ -312,8 +311,6 @@
 		return f.Explain(ctx, m.request)
 	case m.context.Used:
 		return f.Context(ctx, m.anchor)
-	case m.weights.Used:
-		return f.Weights(ctx)
 	default:
 		return f.Fleet(ctx)
 	}
--- a/ctl/wish.go
+++ b/ctl/wish.go
@@ -151,8 +151,16 @@
 	target, reason, service, version string
 }
 
+// WeightsMenu is `weights status`, which asks the fleet and changes nothing.
+type WeightsMenu struct {
+	status *flaggy.Subcommand
+}
+
+// Chosen says whether it was chosen.
+func (m *WeightsMenu) Chosen() bool { return m.status.Used }
+
 // AttachWishes adds the commands below parent.
-func AttachWishes(parent *flaggy.Subcommand) *WishMenu {
+func AttachWishes(parent *flaggy.Subcommand) (*WishMenu, *WeightsMenu) {
 	m := &WishMenu{reason: "drained by hand"}
 
 	m.drain = command(parent, "drain", "Let a target finish what it has and take no new work.",
@@ -163,15 +171,19 @@
 	m.undrain = command(parent, "undrain", "Let a drained target take work again.", "boragehub ctl undrain engine-7")
 	m.undrain.AddPositionalValue(&m.target, "TARGET", 1, true, "The target's VM.")
 
-	m.roll = command(parent, "roll", "Move a service's engines to a weight version step by step.",
-		"boragehub ctl roll boragehub-llm v2")
+	weights := command(parent, "weights", "Move engines to other weights.", "")
+
+	m.roll = command(weights, "roll", "Move a service's engines to a weight version step by step.",
+		"boragehub ctl weights roll boragehub-llm v2")
 	m.roll.AddPositionalValue(&m.service, "SERVICE", 1, true, "The service.")
 	m.roll.AddPositionalValue(&m.version, "VERSION", 2, true, "The weight version.")
 
-	m.unroll = command(parent, "unroll", "Take a roll back.", "boragehub ctl unroll boragehub-llm")
+	m.unroll = command(weights, "unroll", "Take a roll back.", "boragehub ctl weights unroll boragehub-llm")
 	m.unroll.AddPositionalValue(&m.service, "SERVICE", 1, true, "The service.")
 
-	return m
+	status := command(weights, "status", "Show how far the rolls are.", "boragehub ctl weights status")
+
+	return m, &WeightsMenu{status: status}
 }
 
 // Chosen says whether one of the commands was chosen.
--- /dev/null
+++ b/ctl/wish_test.go
@@ -0,0 +1,118 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"boragehub/journal/memory"
+	"boragehub/setting/publication"
+)
+
+const wishTree = `class = "standard"
+
+[[data_centre]]
+name = "yvr-east"
+site = "bc-south"
+region = "lower-mainland"
+
+[[service]]
+name = "boragehub-llm"
+kind = "engine"
+models = ["m"]
+weight_version = "v1"
+`
+
+// wishes returns the commands on a log that has wishTree.
+func wishes(t *testing.T) (Wishes, *bytes.Buffer) {
+	t.Helper()
+
+	log := memory.New()
+
+	if _, err := publication.Publish(context.Background(), publication.PublishConfig{Log: log}, publication.Change{
+		ID: "first", Author: "test", Name: "settings.toml", Text: []byte(wishTree),
+	}); err != nil {
+		t.Fatal(err)
+	}
+
+	var out bytes.Buffer
+
+	return Wishes{Terminal: Terminal{Out: &out, Err: io.Discard}, Log: log, Author: "ada"}, &out
+}
+
+func inForce(t *testing.T, w Wishes) *publication.Published {
+	t.Helper()
+
+	p, _, err := publication.Read(context.Background(), w.Log, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return p
+}
+
+func TestDrainAndUndrain(t *testing.T) {
+	w, out := wishes(t)
+	ctx := context.Background()
+
+	for _, target := range []string{"engine-1", "engine-2"} {
+		if err := w.Drain(ctx, target, "new host"); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	if err := w.Drain(ctx, "engine-1", "again"); Exit(err) != ExitConflict {
+		t.Errorf("drained twice: got %v, want a conflict", err)
+	}
+
+	if err := w.Undrain(ctx, "engine-1"); err != nil {
+		t.Fatal(err)
+	}
+
+	p := inForce(t, w)
+	if _, ok := p.Tree().Drained("engine-1"); ok {
+		t.Error("engine-1: got drained, want not")
+	}
+
+	if d, ok := p.Tree().Drained("engine-2"); !ok || d.Reason != "new host" {
+		t.Errorf("engine-2: got %+v %v, want drained for the new host", d, ok)
+	}
+
+	if got, want := p.Author(), "ada"; got != want {
+		t.Errorf("author: got %q, want %q", got, want)
+	}
+
+	if !strings.Contains(out.String(), "undrain engine-1") {
+		t.Errorf("output: got %q, want the change", out)
+	}
+}
+
+func TestRollIsReplacedAndTakenBack(t *testing.T) {
+	w, _ := wishes(t)
+	ctx := context.Background()
+
+	for _, version := range []string{"v2", "v3"} {
+		if err := w.Roll(ctx, "boragehub-llm", version); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	rolls := inForce(t, w).Tree().WeightRolls()
+	if len(rolls) != 1 || rolls[0].WeightVersion != "v3" {
+		t.Errorf("got %+v, want one roll to v3", rolls)
+	}
+
+	if err := w.Unroll(ctx, "boragehub-llm"); err != nil {
+		t.Fatal(err)
+	}
+
+	if got := inForce(t, w).Tree().WeightRolls(); len(got) != 0 {
+		t.Errorf("after unroll: got %+v, want none", got)
+	}
+
+	if err := w.Unroll(ctx, "boragehub-llm"); Exit(err) != ExitConflict {
+		t.Errorf("unrolled twice: got %v, want a conflict", err)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,6 @@
 
 	"boragehub/directory"
 	"boragehub/event"
-	"boragehub/link"
 	"boragehub/message"
 	"boragehub/operator"
 	"boragehub/organisation"
@@ -102,13 +102,12 @@
 	owned   *owned
 	speeds  speeds
 	homes   homes
+	links   *links
+	alone   *http.Client // to targets without a side process
 	active  atomic.Int64
 	leaving atomic.Bool
 	seen    atomic.Bool // the watch has asked all targets once
 
-	linkMu sync.Mutex
-	links  *link.Table
-
 	rngMu sync.Mutex
 	rng   *rand.Rand
 }
@@ -120,12 +119,6 @@
 	register *organisation.Register
 }
 
-// Bandwidths where the tree says nothing, in bytes a second.
-const (
-	localBytesPerSecond  = 10e9
-	remoteBytesPerSecond = 1e9
-)
-
 // New returns an Entry that knows nothing yet.
 func New(cfg Config) *Entry {
 	if cfg.Seed == 0 {
@@ -143,7 +136,8 @@
 		owned:   newOwned(directory.Config{}),
 		speeds:  speeds{byVM: map[string]speed{}},
 		homes:   homes{byID: map[shardOf]string{}},
-		links:   link.NewTable(link.Config{BytesPerSecond: localBytesPerSecond}, link.Config{BytesPerSecond: remoteBytesPerSecond}),
+		links:   newLinks(),
+		alone:   newDirectClient(),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	e.cfg.Views = append(e.ownViews(), cfg.Views...)
@@ -209,6 +203,7 @@
 	}
 
 	e.targets.ObserveDrained(now, drained)
+	e.links.set(p.Tree().Links())
 	e.policy.Store(&policy{version: p.Version(), tree: p.Tree(), register: organisation.NewRegister(p.Tree())})
 	event.Log(e.cfg.Log, event.PolicyChanged, "version", p.Version(), "author", p.Author())
 }
--- a/entry/job.go
+++ b/entry/job.go
@@ -8,7 +8,9 @@
 	"boragehub/engine"
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/link"
 	"boragehub/message"
+	"boragehub/prompt"
 	"boragehub/quarantine"
 	"boragehub/retry"
 	"boragehub/setting"
@@ -37,6 +39,7 @@
 	attempt int
 	tried   map[string]bool
 	views   []*contextView
+	window  promised
 	index   int    // tokens passed on to the caller
 	answer  []byte // their text
 	first   time.Duration
@@ -150,10 +153,13 @@
 // try runs j at one target. sent says that the run may have begun there.
 func (j *job) try(ctx context.Context, r routed) (d message.Done, sent bool, err error) {
 	began := time.Now()
-	s := j.e.targets.Sent(began, r.target.VM, max(0, len(r.view.chain)))
+	s := j.e.targets.Sent(began, r.target.VM, r.toCompute(prompt.Tokens(j.text)))
+	j.window = j.reserve(began, r)
 
 	d, sent, err = j.converse(ctx, r)
 
+	j.imported(0)
+
 	now := time.Now()
 	j.e.note(j.e.targets.Done(now, s, standing(err, sent)))
 
@@ -171,6 +177,32 @@
 	return d, sent, err
 }
 
+// reserve promises the link's time to the import that was decided, so that the
+// next decisions see it.
+func (j *job) reserve(now time.Time, r routed) promised {
+	i := r.decision.Source()
+	if i < 0 || len(r.copies) == 0 {
+		return promised{}
+	}
+
+	// The chosen copy stands first.
+	c := r.copies[0]
+
+	return j.e.links.reserve(now, c.DataCentre, r.target.DataCentre, link.Request{
+		Bytes:        c.Bytes,
+		Class:        link.Import,
+		Rank:         priority(j.values.Class),
+		Organisation: j.organisation,
+		Share:        j.values.Share,
+	})
+}
+
+// imported gives the link's time back after so many bytes came over it.
+func (j *job) imported(bytes int64) {
+	j.e.links.done(time.Now(), j.window, bytes)
+	j.window = promised{}
+}
+
 // standing tells the table of targets what an attempt says of its target.
 func standing(err error, sent bool) target.Outcome {
 	if err == nil {
@@ -225,6 +257,10 @@
 
 // converse is the conversation of one attempt.
 func (j *job) converse(ctx context.Context, r routed) (d message.Done, sent bool, err error) {
+	if r.target.SideAddress == "" {
+		return j.direct(ctx, r)
+	}
+
 	s, err := j.e.cfg.Peers.Open(ctx, sideOf(r.target))
 	if err != nil {
 		return d, false, err
@@ -276,6 +312,8 @@
 			if err := j.take(m); err != nil {
 				return message.Done{}, err
 			}
+		case message.Imported:
+			j.imported(m.Bytes)
 		case message.Crashed:
 			j.e.Crashed(time.Now(), m.Crash)
 		case message.Done:
@@ -370,7 +408,7 @@
 // now holds the context up to the end of the answer.
 func (j *job) took(r routed, d message.Done) {
 	now := time.Now()
-	j.e.targets.ObserveLoad(now, r.target.VM, loadOf(d.Load))
+	j.e.heardLoad(now, r.target, d.Load)
 	j.e.metrics.computed(j, d)
 
 	scope := j.scopeOf(r.view.version)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -174,7 +174,7 @@
 			return message.Reply{}, last
 		}
 
-		reply, sent, err := c.try(ctx, t)
+		reply, sent, err := c.hedged(ctx, t)
 		if err == nil {
 			return reply, nil
 		}
@@ -292,6 +292,92 @@
 	return target.Target{}, false
 }
 
+// outcome is how one attempt ended.
+type outcome struct {
+	reply message.Reply
+	sent  bool
+	err   error
+}
+
+// hedged makes the call at t and, when it may be repeated and takes longer than
+// the settings say, a second time at another target; the first answer counts
+// and the other attempt is cancelled.
+func (c *call) hedged(ctx context.Context, t target.Target) (message.Reply, bool, error) {
+	after := c.values.HedgeAfter
+	if c.message.Once || after <= 0 {
+		ctx, cancel := c.share(ctx)
+		defer cancel()
+
+		return c.try(ctx, t)
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	answers := make(chan outcome, 2)
+	attempt := func(t target.Target) {
+		reply, sent, err := c.try(ctx, t)
+		answers <- outcome{reply, sent, err}
+	}
+
+	go attempt(t)
+
+	began := time.Now()
+
+	wait := time.NewTimer(after)
+	defer wait.Stop()
+
+	for running := 1; ; {
+		select {
+		case o := <-answers:
+			running--
+
+			if o.err == nil || running == 0 {
+				return o.reply, o.sent, o.err
+			}
+		case <-wait.C:
+			if other, ok := c.second(time.Since(began), t); ok {
+				running++
+
+				go attempt(other)
+			}
+		}
+	}
+}
+
+// second returns the target of a hedge, if there may be one.
+func (c *call) second(waited time.Duration, first target.Target) (target.Target, bool) {
+	now := time.Now()
+	standing, _ := c.e.ward.Check(now, c.message.Fingerprint)
+	may := retry.MayHedge(retry.Hedge{
+		Idempotent: true,
+		Suspect:    standing != quarantine.Clear,
+		Waited:     waited,
+		Usual:      c.values.HedgeAfter,
+		Left:       time.Until(c.request.arrived.Add(c.values.Timeout)),
+	})
+
+	if !may || !c.e.budget.Allow(now) {
+		return target.Target{}, false
+	}
+
+	c.tried[first.VM] = true
+
+	return c.route(now)
+}
+
+// share bounds one attempt of a call that may be repeated to its part of the
+// timeout, so that a target that falls silent leaves time for the others.
+func (c *call) share(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.message.Once {
+		return context.WithCancel(ctx)
+	}
+
+	part := c.values.Timeout / time.Duration(max(1, c.values.MaxAttempts))
+
+	return context.WithTimeoutCause(ctx, part, failure.New(failure.TargetLost, "the target took longer than its part of the timeout"))
+}
+
 // try makes the call at one target. sent says that it may have run there.
 func (c *call) try(ctx context.Context, t target.Target) (reply message.Reply, sent bool, err error) {
 	began := time.Now()
@@ -309,7 +395,7 @@
 		}
 	} else {
 		c.e.ward.Completed(now, c.message.Fingerprint)
-		c.e.targets.ObserveLoad(now, t.VM, loadOf(reply.Load))
+		c.e.heardLoad(now, t, reply.Load)
 	}
 
 	event.Log(c.e.cfg.Log, event.AttemptEnded, "request_id", c.request.id, "attempt", c.attempt, "vm", t.VM, "outcome", kind, "took_ms", now.Sub(began).Milliseconds())
@@ -318,6 +404,10 @@
 }
 
 func (c *call) converse(ctx context.Context, t target.Target) (reply message.Reply, sent bool, err error) {
+	if t.SideAddress == "" {
+		return c.direct(ctx, t)
+	}
+
 	s, err := c.e.cfg.Peers.Open(ctx, sideOf(t))
 	if err != nil {
 		return reply, false, err
--- a/entry/router.go
+++ b/entry/router.go
@@ -29,6 +29,8 @@
 	anchor   prompt.Hash
 	chain    prompt.Chain
 	holdings []message.Holding
+	// blockTokens is the size of the chain's blocks.
+	blockTokens int
 }
 
 // routed is where a prompt goes.
@@ -39,6 +41,28 @@
 	copies   []message.Holding
 }
 
+// toCompute returns how many of the prompt's tokens its engine is to compute.
+func (r *routed) toCompute(tokens int) int {
+	c := r.decision.Cost(r.decision.Target())
+	held := 0
+
+	switch c.How {
+	case route.Warm:
+		for _, h := range r.view.holdings {
+			if !h.Store && h.Holder == r.target.VM {
+				held = max(held, h.Blocks)
+			}
+		}
+	case route.Import:
+		if len(r.copies) > 0 {
+			held = r.copies[0].Blocks
+		}
+	default:
+	}
+
+	return max(0, tokens-held*r.view.blockTokens)
+}
+
 // scopeOf is the scope of j's blocks under a weight version.
 func (j *job) scopeOf(version string) prompt.Scope {
 	return prompt.Scope{Salt: j.salt(), Model: j.model, Version: version}
@@ -54,7 +78,7 @@
 	}
 
 	scope := j.scopeOf(version)
-	v := &contextView{version: version, anchor: directory.Anchor(scope, j.opening), chain: scope.Chain(j.text, blockTokens)}
+	v := &contextView{version: version, anchor: directory.Anchor(scope, j.opening), chain: scope.Chain(j.text, blockTokens), blockTokens: blockTokens}
 
 	if len(v.chain) > 0 {
 		v.holdings = j.e.locate(ctx, j.id, v.anchor, v.chain)
@@ -241,7 +265,7 @@
 		Version:       v.version,
 		BytesPerToken: int64(sp.bytesPerToken),
 		Seed:          j.seed,
-		Links:         links{e: j.e},
+		Links:         j.e.links,
 	}
 
 	for _, h := range v.holdings {
@@ -264,17 +288,6 @@
 	}, q, candidates)
 }
 
-// links lets a decision ask for the links of this entry.
-type links struct{ e *Entry }
-
-// Way implements route.Links.
-func (l links) Way(now time.Time, from, to string) (time.Duration, float64) {
-	l.e.linkMu.Lock()
-	defer l.e.linkMu.Unlock()
-
-	return l.e.links.Way(now, from, to)
-}
-
 // delay returns the round trip to a data centre by the settings.
 func (e *Entry) delay(dataCentre string) time.Duration {
 	if dataCentre == e.cfg.DataCentre {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -89,11 +89,7 @@
 	var all []target.Target
 
 	for _, service := range e.targets.Services() {
-		for _, t := range e.targets.Subset(service) {
-			if t.SideAddress != "" {
-				all = append(all, t)
-			}
-		}
+		all = append(all, e.targets.Subset(service)...)
 	}
 
 	return all
@@ -109,8 +105,12 @@
 	}
 }
 
-// state asks one side process for its state.
+// state asks one side process for its state; a target without one is asked itself.
 func (e *Entry) state(ctx context.Context, t target.Target) (message.State, error) {
+	if t.SideAddress == "" {
+		return e.directState(ctx, t)
+	}
+
 	m, err := e.cfg.Peers.Ask(ctx, sideOf(t), message.Ask{SettingsVersion: e.version()})
 	if err != nil {
 		return message.State{}, err
@@ -166,6 +166,14 @@
 	}))
 }
 
+// heardLoad takes in the load told on an answer; a target without a side process
+// tells none.
+func (e *Entry) heardLoad(now time.Time, t target.Target, l message.Load) {
+	if t.SideAddress != "" {
+		e.targets.ObserveLoad(now, t.VM, loadOf(l))
+	}
+}
+
 func loadOf(l message.Load) target.Load {
 	return target.Load{
 		Running:       l.Running,
--- a/incident/engine_test.go
+++ b/incident/engine_test.go
@@ -127,3 +127,17 @@
 
 	s.during(3, func() {})
 }
+
+// Open connections to an engine go silent for good in the middle of answers,
+// while new ones work. Nothing fails; the callers' streams just stand still.
+func TestAnswersOutliveSilentConnections(t *testing.T) {
+	s := start(t, shape{engines: 2, decode: 100})
+	s.during(6, func() { s.faults(s.engines["engine-1"], map[string]any{"silent": true}) })
+}
+
+// A target has no side process beside it yet. It would stand idle, or worse,
+// its callers would be refused.
+func TestEnginesWithoutSideProcessServe(t *testing.T) {
+	s := start(t, shape{alone: 2, decode: 100})
+	s.during(4, func() { s.kill("alone-1-target") })
+}
--- a/incident/system_test.go
+++ b/incident/system_test.go
@@ -81,6 +81,8 @@
 // shape says how large a system is.
 type shape struct {
 	engines, plains int
+	// alone is how many engines have no side process.
+	alone int
 	// decode is the engines' speed in tokens a second.
 	decode float64
 }
@@ -150,6 +152,13 @@
 		s.target(fmt.Sprintf("engine-%d", i+1), "boragehub-llm", "engine", of.decode)
 	}
 
+	for i := range of.alone {
+		name, url := fmt.Sprintf("alone-%d", i+1), "http://"+tcp(t)
+		s.engines[name] = url
+		s.engine(name+"-target", url, of.decode)
+		s.add(name, "engine", "boragehub-llm", host(url), "")
+	}
+
 	for i := range of.plains {
 		s.target(fmt.Sprintf("booking-%d", i+1), "booking-api", "plain", 0)
 	}
--- a/link/table.go
+++ b/link/table.go
@@ -37,6 +37,13 @@
 	return l
 }
 
+// Set describes the link between two data centres in both directions, and
+// forgets what was promised on it.
+func (t *Table) Set(a, b string, cfg Config) {
+	t.links[route{a, b}] = New(cfg)
+	t.links[route{b, a}] = New(cfg)
+}
+
 // Way returns how long a new import from one data centre to another would wait
 // for what is promised, and the link's rate in bytes a second.
 func (t *Table) Way(now time.Time, from, to string) (wait time.Duration, bytesPerSecond float64) {
--- a/message/codec.go
+++ b/message/codec.go
@@ -99,6 +99,7 @@
 	TypeOrder:    into[Order],
 	TypeView:     into[View],
 	TypeViewed:   into[Viewed],
+	TypeImported: into[Imported],
 }
 
 func decode(t Type, body []byte) (Message, error) {
--- a/message/message.go
+++ b/message/message.go
@@ -14,7 +14,7 @@
 // Every conversation has a stream of its own. The opener sends one request and
 // reads answers until a final one:
 //
-//	Run     → Token… Done      or Refused, before it Crashed when the target died
+//	Run     → Imported Token… Done, or Refused, before it Crashed when the target died
 //	Call    → Reply            or Refused
 //	Locate  → Located          or Refused
 //	Learn   → Ack              or Refused
@@ -61,6 +61,7 @@
 	TypeOrder
 	TypeView
 	TypeViewed
+	TypeImported
 )
 
 // Message is one of the messages of this package.
@@ -138,6 +139,12 @@
 	Load Load `cbor:"6,keyasint"`
 }
 
+// Imported says that the import before a run has ended, so that the link is free.
+type Imported struct {
+	// Bytes is how much was brought; zero when no copy could be used.
+	Bytes int64 `cbor:"1,keyasint"`
+}
+
 // Refused ends a conversation without a result.
 type Refused struct {
 	// Kind is the kind of failure.
@@ -367,6 +374,7 @@
 func (Order) Type() Type    { return TypeOrder }    //nolint:revive // documented on Message
 func (View) Type() Type     { return TypeView }     //nolint:revive // documented on Message
 func (Viewed) Type() Type   { return TypeViewed }   //nolint:revive // documented on Message
+func (Imported) Type() Type { return TypeImported } //nolint:revive // documented on Message
 
 // Refusal turns err into the message that tells a peer of it.
 func Refusal(err error) Refused {
--- a/message/message_test.go
+++ b/message/message_test.go
@@ -18,7 +18,7 @@
 		Done{Tokens: 8, Finish: "stop"}, Refused{Kind: failure.Draining, Text: "leaving"}, Call{Method: "POST", Body: []byte("b")},
 		Reply{Status: 200}, Locate{}, Located{Holdings: []Holding{{Store: true}}}, Learn{Gone: true}, Ack{}, Ask{SettingsVersion: 3},
 		State{VM: "v", Homes: []int{1}}, Fetch{After: 1}, Settings{Version: 2, Body: []byte("x")}, Crashed{Crash: quarantine.Crash{Target: "e", Running: []quarantine.Fingerprint{{1}}}}, Order{Fence: 3, Kind: "load_weights"},
-		View{Name: "fleet"}, Viewed{JSON: []byte("{}")},
+		View{Name: "fleet"}, Viewed{JSON: []byte("{}")}, Imported{Bytes: 9},
 	}
 }
 
--- a/side/run.go
+++ b/side/run.go
@@ -21,12 +21,14 @@
 	to       *peer.Stream
 	chain    prompt.Chain
 	imported int
+	moved    int64
 	index    int
 	text     []byte
 	began    time.Time
 	first    time.Duration
 	usage    engine.Usage
 	finish   string
+	dog      *watchdog
 }
 
 // run answers a Run. What it returns has not been told to the entry yet.
@@ -60,7 +62,14 @@
 	r := &run{Run: m, s: s, to: to, index: m.ResumeTokens, began: now}
 	r.prepare(ctx)
 
-	err = r.complete(ctx)
+	if len(m.Copies) > 0 {
+		err = to.Send(message.Imported{Bytes: r.moved})
+	}
+
+	if err == nil {
+		err = r.complete(ctx)
+	}
+
 	lost := failure.KindOf(err) == failure.TargetLost && err != nil
 	s.guard.leave(id, lost)
 
@@ -158,6 +167,7 @@
 	}
 
 	r.imported = blocks
+	r.moved = int64(len(sealed))
 	r.s.held.add(r.chain[:blocks])
 	event.Log(r.s.cfg.Log, event.CopyImported, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy, "blocks", blocks,
 		"bytes", len(sealed), "took_ms", time.Since(began).Milliseconds())
@@ -200,10 +210,20 @@
 		ResumeText:    r.Resume,
 	}
 
-	return r.s.engine.Complete(ctx, q, r.take)
+	ctx, r.dog = newWatchdog(ctx, r.s.cfg.FirstSilence)
+	defer r.dog.stop()
+
+	err := r.s.engine.Complete(ctx, q, r.take)
+	if err != nil && r.dog.barked() {
+		return failure.Wrap(failure.TargetLost, err, "the engine's connection fell silent")
+	}
+
+	return err
 }
 
 func (r *run) take(p engine.Piece) error {
+	r.dog.heard(r.s.cfg.TokenSilence)
+
 	if p.Finish != "" {
 		r.finish = p.Finish
 		r.usage = p.Usage
--- a/side/side.go
+++ b/side/side.go
@@ -85,6 +85,10 @@
 	// MaxWaiting is how many requests may be admitted beyond those that the
 	// target runs at once; zero is DefaultMaxWaiting.
 	MaxWaiting int
+	// FirstSilence is how long the engine may be silent before a first token, and
+	// TokenSilence between two; zero is DefaultFirstSilence and DefaultTokenSilence.
+	FirstSilence time.Duration
+	TokenSilence time.Duration
 	// DrainTimeout is how long a planned stop waits for what runs.
 	DrainTimeout time.Duration
 	// Settings are passed on to other processes.
@@ -103,8 +107,13 @@
 	Log logr.Logger
 }
 
-// DefaultMaxWaiting is how many requests wait at a target where Config says nothing.
-const DefaultMaxWaiting = 64
+// Defaults of Config. A prompt may wait long for its first token, behind others
+// and for its own prefill; after it, tokens come every few hundredths of a second.
+const (
+	DefaultMaxWaiting   = 64
+	DefaultFirstSilence = time.Minute
+	DefaultTokenSilence = 3 * time.Second
+)
 
 // Side is a side process. Use New.
 type Side struct {
@@ -154,6 +163,14 @@
 		cfg.MaxWaiting = DefaultMaxWaiting
 	}
 
+	if cfg.FirstSilence <= 0 {
+		cfg.FirstSilence = DefaultFirstSilence
+	}
+
+	if cfg.TokenSilence <= 0 {
+		cfg.TokenSilence = DefaultTokenSilence
+	}
+
 	return &Side{
 		cfg:     cfg,
 		engine:  engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: engineConnections}}},
