--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -419,12 +419,20 @@
 	return true
 }
 
-// Runs returns how many runs began.
-func (s *Server) Runs() int {
+// Runs returns the runs that began, in order.
+func (s *Server) Runs() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return len(s.runs)
+	return slices.Clone(s.runs)
+}
+
+// Seq returns the number of the newest cache event.
+func (s *Server) Seq() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.seq
 }
 
 // Running returns how many requests have a place.
@@ -436,8 +444,5 @@
 }
 
 func (s *Server) listRuns(_ *restful.Request, w *restful.Response) {
-	s.mu.Lock()
-	runs := slices.Clone(s.runs)
-	s.mu.Unlock()
-	standin.Reply(w, http.StatusOK, runs)
+	standin.Reply(w, http.StatusOK, s.Runs())
 }
