--- a/wholepath/client_test.go
+++ b/wholepath/client_test.go
@@ -76,86 +76,103 @@
 
 func TestOfficialClient(t *testing.T) {
 	w := start(t, shape{engines: 1})
-	c := w.entries[0].client(desk)
+	cases := []struct {
+		name string
+		test func(t *testing.T, n *entryNode)
+	}{
+		{"whole chat", wholeChat},
+		{"streamed chat", streamedChat},
+		{"text", plainText},
+		{"models", listOfModels},
+		{"error", errorShape},
+	}
 
-	t.Run("whole chat", func(t *testing.T) {
-		q, rendered := question("is there a seat at six?")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.test(t, w.entries[0]) })
+	}
+}
 
-		answer, err := c.Chat.Completions.New(t.Context(), q)
-		if err != nil {
-			t.Fatal(err)
-		}
+func wholeChat(t *testing.T, n *entryNode) {
+	q, rendered := question("is there a seat at six?")
+	c := n.client(desk)
 
-		if got, want := answer.Choices[0].Message.Content, engine.Answer(rendered, 12); got != want {
-			t.Errorf("got %q, want %q", got, want)
-		}
+	answer, err := c.Chat.Completions.New(t.Context(), q)
+	if err != nil {
+		t.Fatal(err)
+	}
 
-		if got, want := answer.Usage.CompletionTokens, int64(12); got != want {
-			t.Errorf("got %d completion tokens, want %d", got, want)
-		}
+	if got, want := answer.Choices[0].Message.Content, engine.Answer(rendered, 12); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
 
-		if got, want := answer.Choices[0].FinishReason, "length"; got != want {
-			t.Errorf("got finish reason %q, want %q", got, want)
-		}
-	})
-
-	t.Run("streamed chat", func(t *testing.T) {
-		q, rendered := question("and at seven?")
-		q.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
-		answer := c.Chat.Completions.NewStreaming(t.Context(), q)
-		whole := openai.ChatCompletionAccumulator{}
-
-		for answer.Next() {
-			if !whole.AddChunk(answer.Current()) {
-				t.Fatal("a chunk does not belong to the answer")
-			}
-		}
+	if got, want := answer.Usage.CompletionTokens, int64(12); got != want {
+		t.Errorf("got %d completion tokens, want %d", got, want)
+	}
 
-		if err := answer.Err(); err != nil {
-			t.Fatal(err)
-		}
+	if got, want := answer.Choices[0].FinishReason, "length"; got != want {
+		t.Errorf("got finish reason %q, want %q", got, want)
+	}
+}
 
-		if got, want := whole.Choices[0].Message.Content, engine.Answer(rendered, 12); got != want {
-			t.Errorf("got %q, want %q", got, want)
-		}
+func streamedChat(t *testing.T, n *entryNode) {
+	q, rendered := question("and at seven?")
+	q.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
+	c := n.client(desk)
+	answer := c.Chat.Completions.NewStreaming(t.Context(), q)
+	whole := openai.ChatCompletionAccumulator{}
 
-		if got, want := whole.Usage.CompletionTokens, int64(12); got != want {
-			t.Errorf("got %d completion tokens, want %d", got, want)
-		}
-	})
-
-	t.Run("text", func(t *testing.T) {
-		for _, ask := range []func(context.Context, string, string, int64) (string, error){w.entries[0].complete, w.entries[0].stream} {
-			got, err := ask(t.Context(), desk, "an airport shuttle", 9)
-			if want := engine.Answer("an airport shuttle", 9); got != want || err != nil {
-				t.Errorf("got %q, %v, want %q", got, err, want)
-			}
+	for answer.Next() {
+		if !whole.AddChunk(answer.Current()) {
+			t.Fatal("a chunk does not belong to the answer")
 		}
-	})
+	}
 
-	t.Run("models", func(t *testing.T) {
-		page, err := c.Models.List(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
+	if err := answer.Err(); err != nil {
+		t.Fatal(err)
+	}
 
-		if got, want := len(page.Data), 1; got != want || page.Data[0].ID != model {
-			t.Errorf("got %d models %+v, want %s", got, page.Data, model)
-		}
-	})
+	if got, want := whole.Choices[0].Message.Content, engine.Answer(rendered, 12); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
 
-	t.Run("error", func(t *testing.T) {
-		_, err := w.entries[0].complete(t.Context(), "wrong", "an airport shuttle", 9)
+	if got, want := whole.Usage.CompletionTokens, int64(12); got != want {
+		t.Errorf("got %d completion tokens, want %d", got, want)
+	}
+}
 
-		var got *openai.Error
-		if !errors.As(err, &got) {
-			t.Fatalf("got %v, want an error of the API", err)
+func plainText(t *testing.T, n *entryNode) {
+	for _, ask := range []func(context.Context, string, string, int64) (string, error){n.complete, n.stream} {
+		got, err := ask(t.Context(), desk, "an airport shuttle", 9)
+		if want := engine.Answer("an airport shuttle", 9); got != want || err != nil {
+			t.Errorf("got %q, %v, want %q", got, err, want)
 		}
+	}
+}
 
-		if got.StatusCode != http.StatusUnauthorized || got.Code != "invalid_api_key" || got.Type != "authentication_error" || got.Message == "" {
-			t.Errorf("got %d %q %q %q, want 401 invalid_api_key authentication_error and a message", got.StatusCode, got.Code, got.Type, got.Message)
-		}
-	})
+func listOfModels(t *testing.T, n *entryNode) {
+	c := n.client(desk)
+
+	page, err := c.Models.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if got, want := len(page.Data), 1; got != want || page.Data[0].ID != model {
+		t.Errorf("got %d models %+v, want %s", got, page.Data, model)
+	}
+}
+
+func errorShape(t *testing.T, n *entryNode) {
+	_, err := n.complete(t.Context(), "wrong", "an airport shuttle", 9)
+
+	var got *openai.Error
+	if !errors.As(err, &got) {
+		t.Fatalf("got %v, want an error of the API", err)
+	}
+
+	if got.StatusCode != http.StatusUnauthorized || got.Code != "invalid_api_key" || got.Type != "authentication_error" || got.Message == "" {
+		t.Errorf("got %d %q %q %q, want 401 invalid_api_key authentication_error and a message", got.StatusCode, got.Code, got.Type, got.Message)
+	}
 }
 
 // A rider closes the page while a long answer is streaming. If the run went on,
@@ -170,7 +187,7 @@
 		call func(context.Context, string, string, int64) (string, error)
 	}{{"stream", w.entries[0].stream}, {"whole", w.entries[0].complete}} {
 		ctx, cancel := context.WithCancel(t.Context())
-		before := w.engines[0].engine.Runs()
+		before := len(w.engines[0].engine.Runs())
 		ended := make(chan error, 1)
 
 		go func() {
@@ -178,7 +195,7 @@
 			ended <- err
 		}()
 
-		w.eventually("the run never began", func() bool { return w.engines[0].engine.Runs() > before })
+		w.eventually("the run never began", func() bool { return len(w.engines[0].engine.Runs()) > before })
 		cancel()
 
 		if got, want := <-ended, context.Canceled; !errors.Is(got, want) {
--- a/wholepath/world_test.go
+++ b/wholepath/world_test.go
@@ -239,7 +239,7 @@
 		w.entries = append(w.entries, w.newEntry(i))
 	}
 
-	w.publish(settings())
+	w.publish(0, settings())
 	w.eventually("not all is ready", w.ready)
 
 	return w
@@ -319,12 +319,12 @@
 	}
 }
 
-// publish publishes settings as an operator does.
-func (w *world) publish(text string) {
+// publish publishes settings as an operator does who started from a version.
+func (w *world) publish(based uint64, text string) {
 	w.t.Helper()
 
 	_, err := publication.Publish(w.t.Context(), publication.PublishConfig{Log: journal.NewClient(journal.ClientConfig{URL: w.logURL})},
-		publication.Change{ID: uuid.NewString(), Author: "test", Name: "settings.toml", Text: []byte(text)})
+		publication.Change{ID: uuid.NewString(), Based: based, Author: "test", Name: "settings.toml", Text: []byte(text)})
 	if err != nil {
 		w.t.Fatal(err)
 	}
