--- a/claim/stateful_test.go
+++ b/claim/stateful_test.go
@@ -57,6 +57,7 @@
 		"execute":  w.execute,
 		"execute2": w.execute,
 		"past":     w.executePast,
+		"crash":    w.crash,
 		"abandon":  w.abandon,
 		"log":      func(*rapid.T) { w.down = !w.down },
 		"outage":   w.outage,
@@ -73,16 +74,21 @@
 	}
 }
 
-// asked draws a process to call: mostly the home, as entries do.
+// asked draws a process to call: mostly one that holds itself for the home, as
+// entries do.
 func (w *world) asked(t *rapid.T) *process {
-	if rapid.IntRange(0, 5).Draw(t, "asked") > 0 {
-		for _, p := range w.procs {
-			if p.frozen.IsZero() && p.desk.Home() {
-				return p
-			}
+	var homes []*process
+
+	for _, p := range w.procs {
+		if p.frozen.IsZero() && p.desk.Home() {
+			homes = append(homes, p)
 		}
 	}
 
+	if len(homes) > 0 && rapid.IntRange(0, 5).Draw(t, "asked") > 0 {
+		return homes[rapid.IntRange(0, len(homes)-1).Draw(t, "home")]
+	}
+
 	return w.awake(t)
 }
 
@@ -176,6 +182,39 @@
 	w.execute(t)
 }
 
+// crash ends a process that may have run something which the log doesn't hold,
+// and lets its caller try again soon after.
+func (w *world) crash(t *rapid.T) {
+	if rapid.Bool().Draw(t, "outage") {
+		w.outage(t)
+	}
+
+	w.callNew(t)
+
+	for _, p := range w.procs {
+		w.collect(p)
+	}
+
+	if i := slices.IndexFunc(w.procs, func(p *process) bool { return len(p.tickets) > 0 }); i >= 0 {
+		p := w.procs[i]
+		w.run(p.tickets[0].send)
+		p.tickets = p.tickets[1:]
+		w.end(t, p)
+
+		if p.gone || rapid.Bool().Draw(t, "dropped") {
+			w.start(w.drop(p.vm), w.skew(t))
+		} else {
+			w.start(p.vm, w.skew(t))
+		}
+	}
+
+	w.down = false
+	w.rounds(t)
+	w.learnList(t)
+	w.rounds(t)
+	w.resend(t)
+}
+
 func (w *world) rounds(t *rapid.T) {
 	for range rapid.IntRange(1, 30).Draw(t, "rounds") {
 		w.round()
--- /dev/null
+++ b/journal/client_test.go
@@ -0,0 +1,113 @@
+package journal_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"boragehub/failure"
+	"boragehub/journal"
+)
+
+func TestClientTellsOutcomesApart(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		body   string
+		want   failure.Kind
+	}{
+		{"down", http.StatusServiceUnavailable, "", failure.LogUnavailable},
+		{"over the rate", http.StatusTooManyRequests, "", failure.RateLimited},
+		{"too large", http.StatusRequestEntityTooLarge, "", failure.TooLarge},
+		{"cut answer", http.StatusOK, `{"offs`, failure.OutcomeUnknown},
+		{"unlisted status", http.StatusBadGateway, "", failure.OutcomeUnknown},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer s.Close()
+
+			_, err := journal.NewClient(journal.ClientConfig{URL: s.URL}).Append(t.Context(), "s", [][]byte{[]byte("a")})
+			if got := failure.KindOf(err); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestClientReadsAndNoticesTrimming(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") == "1" {
+			w.WriteHeader(http.StatusGone)
+		}
+
+		_ = json.NewEncoder(w).Encode(map[string]any{
+			"first_offset": 5, "next_offset": 6,
+			"records": []map[string]any{{"offset": 5, "at_ms": 7, "data": []byte("x")}},
+		})
+	}))
+	defer s.Close()
+
+	c := journal.NewClient(journal.ClientConfig{URL: s.URL})
+
+	var trimmed *journal.TrimmedError
+	if _, err := c.Read(t.Context(), "s", 1, 10, 0); !errors.As(err, &trimmed) || trimmed.First != 5 {
+		t.Errorf("read of what is gone: got %v, want the first offset 5", err)
+	}
+
+	b, err := c.Read(t.Context(), "s", 5, 10, 0)
+	if err != nil || b.Next != 6 || len(b.Records) != 1 || string(b.Records[0].Data) != "x" {
+		t.Errorf("read: got %+v %v, want one record", b, err)
+	}
+}
+
+// Something between the two ends loses track of a connection: it accepts what is
+// sent and nothing ever comes back, while new connections work. A client that
+// kept to it would see the log as down for good.
+func TestClientAbandonsASilentConnection(t *testing.T) {
+	var silent atomic.Pointer[net.Conn]
+
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+
+		mine, _ := r.Context().Value(connection{}).(net.Conn)
+		if p := silent.Load(); p != nil && *p == mine {
+			<-r.Context().Done()
+
+			return
+		}
+
+		silent.CompareAndSwap(nil, &mine)
+
+		_, _ = w.Write([]byte(`{"offset": 1}`))
+	}))
+	s.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connection{}, c)
+	}
+	s.Start()
+
+	defer s.Close()
+
+	c := journal.NewClient(journal.ClientConfig{URL: s.URL, Timeout: 100 * time.Millisecond})
+
+	for i, want := range []failure.Kind{0, failure.OutcomeUnknown, 0} {
+		_, err := c.Append(t.Context(), "s", [][]byte{[]byte("a")})
+		if got := failure.KindOf(err); got != want {
+			t.Errorf("append %d: got %v, want %v", i, err, want)
+		}
+	}
+}
+
+// connection is the key of a request's connection in its context.
+type connection struct{}
--- a/journal/memory/log.go
+++ b/journal/memory/log.go
@@ -22,7 +22,8 @@
 	Down bool
 	// Silent takes every call and never answers; nothing takes effect.
 	Silent bool
-	// Delay is how long each call takes before it has its effect.
+	// Delay is how long each call takes before it has its effect. A caller gives
+	// up after Patience; its append takes effect all the same.
 	Delay time.Duration
 	// Lose cuts the answer of this append, counted from 1 over all streams,
 	// after it took effect. Nil loses none.
@@ -32,6 +33,9 @@
 	Late func(n uint64) time.Duration
 }
 
+// Patience is how long a caller waits for an answer, as a client's deadline makes it.
+const Patience = 2 * time.Second
+
 // Log is a log service in memory. Use New.
 type Log struct {
 	mu      sync.Mutex
@@ -108,7 +112,8 @@
 
 // Append implements journal.Log.
 func (l *Log) Append(ctx context.Context, name string, records [][]byte) (uint64, error) {
-	if err := l.enter(ctx); err != nil {
+	late, err := l.enter(ctx)
+	if err != nil {
 		return 0, err
 	}
 
@@ -118,13 +123,15 @@
 	l.appends++
 
 	if l.faults.Late != nil {
-		if d := l.faults.Late(l.appends); d > 0 {
-			copies := append([][]byte(nil), records...)
+		late = max(late, l.faults.Late(l.appends))
+	}
 
-			time.AfterFunc(d, func() { l.late(name, copies) })
+	if late > 0 {
+		copies := append([][]byte(nil), records...)
 
-			return 0, lostAnswer()
-		}
+		time.AfterFunc(late, func() { l.late(name, copies) })
+
+		return 0, lostAnswer()
 	}
 
 	offset := l.put(name, records)
@@ -160,27 +167,32 @@
 	return offset
 }
 
-// enter lets a call in, as far as the faults allow.
-func (l *Log) enter(ctx context.Context) error {
+// enter lets a call in, as far as the faults allow. It returns how long the
+// call's effect still takes when the caller has given up.
+func (l *Log) enter(ctx context.Context) (time.Duration, error) {
 	l.mu.Lock()
 	f := l.faults
 	l.mu.Unlock()
 
 	switch {
 	case f.Silent:
-		<-ctx.Done()
+		_ = pause(ctx, Patience)
 
-		return failure.Wrap(failure.OutcomeUnknown, ctx.Err(), "no answer")
+		return 0, lostAnswer()
 	case f.Down:
-		return failure.New(failure.LogUnavailable, "the log is down")
-	case f.Delay > 0:
-		return wait(ctx, f.Delay)
+		return 0, failure.New(failure.LogUnavailable, "the log is down")
+	case f.Delay > Patience:
+		return f.Delay - Patience, pause(ctx, Patience)
 	default:
-		return nil
+		return 0, pause(ctx, f.Delay)
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) error {
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+
 	t := time.NewTimer(d)
 	defer t.Stop()
 
@@ -194,8 +206,8 @@
 
 // Read implements journal.Log.
 func (l *Log) Read(ctx context.Context, name string, from uint64, most int, longest time.Duration) (journal.Batch, error) {
-	if err := l.enter(ctx); err != nil {
-		return journal.Batch{}, failure.Wrap(failure.LogUnavailable, err, "read")
+	if late, err := l.enter(ctx); err != nil || late > 0 {
+		return journal.Batch{}, failure.Wrap(failure.LogUnavailable, err, "no answer to a read")
 	}
 
 	t := time.NewTimer(longest)
