--- a/limit/gate_test.go
+++ b/limit/gate_test.go
@@ -196,6 +196,23 @@
 	}
 }
 
+// All places are held. One more would wait in an engine's queue for longer than
+// its user does.
+func TestFullEntryRefuses(t *testing.T) {
+	g := NewGate(GateConfig{Places: 3})
+
+	for i := range 4 {
+		_, err := g.Admit(epoch, Request{Organisation: fmt.Sprint(i), Class: setting.Urgent})
+		if got, want := err != nil, i == 3; got != want {
+			t.Errorf("request %d: got error %v, want one %v", i, err, want)
+		}
+
+		if err != nil && failure.KindOf(err) != failure.QueueFull {
+			t.Errorf("request %d: got kind %v, want queue_full", i, failure.KindOf(err))
+		}
+	}
+}
+
 // A flood is refused within one second. Were all told the same Retry-After, they
 // would come back as the same flood and be refused again for ever.
 func TestRetryAfterSpreadsCallers(t *testing.T) {
