--- a/ctl/wish_test.go
+++ b/ctl/wish_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"testing"
 
-	"boragehub/journal/memory"
 	"boragehub/setting/publication"
 )
 
@@ -29,7 +28,7 @@
 func wishes(t *testing.T) (Wishes, *bytes.Buffer) {
 	t.Helper()
 
-	log := memory.New()
+	log := &memory{}
 
 	if _, err := publication.Publish(context.Background(), publication.PublishConfig{Log: log}, publication.Change{
 		ID: "first", Author: "test", Name: "settings.toml", Text: []byte(wishTree),
