incident: take ports in order from below the kernel's own

Cause: a free port was picked and given back, and another process got it before its own had bound it (operators' address can't be bound: address already in use), so a test waited for a process that had not started.

--- a/incident/system_test.go
+++ b/incident/system_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -137,15 +138,15 @@
 		t.Fatal(err)
 	}
 
-	s.log, s.vms = "http://"+tcp(t), "http://"+tcp(t)
+	s.log, s.vms = "http://"+port(t), "http://"+port(t)
 	s.run("log", "standin", "log", "--listen", host(s.log))
 	s.ready(s.log + "/healthz")
 
-	store := tcp(t)
+	store := port(t)
 	s.run("store", "standin", "store", "--listen", store)
 	s.add("prompt-vault", "store", "", store, "")
 
-	s.oracle = "http://" + tcp(t)
+	s.oracle = "http://" + port(t)
 	s.engine("oracle", s.oracle, 2000)
 
 	for i := range of.engines {
@@ -153,7 +154,7 @@
 	}
 
 	for i := range of.alone {
-		name, url := fmt.Sprintf("alone-%d", i+1), "http://"+tcp(t)
+		name, url := fmt.Sprintf("alone-%d", i+1), "http://"+port(t)
 		s.engines[name] = url
 		s.engine(name+"-target", url, of.decode)
 		s.add(name, "engine", "boragehub-llm", host(url), "")
@@ -210,31 +211,45 @@
 
 func host(url string) string { return strings.TrimPrefix(url, "http://") }
 
-// tcp and udp return a free address.
-func tcp(t *testing.T) string {
+// Ports are taken from below those that the kernel gives to outgoing connections,
+// one after the other, so that none is given twice or taken before its process
+// has bound it. Runs beside each other start at different places.
+const (
+	firstPort = 22000
+	portSpan  = 8000
+	portStep  = 200
+)
+
+var nextPort atomic.Int64
+
+// port returns the next port that can be bound for both TCP and UDP.
+func port(t *testing.T) string {
 	t.Helper()
 
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	for range portSpan {
+		n := (int64(os.Getpid())*portStep + nextPort.Add(1)) % portSpan
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n)
 
-	defer func() { _ = l.Close() }()
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
 
-	return l.Addr().String()
-}
+		_ = l.Close()
 
-func udp(t *testing.T) string {
-	t.Helper()
+		p, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			continue
+		}
 
-	l, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+		_ = p.Close()
+
+		return addr
 	}
 
-	defer func() { _ = l.Close() }()
+	t.Fatal("no free port")
 
-	return l.LocalAddr().String()
+	return ""
 }
 
 func (s *system) add(name, kind, service, address, side string) {
@@ -252,7 +267,7 @@
 
 // target starts a target and writes the settings of its side process.
 func (s *system) target(name, service, kind string, decode float64) {
-	url := "http://" + tcp(s.t)
+	url := "http://" + port(s.t)
 
 	if kind == "engine" {
 		s.engines[name] = url
@@ -263,13 +278,13 @@
 		s.ready(url + "/healthz")
 	}
 
-	peers := udp(s.t)
+	peers := port(s.t)
 	s.add(name, kind, service, host(url), peers)
 	s.configure(name, "side", peers, "", fmt.Sprintf("[target]\nservice = %q\nkind = %q\nurl = %q\n", service, kind, url))
 }
 
 func (s *system) entry(name string) {
-	peers, callers := udp(s.t), tcp(s.t)
+	peers, callers := port(s.t), port(s.t)
 	s.entries = append(s.entries, "http://"+callers)
 	s.add(name, "entry", "", callers, peers)
 	s.configure(name, "entry", peers, fmt.Sprintf("callers = %q\n", callers), "")
@@ -285,7 +300,7 @@
 		s.t.Fatal(err)
 	}
 
-	operators := tcp(s.t)
+	operators := port(s.t)
 	s.operator[name] = "http://" + operators
 	text := fmt.Sprintf(`role = %q
 vm = %q
