--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -20,6 +20,7 @@
 	worldMemory    = 40 * time.Minute
 	worldSkew      = 5 * time.Second
 	worldRetention = time.Hour
+	worldListLag   = ListLag - 5*time.Second
 )
 
 // witness is the oracle. It knows what callers sent and got and what targets ran.
@@ -113,6 +114,7 @@
 	next   Succession
 	kept   time.Time
 	frozen time.Time
+	cut    bool // the process doesn't reach the log
 	gone   bool // the platform dropped the VM while the process stood still
 
 	position   int  // records read so far
@@ -138,20 +140,21 @@
 
 // world is a shard, its processes, its log and its callers.
 type world struct {
-	now    time.Time
-	down   bool
-	first  int // records before this one are gone
-	stream []entered
-	snaps  []snapshotted
-	late   [][]carried // appends on their way
-	fleets []Fleet
-	procs  []*process
-	ids    int
-	refuse bool
-	past   []*flight // calls sent to a target by processes that died then
-	wit    witness
-	count  int
-	keys   []*send
+	now     time.Time
+	down    bool
+	first   int // records before this one are gone
+	stream  []entered
+	snaps   []snapshotted
+	late    [][]carried // appends on their way
+	fleets  []Fleet
+	changed []time.Time // when each version came
+	procs   []*process
+	ids     int
+	refuse  bool
+	past    []*flight // calls sent to a target by processes that died then
+	wit     witness
+	count   int
+	keys    []*send
 }
 
 func newWorld(refuse bool) *world {
@@ -159,7 +162,7 @@
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), refuse: refuse,
 		wit: witness{sends: map[string][]*send{}, runs: map[string][]int{}},
 	}
-	w.fleets = []Fleet{{Version: 1, VMs: []string{"vm0", "vm1"}}}
+	w.change(Fleet{VMs: []string{"vm0", "vm1"}})
 
 	for i := range 2 {
 		w.start(fmt.Sprintf("vm%d", i), 0)
@@ -186,6 +189,7 @@
 func (w *world) change(f Fleet) {
 	f.Version = uint64(len(w.fleets) + 1)
 	w.fleets = append(w.fleets, f)
+	w.changed = append(w.changed, w.now)
 }
 
 // drop takes a VM off the platform's list and puts a new one on.
@@ -199,7 +203,7 @@
 
 // fetch reads from the log, or finds that records it needs are gone.
 func (w *world) fetch(p *process) {
-	if w.down || len(p.fetched) > 0 {
+	if w.down || p.cut || len(p.fetched) > 0 {
 		return
 	}
 
@@ -268,14 +272,20 @@
 // tick does what a process's duty does each time.
 func (w *world) tick(p *process) {
 	now := w.clock(p)
-	p.desk.Tick(now)
+
+	// The list lags, but not for ever.
+	for p.listed < len(w.fleets)-1 && w.now.Sub(w.changed[p.listed+1]) > worldListLag {
+		p.listed++
+	}
 
 	f := w.fleets[p.listed]
+	p.desk.Observe(f)
+	p.desk.Tick(now)
 
 	switch {
 	case p.desk.silent(now) || p.desk.behind:
 	case p.desk.Home():
-		if now.Sub(p.kept) > worldRetention/4 && !w.down && p.position >= w.first {
+		if now.Sub(p.kept) > worldRetention/4 && !w.down && !p.cut && p.position >= w.first {
 			p.kept = now
 			w.save(p)
 			p.desk.Keep(f, uint64(p.position), p.desk.ledger.Now())
