--- a/setting/level.go
+++ b/setting/level.go
@@ -16,7 +16,6 @@
 	FirstTokenWeight  *float64  `toml:"first_token_weight" validate:"omitnil,gte=0,lte=1000"`
 	RecomputedWeight  *float64  `toml:"recomputed_weight" validate:"omitnil,gte=0,lte=1000"`
 	MaxBodyBytes      *int64    `toml:"max_body_bytes" validate:"omitnil,gte=1024,lte=268435456"`
-	MaxPromptTokens   *int      `toml:"max_prompt_tokens" validate:"omitnil,gte=1,lte=16777216"`
 	MaxOutputTokens   *int      `toml:"max_output_tokens" validate:"omitnil,gte=1,lte=1048576"`
 	RequestsPerSecond *float64  `toml:"requests_per_second" validate:"omitnil,gt=0,lte=100000"`
 	RequestBurst      *int      `toml:"request_burst" validate:"omitnil,gte=1,lte=100000"`
@@ -26,8 +25,6 @@
 	HedgeAfter        *Duration `toml:"hedge_after" validate:"omitnil,gte=0s,lte=1m"`
 	KeyMemory         *Duration `toml:"key_memory" validate:"omitnil,gte=1m,lte=168h"`
 	ParkMinTokens     *int      `toml:"park_min_tokens" validate:"omitnil,gte=16,lte=16777216"`
-	ParkCopies        *int      `toml:"park_copies" validate:"omitnil,gte=1,lte=3"`
-	PrefetchAhead     *Duration `toml:"prefetch_ahead" validate:"omitnil,gte=0s,lte=1h"`
 	QuarantineCrashes *int      `toml:"quarantine_crashes" validate:"omitnil,gte=1,lte=2"`
 	QuarantineMemory  *Duration `toml:"quarantine_memory" validate:"omitnil,gte=1m,lte=168h"`
 	IdempotentMethods *[]string `toml:"idempotent_methods" validate:"omitnil,dive,oneof=GET HEAD OPTIONS PUT DELETE POST PATCH"`
--- a/setting/values.go
+++ b/setting/values.go
@@ -94,8 +94,6 @@
 	RecomputedWeight float64
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
-	// MaxPromptTokens bounds a prompt.
-	MaxPromptTokens int
 	// MaxOutputTokens bounds an answer.
 	MaxOutputTokens int
 	// RequestsPerSecond is the organisation's rate at one site.
@@ -114,10 +112,6 @@
 	KeyMemory time.Duration
 	// ParkMinTokens is the shortest context worth a copy in a store.
 	ParkMinTokens int
-	// ParkCopies is how many stores hold a copy of a parked context.
-	ParkCopies int
-	// PrefetchAhead is how long before its usual return a context is brought back; 0s never prefetches.
-	PrefetchAhead time.Duration
 	// QuarantineCrashes is how many targets one request may crash before it is refused.
 	QuarantineCrashes int
 	// QuarantineMemory is how long a request that crashed targets stays refused.
@@ -136,7 +130,6 @@
 		FirstTokenWeight:  1,
 		RecomputedWeight:  1,
 		MaxBodyBytes:      8 << 20,
-		MaxPromptTokens:   1 << 20,
 		MaxOutputTokens:   16384,
 		RequestsPerSecond: 50,
 		RequestBurst:      100,
@@ -146,8 +139,6 @@
 		HedgeAfter:        0,
 		KeyMemory:         24 * time.Hour,
 		ParkMinTokens:     512,
-		ParkCopies:        1,
-		PrefetchAhead:     0,
 		QuarantineCrashes: 2,
 		QuarantineMemory:  time.Hour,
 		IdempotentMethods: []string{"GET", "HEAD", "OPTIONS"},
