publication: send an interrupted change again under its own id

Cause: taking out the new id that a change got after its parts were interrupted made no test fail. Sent again the parts are the same to the byte, so mixing with late ones does no harm, and the id guarded nothing. Ruled out: keeping it unproved. Before: no test of an interrupted change. After: TestInterruptedChangeIsSentAgain.

--- a/setting/publication/publication_test.go
+++ b/setting/publication/publication_test.go
@@ -371,3 +371,29 @@
 		t.Errorf("got version %d, want %d", got, want)
 	}
 }
+
+// A change of several records is published while another operator's record, which
+// is refused, falls between them. Nothing has changed in between, so the operator
+// must not be told of a conflict, nor left without an answer.
+func TestInterruptedChangeIsSentAgain(t *testing.T) {
+	log := newFakeLog()
+
+	first, err := publish(log, "one", 0, text(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	refused := encode(record{Kind: changeRecord, ID: "other", Based: first + 7, Parts: 1})
+	log.before = []func(){func() { log.add(refused) }, func() {}} // the last one runs first
+
+	version, err := Publish(t.Context(), PublishConfig{Log: log, Wait: time.Nanosecond, partBytes: 10},
+		Change{ID: "two", Based: first, Author: "ann", Name: "two", Text: text(2)})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	b, err := TextAt(t.Context(), log, version)
+	if got, want := string(b), string(text(2)); got != want || err != nil {
+		t.Errorf("version %d: got %q %v, want %q", version, got, err, want)
+	}
+}
--- a/setting/publication/publish.go
+++ b/setting/publication/publish.go
@@ -124,8 +124,7 @@
 	cfg    PublishConfig
 	change Change
 	reader *history
-	ids    []string
-	// verdicts are those of the records that bear one of ids.
+	// verdicts are those of the records that bear the change's id.
 	verdicts  []verdict
 	basedText []byte
 }
@@ -134,7 +133,7 @@
 	p := &publisher{cfg: cfg, change: c, reader: newHistory(cfg.Log)}
 
 	p.reader.seen = func(v verdict) {
-		if slices.Contains(p.ids, v.id) {
+		if v.id == c.ID {
 			p.verdicts = append(p.verdicts, v)
 		}
 	}
@@ -149,20 +148,19 @@
 
 // publish appends until the log's order has decided.
 func (p *publisher) publish(ctx context.Context) (uint64, error) {
-	base := p.reader.replica.head
-	payload := encode(newContent(base.text, p.change.Text))
+	var base []byte
+	if !p.change.Recover {
+		base = p.reader.replica.head.text
+	}
+
+	payload := encode(newContent(base, p.change.Text))
 	hash := setting.HashOf(p.change.Text)
 
 	for attempt := range p.cfg.Attempts {
-		// A change whose parts were interrupted gets a new id: late parts of
-		// the old one must not be taken for those of the new.
-		id := fmt.Sprintf("%s.%d", p.change.ID, p.interruptions())
-		if !slices.Contains(p.ids, id) {
-			p.ids = append(p.ids, id)
-		}
-
+		// Sent again, the parts are the same to the byte, so it does no harm when
+		// late ones of an earlier attempt mix with them.
 		one := record{
-			Kind: changeRecord, ID: id, Based: p.change.Based,
+			Kind: changeRecord, ID: p.change.ID, Based: p.change.Based,
 			Author: p.change.Author, Note: p.change.Note, Hash: hash[:], Recovers: p.change.Recover,
 		}
 
@@ -201,25 +199,13 @@
 		return err
 	}
 
-	if len(p.verdicts) > 0 {
+	if _, done, _ := p.outcome(); done {
 		return nil
 	}
 
 	return p.reader.catchUp(ctx, p.cfg.Wait)
 }
 
-func (p *publisher) interruptions() int {
-	n := 0
-
-	for _, v := range p.verdicts {
-		if v.reason == reasonInterrupted {
-			n++
-		}
-	}
-
-	return n
-}
-
 // outcome returns what the log's order decided, if it has.
 func (p *publisher) outcome() (uint64, bool, error) {
 	conflict := false
