--- a/setting/publication/passing_test.go
+++ b/setting/publication/passing_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -422,6 +423,7 @@
 			c := newContent(base, changed)
 			hash := setting.HashOf(changed)
 			whole := len(deflate(base))
+			memory := held(base)
 
 			for b.Loop() {
 				text, err := c.text(base, hash[:])
@@ -434,9 +436,29 @@
 				}
 			}
 
+			b.ReportMetric(float64(memory), "held_bytes")
 			b.ReportMetric(float64(len(base)), "text_bytes")
 			b.ReportMetric(float64(whole), "whole_bytes")
 			b.ReportMetric(float64(len(encode(c))), "change_bytes")
 		})
 	}
 }
+
+// held returns about what a tree of text holds in memory.
+func held(text []byte) uint64 {
+	var before, after runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+
+	tree, err := setting.Parse("settings", text)
+	if err != nil {
+		return 0
+	}
+
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(tree)
+
+	return after.HeapAlloc - before.HeapAlloc
+}
