route: doubt idle engines too, and doubt more

Cause: the doubt about an old load report was a part of the wait it told of, so for engines that seemed idle it was nothing, and entries with the same report took the same one. Ruled out: a doubt of 0.2 a second (no effect beyond 2% on any figure), a fixed one of 0.03 to 0.6 s (as good, but tied to one speed of engine). Conclusion: the doubt is 1 a second of age, of the wait and of three tenths of the prompt's own prefill.

--- a/route/config.go
+++ b/route/config.go
@@ -11,7 +11,7 @@
 	// were computed before.
 	RecomputedWeight float64
 	// LoadDoubt is by how much an estimated wait may be wrong for each second
-	// of the load report's age, as a part of it; 0.2 when zero.
+	// of the load report's age, as a part of it; 1 when zero.
 	LoadDoubt float64
 	// BeliefHalfLife is after how long half of the beliefs that an engine has
 	// a context are wrong; 10 minutes when zero.
@@ -23,7 +23,7 @@
 
 // The defaults of Config.
 const (
-	defaultLoadDoubt      = 0.2
+	defaultLoadDoubt      = 1
 	defaultBeliefHalfLife = 10 * time.Minute
 	defaultInterference   = 0.5
 )
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -37,6 +37,11 @@
 	total      float64
 }
 
+// unseen is what others may have sent to an engine in each second since its load
+// report, in prompts as long as the one at hand. Without it the doubt about idle
+// engines would be nothing, and all entries would take the same one.
+const unseen = 0.3
+
 func newView(now time.Time, cfg Config, q Request) view {
 	v := view{now: now, cfg: cfg, q: q}
 
@@ -57,7 +62,7 @@
 	e.perToken = e.alone * (1 + v.cfg.Interference*e.batch())
 	e.wait = e.queue()
 	age := max(seconds(v.now.Sub(c.LoadAt)), 0)
-	e.doubt = e.wait * v.cfg.LoadDoubt * age * draw(v.q.Seed, i)
+	e.doubt = (e.wait + unseen*e.perToken*float64(v.q.Tokens)) * v.cfg.LoadDoubt * age * draw(v.q.Seed, i)
 
 	best := plan{total: math.Inf(1)}
 	e.consider(&best, Recompute, -1, 0, 0)
