--- a/experiment/command.go
+++ b/experiment/command.go
@@ -33,6 +33,7 @@
 	c.sub.Int(&c.cfg.Seeds, "n", "seeds", "how many seeds to run")
 	c.sub.Duration(&c.cfg.Warmup, "", "warmup", "virtual time before anything is measured")
 	c.sub.Duration(&c.cfg.Measured, "", "measured", "virtual time measured")
+	c.sub.Int(&c.cfg.Entries, "e", "entries", "how many entries there are in each data centre")
 	c.sub.Int(&c.cfg.Workers, "j", "workers", "how many runs go on at once")
 	c.sub.String(&c.cfg.CSV, "", "csv", "file for a line of figures for each run and workload")
 	c.sub.String(&c.cfg.Plot, "", "plot", "file for a plot over the loads, .svg or .png")
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -13,6 +13,8 @@
 	Name string
 	// DataCentres are its data centres; engines are spread over them in turn.
 	DataCentres []string
+	// EntriesEach is the number of entries in each data centre.
+	EntriesEach int
 	// Engines is the number of engines of its one model.
 	Engines int
 	// Engine is what one engine can do.
@@ -101,6 +103,7 @@
 	return Deployment{
 		Name:        "coastal",
 		DataCentres: []string{"yvr-east", "yvr-west", "burnaby-a", "surrey-b"},
+		EntriesEach: 1,
 		Engines:     12,
 		Engine: EngineSpec{
 			PrefillTokensPerSecond: 10_000,
@@ -138,6 +141,7 @@
 	return Deployment{
 		Name:        "bureau",
 		DataCentres: []string{"medeu-hall", "auezov-hall", "bostandyk-hall"},
+		EntriesEach: 1,
 		Engines:     18,
 		Engine: EngineSpec{
 			PrefillTokensPerSecond: 8000,
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -49,6 +49,8 @@
 	// Warmup is the time before anything is measured, half an hour when zero,
 	// and Measured the time measured after it, a quarter when zero.
 	Warmup, Measured time.Duration
+	// Entries is how many entries there are in each data centre; 1 when zero.
+	Entries int
 	// Workers is how many runs go on at once; 2 when zero.
 	Workers int
 	// CSV and Plot are files to write; a plot ends in .svg or .png.
@@ -106,6 +108,7 @@
 		return err
 	}
 
+	d.EntriesEach = max(cfg.Entries, d.EntriesEach)
 	groups := cfg.run(d)
 
 	if err := writeTable(w, d, cfg, groups); err != nil {
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -131,7 +131,7 @@
 
 	for {
 		v := visit{c: c, index: len(c.visits), at: at, prompt: length, answer: g.about(float64(spec.Answer))}
-		v.entry = g.rng.IntN(len(g.d.DataCentres))
+		v.entry = g.rng.IntN(len(g.d.DataCentres) * g.d.EntriesEach)
 		v.seed = g.rng.Uint64()
 		length += v.answer + g.about(float64(spec.Added))
 
--- a/link/link.go
+++ b/link/link.go
@@ -4,8 +4,8 @@
 //
 // A Link carries one transfer at a time at its whole rate. Each transfer has a
 // Window, its slot in time. Imports come first: a caller waits for them. Exports
-// and prefetches take what time imports leave and are moved back when a new
-// import needs their slot. Within a class the organisation that was given the
+// take what time imports leave and are moved back when a new import needs their
+// slot. Within a class the organisation that was given the
 // fewest bytes for its share goes first. A transfer that has begun keeps its
 // slot until it is done, so long ones are cut into chunks by ReserveChunks.
 //
@@ -34,13 +34,11 @@
 	Import Class = iota
 	// Export copies a context from an engine before it is evicted.
 	Export
-	// Prefetch brings a context to an engine before its return is seen.
-	Prefetch
 )
 
 // String returns the snake-case name of c.
 func (c Class) String() string {
-	return [...]string{"import", "export", "prefetch"}[c]
+	return [...]string{"import", "export"}[c]
 }
 
 // Config describes a Link. Zero fields take their defaults.
--- a/parking/gaps.go
+++ b/parking/gaps.go
@@ -76,17 +76,6 @@
 	return max(g.leftAt(d)-g.left[buckets], 0)
 }
 
-// Within returns the chance that a context which has been away for so long
-// returns within the next d.
-func (g *Gaps) Within(away, d time.Duration) float64 {
-	still := g.leftAt(away)
-	if still <= 0 {
-		return 0
-	}
-
-	return (still - g.leftAt(away+d)) / still
-}
-
 // Index returns the returns a second that keeping a context brings which has
 // been away for so long: the best ratio, over all times to give up, of the
 // chance that it returns before to the time for which it is kept until then.
--- a/parking/parking.go
+++ b/parking/parking.go
@@ -27,15 +27,6 @@
 	// LinkWeight is the cost of one second of link time, against one second of
 	// prefill saved; 0.2 when zero.
 	LinkWeight float64
-	// StoreLoss is the chance that a store is lost before a context returns;
-	// 0.05 when zero. A second copy is made where that chance of losing the
-	// saving outweighs the link time of the copy.
-	StoreLoss float64
-	// PrefetchChance is the chance of a return within Lead from which a context
-	// is prefetched; 0.5 when zero.
-	PrefetchChance float64
-	// Lead is how far ahead a prefetch looks; 5 seconds when zero.
-	Lead time.Duration
 }
 
 // worthwhile is the least expected saving, in seconds of prefill, that is worth
@@ -44,11 +35,8 @@
 
 // The defaults of Config.
 const (
-	defaultMinTokens      = 256
-	defaultLinkWeight     = 0.2
-	defaultStoreLoss      = 0.05
-	defaultPrefetchChance = 0.5
-	defaultLead           = 5 * time.Second
+	defaultMinTokens  = 256
+	defaultLinkWeight = 0.2
 )
 
 func (c Config) withDefaults() Config {
@@ -60,18 +48,6 @@
 		c.LinkWeight = defaultLinkWeight
 	}
 
-	if c.StoreLoss <= 0 {
-		c.StoreLoss = defaultStoreLoss
-	}
-
-	if c.PrefetchChance <= 0 {
-		c.PrefetchChance = defaultPrefetchChance
-	}
-
-	if c.Lead <= 0 {
-		c.Lead = defaultLead
-	}
-
 	return c
 }
 
@@ -142,9 +118,9 @@
 
 // Decision is the outcome of Decide.
 type Decision struct {
-	reason        Reason
-	first, second int
-	saving, cost  float64
+	reason       Reason
+	store        int
+	saving, cost float64
 }
 
 // Export reports whether the context is to be copied.
@@ -154,10 +130,7 @@
 func (d Decision) Reason() Reason { return d.reason }
 
 // First returns the index of the store for the copy, -1 for none.
-func (d Decision) First() int { return d.first }
-
-// Second returns the index of the store for a second copy, -1 for none.
-func (d Decision) Second() int { return d.second }
+func (d Decision) First() int { return d.store }
 
 // Saving returns the expected seconds of prefill saved.
 func (d Decision) Saving() float64 { return d.saving }
@@ -165,12 +138,8 @@
 // Fields returns the decision as keys and values of one log line.
 func (d Decision) Fields(v View) []any {
 	fields := []any{"reason", d.reason.String(), "saving_s", d.saving, "cost_s", d.cost}
-	if d.first >= 0 {
-		fields = append(fields, "store", v.Stores[d.first].Name)
-	}
-
-	if d.second >= 0 {
-		fields = append(fields, "second_store", v.Stores[d.second].Name)
+	if d.store >= 0 {
+		fields = append(fields, "store", v.Stores[d.store].Name)
 	}
 
 	return fields
@@ -179,7 +148,7 @@
 // Decide returns whether a context is copied to a store, and to which.
 func Decide(now time.Time, cfg Config, c Context, v View) Decision {
 	cfg = cfg.withDefaults()
-	d := Decision{first: -1, second: -1}
+	d := Decision{store: -1}
 
 	if c.Tokens < cfg.MinTokens {
 		d.reason = TooShort
@@ -197,39 +166,26 @@
 	return d
 }
 
-// place chooses the store where a copy costs least, and a second one where the
-// loss of the first would hurt.
+// place chooses the store where a copy costs least.
 func (d *Decision) place(now time.Time, cfg Config, c Context, v View) {
 	p := placing{cfg: cfg, c: c, saving: d.saving, density: Density(now, c)}
 	d.reason = NoRoom
 
-	var second float64
-
 	for i := range min(len(v.Stores), MaxStores) {
 		cost, ok := p.cost(&v.Stores[i])
-
-		switch {
-		case !ok:
-		case d.first < 0 || cost < d.cost:
-			d.second, second = d.first, d.cost
-			d.first, d.cost = i, cost
-		case d.second < 0 || cost < second:
-			d.second, second = i, cost
+		if ok && (d.store < 0 || cost < d.cost) {
+			d.store, d.cost = i, cost
 		}
 	}
 
-	if d.first < 0 {
+	if d.store < 0 {
 		return
 	}
 
 	d.reason = Worth
 
 	if d.cost >= d.saving {
-		d.first, d.reason = -1, TooDear
-	}
-
-	if d.first < 0 || second >= d.saving*cfg.StoreLoss {
-		d.second = -1
+		d.store, d.reason = -1, TooDear
 	}
 }
 
@@ -279,14 +235,3 @@
 
 	return prefill * c.Gaps.Index(away) / float64(max(c.Bytes, 1))
 }
-
-// Prefetch reports whether a context is brought back to an engine now: its
-// return within the lead time is likely enough and the link free enough.
-func Prefetch(now time.Time, cfg Config, c Context, transfer time.Duration) bool {
-	cfg = cfg.withDefaults()
-	if transfer > cfg.Lead {
-		return false
-	}
-
-	return c.Gaps.Within(max(now.Sub(c.Seen), 0), cfg.Lead) >= cfg.PrefetchChance
-}
