experiment: send tenfold in earnest and pass the entries' gate

Cause: the burst of an organisation was drawn as new conversations at a rate that counted on their later visits, so that hardly any extra load fell into its minute.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -32,6 +32,15 @@
 	ended     bool
 	attempts  int
 	seq       uint64
+	release   func() // gives the place at the entry's gate back
+}
+
+// free gives the place at the entry's gate back, once.
+func (j *job) free() {
+	if j.release != nil {
+		j.release()
+		j.release = nil
+	}
 }
 
 // report is a load report.
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -110,6 +110,11 @@
 	spec := &g.d.Workloads[w]
 	each := spec.Visits / (g.rate * spec.Part * part)
 
+	if organisation >= 0 {
+		// A burst is short against the gaps: all its requests are first visits.
+		each /= spec.Visits
+	}
+
 	for at := from; at < to; {
 		at += time.Duration(g.rng.ExpFloat64() * each * float64(time.Second))
 
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -60,6 +60,8 @@
 	Measuring
 	// Busy overlooks the chunk of a less pressing prefill that runs.
 	Busy
+	// Gates lets every request in, whatever its organisation's rate.
+	Gates
 	// Doubt takes old load reports at their word.
 	Doubt
 	// OwnSent forgets what the entry sent since the last load report.
@@ -82,7 +84,7 @@
 // String returns the snake-case name of x.
 func (x Without) String() string {
 	return [...]string{
-		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "busy", "doubt", "own_sent", "classes",
+		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "busy", "gates", "doubt", "own_sent", "classes",
 		"park_weighing", "value_eviction", "segments", "own_links",
 		"recomputed_weight",
 	}[x]
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"boragehub/directory"
+	"boragehub/limit"
 	"boragehub/link"
 	"boragehub/parking"
 	"boragehub/route"
@@ -75,6 +76,7 @@
 	sent       [][]sending // by engine, in order of time
 	suspects   []time.Duration
 	lost       map[string]time.Duration // stores that failed, until when
+	gate       *limit.Gate
 }
 
 // sending is a request that an entry sent to an engine.
@@ -122,6 +124,9 @@
 	for i := range len(d.DataCentres) * d.EntriesEach {
 		dc := d.DataCentres[i%len(d.DataCentres)]
 		e := &entryModel{index: i, dataCentre: dc, links: w.links(), lost: map[string]time.Duration{}}
+		e.gate = limit.NewGate(limit.GateConfig{
+			Seed: run.Seed, Entries: len(d.DataCentres) * d.EntriesEach, Places: w.places(),
+		})
 		e.sent = make([][]sending, d.Engines)
 		e.suspects = make([]time.Duration, d.Engines)
 
@@ -154,6 +159,13 @@
 	}
 }
 
+// places returns the places of one entry's gate, worked out as the entries do.
+func (w *world) places() float64 {
+	const placesPerRunning = 3
+
+	return float64(w.d.Engines*w.d.Engine.MaxRunning*placesPerRunning) / float64(len(w.d.DataCentres)*w.d.EntriesEach)
+}
+
 func (w *world) links() *link.Table {
 	cfg := link.Config{BytesPerSecond: w.d.LinkBytesPerSecond, Latency: w.d.Apart}
 
@@ -229,7 +241,38 @@
 		wait += lookup
 	}
 
-	w.clock.after(wait, func() { w.route(j) })
+	w.clock.after(wait, func() { w.admit(j) })
+}
+
+// The rates that operators would set: an organisation may send generous times
+// its usual load at the fleet's whole capacity, and burst seconds of it at once.
+const (
+	generous = 2
+	burstFor = 5
+)
+
+// admit passes the gate of the entry, as the daemons do.
+func (w *world) admit(j *job) {
+	if w.policy != Ours || w.without == Gates {
+		w.route(j)
+		return
+	}
+
+	c := j.v.c
+	usual := w.d.Capacity() * w.d.Organisations[c.organisation]
+	gate := w.entries[j.v.entry].gate
+
+	p, err := gate.Admit(w.time(), limit.Request{
+		Organisation: w.organisation(c), Class: w.d.Workloads[c.workload].Class,
+		Rate: generous * usual, Burst: int(burstFor*usual) + 1,
+	})
+	if err != nil {
+		w.refused(j)
+		return
+	}
+
+	j.release = func() { gate.Release(w.time(), p) }
+	w.route(j)
 }
 
 // learn notes a visit.
@@ -285,12 +328,14 @@
 	e.suspects[x.index] = w.clock.now + suspicion
 	w.rec.r.Retries++
 
-	again := &job{v: j.v, class: j.class, due: j.due, known: j.known, attempts: j.attempts}
+	again := &job{v: j.v, class: j.class, due: j.due, known: j.known, attempts: j.attempts, release: j.release}
+	j.release = nil
 	w.route(again)
 }
 
 // refused ends a request that got no first token in time.
 func (w *world) refused(j *job) {
+	j.free()
 	w.rec.refused(j.v, w.d.Workloads[j.v.c.workload].Deadline)
 }
 
@@ -314,6 +359,8 @@
 
 // finished ends a request: its context is now held, and parked where it pays.
 func (w *world) finished(j *job, e *engine) {
+	j.free()
+
 	c := j.v.c
 	tokens := j.v.prompt + j.v.answer
 	c.computed = max(c.computed, tokens)
--- a/side/park.go
+++ b/side/park.go
@@ -147,12 +147,6 @@
 		return err
 	}
 
-	if second := d.Second(); second >= 0 {
-		if _, err := s.put(ctx, j, blocks, body, stores[second]); err != nil {
-			event.Fail(s.cfg.Log, err, event.CopyNotParked, "request_id", j.run.RequestID, "reason", "second copy failed")
-		}
-	}
-
 	made.seen = j.seen
 	s.parked.byAnchor.Add(j.run.Anchor, made)
 	s.free(ctx, old)
