route: trust own calls under way more than an old load report

Ruled out: the doubt about old reports, which was on; counting what was sent since the report, which was counted too.

--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -19,8 +19,9 @@
 	Engines int
 	// Engine is what one engine can do.
 	Engine EngineSpec
-	// Plain is the number of targets of its plain service.
-	Plain int
+	// Service is the name of its plain service, and Plain the number of targets.
+	Service string
+	Plain   int
 	// Stores are the cache stores and the index of the data centre of each.
 	Stores []StoreSpec
 	// Apart is the delay between two data centres, one way.
@@ -117,6 +118,7 @@
 			Load:                   500 * time.Millisecond,
 			ConcurrentLoads:        2,
 		},
+		Service:            "booking-api",
 		Plain:              4,
 		Stores:             []StoreSpec{{"prompt-vault", 0, 2_500e9}, {"prompt-vault-b", 2, 2_500e9}},
 		Apart:              time.Millisecond,
@@ -155,6 +157,7 @@
 			Load:                   450 * time.Millisecond,
 			ConcurrentLoads:        3,
 		},
+		Service:            "request-desk",
 		Plain:              3,
 		Stores:             []StoreSpec{{"case-cache", 0, 10_000e9}, {"letter-cache", 1, 10_000e9}},
 		Apart:              500 * time.Microsecond,
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -162,9 +162,12 @@
 	}
 }
 
-// about draws a positive number around median.
-func (g *generator) about(median float64) int {
-	return int(math.Ceil(median * math.Exp(spread*g.rng.NormFloat64())))
+func (g *generator) about(median float64) int { return about(g.rng, median, spread) }
+
+// about draws a positive number around median, with the given standard deviation
+// of its logarithm.
+func about(rng *rand.Rand, median, deviation float64) int {
+	return int(math.Ceil(median * math.Exp(deviation*rng.NormFloat64())))
 }
 
 func (g *generator) pick(parts []float64) int {
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -25,6 +25,9 @@
 	// Phases are the figures of the most urgent workload before the fault, while
 	// it lasts and the half minute after it, and later.
 	Phases [phases]Figures
+	// Calls are the times from arrival to answer of the plain service's calls, at
+	// the same part of its own capacity; empty at an overload, which nothing bounds.
+	Calls Figures
 	// LinkBytes is what went over links, by class.
 	LinkBytes [2]float64
 	// LinkBusy is the mean part of the time for which links carried something.
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -48,6 +48,11 @@
 	rec.links(w.listed, end)
 	w.clock.run(end + drain)
 
+	res.Calls = newFigures(r.d.Service)
+	if r.load < 1 {
+		res.Calls = r.calls()
+	}
+
 	for _, s := range w.stores {
 		res.StoreEvictions += s.evicted
 	}
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -30,6 +30,8 @@
 			workload(&b, g, d.Workloads[i].Name, func(r *Result) *Figures { return &r.Workloads[i] })
 		}
 
+		workload(&b, g, d.Service, func(r *Result) *Figures { return &r.Calls })
+
 		if cfg.Fault != None {
 			for i := range phases {
 				workload(&b, g, d.Workloads[0].Name+" "+g.results[0].Phases[i].Name, func(r *Result) *Figures { return &r.Phases[i] })
--- a/route/call.go
+++ b/route/call.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // CallCandidate is a target of a plain service as the entry believes it to be.
 type CallCandidate struct {
@@ -15,8 +18,12 @@
 	// Running and Waiting are the calls of the load report, SentRequests those
 	// that this entry sent since.
 	Running, Waiting, SentRequests int
+	// InFlight are the calls of this entry that have no answer yet.
+	InFlight int
 	// CallTime is the mean time that a call takes.
 	CallTime time.Duration
+	// AtOnce is how many calls it carries out at a time; 1 when zero.
+	AtOnce int
 }
 
 // DecideCall returns where a call of a plain service goes: the target with the
@@ -26,10 +33,10 @@
 	cfg = cfg.withDefaults()
 	d := CallDecision{target: -1, count: min(len(candidates), MaxCandidates)}
 
-	d.weigh(now, &cfg, seed, candidates, false)
+	d.weigh(now, cfg, seed, candidates, false)
 
 	if d.target < 0 {
-		d.weigh(now, &cfg, seed, candidates, true)
+		d.weigh(now, cfg, seed, candidates, true)
 	}
 
 	return d
@@ -59,7 +66,7 @@
 // Cost returns the cost of target i.
 func (d *CallDecision) Cost(i int) CallCost { return d.costs[i] }
 
-func (d *CallDecision) weigh(now time.Time, cfg *Config, seed uint64, candidates []CallCandidate, suspected bool) {
+func (d *CallDecision) weigh(now time.Time, cfg Config, seed uint64, candidates []CallCandidate, suspected bool) {
 	for i := range d.count {
 		c := &candidates[i]
 		d.costs[i].Excluded = callExclusion(c, suspected)
@@ -68,16 +75,7 @@
 			continue
 		}
 
-		calls := float64(c.Running + c.Waiting + c.SentRequests)
-		age := max(now.Sub(c.LoadAt).Seconds(), 0)
-		// Without a measured time every call counts as one unit.
-		each := c.CallTime.Seconds()
-		if each <= 0 {
-			each = 1
-		}
-
-		doubt := (1 + calls) * cfg.LoadDoubt * age * draw(seed, i)
-		d.costs[i].Seconds = float32(c.Delay.Seconds() + each*(1+calls+doubt))
+		d.costs[i].Seconds = c.expect(now, &cfg, draw(seed, i))
 
 		if d.target < 0 || d.costs[i].Seconds < d.costs[d.target].Seconds {
 			d.target = i
@@ -85,6 +83,27 @@
 	}
 }
 
+// expect returns the estimated seconds until an answer. A load report tells of
+// calls that are over when it is older than they take; what it says then counts
+// little against the entry's own calls under way, which it knows for sure.
+func (c *CallCandidate) expect(now time.Time, cfg *Config, drawn float64) float32 {
+	each := seconds(c.CallTime)
+	if each <= 0 {
+		each = unknownCall
+	}
+
+	age := max(seconds(now.Sub(c.LoadAt)), 0)
+	fresh := math.Exp(-age / each)
+	calls := fresh*float64(c.Running+c.Waiting+c.SentRequests) + (1-fresh)*float64(c.InFlight)
+	ahead := calls / float64(max(c.AtOnce, 1))
+	doubt := cfg.LoadDoubt * min(age, each) * drawn / float64(max(c.AtOnce, 1))
+
+	return float32(seconds(c.Delay) + each*(1+ahead) + doubt)
+}
+
+// unknownCall is the time of a call, in seconds, where none was measured yet.
+const unknownCall = 1
+
 func callExclusion(c *CallCandidate, suspected bool) Exclusion {
 	switch {
 	case c.Tried:
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -174,6 +174,7 @@
 		{"nobody", nil, -1},
 		{"least loaded", []CallCandidate{{Running: 3, LoadAt: epoch}, {Running: 1, LoadAt: epoch}}, 1},
 		{"own calls count", []CallCandidate{{Running: 3, LoadAt: epoch}, {Running: 1, SentRequests: 4, LoadAt: epoch}}, 0},
+		{"old report, own calls known", []CallCandidate{{InFlight: 3, LoadAt: epoch.Add(-time.Hour)}, {Running: 9, LoadAt: epoch.Add(-time.Hour)}}, 1},
 		{"draining", []CallCandidate{{Draining: true}, {Running: 9, LoadAt: epoch}}, 1},
 		{"all suspected", []CallCandidate{{Suspected: true, Running: 2, LoadAt: epoch}, {Suspected: true, LoadAt: epoch}}, 1},
 		{"tried", []CallCandidate{{Tried: true}}, -1},
