--- a/experiment/load.go
+++ b/experiment/load.go
@@ -110,6 +110,11 @@
 	spec := &g.d.Workloads[w]
 	each := spec.Visits / (g.rate * spec.Part * part)
 
+	if organisation >= 0 {
+		// A burst is short against the gaps: all its requests are first visits.
+		each /= spec.Visits
+	}
+
 	for at := from; at < to; {
 		at += time.Duration(g.rng.ExpFloat64() * each * float64(time.Second))
 
@@ -131,7 +136,7 @@
 
 	for {
 		v := visit{c: c, index: len(c.visits), at: at, prompt: length, answer: g.about(float64(spec.Answer))}
-		v.entry = g.rng.IntN(len(g.d.DataCentres))
+		v.entry = g.rng.IntN(len(g.d.DataCentres) * g.d.EntriesEach)
 		v.seed = g.rng.Uint64()
 		length += v.answer + g.about(float64(spec.Added))
 
@@ -157,9 +162,12 @@
 	}
 }
 
-// about draws a positive number around median.
-func (g *generator) about(median float64) int {
-	return int(math.Ceil(median * math.Exp(spread*g.rng.NormFloat64())))
+func (g *generator) about(median float64) int { return about(g.rng, median, spread) }
+
+// about draws a positive number around median, with the given standard deviation
+// of its logarithm.
+func about(rng *rand.Rand, median, deviation float64) int {
+	return int(math.Ceil(median * math.Exp(deviation*rng.NormFloat64())))
 }
 
 func (g *generator) pick(parts []float64) int {
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -44,7 +44,7 @@
 // Without switches one idea of Ours off. The zero Without leaves all on.
 type Without uint8
 
-// The ideas that can be switched off, and one that can be switched on.
+// The ideas that can be switched off.
 const (
 	// Nothing leaves all ideas on.
 	Nothing Without = iota
@@ -60,6 +60,8 @@
 	Measuring
 	// Busy overlooks the chunk of a less pressing prefill that runs.
 	Busy
+	// Gates lets every request in, whatever its organisation's rate.
+	Gates
 	// Doubt takes old load reports at their word.
 	Doubt
 	// OwnSent forgets what the entry sent since the last load report.
@@ -70,25 +72,21 @@
 	ParkWeighing
 	// ValueEviction lets stores drop any copy.
 	ValueEviction
-	// SecondCopies makes one copy only.
-	SecondCopies
 	// Segments copies the whole context at each visit, not what was added.
 	Segments
 	// OwnLinks lets all entries know all that is promised on links.
 	OwnLinks
 	// RecomputedWeight weighs time to first token only.
 	RecomputedWeight
-	// NoPrefetch is the other way round: it prefetches contexts before they return.
-	NoPrefetch
 	withouts int = iota
 )
 
 // String returns the snake-case name of x.
 func (x Without) String() string {
 	return [...]string{
-		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "busy", "doubt", "own_sent", "classes",
-		"park_weighing", "value_eviction", "second_copies", "segments", "own_links",
-		"recomputed_weight", "no_prefetch",
+		"nothing", "stores", "engine_imports", "windows", "giving_up", "measuring", "busy", "gates", "doubt", "own_sent", "classes",
+		"park_weighing", "value_eviction", "segments", "own_links",
+		"recomputed_weight",
 	}[x]
 }
 
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -25,8 +25,11 @@
 	// Phases are the figures of the most urgent workload before the fault, while
 	// it lasts and the half minute after it, and later.
 	Phases [phases]Figures
+	// Calls are the times from arrival to answer of the plain service's calls, at
+	// the same part of its own capacity; empty at an overload, which nothing bounds.
+	Calls Figures
 	// LinkBytes is what went over links, by class.
-	LinkBytes [3]float64
+	LinkBytes [2]float64
 	// LinkBusy is the mean part of the time for which links carried something.
 	LinkBusy float64
 	// Moves counts how contexts came to their engines.
@@ -233,7 +236,7 @@
 	for _, p := range pipes {
 		p.advance()
 
-		for _, class := range []link.Class{link.Import, link.Export, link.Prefetch} {
+		for _, class := range []link.Class{link.Import, link.Export} {
 			m.r.LinkBytes[class] += p.bytes[class]
 		}
 
