entry, peer, placement: spend less than 2 KB a second on control

Cause: docs/CAPACITY.md reckons 12.1 KB a second for an entry as built: 8.7 of keep-alives (a packet each 4 s on 317 connections), 2.1 of polls (5 a second of 420 bytes), 1.4 of a lease stream that all entries read, and 2.2 more for the leader of a data centre's placement. Ruled out: polling faster to notice a drain; the side process's refusal tells it at once. Change: a keep-alive a minute, 2 polls a second of those not heard for 3 s (a load told on an answer counts as hearing), a lease stream for each data centre, a placement round each 2 minutes between rolls. Not measured at that size.

--- a/entry/placement/leader.go
+++ b/entry/placement/leader.go
@@ -29,10 +29,11 @@
 )
 
 // Timing of the leader. A round asks each engine of the data centre once, about
-// 400 bytes each; between rolls it is slow, so that 155 engines cost 2 KB a second.
+// 420 bytes each; between rolls it is slow, so that 155 engines cost 540 bytes a
+// second.
 const (
 	busyEvery  = 2 * time.Second
-	idleEvery  = 30 * time.Second
+	idleEvery  = 2 * time.Minute
 	askTimeout = 2 * time.Second
 	askAtOnce  = 16
 )
@@ -77,7 +78,13 @@
 
 // NewKeeper returns the keeper of a data centre's lease for one process.
 func NewKeeper(log journal.Log, dataCentre, holder string, l logr.Logger) *lease.Keeper {
-	return lease.NewKeeper(lease.Config{Log: log, Name: Name(dataCentre), Holder: holder, Logger: l})
+	return lease.NewKeeper(lease.Config{
+		Log:    log,
+		Stream: "leases." + dataCentre, // read by the entries of this data centre alone
+		Name:   Name(dataCentre),
+		Holder: holder,
+		Logger: l,
+	})
 }
 
 // Leader places weights while this process holds the lease. Use New.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -12,12 +12,13 @@
 	"boragehub/target"
 )
 
-// The watch asks at most one side process every watchEvery. A question and its
-// answer take about 400 bytes on the wire, so an entry spends at most 2 KB a
-// second on it however many targets it knows; load comes mostly on the answers
-// that flow anyway.
+// The watch asks at most one side process every watchEvery, and none that was
+// heard within watchAfter: an answer tells the load too. A question and its
+// answer take about 420 bytes on the wire, so an entry spends at most 840 bytes a
+// second on it however many targets it knows.
 const (
-	watchEvery   = 200 * time.Millisecond
+	watchEvery   = 500 * time.Millisecond
+	watchAfter   = 3 * time.Second
 	watchTimeout = 2 * time.Second
 	lostTimeout  = 500 * time.Millisecond
 )
@@ -41,7 +42,7 @@
 		}
 
 		if len(queue) == 0 {
-			queue = e.watched()
+			queue = e.watched(time.Now())
 			e.measure(time.Now())
 		}
 
@@ -84,12 +85,17 @@
 	all.Wait()
 }
 
-// watched returns the targets that this entry keeps a connection to.
-func (e *Entry) watched() []target.Target {
+// watched returns the targets that this entry knows well and has not heard of
+// late.
+func (e *Entry) watched(now time.Time) []target.Target {
 	var all []target.Target
 
 	for _, service := range e.targets.Services() {
-		all = append(all, e.targets.Subset(service)...)
+		for _, t := range e.targets.Subset(service) {
+			if seen, ok := e.targets.Target(now, t.VM); ok && (seen.Heard < 0 || seen.Heard >= watchAfter) {
+				all = append(all, t)
+			}
+		}
 	}
 
 	return all
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,14 @@
 	DefaultMaxStreams  = 4096
 )
 
+// An idle connection is kept by a packet a minute. Faster ones would notice its
+// silence sooner, but conversations notice that by their beats, and 280
+// connections with a packet each 4 seconds would spend 8 KB a second.
+const (
+	keepAlive   = time.Minute
+	idleTimeout = 3 * time.Minute
+)
+
 // Protocol is the ALPN name; it changes with message.Version.
 const Protocol = "boragehub/1"
 
@@ -77,8 +85,8 @@
 func (c Config) quic() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  c.DialTimeout,
-		MaxIdleTimeout:        10 * c.Silence,
-		KeepAlivePeriod:       2 * c.Silence,
+		MaxIdleTimeout:        idleTimeout,
+		KeepAlivePeriod:       keepAlive,
 		MaxIncomingStreams:    c.MaxStreams,
 		MaxIncomingUniStreams: -1,
 	}
--- a/target/table.go
+++ b/target/table.go
@@ -171,6 +171,7 @@
 
 	if r, ok := t.rows[vm]; ok {
 		r.report(now, l)
+		r.heardAt = now
 	}
 }
 
