setting: keep what did not change from the tree before

Ruled out: merging by key, a second way to read a tree. Cuts depend on each table's own text, so one more table leaves the other pieces alone.

--- a/setting/publication/follower.go
+++ b/setting/publication/follower.go
@@ -425,7 +425,12 @@
 	// Peers get the version even if this release can't read it.
 	f.news.Offer(h.version)
 
-	tree, err := setting.Parse("settings", h.text)
+	var last *setting.Tree
+	if p := f.Current(); p != nil {
+		last = p.tree
+	}
+
+	tree, err := last.Next("settings", h.text)
 	if err != nil {
 		event.Fail(f.cfg.Logger, err, event.SettingsNotUnderstood, "version", h.version, "author", h.author)
 
--- a/setting/publication/passing_test.go
+++ b/setting/publication/passing_test.go
@@ -425,13 +425,18 @@
 			whole := len(deflate(base))
 			memory := held(base)
 
+			tree, err := setting.Parse("settings", base)
+			if err != nil {
+				b.Fatal(err)
+			}
+
 			for b.Loop() {
 				text, err := c.text(base, hash[:])
 				if err != nil {
 					b.Fatal(err)
 				}
 
-				if _, err := setting.Parse("settings", text); err != nil {
+				if _, err := tree.Next("settings", text); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/setting/stateful_test.go
+++ b/setting/stateful_test.go
@@ -144,6 +144,11 @@
 func TestPiecesDecodeAsTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		_, text := draw(t)
+
+		var before document
+
+		old, _ := decodeTree("f", []byte(text), &before, nil)
+		kept := fmt.Sprintf("%+v", before)
 		lines := strings.SplitAfter(text, "\n")
 		odd := rapid.SampledFrom([]string{
 			"[site.a]\n", "share = 2.0\n", "service.a.share = 3.0\n", "organisation = {a = {share = 2.0}}\n", "note = \"\"\"\n[x]\n\"\"\"\n",
@@ -167,7 +172,9 @@
 
 		var got, want document
 
-		gotProblems, wantProblems := decodeTree("f", b, &got), decode("f", b, &want)
+		_, gotProblems := decodeTree("f", b, &got, old)
+		wantProblems := decode("f", b, &want)
+
 		if !reflect.DeepEqual(gotProblems, wantProblems) {
 			t.Fatalf("got %v, want %v in\n%s", gotProblems, wantProblems, b)
 		}
@@ -175,9 +182,37 @@
 		if wantProblems == nil && !reflect.DeepEqual(got, want) {
 			t.Fatalf("got %+v, want %+v in\n%s", got, want, b)
 		}
+
+		var again document
+
+		_, _ = decodeTree("f", []byte(text), &again, old)
+
+		if !reflect.DeepEqual(again, before) || fmt.Sprintf("%+v", before) != kept {
+			t.Fatalf("the older tree has changed: got %+v, want %+v", again, before)
+		}
 	})
 }
 
+// A dotted key makes a table that a header further down may not open again. Cut
+// between the two, neither piece shows the fault.
+func TestDottedKeysAreDecodedWhole(t *testing.T) {
+	text := world + "[site.a]\nservice.a.share = 3.0\n\n"
+	for i := range 10 * chunkTables {
+		text += fmt.Sprintf("[site.b.service.a.organisation.a.workload.w%d]\nshare = 2.0\n\n", i)
+	}
+
+	text += "[site.a.service.a]\nrequest_burst = 5\n"
+
+	var doc document
+	if got, want := len(decode("f", []byte(text), &doc)), 1; got != want {
+		t.Fatalf("whole: got %d faults, want %d", got, want)
+	}
+
+	if _, err := Parse("f", []byte(text)); failure.KindOf(err) != failure.BadSettings || err == nil {
+		t.Errorf("got %v, want %v", err, failure.BadSettings)
+	}
+}
+
 // parses checks that text is taken or refused with the right kind.
 func parses(t interface{ Errorf(string, ...any) }, text []byte) {
 	tree, err := Parse("f", text)
--- a/setting/tree.go
+++ b/setting/tree.go
@@ -57,6 +57,8 @@
 	hash Hash
 	root *node
 	doc  document
+	// pieces are the parts of the text, for the next tree.
+	pieces pieces
 
 	dataCentres   map[string]*DataCentre
 	links         map[[2]string]*Link
@@ -68,9 +70,27 @@
 // Parse reads and checks a tree. name is the file that errors name. The error
 // is a failure.BadSettings whose cause are Problems.
 func Parse(name string, text []byte) (*Tree, error) {
-	t := &Tree{name: name, text: slices.Clone(text), hash: HashOf(text)}
+	var none *Tree
 
-	if problems := decodeTree(name, t.text, &t.doc); len(problems) > 0 {
+	return none.Next(name, text)
+}
+
+// Next reads and checks a tree that differs little from t, in less time than
+// Parse. What it returns is the same. t doesn't change and may be nil.
+func (t *Tree) Next(name string, text []byte) (*Tree, error) {
+	var old pieces
+	if t != nil {
+		old = t.pieces
+	}
+
+	return parse(name, slices.Clone(text), old)
+}
+
+func parse(name string, text []byte, old pieces) (*Tree, error) {
+	t := &Tree{name: name, text: text, hash: HashOf(text)}
+
+	var problems Problems
+	if t.pieces, problems = decodeTree(name, t.text, &t.doc, old); len(problems) > 0 {
 		return nil, refuse(problems)
 	}
 
