target: keep the addresses of the list; say whom to ask next

Cause: a hello without addresses overwrote those that the list had told whenever the target's own address was empty, and a target without a side address is never doubted for silence. Found by a test of NextToAsk. Ruled out: daemons, which hand the addresses over; so nothing showed there. Before: TestSilentTargetIsDoubted fails. NextToAsk returns the target heard longest ago: asking each in turn takes 56 s a round with 280 targets, past the silence of 30 s (docs/CAPACITY.md).

--- a/target/bench_test.go
+++ b/target/bench_test.go
@@ -73,6 +73,18 @@
 	})
 }
 
+func BenchmarkNextToAsk(b *testing.B) {
+	each(b, func(b *testing.B, targets, services int) {
+		t := filled(targets, services)
+		now := epoch
+
+		for b.Loop() {
+			now = now.Add(time.Second)
+			t.NextToAsk(now, time.Second)
+		}
+	})
+}
+
 func BenchmarkHello(b *testing.B) {
 	each(b, func(b *testing.B, targets, services int) {
 		t := filled(targets, services)
--- a/target/hello.go
+++ b/target/hello.go
@@ -24,9 +24,8 @@
 		changes = appendChange(changes, r.boot(h))
 	}
 
-	if r.address == "" {
-		r.address, r.sideAddress = h.Address, h.SideAddress
-	}
+	r.address = or(r.address, h.Address)
+	r.sideAddress = or(r.sideAddress, h.SideAddress)
 
 	changes = appendChange(changes, r.say(h.State))
 	r.sequence = h.Sequence
--- a/target/table.go
+++ b/target/table.go
@@ -99,6 +99,7 @@
 	oldBoots                     [4]string // newest first
 	heardAt                      time.Time
 	refusedAt                    time.Time // last refusal as draining
+	askedAt                      time.Time // when NextToAsk last gave it out
 
 	load      Load
 	loadAt    time.Time
@@ -164,13 +165,18 @@
 	}
 }
 
-// ObserveLoad takes the load told on an answer.
+// ObserveLoad takes the load told on an answer. The side process that told it is
+// alive, so this counts as hearing it; it needn't be asked for a while.
 func (t *Table) ObserveLoad(now time.Time, vm string, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if r, ok := t.rows[vm]; ok {
 		r.report(now, l)
+
+		if !r.heardAt.IsZero() {
+			r.heardAt = now
+		}
 	}
 }
 
@@ -215,6 +221,52 @@
 	return well
 }
 
+// NextToAsk returns the target, of all that this entry keeps a connection to,
+// that was heard or asked longest ago, if that is at least after. Asking each in
+// turn instead spends most questions on targets whose answers have told their
+// load a moment ago, and at a few hundred targets a round takes longer than the
+// silence after which a target is doubted.
+func (t *Table) NextToAsk(now time.Time, after time.Duration) (Target, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var next *row
+
+	for _, p := range t.pools {
+		for _, r := range p.rows {
+			if r.well && r.sideAddress != "" && (next == nil || r.before(next)) {
+				next = r
+			}
+		}
+	}
+
+	if next == nil || now.Sub(next.told()) < after {
+		return Target{}, false
+	}
+
+	next.askedAt = now
+
+	return next.target(now), true
+}
+
+// told returns when r was last heard or asked.
+func (r *row) told() time.Time {
+	if r.askedAt.After(r.heardAt) {
+		return r.askedAt
+	}
+
+	return r.heardAt
+}
+
+// before orders targets by how long ago they were heard or asked.
+func (r *row) before(o *row) bool {
+	if a, b := r.told(), o.told(); !a.Equal(b) {
+		return a.Before(b)
+	}
+
+	return r.vm < o.vm
+}
+
 // Services returns the services that have targets, sorted.
 func (t *Table) Services() []string {
 	t.mu.Lock()
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -232,6 +232,54 @@
 	}
 }
 
+// A side process says hello without its addresses, which the list has told. Lost
+// with them was that it has a side process at all: its silence went unnoticed.
+func TestSilentTargetIsDoubted(t *testing.T) {
+	tab := newTable("a", "b", "c")
+	later := epoch.Add(time.Minute)
+
+	for _, vm := range []string{"b", "c"} {
+		tab.ObserveHello(later, Hello{VM: vm, BootID: "1", Sequence: 2, State: Ready})
+	}
+
+	if offers(tab, later, "a") {
+		t.Error("a: got offered after a minute of silence while others speak")
+	}
+
+	for _, c := range tab.Candidates(later.Add(time.Minute), service) {
+		if !c.Doubted {
+			t.Errorf("%s: got offered without doubt, want doubted: all are silent", c.VM)
+		}
+	}
+
+	if got, want := len(tab.Candidates(later.Add(time.Minute), service)), 3; got != want {
+		t.Errorf("all silent: got %d offered, want %d", got, want)
+	}
+}
+
+// An entry knows a few hundred targets. Were all asked in turn, a round would
+// take so long that targets which are well count as silent.
+func TestNextToAskIsTheOneHeardLongestAgo(t *testing.T) {
+	tab := newTable("a", "b", "c")
+	tab.ObserveHello(epoch.Add(time.Second), Hello{VM: "a", BootID: "1", Sequence: 2, State: Ready})
+	tab.ObserveLoad(epoch.Add(2*time.Second), "b", Load{Running: 1})
+
+	steps := []struct {
+		at   time.Duration
+		want string
+	}{
+		{3 * time.Second, ""}, {5 * time.Second, "c"}, {5 * time.Second, ""}, {6 * time.Second, "a"},
+		{7 * time.Second, "b"}, {9 * time.Second, ""}, {10 * time.Second, "c"},
+	}
+
+	for _, s := range steps {
+		got, _ := tab.NextToAsk(epoch.Add(s.at), 5*time.Second)
+		if got.VM != s.want {
+			t.Errorf("after %v: got %q, want %q", s.at, got.VM, s.want)
+		}
+	}
+}
+
 // truth is the oracle of TestWordsAgainstTruth: what really is, and which words
 // of it reached the entry. It knows nothing of how the table works.
 type truth struct {
