entry: ask the target that was heard longest ago

Cause: a round over all targets asked those again whose answers had just told their load. Conclusion: see target.NextToAsk; targets without a side process are asked too.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -27,42 +27,37 @@
 // starts, before it takes callers.
 const firstPass = 16
 
-// watch asks one side process after the other how its target is.
+// watch asks the side process that was heard longest ago, again and again.
 func (e *Entry) watch(ctx context.Context) {
 	tick := time.NewTicker(watchEvery)
 	defer tick.Stop()
 
-	var queue []target.Target
-
 	for {
 		select {
-		case <-tick.C:
+		case now := <-tick.C:
+			e.look(ctx, now)
 		case <-ctx.Done():
 			return
 		}
+	}
+}
 
-		if len(queue) == 0 {
-			queue = e.watched(time.Now())
-			e.measure(time.Now())
-		}
+// look asks one side process; at first all of them.
+func (e *Entry) look(ctx context.Context, now time.Time) {
+	e.measure(now)
 
-		if len(queue) == 0 {
-			continue
-		}
-
-		if !e.seen.Load() {
-			e.askAll(ctx, queue)
+	if !e.seen.Load() {
+		if all := e.watched(); len(all) > 0 {
+			e.askAll(ctx, all)
 			e.measure(time.Now())
 			e.seen.Store(true)
-
-			queue = nil
-
-			continue
 		}
 
-		go e.ask(ctx, queue[0])
+		return
+	}
 
-		queue = queue[1:]
+	if t, ok := e.targets.NextToAsk(now, watchAfter); ok {
+		go e.ask(ctx, t)
 	}
 }
 
@@ -85,17 +80,12 @@
 	all.Wait()
 }
 
-// watched returns the targets that this entry knows well and has not heard of
-// late.
-func (e *Entry) watched(now time.Time) []target.Target {
+// watched returns the targets that this entry knows well.
+func (e *Entry) watched() []target.Target {
 	var all []target.Target
 
 	for _, service := range e.targets.Services() {
-		for _, t := range e.targets.Subset(service) {
-			if seen, ok := e.targets.Target(now, t.VM); ok && (seen.Heard < 0 || seen.Heard >= watchAfter) {
-				all = append(all, t)
-			}
-		}
+		all = append(all, e.targets.Subset(service)...)
 	}
 
 	return all
--- a/target/table.go
+++ b/target/table.go
@@ -234,7 +234,7 @@
 
 	for _, p := range t.pools {
 		for _, r := range p.rows {
-			if r.well && r.sideAddress != "" && (next == nil || r.before(next)) {
+			if r.well && (next == nil || r.before(next)) {
 				next = r
 			}
 		}
