--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,12 +101,13 @@
 	metrics *metrics
 	owned   *owned
 	speeds  speeds
-	homes   homes
+	homes   *homes
 	links   *links
 	alone   *http.Client // to targets without a side process
 	active  atomic.Int64
 	leaving atomic.Bool
-	seen    atomic.Bool // the watch has asked all targets once
+	seen    atomic.Bool       // the watch has asked all targets once
+	met     map[string]string // by entry, the address that the watch connected to
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -135,7 +136,8 @@
 		metrics: newMetrics(),
 		owned:   newOwned(directory.Config{}),
 		speeds:  speeds{byVM: map[string]speed{}},
-		homes:   homes{byID: map[shardOf]string{}},
+		homes:   newHomes(),
+		met:     map[string]string{},
 		links:   newLinks(),
 		alone:   newDirectClient(),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -1,6 +1,9 @@
 package entry
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // shardOf names one shard of a service's idempotency keys.
 type shardOf struct {
@@ -12,6 +15,30 @@
 type homes struct {
 	mu   sync.Mutex
 	byID map[shardOf]string
+
+	asked map[string]time.Time // by service, when its targets were last asked
+}
+
+// askAgain is the least time between two rounds of questions for a service's homes.
+const askAgain = time.Second
+
+func newHomes() *homes {
+	return &homes{byID: map[shardOf]string{}, asked: map[string]time.Time{}}
+}
+
+// mayAsk reports whether a service's targets may be asked for their homes now.
+// Callers come by the hundred when a home is gone; one of them asks for all.
+func (h *homes) mayAsk(now time.Time, service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if now.Sub(h.asked[service]) < askAgain {
+		return false
+	}
+
+	h.asked[service] = now
+
+	return true
 }
 
 func (h *homes) get(service string, shard int) (vm string, known bool) {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -165,7 +165,7 @@
 			return message.Reply{}, err
 		}
 
-		t, found := c.route(now)
+		t, found := c.route(ctx, now)
 		if !found {
 			if last == nil {
 				last = failure.New(failure.Unavailable, "no target of %s can take the call", c.service.Name).After(c.e.comeBack())
@@ -238,11 +238,11 @@
 
 // route picks the target. A call that may run once goes to the home of its key,
 // the one side process that knows whether it ran.
-func (c *call) route(now time.Time) (target.Target, bool) {
+func (c *call) route(ctx context.Context, now time.Time) (target.Target, bool) {
 	targets := c.e.targets.Candidates(now, c.service.Name)
 
 	if c.message.Once {
-		return c.home(targets)
+		return c.home(ctx, targets)
 	}
 
 	candidates := make([]route.CallCandidate, len(targets))
@@ -274,21 +274,43 @@
 	return t, true
 }
 
-// home returns the target beside which the key's home is believed to run.
-func (c *call) home(targets []target.Target) (target.Target, bool) {
+// home returns the target beside which the key's home runs. Homes are told with
+// a target's state, which is asked for only now and then; so when the home is not
+// known, or was tried and isn't it any more, the service's targets are asked now.
+func (c *call) home(ctx context.Context, targets []target.Target) (target.Target, bool) {
 	shard := claim.Shard(c.request.organisation, c.message.Key, claim.DefaultShards)
 
+	t, found := c.homeAmong(targets, shard)
+	if !found && c.e.homes.mayAsk(time.Now(), c.service.Name) {
+		ctx, cancel := context.WithTimeout(ctx, homesTimeout)
+		defer cancel()
+
+		c.e.askAll(ctx, targets)
+
+		t, found = c.homeAmong(targets, shard)
+	}
+
+	if found {
+		event.Log(c.e.cfg.Log, event.CallDecided, "request_id", c.request.id, "service", c.service.Name, "vm", t.VM, "shard", shard, "attempt", c.attempt)
+	} else {
+		event.Log(c.e.cfg.Log, event.CallRefused, "request_id", c.request.id, "service", c.service.Name, "targets", len(targets), "shard", shard)
+	}
+
+	return t, found
+}
+
+// homesTimeout bounds the question for homes, which a caller waits for.
+const homesTimeout = 500 * time.Millisecond
+
+func (c *call) homeAmong(targets []target.Target, shard int) (target.Target, bool) {
 	vm, known := c.e.homes.get(c.service.Name, shard)
+
 	for _, t := range targets {
 		if known && t.VM == vm && !c.tried[t.VM] {
-			event.Log(c.e.cfg.Log, event.CallDecided, "request_id", c.request.id, "service", c.service.Name, "vm", t.VM, "shard", shard, "attempt", c.attempt)
-
 			return t, true
 		}
 	}
 
-	event.Log(c.e.cfg.Log, event.CallRefused, "request_id", c.request.id, "service", c.service.Name, "targets", len(targets), "shard", shard, "home", vm)
-
 	return target.Target{}, false
 }
 
@@ -336,7 +358,7 @@
 				return o.reply, o.sent, o.err
 			}
 		case <-wait.C:
-			if other, ok := c.second(time.Since(began), t); ok {
+			if other, ok := c.second(ctx, time.Since(began), t); ok {
 				running++
 
 				go attempt(other)
@@ -346,7 +368,7 @@
 }
 
 // second returns the target of a hedge, if there may be one.
-func (c *call) second(waited time.Duration, first target.Target) (target.Target, bool) {
+func (c *call) second(ctx context.Context, waited time.Duration, first target.Target) (target.Target, bool) {
 	now := time.Now()
 	standing, _ := c.e.ward.Check(now, c.message.Fingerprint)
 	may := retry.MayHedge(retry.Hedge{
@@ -363,7 +385,7 @@
 
 	c.tried[first.VM] = true
 
-	return c.route(now)
+	return c.route(ctx, now)
 }
 
 // share bounds one attempt of a call that may be repeated to its part of the
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -10,6 +10,7 @@
 	"boragehub/peer"
 	"boragehub/quarantine"
 	"boragehub/target"
+	"boragehub/vm"
 )
 
 // The watch asks at most one side process every watchEvery, and none that was
@@ -45,6 +46,7 @@
 // look asks one side process; at first all of them.
 func (e *Entry) look(ctx context.Context, now time.Time) {
 	e.measure(now)
+	e.meet(ctx)
 
 	if !e.seen.Load() {
 		if all := e.watched(); len(all) > 0 {
@@ -61,6 +63,28 @@
 	}
 }
 
+// meet connects to one more entry, so that the first question for a context does
+// not wait for a handshake: an owner that answers late is done without, and the
+// context is computed anew.
+func (e *Entry) meet(ctx context.Context) {
+	for _, m := range e.cfg.VMs.List().Of(vm.Entry, e.cfg.DataCentre) {
+		if m.Name == e.cfg.VM || e.met[m.Name] == m.SideAddress {
+			continue
+		}
+
+		e.met[m.Name] = m.SideAddress
+
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+			defer cancel()
+
+			_, _ = e.cfg.Peers.Ask(ctx, peer.Address{VM: m.Name, Addr: m.SideAddress}, message.Locate{})
+		}()
+
+		return
+	}
+}
+
 // askAll asks many side processes and returns when all have answered or failed.
 func (e *Entry) askAll(ctx context.Context, targets []target.Target) {
 	var all sync.WaitGroup
