--- a/wholepath/answer_test.go
+++ b/wholepath/answer_test.go
@@ -135,24 +135,40 @@
 // from the token where it stopped, at another engine, without a token twice or
 // left out.
 func TestAnswersGoOnWhenAnEngineDies(t *testing.T) {
-	const riders, tokens = 12, 60
+	const riders, tokens, early = 12, 60, 5
 
 	w := start(t, shape{engines: 3, entries: 2, engine: func(_ int, cfg *engine.Config) { cfg.DecodeTokensPerSecond = 100 }})
 
-	var all sync.WaitGroup
+	var (
+		all    sync.WaitGroup
+		pieces [riders]atomic.Int32
+	)
 
 	for i := range riders {
 		all.Go(func() {
 			prompt := fmt.Sprintf("rider %d asks at length", i)
 
-			got, err := w.entries[i%2].stream(t.Context(), desk, prompt, tokens)
+			got, err := w.entries[i%2].read(t.Context(), desk, prompt, tokens, func() { pieces[i].Add(1) })
 			if want := engine.Answer(prompt, tokens); got != want || err != nil {
 				t.Errorf("rider %d: got %q, %v, want %q", i, got, err, want)
 			}
 		})
 	}
 
-	w.eventually("nothing runs on engine-1", func() bool { return w.engines[0].engine.Running() > 1 })
+	w.eventually("the answers don't come", func() bool {
+		for i := range pieces {
+			if pieces[i].Load() < early {
+				return false
+			}
+		}
+
+		return true
+	})
+
+	if w.engines[0].engine.Running() == 0 {
+		t.Error("nothing runs on engine-1")
+	}
+
 	w.engines[0].engine.Abort()
 	all.Wait()
 }
--- a/wholepath/client_test.go
+++ b/wholepath/client_test.go
@@ -52,6 +52,11 @@
 
 // stream asks for a streamed completion and returns what came of its text.
 func (n *entryNode) stream(ctx context.Context, key, s string, tokens int64) (string, error) {
+	return n.read(ctx, key, s, tokens, func() {})
+}
+
+// read is stream that calls piece after each piece.
+func (n *entryNode) read(ctx context.Context, key, s string, tokens int64, piece func()) (string, error) {
 	c := n.client(key)
 	answer := c.Completions.NewStreaming(ctx, text(s, tokens))
 
@@ -62,6 +67,7 @@
 	for answer.Next() {
 		for _, choice := range answer.Current().Choices {
 			got.WriteString(choice.Text)
+			piece()
 
 			finished = finished || choice.FinishReason != ""
 		}
--- a/wholepath/context_test.go
+++ b/wholepath/context_test.go
@@ -184,6 +184,10 @@
 			if c.miss && got != 0 || !c.miss && got < cachedAtLeast {
 				t.Errorf("got %d cached tokens, want a miss %v", got, c.miss)
 			}
+
+			if got := w.lines.count(`"copy_imported"`); (got == 0) != c.miss {
+				t.Errorf("got %d imports, want a miss %v", got, c.miss)
+			}
 		})
 	}
 }
