--- a/claim/home_stateful_test.go
+++ b/claim/home_stateful_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
 	"boragehub/failure"
@@ -60,9 +61,64 @@
 	ran     map[string][]int // the calls that a target ran, by key
 	notRun  map[int]string   // calls that were answered with a kind that says "not run"
 	wrong   []string
+	history []porcupine.Operation
 	number  int
 }
 
+// ending is how a call ended: one of it ran, an earlier one's outcome came back,
+// or an answer says that no call with its key has run.
+type ending struct {
+	ran, replayed int
+	nothing       bool
+}
+
+// onceModel is a key that runs at most once. Its state is the call that ran, 0
+// for none.
+var onceModel = porcupine.Model{
+	Partition: byKey,
+	Init:      func() any { return 0 },
+	Step: func(state, _, output any) (bool, any) {
+		ran, _ := state.(int)
+		e, _ := output.(ending)
+
+		switch {
+		case e.ran != 0:
+			return ran == 0, e.ran
+		case e.replayed != 0:
+			return ran == e.replayed, ran
+		case e.nothing:
+			return ran == 0, ran
+		default:
+			return true, ran
+		}
+	},
+}
+
+// byKey parts a history, since keys don't touch each other.
+func byKey(history []porcupine.Operation) [][]porcupine.Operation {
+	parts := map[any][]porcupine.Operation{}
+	for _, o := range history {
+		parts[o.Input] = append(parts[o.Input], o)
+	}
+
+	all := make([][]porcupine.Operation, 0, len(parts))
+	for _, p := range parts {
+		all = append(all, p)
+	}
+
+	return all
+}
+
+// note puts a call that has ended into the history.
+func (s *service) note(n int, key string, from time.Time, e ending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: n, Input: key, Call: from.UnixNano(), Output: e, Return: time.Now().UnixNano(),
+	})
+}
+
 func (s *service) list() Fleet {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,16 +156,21 @@
 		ctx, cancel := context.WithTimeout(s.ctx, 10*time.Second)
 		defer cancel()
 
-		ticket, err := m.home.Claim(ctx, time.Now(), Request{Organisation: "o", Key: key})
+		from := time.Now()
+		ticket, err := m.home.Claim(ctx, from, Request{Organisation: "o", Key: key})
 
 		switch {
 		case err != nil:
+			k := failure.KindOf(err)
 			s.refused(n, err)
+			s.note(n, key, from, ending{nothing: k == failure.LogUnavailable || k == failure.QueueFull})
 		case ticket.Outcome != nil:
 			s.replayed(key, ticket.Outcome.Status)
+			s.note(n, key, from, ending{replayed: ticket.Outcome.Status})
 		default:
 			time.Sleep(d.long)
 			s.run(m, ticket, key, n)
+			s.note(n, key, from, ending{ran: n})
 		}
 	})
 }
@@ -221,6 +282,10 @@
 		}
 	}
 
+	if !porcupine.CheckOperations(onceModel, s.history) {
+		return fmt.Errorf("got a history that no order of the calls explains, want one of keys that run at most once")
+	}
+
 	if len(s.wrong) > 0 {
 		return fmt.Errorf("%s", s.wrong[0])
 	}
