--- a/setting/publication/follower.go
+++ b/setting/publication/follower.go
@@ -11,7 +11,6 @@
 	"github.com/zeebo/xxh3"
 
 	"boragehub/event"
-	"boragehub/failure"
 	"boragehub/journal"
 	"boragehub/ring"
 	"boragehub/setting"
@@ -104,11 +103,17 @@
 	// partBytes bounds one record of a snapshot.
 	partBytes int
 
-	mu      sync.Mutex
-	replica *replica
+	// forcing is held while a version is read and brought into force, so that
+	// they follow each other in order.
+	forcing sync.Mutex
 	// understood is the newest version that this release could read or failed to.
 	understood uint64
-	askers     map[string]asker
+
+	mu      sync.Mutex
+	replica *replica
+	// told is the newest version that the duty which passes on was told of.
+	told   uint64
+	askers map[string]asker
 	// failed tells when a source last gave no answer.
 	failed map[string]time.Time
 	logOut bool
@@ -216,6 +221,14 @@
 		return err
 	}
 
+	f.take(batch)
+	f.enforce()
+
+	return nil
+}
+
+// take decides on the records of a batch.
+func (f *Follower) take(batch journal.Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -230,9 +243,15 @@
 		f.replica.feed(rec)
 	}
 
-	f.enforce()
+	f.tell()
+}
 
-	return nil
+// tell lets the duty that passes versions on look for news. The caller holds mu.
+func (f *Follower) tell() {
+	if f.replica.head.version > f.told {
+		f.told = f.replica.head.version
+		f.news.Offer(f.told)
+	}
 }
 
 // noteLog logs when the log goes away and comes back, once each.
@@ -254,177 +273,22 @@
 	f.logOut = err != nil
 }
 
-// pull asks the sources in turn until one answers, and reports whether one did.
-// Without a version of its own it asks all of them and takes the highest: in an
-// outage of the log that is the only way to one, and some may lag.
-func (f *Follower) pull(ctx context.Context, a Arrangement) bool {
-	if f.cfg.Peers == nil {
-		return false
-	}
-
-	answered := false
-
-	for _, vm := range f.inOrder(f.cfg.Clock(), a.Sources) {
-		if answered && f.Ready() {
-			break
-		}
-
-		if f.fetch(ctx, vm) {
-			answered = true
-		}
-	}
-
-	return answered
-}
-
-// inOrder returns the sources with those last that gave no answer lately. After
-// a while they are tried first again: otherwise all would end up asking the few
-// that read the log.
-func (f *Follower) inOrder(now time.Time, sources []string) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	var good, bad []string
-
-	for _, vm := range sources {
-		if at, ok := f.failed[vm]; ok && now.Sub(at) < sourcePause {
-			bad = append(bad, vm)
-		} else {
-			good = append(good, vm)
-		}
-	}
-
-	return append(good, bad...)
-}
-
-// noteSource remembers whether a source answered.
-func (f *Follower) noteSource(vm string, answered bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	if answered {
-		delete(f.failed, vm)
-	} else {
-		f.failed[vm] = f.cfg.Clock()
-	}
-}
+// enforce brings head into force. Reading a large tree takes a while, during
+// which others are served and the version is passed on.
+func (f *Follower) enforce() {
+	f.forcing.Lock()
+	defer f.forcing.Unlock()
 
-// fetch asks one process and reports whether it answered with a version.
-func (f *Follower) fetch(ctx context.Context, vm string) bool {
 	f.mu.Lock()
-	after := f.replica.head.version
+	h := f.replica.head
 	f.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
-	defer cancel()
-
-	h, err := f.cfg.Peers.Fetch(ctx, vm, after)
-	f.noteSource(vm, err == nil)
-
-	return err == nil && h.Version() > 0 && f.Offer(h) == nil
-}
-
-// Offer takes settings that a peer hands on. What isn't newer than the version
-// in force is ignored. Damaged ones are a failure.BadMessage.
-func (f *Follower) Offer(h Handover) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	if _, err := f.replica.adopt(h); err != nil {
-		event.Fail(f.cfg.Logger, err, event.SettingsOfferRefused, "version", h.Version())
-
-		return err
-	}
-
-	f.enforce()
-
-	return nil
-}
-
-// HandOver returns what leads the process on vm from version after to the
-// version in force here, and remembers to push the next ones to it.
-func (f *Follower) HandOver(now time.Time, vm string, after uint64) Handover {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	f.forget(now)
-
-	if _, known := f.askers[vm]; known || len(f.askers) < maxAskers {
-		f.askers[vm] = asker{version: max(after, f.replica.head.version), seen: now}
-	}
-
-	return f.replica.handover(after)
-}
-
-// forget drops the processes that haven't asked for long.
-func (f *Follower) forget(now time.Time) {
-	for vm, a := range f.askers {
-		if now.Sub(a.seen) > askerMemory*f.cfg.Pull {
-			delete(f.askers, vm)
-		}
-	}
-}
-
-// push hands the version in force to those who asked lately and lack it.
-func (f *Follower) push(ctx context.Context) {
-	if f.cfg.Peers == nil {
-		return
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
-	defer cancel()
-
-	var wg sync.WaitGroup
-
-	for vm, h := range f.due(f.cfg.Clock()) {
-		wg.Go(func() {
-			if f.cfg.Peers.Push(ctx, vm, h) != nil {
-				return // it asks again by itself
-			}
-
-			f.mu.Lock()
-			defer f.mu.Unlock()
-
-			if a, ok := f.askers[vm]; ok {
-				a.version = max(a.version, h.Version())
-				f.askers[vm] = a
-			}
-		})
-	}
-
-	wg.Wait()
-}
-
-// due returns what to push to whom.
-func (f *Follower) due(now time.Time) map[string]Handover {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	f.forget(now)
-
-	due := map[string]Handover{}
-
-	for vm, a := range f.askers {
-		if a.version < f.replica.head.version {
-			due[vm] = f.replica.handover(a.version)
-		}
-	}
-
-	return due
-}
-
-// enforce brings head into force. The caller holds mu.
-func (f *Follower) enforce() {
-	h := f.replica.head
 	if h.version <= f.understood {
 		return
 	}
 
 	f.understood = h.version
 
-	// Peers get the version even if this release can't read it.
-	f.news.Offer(h.version)
-
 	var last *setting.Tree
 	if p := f.Current(); p != nil {
 		last = p.tree
@@ -469,73 +333,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// Snapshots are written after so many records or so long, whichever comes first.
-const (
-	snapshotRecords = 1024
-	snapshotAge     = time.Hour
-)
-
-// SnapshotDue says whether what is in force should be written to the log again,
-// before retention passes it.
-func (f *Follower) SnapshotDue(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	r := f.replica
-	if !r.synced() || r.head.version == 0 {
-		return false
-	}
-
-	// In the older half of what the log keeps, it would soon be forgotten.
-	old := r.kept > 1 && r.snapshot < r.kept+(r.read-min(r.read, r.kept))/2
-
-	return old || r.snapshot == 0 || r.read >= r.snapshot+snapshotRecords || now.Sub(r.snapshotAt) >= snapshotAge
-}
-
-// Snapshot writes what is in force to the log again. One process at a time does
-// this, by lease; a second one does no harm.
-func (f *Follower) Snapshot(ctx context.Context, id string) error {
-	f.mu.Lock()
-	h, read, synced := f.replica.head, f.replica.sure(), f.replica.synced()
-	f.mu.Unlock()
-
-	if !synced || h.version == 0 {
-		return failure.New(failure.NotReady, "there is no version to write")
-	}
-
-	whole := content{Full: deflate(h.text), Whole: true}
-	one := record{
-		Kind: snapshotRecord, ID: id, Based: h.based, Author: h.author, Note: h.note, Hash: h.hash[:],
-		Version: h.version, Read: read, AtMS: h.at.UnixMilli(),
-	}
-
-	var last uint64
-
-	for _, part := range split(one, encode(whole), f.partBytes) {
-		offset, err := f.cfg.Log.Append(ctx, Stream, [][]byte{part})
-		if err != nil {
-			return failure.Wrap(failure.LogUnavailable, err, "the settings could not be written to the log again")
-		}
-
-		last = offset
-	}
-
-	f.noteSnapshot(last)
-
-	event.Log(f.cfg.Logger, event.SettingsSnapshot, "version", h.version, "read", read, "bytes", len(whole.Full))
-
-	return nil
-}
-
-// noteSnapshot remembers a snapshot of its own. A process that doesn't read the
-// log itself would otherwise write one each time it is asked.
-func (f *Follower) noteSnapshot(offset uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	if offset > f.replica.snapshot {
-		f.replica.snapshot = offset
-		f.replica.snapshotAt = f.cfg.Clock()
-	}
-}
--- a/setting/publication/passing_test.go
+++ b/setting/publication/passing_test.go
@@ -467,3 +467,40 @@
 
 	return after.HeapAlloc - before.HeapAlloc
 }
+
+// A tree of 10,000 organisations takes a while to read. If a process passed a
+// version on only after that, the delays of all on the way would add up.
+func TestVersionIsPassedOnWhileItIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		read := make(chan struct{})
+
+		f := NewFollower(FollowerConfig{
+			Log: log, Self: Member{"e1", "a"}, Logger: logr.Discard(), Changed: func(*Published) { <-read },
+		})
+
+		version, err := publish(log, "one", 0, []byte("share = 1.0\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		done := make(chan error)
+		go func() { done <- f.readLog(t.Context(), 0) }()
+
+		synctest.Wait()
+
+		if got, want := f.HandOver(time.Now(), "e2", 0).Version(), version; got != want {
+			t.Errorf("got version %d, want %d", got, want)
+		}
+
+		if got, want := f.news.Len(), 1; got != want {
+			t.Errorf("news for those who asked: got %d, want %d", got, want)
+		}
+
+		close(read)
+
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
