publication, ctl: show a version that this release can't read

Cause: during an upgrade an older ctl could show neither the text nor the history once the newest version had a key that it didn't know. Ruled out: leaving unknown keys out of check; a misspelt key must be a fault. Before: both failed. After: both tell what the log holds; a test passes such a version on through older processes and publishes on it.

--- a/ctl/config.go
+++ b/ctl/config.go
@@ -405,16 +405,16 @@
 		return version, text, err
 	}
 
-	p, _, err := publication.Read(ctx, c.cfg.Log, 1)
+	version, text, err := publication.Text(ctx, c.cfg.Log)
 	if err != nil {
 		return 0, nil, err
 	}
 
-	if p == nil {
+	if version == 0 {
 		return 0, nil, failure.New(failure.NotReady, "nothing was published yet; see ctl config example")
 	}
 
-	return p.Version(), p.Tree().Text(), nil
+	return version, text, nil
 }
 
 // parsePath reads SITE/SERVICE/ORGANISATION/WORKLOAD.
@@ -449,7 +449,7 @@
 // History writes the newest most changes, also those that were refused.
 func (c *Config) History(ctx context.Context, most int) error {
 	_, entries, err := publication.Read(ctx, c.cfg.Log, most)
-	if err != nil {
+	if err != nil && failure.KindOf(err) != failure.BadSettings { // the newest may be of another release
 		return err
 	}
 
--- a/setting/publication/history.go
+++ b/setting/publication/history.go
@@ -128,6 +128,17 @@
 	return &Published{head: newest, tree: tree}, entries, nil
 }
 
+// Text returns the version and text in force by the log, also when this release
+// can't read it; zero when nothing was published yet.
+func Text(ctx context.Context, log Log) (uint64, []byte, error) {
+	h := newHistory(log)
+	if err := h.catchUp(ctx, 0); err != nil {
+		return 0, nil, err
+	}
+
+	return h.replica.head.version, h.replica.head.text, nil
+}
+
 // TextAt returns the text of an accepted version that the log still keeps.
 func TextAt(ctx context.Context, log Log, version uint64) ([]byte, error) {
 	var text []byte
--- a/setting/publication/publication_test.go
+++ b/setting/publication/publication_test.go
@@ -397,3 +397,69 @@
 		t.Errorf("version %d: got %q %v, want %q", version, got, err, want)
 	}
 }
+
+// shareOf returns the share in force at the root; zero without a version.
+func shareOf(f *Follower) float64 {
+	if p := f.Current(); p != nil {
+		return p.Tree().Effective(setting.Path{}).Share
+	}
+
+	return 0
+}
+
+// During an upgrade an operator with the newer release publishes a key that the
+// older one doesn't know. If that release took no part in the order, its
+// processes would refuse this and all later changes, and stay behind for ever.
+func TestVersionOfANewerReleaseIsPassedOn(t *testing.T) {
+	log := newFakeLog()
+	reader, behind := follower(log, "e1"), follower(log, "e2")
+
+	first, err := publish(log, "one", 0, []byte("share = 2.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	newer := []byte("share = 3.0\nkey_of_the_next_release = true\n")
+	hash := setting.HashOf(newer)
+	payload := encode(newContent([]byte("share = 2.0\n"), newer))
+
+	step := func(want uint64, share [2]float64) {
+		t.Helper()
+
+		if err := reader.readLog(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+
+		h := reader.HandOver(time.Time{}, "e2", 0)
+		if got := h.Version(); got != want {
+			t.Errorf("handed on: got version %d, want %d", got, want)
+		}
+
+		if err := behind.Offer(h); err != nil {
+			t.Fatal(err)
+		}
+
+		if got := [2]float64{shareOf(reader), shareOf(behind)}; got != share {
+			t.Errorf("version %d: got share %v, want %v", want, got, share)
+		}
+	}
+
+	step(1, [2]float64{2, 2})
+
+	log.add(split(record{Kind: changeRecord, ID: "two", Based: first, Hash: hash[:]}, payload, partBytes)[0])
+
+	behind = follower(log, "e2") // replaced meanwhile
+
+	step(2, [2]float64{2, 0})
+
+	if _, b, err := Text(t.Context(), log); string(b) != string(newer) || err != nil {
+		t.Errorf("shown: got %q %v, want %q", b, err, newer)
+	}
+
+	mended := []byte("share = 4.0\n")
+	if got, err := publish(log, "three", 2, mended); got != 3 || err != nil {
+		t.Fatalf("publish on it: got %d %v, want 3", got, err)
+	}
+
+	step(3, [2]float64{4, 4})
+}
