experiment: lose the engines' events only

Ruled out: engines' holdings, which the side processes tell anew at the end. Conclusion: a fault of the model; copies are told whatever becomes of events.

--- a/experiment/move.go
+++ b/experiment/move.go
@@ -357,7 +357,7 @@
 		return
 	}
 
-	w.event(func() {
+	w.clock.after(eventLag, func() {
 		w.dir.Learn(w.time(), c.anchor, c.chainTo(tokens), directory.Holding{
 			Kind: directory.Store, Name: s.name, DataCentre: s.dataCentre, Blocks: tokens / blockTokens,
 			Source: directory.Sealed, Version: strconv.Itoa(version),
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -192,7 +192,9 @@
 		copies: map[int]*stored{}, rng: w.rng,
 	}
 	s.value = w.value
-	s.dropped = func(c *conversation) { w.event(func() { w.dir.Forget(c.anchor, directory.Store, s.name, "") }) }
+	s.dropped = func(c *conversation) {
+		w.clock.after(eventLag, func() { w.dir.Forget(c.anchor, directory.Store, s.name, "") })
+	}
 	w.stores = append(w.stores, s)
 }
 
@@ -368,7 +370,8 @@
 	w.keep(e, j)
 }
 
-// event brings a cache event to the directory, late.
+// event brings an engine's cache event to the directory, late, unless it is lost.
+// What becomes of copies in stores the side processes tell themselves.
 func (w *world) event(do func()) {
 	if !w.deaf {
 		w.clock.after(eventLag, do)
