weights: stop the roll of a version that crashes its engines

Cause: a version that loads and then kills its engine reports no failed load, so the plan loaded it again as soon as the engine was back with the old one. Ruled out: counting each restart after an order, which stops a roll when side processes are replaced (TestRestartedSideProcessesDoNotStopARoll). After: at most 3, and version_failed. Conclusion: a death within a minute of a load counts as a failed load when the engine comes back without the version. Reports of former boots are ignored.

--- a/weights/board.go
+++ b/weights/board.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	// ForgetAfter is the silence after which it is forgotten, and a load that it
 	// may be running with it. 10 min when zero.
 	ForgetAfter time.Duration
+	// SoundAfter is how long an engine must serve with a version that it was
+	// ordered to load before its death isn't put down to it. 60 s when zero.
+	SoundAfter time.Duration
 }
 
 // Board keeps what engines said and which orders were given to them. Use
@@ -57,14 +61,19 @@
 	engine   Engine
 	order    Order // the last one given, which Engine.Ordered is about
 	boot     string
+	former   [4]string // boots before it, newest first
 	sequence uint64
 	heard    time.Time
+	died     string // version that was new when the last boot ended, until the next is ready
+	broken   string // version that it died of
+	brokenAt time.Time
 }
 
 // NewBoard returns an empty Board.
 func NewBoard(cfg BoardConfig) *Board {
 	cfg.LostAfter = or(cfg.LostAfter, 45*time.Second)
 	cfg.ForgetAfter = or(cfg.ForgetAfter, 10*time.Minute)
+	cfg.SoundAfter = or(cfg.SoundAfter, time.Minute)
 
 	return &Board{cfg: cfg, engines: map[string]*post{}}
 }
@@ -80,10 +89,14 @@
 		b.engines[r.VM] = p
 	}
 
-	if ok && r.Boot == p.boot && r.Sequence != 0 && r.Sequence <= p.sequence {
+	if ok && p.overtaken(r) {
 		return
 	}
 
+	if ok && r.Boot != p.boot {
+		p.rebooted(now, b.cfg.SoundAfter)
+	}
+
 	// A report that left before the order came in must not clear it, or the
 	// engine would be ordered twice; one that names the order shows its load too.
 	ordered := p.engine.Ordered
@@ -102,6 +115,50 @@
 	if r.FailedVersion != "" {
 		p.engine.FailedAt = now.Add(-r.FailedAge)
 	}
+
+	p.judge(now, r)
+}
+
+// overtaken reports whether something newer than r was heard.
+func (p *post) overtaken(r Report) bool {
+	if r.Boot == p.boot {
+		return r.Sequence != 0 && r.Sequence <= p.sequence
+	}
+
+	return slices.Contains(p.former[:], r.Boot)
+}
+
+// rebooted notes that the last boot ended, and the version that was new then.
+func (p *post) rebooted(now time.Time, soundAfter time.Duration) {
+	copy(p.former[1:], p.former[:])
+	p.former[0] = p.boot
+
+	if p.order.Kind != LoadWeights {
+		return
+	}
+
+	served := p.engine.State == Ready && p.engine.Version == p.order.Version
+	if p.engine.State == Loading || (served && now.Sub(p.engine.Since) < soundAfter) {
+		p.died = p.order.Version
+	}
+}
+
+// judge decides what the end of the last boot means. Weights that load and then
+// crash the engine report no failed load; without this the roll would take out
+// one engine after the other, and the first again and again. An engine that has
+// the version still wasn't ended by it: its side process was started anew.
+func (p *post) judge(now time.Time, r Report) {
+	if p.died != "" && r.State == Ready {
+		if r.Version != p.died {
+			p.broken, p.brokenAt = p.died, now
+		}
+
+		p.died = ""
+	}
+
+	if p.broken != "" && p.engine.FailedVersion == "" {
+		p.engine.FailedVersion, p.engine.FailedAt = p.broken, p.brokenAt
+	}
 }
 
 // Ordered records that an order is being sent. Whether it arrives is not known
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -399,6 +399,59 @@
 	}
 }
 
+// A version loads and then crashes its engine within seconds, which comes back
+// with the old one. No load has failed, so nothing but the deaths tell. Users
+// would lose one engine after the other.
+func TestVersionThatCrashesItsEnginesStopsTheRoll(t *testing.T) {
+	s := newSite(6, 4)
+	s.lead(s.leaders[0])
+	s.wanted[0].Version = "v2"
+
+	for range 60 {
+		s.settle(s.leaders[0], 5*time.Second)
+
+		for _, e := range s.engines {
+			if !e.busy && e.Version == "v2" {
+				e.Boot += "+"
+				e.Sequence, e.Fence, e.Accepted = 0, 0, 0
+				e.Version = "v1"
+				e.changed = s.now
+			}
+		}
+	}
+
+	r := s.settle(s.leaders[0], time.Second)
+	if got, want := r.Progress[0].Halt, VersionFailed; got != want {
+		t.Errorf("halt: got %v, want %v", got, want)
+	}
+
+	if got, want := s.loads, 3; got > want {
+		t.Errorf("loads: got %d, want at most %d", got, want)
+	}
+}
+
+// Side processes are replaced in the middle of a roll. Their engines go on with
+// what they loaded; the roll must not take that for crashes.
+func TestRestartedSideProcessesDoNotStopARoll(t *testing.T) {
+	s := newSite(6, 4)
+	s.lead(s.leaders[0])
+	s.wanted[0].Version = "v2"
+
+	for range 20 {
+		s.settle(s.leaders[0], 3*time.Second)
+
+		for _, e := range s.engines {
+			e.Boot += "+"
+			e.Sequence, e.Fence, e.Accepted = 0, 0, 0
+		}
+	}
+
+	r := s.settle(s.leaders[0], 2*time.Minute)
+	if got, want := r.Progress[0], (Progress{Model: "m", Version: "v2", Done: 6, Ready: 6}); got != want {
+		t.Errorf("progress: got %+v, want %+v", got, want)
+	}
+}
+
 // A version is published, goes well on the first engine and is then rolled back
 // by operators halfway. Each engine may be loaded once for each publication; a
 // plan that swings would load some more often and keep users waiting.
@@ -498,6 +551,13 @@
 	if got, want := b.View(epoch, nil, 1, epoch).Engines[0].State, Loading; got != want {
 		t.Errorf("state: got %v, want %v", got, want)
 	}
+
+	b.Hear(epoch, Report{VM: "a", Boot: "2", Sequence: 1, State: Loading})
+	b.Hear(epoch, Report{VM: "a", Boot: "1", Sequence: 9})
+
+	if got, want := b.View(epoch, nil, 1, epoch).Engines[0].State, Loading; got != want {
+		t.Errorf("state after a report of the boot before: got %v, want %v", got, want)
+	}
 }
 
 // The answer to an order is lost or refuses it. Only a refusal that is certain
