target: let silence grow with the round of asking

Cause: a target that was not asked can't be heard. With 105 targets at two questions a second a round takes 52 s, past the 30 s after which a target is doubted; with all doubted the entry sends to any of them, marked. Ruled out: a longer silence for all, which today's sixteen targets don't need; more questions, which cost 420 bytes each. Before: TestTargetThatWasNotAskedIsNotSilent fails (doubted after 2 min with 200 targets).

--- a/target/candidate.go
+++ b/target/candidate.go
@@ -8,9 +8,19 @@
 		return true
 	}
 
-	return r.state == Loading && now.Sub(r.heardAt) <= t.cfg.SilentAfter
+	return r.state == Loading && now.Sub(r.heardAt) <= t.silence()
 }
 
+// silence is how long a target may be unheard. Of one that wasn't asked nothing
+// can be heard: with a few hundred targets a round of asking takes longer than
+// SilentAfter, and all would be doubted though all are well.
+func (t *Table) silence() time.Duration {
+	return max(t.cfg.SilentAfter, askRounds*time.Duration(t.well)*t.cfg.AskEvery)
+}
+
+// askRounds is how many rounds of asking a target may miss.
+const askRounds = 2
+
 // doubted reports whether r gets work only when too few others are left.
 func (t *Table) doubted(now time.Time, r *row) bool {
 	if r.outlier.probation && !r.outlier.probeOpen(now, t.cfg.ProbePatience) {
@@ -21,7 +31,7 @@
 		return false
 	}
 
-	return r.heardAt.IsZero() || now.Sub(r.heardAt) > t.cfg.SilentAfter
+	return r.heardAt.IsZero() || now.Sub(r.heardAt) > t.silence()
 }
 
 // Candidates returns the targets of a service that may get work.
--- a/target/list.go
+++ b/target/list.go
@@ -87,7 +87,7 @@
 
 // speaking reports whether r said lately that it is ready.
 func (t *Table) speaking(now time.Time, r *row) bool {
-	return r.state == Ready && !r.leaving() && !r.heardAt.IsZero() && now.Sub(r.heardAt) <= t.cfg.SilentAfter
+	return r.state == Ready && !r.leaving() && !r.heardAt.IsZero() && now.Sub(r.heardAt) <= t.silence()
 }
 
 // unlisted takes a target that the list left out.
--- a/target/subset.go
+++ b/target/subset.go
@@ -34,11 +34,15 @@
 		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.score, b.score), cmp.Compare(a.vm, b.vm))
 	})
 
-	left := t.cfg.Subset
+	t.well -= p.well
+	p.well = 0
+
 	for _, r := range p.rows {
-		r.well = left > 0 && !r.leaving()
+		r.well = p.well < t.cfg.Subset && !r.leaving()
 		if r.well {
-			left--
+			p.well++
 		}
 	}
+
+	t.well += p.well
 }
--- a/target/table.go
+++ b/target/table.go
@@ -16,8 +16,11 @@
 	Regions map[string]string
 	// Subset is how many targets of a service are known well. 8 when zero.
 	Subset int
-	// SilentAfter is the silence after which a target known well is doubted. 30 s when zero.
+	// SilentAfter is the silence after which a target known well is doubted, or
+	// longer when two rounds of asking take longer. 30 s when zero.
 	SilentAfter time.Duration
+	// AskEvery is the time between two askings of side processes (NextToAsk). 500 ms when zero.
+	AskEvery time.Duration
 	// EjectAfter is how many failures in a row eject. 3 when zero.
 	EjectAfter int
 	// EjectFor is the length of the first ejection; it doubles. 2 s when zero.
@@ -41,6 +44,7 @@
 func (c TableConfig) withDefaults() TableConfig {
 	c.Subset = or(c.Subset, 8)
 	c.SilentAfter = or(c.SilentAfter, 30*time.Second)
+	c.AskEvery = or(c.AskEvery, 500*time.Millisecond)
 	c.EjectAfter = or(c.EjectAfter, 3)
 	c.EjectFor = or(c.EjectFor, 2*time.Second)
 	c.EjectMost = or(c.EjectMost, 2*time.Minute)
@@ -72,11 +76,13 @@
 	rows    map[string]*row
 	pools   map[string]*pool
 	drained map[string]bool
+	well    int // targets known well
 }
 
 // pool is the targets of one service.
 type pool struct {
 	rows []*row
+	well int // of them known well
 }
 
 // row is what is believed of one target.
@@ -161,6 +167,7 @@
 	p.rows = slices.DeleteFunc(p.rows, func(o *row) bool { return o == r })
 
 	if len(p.rows) == 0 {
+		t.well -= p.well
 		delete(t.pools, r.service)
 	}
 }
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -257,6 +257,32 @@
 	}
 }
 
+// An entry knows 200 targets and asks two a second. A round takes 100 s; were 30 s
+// of silence enough, users would be sent to all of them only for want of better.
+func TestTargetThatWasNotAskedIsNotSilent(t *testing.T) {
+	var vms []string
+	for i := range 200 {
+		vms = append(vms, fmt.Sprintf("engine-%03d", i))
+	}
+
+	tab := NewTable(TableConfig{Self: "entry-1", DataCentre: "yvr-east", Subset: 200})
+	tab.ObserveList(epoch, list(vms...))
+
+	for _, vm := range vms {
+		tab.ObserveHello(epoch, Hello{VM: vm, BootID: "1", Sequence: 1, State: Ready})
+	}
+
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{2 * time.Minute, false}, {4 * time.Minute, true}} {
+		got, _ := tab.Target(epoch.Add(c.after), "engine-000")
+		if got.Doubted != c.want {
+			t.Errorf("after %v: got doubted %v, want %v", c.after, got.Doubted, c.want)
+		}
+	}
+}
+
 // An entry knows a few hundred targets. Were all asked in turn, a round would
 // take so long that targets which are well count as silent.
 func TestNextToAskIsTheOneHeardLongestAgo(t *testing.T) {
