setting: say which settings nothing obeys yet

Ruled out: taking the keys out; their users are to read them, and a change of key_memory or claim_shards needs all readers of a shard to agree first. Before: silence.

--- a/setting/world.go
+++ b/setting/world.go
@@ -45,7 +45,7 @@
 	WeightVersion string `toml:"weight_version" validate:"max=128"`
 	// IdempotentPaths are path prefixes of a plain service whose calls may be repeated whatever their method.
 	IdempotentPaths []string `toml:"idempotent_paths" validate:"dive,startswith=/,max=256"`
-	// ClaimShards is the number of parts that the keys of its non-idempotent calls are divided into; 0 counts as 16.
+	// ClaimShards is the number of parts that the keys of its non-idempotent calls are divided into; 0 counts as 16. Not obeyed yet: each process goes by its built-in value.
 	ClaimShards int `toml:"claim_shards" validate:"gte=0,lte=4096"`
 }
 
