experiment: begin an import at its engine only

Ruled out: the lost engines themselves, which are suspected after one request. Conclusion: a fault of the model, and one to avoid in the daemons: who fails to reach an engine knows nothing against the store.

--- a/experiment/move.go
+++ b/experiment/move.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// unreserve gives the windows of an import back that no engine will begin.
+func (w *world) unreserve(e *entryModel, p choice) {
+	if p.how == route.Import {
+		w.release(&transfer{l: e.links.Between(p.source.DataCentre, p.engine.dataCentre), windows: p.windows})
+	}
+}
+
 // judge gives an import up that lasts too long, once its job could go on.
 func (w *world) judge(began time.Duration, j *job, p choice, t *transfer) {
 	const often = 50 * time.Millisecond
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -312,16 +312,18 @@
 
 	w.rec.moved(j.v, p.how)
 
-	if p.how == route.Import {
-		j.importing = true
-		w.reserve(e, j, p)
-	}
-
 	if !w.reachable(e.dataCentre, p.engine.dataCentre) {
+		w.unreserve(e, p)
 		w.clock.after(connectTimeout, func() { w.failed(e, j, p.engine) })
+
 		return
 	}
 
+	if p.how == route.Import {
+		j.importing = true
+		w.reserve(e, j, p)
+	}
+
 	w.clock.after(w.delay(e.dataCentre, p.engine.dataCentre), func() { p.engine.enqueue(j) })
 }
 
