--- a/experiment/move.go
+++ b/experiment/move.go
@@ -372,17 +372,13 @@
 	})
 }
 
-// value ranks the copies of a store.
+// value is what a copy in a store is worth.
 func (w *world) value(x *stored) float64 {
-	switch {
-	case w.policy == Clairvoyant:
+	if w.policy == Clairvoyant {
 		return w.nextUse(x.c)
-	case w.without == ValueEviction:
-		return 0
-	default:
-		c := w.context(x.c, x.tokens, 0)
-		return parking.Density(w.time(), c)
 	}
+
+	return parking.Density(w.time(), w.context(x.c, x.tokens, 0))
 }
 
 // nextUse is the greater the sooner a conversation returns.
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -70,7 +70,7 @@
 	Classes
 	// ParkWeighing parks everything that is long enough.
 	ParkWeighing
-	// ValueEviction lets stores drop any copy.
+	// ValueEviction lets stores drop the copy that was longest not used.
 	ValueEviction
 	// Segments copies the whole context at each visit, not what was added.
 	Segments
--- a/experiment/store.go
+++ b/experiment/store.go
@@ -11,8 +11,9 @@
 	copies     map[int]*stored
 	list       []*stored
 	rng        *rand.Rand
-	// value ranks copies; the least valuable is dropped.
-	value func(*stored) float64
+	// value is what a copy is worth, and rank orders copies, of which the least
+	// is dropped.
+	value, rank func(*stored) float64
 	// dropped is told of each copy that is dropped.
 	dropped func(*conversation)
 	evicted int
@@ -60,10 +61,10 @@
 
 // evict drops the least valuable copy.
 func (s *store) evict() {
-	least, lowest := s.list[0], s.value(s.list[0])
+	least, lowest := s.list[0], s.rank(s.list[0])
 
 	for _, other := range s.list {
-		if v := s.value(other); v < lowest {
+		if v := s.rank(other); v < lowest {
 			least, lowest = other, v
 		}
 	}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -191,7 +191,12 @@
 		name: spec.Name, dataCentre: w.d.DataCentres[spec.DataCentre], room: spec.Bytes, up: true,
 		copies: map[int]*stored{}, rng: w.rng,
 	}
-	s.value = w.value
+	s.value, s.rank = w.value, w.value
+
+	if w.without == ValueEviction {
+		s.rank = func(x *stored) float64 { return x.c.seenAt.Seconds() }
+	}
+
 	s.dropped = func(c *conversation) {
 		w.clock.after(eventLag, func() { w.dir.Forget(c.anchor, directory.Store, s.name, "") })
 	}
