route: take calls of unknown length for short

Cause: a call whose time was not measured yet was taken for one second, so that a load report 0.3 s old was trusted by three quarters; calls of 50 ms are then over. Ruled out: no default, which would divide by zero. Before/after: a report 0.3 s old counts 0.74/0.002 against the entry's own calls. Conclusion: an entry that gives CallTime and InFlight is not concerned.

--- a/route/call.go
+++ b/route/call.go
@@ -18,9 +18,10 @@
 	// Running and Waiting are the calls of the load report, SentRequests those
 	// that this entry sent since.
 	Running, Waiting, SentRequests int
-	// InFlight are the calls of this entry that have no answer yet.
+	// InFlight are the calls of this entry that have no answer yet, whenever they
+	// were sent.
 	InFlight int
-	// CallTime is the mean time that a call takes.
+	// CallTime is the mean time that a call takes; short calls are assumed when zero.
 	CallTime time.Duration
 	// AtOnce is how many calls it carries out at a time; 1 when zero.
 	AtOnce int
@@ -101,8 +102,10 @@
 	return float32(seconds(c.Delay) + each*(1+ahead) + doubt)
 }
 
-// unknownCall is the time of a call, in seconds, where none was measured yet.
-const unknownCall = 1
+// unknownCall is the time of a call, in seconds, where none was measured yet:
+// short, so that an old load report counts little. Wrongly trusted it draws all
+// entries to one target; wrongly distrusted it costs no more than a random choice.
+const unknownCall = 0.05
 
 func callExclusion(c *CallCandidate, suspected bool) Exclusion {
 	switch {
