experiment, link, route: name things for what they are

Cause: names that needed explaining (deaf, hear, lack, trust, sure, patience). Before/after: no change of behaviour; the tests pass. Conclusion: renamed.

--- a/experiment/run.go
+++ b/experiment/run.go
@@ -43,7 +43,7 @@
 
 	w.feed(visits)
 	w.report(end)
-	w.clock.at(at, w.breakDown)
+	w.clock.at(at, w.beginFault)
 	w.clock.run(end)
 	rec.links(w.listed, end)
 	w.clock.run(end + drain)
@@ -72,8 +72,8 @@
 	})
 }
 
-// breakDown begins the run's fault.
-func (w *world) breakDown() {
+// beginFault begins the run's fault.
+func (w *world) beginFault() {
 	switch w.fault {
 	case StoreLost:
 		w.loseStore()
@@ -86,8 +86,8 @@
 		w.cut = w.d.DataCentres[len(w.d.DataCentres)-1]
 		w.clock.after(FaultLength, func() { w.cut = "" })
 	case EventsLost:
-		w.deaf = true
-		w.clock.after(FaultLength, w.hear)
+		w.eventsLost = true
+		w.clock.after(FaultLength, w.resync)
 	case WeightSwap:
 		w.swap(0)
 	default:
@@ -109,10 +109,10 @@
 	}
 }
 
-// hear ends the loss of events: the side processes notice the gap and tell all
+// resync ends the loss of events: the side processes notice the gap and tell all
 // that their engines hold.
-func (w *world) hear() {
-	w.deaf = false
+func (w *world) resync() {
+	w.eventsLost = false
 
 	for _, e := range w.engines {
 		w.dir.ForgetHolder(directory.Engine, e.name)
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -39,27 +39,27 @@
 
 // world is one run.
 type world struct {
-	d       Deployment
-	policy  Policy
-	without Without
-	fault   Fault
-	clock   *clock
-	rng     *rand.Rand
-	all     []*conversation
-	engines []*engine
-	stores  []*store
-	entries []*entryModel
-	sides   []*link.Table // one for each engine, of its exports
-	pipes   map[[2]string]*pipe
-	listed  []*pipe
-	dir     *directory.Table
-	cfg     route.Config
-	park    parking.Config
-	gaps    []*parking.Gaps // by workload
-	rec     *recorder
-	seq     uint64
-	cut     string // data centre that is cut, empty for none
-	deaf    bool   // cache events are lost
+	d          Deployment
+	policy     Policy
+	without    Without
+	fault      Fault
+	clock      *clock
+	rng        *rand.Rand
+	all        []*conversation
+	engines    []*engine
+	stores     []*store
+	entries    []*entryModel
+	sides      []*link.Table // one for each engine, of its exports
+	pipes      map[[2]string]*pipe
+	listed     []*pipe
+	dir        *directory.Table
+	cfg        route.Config
+	park       parking.Config
+	gaps       []*parking.Gaps // by workload
+	rec        *recorder
+	seq        uint64
+	cut        string // data centre that is cut, empty for none
+	eventsLost bool   // cache events are lost
 
 	candidates []route.Candidate
 	holdings   []directory.Holding
@@ -380,7 +380,7 @@
 // event brings an engine's cache event to the directory, late, unless it is lost.
 // What becomes of copies in stores the side processes tell themselves.
 func (w *world) event(do func()) {
-	if !w.deaf {
+	if !w.eventsLost {
 		w.clock.after(eventLag, do)
 	}
 }
--- a/link/link.go
+++ b/link/link.go
@@ -107,15 +107,15 @@
 // Link is one direction between two data centres. Use New. It is not safe for
 // concurrent use.
 type Link struct {
-	cfg     Config
-	windows []Window // in order of Start, without overlaps
-	last    uint64
-	virtual float64
-	rate    float64 // as of the last call
-	lack    float64 // how far below its best the rate was measured
-	lackAt  time.Time
-	given   map[string]float64 // the order of each organisation's last window
-	free    time.Time          // when the last import promised ends
+	cfg        Config
+	windows    []Window // in order of Start, without overlaps
+	last       uint64
+	virtual    float64
+	rate       float64 // as of the last call
+	shortfall  float64 // how far below its best the rate was measured
+	measuredAt time.Time
+	given      map[string]float64 // the order of each organisation's last window
+	free       time.Time          // when the last import promised ends
 }
 
 // New returns a Link with nothing promised.
@@ -164,21 +164,21 @@
 // Rate returns the rate of the link in bytes a second as it was measured; the
 // older the measurement, the nearer to the link's best.
 func (l *Link) Rate(now time.Time) float64 {
-	if l.lack == 0 {
+	if l.shortfall == 0 {
 		return l.cfg.BytesPerSecond
 	}
 
-	age := max(now.Sub(l.lackAt), 0)
+	age := max(now.Sub(l.measuredAt), 0)
 
-	return l.cfg.BytesPerSecond - l.lack*math.Exp2(-float64(age)/float64(trust))
+	return l.cfg.BytesPerSecond - l.shortfall*math.Exp2(-float64(age)/float64(rateHalfLife))
 }
 
 // The way in which the rate is measured.
 const (
-	// trust is after how long a measurement counts half.
-	trust = 20 * time.Second
-	// weight is the weight of one transfer against those before.
-	weight = 0.5
+	// rateHalfLife is after how long a measurement counts half.
+	rateHalfLife = 20 * time.Second
+	// rateWeight is the weight of one transfer against those before.
+	rateWeight = 0.5
 )
 
 // measure learns the rate from a transfer of bytes that took so long.
@@ -190,8 +190,8 @@
 
 	before := l.Rate(now)
 	seen := min(float64(bytes)/took.Seconds(), l.cfg.BytesPerSecond)
-	l.lack = l.cfg.BytesPerSecond - (before + weight*(seen-before))
-	l.lackAt = now
+	l.shortfall = l.cfg.BytesPerSecond - (before + rateWeight*(seen-before))
+	l.measuredAt = now
 }
 
 // Wait returns how long a new import would wait for the transfer that runs and
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -48,7 +48,7 @@
 	for n := range min(len(q.Sources), MaxSources) {
 		v.chances[n] = 1
 		if !q.Sources[n].Store {
-			v.chances[n] = sure(now, q.Sources[n].Learned, cfg.BeliefHalfLife)
+			v.chances[n] = beliefChance(now, q.Sources[n].Learned, cfg.BeliefHalfLife)
 		}
 	}
 
@@ -68,7 +68,7 @@
 	e.consider(&best, Recompute, -1, 0, 0)
 
 	if c.Warm > 0 {
-		chance := sure(v.now, c.WarmAt, v.cfg.BeliefHalfLife)
+		chance := beliefChance(v.now, c.WarmAt, v.cfg.BeliefHalfLife)
 		e.consider(&best, Warm, -1, chance*float64(c.Warm), 0)
 	}
 
@@ -153,8 +153,8 @@
 
 func seconds(d time.Duration) float64 { return float64(d) / float64(time.Second) }
 
-// sure returns the chance that a belief learned at that time still holds.
-func sure(now, learned time.Time, halfLife time.Duration) float64 {
+// beliefChance returns the chance that a belief learned at that time still holds.
+func beliefChance(now, learned time.Time, halfLife time.Duration) float64 {
 	age := max(now.Sub(learned), 0)
 
 	return math.Exp2(-float64(age) / float64(halfLife))
--- a/route/import.go
+++ b/route/import.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// patience is how long an import may run before it is judged.
-const patience = 50 * time.Millisecond
+// settling is how long an import may run before it is judged.
+const settling = 50 * time.Millisecond
 
 // GiveUpImport reports whether an import that has run for elapsed, and of which
 // a part between 0 and 1 has come, is given up for computing what is missing,
@@ -12,7 +12,7 @@
 // that chose the import was made before. Where recomputing weighs more, callers
 // wait longer.
 func GiveUpImport(cfg Config, elapsed time.Duration, part float64, recompute time.Duration) bool {
-	if elapsed < patience {
+	if elapsed < settling {
 		return false
 	}
 
