--- a/experiment/move.go
+++ b/experiment/move.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// unreserve gives the windows of an import back that no engine will begin.
+func (w *world) unreserve(e *entryModel, p choice) {
+	if p.how == route.Import {
+		w.release(&transfer{l: e.links.Between(p.source.DataCentre, p.engine.dataCentre), windows: p.windows})
+	}
+}
+
 // judge gives an import up that lasts too long, once its job could go on.
 func (w *world) judge(began time.Duration, j *job, p choice, t *transfer) {
 	const often = 50 * time.Millisecond
@@ -365,17 +372,13 @@
 	})
 }
 
-// value ranks the copies of a store.
+// value is what a copy in a store is worth.
 func (w *world) value(x *stored) float64 {
-	switch {
-	case w.policy == Clairvoyant:
+	if w.policy == Clairvoyant {
 		return w.nextUse(x.c)
-	case w.without == ValueEviction:
-		return 0
-	default:
-		c := w.context(x.c, x.tokens, 0)
-		return parking.Density(w.time(), c)
 	}
+
+	return parking.Density(w.time(), w.context(x.c, x.tokens, 0))
 }
 
 // nextUse is the greater the sooner a conversation returns.
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -39,27 +39,27 @@
 
 // world is one run.
 type world struct {
-	d       Deployment
-	policy  Policy
-	without Without
-	fault   Fault
-	clock   *clock
-	rng     *rand.Rand
-	all     []*conversation
-	engines []*engine
-	stores  []*store
-	entries []*entryModel
-	sides   []*link.Table // one for each engine, of its exports
-	pipes   map[[2]string]*pipe
-	listed  []*pipe
-	dir     *directory.Table
-	cfg     route.Config
-	park    parking.Config
-	gaps    []*parking.Gaps // by workload
-	rec     *recorder
-	seq     uint64
-	cut     string // data centre that is cut, empty for none
-	deaf    bool   // cache events are lost
+	d          Deployment
+	policy     Policy
+	without    Without
+	fault      Fault
+	clock      *clock
+	rng        *rand.Rand
+	all        []*conversation
+	engines    []*engine
+	stores     []*store
+	entries    []*entryModel
+	sides      []*link.Table // one for each engine, of its exports
+	pipes      map[[2]string]*pipe
+	listed     []*pipe
+	dir        *directory.Table
+	cfg        route.Config
+	park       parking.Config
+	gaps       []*parking.Gaps // by workload
+	rec        *recorder
+	seq        uint64
+	cut        string // data centre that is cut, empty for none
+	eventsLost bool   // cache events are lost
 
 	candidates []route.Candidate
 	holdings   []directory.Holding
@@ -191,7 +191,12 @@
 		name: spec.Name, dataCentre: w.d.DataCentres[spec.DataCentre], room: spec.Bytes, up: true,
 		copies: map[int]*stored{}, rng: w.rng,
 	}
-	s.value = w.value
+	s.value, s.rank = w.value, w.value
+
+	if w.without == ValueEviction {
+		s.rank = func(x *stored) float64 { return x.c.seenAt.Seconds() }
+	}
+
 	s.dropped = func(c *conversation) {
 		w.clock.after(eventLag, func() { w.dir.Forget(c.anchor, directory.Store, s.name, "") })
 	}
@@ -312,16 +317,18 @@
 
 	w.rec.moved(j.v, p.how)
 
-	if p.how == route.Import {
-		j.importing = true
-		w.reserve(e, j, p)
-	}
-
 	if !w.reachable(e.dataCentre, p.engine.dataCentre) {
+		w.unreserve(e, p)
 		w.clock.after(connectTimeout, func() { w.failed(e, j, p.engine) })
+
 		return
 	}
 
+	if p.how == route.Import {
+		j.importing = true
+		w.reserve(e, j, p)
+	}
+
 	w.clock.after(w.delay(e.dataCentre, p.engine.dataCentre), func() { p.engine.enqueue(j) })
 }
 
@@ -373,7 +380,7 @@
 // event brings an engine's cache event to the directory, late, unless it is lost.
 // What becomes of copies in stores the side processes tell themselves.
 func (w *world) event(do func()) {
-	if !w.deaf {
+	if !w.eventsLost {
 		w.clock.after(eventLag, do)
 	}
 }
