--- a/limit/gate.go
+++ b/limit/gate.go
@@ -3,10 +3,11 @@
 //
 // # Model
 //
-// A Gate holds one account for each organisation. A request passes four checks,
-// cheapest first: the organisation's rate; its deadline against the wait that
-// the caller of Admit expects; the class's part of the places; and, when places
-// are short, the organisation's fair share of them. Places are the unit of
+// A Gate holds one account for each organisation. A request passes four checks:
+// its deadline against the wait that the caller of Admit expects; the class's
+// part of the places; when places are short, the organisation's fair share of
+// them; and the organisation's rate, which comes last so that only requests that
+// are let in use it up. Places are the unit of
 // capacity: about one running request each, waiting ones included. A refused
 // request is answered at once; nothing waits inside a Gate.
 //
