limit: let Retry-After grow while nothing comes free; split the gate

Cause: the rate at which places come free faded only when one did, so with hung engines callers were told to come back as if nothing were wrong. After: over 2 s (TestRetryAfterGrowsWhenNothingComesFree). Ruled out: a fixed wait, since the time that a place is held differs by workload.

--- a/limit/gate.go
+++ b/limit/gate.go
@@ -33,8 +33,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"boragehub/failure"
 	"boragehub/setting"
 )
@@ -129,21 +127,6 @@
 	refusals [refusalKinds]uint64
 }
 
-// account is the state of one organisation.
-type account struct {
-	organisation string
-	limiter      *rate.Limiter
-	weight       float64
-	used         float64
-	peak         float64 // of used, fading: what it is taken to want
-	peakAt       time.Time
-	claim        float64 // what it wanted when the level was last worked out
-	active       bool    // is in the gate's list
-	seen         time.Time
-	rated        schedule
-	shared       schedule
-}
-
 // NewGate returns a Gate with no accounts.
 func NewGate(cfg GateConfig) *Gate {
 	cfg = cfg.withDefaults()
@@ -222,170 +205,6 @@
 	g.freed.add(now, p.cost)
 }
 
-// account returns the organisation's account. Past the bound, organisations
-// without one share an account, so that names made up by a caller fill no memory.
-func (g *Gate) account(now time.Time, q Request) *account {
-	g.sweepSome(now)
-
-	a, ok := g.accounts[q.Organisation]
-	if !ok && len(g.accounts) >= g.cfg.Organisations {
-		a = g.overflow
-	} else if !ok {
-		a = &account{organisation: q.Organisation}
-		g.accounts[q.Organisation] = a
-		g.sweepers = append(g.sweepers, a)
-	}
-
-	a.seen = now
-	a.weight = q.Weight
-	g.configure(now, a, q)
-
-	return a
-}
-
-// configure takes over a rate that the settings changed.
-func (g *Gate) configure(now time.Time, a *account, q Request) {
-	limit, burst := rate.Inf, max(q.Burst, 1)
-	if q.Rate > 0 {
-		limit = rate.Limit(q.Rate * min(1, slack/float64(g.entries)))
-	}
-
-	if a.limiter == nil {
-		a.limiter = rate.NewLimiter(limit, burst)
-		return
-	}
-
-	if a.limiter.Limit() != limit {
-		a.limiter.SetLimitAt(now, limit)
-	}
-
-	if a.limiter.Burst() != burst {
-		a.limiter.SetBurstAt(now, burst)
-	}
-}
-
-// slack is how much more than its even part of a rate one entry allows,
-// because balancers spread callers unevenly.
-const slack = 2
-
-// sweepPerCall is how many accounts each call looks at for idle ones.
-const sweepPerCall = 2
-
-// sweepSome drops a few idle accounts.
-func (g *Gate) sweepSome(now time.Time) {
-	for range sweepPerCall {
-		if len(g.sweepers) == 0 {
-			return
-		}
-
-		g.sweep %= len(g.sweepers)
-
-		a := g.sweepers[g.sweep]
-		if a.used > 0 || now.Sub(a.seen) < g.cfg.Remember {
-			g.sweep++
-			continue
-		}
-
-		delete(g.accounts, a.organisation)
-
-		last := len(g.sweepers) - 1
-		g.sweepers[g.sweep] = g.sweepers[last]
-		g.sweepers[last] = nil
-		g.sweepers = g.sweepers[:last]
-	}
-}
-
-// tooFast refuses a request over its organisation's rate.
-func (g *Gate) tooFast(now time.Time, a *account, q Request) error {
-	if a.limiter.AllowN(now, 1) {
-		return nil
-	}
-
-	limit := float64(a.limiter.Limit())
-	missing := (1 - a.limiter.TokensAt(now)) / limit
-	after := a.rated.next(now, seconds(missing), seconds(1/limit))
-
-	return g.refuse(failure.RateLimited, after, "organisation %s is over its rate of requests", q.Organisation)
-}
-
-// hopeless refuses a request whose first token would come too late.
-func (g *Gate) hopeless(now time.Time, q Request) error {
-	if q.Deadline.IsZero() || !now.Add(q.Wait).After(q.Deadline) {
-		return nil
-	}
-
-	late := now.Add(q.Wait).Sub(q.Deadline)
-	after := g.classes[rank(q.Class)].next(now, late, g.period(q.Cost))
-
-	return g.refuse(failure.DeadlineHopeless, after, "the first token is expected in %v, past the deadline", q.Wait.Round(time.Millisecond))
-}
-
-// crowded refuses a request when its class's part of the places is taken.
-func (g *Gate) crowded(now time.Time, a *account, q Request) error {
-	if g.places <= 0 || g.used == 0 || g.used+q.Cost <= g.places*part(q.Class) {
-		return nil
-	}
-
-	// What was refused counts as wanted: otherwise an organisation that filled
-	// all places while it was alone would win each one that comes free.
-	g.want(now, a, a.used+q.Cost)
-
-	over := g.used + q.Cost - g.places*part(q.Class)
-	after := g.classes[rank(q.Class)].next(now, g.period(over), g.period(q.Cost))
-
-	return g.refuse(failure.QueueFull, after, "no place is free")
-}
-
-// unfair refuses a request of an organisation that holds its share while
-// places are short.
-func (g *Gate) unfair(now time.Time, a *account, q Request) error {
-	// Shares are of the class's own part of the places: of all places, a flood
-	// of background requests would fill that part before it reached its share.
-	room := g.places * part(q.Class)
-	if g.places <= 0 || g.used+q.Cost <= room*g.cfg.Pressure || a.used == 0 {
-		return nil
-	}
-
-	share := a.weight * g.waterLevel(now) * part(q.Class)
-	if a.used+q.Cost <= share {
-		return nil
-	}
-
-	g.want(now, a, a.used+q.Cost)
-
-	part := min(1, max(share, q.Cost)/g.places)
-	over := a.used + q.Cost - share
-	after := a.shared.next(now, scale(g.period(over), 1/part), scale(g.period(q.Cost), 1/part))
-
-	return g.refuse(failure.ShareExceeded, after, "organisation %s holds its share of the places", q.Organisation)
-}
-
-// refuse makes the refusal and counts it.
-func (g *Gate) refuse(k failure.Kind, after time.Duration, format string, args ...any) error {
-	g.refusals[refusalIndex(k)]++
-
-	after = min(after, g.cfg.MostAfter)
-	after += time.Duration(g.rng.Int64N(int64(after/spreadPart) + 1))
-
-	return failure.New(k, format, args...).After(after)
-}
-
-// spreadPart is the part of a Retry-After that is drawn at random on top.
-const spreadPart = 4
-
-// period is the time in which so many places come free.
-func (g *Gate) period(places float64) time.Duration {
-	perSecond := g.freed.perSecond()
-	if perSecond <= 0 {
-		perSecond = max(g.places/slowestRun.Seconds(), 0.1)
-	}
-
-	return seconds(places / perSecond)
-}
-
-// slowestRun is how long a place is taken to be held before any was given back.
-const slowestRun = 10 * time.Second
-
 // Used returns the places held.
 func (g *Gate) Used() float64 {
 	g.mu.Lock()
@@ -410,21 +229,6 @@
 	return g.refusals[refusalIndex(k)]
 }
 
-const refusalKinds = 4
-
-func refusalIndex(k failure.Kind) int {
-	switch k { //nolint:exhaustive // the Gate refuses with these only
-	case failure.RateLimited:
-		return 0
-	case failure.ShareExceeded:
-		return 1
-	case failure.DeadlineHopeless:
-		return 2
-	default:
-		return 3
-	}
-}
-
 func positive(v, d float64) float64 {
 	if v <= 0 {
 		return d
--- a/limit/gate_test.go
+++ b/limit/gate_test.go
@@ -282,6 +282,40 @@
 	}
 }
 
+// Engines hang and no place comes free any more. Were Retry-After worked out from
+// the rate before, callers would come back every second for nothing.
+func TestRetryAfterGrowsWhenNothingComesFree(t *testing.T) {
+	g := NewGate(GateConfig{Places: 10})
+
+	var held []Permit
+
+	// A place is given back and taken again each 100 ms for 20 s.
+	now := epoch
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+
+		if len(held) == 10 {
+			g.Release(now, held[0])
+			held = held[1:]
+		}
+
+		p, err := g.Admit(now, Request{Organisation: "a", Class: setting.Urgent})
+		if err == nil {
+			held = append(held, p)
+		}
+	}
+
+	after := func(now time.Time) time.Duration {
+		_, err := g.Admit(now, Request{Organisation: "b", Class: setting.Urgent})
+		return failure.As(err).RetryAfter()
+	}
+
+	soon, later := after(now), after(now.Add(time.Minute))
+	if soon > 200*time.Millisecond || later < 2*time.Second {
+		t.Errorf("got %v while places come free and %v a minute after the last one, want at most 200 ms and at least 2 s", soon, later)
+	}
+}
+
 // run is one run in the model of TestTenfoldSender.
 type run struct {
 	ends   time.Time
--- a/limit/schedule.go
+++ b/limit/schedule.go
@@ -50,16 +50,22 @@
 }
 
 func (m *meter) add(now time.Time, v float64) {
-	if !m.at.IsZero() {
-		m.sum *= math.Exp2(-max(now.Sub(m.at).Seconds(), 0) / meterHalf.Seconds())
+	m.sum = m.faded(now) + v
+	m.at = now
+}
+
+// faded returns the sum as it counts at now. It fades also while nothing is
+// given back: when engines hang, the rate of a moment ago promises too much.
+func (m *meter) faded(now time.Time) float64 {
+	if m.at.IsZero() {
+		return 0
 	}
 
-	m.at = now
-	m.sum += v
+	return m.sum * math.Exp2(-max(now.Sub(m.at).Seconds(), 0)/meterHalf.Seconds())
 }
 
-func (m *meter) perSecond() float64 {
-	return m.sum * math.Ln2 / meterHalf.Seconds()
+func (m *meter) perSecond(now time.Time) float64 {
+	return m.faded(now) * math.Ln2 / meterHalf.Seconds()
 }
 
 // classes is the number of priority classes.
