target: share what is known well among the services

Cause: eight targets of each service were known well however many services there are: 280 with 35 models, at 0.17 MB and one connection each. Before: TestSubsetsOfManyServicesStayWithinWhatIsKnown fails (8 of each). After: 3 of each of 35, 8 of each of up to 16 services as before. Ruled out: a setting for operators, which they would have to follow with the number of models.

--- a/target/subset.go
+++ b/target/subset.go
@@ -28,6 +28,19 @@
 	return 2
 }
 
+// leastSubset is how many targets of a service are known well however many
+// services there are: with one alone its silence would leave none.
+const leastSubset = 2
+
+// subset returns how many targets of each service are known well. Each costs a
+// connection and questions, so what all services have together is bounded:
+// eight of each of 35 models would cost an entry more than it may spend.
+func (t *Table) subset() int {
+	each := t.cfg.Known / max(len(t.pools), 1)
+
+	return min(t.cfg.Subset, max(each, leastSubset))
+}
+
 // choose marks the subset of a pool anew.
 func (t *Table) choose(p *pool) {
 	slices.SortFunc(p.rows, func(a, b *row) int {
@@ -37,8 +50,9 @@
 	t.well -= p.well
 	p.well = 0
 
+	most := t.subset()
 	for _, r := range p.rows {
-		r.well = p.well < t.cfg.Subset && !r.leaving()
+		r.well = p.well < most && !r.leaving()
 		if r.well {
 			p.well++
 		}
--- a/target/table.go
+++ b/target/table.go
@@ -14,8 +14,11 @@
 	DataCentre string
 	// Regions maps data centres to regions.
 	Regions map[string]string
-	// Subset is how many targets of a service are known well. 8 when zero.
+	// Subset is how many targets of a service are known well at most. 8 when zero.
 	Subset int
+	// Known is how many targets of all services are known well; with many
+	// services each has fewer, but no less than two. 128 when zero.
+	Known int
 	// SilentAfter is the silence after which a target known well is doubted, or
 	// longer when two rounds of asking take longer. 30 s when zero.
 	SilentAfter time.Duration
@@ -43,6 +46,7 @@
 
 func (c TableConfig) withDefaults() TableConfig {
 	c.Subset = or(c.Subset, 8)
+	c.Known = or(c.Known, 128)
 	c.SilentAfter = or(c.SilentAfter, 30*time.Second)
 	c.AskEvery = or(c.AskEvery, 500*time.Millisecond)
 	c.EjectAfter = or(c.EjectAfter, 3)
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -265,7 +265,7 @@
 		vms = append(vms, fmt.Sprintf("engine-%03d", i))
 	}
 
-	tab := NewTable(TableConfig{Self: "entry-1", DataCentre: "yvr-east", Subset: 200})
+	tab := NewTable(TableConfig{Self: "entry-1", DataCentre: "yvr-east", Subset: 200, Known: 200})
 	tab.ObserveList(epoch, list(vms...))
 
 	for _, vm := range vms {
@@ -306,6 +306,31 @@
 	}
 }
 
+// An entry serves 35 models. Eight connections for each would cost it more bytes
+// and memory than it may spend.
+func TestSubsetsOfManyServicesStayWithinWhatIsKnown(t *testing.T) {
+	tab := NewTable(TableConfig{Self: "entry-1", DataCentre: "yvr-east"})
+
+	var rows []Listed
+	for i := range 350 {
+		rows = append(rows, Listed{VM: fmt.Sprint(i), DataCentre: "yvr-east", Kind: KindEngine, Service: fmt.Sprint(i % 35), State: Live})
+	}
+
+	tab.ObserveList(epoch, rows[:20])
+
+	if got, want := len(tab.Subset("0")), 1; got != want {
+		t.Errorf("one target of a service: got %d known well, want %d", got, want)
+	}
+
+	tab.ObserveList(epoch, rows)
+
+	for _, s := range tab.Services() {
+		if got, want := len(tab.Subset(s)), 3; got != want {
+			t.Errorf("service %s: got %d known well, want %d", s, got, want)
+		}
+	}
+}
+
 // truth is the oracle of TestWordsAgainstTruth: what really is, and which words
 // of it reached the entry. It knows nothing of how the table works.
 type truth struct {
