claim: test the guards that the drawn cases rarely need

Cause: taken out, three guards went unnoticed in 6000 drawn cases: serving before all records are read, going on after the home is lost, releasing while a run is open. Each now has a direct test.

--- a/claim/desk_test.go
+++ b/claim/desk_test.go
@@ -148,3 +148,112 @@
 		})
 	}
 }
+
+// home returns a Desk that is the home of its shard, and the time.
+func home(t *testing.T, f Fleet) (*pair, time.Time) {
+	t.Helper()
+
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p := newPair(now)
+
+	for range 3 {
+		p.turn(t, now, f)
+		now = now.Add(time.Second)
+	}
+
+	if !p.desk.Home() {
+		t.Fatal("got no home, want one")
+	}
+
+	return p, now
+}
+
+// The log forgets records before a home has read them. The snapshot that it takes
+// is older than what it ran, so until it has read the rest it would run a key
+// again, and a rider would be booked twice.
+func TestHomeServesOnlyWithAllRecords(t *testing.T) {
+	p, now := home(t, Fleet{Version: 1, VMs: []string{"a"}})
+
+	if err := p.desk.Restore(p.desk.ledger.Encode()); err != nil {
+		t.Fatal(err)
+	}
+
+	q := Request{Organisation: "o", Key: keyAt(now, 1)}
+	if _, err := p.desk.Claim(now, q); failure.KindOf(err) != failure.NotReady {
+		t.Errorf("before the rest is read: got %v, want not ready", err)
+	}
+
+	p.desk.Synced(now, 1)
+
+	if _, err := p.desk.Claim(now, q); err != nil {
+		t.Errorf("after the rest is read: got %v, want a run", err)
+	}
+}
+
+// Another process becomes the home while a claim is on its way. The claim counts
+// no more, and the new home may run the key: this one must not.
+func TestWaitingRunEndsWithTheHome(t *testing.T) {
+	p, now := home(t, Fleet{Version: 1, VMs: []string{"a"}})
+
+	r, err := p.desk.Claim(now, Request{Organisation: "o", Key: keyAt(now, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	p.n++
+	taken := record{Kind: kindHome, Term: p.desk.ledger.Holder().Term, Home: &homeRecord{
+		VM: "b", Incarnation: 1, Basis: BasisGone, Listed: 2,
+	}}
+
+	if err := p.desk.Apply(journal.Record{Offset: p.n, At: now, Data: taken.encode()}); err != nil {
+		t.Fatal(err)
+	}
+
+	if done, err := r.Decided(); !done || failure.KindOf(err) != failure.NotReady {
+		t.Errorf("got decided %v with %v, want not ready", done, err)
+	}
+}
+
+// A shard is given back while a booking runs. Released at once, it would leave no
+// uncertain window, and the next home would run the booking's key again if its
+// claim was not written.
+func TestReleaseWaitsForRuns(t *testing.T) {
+	f := Fleet{Version: 1, VMs: []string{"a"}}
+	p, now := home(t, f)
+
+	// The log is silent, so the run's claim is not written.
+	for range 5 {
+		now = now.Add(time.Second)
+		p.desk.Tick(now)
+	}
+
+	r, err := p.desk.Claim(now, Request{Organisation: "o", Key: keyAt(now, 1)})
+	if err != nil || !r.logLess {
+		t.Fatalf("got %v and log-less %v, want a run", err, err == nil && r.logLess)
+	}
+
+	claims := p.desk.Outbox()
+
+	p.desk.Yield()
+	p.desk.Release()
+
+	if got := len(p.desk.Outbox()); got != 0 {
+		t.Errorf("while it runs: got %d records written, want no release", got)
+	}
+
+	p.desk.Settle(r, Outcome{Status: 201})
+
+	for _, b := range append(claims, p.desk.Outbox()...) {
+		p.n++
+
+		if err := p.desk.Apply(journal.Record{Offset: p.n, At: now, Data: b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	p.desk.Release()
+
+	if got := len(p.desk.Outbox()); got != 1 {
+		t.Errorf("after it is written: got %d records, want the release", got)
+	}
+}
