claim: let the memory of keys follow the settings

Cause: how long keys are remembered was fixed at start, while the settings tree has it. Lengthened, it would have let a key look new that was forgotten under the shorter time. What is forgotten now raises the floor below which keys are refused. Before: the new test finds such a key fresh.

--- a/claim/home.go
+++ b/claim/home.go
@@ -212,6 +212,21 @@
 	return holder, holder.Term != 0 && !holder.Released && !s.desk.behind
 }
 
+// Remember sets how long keys are remembered from now on. Shards that are
+// followed later get it too. A shorter time forgets keys that were claimed
+// before when theirs is over; a longer one never brings a forgotten key back.
+func (h *Home) Remember(memory time.Duration) {
+	h.mu.Lock()
+	h.cfg.Ledger.Memory = memory
+	h.mu.Unlock()
+
+	for _, s := range h.followed() {
+		s.mu.Lock()
+		s.desk.ledger.Remember(memory)
+		s.mu.Unlock()
+	}
+}
+
 // Homes returns the shards whose home this process is.
 func (h *Home) Homes() []int {
 	var homes []int
@@ -317,9 +332,9 @@
 
 func (h *Home) follow(ctx context.Context, wg *sync.WaitGroup, n int) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := newShard(h.cfg, n, cancel)
 
 	h.mu.Lock()
+	s := newShard(h.cfg, n, cancel)
 	h.shards[n] = s
 	h.mu.Unlock()
 
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -90,6 +90,7 @@
 type entry struct {
 	run         uint64
 	fingerprint uint64
+	issued      int64 // zero when the key doesn't tell
 	expires     int64
 	outcome     *Outcome
 }
@@ -249,8 +250,9 @@
 		since = r.IssuedMS
 	}
 
-	e := entry{run: r.Run, fingerprint: r.Fingerprint, expires: since + l.memory + 2*l.skew}
-	l.insert(r.ID, e)
+	l.insert(r.ID, entry{
+		run: r.Run, fingerprint: r.Fingerprint, issued: r.IssuedMS, expires: since + l.memory + 2*l.skew,
+	})
 }
 
 func (l *Ledger) insert(id ID, e entry) {
@@ -302,7 +304,7 @@
 	for ; l.pruned < slot; l.pruned++ {
 		for _, id := range l.slots[l.pruned] {
 			if e, ok := l.entries[id]; ok && e.expires/pruneEvery <= l.pruned {
-				delete(l.entries, id)
+				l.forget(id, e)
 			}
 		}
 
@@ -312,6 +314,24 @@
 	l.floor = max(l.floor, l.now-l.memory-2*l.skew)
 }
 
+// forget drops a key. Whatever the memory is set to later, a key that was once
+// forgotten must not look new, so all that are as old are refused from then on.
+func (l *Ledger) forget(id ID, e entry) {
+	delete(l.entries, id)
+
+	if e.issued != 0 {
+		l.floor = max(l.floor, e.issued+1)
+	}
+}
+
+// Remember sets how long keys are remembered from now on. Those claimed before
+// keep the time that they had.
+func (l *Ledger) Remember(memory time.Duration) {
+	if memory > 0 {
+		l.memory = memory.Milliseconds()
+	}
+}
+
 // Key is what a Ledger is asked about.
 type Key struct {
 	// ID is the key's.
@@ -383,6 +403,7 @@
 	ID          ID
 	Run         uint64
 	Fingerprint uint64
+	Issued      int64
 	Expires     int64
 	Outcome     *Outcome
 }
@@ -394,7 +415,7 @@
 
 	for id, e := range l.entries {
 		s.Entries = append(s.Entries, savedEntry{
-			ID: id, Run: e.run, Fingerprint: e.fingerprint, Expires: e.expires, Outcome: e.outcome,
+			ID: id, Run: e.run, Fingerprint: e.fingerprint, Issued: e.issued, Expires: e.expires, Outcome: e.outcome,
 		})
 	}
 
@@ -420,7 +441,9 @@
 	l.from, l.gap = 1, false
 
 	for _, e := range s.Entries {
-		l.insert(e.ID, entry{run: e.Run, fingerprint: e.Fingerprint, expires: e.Expires, outcome: e.Outcome})
+		l.insert(e.ID, entry{
+			run: e.Run, fingerprint: e.Fingerprint, issued: e.Issued, expires: e.Expires, outcome: e.Outcome,
+		})
 	}
 
 	return nil
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -103,3 +103,53 @@
 		})
 	}
 }
+
+// Operators shorten the time for which keys are remembered and lengthen it again.
+// A key that was forgotten between would look new, and its booking run again.
+func TestForgottenKeysStayRefused(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	first := now
+	l := NewLedger(LedgerConfig{Memory: time.Minute})
+	l.apply(1, now.UnixMilli(), record{Kind: kindHome, Home: &homeRecord{VM: "a", Incarnation: 1, Basis: BasisFirst, From: 1}})
+
+	claim := func(offset uint64, at time.Time) {
+		l.apply(offset, at.UnixMilli(), record{
+			Kind: kindClaim, Term: 1, ID: NewID("o", at.String()), Run: offset, IssuedMS: at.UnixMilli(),
+		})
+	}
+
+	claim(2, now)
+	l.Remember(24 * time.Hour)
+
+	now = now.Add(10 * time.Minute)
+	claim(3, now)
+
+	if got := l.Len(); got != 1 {
+		t.Errorf("remembered: got %d keys, want the second", got)
+	}
+
+	cases := []struct {
+		name   string
+		issued time.Time
+		want   Standing
+	}{
+		{"forgotten", first, Expired},
+		{"remembered", now, Open},
+		{"new", now.Add(time.Second), Fresh},
+	}
+
+	for _, c := range cases {
+		if got := l.Ask(now, Key{ID: NewID("o", c.issued.String()), Issued: c.issued}); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+
+	copied := NewLedger(LedgerConfig{Memory: 24 * time.Hour})
+	if err := copied.Restore(l.Encode()); err != nil {
+		t.Fatal(err)
+	}
+
+	if got := copied.Ask(now, Key{ID: NewID("o", first.String()), Issued: first}); got != Expired {
+		t.Errorf("forgotten, by a snapshot: got %d, want expired", got)
+	}
+}
