--- a/claim/desk_test.go
+++ b/claim/desk_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// A home that stood still, or that the platform no longer lists, may have a
-// successor. In an outage of the log it can't know what that one ran, so it must
+// A home that stood still, that the platform no longer lists, or of which the log
+// may have forgotten all records, may have a successor. In an outage of the log it can't know what that one ran, so it must
 // not tell a caller that the key did not run, and must not run it.
 func TestHomeThatMayBeSucceededPromisesNothing(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -82,26 +82,30 @@
 
 	cases := []struct {
 		name  string
+		alone int // seconds without the log
 		pause time.Duration
 		fleet Fleet
 		want  failure.Kind
 	}{
-		{"undisturbed", time.Second, listed, failure.Internal},
-		{"stood still", DefaultMaxPause + time.Second, listed, failure.NotReady},
-		{"no longer listed", time.Second, Fleet{Version: 2, VMs: []string{"b"}}, failure.NotReady},
+		{"undisturbed", 5, time.Second, listed, failure.Internal},
+		{"long undisturbed", 3000, time.Second, listed, failure.Internal},
+		{"stood still", 5, DefaultMaxPause + time.Second, listed, failure.NotReady},
+		{"no longer listed", 5, time.Second, Fleet{Version: 2, VMs: []string{"b"}}, failure.NotReady},
+		{"forgotten by the log", 3600, time.Second, listed, failure.NotReady},
 	}
 
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := start
 			p := newPair(now)
+			p.desk.cfg.Retention = time.Hour
 
 			for range 3 {
 				p.turn(t, now, listed)
 				now = now.Add(time.Second)
 			}
 
-			for range 5 {
+			for range c.alone {
 				p.desk.Tick(now)
 				now = now.Add(time.Second)
 			}
