--- a/claim/home.go
+++ b/claim/home.go
@@ -30,6 +30,8 @@
 	// snapshotsPerRetention is how often the state is written again while the log
 	// keeps a record.
 	snapshotsPerRetention = 4
+	// recordsPerKey is how many records follow a snapshot for each key in it.
+	recordsPerKey = 4
 	// recordsPerRun is how many records a run makes at most.
 	recordsPerRun = 2
 )
@@ -57,8 +59,8 @@
 	// Retention is for how long the log keeps records at the least; zero is
 	// DefaultRetention.
 	Retention time.Duration
-	// SnapshotRecords is how many records follow a snapshot before the next; zero
-	// is DefaultSnapshotRecords.
+	// SnapshotRecords is how many records follow a snapshot before the next, more
+	// with many keys; zero is DefaultSnapshotRecords.
 	SnapshotRecords uint64
 	// Interval is the least time between two appends to one shard; zero is
 	// DefaultInterval.
--- a/claim/measure_test.go
+++ b/claim/measure_test.go
@@ -163,6 +163,56 @@
 	return l
 }
 
+// BenchmarkBytes reports what one booking adds to its shard's stream, as kept by
+// the log service (without the base64 of its answers).
+func BenchmarkBytes(b *testing.B) {
+	for _, body := range []int{0, 256, 1024} {
+		b.Run(fmt.Sprintf("body=%d", body), func(b *testing.B) {
+			for b.Loop() {
+				total := 0
+
+				testing.Init()
+				bubble(func(ctx context.Context) { total = written(ctx, body) })
+				b.ReportMetric(float64(total), "B/booking")
+			}
+		})
+	}
+}
+
+// written makes one booking and returns the bytes of its two records.
+func written(ctx context.Context, body int) int {
+	var wg sync.WaitGroup
+
+	ctx, cancel := context.WithCancel(ctx)
+	log := memory.New()
+	h := NewHome(HomeConfig{Log: log, Service: "s", Shards: 1, VM: "a", Fleet: func() Fleet {
+		return Fleet{Version: 1, VMs: []string{"a"}}
+	}})
+
+	wg.Go(func() { h.Run(ctx) })
+	time.Sleep(10 * time.Second)
+
+	before := len(log.Records(Stream("s", 0)))
+
+	t, err := h.Claim(ctx, time.Now(), Request{Organisation: "o", Key: keyAt(time.Now(), 1), Fingerprint: "f"})
+	if err != nil {
+		panic(err)
+	}
+
+	_ = h.Settle(ctx, t, Outcome{Status: 201, ContentType: "application/json", Body: make([]byte, body)})
+
+	time.Sleep(time.Second)
+	cancel()
+	wg.Wait()
+
+	total := 0
+	for _, r := range log.Records(Stream("s", 0))[before:] {
+		total += len(r.Data)
+	}
+
+	return total
+}
+
 // BenchmarkMemory reports the bytes that a remembered key takes, and a snapshot
 // of it.
 func BenchmarkMemory(b *testing.B) {
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -287,7 +287,7 @@
 			continue
 		}
 
-		if now.Sub(last) < s.cfg.Retention/snapshotsPerRetention && next-offset < s.cfg.SnapshotRecords {
+		if now.Sub(last) < s.cfg.Retention/snapshotsPerRetention && next-offset < s.enough() {
 			continue
 		}
 
@@ -297,6 +297,15 @@
 	}
 }
 
+// enough returns how many records are worth a snapshot. It grows with the keys,
+// so that snapshots stay a small part of what is written.
+func (s *shard) enough() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return max(s.cfg.SnapshotRecords, recordsPerKey*uint64(s.desk.ledger.Len()))
+}
+
 func (s *shard) home() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
