claim: tell the shards that earlier processes have ended

Cause: a process that starts read every shard, to find one whose home was an earlier process on its VM: up to 350 MB at the two-year size. It now writes one record into each, after which that home's records count no more and any candidate takes over, with an uncertain window where the home might run unwritten.

--- a/claim/desk.go
+++ b/claim/desk.go
@@ -142,7 +142,7 @@
 func (d *Desk) Home() bool { return d.mine(d.ledger.Holder()) }
 
 func (d *Desk) mine(h Holder) bool {
-	return h.Term != 0 && !h.Released && h.VM == d.cfg.VM && h.Incarnation == d.cfg.Incarnation
+	return h.Serves() && h.VM == d.cfg.VM && h.Incarnation == d.cfg.Incarnation
 }
 
 // Claim decides about a request. Without an error, the run that it returns is
@@ -579,7 +579,7 @@
 
 // disown forgets a run from an earlier term; only the record matters then.
 func (d *Desk) disown(r *Run) {
-	if h := d.ledger.Holder(); (r.term != h.Term || h.Released) && d.local[r.id] == r {
+	if h := d.ledger.Holder(); (r.term != h.Term || !h.Serves()) && d.local[r.id] == r {
 		delete(d.local, r.id)
 	}
 }
--- a/claim/desk_test.go
+++ b/claim/desk_test.go
@@ -261,3 +261,38 @@
 		t.Errorf("after it is written: got %d records, want the release", got)
 	}
 }
+
+// A home's process dies and another starts on its VM, which is no candidate for
+// the shard any more. Without a word of it in the log nobody could take the shard
+// over, since the VM is listed, and its callers would be refused for good.
+func TestEndedHomeIsSucceededByACandidate(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f := Fleet{Version: 1, VMs: []string{"a", "b"}}
+	p := newPair(now)
+
+	apply := func(r record) {
+		p.n++
+
+		if err := p.desk.Apply(journal.Record{Offset: p.n, At: now, Data: r.encode()}); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	apply(record{Kind: kindHome, Home: &homeRecord{VM: "b", Incarnation: 3, Basis: BasisFirst, From: 1, LogLess: true, Listed: 1}})
+	p.turn(t, now, f)
+
+	if p.desk.Home() {
+		t.Fatal("while the home lives: got the home, want none")
+	}
+
+	apply(born("b", 4))
+
+	for range 3 {
+		now = now.Add(time.Second)
+		p.turn(t, now, f)
+	}
+
+	if !p.desk.Home() || !p.desk.ledger.Cut().After(now.Add(-time.Minute)) {
+		t.Errorf("after its process ended: got home %v and cut %v, want both", p.desk.Home(), p.desk.ledger.Cut())
+	}
+}
--- a/claim/home.go
+++ b/claim/home.go
@@ -211,7 +211,7 @@
 
 	holder := s.desk.ledger.Holder()
 
-	return holder, holder.Term != 0 && !holder.Released && !s.desk.behind
+	return holder, holder.Serves() && !s.desk.behind
 }
 
 // Remember sets how long keys are remembered from now on. Shards that are
@@ -267,16 +267,13 @@
 }
 
 // Run follows the shards that this process is home of, or a candidate for,
-// until ctx ends.
+// until ctx ends. The process must hold its port by then: Run tells every shard
+// that earlier processes on this VM have ended.
 func (h *Home) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 
-	// A process begins with all shards: one of them may still name an earlier
-	// process on this VM as its home, which only this one can follow.
-	for n := range h.cfg.Shards {
-		h.follow(ctx, &wg, n)
-	}
+	wg.Go(func() { h.announce(ctx) })
 
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
@@ -292,6 +289,31 @@
 	}
 }
 
+// announce writes into each shard that earlier processes on this VM have ended.
+// One of them may be the home of a shard that this process doesn't follow.
+func (h *Home) announce(ctx context.Context) {
+	for n := range h.cfg.Shards {
+		h.announceTo(ctx, n)
+	}
+}
+
+// announceTo tries until one shard has it or ctx ends.
+func (h *Home) announceTo(ctx context.Context, n int) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := journal.NewWriter(journal.WriterConfig{
+		Log: h.cfg.Log, Stream: Stream(h.cfg.Service, n), Limit: h.cfg.Limit, Logger: h.cfg.Logger,
+	})
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() { w.Run(ctx) })
+
+	_, _ = w.Append(ctx, born(h.cfg.VM, h.cfg.Incarnation).encode())
+
+	cancel()
+	wg.Wait()
+}
+
 // tick looks at each shard once.
 func (h *Home) tick(ctx context.Context, wg *sync.WaitGroup, now time.Time) {
 	f := h.cfg.Fleet()
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -52,6 +52,8 @@
 	Listed uint64 `cbor:"5,keyasint"`
 	// Released says that it gave the shard back.
 	Released bool `cbor:"6,keyasint"`
+	// Ended says that a later process has started on its VM.
+	Ended bool `cbor:"9,keyasint"`
 	// Asserted is an offset: a reader that has everything from there on knows all
 	// this. It is that of the home record, or follows what a snapshot covers.
 	Asserted uint64 `cbor:"7,keyasint"`
@@ -60,6 +62,9 @@
 	AssertedMS int64 `cbor:"8,keyasint"`
 }
 
+// Serves tells whether there is a home that may take claims.
+func (h Holder) Serves() bool { return h.Term != 0 && !h.Released && !h.Ended }
+
 // LedgerConfig is what all who read a shard have to agree on.
 type LedgerConfig struct {
 	// Memory is how long a key is remembered after its issue, or after its claim
@@ -167,6 +172,8 @@
 		l.settle(r)
 	case kindWithdraw:
 		l.withdraw(r)
+	case kindBorn:
+		l.born(r)
 	}
 
 	l.prune()
@@ -174,7 +181,7 @@
 
 // counts tells whether a record was written by the home of its time.
 func (l *Ledger) counts(r record) bool {
-	return r.Term != 0 && r.Term == l.holder.Term && !l.holder.Released
+	return r.Term == l.holder.Term && l.holder.Serves()
 }
 
 // take makes the writer of r the home, if it may be.
@@ -216,12 +223,21 @@
 	case BasisGone:
 		return h.VM != l.holder.VM && h.Listed > l.holder.Listed
 	case BasisReborn:
-		return h.VM == l.holder.VM && h.Incarnation > l.holder.Incarnation
+		return l.holder.Ended || h.VM == l.holder.VM && h.Incarnation > l.holder.Incarnation
 	default:
 		return false
 	}
 }
 
+// born notes that the home's process has ended, as a later one on its VM says,
+// which could only start since then. So the candidates take over, and a process
+// that starts need not read shards that aren't its own.
+func (l *Ledger) born(r record) {
+	if r.Home.VM == l.holder.VM && r.Home.Incarnation > l.holder.Incarnation {
+		l.holder.Ended = true
+	}
+}
+
 // keep repeats that the home is still there. A reader that lacks the home record
 // learns at least that there is one, and waits for a snapshot to tell which.
 func (l *Ledger) keep(r record) {
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -12,6 +12,8 @@
 	living := Holder{VM: "a", Incarnation: 5, Term: 10, Listed: 7, Asserted: 10}
 	released := living
 	released.Released = true
+	ended := living
+	ended.Ended = true
 
 	cases := []struct {
 		name   string
@@ -32,6 +34,8 @@
 		{"gone, but the same VM", living, 10, homeRecord{VM: "a", Basis: BasisGone, Listed: 8}, false},
 		{"reborn", living, 10, homeRecord{VM: "a", Incarnation: 6, Basis: BasisReborn}, true},
 		{"reborn, but earlier", living, 10, homeRecord{VM: "a", Incarnation: 4, Basis: BasisReborn}, false},
+		{"ended, by any VM", ended, 10, homeRecord{VM: "b", Basis: BasisReborn}, true},
+		{"ended, but the second to ask", ended, 9, homeRecord{VM: "b", Basis: BasisReborn}, false},
 		{"reborn elsewhere", living, 10, homeRecord{VM: "b", Incarnation: 6, Basis: BasisReborn}, false},
 		{"no basis", living, 10, homeRecord{VM: "b"}, false},
 	}
@@ -63,6 +67,9 @@
 	}
 	withdraw := func(run uint64) record { return record{Kind: kindWithdraw, Term: 1, ID: id, Run: run} }
 	release := record{Kind: kindRelease, Term: 1}
+	later := record{Kind: kindBorn, Home: &homeRecord{VM: "a", Incarnation: 2}}
+	same := record{Kind: kindBorn, Home: &homeRecord{VM: "a", Incarnation: 1}}
+	other := record{Kind: kindBorn, Home: &homeRecord{VM: "b", Incarnation: 2}}
 
 	cases := []struct {
 		name    string
@@ -73,6 +80,9 @@
 		{"claimed", []record{home, claim}, Open, 0},
 		{"claimed by none that is home", []record{home, foreign}, Fresh, 0},
 		{"claimed after the release", []record{home, release, claim}, Fresh, 0},
+		{"claimed after a later process started", []record{home, later, claim}, Fresh, 0},
+		{"claimed after its own start is told late", []record{home, same, claim}, Open, 0},
+		{"claimed after a process started elsewhere", []record{home, other, claim}, Open, 0},
 		{"settled", []record{home, claim, outcome(7, 201)}, Settled, 201},
 		{"settled after the release", []record{home, claim, release, outcome(7, 201)}, Settled, 201},
 		{"settled twice", []record{home, claim, outcome(7, 201), outcome(7, 500)}, Settled, 201},
--- a/claim/record.go
+++ b/claim/record.go
@@ -25,6 +25,8 @@
 	kindOutcome
 	// kindWithdraw says that a claimed run has not happened and won't.
 	kindWithdraw
+	// kindBorn says that earlier processes on its writer's VM have ended.
+	kindBorn
 )
 
 // Basis is why a process may become the home of a shard.
@@ -38,7 +40,7 @@
 	BasisReleased
 	// BasisGone says that the platform no longer lists the VM of the home before.
 	BasisGone
-	// BasisReborn says that the home before was an earlier process on this VM.
+	// BasisReborn says that a later process has started on the VM of the home before.
 	BasisReborn
 )
 
@@ -74,7 +76,7 @@
 	IssuedMS int64 `cbor:"6,keyasint,omitempty"`
 	// Outcome is what a run brought.
 	Outcome *Outcome `cbor:"7,keyasint,omitempty"`
-	// Home is set in home and keep records.
+	// Home is set in home, keep and born records.
 	Home *homeRecord `cbor:"8,keyasint,omitempty"`
 }
 
@@ -112,7 +114,7 @@
 		return record{}, failure.Wrap(failure.BadMessage, err, "a record can't be understood as a claim")
 	}
 
-	if (r.Kind == kindHome || r.Kind == kindKeep) && r.Home == nil || r.Kind == kindOutcome && r.Outcome == nil {
+	if (r.Kind == kindHome || r.Kind == kindKeep || r.Kind == kindBorn) && r.Home == nil || r.Kind == kindOutcome && r.Outcome == nil {
 		return record{}, failure.New(failure.BadMessage, "a claim record of kind %d lacks its content", r.Kind)
 	}
 
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -155,7 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return rank >= Candidates && !s.desk.behind && s.desk.ledger.Holder().VM != s.cfg.VM && len(s.desk.local) == 0
+	return rank >= Candidates && !s.desk.Home() && len(s.desk.local) == 0
 }
 
 // tick does what is due and tells whether the shard is being yielded.
--- a/claim/takeover.go
+++ b/claim/takeover.go
@@ -76,8 +76,6 @@
 	wait := time.Duration(rank) * positive(s.Stagger, DefaultStagger)
 
 	switch {
-	case s.basis == BasisReborn:
-		return 0
 	case s.basis == BasisFirst && d.first > 1:
 		return wait + lostDelay
 	default:
@@ -98,7 +96,7 @@
 		return 0, false
 	case h.Released:
 		return BasisReleased, true
-	case h.VM == d.cfg.VM && h.Incarnation < d.cfg.Incarnation:
+	case h.Ended || h.VM == d.cfg.VM && h.Incarnation < d.cfg.Incarnation:
 		return BasisReborn, true
 	case h.VM != d.cfg.VM && f.Version > h.Listed && !f.Has(h.VM):
 		return BasisGone, true
@@ -107,6 +105,15 @@
 	}
 }
 
+// Born puts the record into the outbox by which this process says that earlier
+// ones on its VM have ended. The process must hold what only one of them can,
+// its port.
+func (d *Desk) Born() { d.write(born(d.cfg.VM, d.cfg.Incarnation)) }
+
+func born(vm string, incarnation uint64) record {
+	return record{Kind: kindBorn, Home: &homeRecord{VM: vm, Incarnation: incarnation}}
+}
+
 // Ask puts the record by which this process becomes the home into the outbox.
 func (d *Desk) Ask(b Basis, f Fleet) { d.write(d.homeRecord(kindHome, b, f)) }
 
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -180,6 +180,10 @@
 			Ledger: LedgerConfig{Memory: worldMemory, Skew: worldSkew},
 		}),
 	})
+
+	p := w.procs[len(w.procs)-1]
+	p.desk.Born()
+	w.flush(p)
 }
 
 func (w *world) clock(p *process) time.Time { return w.now.Add(p.skew) }
