--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -52,6 +52,8 @@
 	Listed uint64 `cbor:"5,keyasint"`
 	// Released says that it gave the shard back.
 	Released bool `cbor:"6,keyasint"`
+	// Ended says that a later process has started on its VM.
+	Ended bool `cbor:"9,keyasint"`
 	// Asserted is an offset: a reader that has everything from there on knows all
 	// this. It is that of the home record, or follows what a snapshot covers.
 	Asserted uint64 `cbor:"7,keyasint"`
@@ -60,6 +62,9 @@
 	AssertedMS int64 `cbor:"8,keyasint"`
 }
 
+// Serves tells whether there is a home that may take claims.
+func (h Holder) Serves() bool { return h.Term != 0 && !h.Released && !h.Ended }
+
 // LedgerConfig is what all who read a shard have to agree on.
 type LedgerConfig struct {
 	// Memory is how long a key is remembered after its issue, or after its claim
@@ -90,6 +95,7 @@
 type entry struct {
 	run         uint64
 	fingerprint uint64
+	issued      int64 // zero when the key doesn't tell
 	expires     int64
 	outcome     *Outcome
 }
@@ -166,6 +172,8 @@
 		l.settle(r)
 	case kindWithdraw:
 		l.withdraw(r)
+	case kindBorn:
+		l.born(r)
 	}
 
 	l.prune()
@@ -173,7 +181,7 @@
 
 // counts tells whether a record was written by the home of its time.
 func (l *Ledger) counts(r record) bool {
-	return r.Term != 0 && r.Term == l.holder.Term && !l.holder.Released
+	return r.Term == l.holder.Term && l.holder.Serves()
 }
 
 // take makes the writer of r the home, if it may be.
@@ -215,12 +223,21 @@
 	case BasisGone:
 		return h.VM != l.holder.VM && h.Listed > l.holder.Listed
 	case BasisReborn:
-		return h.VM == l.holder.VM && h.Incarnation > l.holder.Incarnation
+		return l.holder.Ended || h.VM == l.holder.VM && h.Incarnation > l.holder.Incarnation
 	default:
 		return false
 	}
 }
 
+// born notes that the home's process has ended, as a later one on its VM says,
+// which could only start since then. So the candidates take over, and a process
+// that starts need not read shards that aren't its own.
+func (l *Ledger) born(r record) {
+	if r.Home.VM == l.holder.VM && r.Home.Incarnation > l.holder.Incarnation {
+		l.holder.Ended = true
+	}
+}
+
 // keep repeats that the home is still there. A reader that lacks the home record
 // learns at least that there is one, and waits for a snapshot to tell which.
 func (l *Ledger) keep(r record) {
@@ -249,8 +266,9 @@
 		since = r.IssuedMS
 	}
 
-	e := entry{run: r.Run, fingerprint: r.Fingerprint, expires: since + l.memory + 2*l.skew}
-	l.insert(r.ID, e)
+	l.insert(r.ID, entry{
+		run: r.Run, fingerprint: r.Fingerprint, issued: r.IssuedMS, expires: since + l.memory + 2*l.skew,
+	})
 }
 
 func (l *Ledger) insert(id ID, e entry) {
@@ -302,7 +320,7 @@
 	for ; l.pruned < slot; l.pruned++ {
 		for _, id := range l.slots[l.pruned] {
 			if e, ok := l.entries[id]; ok && e.expires/pruneEvery <= l.pruned {
-				delete(l.entries, id)
+				l.forget(id, e)
 			}
 		}
 
@@ -312,6 +330,24 @@
 	l.floor = max(l.floor, l.now-l.memory-2*l.skew)
 }
 
+// forget drops a key. Whatever the memory is set to later, a key that was once
+// forgotten must not look new, so all that are as old are refused from then on.
+func (l *Ledger) forget(id ID, e entry) {
+	delete(l.entries, id)
+
+	if e.issued != 0 {
+		l.floor = max(l.floor, e.issued+1)
+	}
+}
+
+// Remember sets how long keys are remembered from now on. Those claimed before
+// keep the time that they had.
+func (l *Ledger) Remember(memory time.Duration) {
+	if memory > 0 {
+		l.memory = memory.Milliseconds()
+	}
+}
+
 // Key is what a Ledger is asked about.
 type Key struct {
 	// ID is the key's.
@@ -383,6 +419,7 @@
 	ID          ID
 	Run         uint64
 	Fingerprint uint64
+	Issued      int64
 	Expires     int64
 	Outcome     *Outcome
 }
@@ -394,7 +431,7 @@
 
 	for id, e := range l.entries {
 		s.Entries = append(s.Entries, savedEntry{
-			ID: id, Run: e.run, Fingerprint: e.fingerprint, Expires: e.expires, Outcome: e.outcome,
+			ID: id, Run: e.run, Fingerprint: e.fingerprint, Issued: e.issued, Expires: e.expires, Outcome: e.outcome,
 		})
 	}
 
@@ -420,7 +457,9 @@
 	l.from, l.gap = 1, false
 
 	for _, e := range s.Entries {
-		l.insert(e.ID, entry{run: e.Run, fingerprint: e.Fingerprint, expires: e.Expires, outcome: e.Outcome})
+		l.insert(e.ID, entry{
+			run: e.Run, fingerprint: e.Fingerprint, issued: e.Issued, expires: e.Expires, outcome: e.Outcome,
+		})
 	}
 
 	return nil
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -12,6 +12,8 @@
 	living := Holder{VM: "a", Incarnation: 5, Term: 10, Listed: 7, Asserted: 10}
 	released := living
 	released.Released = true
+	ended := living
+	ended.Ended = true
 
 	cases := []struct {
 		name   string
@@ -32,6 +34,8 @@
 		{"gone, but the same VM", living, 10, homeRecord{VM: "a", Basis: BasisGone, Listed: 8}, false},
 		{"reborn", living, 10, homeRecord{VM: "a", Incarnation: 6, Basis: BasisReborn}, true},
 		{"reborn, but earlier", living, 10, homeRecord{VM: "a", Incarnation: 4, Basis: BasisReborn}, false},
+		{"ended, by any VM", ended, 10, homeRecord{VM: "b", Basis: BasisReborn}, true},
+		{"ended, but the second to ask", ended, 9, homeRecord{VM: "b", Basis: BasisReborn}, false},
 		{"reborn elsewhere", living, 10, homeRecord{VM: "b", Incarnation: 6, Basis: BasisReborn}, false},
 		{"no basis", living, 10, homeRecord{VM: "b"}, false},
 	}
@@ -63,6 +67,9 @@
 	}
 	withdraw := func(run uint64) record { return record{Kind: kindWithdraw, Term: 1, ID: id, Run: run} }
 	release := record{Kind: kindRelease, Term: 1}
+	later := record{Kind: kindBorn, Home: &homeRecord{VM: "a", Incarnation: 2}}
+	same := record{Kind: kindBorn, Home: &homeRecord{VM: "a", Incarnation: 1}}
+	other := record{Kind: kindBorn, Home: &homeRecord{VM: "b", Incarnation: 2}}
 
 	cases := []struct {
 		name    string
@@ -73,6 +80,9 @@
 		{"claimed", []record{home, claim}, Open, 0},
 		{"claimed by none that is home", []record{home, foreign}, Fresh, 0},
 		{"claimed after the release", []record{home, release, claim}, Fresh, 0},
+		{"claimed after a later process started", []record{home, later, claim}, Fresh, 0},
+		{"claimed after its own start is told late", []record{home, same, claim}, Open, 0},
+		{"claimed after a process started elsewhere", []record{home, other, claim}, Open, 0},
 		{"settled", []record{home, claim, outcome(7, 201)}, Settled, 201},
 		{"settled after the release", []record{home, claim, release, outcome(7, 201)}, Settled, 201},
 		{"settled twice", []record{home, claim, outcome(7, 201), outcome(7, 500)}, Settled, 201},
@@ -103,3 +113,53 @@
 		})
 	}
 }
+
+// Operators shorten the time for which keys are remembered and lengthen it again.
+// A key that was forgotten between would look new, and its booking run again.
+func TestForgottenKeysStayRefused(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	first := now
+	l := NewLedger(LedgerConfig{Memory: time.Minute})
+	l.apply(1, now.UnixMilli(), record{Kind: kindHome, Home: &homeRecord{VM: "a", Incarnation: 1, Basis: BasisFirst, From: 1}})
+
+	claim := func(offset uint64, at time.Time) {
+		l.apply(offset, at.UnixMilli(), record{
+			Kind: kindClaim, Term: 1, ID: NewID("o", at.String()), Run: offset, IssuedMS: at.UnixMilli(),
+		})
+	}
+
+	claim(2, now)
+	l.Remember(24 * time.Hour)
+
+	now = now.Add(10 * time.Minute)
+	claim(3, now)
+
+	if got := l.Len(); got != 1 {
+		t.Errorf("remembered: got %d keys, want the second", got)
+	}
+
+	cases := []struct {
+		name   string
+		issued time.Time
+		want   Standing
+	}{
+		{"forgotten", first, Expired},
+		{"remembered", now, Open},
+		{"new", now.Add(time.Second), Fresh},
+	}
+
+	for _, c := range cases {
+		if got := l.Ask(now, Key{ID: NewID("o", c.issued.String()), Issued: c.issued}); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+
+	copied := NewLedger(LedgerConfig{Memory: 24 * time.Hour})
+	if err := copied.Restore(l.Encode()); err != nil {
+		t.Fatal(err)
+	}
+
+	if got := copied.Ask(now, Key{ID: NewID("o", first.String()), Issued: first}); got != Expired {
+		t.Errorf("forgotten, by a snapshot: got %d, want expired", got)
+	}
+}
