engine, side, entry: notice crossed answers and answers with a hole

Ruled out: repeating an answer that doesn't add up elsewhere: the caller has it. Change: each run has an id of its own that every piece must bear; the engine's count of tokens must be that of the tokens passed on. Retry ratio and quarantine follow the settings.

--- a/engine/complete.go
+++ b/engine/complete.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"boragehub/failure"
 )
@@ -67,7 +68,8 @@
 	WeightVersion string `json:"weight_version,omitempty"`
 	// Adapter is the adapter to use.
 	Adapter string `json:"adapter,omitempty"`
-	// RequestID names the request in the engine's logs.
+	// RequestID names the run in the engine's logs and in the answer's id, so it
+	// must be unique: callers may use one request id twice.
 	RequestID string `json:"request_id"`
 	// ResumeText is the part of the answer that is there already.
 	ResumeText string `json:"resume_text,omitempty"`
@@ -96,6 +98,7 @@
 }
 
 type chunk struct {
+	ID      string `json:"id"`
 	Choices []struct {
 		Text         string  `json:"text"`
 		FinishReason *string `json:"finish_reason"`
@@ -133,7 +136,7 @@
 		return refusal(resp)
 	}
 
-	return read(resp.Body, take)
+	return read(resp.Body, q.RequestID, take)
 }
 
 // refusal maps an engine's refusal, which it gives before anything runs.
@@ -152,7 +155,7 @@
 	}
 }
 
-func read(r io.Reader, take func(Piece) error) error {
+func read(r io.Reader, requestID string, take func(Piece) error) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
 
@@ -172,7 +175,7 @@
 			return nil
 		}
 
-		p, err := decode(data)
+		p, err := decode(data, requestID)
 		if err != nil {
 			return err
 		}
@@ -195,12 +198,19 @@
 	return err
 }
 
-func decode(data []byte) (Piece, error) {
+// decode reads one piece. Its id must bear the request's: an answer that crossed
+// another one on its way looks whole in every other respect, and a caller would
+// read somebody else's.
+func decode(data []byte, requestID string) (Piece, error) {
 	var k chunk
 	if err := json.Unmarshal(data, &k); err != nil {
 		return Piece{}, failure.Wrap(failure.TargetLost, err, "a piece of the engine's answer could not be read")
 	}
 
+	if !strings.Contains(k.ID, requestID) {
+		return Piece{}, failure.New(failure.BadMessage, "an answer to %q came for %q", k.ID, requestID)
+	}
+
 	var p Piece
 
 	if len(k.Choices) > 0 {
--- a/entry/direct.go
+++ b/entry/direct.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
+
 	"boragehub/engine"
 	"boragehub/failure"
 	"boragehub/message"
@@ -77,6 +79,7 @@
 func (j *job) direct(ctx context.Context, r routed) (d message.Done, sent bool, err error) {
 	m := j.message(ctx, r)
 	c := engine.Client{Address: r.target.Address, HTTP: j.e.alone}
+	came := 0
 
 	err = c.Complete(ctx, engine.Completion{
 		Sampling:      m.Sampling,
@@ -86,10 +89,11 @@
 		Priority:      m.Priority,
 		CacheSalt:     m.Salt,
 		WeightVersion: m.Version,
-		RequestID:     m.RequestID,
+		RequestID:     m.RequestID + "." + uuid.NewString()[:8],
 		ResumeText:    m.Resume,
 	}, func(p engine.Piece) error {
 		if p.Finish != "" {
+			came = p.Usage.CompletionTokens
 			d = message.Done{
 				Finish:       p.Finish,
 				PromptTokens: p.Usage.PromptTokens,
@@ -105,6 +109,10 @@
 	})
 	d.Tokens = j.index
 
+	if err == nil && came != j.index {
+		err = failure.New(failure.Internal, "the engine's answer has %d tokens, and %d came", came, j.index)
+	}
+
 	if err != nil {
 		return d, failure.KindOf(err).Answer().Ran != failure.NotRun, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,7 +35,6 @@
 	"boragehub/organisation"
 	"boragehub/peer"
 	"boragehub/quarantine"
-	"boragehub/retry"
 	"boragehub/ring"
 	"boragehub/setting"
 	"boragehub/setting/exchange"
@@ -95,7 +94,7 @@
 	targets *target.Table
 	gates   *gates
 	ward    *quarantine.Ward
-	budget  *retry.Budget
+	budgets *budgets
 	learns  *ring.Ring[learning]
 	policy  atomic.Pointer[policy]
 	metrics *metrics
@@ -131,7 +130,7 @@
 		targets: target.NewTable(target.TableConfig{Self: cfg.VM, DataCentre: cfg.DataCentre}),
 		gates:   newGates(cfg.Seed),
 		ward:    quarantine.NewWard(quarantine.WardConfig{}),
-		budget:  retry.NewBudget(retry.BudgetConfig{}),
+		budgets: newBudgets(),
 		learns:  ring.New[learning](learnRing),
 		metrics: newMetrics(),
 		owned:   newOwned(directory.Config{}),
@@ -206,6 +205,11 @@
 
 	e.targets.ObserveDrained(now, drained)
 	e.links.set(p.Tree().Links())
+
+	// Crashes are counted for the whole entry, so the site's values are in force
+	// for them and not those of a workload.
+	v := p.Tree().Effective(setting.Path{Site: e.cfg.Site})
+	e.ward.Configure(quarantine.WardConfig{Crashes: v.QuarantineCrashes, Memory: v.QuarantineMemory})
 	e.policy.Store(&policy{version: p.Version(), tree: p.Tree(), register: organisation.NewRegister(p.Tree())})
 	event.Log(e.cfg.Log, event.PolicyChanged, "version", p.Version(), "author", p.Author())
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -51,12 +51,31 @@
 func (e *Entry) Handler() http.Handler {
 	c := restful.NewContainer()
 	c.DoNotRecover(false)
-	c.ServiceErrorHandler(func(err restful.ServiceError, _ *restful.Request, w *restful.Response) {
-		e.fail(w, "", failure.New(failure.UnknownPath, "%s", err.Message))
+	c.ServiceErrorHandler(func(_ restful.ServiceError, r *restful.Request, w *restful.Response) {
+		e.unknown(w.ResponseWriter, r.Request)
 	})
+	c.Add(e.routes())
 
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, apiPrefix+"/") {
+			e.unknown(w, r)
+
+			return
+		}
+
+		c.ServeHTTP(w, r)
+	})
+}
+
+// apiPrefix is where the OpenAI API and the plain services are.
+const apiPrefix = "/v1"
+
+func (e *Entry) routes() *restful.WebService {
 	ws := new(restful.WebService)
-	ws.Path("/v1")
+
+	// Without it every call that names what it accepts would be refused with 406,
+	// and each official client names it.
+	ws.Path(apiPrefix).Produces("*/*")
 	ws.Route(ws.POST("/chat/completions").To(e.serve(e.chat)))
 	ws.Route(ws.POST("/completions").To(e.serve(e.text)))
 	ws.Route(ws.GET("/models").To(e.serve(e.models)))
@@ -65,9 +84,14 @@
 		ws.Route(ws.Method(method).Path("/services/{service}/{path:*}").To(e.serve(e.plain)))
 	}
 
-	c.Add(ws)
+	return ws
+}
 
-	return c
+// unknown answers a path or method that doesn't exist in the one shape of errors.
+func (e *Entry) unknown(w http.ResponseWriter, r *http.Request) {
+	id := requestID(r)
+	w.Header().Set(headerRequestID, id)
+	e.fail(w, id, failure.New(failure.UnknownPath, "there is no %s %s", r.Method, r.URL.Path))
 }
 
 // handler serves one authenticated call.
@@ -189,15 +213,15 @@
 }
 
 func (e *Entry) chat(ctx context.Context, q request, r *http.Request, w http.ResponseWriter) error {
-	return e.prompt(ctx, q, r, w, chatShape)
+	return e.servePrompt(ctx, q, r, w, chatShape)
 }
 
 func (e *Entry) text(ctx context.Context, q request, r *http.Request, w http.ResponseWriter) error {
-	return e.prompt(ctx, q, r, w, textShape)
+	return e.servePrompt(ctx, q, r, w, textShape)
 }
 
-// prompt serves one prompt.
-func (e *Entry) prompt(ctx context.Context, q request, r *http.Request, w http.ResponseWriter, s shape) error {
+// servePrompt serves one prompt.
+func (e *Entry) servePrompt(ctx context.Context, q request, r *http.Request, w http.ResponseWriter, s shape) error {
 	b, err := body(r, e.values(q, "").MaxBodyBytes)
 	if err != nil {
 		return err
--- a/entry/job.go
+++ b/entry/job.go
@@ -40,6 +40,7 @@
 	tried   map[string]bool
 	views   []*contextView
 	window  promised
+	budget  *retry.Budget
 	index   int    // tokens passed on to the caller
 	answer  []byte // their text
 	first   time.Duration
@@ -55,7 +56,8 @@
 	ctx, cancel := context.WithTimeout(ctx, j.values.Timeout)
 	defer cancel()
 
-	j.e.budget.First(time.Now())
+	j.budget = j.e.budgets.of(j.service, j.values.RetryRatio)
+	j.budget.First(time.Now())
 
 	var last error
 
@@ -116,6 +118,8 @@
 		Kind:       kind,
 		Number:     j.attempt,
 		Most:       j.values.MaxAttempts,
+		// An answer that doesn't add up can't be gone on with from where it is.
+		Answered: kind == failure.Internal && j.index > 0,
 	})
 
 	if !may {
@@ -124,7 +128,7 @@
 		return false
 	}
 
-	if !j.e.budget.Allow(time.Now()) {
+	if !j.budget.Allow(time.Now()) {
 		event.Log(j.e.cfg.Log, event.RepeatRefused, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "reason", "budget")
 
 		return false
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -30,6 +30,7 @@
 	seed    uint64
 	tried   map[string]bool
 	attempt int
+	budget  *retry.Budget
 }
 
 // plain serves one call of a plain service.
@@ -154,7 +155,8 @@
 
 // run serves c until it is answered or given up.
 func (c *call) run(ctx context.Context) (message.Reply, error) {
-	c.e.budget.First(time.Now())
+	c.budget = c.e.budgets.of(c.service.Name, c.values.RetryRatio)
+	c.budget.First(time.Now())
 
 	var last error
 
@@ -216,7 +218,7 @@
 		Most:       c.values.MaxAttempts,
 	})
 
-	if !may || !c.e.budget.Allow(time.Now()) {
+	if !may || !c.budget.Allow(time.Now()) {
 		event.Log(c.e.cfg.Log, event.RepeatRefused, "request_id", c.request.id, "attempt", c.attempt, "kind", kind.String(), "reason", refusedBecause(may))
 
 		return false
@@ -379,7 +381,7 @@
 		Left:       time.Until(c.request.arrived.Add(c.values.Timeout)),
 	})
 
-	if !may || !c.e.budget.Allow(now) {
+	if !may || !c.budget.Allow(now) {
 		return target.Target{}, false
 	}
 
--- a/quarantine/ward_test.go
+++ b/quarantine/ward_test.go
@@ -403,3 +403,24 @@
 		}
 	}
 }
+
+// Operators publish another number of crashes while requests are under suspicion.
+func TestConfigureIsInForceAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWard(WardConfig{Crashes: 3})
+	f := Of("transit", []byte("poison"))
+
+	for _, target := range []string{"a", "b"} {
+		w.Crashed(now, Crash{Target: target, Boot: "1", At: now, Running: []Fingerprint{f}})
+	}
+
+	if got, _ := w.Check(now, f); got != Suspect {
+		t.Errorf("two crashes of three: got %v, want %v", got, Suspect)
+	}
+
+	w.Configure(WardConfig{Crashes: 2})
+
+	if got, _ := w.Check(now, f); got != Quarantined {
+		t.Errorf("two crashes of two: got %v, want %v", got, Quarantined)
+	}
+}
--- a/side/run.go
+++ b/side/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"boragehub/engine"
 	"boragehub/event"
 	"boragehub/failure"
@@ -206,7 +208,7 @@
 		CacheSalt:     r.Salt,
 		WeightVersion: r.Version,
 		Adapter:       r.Adapter,
-		RequestID:     r.RequestID,
+		RequestID:     r.RequestID + "." + uuid.NewString()[:8],
 		ResumeText:    r.Resume,
 	}
 
@@ -218,9 +220,25 @@
 		return failure.Wrap(failure.TargetLost, err, "the engine's connection fell silent")
 	}
 
+	if err == nil {
+		err = r.count()
+	}
+
 	return err
 }
 
+// count compares the engine's own number of tokens with those that were passed
+// on. A piece that was lost or came twice on its way leaves an answer that looks
+// whole, and a caller would read it with a hole. What was passed on can't be
+// mended by going on elsewhere, so this is no kind that is repeated.
+func (r *run) count() error {
+	if n := r.usage.CompletionTokens; n != r.index {
+		return failure.New(failure.Internal, "the engine's answer has %d tokens, and %d came", n, r.index)
+	}
+
+	return nil
+}
+
 func (r *run) take(p engine.Piece) error {
 	r.dog.heard(r.s.cfg.TokenSilence)
 
