experiment: give the subcommand to the program

Cause: the program keeps its subcommands in one list and asks them itself. Before/after: Command.Used is replaced by Command.Subcommand. Conclusion: it can be attached as the others are.

--- a/experiment/command.go
+++ b/experiment/command.go
@@ -42,8 +42,8 @@
 	return c
 }
 
-// Used reports whether the subcommand was given.
-func (c *Command) Used() bool { return c.sub.Used }
+// Subcommand returns the subcommand, which knows whether it was given.
+func (c *Command) Subcommand() *flaggy.Subcommand { return c.sub }
 
 // Run carries out the experiment and writes its table to w.
 func (c *Command) Run(w io.Writer) error {
