--- a/docs/measures/idle.sh
+++ b/docs/measures/idle.sh
@@ -88,7 +88,7 @@
 
 "$bin" ctl keys --directory "$work/keys" "${keys[@]}" >/dev/null
 (IFS=,; echo "[${rows[*]}]") >"$work/vms.json"
-sed "s/@HASH@/$(printf trial | sha256sum | cut -d' ' -f1)/" "$(dirname "$0")/../../scripts/trial.toml" >"$work/settings.toml"
+sed -e "s/@HASH@/$(printf trial | sha256sum | cut -d' ' -f1)/" -e 's/@RATE@/1000/' "$(dirname "$0")/../../scripts/trial.toml" >"$work/settings.toml"
 
 for ((i = 0; i < ${ORGANISATIONS:-0}; i++)); do
   printf '\n[[organisation]]\nname = "organisation-%d"\nkeys = ["sha256:%064x"]\n' "$i" "$((i + 1))"
