entry, side: bring old load reports up to date, give up imports that crawl

Cause: docs/measures/route.md: without the calls that this entry has open and the mean time of a call, an old report counted for nearly nothing; without giving an import up, a link at a tenth of its rate kept urgent callers waiting over 40 s in the experiment. Change: the entry keeps mean times and open requests; the side process watches a transfer and computes what is missing when that has become the cheaper way. The experiment is a subcommand of the program. Test: a store at 100 bytes a second in the middle of a context's return; the answer comes (it would take hours).

--- a/cmd/boragehub/main.go
+++ b/cmd/boragehub/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/integrii/flaggy"
+
+	"boragehub/experiment"
 )
 
 // version is the program's version, set when a release is built.
@@ -46,7 +48,11 @@
 
 // attach puts all subcommands on the program.
 func attach() []command {
-	return append(append(roles(), controls()...), standins()...)
+	x := experiment.Attach(1)
+	all := append(roles(), controls()...)
+	all = append(all, command{x.Subcommand(), func() int { return exit(x.Run(os.Stdout)) }})
+
+	return append(all, standins()...)
 }
 
 // roles are the processes of a running system.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,6 +102,7 @@
 	speeds  speeds
 	homes   *homes
 	links   *links
+	pace    *pace
 	alone   *http.Client // to targets without a side process
 	active  atomic.Int64
 	leaving atomic.Bool
@@ -138,6 +139,7 @@
 		homes:   newHomes(),
 		met:     map[string]string{},
 		links:   newLinks(),
+		pace:    newPace(),
 		alone:   newDirectClient(),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -108,6 +108,7 @@
 // candidate tells a decision what is believed of a target.
 func (e *Entry) candidate(now time.Time, t target.Target) route.Candidate {
 	sp := e.speeds.get(t.VM)
+	mean, _ := e.pace.of(t.Service, t.VM)
 
 	return route.Candidate{
 		Name:                   t.VM,
@@ -123,6 +124,7 @@
 		SentTokens:             t.AheadTokens,
 		SentRequests:           t.Ahead,
 		MaxRunning:             sp.maxRunning,
+		PlaceTime:              mean,
 		PrefillTokensPerSecond: sp.prefill,
 	}
 }
--- a/entry/job.go
+++ b/entry/job.go
@@ -159,12 +159,14 @@
 	began := time.Now()
 	s := j.e.targets.Sent(began, r.target.VM, r.toCompute(prompt.Tokens(j.text)))
 	j.window = j.reserve(began, r)
+	j.e.pace.begin(r.target.VM)
 
 	d, sent, err = j.converse(ctx, r)
 
 	j.imported(0)
 
 	now := time.Now()
+	j.e.pace.end(j.service, r.target.VM, now.Sub(began), err == nil)
 	j.e.note(j.e.targets.Done(now, s, standing(err, sent)))
 
 	kind := "done"
@@ -390,7 +392,10 @@
 		Anchor:        r.view.anchor,
 		Copies:        r.copies,
 		ParkMinTokens: j.values.ParkMinTokens,
-		UsualGapMS:    j.values.UsualGap.Milliseconds(),
+
+		FirstTokenWeight: j.values.FirstTokenWeight,
+		RecomputedWeight: j.values.RecomputedWeight,
+		UsualGapMS:       j.values.UsualGap.Milliseconds(),
 	}
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -250,6 +250,7 @@
 	candidates := make([]route.CallCandidate, len(targets))
 
 	for i, t := range targets {
+		mean, flying := c.e.pace.of(c.service.Name, t.VM)
 		candidates[i] = route.CallCandidate{
 			Name:         t.VM,
 			Draining:     t.State == target.Draining,
@@ -260,6 +261,9 @@
 			Running:      t.Load.Running,
 			Waiting:      t.Load.Waiting,
 			SentRequests: t.Ahead,
+			InFlight:     flying,
+			CallTime:     mean,
+			AtOnce:       c.e.speeds.get(t.VM).maxRunning,
 		}
 	}
 
@@ -406,8 +410,11 @@
 func (c *call) try(ctx context.Context, t target.Target) (reply message.Reply, sent bool, err error) {
 	began := time.Now()
 	s := c.e.targets.Sent(began, t.VM, 1)
+	c.e.pace.begin(t.VM)
+
 	reply, sent, err = c.converse(ctx, t)
 	now := time.Now()
+	c.e.pace.end(c.service.Name, t.VM, now.Sub(began), err == nil)
 	c.e.note(c.e.targets.Done(now, s, standing(err, sent)))
 
 	kind := "done"
--- a/incident/engine_test.go
+++ b/incident/engine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -141,3 +143,29 @@
 	s := start(t, shape{alone: 2, decode: 100})
 	s.during(4, func() { s.kill("alone-1-target") })
 }
+
+// The link to a store slows down to almost nothing while a context is on its way
+// to an engine. Its caller would wait for hours for what takes a moment to compute.
+func TestSlowLinkIsGivenUp(t *testing.T) {
+	s := start(t, shape{engines: 1, decode: 1000})
+	long := promptOf(0) + strings.Repeat(" and the fare rules in full", 200)
+
+	if a := s.prompt(s.entries[0], long, 10, nil); !a.finished {
+		t.Fatalf("first: got %d %s", a.status, a.code)
+	}
+
+	s.eventually("the context is in the store", func() bool { return s.logged("engine-1", "copy_parked") })
+	s.faults(s.engines["engine-1"], map[string]any{"evict_all": true})
+	s.faults(s.store, map[string]any{"bytes_per_second": 100})
+
+	if got, want := s.prompt(s.entries[0], long, 10, nil).text, s.want(long, 10); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// logged reports whether a process has logged an event.
+func (s *system) logged(name, event string) bool {
+	b, err := os.ReadFile(filepath.Join(s.dir, name+".log"))
+
+	return err == nil && strings.Contains(string(b), `"`+event+`"`)
+}
--- a/incident/system_test.go
+++ b/incident/system_test.go
@@ -68,6 +68,7 @@
 	dir      string
 	log      string // URLs of the platform
 	vms      string
+	store    string
 	entries  []string // callers' URLs
 	engines  map[string]string
 	plains   map[string]string
@@ -142,9 +143,9 @@
 	s.run("log", "standin", "log", "--listen", host(s.log))
 	s.ready(s.log + "/healthz")
 
-	store := port(t)
-	s.run("store", "standin", "store", "--listen", store)
-	s.add("prompt-vault", "store", "", store, "")
+	s.store = "http://" + port(t)
+	s.run("store", "standin", "store", "--listen", host(s.store))
+	s.add("prompt-vault", "store", "", host(s.store), "")
 
 	s.oracle = "http://" + port(t)
 	s.engine("oracle", s.oracle, 2000)
--- a/message/message.go
+++ b/message/message.go
@@ -113,6 +113,10 @@
 	Sampling engine.Sampling `cbor:"19,keyasint,omitempty"`
 	// Workload is the caller's workload, by which gaps between visits are learned.
 	Workload string `cbor:"20,keyasint,omitempty"`
+	// FirstTokenWeight and RecomputedWeight are the settings by which an import
+	// that comes slower than expected is given up.
+	FirstTokenWeight float64 `cbor:"21,keyasint,omitempty"`
+	RecomputedWeight float64 `cbor:"22,keyasint,omitempty"`
 }
 
 // Token is a piece of an answer.
--- a/side/run.go
+++ b/side/run.go
@@ -145,38 +145,6 @@
 		"warm_blocks", warm, "imported_blocks", r.imported, "weight_version", r.Version)
 }
 
-// fetch brings one copy into the engine after verifying it. The engine believes
-// what it is given, so nothing unverified may reach it.
-func (r *run) fetch(ctx context.Context, c message.Holding, warm int) error {
-	began := time.Now()
-
-	sealed, err := store.Client{Address: c.Address, HTTP: r.s.stores}.Get(ctx, c.Copy)
-	if err != nil {
-		return err
-	}
-
-	body, blocks, err := store.Open(sealed, r.header(c.Copy, r.chain))
-	if err != nil {
-		return err
-	}
-
-	if blocks <= warm {
-		return failure.New(failure.TornCopy, "the copy brings %d blocks where %d are warm", blocks, warm)
-	}
-
-	if _, err := r.s.engine.Import(ctx, body); err != nil {
-		return err
-	}
-
-	r.imported = blocks
-	r.moved = int64(len(sealed))
-	r.s.held.add(r.chain[:blocks])
-	event.Log(r.s.cfg.Log, event.CopyImported, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy, "blocks", blocks,
-		"bytes", len(sealed), "took_ms", time.Since(began).Milliseconds())
-
-	return nil
-}
-
 // disown tells the owner of a copy that can't be used, so that nobody is sent to
 // it again. A store that only does not answer keeps its copies.
 func (r *run) disown(c message.Holding, err error) {
--- a/store/client.go
+++ b/store/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"boragehub/failure"
@@ -20,6 +21,8 @@
 	HTTP *http.Client
 	// MaxBytes is the largest copy that Get takes; zero is DefaultMaxBytes.
 	MaxBytes int64
+	// Progress counts the bytes of answers as they come; nil counts nothing.
+	Progress *atomic.Int64
 }
 
 // DefaultMaxBytes is the largest copy taken where Client says nothing.
@@ -164,7 +167,11 @@
 		most = DefaultMaxBytes
 	}
 
-	got, err := io.ReadAll(io.LimitReader(resp.Body, most))
+	got, err := io.ReadAll(counted{io.LimitReader(resp.Body, most), c.Progress})
+	if ctx.Err() != nil {
+		return answer{}, failure.Wrap(failure.Cancelled, err, "the transfer from store %s was given up", c.Address)
+	}
+
 	if err != nil {
 		return answer{}, failure.Wrap(failure.TornCopy, err, "the answer of store %s was cut", c.Address)
 	}
@@ -172,6 +179,22 @@
 	return answer{status: resp.StatusCode, body: got}, nil
 }
 
+// counted counts what is read through it.
+type counted struct {
+	r io.Reader
+	n *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	if c.n != nil {
+		c.n.Add(int64(n))
+	}
+
+	return n, err
+}
+
 func objectPath(id string) string {
 	return "/objects/" + url.PathEscape(id)
 }
