wholepath: let a suspect wait while the engine dies of another

Fails for a fault of the product: a run under suspicion that waits in side.isolate is already on the guard's books, so when the engine dies of the one before it, the one that waited is reported as having run there too. Cause: side/run.go calls guard.enter before isolate. Ruled out: the ward's conclusions, which follow from the report.

--- /dev/null
+++ b/wholepath/blame_test.go
@@ -0,0 +1,89 @@
+package wholepath
+
+import (
+	"slices"
+	"testing"
+
+	"boragehub/message"
+	"boragehub/peer"
+	"boragehub/quarantine"
+	"boragehub/standin/engine"
+)
+
+// suspect begins a run under suspicion at a target, as an entry does.
+func (w *world) suspect(t *target, f quarantine.Fingerprint, text string) *peer.Stream {
+	w.t.Helper()
+
+	s, err := w.entries[0].process.dialer.Open(w.t.Context(), peer.Address{VM: t.vm, Addr: t.process.server.Addr()})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+
+	w.t.Cleanup(s.Close)
+
+	err = s.Send(message.Run{
+		RequestID: text, Organisation: "desk-agents", Fingerprint: f, Suspect: true, Model: model, Version: "v1",
+		Prompt: text, MaxTokens: 1000, TimeoutMS: patience.Milliseconds(),
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+
+	return s
+}
+
+// onBooks returns how many requests a side process counts as given to its target.
+func (w *world) onBooks(t *target) int {
+	w.t.Helper()
+
+	m, err := w.entries[0].process.dialer.Ask(w.t.Context(), peer.Address{VM: t.vm, Addr: t.process.server.Addr()}, message.Ask{})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+
+	s, err := message.Expect[message.State](m)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+
+	return s.Load.Running + s.Load.Waiting
+}
+
+// Two requests are under suspicion, and one of them waits until the other has
+// left the engine. The engine dies of the other. The one that waited never
+// reached the engine; if it is blamed too, it has two crashes to its name and its
+// rider is refused for an hour for what somebody else sent.
+func TestWaitingSuspectIsNotBlamed(t *testing.T) {
+	// looks is how often is looked whether the second one is on the books.
+	const looks = 300
+
+	w := start(t, shape{engines: 1, engine: func(_ int, cfg *engine.Config) { cfg.DecodeTokensPerSecond = 50 }})
+	guilty, waiting := quarantine.Of("desk-agents", []byte("guilty")), quarantine.Of("desk-agents", []byte("waiting"))
+	first := w.suspect(w.engines[0], guilty, "guilty")
+
+	w.eventually("the first one never ran", func() bool { return w.engines[0].engine.Running() == 1 })
+	w.suspect(w.engines[0], waiting, "waiting")
+
+	for range looks {
+		if w.onBooks(w.engines[0]) > 1 {
+			break
+		}
+	}
+
+	w.engines[0].engine.Abort()
+
+	for {
+		m, err := first.Receive()
+		if err != nil {
+			t.Fatalf("got %v, want a report of the crash", err)
+		}
+
+		if c, ok := m.(message.Crashed); ok {
+			if got, want := c.Crash.Running, []quarantine.Fingerprint{guilty}; !slices.Equal(got, want) {
+				t.Errorf("got %x blamed, want %x", got, want)
+			}
+
+			return
+		}
+	}
+}
