side, entry: report only what the target had when it died; correct stale beliefs

Cause: a run under suspicion that waited for its turn was on the guard's books, so when the engine died of the one before it, it was blamed too and quarantined though it never reached the engine (TestWaitingSuspectIsNotBlamed, which failed first). The books now say when the target got the request. Besides: an entry that is refused for a weight version, or for a target that is not ready, asks the target at once; a hello tells when its boot began, so a target that restarts at once gets work again; and idempotency_key_expired no longer says not_run, which was true of the one call only.

--- a/entry/job.go
+++ b/entry/job.go
@@ -82,10 +82,35 @@
 			return message.Done{}, err
 		}
 
+		if j.e.corrected(ctx, r.target, err) {
+			continue
+		}
+
 		j.tried[r.target.VM] = true
 	}
 }
 
+// corrected asks a target anew whose refusal shows that the entry was wrong about
+// it, and reports whether it may take the request after all: one that has moved
+// to another weight version serves that.
+func (e *Entry) corrected(ctx context.Context, t target.Target, err error) bool {
+	switch failure.KindOf(err) {
+	case failure.WrongVersion:
+		ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+		defer cancel()
+
+		e.ask(ctx, t)
+
+		return true
+	case failure.NotReady, failure.Draining:
+		go e.ask(context.WithoutCancel(ctx), t)
+
+		return false
+	default:
+		return false
+	}
+}
+
 // check refuses a request that has crashed its targets.
 func (j *job) check(now time.Time) error {
 	var err error
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -174,6 +174,7 @@
 	e.note(e.targets.ObserveHello(now, target.Hello{
 		VM:            t.VM,
 		BootID:        s.Boot,
+		Started:       now.Add(-time.Duration(s.UpMS) * time.Millisecond),
 		Sequence:      s.Sequence,
 		State:         state,
 		DataCentre:    t.DataCentre,
--- a/failure/kind.go
+++ b/failure/kind.go
@@ -59,7 +59,8 @@
 	Quarantined
 	// KeyRequired means that a non-idempotent call came without an Idempotency-Key.
 	KeyRequired
-	// KeyExpired means that an Idempotency-Key is older than keys are remembered.
+	// KeyExpired means that an Idempotency-Key is older than keys are remembered; an
+	// earlier call with it may have run.
 	KeyExpired
 	// KeyReused means that an Idempotency-Key came again with another content.
 	KeyReused
--- a/failure/table.go
+++ b/failure/table.go
@@ -66,7 +66,7 @@
 	WrongVersion:     {http.StatusServiceUnavailable, typeServer, "wrong_version", NotRun, true},
 	Quarantined:      {http.StatusUnprocessableEntity, typeRequest, "quarantined", NotRun, false},
 	KeyRequired:      {http.StatusBadRequest, typeRequest, "idempotency_key_required", NotRun, false},
-	KeyExpired:       {http.StatusBadRequest, typeRequest, "idempotency_key_expired", NotRun, false},
+	KeyExpired:       {http.StatusBadRequest, typeRequest, "idempotency_key_expired", MayHaveRun, false},
 	KeyReused:        {http.StatusUnprocessableEntity, typeRequest, "idempotency_key_reused", NotRun, false},
 	KeyBusy:          {http.StatusConflict, typeRequest, "idempotency_key_busy", MayHaveRun, true},
 	LogUnavailable:   {http.StatusServiceUnavailable, typeServer, "log_unavailable", NotRun, true},
--- a/message/message.go
+++ b/message/message.go
@@ -309,6 +309,8 @@
 	// order accepted under it.
 	Fence    uint64 `cbor:"23,keyasint,omitempty"`
 	Accepted uint64 `cbor:"24,keyasint,omitempty"`
+	// UpMS is for how long this boot has lasted, in milliseconds.
+	UpMS int64 `cbor:"25,keyasint,omitempty"`
 }
 
 // Fetch asks a peer for the settings after a version.
--- a/side/call.go
+++ b/side/call.go
@@ -43,8 +43,10 @@
 	var reply message.Reply
 
 	if m.Once {
-		reply, err = s.callOnce(ctx, now, m)
+		reply, err = s.callOnce(ctx, now, id, m)
 	} else {
+		s.guard.give(id)
+
 		reply, err = s.forward(ctx, m)
 	}
 
@@ -72,7 +74,7 @@
 // callOnce runs a call that may run at most once: only after its claim was read
 // back as the first for its key. From then on the call no longer ends with the
 // conversation, since nobody else may run it.
-func (s *Side) callOnce(ctx context.Context, now time.Time, m message.Call) (message.Reply, error) {
+func (s *Side) callOnce(ctx context.Context, now time.Time, id uint64, m message.Call) (message.Reply, error) {
 	if s.cfg.Claims == nil {
 		return message.Reply{}, failure.New(failure.LogUnavailable, "this target records no claims")
 	}
@@ -96,6 +98,8 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 
+	s.guard.give(id)
+
 	reply, err := s.forward(ctx, m)
 
 	switch {
--- a/side/guard.go
+++ b/side/guard.go
@@ -16,7 +16,8 @@
 // guard is the admission truth of one target.
 type guard struct {
 	maxWaiting int
-	self       string // new with each start of this process
+	self       string    // new with each start of this process
+	began      time.Time // of the boot that is up, of target and this process
 
 	mu       sync.Mutex
 	sequence uint64
@@ -29,15 +30,16 @@
 	idle     chan struct{} // closed and replaced whenever nothing is in flight
 }
 
-// flight is a request that was given to the target.
+// flight is a request that was admitted.
 type flight struct {
 	fingerprint quarantine.Fingerprint
 	boot        string
+	given       bool // the target has it; until then it can't be what the target dies of
 	ended       bool
 }
 
 func newGuard(maxWaiting int) *guard {
-	return &guard{maxWaiting: maxWaiting, self: uuid.NewString(), inFlight: map[uint64]*flight{}, idle: make(chan struct{})}
+	return &guard{maxWaiting: maxWaiting, self: uuid.NewString(), began: time.Now(), inFlight: map[uint64]*flight{}, idle: make(chan struct{})}
 }
 
 // plainRunning is how many calls a plain service is taken to run at once.
@@ -66,6 +68,17 @@
 	return g.next, nil
 }
 
+// give notes that an admitted request goes to the target now.
+func (g *guard) give(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if f := g.inFlight[id]; f != nil {
+		f.given = true
+		f.boot = g.boot()
+	}
+}
+
 // leave ends a request. One that was lost with its target stays on the books
 // until watch has seen whether the target died of it.
 func (g *guard) leave(id uint64, lost bool) {
@@ -124,7 +137,7 @@
 
 // observe takes in what the target says of itself. When the target has another
 // boot than before it returns the requests that ran on the old one.
-func (g *guard) observe(info engine.Info, load engine.Load) (first bool, oldBoot string, crashed []quarantine.Fingerprint) {
+func (g *guard) observe(now time.Time, info engine.Info, load engine.Load) (first bool, oldBoot string, crashed []quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -134,6 +147,7 @@
 	if g.info.BootID != "" && g.info.BootID != info.BootID {
 		oldBoot = g.boot()
 		crashed = g.reap(oldBoot)
+		g.began = now
 	} else {
 		g.forgive()
 	}
@@ -175,7 +189,7 @@
 	var fingerprints []quarantine.Fingerprint
 
 	for id, f := range g.inFlight {
-		if f.boot != boot {
+		if f.boot != boot || !f.given {
 			continue
 		}
 
@@ -269,6 +283,7 @@
 		DecodeRate:    g.info.DecodeRate,
 		MaxRunning:    g.places(),
 		BytesPerToken: g.info.BytesPerToken,
+		UpMS:          now.Sub(g.began).Milliseconds(),
 	}
 }
 
--- a/side/run.go
+++ b/side/run.go
@@ -19,6 +19,7 @@
 // run is one run of a prompt, from admission to its last token.
 type run struct {
 	message.Run
+	id       uint64 // on the guard's books
 	s        *Side
 	to       *peer.Stream
 	chain    prompt.Chain
@@ -61,7 +62,7 @@
 		defer s.apart.End(m.Fingerprint)
 	}
 
-	r := &run{Run: m, s: s, to: to, index: m.ResumeTokens, began: now}
+	r := &run{Run: m, id: id, s: s, to: to, index: m.ResumeTokens, began: now}
 	r.prepare(ctx)
 
 	if len(m.Copies) > 0 {
@@ -183,6 +184,8 @@
 	ctx, r.dog = newWatchdog(ctx, r.s.cfg.FirstSilence)
 	defer r.dog.stop()
 
+	r.s.guard.give(r.id)
+
 	err := r.s.engine.Complete(ctx, q, r.take)
 	if err != nil && r.dog.barked() {
 		return failure.Wrap(failure.TargetLost, err, "the engine's connection fell silent")
--- a/side/watch.go
+++ b/side/watch.go
@@ -43,9 +43,10 @@
 
 	info, load, err := s.inspect(ctx)
 	if err == nil {
-		first, boot, crashed := s.guard.observe(info, load)
+		now := time.Now()
+		first, boot, crashed := s.guard.observe(now, info, load)
 
-		if failed := s.orders.observe(time.Now(), info); failed != "" {
+		if failed := s.orders.observe(now, info); failed != "" {
 			event.Log(s.cfg.Log, event.LoadFailed, "weight_version", failed)
 		}
 
