wholepath: let an engine's connections fall silent in mid-answer

Cause: silence between side process and engine was proved nowhere; nothing fails then, and the rider waits.

--- a/wholepath/answer_test.go
+++ b/wholepath/answer_test.go
@@ -172,3 +172,41 @@
 	w.engines[0].engine.Abort()
 	all.Wait()
 }
+
+// The connections between a side process and its engine fall silent in the middle
+// of answers: nothing more comes, nothing fails, and new ones work. Each rider's
+// answer has to go on all the same; one that just stops looks like a slow one and
+// makes its rider wait for ever.
+func TestAnswersGoOnWhenConnectionsFallSilent(t *testing.T) {
+	const riders, tokens, early = 6, 60, 5
+
+	w := start(t, shape{engines: 2, engine: func(_ int, cfg *engine.Config) { cfg.DecodeTokensPerSecond = 100 }})
+
+	var (
+		all    sync.WaitGroup
+		pieces [riders]atomic.Int32
+	)
+
+	for i := range riders {
+		all.Go(func() {
+			prompt := fmt.Sprintf("rider %d waits at the curb", i)
+
+			got, err := w.entries[0].read(t.Context(), desk, prompt, tokens, func() { pieces[i].Add(1) })
+			if want := engine.Answer(prompt, tokens); got != want || err != nil {
+				t.Errorf("rider %d: got %q, %v, want %q", i, got, err, want)
+			}
+		})
+	}
+
+	w.eventually("the answers don't come", func() bool {
+		for i := range pieces {
+			if pieces[i].Load() < early {
+				return false
+			}
+		}
+
+		return true
+	})
+	w.fault(w.engines[0].addr, map[string]any{"silent": true})
+	all.Wait()
+}
