--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/certificate"
+	"boragehub/message"
+)
+
+// BenchmarkAsk is one question and its answer over a connection that stands: what
+// a conversation between own processes costs at the least.
+func BenchmarkAsk(b *testing.B) {
+	dir := b.TempDir()
+
+	a, err := certificate.NewAuthority(time.Now())
+	if err != nil {
+		b.Fatal(err)
+	}
+
+	if err := a.Write(dir); err != nil {
+		b.Fatal(err)
+	}
+
+	pair, err := a.Issue(time.Now(), certificate.Subject{VM: "p", Role: "entry"})
+	if err != nil {
+		b.Fatal(err)
+	}
+
+	if err := pair.Write(dir, "p"); err != nil {
+		b.Fatal(err)
+	}
+
+	k, err := certificate.NewKeeper(certificate.KeeperConfig{
+		CAFile: filepath.Join(dir, certificate.AuthorityFile), CertificateFile: filepath.Join(dir, "p.pem"),
+		KeyFile: filepath.Join(dir, "p.key"), Protocols: []string{Protocol},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+
+	s, err := Listen(Config{TLS: k.TLS()}, "127.0.0.1:0", logr.Discard())
+	if err != nil {
+		b.Fatal(err)
+	}
+
+	defer s.Close()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	go func() { _ = s.Serve(ctx, answerAck) }()
+
+	d := NewDialer(Config{TLS: k.TLS()}, logr.Discard())
+	defer d.Close()
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		if _, err := d.Ask(ctx, Address{VM: "p", Addr: s.Addr()}, message.Ask{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -17,8 +17,8 @@
 
 start_system >/dev/null
 
-for streams in 1 64 512; do
-  requests=$((streams == 1 ? 100 : streams * 10))
+for streams in ${STREAMS:-1 64 512}; do
+  requests=$((streams == 1 ? 100 : streams * ${ROUNDS:-10}))
   "$measure" --name direct --url "http://$(address 20)" --key "$key" --streams $streams --requests $requests --tokens 32
   if [ -n "${PROFILE:-}" ] && [ $streams = "$PROFILE" ]; then
     curl -s -o "$PWD/tmp-entry.prof" "http://$(address 101)/debug/pprof/profile?seconds=3" &
