side, entry: blame only what had a connection, wait for news before a suspect is repeated

Cause: TestCrashingPromptTakesNoThirdEngine failed in 5 of 20 runs: a suspect that waited for its turn went on to the engine that had just died, was refused the connection and was reported with the old boot. TestCrashingPromptSentToTwoEntries failed in 1 of 80: an entry repeated the prompt after 13 ms, while news of the other entry's crash took about 25 ms. Ruled out: the ward's conclusions; isolating before admission, by which a waiting request would escape the bound on admissions and a drain. Change: a request is on the books as given once it has a connection; a refused connection is a refusal that nothing ran; a suspect is repeated after 500 ms; a refusal that shows the side process was wrong makes it ask its target. The race of two entries is narrowed and not closed: a report that takes longer than 500 ms comes too late.

--- a/entry/job.go
+++ b/entry/job.go
@@ -101,7 +101,9 @@
 
 		e.ask(ctx, t)
 
-		return true
+		now, ok := e.targets.Target(time.Now(), t.VM)
+
+		return ok && now.WeightVersion != t.WeightVersion
 	case failure.NotReady, failure.Draining:
 		go e.ask(context.WithoutCancel(ctx), t)
 
@@ -160,12 +162,22 @@
 	}
 
 	wait := retry.BackoffConfig{}.Backoff(j.attempt, rand.New(rand.NewPCG(j.seed, uint64(j.attempt))))
+	if standing, _ := j.e.ward.Check(time.Now(), j.fingerprint); standing != quarantine.Clear {
+		wait = max(wait, newsTime)
+	}
+
 	event.Log(j.e.cfg.Log, event.RequestRepeated, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "wait_ms", wait.Milliseconds())
 	j.e.metrics.retries.Inc()
 
 	return pause(ctx, wait)
 }
 
+// newsTime is how long a request under suspicion waits before it is repeated, so
+// that what other entries saw of it has come: its caller may have sent it to
+// several at once, each of which has lost one target by it, and a third must not
+// be lost. Reports take some hundredths of a second.
+const newsTime = 500 * time.Millisecond
+
 // pause reports whether it could wait to the end.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/side/call.go
+++ b/side/call.go
@@ -45,9 +45,8 @@
 	if m.Once {
 		reply, err = s.callOnce(ctx, now, id, m)
 	} else {
-		s.guard.give(id)
-
-		reply, err = s.forward(ctx, m)
+		reply, err = s.forward(s.giving(ctx, id), m)
+		err = notGiven(err)
 	}
 
 	lost := err != nil && failure.KindOf(err) == failure.TargetLost
@@ -98,9 +97,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 
-	s.guard.give(id)
-
-	reply, err := s.forward(ctx, m)
+	reply, err := s.forward(s.giving(ctx, id), m)
 
 	switch {
 	case err == nil:
--- a/side/guard.go
+++ b/side/guard.go
@@ -68,7 +68,8 @@
 	return g.next, nil
 }
 
-// give notes that an admitted request goes to the target now.
+// give notes that an admitted request goes to the target now, over a connection
+// that stands: what was never connected can't be what the target dies of.
 func (g *guard) give(id uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/side/run.go
+++ b/side/run.go
@@ -76,8 +76,13 @@
 	lost := failure.KindOf(err) == failure.TargetLost && err != nil
 	s.guard.leave(id, lost)
 
-	if lost {
+	switch {
+	case lost:
 		r.witness(ctx)
+	case err != nil && stale(err):
+		// The engine has moved on, or gone, since it was last asked. The entry
+		// asks again when it gets this refusal, and must then hear of it.
+		s.probe(ctx)
 	}
 
 	event.Log(s.cfg.Log, event.RunEnded, "request_id", m.RequestID, "tokens", r.index, "cached_tokens", r.usage.Details.CachedTokens,
@@ -110,6 +115,14 @@
 	return nil
 }
 
+// stale reports whether a refusal shows that this process was wrong about its
+// target.
+func stale(err error) bool {
+	kind := failure.KindOf(err)
+
+	return kind == failure.WrongVersion || kind == failure.NotReady
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "done"
@@ -184,9 +197,7 @@
 	ctx, r.dog = newWatchdog(ctx, r.s.cfg.FirstSilence)
 	defer r.dog.stop()
 
-	r.s.guard.give(r.id)
-
-	err := r.s.engine.Complete(ctx, q, r.take)
+	err := notGiven(r.s.engine.Complete(r.s.giving(ctx, r.id), q, r.take))
 	if err != nil && r.dog.barked() {
 		return failure.Wrap(failure.TargetLost, err, "the engine's connection fell silent")
 	}
