--- a/entry/homes.go
+++ b/entry/homes.go
@@ -1,8 +1,13 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"boragehub/claim"
+	"boragehub/event"
+	"boragehub/target"
 )
 
 // shardOf names one shard of a service's idempotency keys.
@@ -66,3 +71,43 @@
 		h.byID[shardOf{service, s}] = vm
 	}
 }
+
+// home returns the target beside which the key's home runs. Homes are told with
+// a target's state, which is asked for only now and then; so when the home is not
+// known, or was tried and isn't it any more, the service's targets are asked now.
+func (c *call) home(ctx context.Context, targets []target.Target) (target.Target, bool) {
+	shard := claim.Shard(c.request.organisation, c.message.Key, claim.DefaultShards)
+
+	t, found := c.homeAmong(targets, shard)
+	if !found && c.e.homes.mayAsk(time.Now(), c.service.Name) {
+		ctx, cancel := context.WithTimeout(ctx, homesTimeout)
+		defer cancel()
+
+		c.e.askAll(ctx, targets)
+
+		t, found = c.homeAmong(targets, shard)
+	}
+
+	if found {
+		event.Log(c.e.cfg.Log, event.CallDecided, "request_id", c.request.id, "service", c.service.Name, "vm", t.VM, "shard", shard, "attempt", c.attempt)
+	} else {
+		event.Log(c.e.cfg.Log, event.CallRefused, "request_id", c.request.id, "service", c.service.Name, "targets", len(targets), "shard", shard)
+	}
+
+	return t, found
+}
+
+// homesTimeout bounds the question for homes, which a caller waits for.
+const homesTimeout = 500 * time.Millisecond
+
+func (c *call) homeAmong(targets []target.Target, shard int) (target.Target, bool) {
+	vm, known := c.e.homes.get(c.service.Name, shard)
+
+	for _, t := range targets {
+		if known && t.VM == vm && !c.tried[t.VM] {
+			return t, true
+		}
+	}
+
+	return target.Target{}, false
+}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -7,12 +7,10 @@
 
 	"boragehub/directory"
 	"boragehub/event"
-	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/operator"
 	"boragehub/peer"
 	"boragehub/prompt"
-	"boragehub/setting/exchange"
 	"boragehub/vm"
 )
 
@@ -203,18 +201,8 @@
 		e.Crashed(now, m.Crash)
 		err = t.Send(message.Ack{})
 	default:
-		answer, ok := exchange.Answer(now, e.cfg.Settings, from, m)
-		if !ok {
-			answer, ok = operator.Answer(e.cfg.Views, m)
-		}
-
-		if ok {
-			err = t.Send(answer)
-
-			break
-		}
-
-		err = failure.New(failure.BadMessage, "message type %d begins no conversation here", m.Type())
+		desk := operator.Desk{Settings: e.cfg.Settings, Views: e.cfg.Views}
+		err = t.Send(desk.Answer(now, from, m))
 	}
 
 	if err != nil {
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"boragehub/event"
+	"boragehub/pause"
 )
 
 const (
@@ -142,7 +143,7 @@
 			r.unreachable(err)
 		}
 
-		pause(ctx, wait.NextBackOff())
+		pause.For(ctx, wait.NextBackOff())
 	}
 }
 
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -9,6 +9,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/pause"
 )
 
 // partBytes bounds one part of a snapshot.
@@ -105,7 +106,7 @@
 			return p, err
 		}
 
-		if !pause(ctx, w.cfg.Interval) {
+		if !pause.For(ctx, w.cfg.Interval) {
 			return nil, failure.As(ctx.Err())
 		}
 	}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -14,6 +14,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/pause"
 	"boragehub/ring"
 )
 
@@ -183,7 +184,7 @@
 
 	batch := []*Pending{first}
 
-	pause(ctx, time.Until(w.last.Add(w.cfg.Interval)))
+	pause.For(ctx, time.Until(w.last.Add(w.cfg.Interval)))
 
 	if w.cfg.Limit != nil {
 		_ = w.cfg.Limit.Wait(ctx)
@@ -241,7 +242,7 @@
 			p.release()
 		}
 
-		if !pause(ctx, wait.NextBackOff()) {
+		if !pause.For(ctx, wait.NextBackOff()) {
 			abandon(batch, err)
 
 			return
@@ -296,7 +297,7 @@
 			return offset, nil
 		}
 
-		if !pause(ctx, wait.NextBackOff()) {
+		if !pause.For(ctx, wait.NextBackOff()) {
 			return 0, failure.New(failure.OutcomeUnknown, "the writer stopped before it knew")
 		}
 	}
@@ -364,7 +365,7 @@
 
 			continue
 		case err != nil:
-			if !pause(ctx, wait.NextBackOff()) {
+			if !pause.For(ctx, wait.NextBackOff()) {
 				return 0, false, failure.Wrap(failure.OutcomeUnknown, err, "the writer stopped before it knew")
 			}
 
@@ -436,20 +437,3 @@
 
 	return b
 }
-
-// pause waits for d and returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/operator/server.go
+++ b/operator/server.go
@@ -21,7 +21,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"boragehub/failure"
-	"boragehub/message"
 )
 
 // Limits of the operators' server.
@@ -53,31 +52,6 @@
 	Version uint64 `json:"version"`
 }
 
-// Answer returns the answer to a peer that asks for a view, and false for any
-// other message. Operators ask this way from a shell, with a certificate of
-// their own, since the operators' ports of all VMs are on no list.
-func Answer(views []View, m message.Message) (message.Message, bool) {
-	q, ok := m.(message.View)
-	if !ok {
-		return nil, false
-	}
-
-	for _, v := range views {
-		if v.Name != q.Name {
-			continue
-		}
-
-		b, err := json.Marshal(v.Get(q.Query))
-		if err != nil {
-			return message.Refusal(failure.Wrap(failure.Internal, err, "view %q", q.Name)), true
-		}
-
-		return message.Viewed{JSON: b}, true
-	}
-
-	return message.Refusal(failure.New(failure.UnknownPath, "there is no view %q here", q.Name)), true
-}
-
 // Config says what to serve.
 type Config struct {
 	// Addr is the IP and TCP port to listen on.
--- a/setting/publication/follower.go
+++ b/setting/publication/follower.go
@@ -12,6 +12,7 @@
 
 	"boragehub/event"
 	"boragehub/journal"
+	"boragehub/pause"
 	"boragehub/ring"
 	"boragehub/setting"
 )
@@ -174,7 +175,7 @@
 			}
 
 			f.pull(ctx, arrangement)
-			pause(ctx, logBackoff)
+			pause.For(ctx, logBackoff)
 
 			continue
 		}
@@ -185,7 +186,7 @@
 			_ = f.readLog(ctx, 0) // the event has been logged
 		}
 
-		pause(ctx, interval)
+		pause.For(ctx, interval)
 
 		interval = f.cfg.Pull
 	}
@@ -322,14 +323,3 @@
 			"based", v.based, "in_force", v.inForce, "reason", v.reason.String())
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/setting/publication/publish.go
+++ b/setting/publication/publish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"boragehub/failure"
+	"boragehub/pause"
 	"boragehub/setting"
 )
 
@@ -172,7 +173,7 @@
 		}
 
 		if err != nil {
-			pause(ctx, p.cfg.Wait<<attempt)
+			pause.For(ctx, p.cfg.Wait<<attempt)
 		}
 	}
 
--- a/side/run.go
+++ b/side/run.go
@@ -10,6 +10,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/message"
+	"boragehub/pause"
 	"boragehub/peer"
 	"boragehub/prompt"
 	"boragehub/quarantine"
@@ -105,7 +106,7 @@
 // answer that somebody reads: they wait for their turn rather than fail.
 func (s *Side) isolate(ctx context.Context, f quarantine.Fingerprint) error {
 	for !s.apart.Begin(f) {
-		pause(ctx, isolatePause)
+		pause.For(ctx, isolatePause)
 
 		if ctx.Err() != nil {
 			return failure.New(failure.QueueFull, "other requests under suspicion are running").After(time.Second)
--- a/side/side.go
+++ b/side/side.go
@@ -248,18 +248,8 @@
 	case message.Order:
 		err = s.order(ctx, t, m)
 	default:
-		answer, ok := exchange.Answer(time.Now(), s.cfg.Settings, from, m)
-		if !ok {
-			answer, ok = operator.Answer(s.cfg.Views, m)
-		}
-
-		if ok {
-			err = t.Send(answer)
-
-			break
-		}
-
-		err = failure.New(failure.BadMessage, "message type %d begins no conversation here", m.Type())
+		desk := operator.Desk{Settings: s.cfg.Settings, Views: s.cfg.Views}
+		err = t.Send(desk.Answer(time.Now(), from, m))
 	}
 
 	if err != nil {
--- a/side/watch.go
+++ b/side/watch.go
@@ -9,6 +9,7 @@
 	"boragehub/engine"
 	"boragehub/event"
 	"boragehub/message"
+	"boragehub/pause"
 	"boragehub/quarantine"
 )
 
@@ -118,7 +119,7 @@
 		if err != nil && ctx.Err() == nil {
 			event.Fail(s.cfg.Log.V(1), err, event.EventsLost)
 			s.engine.HTTP.CloseIdleConnections()
-			pause(ctx, eventsPause)
+			pause.For(ctx, eventsPause)
 		}
 	}
 }
@@ -155,13 +156,3 @@
 
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -11,6 +11,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"boragehub/pause"
 	"boragehub/prompt"
 	"boragehub/standin"
 )
@@ -124,7 +125,7 @@
 			return
 		}
 
-		standin.Sleep(ctx, lookAgain)
+		pause.For(ctx, lookAgain)
 	}
 }
 
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -11,6 +11,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"boragehub/pause"
 	"boragehub/standin"
 )
 
@@ -83,7 +84,7 @@
 
 	ok := s.cfg.WeightStore == ""
 	for i := 0; i < maxLoadTries && !ok; i++ {
-		if ok = s.try(ctx, name); !ok && !standin.Sleep(ctx, loadPause) {
+		if ok = s.try(ctx, name); !ok && !pause.For(ctx, loadPause) {
 			return
 		}
 	}
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/zeebo/xxh3"
 
+	"boragehub/pause"
 	"boragehub/prompt"
 	"boragehub/standin"
 )
@@ -326,7 +327,7 @@
 		return false
 	}
 
-	done := standin.Sleep(ctx, s.work(r.missing(), s.cfg.PrefillTokensPerSecond))
+	done := pause.For(ctx, s.work(r.missing(), s.cfg.PrefillTokensPerSecond))
 	<-s.prefill
 
 	if done {
@@ -359,7 +360,7 @@
 
 	for i := len(r.ResumeText) / prompt.TokenBytes; i < r.MaxTokens; i++ {
 		due = due.Add(s.work(1, s.cfg.DecodeTokensPerSecond))
-		if wait := time.Until(due); wait > shortest && !standin.Sleep(ctx, wait) {
+		if wait := time.Until(due); wait > shortest && !pause.For(ctx, wait) {
 			break
 		}
 
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -20,6 +20,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"boragehub/pause"
 	"boragehub/standin"
 )
 
@@ -210,7 +211,7 @@
 	defer func() { s.count(time.Now(), -1, 0) }()
 
 	f := s.Faults()
-	if !standin.Sleep(r.Context(), standin.Millis(f.DelayMS)) {
+	if !pause.For(r.Context(), standin.Millis(f.DelayMS)) {
 		return
 	}
 
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -242,22 +242,5 @@
 	return ctx, cancel
 }
 
-// Sleep waits for d and reports whether it passed before ctx ended.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Millis returns n milliseconds.
 func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -17,6 +17,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"boragehub/pause"
 	"boragehub/standin"
 )
 
@@ -157,7 +158,7 @@
 			return
 		}
 
-		if !standin.Sleep(ctx, look) {
+		if !pause.For(ctx, look) {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -19,6 +19,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/zeebo/xxh3"
 
+	"boragehub/pause"
 	"boragehub/standin"
 )
 
@@ -144,7 +145,7 @@
 
 	for left := s.cfg.Bytes; left > 0; left -= chunk {
 		due = due.Add(s.pace())
-		if !standin.Sleep(q.Request.Context(), time.Until(due)) {
+		if !pause.For(q.Request.Context(), time.Until(due)) {
 			return
 		}
 
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -13,6 +13,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/pause"
 )
 
 // Timing of the follower.
@@ -65,7 +66,7 @@
 		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
 			event.Fail(f.cfg.Log, err, event.VMListLost)
 			f.http.CloseIdleConnections()
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -126,16 +127,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Fetch asks for the list once.
 func Fetch(ctx context.Context, url string, timeout time.Duration) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
