--- a/claim/claim.go
+++ b/claim/claim.go
@@ -34,7 +34,7 @@
 // then answered as "outcome unknown"; keys issued later run. A key tells its
 // issue time if it is a UUIDv7; any other counts as issued before.
 //
-// Ledger and Desk decide and do nothing else. Home is the duty:
+// Ledger and Coordinator decide and do nothing else. Home is the duty:
 //
 //	h := claim.NewHome(claim.HomeConfig{Log: log, Service: "booking-api", VM: vm})
 //	go h.Run(ctx)
--- a/claim/desk.go
+++ b/claim/coordinator.go
@@ -33,8 +33,8 @@
 	outageAfter = 10 * time.Second
 )
 
-// DeskConfig says who decides about a shard and by which limits.
-type DeskConfig struct {
+// CoordinatorConfig says who decides about a shard and by which limits.
+type CoordinatorConfig struct {
 	// VM and Incarnation are the process's; Incarnation rises with each start on
 	// the VM.
 	VM          string
@@ -57,7 +57,7 @@
 	MaxBody int
 }
 
-func (c DeskConfig) withDefaults() DeskConfig {
+func (c CoordinatorConfig) withDefaults() CoordinatorConfig {
 	c.Patience = positive(c.Patience, DefaultPatience)
 	c.MaxPause = positive(c.MaxPause, DefaultMaxPause)
 	c.Retention = positive(c.Retention, DefaultRetention)
@@ -107,11 +107,11 @@
 	done        chan struct{} // closed when waiting ends
 }
 
-// Desk decides about the keys of one shard in one process. It reads the shard's
+// Coordinator decides about the keys of one shard in one process. It reads the shard's
 // records, and what it wants to write lies in its outbox. It does no I/O and
-// keeps no clock. Use NewDesk.
-type Desk struct {
-	cfg    DeskConfig
+// keeps no clock. Use NewCoordinator.
+type Coordinator struct {
+	cfg    CoordinatorConfig
 	ledger *Ledger
 	local  map[ID]*Run
 	outbox []record
@@ -130,24 +130,24 @@
 	unlisted bool      // the platform's list doesn't have the VM
 }
 
-// NewDesk returns a Desk that has read nothing.
-func NewDesk(cfg DeskConfig) *Desk {
-	return &Desk{cfg: cfg.withDefaults(), ledger: NewLedger(cfg.Ledger), local: map[ID]*Run{}, behind: true, first: 1}
+// NewCoordinator returns a Coordinator that has read nothing.
+func NewCoordinator(cfg CoordinatorConfig) *Coordinator {
+	return &Coordinator{cfg: cfg.withDefaults(), ledger: NewLedger(cfg.Ledger), local: map[ID]*Run{}, behind: true, first: 1}
 }
 
 // Ledger returns what the records say.
-func (d *Desk) Ledger() *Ledger { return d.ledger }
+func (d *Coordinator) Ledger() *Ledger { return d.ledger }
 
 // Home tells whether this process is the home of the shard by what it has read.
-func (d *Desk) Home() bool { return d.mine(d.ledger.Holder()) }
+func (d *Coordinator) Home() bool { return d.mine(d.ledger.Holder()) }
 
-func (d *Desk) mine(h Holder) bool {
+func (d *Coordinator) mine(h Holder) bool {
 	return h.Serves() && h.VM == d.cfg.VM && h.Incarnation == d.cfg.Incarnation
 }
 
 // Claim decides about a request. Without an error, the run that it returns is
 // one to wait for, one that may be carried out, or one whose outcome is known.
-func (d *Desk) Claim(now time.Time, q Request) (*Run, error) {
+func (d *Coordinator) Claim(now time.Time, q Request) (*Run, error) {
 	d.watch(now)
 
 	if !d.Home() || d.draining() || d.behind {
@@ -178,7 +178,7 @@
 }
 
 // again answers for a key that this process has claimed before.
-func (d *Desk) again(r *Run, fingerprint uint64) (*Run, error) {
+func (d *Coordinator) again(r *Run, fingerprint uint64) (*Run, error) {
 	switch {
 	case r.fingerprint != fingerprint:
 		return nil, failure.New(failure.KeyReused, "the key was used for another request")
@@ -193,7 +193,7 @@
 
 // ask answers for a key by the records; neither a run nor an error says that
 // the key is free.
-func (d *Desk) ask(now time.Time, k Key, fingerprint uint64) (*Run, error) {
+func (d *Coordinator) ask(now time.Time, k Key, fingerprint uint64) (*Run, error) {
 	standing := d.ledger.Ask(now, k)
 	e := d.ledger.entries[k.ID]
 
@@ -226,14 +226,14 @@
 // withdrawing tells whether the withdrawal of what holds a key is on its way. The
 // key is free then before the log says so: a claim that follows gets into the
 // log behind the withdrawal.
-func (d *Desk) withdrawing(id ID, e entry) bool {
+func (d *Coordinator) withdrawing(id ID, e entry) bool {
 	r := d.local[id]
 
 	return r != nil && (r.phase == withdrawn && r.nonce == e.run || slices.Contains(r.freed, e.run))
 }
 
 // open starts a run. In an outage it may be carried out at once.
-func (d *Desk) open(now time.Time, id ID, fingerprint uint64, issued time.Time, silent bool) *Run {
+func (d *Coordinator) open(now time.Time, id ID, fingerprint uint64, issued time.Time, silent bool) *Run {
 	r := &Run{
 		id: id, nonce: rand.Uint64(), term: d.ledger.Holder().Term, fingerprint: fingerprint,
 		asked: now, done: make(chan struct{}),
@@ -275,10 +275,10 @@
 	close(r.done)
 }
 
-func (d *Desk) write(r record) { d.outbox = append(d.outbox, r) }
+func (d *Coordinator) write(r record) { d.outbox = append(d.outbox, r) }
 
 // Apply takes account of the next record of the shard's stream.
-func (d *Desk) Apply(rec journal.Record) error {
+func (d *Coordinator) Apply(rec journal.Record) error {
 	r, err := decode(rec.Data)
 	if err != nil {
 		return err
@@ -299,7 +299,7 @@
 }
 
 // readBack takes account of an own record.
-func (d *Desk) readBack(l *Run, k kind) {
+func (d *Coordinator) readBack(l *Run, k kind) {
 	switch k {
 	case kindClaim:
 		l.read = true
@@ -311,7 +311,7 @@
 }
 
 // confirm lets a run go on whose claim counts, and ends one whose doesn't.
-func (d *Desk) confirm(l *Run) {
+func (d *Coordinator) confirm(l *Run) {
 	e, ok := d.ledger.entries[l.id]
 
 	switch {
@@ -328,7 +328,7 @@
 
 // lose ends what another home decides from now on. A run that is carried out
 // goes on; its claim is in the log, or its key is uncertain for the next home.
-func (d *Desk) lose() {
+func (d *Coordinator) lose() {
 	for id, r := range d.local {
 		if r.phase == waiting {
 			d.takeBack(r, failure.New(failure.NotReady, "another process became the home of the key").After(refusedAfter))
@@ -359,7 +359,7 @@
 }
 
 // Restore replaces what the records say by a snapshot.
-func (d *Desk) Restore(b []byte) error {
+func (d *Coordinator) Restore(b []byte) error {
 	before := d.ledger.Holder()
 
 	if err := d.ledger.Restore(b); err != nil {
@@ -372,14 +372,14 @@
 }
 
 // Gap says that the records before offset first are lost.
-func (d *Desk) Gap(first uint64) {
+func (d *Coordinator) Gap(first uint64) {
 	before := d.ledger.Holder()
 	d.ledger.Gap(first)
 	d.rebase(before)
 }
 
 // rebase brings the own runs in line after records were skipped.
-func (d *Desk) rebase(before Holder) {
+func (d *Coordinator) rebase(before Holder) {
 	d.behind = true
 
 	if d.mine(before) && d.ledger.Holder().Term != before.Term {
@@ -404,7 +404,7 @@
 
 // Synced says that the process had read all that the log held at a time, and
 // which was the oldest offset kept.
-func (d *Desk) Synced(at time.Time, first uint64) {
+func (d *Coordinator) Synced(at time.Time, first uint64) {
 	d.first = max(d.first, first)
 
 	if at.After(d.synced) {
@@ -422,7 +422,7 @@
 // A process that was stopped and wakes in an outage of the log can't know
 // whether the log was there meanwhile and told of another home. The wall clock
 // is compared as well, since a suspended VM's monotonic clock stands still too.
-func (d *Desk) watch(now time.Time) {
+func (d *Coordinator) watch(now time.Time) {
 	if !d.ticked.IsZero() && (now.Sub(d.ticked) > d.cfg.MaxPause || now.Round(0).Sub(d.ticked.Round(0)) > d.cfg.MaxPause) {
 		d.frozen, d.paused = now, now
 	}
@@ -431,7 +431,7 @@
 }
 
 // silent tells whether the log gives no answers.
-func (d *Desk) silent(now time.Time) bool {
+func (d *Coordinator) silent(now time.Time) bool {
 	if now.Sub(d.synced) > silence {
 		return true
 	}
@@ -448,7 +448,7 @@
 //
 // A process that finds no home in all that the log keeps becomes the home. So a
 // home stays certain only while the log must still keep what tells of it.
-func (d *Desk) certain(now time.Time) bool {
+func (d *Coordinator) certain(now time.Time) bool {
 	asserted := time.UnixMilli(d.ledger.Holder().AssertedMS)
 	limit := d.cfg.Retention - 2*time.Duration(d.ledger.skew)*time.Millisecond
 
@@ -457,20 +457,20 @@
 
 // doubted tells whether the platform may have dropped the VM while the process
 // stood still, and its list not have told so yet.
-func (d *Desk) doubted(now time.Time) bool {
+func (d *Coordinator) doubted(now time.Time) bool {
 	return !d.paused.IsZero() && now.Sub(d.paused) < ListLag
 }
 
 // Observe takes account of the platform's list.
-func (d *Desk) Observe(f Fleet) { d.unlisted = !f.Has(d.cfg.VM) }
+func (d *Coordinator) Observe(f Fleet) { d.unlisted = !f.Has(d.cfg.VM) }
 
 // trusted tells whether the process may run before it has written.
-func (d *Desk) trusted(now time.Time) bool { return !d.cfg.RefuseInOutage && d.certain(now) }
+func (d *Coordinator) trusted(now time.Time) bool { return !d.cfg.RefuseInOutage && d.certain(now) }
 
 // refusal returns the answer while the log is silent. LogUnavailable says that
 // the key did not run at all, which a process can't know that may have been
 // succeeded meanwhile.
-func (d *Desk) refusal(now time.Time) error {
+func (d *Coordinator) refusal(now time.Time) error {
 	if d.certain(now) {
 		return failure.New(failure.LogUnavailable, "the log does not answer").After(outageAfter)
 	}
@@ -480,7 +480,7 @@
 
 // Tick looks for claims that have waited long enough. Those of a home that may
 // go on without the log run; the others are refused.
-func (d *Desk) Tick(now time.Time) {
+func (d *Coordinator) Tick(now time.Time) {
 	d.watch(now)
 
 	for len(d.queue) > 0 {
@@ -498,7 +498,7 @@
 }
 
 // overdue decides about a run whose claim does not come back from the log.
-func (d *Desk) overdue(now time.Time, r *Run) {
+func (d *Coordinator) overdue(now time.Time, r *Run) {
 	if e, ok := d.ledger.entries[r.id]; ok && e.run != r.nonce && !d.withdrawing(r.id, e) {
 		d.takeBack(r, unknown())
 
@@ -517,14 +517,14 @@
 
 // takeBack ends a run that was not carried out. Its claim may be in the log or
 // get there later, so the withdrawal follows it.
-func (d *Desk) takeBack(r *Run, err error) {
+func (d *Coordinator) takeBack(r *Run, err error) {
 	r.refuse(err)
 	d.write(record{Kind: kindWithdraw, Term: r.term, ID: r.id, Run: r.nonce})
 }
 
 // Abandon ends a run whose caller no longer waits; false when it may be carried
 // out by now.
-func (d *Desk) Abandon(r *Run, err error) bool {
+func (d *Coordinator) Abandon(r *Run, err error) bool {
 	if r.phase != waiting {
 		return r.phase == withdrawn
 	}
@@ -535,7 +535,7 @@
 }
 
 // Settle notes the outcome of a run that was carried out.
-func (d *Desk) Settle(r *Run, o Outcome) {
+func (d *Coordinator) Settle(r *Run, o Outcome) {
 	if r.phase != running && r.phase != lost {
 		return
 	}
@@ -552,7 +552,7 @@
 
 // Lose notes that nobody will learn what a run brought, as its target died or
 // fell silent. The process remembers it until the log does.
-func (d *Desk) Lose(r *Run) {
+func (d *Coordinator) Lose(r *Run) {
 	if r.phase != running {
 		return
 	}
@@ -567,7 +567,7 @@
 }
 
 // Withdraw notes that a run was not carried out and won't be.
-func (d *Desk) Withdraw(r *Run) {
+func (d *Coordinator) Withdraw(r *Run) {
 	if r.phase != running {
 		return
 	}
@@ -578,14 +578,14 @@
 }
 
 // disown forgets a run from an earlier term; only the record matters then.
-func (d *Desk) disown(r *Run) {
+func (d *Coordinator) disown(r *Run) {
 	if h := d.ledger.Holder(); (r.term != h.Term || !h.Serves()) && d.local[r.id] == r {
 		delete(d.local, r.id)
 	}
 }
 
 // Outbox returns the records to write, in order, and empties it.
-func (d *Desk) Outbox() [][]byte {
+func (d *Coordinator) Outbox() [][]byte {
 	b := make([][]byte, len(d.outbox))
 	for i, r := range d.outbox {
 		b[i] = r.encode()
@@ -597,16 +597,16 @@
 }
 
 // Stop gives the shard back for good; see Release.
-func (d *Desk) Stop() { d.stopping = true }
+func (d *Coordinator) Stop() { d.stopping = true }
 
 // Yield gives the shard back for another to take; see Release.
-func (d *Desk) Yield() { d.yielding = true }
+func (d *Coordinator) Yield() { d.yielding = true }
 
-func (d *Desk) draining() bool { return d.stopping || d.yielding }
+func (d *Coordinator) draining() bool { return d.stopping || d.yielding }
 
 // Release releases a shard that is to be given back, once every run of this
 // process is over and the log holds all of them.
-func (d *Desk) Release() {
+func (d *Coordinator) Release() {
 	term := d.ledger.Holder().Term
 	if !d.draining() || !d.Home() || d.asked == term || len(d.local) > 0 || len(d.outbox) > 0 {
 		return
--- a/claim/desk_test.go
+++ b/claim/coordinator_test.go
@@ -8,9 +8,9 @@
 	"boragehub/journal"
 )
 
-// pair is a Desk and the stream that it alone writes.
+// pair is a Coordinator and the stream that it alone writes.
 type pair struct {
-	desk *Desk
+	desk *Coordinator
 	next Succession
 	n    uint64
 }
@@ -36,9 +36,9 @@
 	p.desk.Synced(now, 1)
 }
 
-// newPair returns a Desk that has read its empty stream.
+// newPair returns a Coordinator that has read its empty stream.
 func newPair(now time.Time) *pair {
-	p := &pair{desk: NewDesk(DeskConfig{VM: "a", Incarnation: 1})}
+	p := &pair{desk: NewCoordinator(CoordinatorConfig{VM: "a", Incarnation: 1})}
 	p.desk.Synced(now, 1)
 
 	return p
@@ -153,7 +153,7 @@
 	}
 }
 
-// home returns a Desk that is the home of its shard, and the time.
+// home returns a Coordinator that is the home of its shard, and the time.
 func home(t *testing.T, f Fleet) (*pair, time.Time) {
 	t.Helper()
 
--- a/claim/home.go
+++ b/claim/home.go
@@ -169,22 +169,22 @@
 // Settle notes the outcome of a run that was carried out. A repeated call gets
 // it from now on; the log gets it soon.
 func (h *Home) Settle(_ context.Context, t Ticket, o Outcome) error {
-	return h.finish(t, func(d *Desk) { d.Settle(t.run, o) })
+	return h.finish(t, func(d *Coordinator) { d.Settle(t.run, o) })
 }
 
 // Withdraw notes that a run was not carried out and won't be, so that the key
 // may be claimed again. It must be true.
 func (h *Home) Withdraw(_ context.Context, t Ticket) error {
-	return h.finish(t, func(d *Desk) { d.Withdraw(t.run) })
+	return h.finish(t, func(d *Coordinator) { d.Withdraw(t.run) })
 }
 
 // Lose notes that nobody will learn what a run brought, as its target died or
 // fell silent. A repeated call is answered as OutcomeUnknown.
 func (h *Home) Lose(_ context.Context, t Ticket) error {
-	return h.finish(t, func(d *Desk) { d.Lose(t.run) })
+	return h.finish(t, func(d *Coordinator) { d.Lose(t.run) })
 }
 
-func (h *Home) finish(t Ticket, do func(*Desk)) error {
+func (h *Home) finish(t Ticket, do func(*Coordinator)) error {
 	s := h.shard(t.shard)
 	if s == nil || t.run == nil {
 		return failure.New(failure.NotReady, "the ticket is not of this process")
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -208,7 +208,7 @@
 	h := r.Home
 
 	// A home that can't be found in what the log keeps has not repeated itself
-	// for longer than it may go on by itself; see Desk.certain.
+	// for longer than it may go on by itself; see Coordinator.certain.
 	if h.Basis == BasisFirst {
 		return l.holder.Asserted < h.From
 	}
--- a/claim/measure_test.go
+++ b/claim/measure_test.go
@@ -249,11 +249,11 @@
 	}
 }
 
-// BenchmarkClaim claims, reads back and settles at one Desk.
+// BenchmarkClaim claims, reads back and settles at one Coordinator.
 func BenchmarkClaim(b *testing.B) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	f := Fleet{Version: 1, VMs: []string{"a"}}
-	d := NewDesk(DeskConfig{VM: "a", Incarnation: 1})
+	d := NewCoordinator(CoordinatorConfig{VM: "a", Incarnation: 1})
 	offset := uint64(0)
 
 	turn := func() {
--- a/claim/outage/outage.go
+++ b/claim/outage/outage.go
@@ -7,7 +7,7 @@
 // random (Poisson) with a fresh UUIDv7 each. A caller that is refused, or gets
 // no answer, tries again with the same key after what Retry-After says, until
 // its patience ends. The log is away for a while; in it, the process of one VM
-// may die and start anew. The decisions are those of claim.Desk and
+// may die and start anew. The decisions are those of claim.Coordinator and
 // claim.Succession; log, callers and targets are small models on virtual time:
 // an append and a read take a tick each, a target answers at once. The same
 // Config gives the same Result.
@@ -108,7 +108,7 @@
 // process is one shard's desk at one VM, and how far it has read.
 type process struct {
 	vm       int
-	desk     *claim.Desk
+	desk     *claim.Coordinator
 	next     claim.Succession
 	position int
 	out      [][]byte
@@ -180,7 +180,7 @@
 
 func (m *model) boot(vm int) {
 	for s := range m.procs {
-		m.procs[s][vm] = &process{vm: vm, desk: claim.NewDesk(claim.DeskConfig{
+		m.procs[s][vm] = &process{vm: vm, desk: claim.NewCoordinator(claim.CoordinatorConfig{
 			VM: name(vm), Incarnation: uint64(m.now.UnixMilli()), RefuseInOutage: !m.cfg.LogLess,
 		})}
 	}
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -17,7 +17,7 @@
 	return fmt.Sprintf("claims.%s.%d", service, shard)
 }
 
-// shard joins the Desk of one shard to its stream.
+// shard joins the Coordinator of one shard to its stream.
 type shard struct {
 	cfg    HomeConfig
 	number int
@@ -26,7 +26,7 @@
 	writer *journal.Writer
 
 	mu         sync.Mutex
-	desk       *Desk
+	desk       *Coordinator
 	succession Succession
 	unsent     [][]byte  // records that found the writer's queue full
 	was        Holder    // the home when it was last looked at
@@ -40,7 +40,7 @@
 	stream := Stream(cfg.Service, number)
 	s := &shard{cfg: cfg, number: number, cancel: cancel, cut: time.UnixMilli(0)}
 	s.succession.Stagger = cfg.Stagger
-	s.desk = NewDesk(DeskConfig{
+	s.desk = NewCoordinator(CoordinatorConfig{
 		VM: cfg.VM, Incarnation: cfg.Incarnation, Ledger: cfg.Ledger, RefuseInOutage: cfg.RefuseInOutage,
 		Patience: cfg.Patience, MaxLocal: cfg.MaxLocal, MaxBody: cfg.MaxBody,
 		Retention: cfg.Retention,
--- a/claim/takeover.go
+++ b/claim/takeover.go
@@ -49,7 +49,7 @@
 // the home's VM can tell that the VM is gone, and only a process that the list
 // has may become home, so that its successor can tell the same of it. A process
 // that stood still waits until its list would tell that its VM was dropped.
-func (s *Succession) Next(now time.Time, d *Desk, f Fleet, rank int) (Basis, bool) {
+func (s *Succession) Next(now time.Time, d *Coordinator, f Fleet, rank int) (Basis, bool) {
 	basis, ok := d.basis(f)
 	if !ok || d.draining() || d.doubted(now) || !f.Has(d.cfg.VM) || f.Leaving[d.cfg.VM] {
 		s.basis = 0
@@ -72,7 +72,7 @@
 }
 
 // delay returns how long to leave a shard to others.
-func (s *Succession) delay(d *Desk, rank int) time.Duration {
+func (s *Succession) delay(d *Coordinator, rank int) time.Duration {
 	wait := time.Duration(rank) * positive(s.Stagger, DefaultStagger)
 
 	switch {
@@ -84,7 +84,7 @@
 }
 
 // basis returns why this process may become the home, if it may.
-func (d *Desk) basis(f Fleet) (Basis, bool) {
+func (d *Coordinator) basis(f Fleet) (Basis, bool) {
 	h := d.ledger.Holder()
 
 	switch {
@@ -108,19 +108,19 @@
 // Born puts the record into the outbox by which this process says that earlier
 // ones on its VM have ended. The process must hold what only one of them can,
 // its port.
-func (d *Desk) Born() { d.write(born(d.cfg.VM, d.cfg.Incarnation)) }
+func (d *Coordinator) Born() { d.write(born(d.cfg.VM, d.cfg.Incarnation)) }
 
 func born(vm string, incarnation uint64) record {
 	return record{Kind: kindBorn, Home: &homeRecord{VM: vm, Incarnation: incarnation}}
 }
 
 // Ask puts the record by which this process becomes the home into the outbox.
-func (d *Desk) Ask(b Basis, f Fleet) { d.write(d.homeRecord(kindHome, b, f)) }
+func (d *Coordinator) Ask(b Basis, f Fleet) { d.write(d.homeRecord(kindHome, b, f)) }
 
 // Keep puts the record into the outbox by which the home repeats that it is
 // there. A snapshot must have been written that covers the records up to covers,
 // of which the newest was of the time at.
-func (d *Desk) Keep(f Fleet, covers uint64, at time.Time) {
+func (d *Coordinator) Keep(f Fleet, covers uint64, at time.Time) {
 	if !d.Home() || !f.Has(d.cfg.VM) {
 		return
 	}
@@ -130,7 +130,7 @@
 	d.write(r)
 }
 
-func (d *Desk) homeRecord(k kind, b Basis, f Fleet) record {
+func (d *Coordinator) homeRecord(k kind, b Basis, f Fleet) record {
 	return record{Kind: k, Term: d.ledger.Holder().Term, Home: &homeRecord{
 		VM: d.cfg.VM, Incarnation: d.cfg.Incarnation, Basis: b,
 		LogLess: !d.cfg.RefuseInOutage, Listed: f.Version, From: d.first,
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -110,7 +110,7 @@
 	vm     string
 	id     int
 	skew   time.Duration
-	desk   *Desk
+	desk   *Coordinator
 	next   Succession
 	kept   time.Time
 	frozen time.Time
@@ -175,7 +175,7 @@
 	w.ids++
 	w.procs = append(w.procs, &process{
 		vm: vm, id: w.ids, skew: skew, seen: map[int]int{}, listed: len(w.fleets) - 1,
-		desk: NewDesk(DeskConfig{
+		desk: NewCoordinator(CoordinatorConfig{
 			VM: vm, Incarnation: uint64(w.ids), RefuseInOutage: w.refuse, Retention: worldRetention,
 			Ledger: LedgerConfig{Memory: worldMemory, Skew: worldSkew},
 		}),
--- a/cmd/boragehub/ctl.go
+++ b/cmd/boragehub/ctl.go
@@ -34,7 +34,7 @@
 	config *ctl.ConfigMenu
 	made   *ctl.KeysMenu
 	fleet  *ctl.FleetMenu
-	wishes *ctl.WishMenu
+	edits  *ctl.EditMenu
 	rolls  *ctl.WeightsMenu
 }
 
@@ -60,7 +60,7 @@
 	c.config = ctl.AttachConfig(c.sub)
 	c.made = ctl.AttachKeys(c.sub)
 	c.fleet = ctl.AttachFleet(c.sub)
-	c.wishes, c.rolls = ctl.AttachWishes(c.sub)
+	c.edits, c.rolls = ctl.AttachEdits(c.sub)
 
 	flaggy.AttachSubcommand(c.sub, 1)
 
@@ -99,21 +99,21 @@
 
 	switch {
 	case c.fleet.Chosen():
-		return c.reach(ctx, func(r ctl.Reach) error {
-			return c.fleet.Run(ctx, ctl.Fleets{Terminal: terminal, Reach: r})
+		return c.reach(ctx, func(r ctl.Client) error {
+			return c.fleet.Run(ctx, ctl.Fleets{Terminal: terminal, Client: r})
 		})
 	case c.rolls.Chosen():
-		return c.reach(ctx, func(r ctl.Reach) error {
-			return ctl.Fleets{Terminal: terminal, Reach: r}.Weights(ctx)
+		return c.reach(ctx, func(r ctl.Client) error {
+			return ctl.Fleets{Terminal: terminal, Client: r}.Weights(ctx)
 		})
-	case c.wishes.Chosen():
+	case c.edits.Chosen():
 		if err := c.needsLog(); err != nil {
 			return err
 		}
 
-		return c.wishes.Run(ctx, ctl.Wishes{Terminal: terminal, Log: log, Author: c.author})
+		return c.edits.Run(ctx, ctl.Edits{Terminal: terminal, Log: log, Author: c.author})
 	case c.config.NeedsFleet():
-		return c.reach(ctx, func(r ctl.Reach) error {
+		return c.reach(ctx, func(r ctl.Client) error {
 			_, err := c.config.Run(ctx, ctl.ConfigConfig{Terminal: terminal, Log: log, Fleet: r, Author: c.author})
 
 			return err
@@ -145,7 +145,7 @@
 }
 
 // reach gives do the means to ask the fleet.
-func (c *console) reach(ctx context.Context, do func(ctl.Reach) error) error {
+func (c *console) reach(ctx context.Context, do func(ctl.Client) error) error {
 	if c.vms == "" || c.keys == "" {
 		return failure.New(failure.BadSettings, "--vms and --keys-from (or BORAGEHUB_VMS and BORAGEHUB_KEYS) are needed to ask the fleet")
 	}
@@ -169,5 +169,5 @@
 	d := peer.NewDialer(peer.Config{TLS: keys.TLS()}, logr.Discard())
 	defer d.Close()
 
-	return do(ctl.Reach{Asker: d, List: list})
+	return do(ctl.Client{Asker: d, List: list})
 }
--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -62,7 +62,7 @@
 	server   *peer.Server
 	list     *vm.Follower
 	settings *publication.Follower
-	crashes  *notice.Board
+	crashes  *notice.Feed
 	relay    *relay
 }
 
--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -102,9 +102,9 @@
 	})
 }
 
-// provideBoard returns the board of crashes; an entry reads it, a side process
+// provideCrashFeed returns the feed of crashes; an entry reads it, a side process
 // only writes.
-func provideBoard(cfg setting.Process, log logr.Logger, j *journal.Client, r *relay) *notice.Board {
+func provideCrashFeed(cfg setting.Process, log logr.Logger, j *journal.Client, r *relay) *notice.Feed {
 	c := notice.Config{Log: j, Logger: log}
 	if cfg.Role == setting.EntryRole {
 		c.Heard = func(k quarantine.Crash) { r.crash(time.Now(), k) }
@@ -137,7 +137,7 @@
 	return operator.View{Name: "weights", Get: func(string) any { return l.Rolls() }}
 }
 
-func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, l *placement.Leader, r *recorder.Recorder, registry *prometheus.Registry) *entry.Entry {
+func provideEntry(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, feed *notice.Feed, l *placement.Leader, r *recorder.Recorder, registry *prometheus.Registry) *entry.Entry {
 	e := entry.New(entry.Config{
 		VM:          cfg.VM,
 		DataCentre:  cfg.DataCentre,
@@ -146,7 +146,7 @@
 		Settings:    settings,
 		Peers:       d,
 		VMs:         list,
-		Post:        board.Post,
+		Post:        feed.Post,
 		Views:       []operator.View{explain(r), weightsView(l)},
 		Log:         log,
 	})
@@ -214,7 +214,7 @@
 	}}}
 }
 
-func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, board *notice.Board, homes *claim.Home, views []operator.View) (*side.Side, error) {
+func provideSide(cfg setting.Process, log logr.Logger, d *peer.Dialer, list *vm.Follower, settings *publication.Follower, feed *notice.Feed, homes *claim.Home, views []operator.View) (*side.Side, error) {
 	u, err := url.Parse(cfg.Target.URL)
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "target %q", cfg.Target.URL)
@@ -228,7 +228,7 @@
 		Address:      u.Host,
 		DrainTimeout: time.Duration(cfg.Limits.DrainTimeout),
 		Settings:     settings,
-		Post:         board.Post,
+		Post:         feed.Post,
 		Peers:        d,
 		VMs:          list,
 		Views:        views,
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -21,7 +21,7 @@
 	provideJournal,
 	provideFollower,
 	newRelay,
-	provideBoard,
+	provideCrashFeed,
 	operator.NewRegistry,
 	peer.NewDialer,
 	wire.Struct(new(common), "*"),
--- a/cmd/boragehub/wire_gen.go
+++ b/cmd/boragehub/wire_gen.go
@@ -32,7 +32,7 @@
 	follower := provideList(cfg, logger, mainRelay)
 	client := provideJournal(cfg)
 	publicationFollower := provideFollower(cfg, logger, client, dialer, follower, mainRelay)
-	board := provideBoard(cfg, logger, client, mainRelay)
+	feed := provideCrashFeed(cfg, logger, client, mainRelay)
 	mainCommon := common{
 		cfg:      cfg,
 		log:      logger,
@@ -41,13 +41,13 @@
 		server:   server,
 		list:     follower,
 		settings: publicationFollower,
-		crashes:  board,
+		crashes:  feed,
 		relay:    mainRelay,
 	}
 	leaseKeeper := provideLease(cfg, logger, client)
 	leader := provideLeader(cfg, logger, dialer, follower, publicationFollower, leaseKeeper)
 	registry := operator.NewRegistry()
-	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, board, leader, recorder, registry)
+	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, feed, leader, recorder, registry)
 	mainSettingsLease := provideSettingsLease(cfg, logger, client)
 	snapshotter := provideSnapshotter(logger, mainSettingsLease, publicationFollower)
 	operatorServer, err := provideEntryOperators(cfg, registry, entry)
@@ -83,7 +83,7 @@
 	follower := provideList(cfg, logger, mainRelay)
 	client := provideJournal(cfg)
 	publicationFollower := provideFollower(cfg, logger, client, dialer, follower, mainRelay)
-	board := provideBoard(cfg, logger, client, mainRelay)
+	feed := provideCrashFeed(cfg, logger, client, mainRelay)
 	mainCommon := common{
 		cfg:      cfg,
 		log:      logger,
@@ -92,12 +92,12 @@
 		server:   server,
 		list:     follower,
 		settings: publicationFollower,
-		crashes:  board,
+		crashes:  feed,
 		relay:    mainRelay,
 	}
 	home := provideHomes(cfg, logger, client, follower)
 	v := provideSideViews(recorder, publicationFollower)
-	side, err := provideSide(cfg, logger, dialer, follower, publicationFollower, board, home, v)
+	side, err := provideSide(cfg, logger, dialer, follower, publicationFollower, feed, home, v)
 	if err != nil {
 		return nil, err
 	}
@@ -128,5 +128,5 @@
 	provideJournal,
 	provideFollower,
 	newRelay,
-	provideBoard, operator.NewRegistry, peer.NewDialer, wire.Struct(new(common), "*"),
+	provideCrashFeed, operator.NewRegistry, peer.NewDialer, wire.Struct(new(common), "*"),
 )
--- a/ctl/reach.go
+++ b/ctl/client.go
@@ -19,9 +19,9 @@
 	Ask(ctx context.Context, a peer.Address, m message.Message) (message.Message, error)
 }
 
-// Reach asks the processes of a fleet for their views, over the same
+// Client asks the processes of a fleet for their views, over the same
 // connections as they use among themselves.
-type Reach struct {
+type Client struct {
 	// Asker opens conversations, with an operator's certificate.
 	Asker Asker
 	// List is the platform's list of VMs.
@@ -30,7 +30,7 @@
 	Timeout time.Duration
 }
 
-// Defaults of Reach.
+// Defaults of Client.
 const (
 	// DefaultAskTimeout bounds a question.
 	DefaultAskTimeout = 3 * time.Second
@@ -49,7 +49,7 @@
 }
 
 // View asks one process for a view.
-func (r Reach) View(ctx context.Context, m vm.VM, name, query string) ([]byte, error) {
+func (r Client) View(ctx context.Context, m vm.VM, name, query string) ([]byte, error) {
 	timeout := r.Timeout
 	if timeout <= 0 {
 		timeout = DefaultAskTimeout
@@ -70,7 +70,7 @@
 
 // All asks every process of the given kinds, or all when none is given, and
 // returns the answers in order of VM.
-func (r Reach) All(ctx context.Context, name, query string, kinds ...vm.Kind) []Viewed {
+func (r Client) All(ctx context.Context, name, query string, kinds ...vm.Kind) []Viewed {
 	var vms []vm.VM
 
 	for _, m := range r.List.All() {
@@ -101,7 +101,7 @@
 }
 
 // Versions implements Fleet.
-func (r Reach) Versions(ctx context.Context) ([]ProcessVersion, error) {
+func (r Client) Versions(ctx context.Context) ([]ProcessVersion, error) {
 	answers := r.All(ctx, "settings", "")
 	if len(answers) == 0 {
 		return nil, failure.New(failure.Unavailable, "the platform lists no process of the system")
--- a/ctl/wish.go
+++ b/ctl/edit.go
@@ -14,9 +14,9 @@
 	"boragehub/setting/publication"
 )
 
-// Wishes carries out the commands that change the fleet. Each is a small edit of
+// Edits carries out the commands that change the fleet. Each is a small edit of
 // the settings in force, published like any other change.
-type Wishes struct {
+type Edits struct {
 	// Terminal is where they write.
 	Terminal Terminal
 	// Log is the log service.
@@ -25,11 +25,11 @@
 	Author string
 }
 
-// wishTries bounds how often an edit is made anew because another operator came first.
-const wishTries = 5
+// editTries bounds how often an edit is made anew because another operator came first.
+const editTries = 5
 
 // Drain asks a target to finish what it has and take no new work.
-func (w Wishes) Drain(ctx context.Context, target, reason string) error {
+func (w Edits) Drain(ctx context.Context, target, reason string) error {
 	return w.publish(ctx, "drain "+target, func(t *setting.Tree) ([]byte, error) {
 		if _, ok := t.Drained(target); ok {
 			return nil, failure.New(failure.Conflict, "%s is being drained already", target)
@@ -40,14 +40,14 @@
 }
 
 // Undrain takes the wish for a target back.
-func (w Wishes) Undrain(ctx context.Context, target string) error {
+func (w Edits) Undrain(ctx context.Context, target string) error {
 	return w.publish(ctx, "undrain "+target, func(t *setting.Tree) ([]byte, error) {
 		return without(t.Text(), "[[drain]]", fmt.Sprintf("target = %q", target))
 	})
 }
 
 // Roll asks for a service's engines to move to a weight version step by step.
-func (w Wishes) Roll(ctx context.Context, service, version string) error {
+func (w Edits) Roll(ctx context.Context, service, version string) error {
 	return w.publish(ctx, "roll "+service+" to "+version, func(t *setting.Tree) ([]byte, error) {
 		text := t.Text()
 
@@ -67,7 +67,7 @@
 }
 
 // Unroll takes a roll back: the engines return to the service's own version.
-func (w Wishes) Unroll(ctx context.Context, service string) error {
+func (w Edits) Unroll(ctx context.Context, service string) error {
 	return w.publish(ctx, "unroll "+service, func(t *setting.Tree) ([]byte, error) {
 		return without(t.Text(), "[[weight_roll]]", fmt.Sprintf("service = %q", service))
 	})
@@ -75,10 +75,10 @@
 
 // publish makes an edit of the settings in force and publishes it; when another
 // operator's change comes between, it makes the edit again on top of theirs.
-func (w Wishes) publish(ctx context.Context, note string, edit func(*setting.Tree) ([]byte, error)) error {
+func (w Edits) publish(ctx context.Context, note string, edit func(*setting.Tree) ([]byte, error)) error {
 	var last error
 
-	for range wishTries {
+	for range editTries {
 		now, _, err := publication.Read(ctx, w.Log, 1)
 		if err != nil {
 			return err
@@ -110,7 +110,7 @@
 	return last
 }
 
-func (w Wishes) told(version uint64, note string) error {
+func (w Edits) told(version uint64, note string) error {
 	v := struct {
 		Version uint64    `json:"version"`
 		Note    string    `json:"note"`
@@ -144,8 +144,8 @@
 	return nil, failure.New(failure.Conflict, "the settings have no %s with %s", head, key)
 }
 
-// WishMenu is the commands of Wishes on the program's command line.
-type WishMenu struct {
+// EditMenu is the commands of Edits on the program's command line.
+type EditMenu struct {
 	drain, undrain, roll, unroll *flaggy.Subcommand
 
 	target, reason, service, version string
@@ -159,9 +159,9 @@
 // Chosen says whether it was chosen.
 func (m *WeightsMenu) Chosen() bool { return m.status.Used }
 
-// AttachWishes adds the commands below parent.
-func AttachWishes(parent *flaggy.Subcommand) (*WishMenu, *WeightsMenu) {
-	m := &WishMenu{reason: "drained by hand"}
+// AttachEdits adds the commands below parent.
+func AttachEdits(parent *flaggy.Subcommand) (*EditMenu, *WeightsMenu) {
+	m := &EditMenu{reason: "drained by hand"}
 
 	m.drain = command(parent, "drain", "Let a target finish what it has and take no new work.",
 		`boragehub ctl drain engine-7 --reason "new host"`)
@@ -187,12 +187,12 @@
 }
 
 // Chosen says whether one of the commands was chosen.
-func (m *WishMenu) Chosen() bool {
+func (m *EditMenu) Chosen() bool {
 	return m.drain.Used || m.undrain.Used || m.roll.Used || m.unroll.Used
 }
 
 // Run carries out the chosen command.
-func (m *WishMenu) Run(ctx context.Context, w Wishes) error {
+func (m *EditMenu) Run(ctx context.Context, w Edits) error {
 	switch {
 	case m.drain.Used:
 		return w.Drain(ctx, m.target, m.reason)
--- a/ctl/wish_test.go
+++ b/ctl/edit_test.go
@@ -10,7 +10,7 @@
 	"boragehub/setting/publication"
 )
 
-const wishTree = `class = "standard"
+const editTree = `class = "standard"
 
 [[data_centre]]
 name = "yvr-east"
@@ -24,24 +24,24 @@
 weight_version = "v1"
 `
 
-// wishes returns the commands on a log that has wishTree.
-func wishes(t *testing.T) (Wishes, *bytes.Buffer) {
+// edits returns the commands on a log that has editTree.
+func edits(t *testing.T) (Edits, *bytes.Buffer) {
 	t.Helper()
 
 	log := &memory{}
 
 	if _, err := publication.Publish(context.Background(), publication.PublishConfig{Log: log}, publication.Change{
-		ID: "first", Author: "test", Name: "settings.toml", Text: []byte(wishTree),
+		ID: "first", Author: "test", Name: "settings.toml", Text: []byte(editTree),
 	}); err != nil {
 		t.Fatal(err)
 	}
 
 	var out bytes.Buffer
 
-	return Wishes{Terminal: Terminal{Out: &out, Err: io.Discard}, Log: log, Author: "ada"}, &out
+	return Edits{Terminal: Terminal{Out: &out, Err: io.Discard}, Log: log, Author: "ada"}, &out
 }
 
-func inForce(t *testing.T, w Wishes) *publication.Published {
+func inForce(t *testing.T, w Edits) *publication.Published {
 	t.Helper()
 
 	p, _, err := publication.Read(context.Background(), w.Log, 1)
@@ -53,7 +53,7 @@
 }
 
 func TestDrainAndUndrain(t *testing.T) {
-	w, out := wishes(t)
+	w, out := edits(t)
 	ctx := context.Background()
 
 	for _, target := range []string{"engine-1", "engine-2"} {
@@ -89,7 +89,7 @@
 }
 
 func TestRollIsReplacedAndTakenBack(t *testing.T) {
-	w, _ := wishes(t)
+	w, _ := edits(t)
 	ctx := context.Background()
 
 	for _, version := range []string{"v2", "v3"} {
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -18,8 +18,8 @@
 type Fleets struct {
 	// Terminal is where they write.
 	Terminal Terminal
-	// Reach asks the processes.
-	Reach Reach
+	// Client asks the processes.
+	Client Client
 }
 
 // seenTarget is what one entry believes of a target.
@@ -50,7 +50,7 @@
 
 // fleets asks every entry how it sees the fleet.
 func (f Fleets) fleets(ctx context.Context) ([]seenFleet, error) {
-	answers := f.Reach.All(ctx, "fleet", "", vm.Entry)
+	answers := f.Client.All(ctx, "fleet", "", vm.Entry)
 	if len(answers) == 0 {
 		return nil, failure.New(failure.Unavailable, "the platform lists no entry")
 	}
@@ -148,7 +148,7 @@
 
 	silent := 0
 
-	for _, a := range f.Reach.All(ctx, "explain", request) {
+	for _, a := range f.Client.All(ctx, "explain", request) {
 		var some []explained
 
 		if a.Err != nil || json.Unmarshal(a.JSON, &some) != nil {
@@ -223,7 +223,7 @@
 		rows  [][]string
 	)
 
-	for _, a := range f.Reach.All(ctx, "context", anchor, vm.Entry) {
+	for _, a := range f.Client.All(ctx, "context", anchor, vm.Entry) {
 		var h held
 
 		if a.Err == nil && json.Unmarshal(a.JSON, &h) == nil && len(h.Holdings) > 0 {
@@ -261,7 +261,7 @@
 
 	var rows [][]string
 
-	for _, a := range f.Reach.All(ctx, "weights", "", vm.Entry) {
+	for _, a := range f.Client.All(ctx, "weights", "", vm.Entry) {
 		var some []progress
 
 		if a.Err != nil || json.Unmarshal(a.JSON, &some) != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -34,7 +34,7 @@
 		kind = failure.KindOf(err).String()
 		j.suspect(ctx, r, sent, err)
 	} else {
-		j.e.ward.Completed(now, j.fingerprint)
+		j.e.crashes.Completed(now, j.fingerprint)
 	}
 
 	event.Log(j.e.cfg.Log, event.AttemptEnded, "request_id", j.id, "attempt", j.attempt, "vm", r.target.VM, "outcome", kind,
@@ -154,7 +154,7 @@
 	}
 
 	if err == nil {
-		j.took(r, d)
+		j.record(r, d)
 	}
 
 	return d, sent, err
@@ -273,9 +273,9 @@
 	}
 }
 
-// took notes what a finished run tells: the target's load, and that its engine
+// record notes what a finished run tells: the target's load, and that its engine
 // now holds the context up to the end of the answer.
-func (j *job) took(r routed, d message.Done) {
+func (j *job) record(r routed, d message.Done) {
 	now := time.Now()
 	j.e.heardLoad(now, r.target, d.Load)
 	j.e.metrics.computed(j, d)
--- a/entry/direct.go
+++ b/entry/direct.go
@@ -38,7 +38,7 @@
 
 // directState asks a target itself how it is.
 func (e *Entry) directState(ctx context.Context, t target.Target) (message.State, error) {
-	c := engine.Client{Address: t.Address, HTTP: e.alone}
+	c := engine.Client{Address: t.Address, HTTP: e.direct}
 
 	load, err := c.Load(ctx)
 	if err != nil {
@@ -78,7 +78,7 @@
 // direct runs j at an engine that has no side process.
 func (j *job) direct(ctx context.Context, r routed) (d message.Done, sent bool, err error) {
 	m := j.message(ctx, r)
-	c := engine.Client{Address: r.target.Address, HTTP: j.e.alone}
+	c := engine.Client{Address: r.target.Address, HTTP: j.e.direct}
 	came := 0
 
 	err = c.Complete(ctx, engine.Completion{
@@ -117,7 +117,7 @@
 		return d, failure.KindOf(err).Answer().Ran != failure.NotRun, err
 	}
 
-	j.took(r, d)
+	j.record(r, d)
 
 	return d, true, nil
 }
@@ -125,7 +125,7 @@
 // direct makes a call at a plain service that has no side process.
 func (c *call) direct(ctx context.Context, t target.Target) (reply message.Reply, sent bool, err error) {
 	if c.message.Once {
-		return reply, false, failure.New(failure.Unavailable, "%s has no side process, so nobody can see to it that the call runs once", t.VM).After(c.e.comeBack())
+		return reply, false, failure.New(failure.Unavailable, "%s has no side process, so nobody can see to it that the call runs once", t.VM).After(c.e.retryAfter())
 	}
 
 	req, err := http.NewRequestWithContext(ctx, c.message.Method, "http://"+t.Address+c.message.Path, bytes.NewReader(c.message.Body))
@@ -137,7 +137,7 @@
 	req.Header.Set(headerRequestID, c.message.RequestID)
 	req.Header.Set("X-Organisation", c.message.Organisation)
 
-	resp, err := c.e.alone.Do(req)
+	resp, err := c.e.direct.Do(req)
 	if err != nil {
 		return reply, true, failure.Wrap(failure.TargetLost, err, "the service does not answer")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,7 +3,7 @@
 // # Model
 //
 // A request is read, its organisation found by its credential, and its settings
-// by its path in the tree. It passes the ward (package quarantine) and the gate
+// by its path in the tree. It passes the check for crashes (package quarantine) and the gate
 // (package limit), gets a target (package route) and runs there by way of the
 // target's side process. When a target is lost the request goes on at another
 // one, from the token where it stopped, so the caller gets the whole answer once.
@@ -93,7 +93,7 @@
 	cfg     Config
 	targets *target.Table
 	gates   *gates
-	ward    *quarantine.Ward
+	crashes *quarantine.Tracker
 	budgets *budgets
 	learns  *ring.Ring[learning]
 	policy  atomic.Pointer[policy]
@@ -103,11 +103,11 @@
 	homes   *homes
 	links   *links
 	pace    *pace
-	alone   *http.Client // to targets without a side process
+	direct  *http.Client // to targets without a side process
 	active  atomic.Int64
 	leaving atomic.Bool
 	seen    atomic.Bool       // the watch has asked all targets once
-	met     map[string]string // by entry, the address that the watch connected to
+	warmed  map[string]string // by entry, the address that the watch connected to
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -130,17 +130,17 @@
 		cfg:     cfg,
 		targets: target.NewTable(target.TableConfig{Self: cfg.VM, DataCentre: cfg.DataCentre}),
 		gates:   newGates(cfg.Seed),
-		ward:    quarantine.NewWard(quarantine.WardConfig{}),
+		crashes: quarantine.NewTracker(quarantine.TrackerConfig{}),
 		budgets: newBudgets(),
 		learns:  ring.New[learning](learnRing),
 		metrics: newMetrics(),
 		owned:   newOwned(directory.Config{}),
 		speeds:  speeds{byVM: map[string]speed{}},
 		homes:   newHomes(),
-		met:     map[string]string{},
+		warmed:  map[string]string{},
 		links:   newLinks(),
 		pace:    newPace(),
-		alone:   newDirectClient(),
+		direct:  newDirectClient(),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	e.cfg.Views = append(e.ownViews(), cfg.Views...)
@@ -211,7 +211,7 @@
 	// Crashes are counted for the whole entry, so the site's values are in force
 	// for them and not those of a workload.
 	v := p.Tree().Effective(setting.Path{Site: e.cfg.Site})
-	e.ward.Configure(quarantine.WardConfig{Crashes: v.QuarantineCrashes, Memory: v.QuarantineMemory})
+	e.crashes.Configure(quarantine.TrackerConfig{Crashes: v.QuarantineCrashes, Memory: v.QuarantineMemory})
 	e.policy.Store(&policy{version: p.Version(), tree: p.Tree(), register: organisation.NewRegister(p.Tree())})
 	event.Log(e.cfg.Log, event.PolicyChanged, "version", p.Version(), "author", p.Author())
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -30,7 +30,7 @@
 			c.e.lost(ctx, t, c.message.Fingerprint)
 		}
 	} else {
-		c.e.ward.Completed(now, c.message.Fingerprint)
+		c.e.crashes.Completed(now, c.message.Fingerprint)
 		c.e.heardLoad(now, t, reply.Load)
 	}
 
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -67,7 +67,7 @@
 // second returns the target of a hedge, if there may be one.
 func (c *call) second(ctx context.Context, waited time.Duration, first target.Target) (target.Target, bool) {
 	now := time.Now()
-	standing, _ := c.e.ward.Check(now, c.message.Fingerprint)
+	standing, _ := c.e.crashes.Check(now, c.message.Fingerprint)
 	may := retry.MayHedge(retry.Hedge{
 		Idempotent: true,
 		Suspect:    standing != quarantine.Clear,
--- a/entry/http.go
+++ b/entry/http.go
@@ -127,11 +127,11 @@
 	q := request{id: id, arrived: time.Now(), policy: e.policy.Load()}
 
 	if q.policy == nil {
-		return q, failure.New(failure.NotReady, "no settings are in force yet").After(e.comeBack())
+		return q, failure.New(failure.NotReady, "no settings are in force yet").After(e.retryAfter())
 	}
 
 	if n := e.cfg.MaxRequests; n > 0 && e.active.Load() > int64(n) {
-		return q, failure.New(failure.QueueFull, "this entry has %d requests in work", n).After(e.comeBack())
+		return q, failure.New(failure.QueueFull, "this entry has %d requests in work", n).After(e.retryAfter())
 	}
 
 	credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -384,7 +384,7 @@
 	after := f.RetryAfter()
 
 	if a.Retryable && after <= 0 {
-		after = e.comeBack()
+		after = e.retryAfter()
 	}
 
 	if after > 0 {
--- a/entry/job.go
+++ b/entry/job.go
@@ -67,7 +67,7 @@
 
 		r, found := j.route(ctx)
 		if !found {
-			return message.Done{}, j.nowhere(last)
+			return message.Done{}, j.noTarget(last)
 		}
 
 		d, sent, err := j.try(ctx, r)
@@ -77,11 +77,11 @@
 
 		last = err
 
-		if !j.again(ctx, sent, err) {
+		if !j.shouldRetry(ctx, sent, err) {
 			return message.Done{}, err
 		}
 
-		if j.e.corrected(ctx, r.target, err) {
+		if j.e.refreshed(ctx, r.target, err) {
 			continue
 		}
 
@@ -89,10 +89,10 @@
 	}
 }
 
-// corrected asks a target anew whose refusal shows that the entry was wrong about
+// refreshed asks a target anew whose refusal shows that the entry was wrong about
 // it, and reports whether it may take the request after all: one that has moved
 // to another weight version serves that.
-func (e *Entry) corrected(ctx context.Context, t target.Target, err error) bool {
+func (e *Entry) refreshed(ctx context.Context, t target.Target, err error) bool {
 	switch failure.KindOf(err) {
 	case failure.WrongVersion:
 		ctx, cancel := context.WithTimeout(ctx, lostTimeout)
@@ -116,27 +116,27 @@
 func (j *job) check(now time.Time) error {
 	var err error
 
-	j.standing, err = j.e.ward.Check(now, j.fingerprint)
+	j.standing, err = j.e.crashes.Check(now, j.fingerprint)
 
 	return err
 }
 
-// nowhere is the answer when no target is left to try.
-func (j *job) nowhere(last error) error {
+// noTarget is the answer when no target is left to try.
+func (j *job) noTarget(last error) error {
 	if last != nil {
 		return last
 	}
 
-	return failure.New(failure.Unavailable, "no engine of %s can take the request", j.service).After(j.e.comeBack())
+	return failure.New(failure.Unavailable, "no engine of %s can take the request", j.service).After(j.e.retryAfter())
 }
 
-// comeBack spreads callers over the second in which something may have changed.
-func (e *Entry) comeBack() time.Duration {
+// retryAfter spreads callers over the second in which something may have changed.
+func (e *Entry) retryAfter() time.Duration {
 	return time.Second + time.Duration(e.seed()%uint64(time.Second))
 }
 
-// again decides whether a failed attempt is followed by another.
-func (j *job) again(ctx context.Context, sent bool, err error) bool {
+// shouldRetry decides whether a failed attempt is followed by another.
+func (j *job) shouldRetry(ctx context.Context, sent bool, err error) bool {
 	kind := failure.KindOf(err)
 	may := ctx.Err() == nil && retry.May(retry.Attempt{
 		Idempotent: true,
@@ -161,7 +161,7 @@
 	}
 
 	wait := retry.BackoffConfig{}.Backoff(j.attempt, rand.New(rand.NewPCG(j.seed, uint64(j.attempt))))
-	if standing, _ := j.e.ward.Check(time.Now(), j.fingerprint); standing != quarantine.Clear {
+	if standing, _ := j.e.crashes.Check(time.Now(), j.fingerprint); standing != quarantine.Clear {
 		wait = max(wait, newsTime)
 	}
 
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -201,8 +201,8 @@
 		e.Crashed(now, m.Crash)
 		err = t.Send(message.Ack{})
 	default:
-		desk := operator.Desk{Settings: e.cfg.Settings, Views: e.cfg.Views}
-		err = t.Send(desk.Answer(now, from, m))
+		answers := operator.Responder{Settings: e.cfg.Settings, Views: e.cfg.Views}
+		err = t.Send(answers.Answer(now, from, m))
 	}
 
 	if err != nil {
--- a/entry/placement/leader.go
+++ b/entry/placement/leader.go
@@ -89,10 +89,10 @@
 
 // Leader places weights while this process holds the lease. Use New.
 type Leader struct {
-	cfg   Config
-	board *weights.Board
-	fence uint64
-	since time.Time
+	cfg       Config
+	inventory *weights.Inventory
+	fence     uint64
+	since     time.Time
 
 	mu       sync.Mutex
 	progress []weights.Progress
@@ -100,7 +100,7 @@
 
 // New returns a Leader.
 func New(cfg Config) *Leader {
-	return &Leader{cfg: cfg, board: weights.NewBoard(weights.BoardConfig{})}
+	return &Leader{cfg: cfg, inventory: weights.NewInventory(weights.InventoryConfig{})}
 }
 
 // Roll is how far one model's roll is, as operators see it.
@@ -169,7 +169,7 @@
 	l.hear(ctx, engines)
 
 	wanted := Wanted(settings.Tree(), count(engines))
-	r := weights.Plan(time.Now(), l.config(settings.Tree()), l.board.View(time.Now(), wanted, l.fence, l.since))
+	r := weights.Plan(time.Now(), l.config(settings.Tree()), l.inventory.View(time.Now(), wanted, l.fence, l.since))
 	l.report(r.Progress)
 
 	for _, o := range r.Orders {
@@ -261,7 +261,7 @@
 		return
 	}
 
-	l.board.Hear(time.Now(), weights.Report{
+	l.inventory.Hear(time.Now(), weights.Report{
 		VM:            m.Name,
 		DataCentre:    m.DataCentre,
 		Model:         s.Model,
@@ -309,7 +309,7 @@
 
 	event.Log(l.cfg.Log, event.WeightsOrdered, "vm", o.VM, "kind", string(o.Kind), "model", o.Model, "weight_version", o.Version,
 		"adapter", o.Adapter, "role", o.Role, "fence", o.Fence, "number", o.Number)
-	l.board.Ordered(now, o)
+	l.inventory.Ordered(now, o)
 
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -326,7 +326,7 @@
 		_, err = message.Expect[message.Ack](answer)
 	}
 
-	l.board.Answered(time.Now(), o, err)
+	l.inventory.Answered(time.Now(), o, err)
 
 	if err != nil {
 		event.Fail(l.cfg.Log, err, event.WeightsRefused, "vm", o.VM, "kind", string(o.Kind))
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -161,14 +161,14 @@
 	for c.attempt = 1; ; c.attempt++ {
 		now := time.Now()
 
-		if _, err := c.e.ward.Check(now, c.message.Fingerprint); err != nil {
+		if _, err := c.e.crashes.Check(now, c.message.Fingerprint); err != nil {
 			return message.Reply{}, err
 		}
 
 		t, found := c.route(ctx, now)
 		if !found {
 			if last == nil {
-				last = failure.New(failure.Unavailable, "no target of %s can take the call", c.service.Name).After(c.e.comeBack())
+				last = failure.New(failure.Unavailable, "no target of %s can take the call", c.service.Name).After(c.e.retryAfter())
 			}
 
 			return message.Reply{}, last
@@ -182,17 +182,17 @@
 		last = err
 		c.tried[t.VM] = true
 
-		if !c.again(ctx, sent, err) {
-			return message.Reply{}, c.truth(sent, err)
+		if !c.shouldRetry(ctx, sent, err) {
+			return message.Reply{}, c.truthful(sent, err)
 		}
 	}
 }
 
-// truth makes sure that the answer to a call that may run once promises no more
+// truthful makes sure that the answer to a call that may run once promises no more
 // than is known: once it was sent and no refusal came back, it may have run.
-func (c *call) truth(sent bool, err error) error {
+func (c *call) truthful(sent bool, err error) error {
 	if !sent && failure.KindOf(err) == failure.TargetLost {
-		return failure.Wrap(failure.Unavailable, err, "the service can't be reached").After(c.e.comeBack())
+		return failure.Wrap(failure.Unavailable, err, "the service can't be reached").After(c.e.retryAfter())
 	}
 
 	if !c.message.Once || !sent || failure.KindOf(err).Answer().Ran == failure.NotRun {
@@ -206,7 +206,7 @@
 	return failure.Wrap(failure.OutcomeUnknown, err, "the call may have run; it will not be run again")
 }
 
-func (c *call) again(ctx context.Context, sent bool, err error) bool {
+func (c *call) shouldRetry(ctx context.Context, sent bool, err error) bool {
 	kind := failure.KindOf(err)
 	may := ctx.Err() == nil && retry.May(retry.Attempt{
 		Idempotent: !c.message.Once,
--- a/entry/router.go
+++ b/entry/router.go
@@ -103,7 +103,7 @@
 		d := j.decide(now, candidates, v, copies, sp)
 
 		if d.Found() && (!found || d.Cost(d.Target()).Total < best.decision.Cost(best.decision.Target()).Total) {
-			best = routed{target: targets[d.Target()], view: v, decision: d, copies: foremost(copies, d.Source())}
+			best = routed{target: targets[d.Target()], view: v, decision: d, copies: moveToFront(copies, d.Source())}
 			found = true
 		}
 
@@ -113,9 +113,9 @@
 	return best, found
 }
 
-// foremost returns copies with the one at index i first, so that the side process
+// moveToFront returns copies with the one at index i first, so that the side process
 // tries the one whose link was weighed before the others.
-func foremost(copies []message.Holding, i int) []message.Holding {
+func moveToFront(copies []message.Holding, i int) []message.Holding {
 	if i <= 0 || i >= len(copies) {
 		return copies
 	}
@@ -156,7 +156,7 @@
 // home returns the one target on which a request under suspicion may run: not
 // one that died while it ran there, nor one that it was tried at.
 func (j *job) home(usable []target.Target) []target.Target {
-	died := j.e.ward.Places(j.fingerprint)
+	died := j.e.crashes.Places(j.fingerprint)
 
 	var names []string
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -36,17 +36,17 @@
 	for {
 		select {
 		case now := <-tick.C:
-			e.look(ctx, now)
+			e.poll(ctx, now)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// look asks one side process; at first all of them.
-func (e *Entry) look(ctx context.Context, now time.Time) {
+// poll asks one side process; at first all of them.
+func (e *Entry) poll(ctx context.Context, now time.Time) {
 	e.measure(now)
-	e.meet(ctx)
+	e.warmUp(ctx)
 
 	if !e.seen.Load() {
 		if all := e.watched(); len(all) > 0 {
@@ -63,16 +63,16 @@
 	}
 }
 
-// meet connects to one more entry, so that the first question for a context does
+// warmUp connects to one more entry, so that the first question for a context does
 // not wait for a handshake: an owner that answers late is done without, and the
 // context is computed anew.
-func (e *Entry) meet(ctx context.Context) {
+func (e *Entry) warmUp(ctx context.Context) {
 	for _, m := range e.cfg.VMs.List().Of(vm.Entry, e.cfg.DataCentre) {
-		if m.Name == e.cfg.VM || e.met[m.Name] == m.SideAddress {
+		if m.Name == e.cfg.VM || e.warmed[m.Name] == m.SideAddress {
 			continue
 		}
 
-		e.met[m.Name] = m.SideAddress
+		e.warmed[m.Name] = m.SideAddress
 
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, watchTimeout)
@@ -160,7 +160,7 @@
 	}
 
 	if s.Ready && s.Boot == t.BootID {
-		e.ward.Survived(now, t.VM, s.Boot)
+		e.crashes.Survived(now, t.VM, s.Boot)
 	}
 
 	e.speeds.set(t.VM, speed{
@@ -206,7 +206,7 @@
 
 // Crashed takes in what ran when a target died.
 func (e *Entry) Crashed(now time.Time, c quarantine.Crash) {
-	for _, f := range e.ward.Crashed(now, c) {
+	for _, f := range e.crashes.Crashed(now, c) {
 		event.Log(e.cfg.Log, event.RequestQuarantine, "fingerprint", fingerprintText(f), "vm", c.Target)
 	}
 }
--- a/operator/desk.go
+++ b/operator/responder.go
@@ -10,23 +10,23 @@
 	"boragehub/setting/exchange"
 )
 
-// Desk answers what every process is asked over the connections between own
+// Responder answers what every process is asked over the connections between own
 // processes: for the settings, by its peers, and for views, by operators.
-type Desk struct {
+type Responder struct {
 	// Settings are passed on.
 	Settings exchange.Keeper
 	// Views are the documents that may be asked for.
 	Views []View
 }
 
-// Answer returns the answer to m; a message that is for no desk is refused.
-func (d Desk) Answer(now time.Time, from peer.Identity, m message.Message) message.Message {
-	if answer, ok := exchange.Answer(now, d.Settings, from, m); ok {
+// Answer returns the answer to m; a message that is for no responder is refused.
+func (r Responder) Answer(now time.Time, from peer.Identity, m message.Message) message.Message {
+	if answer, ok := exchange.Answer(now, r.Settings, from, m); ok {
 		return answer
 	}
 
 	if q, ok := m.(message.View); ok {
-		return d.view(q)
+		return r.view(q)
 	}
 
 	return message.Refusal(failure.New(failure.BadMessage, "message type %d begins no conversation here", m.Type()))
@@ -34,8 +34,8 @@
 
 // view returns a document. Operators ask this way from a shell, with a
 // certificate of their own, since the operators' ports of all VMs are on no list.
-func (d Desk) view(q message.View) message.Message {
-	for _, v := range d.Views {
+func (r Responder) view(q message.View) message.Message {
+	for _, v := range r.Views {
 		if v.Name != q.Name {
 			continue
 		}
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -12,8 +12,8 @@
 
 const running = 32
 
-func filled(crashes int) *Ward {
-	w := NewWard(WardConfig{})
+func filled(crashes int) *Tracker {
+	w := NewTracker(TrackerConfig{})
 
 	for i := range crashes {
 		var all []Fingerprint
--- a/quarantine/notice/board.go
+++ b/quarantine/notice/feed.go
@@ -22,7 +22,7 @@
 // Stream is the log's stream of crashes.
 const Stream = "crashes"
 
-// Config says what a Board reads and whom it tells.
+// Config says what a Feed reads and whom it tells.
 type Config struct {
 	// Log is the log service.
 	Log journal.Log
@@ -32,16 +32,16 @@
 	Logger logr.Logger
 }
 
-// Board posts crashes and reads those of others. Run is its duty.
-type Board struct {
+// Feed posts crashes and reads those of others. Run is its duty.
+type Feed struct {
 	cfg    Config
 	writer *journal.Writer
 	reader *journal.Reader
 }
 
-// New returns a Board.
-func New(cfg Config) *Board {
-	b := &Board{cfg: cfg, writer: journal.NewWriter(journal.WriterConfig{Log: cfg.Log, Stream: Stream, Logger: cfg.Logger})}
+// New returns a Feed.
+func New(cfg Config) *Feed {
+	b := &Feed{cfg: cfg, writer: journal.NewWriter(journal.WriterConfig{Log: cfg.Log, Stream: Stream, Logger: cfg.Logger})}
 
 	if cfg.Heard != nil {
 		b.reader = journal.NewReader(journal.ReaderConfig{Log: cfg.Log, Stream: Stream, Handle: b.handle, Logger: cfg.Logger})
@@ -52,7 +52,7 @@
 
 // Post puts a crash on its way to the log and does not wait for it: the log may
 // be out, and the crash has been told on the other ways.
-func (b *Board) Post(c quarantine.Crash) {
+func (b *Feed) Post(c quarantine.Crash) {
 	data, err := cbor.Marshal(c)
 	if err == nil {
 		_, err = b.writer.Submit(data)
@@ -64,7 +64,7 @@
 }
 
 // Run writes and reads until ctx ends.
-func (b *Board) Run(ctx context.Context) {
+func (b *Feed) Run(ctx context.Context) {
 	var all sync.WaitGroup
 
 	all.Go(func() { b.writer.Run(ctx) })
@@ -76,7 +76,7 @@
 	all.Wait()
 }
 
-func (b *Board) handle(r journal.Record) {
+func (b *Feed) handle(r journal.Record) {
 	var c quarantine.Crash
 
 	if err := cbor.Unmarshal(r.Data, &c); err != nil {
--- a/quarantine/ward.go
+++ b/quarantine/tracker.go
@@ -21,8 +21,8 @@
 //
 // # Example
 //
-//	w.Crashed(now, quarantine.Crash{Target: "engine-7", Boot: boot, Running: running})
-//	standing, err := w.Check(now, f) // Quarantined: err has kind failure.Quarantined
+//	t.Crashed(now, quarantine.Crash{Target: "engine-7", Boot: boot, Running: running})
+//	standing, err := t.Check(now, f) // Quarantined: err has kind failure.Quarantined
 package quarantine
 
 import (
@@ -62,7 +62,7 @@
 	Running []Fingerprint `cbor:"4,keyasint" json:"running"`
 }
 
-// Standing is what a Ward thinks of a fingerprint. The zero Standing is Clear.
+// Standing is what a Tracker thinks of a fingerprint. The zero Standing is Clear.
 type Standing uint8
 
 // The standings.
@@ -89,8 +89,8 @@
 	}
 }
 
-// WardConfig configures a Ward. Zero values get a default.
-type WardConfig struct {
+// TrackerConfig configures a Tracker. Zero values get a default.
+type TrackerConfig struct {
 	// Crashes is how many targets a request may crash before it is refused. 2 when zero.
 	Crashes int
 	// Memory is how long a crash counts. 24 h when zero.
@@ -101,10 +101,10 @@
 	MostRunning int
 }
 
-// Ward holds the crashes and what follows from them. Use NewWard. Its methods
+// Tracker holds the crashes and what follows from them. Use NewTracker. Its methods
 // may be called from many goroutines.
-type Ward struct {
-	cfg WardConfig
+type Tracker struct {
+	cfg TrackerConfig
 
 	mu        sync.Mutex
 	crashes   map[place]*crash
@@ -125,8 +125,8 @@
 	survived bool
 }
 
-// NewWard returns an empty Ward.
-func NewWard(cfg WardConfig) *Ward {
+// NewTracker returns an empty Tracker.
+func NewTracker(cfg TrackerConfig) *Tracker {
 	if cfg.Crashes <= 0 {
 		cfg.Crashes = 2
 	}
@@ -143,7 +143,7 @@
 		cfg.MostRunning = 512
 	}
 
-	return &Ward{
+	return &Tracker{
 		cfg:       cfg,
 		crashes:   map[place]*crash{},
 		suspects:  map[Fingerprint][]*crash{},
@@ -153,32 +153,32 @@
 
 // Crashed takes a report, first-hand, from another entry or from a log stream,
 // and returns the fingerprints that it newly quarantines.
-func (w *Ward) Crashed(now time.Time, c Crash) []Fingerprint {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (t *Tracker) Crashed(now time.Time, c Crash) []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	w.expire(now)
+	t.expire(now)
 
 	at := place{c.Target, c.Boot}
 
-	k, ok := w.crashes[at]
+	k, ok := t.crashes[at]
 	if !ok {
 		k = &crash{place: at, at: c.At, heard: now}
 		if k.at.IsZero() || k.at.After(now) {
 			k.at = now
 		}
 
-		w.crashes[at] = k
-		w.insert(k)
+		t.crashes[at] = k
+		t.insert(k)
 	}
 
-	added := w.add(k, c.Running)
-	w.bound()
+	added := t.add(k, c.Running)
+	t.bound()
 
 	var refused []Fingerprint
 
 	for _, f := range added {
-		if w.standing(f) == Quarantined {
+		if t.standing(f) == Quarantined {
 			refused = append(refused, f)
 		}
 	}
@@ -187,21 +187,21 @@
 }
 
 // insert puts k into its place among the crashes.
-func (w *Ward) insert(k *crash) {
-	i := len(w.order)
-	for i > 0 && w.order[i-1].at.After(k.at) {
+func (t *Tracker) insert(k *crash) {
+	i := len(t.order)
+	for i > 0 && t.order[i-1].at.After(k.at) {
 		i--
 	}
 
-	w.order = slices.Insert(w.order, i, k)
+	t.order = slices.Insert(t.order, i, k)
 }
 
 // add merges fingerprints into k and returns those that are new to it.
-func (w *Ward) add(k *crash, running []Fingerprint) []Fingerprint {
+func (t *Tracker) add(k *crash, running []Fingerprint) []Fingerprint {
 	var added []Fingerprint
 
 	for _, f := range running {
-		if len(k.running) >= w.cfg.MostRunning {
+		if len(k.running) >= t.cfg.MostRunning {
 			break
 		}
 
@@ -210,7 +210,7 @@
 		}
 
 		k.running = append(k.running, f)
-		w.suspects[f] = append(w.suspects[f], k)
+		t.suspects[f] = append(t.suspects[f], k)
 		added = append(added, f)
 	}
 
@@ -218,53 +218,53 @@
 }
 
 // Survived takes back the crash of a target that is alive with the same boot id.
-func (w *Ward) Survived(now time.Time, target, boot string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (t *Tracker) Survived(now time.Time, target, boot string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	w.expire(now)
+	t.expire(now)
 
-	if k, ok := w.crashes[place{target, boot}]; ok {
+	if k, ok := t.crashes[place{target, boot}]; ok {
 		k.survived = true
 	}
 }
 
 // Completed clears a suspect that ran to its end: a request that crashes each
 // target which runs it would not have. It clears what came before now.
-func (w *Ward) Completed(now time.Time, f Fingerprint) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (t *Tracker) Completed(now time.Time, f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	if _, ok := w.suspects[f]; ok {
-		w.completed[f] = now
+	if _, ok := t.suspects[f]; ok {
+		t.completed[f] = now
 	}
 }
 
 // Check returns the standing of f, and for Quarantined an error of that kind.
-func (w *Ward) Check(now time.Time, f Fingerprint) (Standing, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (t *Tracker) Check(now time.Time, f Fingerprint) (Standing, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	w.expire(now)
+	t.expire(now)
 
-	s := w.standing(f)
+	s := t.standing(f)
 	if s == Quarantined {
-		return s, failure.New(failure.Quarantined, "this request was running on %d targets as they died", w.cfg.Crashes)
+		return s, failure.New(failure.Quarantined, "this request was running on %d targets as they died", t.cfg.Crashes)
 	}
 
 	return s, nil
 }
 
 // standing concludes from the reports.
-func (w *Ward) standing(f Fingerprint) Standing {
-	total := w.total(f)
+func (t *Tracker) standing(f Fingerprint) Standing {
+	total := t.total(f)
 	if total == 0 {
 		return Clear
 	}
 
-	for _, k := range w.suspects[f] {
-		if w.counts(f, k) && !w.explained(f, k) {
-			if total >= w.cfg.Crashes {
+	for _, k := range t.suspects[f] {
+		if t.counts(f, k) && !t.explained(f, k) {
+			if total >= t.cfg.Crashes {
 				return Quarantined
 			}
 
@@ -274,7 +274,7 @@
 
 	// All its crashes are explained by others. It keeps apart once more when it
 	// was near too many of them.
-	if total >= w.cfg.Crashes {
+	if total >= t.cfg.Crashes {
 		return Suspect
 	}
 
@@ -282,11 +282,11 @@
 }
 
 // total returns the number of crashes that count for f.
-func (w *Ward) total(f Fingerprint) int {
+func (t *Tracker) total(f Fingerprint) int {
 	n := 0
 
-	for _, k := range w.suspects[f] {
-		if w.counts(f, k) {
+	for _, k := range t.suspects[f] {
+		if t.counts(f, k) {
 			n++
 		}
 	}
@@ -297,12 +297,12 @@
 // counts reports whether k speaks against f. Crash and completion are compared
 // by this process's clock: by the reporter's, which may be behind, a crash
 // could seem older than the completion that it followed.
-func (w *Ward) counts(f Fingerprint, k *crash) bool {
+func (t *Tracker) counts(f Fingerprint, k *crash) bool {
 	if k.survived {
 		return false
 	}
 
-	done, ok := w.completed[f]
+	done, ok := t.completed[f]
 
 	return !ok || k.heard.After(done)
 }
@@ -310,14 +310,14 @@
 // explained reports whether another one that ran in k is convicted by enough
 // crashes, at least one of them without f. Without the last condition two that
 // always ran together would excuse each other.
-func (w *Ward) explained(f Fingerprint, k *crash) bool {
+func (t *Tracker) explained(f Fingerprint, k *crash) bool {
 	for _, g := range k.running {
-		if g == f || !w.counts(g, k) || w.total(g) < w.cfg.Crashes {
+		if g == f || !t.counts(g, k) || t.total(g) < t.cfg.Crashes {
 			continue
 		}
 
-		for _, other := range w.suspects[g] {
-			if w.counts(g, other) && !slices.Contains(other.running, f) {
+		for _, other := range t.suspects[g] {
+			if t.counts(g, other) && !slices.Contains(other.running, f) {
 				return true
 			}
 		}
@@ -327,14 +327,14 @@
 }
 
 // Crashes returns all reports that count, oldest first, for another entry to merge.
-func (w *Ward) Crashes(now time.Time) []Crash {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (t *Tracker) Crashes(now time.Time) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	w.expire(now)
+	t.expire(now)
 
-	all := make([]Crash, 0, len(w.order))
-	for _, k := range w.order {
+	all := make([]Crash, 0, len(t.order))
+	for _, k := range t.order {
 		if !k.survived {
 			all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Running: slices.Clone(k.running)})
 		}
@@ -344,41 +344,41 @@
 }
 
 // Len returns the number of crashes and of fingerprints in them.
-func (w *Ward) Len() (crashes, fingerprints int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (t *Tracker) Len() (crashes, fingerprints int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	return len(w.order), len(w.suspects)
+	return len(t.order), len(t.suspects)
 }
 
 // expire drops what is older than Memory.
-func (w *Ward) expire(now time.Time) {
-	for len(w.order) > 0 && now.Sub(w.order[0].at) > w.cfg.Memory {
-		w.drop()
+func (t *Tracker) expire(now time.Time) {
+	for len(t.order) > 0 && now.Sub(t.order[0].at) > t.cfg.Memory {
+		t.drop()
 	}
 }
 
 // bound drops the oldest while there are too many.
-func (w *Ward) bound() {
-	for len(w.order) > w.cfg.Most {
-		w.drop()
+func (t *Tracker) bound() {
+	for len(t.order) > t.cfg.Most {
+		t.drop()
 	}
 }
 
 // drop forgets the oldest crash.
-func (w *Ward) drop() {
-	k := w.order[0]
-	w.order = w.order[1:]
-	delete(w.crashes, k.place)
+func (t *Tracker) drop() {
+	k := t.order[0]
+	t.order = t.order[1:]
+	delete(t.crashes, k.place)
 
 	for _, f := range k.running {
-		left := slices.DeleteFunc(w.suspects[f], func(o *crash) bool { return o == k })
+		left := slices.DeleteFunc(t.suspects[f], func(o *crash) bool { return o == k })
 		if len(left) > 0 {
-			w.suspects[f] = left
+			t.suspects[f] = left
 			continue
 		}
 
-		delete(w.suspects, f)
-		delete(w.completed, f)
+		delete(t.suspects, f)
+		delete(t.completed, f)
 	}
 }
--- a/quarantine/ward_test.go
+++ b/quarantine/tracker_test.go
@@ -18,7 +18,7 @@
 	return Crash{Target: fmt.Sprintf("engine-%d", n), Boot: fmt.Sprint(n), At: at, Running: running}
 }
 
-func standing(t *testing.T, w *Ward, f Fingerprint) Standing {
+func standing(t *testing.T, w *Tracker, f Fingerprint) Standing {
 	t.Helper()
 
 	s, err := w.Check(epoch.Add(time.Hour), f)
@@ -37,7 +37,7 @@
 // sends it again and again. Without a quarantine one engine after the other dies
 // and takes everyone's requests along.
 func TestSecondCrashQuarantines(t *testing.T) {
-	w := NewWard(WardConfig{})
+	w := NewTracker(TrackerConfig{})
 	cause, beside, later := request(0), request(1), request(2)
 
 	w.Crashed(epoch, crashOf(1, epoch, cause, beside))
@@ -72,7 +72,7 @@
 // The connection to an engine was cut, and an entry took it for a crash. All that
 // ran there would stay suspect, and crowd where suspects may run.
 func TestCutIsNoCrash(t *testing.T) {
-	w := NewWard(WardConfig{})
+	w := NewTracker(TrackerConfig{})
 	w.Crashed(epoch, crashOf(1, epoch, request(0)))
 	w.Survived(epoch, "engine-1", "1")
 
@@ -85,7 +85,7 @@
 // before the first report was round. Either may be the cause; were they to excuse
 // each other, a third engine would die.
 func TestTwoThatAlwaysRanTogetherAreBothRefused(t *testing.T) {
-	w := NewWard(WardConfig{})
+	w := NewTracker(TrackerConfig{})
 	w.Crashed(epoch, crashOf(1, epoch, request(0), request(1)))
 	w.Crashed(epoch, crashOf(2, epoch, request(0), request(1)))
 
@@ -123,7 +123,7 @@
 // A lookup that many people send was running as two VMs died of old age. It must
 // not be refused, since it has run to its end in between.
 func TestCompletionClears(t *testing.T) {
-	w := NewWard(WardConfig{})
+	w := NewTracker(TrackerConfig{})
 	w.Crashed(epoch, crashOf(1, epoch, request(0)))
 	w.Completed(epoch.Add(time.Second), request(0))
 	w.Crashed(epoch.Add(time.Minute), crashOf(2, epoch.Add(-time.Hour), request(0)))
@@ -136,7 +136,7 @@
 // Reports come from many entries and again from the log after a restart; what
 // they fill must be bounded, and an old one must not refuse a request for ever.
 func TestCrashesAreBoundedAndExpire(t *testing.T) {
-	w := NewWard(WardConfig{Most: 10, MostRunning: 5})
+	w := NewTracker(TrackerConfig{Most: 10, MostRunning: 5})
 
 	for i := range 50 {
 		var running []Fingerprint
@@ -163,7 +163,7 @@
 // crashes late, and callers who try again at any entry.
 type world struct {
 	now      time.Time
-	entries  []*Ward
+	entries  []*Tracker
 	targets  []*machine
 	pending  []report
 	deaths   map[int]int       // targets that died while the request ran, by request
@@ -270,7 +270,7 @@
 	w := &world{now: epoch, deaths: map[int]int{}, answered: map[int]time.Time{}, refused: map[int]bool{}}
 
 	for range entries {
-		w.entries = append(w.entries, NewWard(WardConfig{}))
+		w.entries = append(w.entries, NewTracker(TrackerConfig{}))
 	}
 
 	for range targets {
@@ -360,7 +360,7 @@
 			crashes = append(crashes, crashOf(i, epoch, running...))
 		}
 
-		one, other := NewWard(WardConfig{}), NewWard(WardConfig{})
+		one, other := NewTracker(TrackerConfig{}), NewTracker(TrackerConfig{})
 		for _, c := range crashes {
 			one.Crashed(epoch, c)
 		}
@@ -407,7 +407,7 @@
 // Operators publish another number of crashes while requests are under suspicion.
 func TestConfigureIsInForceAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	w := NewWard(WardConfig{Crashes: 3})
+	w := NewTracker(TrackerConfig{Crashes: 3})
 	f := Of("transit", []byte("poison"))
 
 	for _, target := range []string{"a", "b"} {
@@ -418,7 +418,7 @@
 		t.Errorf("two crashes of three: got %v, want %v", got, Suspect)
 	}
 
-	w.Configure(WardConfig{Crashes: 2})
+	w.Configure(TrackerConfig{Crashes: 2})
 
 	if got, _ := w.Check(now, f); got != Quarantined {
 		t.Errorf("two crashes of two: got %v, want %v", got, Quarantined)
--- a/side/guard.go
+++ b/side/guard.go
@@ -147,10 +147,10 @@
 
 	if g.info.BootID != "" && g.info.BootID != info.BootID {
 		oldBoot = g.boot()
-		crashed = g.reap(oldBoot)
+		crashed = g.takeCrashed(oldBoot)
 		g.began = now
 	} else {
-		g.forgive()
+		g.dropLost()
 	}
 
 	g.info = info
@@ -167,7 +167,7 @@
 	last = g.up
 	g.up = false
 
-	return last, g.boot(), g.reap(g.boot())
+	return last, g.boot(), g.takeCrashed(g.boot())
 }
 
 // silent notes that the target does not answer though something listens.
@@ -185,8 +185,8 @@
 // is started again must not be taken for the one that said it was leaving.
 func (g *guard) boot() string { return g.info.BootID + "." + g.self }
 
-// reap takes the requests of a boot that ended off the books.
-func (g *guard) reap(boot string) []quarantine.Fingerprint {
+// takeCrashed takes the requests of a boot that ended off the books.
+func (g *guard) takeCrashed(boot string) []quarantine.Fingerprint {
 	var fingerprints []quarantine.Fingerprint
 
 	for id, f := range g.inFlight {
@@ -208,8 +208,8 @@
 	return fingerprints
 }
 
-// forgive drops lost requests after all: the target lives, so it did not die of them.
-func (g *guard) forgive() {
+// dropLost drops lost requests after all: the target lives, so it did not die of them.
+func (g *guard) dropLost() {
 	for id, f := range g.inFlight {
 		if f.ended {
 			delete(g.inFlight, id)
--- a/side/run.go
+++ b/side/run.go
@@ -60,7 +60,7 @@
 			return err
 		}
 
-		defer s.apart.End(m.Fingerprint)
+		defer s.isolation.End(m.Fingerprint)
 	}
 
 	r := &run{Run: m, id: id, s: s, to: to, index: m.ResumeTokens, began: now}
@@ -79,7 +79,7 @@
 
 	switch {
 	case lost:
-		r.witness(ctx)
+		r.checkCrash(ctx)
 	case err != nil && stale(err):
 		// The engine has moved on, or gone, since it was last asked. The entry
 		// asks again when it gets this refusal, and must then hear of it.
@@ -105,7 +105,7 @@
 // all that ran on it are suspects, and most of them are in the middle of an
 // answer that somebody reads: they wait for their turn rather than fail.
 func (s *Side) isolate(ctx context.Context, f quarantine.Fingerprint) error {
-	for !s.apart.Begin(f) {
+	for !s.isolation.Begin(f) {
 		pause.For(ctx, isolatePause)
 
 		if ctx.Err() != nil {
@@ -153,16 +153,16 @@
 		}
 
 		event.Fail(r.s.cfg.Log, err, event.CopyRejected, "request_id", r.RequestID, "store", c.Holder, "copy", c.Copy)
-		r.disown(c, err)
+		r.reportGone(c, err)
 	}
 
 	event.Log(r.s.cfg.Log, event.RunAdmitted, "request_id", r.RequestID, "organisation", r.Organisation, "blocks", len(r.chain),
 		"warm_blocks", warm, "imported_blocks", r.imported, "weight_version", r.Version)
 }
 
-// disown tells the owner of a copy that can't be used, so that nobody is sent to
+// reportGone tells the owner of a copy that can't be used, so that nobody is sent to
 // it again. A store that only does not answer keeps its copies.
-func (r *run) disown(c message.Holding, err error) {
+func (r *run) reportGone(c message.Holding, err error) {
 	if failure.KindOf(err) == failure.TornCopy {
 		r.s.tellOwner(r.Anchor, message.Learn{Anchor: r.Anchor, Holding: c, Gone: true})
 	}
@@ -245,9 +245,9 @@
 	return r.to.Send(t)
 }
 
-// witness finds out at once whether the engine died, and tells the entry before
+// checkCrash finds out at once whether the engine died, and tells the entry before
 // the refusal: it must know not to try this request on a third target.
-func (r *run) witness(ctx context.Context) {
+func (r *run) checkCrash(ctx context.Context) {
 	if c := r.s.probe(context.WithoutCancel(ctx)); c != nil {
 		_ = r.to.Send(*c)
 	}
--- a/side/side.go
+++ b/side/side.go
@@ -1,5 +1,5 @@
 // Package side is the process beside each target: the guard of what the target
-// is given and the witness of what it does.
+// is given and the checkCrash of what it does.
 //
 // # Model
 //
@@ -117,18 +117,18 @@
 
 // Side is a side process. Use New.
 type Side struct {
-	cfg     Config
-	engine  engine.Client
-	plain   *http.Client
-	stores  *http.Client
-	rooming *http.Client
-	guard   *guard
-	held    *held
-	parks   *ring.Ring[parkJob]
-	reports *ring.Ring[report]
-	parked  *parkedSet
-	apart   quarantine.Isolation
-	orders  orders
+	cfg       Config
+	engine    engine.Client
+	plain     *http.Client
+	stores    *http.Client
+	rooming   *http.Client
+	guard     *guard
+	held      *held
+	parks     *ring.Ring[parkJob]
+	reports   *ring.Ring[report]
+	parked    *parkedSet
+	isolation quarantine.Isolation
+	orders    orders
 
 	ordering sync.Mutex // one order at a time reaches the engine
 }
@@ -248,8 +248,8 @@
 	case message.Order:
 		err = s.order(ctx, t, m)
 	default:
-		desk := operator.Desk{Settings: s.cfg.Settings, Views: s.cfg.Views}
-		err = t.Send(desk.Answer(time.Now(), from, m))
+		answers := operator.Responder{Settings: s.cfg.Settings, Views: s.cfg.Views}
+		err = t.Send(answers.Answer(time.Now(), from, m))
 	}
 
 	if err != nil {
--- a/weights/bench_test.go
+++ b/weights/bench_test.go
@@ -10,8 +10,8 @@
 // years on.
 var sizes = []struct{ engines, models int }{{18, 1}, {180, 4}, {1700, 35}}
 
-func filled(engines, models int) (*Board, []Wanted) {
-	b := NewBoard(BoardConfig{})
+func filled(engines, models int) (*Inventory, []Wanted) {
+	b := NewInventory(InventoryConfig{})
 
 	var wanted []Wanted
 	for i := range models {
--- a/weights/board.go
+++ b/weights/inventory.go
@@ -34,8 +34,8 @@
 	Fence, Accepted uint64
 }
 
-// BoardConfig configures a Board. Zero values get a default.
-type BoardConfig struct {
+// InventoryConfig configures a Inventory. Zero values get a default.
+type InventoryConfig struct {
 	// LostAfter is the silence after which an engine counts as lost. 45 s when zero.
 	LostAfter time.Duration
 	// ForgetAfter is the silence after which it is forgotten, and a load that it
@@ -46,10 +46,10 @@
 	SoundAfter time.Duration
 }
 
-// Board keeps what engines said and which orders were given to them. Use
-// NewBoard. Its methods may be called from many goroutines.
-type Board struct {
-	cfg BoardConfig
+// Inventory keeps what engines said and which orders were given to them. Use
+// NewInventory. Its methods may be called from many goroutines.
+type Inventory struct {
+	cfg InventoryConfig
 
 	mu      sync.Mutex
 	engines map[string]*post
@@ -69,17 +69,17 @@
 	brokenAt time.Time
 }
 
-// NewBoard returns an empty Board.
-func NewBoard(cfg BoardConfig) *Board {
+// NewInventory returns an empty Inventory.
+func NewInventory(cfg InventoryConfig) *Inventory {
 	cfg.LostAfter = or(cfg.LostAfter, 45*time.Second)
 	cfg.ForgetAfter = or(cfg.ForgetAfter, 10*time.Minute)
 	cfg.SoundAfter = or(cfg.SoundAfter, time.Minute)
 
-	return &Board{cfg: cfg, engines: map[string]*post{}}
+	return &Inventory{cfg: cfg, engines: map[string]*post{}}
 }
 
 // Hear takes a report; one that was overtaken is ignored.
-func (b *Board) Hear(now time.Time, r Report) {
+func (b *Inventory) Hear(now time.Time, r Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -163,7 +163,7 @@
 
 // Ordered records that an order is being sent. Whether it arrives is not known
 // until the engine answers for it, so it counts as a load from here on.
-func (b *Board) Ordered(now time.Time, o Order) {
+func (b *Inventory) Ordered(now time.Time, o Order) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -178,7 +178,7 @@
 // Answered records what became of an order. Only a refusal that is certain takes
 // it back; a lost answer leaves it counting. An acceptance changes nothing: what
 // the engine then does comes with its next report.
-func (b *Board) Answered(_ time.Time, o Order, err error) {
+func (b *Inventory) Answered(_ time.Time, o Order, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -193,7 +193,7 @@
 }
 
 // Forget drops an engine that the VM list dropped.
-func (b *Board) Forget(vm string) {
+func (b *Inventory) Forget(vm string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -201,7 +201,7 @@
 }
 
 // View returns what Plan looks at, in no order.
-func (b *Board) View(now time.Time, wanted []Wanted, fence uint64, since time.Time) View {
+func (b *Inventory) View(now time.Time, wanted []Wanted, fence uint64, since time.Time) View {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -23,12 +23,12 @@
 // came before shows in the same report as a load. Engines that aren't heard are
 // waited for during Config.Settle and then left out.
 //
-// A Board keeps what the engines said and which orders were given, and makes the
+// A Inventory keeps what the engines said and which orders were given, and makes the
 // View.
 //
 // # Example
 //
-//	b := weights.NewBoard(weights.BoardConfig{})
+//	b := weights.NewInventory(weights.InventoryConfig{})
 //	b.Hear(now, report)
 //	r := weights.Plan(now, cfg, b.View(now, wanted, lease.Offset, lease.At))
 //	for _, o := range r.Orders {
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -35,7 +35,7 @@
 }
 
 type leader struct {
-	board *Board
+	board *Inventory
 	fence uint64
 	since time.Time
 	ready []Order // planned and not sent: what a pause interrupts
@@ -68,7 +68,7 @@
 	}
 
 	for range 2 {
-		s.leaders = append(s.leaders, &leader{board: NewBoard(BoardConfig{})})
+		s.leaders = append(s.leaders, &leader{board: NewInventory(InventoryConfig{})})
 	}
 
 	return s
@@ -509,8 +509,8 @@
 	}
 }
 
-func boardWith(engines ...Report) *Board {
-	b := NewBoard(BoardConfig{})
+func boardWith(engines ...Report) *Inventory {
+	b := NewInventory(InventoryConfig{})
 	for _, r := range engines {
 		r.DataCentre, r.Model, r.Version, r.Boot = "yvr-east", "m", "v1", "1"
 		b.Hear(epoch, r)
--- a/wholepath/world_test.go
+++ b/wholepath/world_test.go
@@ -146,7 +146,7 @@
 	dialer   *peer.Dialer
 	list     *vm.Follower
 	settings *publication.Follower
-	board    *notice.Board
+	board    *notice.Feed
 	relay    relay
 	duties   []func(context.Context)
 	end      func()
