--- a/claim/coordinator.go
+++ b/claim/coordinator.go
@@ -136,49 +136,49 @@
 }
 
 // Ledger returns what the records say.
-func (d *Coordinator) Ledger() *Ledger { return d.ledger }
+func (c *Coordinator) Ledger() *Ledger { return c.ledger }
 
 // Home tells whether this process is the home of the shard by what it has read.
-func (d *Coordinator) Home() bool { return d.mine(d.ledger.Holder()) }
+func (c *Coordinator) Home() bool { return c.mine(c.ledger.Holder()) }
 
-func (d *Coordinator) mine(h Holder) bool {
-	return h.Serves() && h.VM == d.cfg.VM && h.Incarnation == d.cfg.Incarnation
+func (c *Coordinator) mine(h Holder) bool {
+	return h.Serves() && h.VM == c.cfg.VM && h.Incarnation == c.cfg.Incarnation
 }
 
 // Claim decides about a request. Without an error, the run that it returns is
 // one to wait for, one that may be carried out, or one whose outcome is known.
-func (d *Coordinator) Claim(now time.Time, q Request) (*Run, error) {
-	d.watch(now)
+func (c *Coordinator) Claim(now time.Time, q Request) (*Run, error) {
+	c.watch(now)
 
-	if !d.Home() || d.draining() || d.behind {
+	if !c.Home() || c.draining() || c.behind {
 		return nil, failure.New(failure.NotReady, "this process is not the home of the key").After(refusedAfter)
 	}
 
 	id, fingerprint := NewID(q.Organisation, q.Key), digest(q.Fingerprint)
 
-	if r := d.local[id]; r != nil && r.phase != withdrawn {
-		return d.again(r, fingerprint)
+	if r := c.local[id]; r != nil && r.phase != withdrawn {
+		return c.again(r, fingerprint)
 	}
 
 	issued, _ := Issued(q.Key)
-	if r, err := d.ask(now, Key{ID: id, Issued: issued}, fingerprint); r != nil || err != nil {
+	if r, err := c.ask(now, Key{ID: id, Issued: issued}, fingerprint); r != nil || err != nil {
 		return r, err
 	}
 
-	silent := d.silent(now)
+	silent := c.silent(now)
 
 	switch {
-	case silent && !d.trusted(now):
-		return nil, d.refusal(now)
-	case len(d.local) >= d.cfg.MaxLocal:
+	case silent && !c.trusted(now):
+		return nil, c.refusal(now)
+	case len(c.local) >= c.cfg.MaxLocal:
 		return nil, failure.New(failure.QueueFull, "too many claims wait for the log").After(outageAfter)
 	}
 
-	return d.open(now, id, fingerprint, issued, silent), nil
+	return c.open(now, id, fingerprint, issued, silent), nil
 }
 
 // again answers for a key that this process has claimed before.
-func (d *Coordinator) again(r *Run, fingerprint uint64) (*Run, error) {
+func (c *Coordinator) again(r *Run, fingerprint uint64) (*Run, error) {
 	switch {
 	case r.fingerprint != fingerprint:
 		return nil, failure.New(failure.KeyReused, "the key was used for another request")
@@ -193,11 +193,11 @@
 
 // ask answers for a key by the records; neither a run nor an error says that
 // the key is free.
-func (d *Coordinator) ask(now time.Time, k Key, fingerprint uint64) (*Run, error) {
-	standing := d.ledger.Ask(now, k)
-	e := d.ledger.entries[k.ID]
+func (c *Coordinator) ask(now time.Time, k Key, fingerprint uint64) (*Run, error) {
+	standing := c.ledger.Ask(now, k)
+	e := c.ledger.entries[k.ID]
 
-	if standing == Open && d.withdrawing(k.ID, e) {
+	if standing == Open && c.withdrawing(k.ID, e) {
 		return nil, nil
 	}
 
@@ -226,26 +226,26 @@
 // withdrawing tells whether the withdrawal of what holds a key is on its way. The
 // key is free then before the log says so: a claim that follows gets into the
 // log behind the withdrawal.
-func (d *Coordinator) withdrawing(id ID, e entry) bool {
-	r := d.local[id]
+func (c *Coordinator) withdrawing(id ID, e entry) bool {
+	r := c.local[id]
 
 	return r != nil && (r.phase == withdrawn && r.nonce == e.run || slices.Contains(r.freed, e.run))
 }
 
 // open starts a run. In an outage it may be carried out at once.
-func (d *Coordinator) open(now time.Time, id ID, fingerprint uint64, issued time.Time, silent bool) *Run {
+func (c *Coordinator) open(now time.Time, id ID, fingerprint uint64, issued time.Time, silent bool) *Run {
 	r := &Run{
-		id: id, nonce: rand.Uint64(), term: d.ledger.Holder().Term, fingerprint: fingerprint,
+		id: id, nonce: rand.Uint64(), term: c.ledger.Holder().Term, fingerprint: fingerprint,
 		asked: now, done: make(chan struct{}),
 	}
 
-	if w := d.local[id]; w != nil {
+	if w := c.local[id]; w != nil {
 		r.freed = append(w.freed, w.nonce)
 	}
 
-	d.local[id] = r
-	d.unread = append(d.unread, r)
-	d.write(record{
+	c.local[id] = r
+	c.unread = append(c.unread, r)
+	c.write(record{
 		Kind: kindClaim, Term: r.term, ID: id, Run: r.nonce,
 		Fingerprint: fingerprint, IssuedMS: millis(issued),
 	})
@@ -257,7 +257,7 @@
 		return r
 	}
 
-	d.queue = append(d.queue, r)
+	c.queue = append(c.queue, r)
 
 	return r
 }
@@ -275,343 +275,172 @@
 	close(r.done)
 }
 
-func (d *Coordinator) write(r record) { d.outbox = append(d.outbox, r) }
+func (c *Coordinator) write(r record) { c.outbox = append(c.outbox, r) }
 
 // Apply takes account of the next record of the shard's stream.
-func (d *Coordinator) Apply(rec journal.Record) error {
+func (c *Coordinator) Apply(rec journal.Record) error {
 	r, err := decode(rec.Data)
 	if err != nil {
 		return err
 	}
 
-	before := d.ledger.Holder()
-	d.ledger.apply(rec.Offset, rec.At.UnixMilli(), r)
+	before := c.ledger.Holder()
+	c.ledger.apply(rec.Offset, rec.At.UnixMilli(), r)
 
-	if d.mine(before) && !d.Home() {
-		d.lose()
+	if c.mine(before) && !c.Home() {
+		c.lose()
 	}
 
-	if l := d.local[r.ID]; l != nil && l.nonce == r.Run {
-		d.readBack(l, r.Kind)
+	if l := c.local[r.ID]; l != nil && l.nonce == r.Run {
+		c.readBack(l, r.Kind)
 	}
 
 	return nil
 }
 
 // readBack takes account of an own record.
-func (d *Coordinator) readBack(l *Run, k kind) {
+func (c *Coordinator) readBack(l *Run, k kind) {
 	switch k {
 	case kindClaim:
 		l.read = true
-		d.confirm(l)
+		c.confirm(l)
 	case kindOutcome, kindWithdraw:
-		delete(d.local, l.id)
+		delete(c.local, l.id)
 	default:
 	}
 }
 
 // confirm lets a run go on whose claim counts, and ends one whose doesn't.
-func (d *Coordinator) confirm(l *Run) {
-	e, ok := d.ledger.entries[l.id]
+func (c *Coordinator) confirm(l *Run) {
+	e, ok := c.ledger.entries[l.id]
 
 	switch {
 	case l.phase == lost:
-		delete(d.local, l.id)
+		delete(c.local, l.id)
 	case l.phase != waiting:
 	case ok && e.run == l.nonce:
 		l.proceed()
 	default:
-		delete(d.local, l.id)
+		delete(c.local, l.id)
 		l.refuse(unknown())
 	}
 }
 
 // lose ends what another home decides from now on. A run that is carried out
 // goes on; its claim is in the log, or its key is uncertain for the next home.
-func (d *Coordinator) lose() {
-	for id, r := range d.local {
+func (c *Coordinator) lose() {
+	for id, r := range c.local {
 		if r.phase == waiting {
-			d.takeBack(r, failure.New(failure.NotReady, "another process became the home of the key").After(refusedAfter))
+			c.takeBack(r, failure.New(failure.NotReady, "another process became the home of the key").After(refusedAfter))
 		}
 
 		if r.phase != running {
-			delete(d.local, id)
+			delete(c.local, id)
 		}
 	}
 
-	d.unread, d.queue = nil, nil
-	d.asked = 0
-	d.yielding = false
-	d.outbox = withoutClaims(d.outbox)
-}
-
-// withoutClaims drops claims, which no longer count.
-func withoutClaims(records []record) []record {
-	kept := records[:0]
-
-	for _, r := range records {
-		if r.Kind != kindClaim {
-			kept = append(kept, r)
-		}
-	}
-
-	return kept
+	c.unread, c.queue = nil, nil
+	c.asked = 0
+	c.yielding = false
+	c.outbox = withoutClaims(c.outbox)
 }
 
 // Restore replaces what the records say by a snapshot.
-func (d *Coordinator) Restore(b []byte) error {
-	before := d.ledger.Holder()
+func (c *Coordinator) Restore(b []byte) error {
+	before := c.ledger.Holder()
 
-	if err := d.ledger.Restore(b); err != nil {
+	if err := c.ledger.Restore(b); err != nil {
 		return err
 	}
 
-	d.rebase(before)
+	c.rebase(before)
 
 	return nil
 }
 
 // Gap says that the records before offset first are lost.
-func (d *Coordinator) Gap(first uint64) {
-	before := d.ledger.Holder()
-	d.ledger.Gap(first)
-	d.rebase(before)
+func (c *Coordinator) Gap(first uint64) {
+	before := c.ledger.Holder()
+	c.ledger.Gap(first)
+	c.rebase(before)
 }
 
 // rebase brings the own runs in line after records were skipped.
-func (d *Coordinator) rebase(before Holder) {
-	d.behind = true
+func (c *Coordinator) rebase(before Holder) {
+	c.behind = true
 
-	if d.mine(before) && d.ledger.Holder().Term != before.Term {
-		d.lose()
+	if c.mine(before) && c.ledger.Holder().Term != before.Term {
+		c.lose()
 
 		return
 	}
 
-	for id, r := range d.local {
-		e, ok := d.ledger.entries[id]
+	for id, r := range c.local {
+		e, ok := c.ledger.entries[id]
 		if !ok || e.run != r.nonce {
 			continue
 		}
 
-		d.readBack(r, kindClaim)
+		c.readBack(r, kindClaim)
 
 		if e.outcome != nil {
-			delete(d.local, id)
+			delete(c.local, id)
 		}
 	}
 }
 
-// Synced says that the process had read all that the log held at a time, and
-// which was the oldest offset kept.
-func (d *Coordinator) Synced(at time.Time, first uint64) {
-	d.first = max(d.first, first)
-
-	if at.After(d.synced) {
-		d.synced = at
-		d.behind = false
-	}
-
-	if at.After(d.frozen) {
-		d.frozen = time.Time{}
-	}
-}
-
-// watch notices that the process stood still.
-//
-// A process that was stopped and wakes in an outage of the log can't know
-// whether the log was there meanwhile and told of another home. The wall clock
-// is compared as well, since a suspended VM's monotonic clock stands still too.
-func (d *Coordinator) watch(now time.Time) {
-	if !d.ticked.IsZero() && (now.Sub(d.ticked) > d.cfg.MaxPause || now.Round(0).Sub(d.ticked.Round(0)) > d.cfg.MaxPause) {
-		d.frozen, d.paused = now, now
-	}
-
-	d.ticked = now
-}
-
-// silent tells whether the log gives no answers.
-func (d *Coordinator) silent(now time.Time) bool {
-	if now.Sub(d.synced) > silence {
-		return true
-	}
-
-	for len(d.unread) > 0 && (d.unread[0].read || d.local[d.unread[0].id] != d.unread[0]) {
-		d.unread = d.unread[1:]
-	}
-
-	return len(d.unread) > 0 && now.Sub(d.unread[0].asked) >= d.cfg.Patience
-}
-
-// certain tells whether no other process can have become the home since this one
-// last read the whole log.
-//
-// A process that finds no home in all that the log keeps becomes the home. So a
-// home stays certain only while the log must still keep what tells of it.
-func (d *Coordinator) certain(now time.Time) bool {
-	asserted := time.UnixMilli(d.ledger.Holder().AssertedMS)
-	limit := d.cfg.Retention - 2*time.Duration(d.ledger.skew)*time.Millisecond
-
-	return d.frozen.IsZero() && !d.unlisted && !d.doubted(now) && now.Sub(asserted) < limit
-}
-
-// doubted tells whether the platform may have dropped the VM while the process
-// stood still, and its list not have told so yet.
-func (d *Coordinator) doubted(now time.Time) bool {
-	return !d.paused.IsZero() && now.Sub(d.paused) < ListLag
-}
-
-// Observe takes account of the platform's list.
-func (d *Coordinator) Observe(f Fleet) { d.unlisted = !f.Has(d.cfg.VM) }
-
-// trusted tells whether the process may run before it has written.
-func (d *Coordinator) trusted(now time.Time) bool { return !d.cfg.RefuseInOutage && d.certain(now) }
-
-// refusal returns the answer while the log is silent. LogUnavailable says that
-// the key did not run at all, which a process can't know that may have been
-// succeeded meanwhile.
-func (d *Coordinator) refusal(now time.Time) error {
-	if d.certain(now) {
-		return failure.New(failure.LogUnavailable, "the log does not answer").After(outageAfter)
-	}
-
-	return failure.New(failure.NotReady, "this process may no longer be the home of the key").After(outageAfter)
-}
-
 // Tick looks for claims that have waited long enough. Those of a home that may
 // go on without the log run; the others are refused.
-func (d *Coordinator) Tick(now time.Time) {
-	d.watch(now)
+func (c *Coordinator) Tick(now time.Time) {
+	c.watch(now)
 
-	for len(d.queue) > 0 {
-		r := d.queue[0]
-		if r.phase == waiting && now.Sub(r.asked) < d.cfg.Patience {
+	for len(c.queue) > 0 {
+		r := c.queue[0]
+		if r.phase == waiting && now.Sub(r.asked) < c.cfg.Patience {
 			return
 		}
 
-		d.queue = d.queue[1:]
+		c.queue = c.queue[1:]
 
 		if r.phase == waiting {
-			d.overdue(now, r)
+			c.overdue(now, r)
 		}
 	}
 }
 
 // overdue decides about a run whose claim does not come back from the log.
-func (d *Coordinator) overdue(now time.Time, r *Run) {
-	if e, ok := d.ledger.entries[r.id]; ok && e.run != r.nonce && !d.withdrawing(r.id, e) {
-		d.takeBack(r, unknown())
+func (c *Coordinator) overdue(now time.Time, r *Run) {
+	if e, ok := c.ledger.entries[r.id]; ok && e.run != r.nonce && !c.withdrawing(r.id, e) {
+		c.takeBack(r, unknown())
 
 		return
 	}
 
-	if d.trusted(now) && !d.behind {
+	if c.trusted(now) && !c.behind {
 		r.logLess = true
 		r.proceed()
 
 		return
 	}
 
-	d.takeBack(r, d.refusal(now))
+	c.takeBack(r, c.refusal(now))
 }
 
 // takeBack ends a run that was not carried out. Its claim may be in the log or
 // get there later, so the withdrawal follows it.
-func (d *Coordinator) takeBack(r *Run, err error) {
+func (c *Coordinator) takeBack(r *Run, err error) {
 	r.refuse(err)
-	d.write(record{Kind: kindWithdraw, Term: r.term, ID: r.id, Run: r.nonce})
+	c.write(record{Kind: kindWithdraw, Term: r.term, ID: r.id, Run: r.nonce})
 }
 
 // Abandon ends a run whose caller no longer waits; false when it may be carried
 // out by now.
-func (d *Coordinator) Abandon(r *Run, err error) bool {
+func (c *Coordinator) Abandon(r *Run, err error) bool {
 	if r.phase != waiting {
 		return r.phase == withdrawn
 	}
 
-	d.takeBack(r, err)
+	c.takeBack(r, err)
 
 	return true
 }
-
-// Settle notes the outcome of a run that was carried out.
-func (d *Coordinator) Settle(r *Run, o Outcome) {
-	if r.phase != running && r.phase != lost {
-		return
-	}
-
-	if len(o.Body) > d.cfg.MaxBody {
-		o.Body, o.Cut = nil, true
-	}
-
-	r.phase = settled
-	r.outcome = &o
-	d.write(record{Kind: kindOutcome, Term: r.term, ID: r.id, Run: r.nonce, Outcome: &o})
-	d.disown(r)
-}
-
-// Lose notes that nobody will learn what a run brought, as its target died or
-// fell silent. The process remembers it until the log does.
-func (d *Coordinator) Lose(r *Run) {
-	if r.phase != running {
-		return
-	}
-
-	r.phase = lost
-
-	if r.read {
-		delete(d.local, r.id)
-	}
-
-	d.disown(r)
-}
-
-// Withdraw notes that a run was not carried out and won't be.
-func (d *Coordinator) Withdraw(r *Run) {
-	if r.phase != running {
-		return
-	}
-
-	r.phase = withdrawn
-	d.write(record{Kind: kindWithdraw, Term: r.term, ID: r.id, Run: r.nonce})
-	d.disown(r)
-}
-
-// disown forgets a run from an earlier term; only the record matters then.
-func (d *Coordinator) disown(r *Run) {
-	if h := d.ledger.Holder(); (r.term != h.Term || !h.Serves()) && d.local[r.id] == r {
-		delete(d.local, r.id)
-	}
-}
-
-// Outbox returns the records to write, in order, and empties it.
-func (d *Coordinator) Outbox() [][]byte {
-	b := make([][]byte, len(d.outbox))
-	for i, r := range d.outbox {
-		b[i] = r.encode()
-	}
-
-	d.outbox = d.outbox[:0]
-
-	return b
-}
-
-// Stop gives the shard back for good; see Release.
-func (d *Coordinator) Stop() { d.stopping = true }
-
-// Yield gives the shard back for another to take; see Release.
-func (d *Coordinator) Yield() { d.yielding = true }
-
-func (d *Coordinator) draining() bool { return d.stopping || d.yielding }
-
-// Release releases a shard that is to be given back, once every run of this
-// process is over and the log holds all of them.
-func (d *Coordinator) Release() {
-	term := d.ledger.Holder().Term
-	if !d.draining() || !d.Home() || d.asked == term || len(d.local) > 0 || len(d.outbox) > 0 {
-		return
-	}
-
-	d.asked = term
-	d.write(record{Kind: kindRelease, Term: term})
-}
--- /dev/null
+++ b/incident/caller_test.go
@@ -0,0 +1,213 @@
+package incident
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status   int
+	code     string
+	ran      string
+	after    string
+	replayed bool
+	text     string
+	finished bool
+	body     []byte
+	err      error
+}
+
+func (s *system) post(ctx context.Context, url, key string, body any) (*http.Response, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	req.Header.Set("Content-Type", "application/json")
+
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+
+	return http.DefaultClient.Do(req)
+}
+
+// prompt sends a prompt and streams the answer; seen is called with the number
+// of tokens after each one.
+func (s *system) prompt(url, text string, tokens int, seen func(int)) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+
+	resp, err := s.post(ctx, url+"/v1/completions", "", map[string]any{
+		"model": "shuttle-8b", "prompt": text, "max_tokens": tokens, "stream": true,
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp)
+	}
+
+	return stream(resp.Body, seen)
+}
+
+func refused(resp *http.Response) answer {
+	var got struct {
+		Error struct{ Code, Ran, Message string }
+	}
+
+	b, err := io.ReadAll(resp.Body)
+	_ = json.Unmarshal(b, &got)
+
+	return answer{
+		status: resp.StatusCode, code: got.Error.Code, ran: got.Error.Ran, body: b,
+		after: resp.Header.Get("Retry-After"), err: err,
+	}
+}
+
+func stream(r io.Reader, seen func(int)) answer {
+	a := answer{status: http.StatusOK}
+	whole, n := &strings.Builder{}, 0
+
+	b := make([]byte, 0, 64<<10)
+	buf := make([]byte, 4<<10)
+
+	for {
+		k, err := r.Read(buf)
+		b = append(b, buf[:k]...)
+
+		for {
+			i := bytes.Index(b, []byte("\n\n"))
+			if i < 0 {
+				break
+			}
+
+			data := strings.TrimPrefix(string(b[:i]), "data: ")
+			b = b[i+2:]
+
+			if data == "[DONE]" {
+				a.finished = true
+
+				continue
+			}
+
+			var piece struct {
+				Choices []struct{ Text string }
+				Error   struct{ Code string }
+			}
+
+			_ = json.Unmarshal([]byte(data), &piece)
+
+			a.code += piece.Error.Code
+
+			if len(piece.Choices) > 0 && piece.Choices[0].Text != "" {
+				whole.WriteString(piece.Choices[0].Text)
+
+				n++
+
+				if seen != nil {
+					seen(n)
+				}
+			}
+		}
+
+		if err != nil {
+			a.text = whole.String()
+
+			if !errors.Is(err, io.EOF) {
+				a.err = err
+			}
+
+			return a
+		}
+	}
+}
+
+// want returns the right answer to a prompt, from the oracle.
+func (s *system) want(text string, tokens int) string {
+	s.t.Helper()
+
+	a := s.prompt(s.oracle, text, tokens, nil)
+	if !a.finished {
+		s.t.Fatalf("the oracle gave %+v", a)
+	}
+
+	return a.text
+}
+
+// book makes a booking.
+func (s *system) book(url, key string, seats int) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+
+	resp, err := s.post(ctx, url+"/v1/services/booking-api/bookings", key, map[string]int{"seats": seats})
+	if err != nil {
+		return answer{err: err}
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refused(resp)
+	}
+
+	b, err := io.ReadAll(resp.Body)
+
+	return answer{status: resp.StatusCode, body: b, err: err, replayed: resp.Header.Get("Idempotency-Replayed") == "true"}
+}
+
+// runs counts how often each key was carried out, over all plain services.
+func (s *system) runs() map[string]int {
+	s.t.Helper()
+
+	count := map[string]int{}
+
+	for _, url := range s.plains {
+		resp, err := http.Get(url + "/runs")
+		if err != nil {
+			continue // this service was killed; what it ran is lost with it
+		}
+
+		var list []struct {
+			Key string `json:"idempotency_key"`
+		}
+
+		b, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+
+		if err := json.Unmarshal(b, &list); err != nil {
+			s.t.Fatalf("runs: %v in %s", err, b)
+		}
+
+		for _, r := range list {
+			count[r.Key]++
+		}
+	}
+
+	return count
+}
+
+// homed waits until every shard of the bookings has its home.
+func (s *system) homed() {
+	s.t.Helper()
+	s.eventually("a booking is made", func() bool {
+		return s.book(s.entries[0], uuid.Must(uuid.NewV7()).String(), 1).status == http.StatusOK
+	})
+}
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -126,7 +126,7 @@
 
   sed "s/@HASH@/$(printf %s "$key" | sha256sum | cut -d' ' -f1)/; s/@RATE@/${TRIAL_RATE:-50.0}/" scripts/trial.toml >"$work/settings.toml"
 
-  echo "The platform, the targets and the system: 14 processes"
+  echo "The platform, the targets and the system: 13 processes"
   start log "$bin" standin log --listen "$(address 1)"
   start vms "$bin" standin vms --listen "$(address 2)" --file "$work/vms.json"
   start weights "$bin" standin weights --listen "$(address 3)"
