run: drain a target and take it back in the trial run

Cause: what an operator does first, change a setting and see it in force, was not shown by README's command.

--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -25,6 +25,13 @@
   grep -q "\"$e\"" "$work"/*.log || fail "no line $e was logged"
 done
 
+echo "A target is drained by a published change, and taken back"
+"$bin" ctl drain engine-2 --reason "trial" || fail "engine-2 was not drained"
+"$bin" ctl config wait --patience 10s || fail "the drain is not in force everywhere"
+"$bin" ctl fleet | grep -E "^engine-2 .*draining" || fail "engine-2 is not shown as draining"
+"$bin" ctl undrain engine-2 || fail "engine-2 was not taken back"
+echo
+
 echo "Stopping in order"
 for n in entry-1 entry-2 engine-1 engine-2 booking-1; do stop "$n"; done
 stop_all
