entry, placement, once: call what stood already, log what the catalogue promises

Cause, from reading the whole change: the entry checked an organisation's services a second time beside organisation.Register.Permit; entry and side process each made the client that sends a request once; and seven events of the catalogue, on which docs/OPERATING.md relies for a roll that goes wrong, were logged nowhere. Ruled out: a difference between the two checks (a blocked organisation is refused by Authenticate before either). Before: no line of a roll.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -54,6 +54,8 @@
 	// The chosen copy stands first.
 	c := r.copies[0]
 
+	event.Log(j.e.cfg.Log.V(1), event.LinkPromised, "request_id", j.id, "from", c.DataCentre, "to", r.target.DataCentre, "bytes", c.Bytes)
+
 	return j.e.links.reserve(now, c.DataCentre, r.target.DataCentre, link.Request{
 		Bytes:        c.Bytes,
 		Class:        link.Import,
--- a/entry/direct.go
+++ b/entry/direct.go
@@ -26,16 +26,6 @@
 // directBytes bounds a plain service's answer.
 const directBytes = 4 << 20
 
-// newDirectClient returns a client that never sends a request twice by itself.
-func newDirectClient() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
-}
-
 // directState asks a target itself how it is.
 func (e *Entry) directState(ctx context.Context, t target.Target) (message.State, error) {
 	c := engine.Client{Address: t.Address, HTTP: e.direct}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"boragehub/directory"
 	"boragehub/event"
 	"boragehub/message"
+	"boragehub/once"
 	"boragehub/operator"
 	"boragehub/organisation"
 	"boragehub/peer"
@@ -140,7 +141,7 @@
 		warmed:  map[string]string{},
 		links:   newLinks(),
 		pace:    newPace(),
-		direct:  newDirectClient(),
+		direct:  once.NewClient(),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	e.cfg.Views = append(e.ownViews(), cfg.Views...)
--- a/entry/http.go
+++ b/entry/http.go
@@ -192,26 +192,6 @@
 	return b, nil
 }
 
-// allowed checks that the organisation may use a service.
-func (q request) allowed(service string) error {
-	o, ok := q.policy.tree.Organisation(q.organisation)
-	if !ok {
-		return failure.New(failure.Forbidden, "organisation %s is not known", q.organisation)
-	}
-
-	if len(o.Services) == 0 {
-		return nil
-	}
-
-	for _, s := range o.Services {
-		if s == service {
-			return nil
-		}
-	}
-
-	return failure.New(failure.Forbidden, "organisation %s may not use %s", q.organisation, service)
-}
-
 func (e *Entry) chat(ctx context.Context, q request, r *http.Request, w http.ResponseWriter) error {
 	return e.servePrompt(ctx, q, r, w, chatShape)
 }
@@ -237,7 +217,7 @@
 		return failure.New(failure.UnknownModel, "model %q is not served", c.Model)
 	}
 
-	if err := q.allowed(service); err != nil {
+	if err := q.policy.register.Permit(q.organisation, service); err != nil {
 		return err
 	}
 
@@ -340,7 +320,7 @@
 	}{"list", []model{}}
 
 	for _, s := range q.policy.tree.Services() {
-		if q.allowed(s.Name) != nil {
+		if q.policy.register.Permit(q.organisation, s.Name) != nil {
 			continue
 		}
 
--- a/entry/placement/leader.go
+++ b/entry/placement/leader.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,9 +200,36 @@
 
 func (l *Leader) report(p []weights.Progress) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-
+	before := l.progress
 	l.progress = p
+	l.mu.Unlock()
+
+	for _, now := range p {
+		i := slices.IndexFunc(before, func(b weights.Progress) bool { return b.Model == now.Model })
+		if i < 0 {
+			l.tell(weights.Progress{Model: now.Model, Version: now.Version}, now)
+		} else if before[i] != now {
+			l.tell(before[i], now)
+		}
+	}
+}
+
+// tell logs how a roll has changed since the round before.
+func (l *Leader) tell(before, now weights.Progress) {
+	log, about := l.cfg.Log, []any{"model", now.Model, "weight_version", now.Version}
+
+	event.Log(log, event.RollProgressed, append(about, "done", now.Done, "loading", now.Loading, "left", now.Left, "ready", now.Ready, "halt", now.Halt.String())...)
+
+	switch {
+	case now.Halt != before.Halt && now.Halt == weights.VersionFailed:
+		event.Log(log, event.RollHalted, about...)
+	case now.Halt != before.Halt && now.Halt == weights.Settling:
+		event.Log(log, event.LeaderSettling, "fence", l.fence)
+	case now.FellBack && !before.FellBack:
+		event.Log(log, event.RollFellBack, append(about, "fallback", now.Version)...)
+	case now.Left+now.Loading == 0 && before.Left+before.Loading > 0:
+		event.Log(log, event.RollCompleted, about...)
+	}
 }
 
 // idle reports that nothing is under way or left to do.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -81,7 +81,7 @@
 		return nil, failure.New(failure.UnknownService, "service %q is not served", name)
 	}
 
-	if err := q.allowed(name); err != nil {
+	if err := q.policy.register.Permit(q.organisation, name); err != nil {
 		return nil, err
 	}
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -206,6 +206,10 @@
 
 // Crashed takes in what ran when a target died.
 func (e *Entry) Crashed(now time.Time, c quarantine.Crash) {
+	for _, f := range c.Running {
+		event.Log(e.cfg.Log, event.RequestSuspect, "fingerprint", fingerprintText(f), "vm", c.Target)
+	}
+
 	for _, f := range e.crashes.Crashed(now, c) {
 		event.Log(e.cfg.Log, event.RequestQuarantine, "fingerprint", fingerprintText(f), "vm", c.Target)
 	}
--- a/side/side.go
+++ b/side/side.go
@@ -34,6 +34,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/message"
+	"boragehub/once"
 	"boragehub/operator"
 	"boragehub/peer"
 	"boragehub/quarantine"
@@ -143,20 +144,6 @@
 // engineConnections is how many idle connections to the engine are kept.
 const engineConnections = 256
 
-// newPlainClient returns the client for calls that may not be repeated. Go's
-// transport sends a request again by itself when a kept connection breaks under
-// it and an Idempotency-Key makes it look safe, and a client follows redirects;
-// a plain service would then run a booking twice with nobody having asked for
-// it. On a fresh connection for each call neither can happen.
-func newPlainClient() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
-}
-
 // New returns a Side that has not seen its target yet.
 func New(cfg Config) *Side {
 	if cfg.MaxWaiting <= 0 {
@@ -174,7 +161,7 @@
 	return &Side{
 		cfg:     cfg,
 		engine:  engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: engineConnections}}},
-		plain:   newPlainClient(),
+		plain:   once.NewClient(),
 		stores:  &http.Client{Timeout: storeTimeout, Transport: &http.Transport{}},
 		rooming: &http.Client{Timeout: roomTimeout, Transport: &http.Transport{}},
 		guard:   newGuard(cfg.MaxWaiting),
