--- /dev/null
+++ b/cmd/boragehub/fleet.go
@@ -0,0 +1,398 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zerologr"
+	"github.com/integrii/flaggy"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"boragehub/event"
+	"boragehub/event/output"
+	"boragehub/failure"
+	"boragehub/gateway"
+	"boragehub/gateway/metrics"
+	"boragehub/loader"
+	"boragehub/mirror"
+	"boragehub/mirror/exchange"
+	"boragehub/pause"
+	"boragehub/platform"
+	"boragehub/quarantine"
+	"boragehub/roster"
+	"boragehub/route"
+	"boragehub/site"
+	"boragehub/upstream"
+	"boragehub/vault"
+)
+
+// Timing of the processes on the users' platform.
+const (
+	// operatorWait is how long an entry's read of the operators' topic waits. A
+	// configuration has to be in force two seconds after it was acknowledged, also
+	// when a connection fell silent shortly before.
+	operatorWait = 2 * time.Second
+	// sideOperatorWait is a side process's: a weight version has eight seconds.
+	sideOperatorWait = 4 * time.Second
+	// registerEvery is the pause between two reads of the register: half of the
+	// time in which a target that leaves has to be left alone.
+	registerEvery = time.Second
+	// tickEvery is the pause between two looks at what is due.
+	tickEvery = 250 * time.Millisecond
+	// leaveWait is how long new callers still come after the balancer was told:
+	// it asks once a second and believes the second answer.
+	leaveWait = 3 * time.Second
+	// leaveMargin is what is left of the grace time for ending the process.
+	leaveMargin = 400 * time.Millisecond
+	// idleCallers is how long a caller's connection may stay unused.
+	idleCallers = 2 * time.Minute
+	// headerCallers is how long a caller may take to send a header.
+	headerCallers = 10 * time.Second
+)
+
+// memoryShare is the part of a machine's memory from which on the collector works
+// harder.
+const memoryShare = 0.6
+
+// repeatEntries is how many entries are taken to share the slack of repeats. More
+// entries than that share it by their part of the traffic.
+const repeatEntries = 8
+
+// crashesToRefuse is how many targets a request may break before it is refused.
+const crashesToRefuse = 3
+
+// metricsPort is the place of the metrics' port among the internal ones.
+const metricsPort = 10
+
+// fleetRoles are the processes on the users' platform.
+func fleetRoles() []command {
+	var all []command
+
+	for _, r := range []struct {
+		name, text string
+		run        func(platform.Settings) error
+	}{
+		{"gateway", "Takes callers' requests on the users' platform.", runGateway},
+		{"loader", "Brings the engine beside it to the weight version that operators named.", runLoader},
+	} {
+		file := os.Getenv(platform.SettingsVariable)
+		sub := flaggy.NewSubcommand(r.name)
+		sub.Description = r.text
+		sub.String(&file, "s", "settings", "the platform's settings file (JSON)")
+		flaggy.AttachSubcommand(sub, 1)
+		all = append(all, command{sub, func() int {
+			cfg, err := platform.LoadSettings(file)
+			if err != nil {
+				return exit(err)
+			}
+
+			return exit(r.run(cfg))
+		}})
+	}
+
+	return all
+}
+
+// logTo returns a logger that writes through a bounded ring.
+func logTo(cfg platform.Settings, role string, w *output.Writer) logr.Logger {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	zerologr.VerbosityFieldName = ""
+	zerologr.NameFieldName = "part"
+
+	z := zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Str("role", role).Str("self", cfg.VM).Logger()
+
+	return zerologr.New(&z)
+}
+
+// bound sets the runtime to what the machine has.
+func bound(cfg platform.Settings) {
+	runtime.GOMAXPROCS(cfg.Cores)
+
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryShare))
+	}
+}
+
+// fleetEntry is an entry on the users' platform.
+type fleetEntry struct {
+	cfg     platform.Settings
+	log     logr.Logger
+	lines   *output.Writer
+	gateway *gateway.Gateway
+	roster  *roster.Roster
+	pool    *upstream.Pool
+	watcher *vault.Watcher
+	client  *exchange.Client
+	peers   *exchange.Server
+	meters  *prometheus.Registry
+
+	followers []*mirror.Follower
+}
+
+func newFleetEntry(cfg platform.Settings) *fleetEntry {
+	lines := output.New(output.Config{To: os.Stdout})
+	log := logTo(cfg, "gateway", lines)
+	e := &fleetEntry{cfg: cfg, log: log, lines: lines, meters: prometheus.NewRegistry()}
+
+	operators, register := &mirror.Topic{}, &mirror.Topic{}
+	members := exchange.NewMembers(cfg.Peers, cfg.Seeds)
+	calls := platform.NewCalls()
+	source := platform.NewLog(cfg.Log)
+	directory := vault.NewDirectory()
+
+	e.client = exchange.NewClient(members)
+	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
+	e.pool = upstream.NewPool(upstream.Config{})
+	e.watcher = vault.NewWatcher(vault.WatcherConfig{
+		Directory: directory, Source: calls, Log: log,
+		Turn: func(address string) int { return members.Turn(time.Now(), address) },
+	})
+
+	meter := metrics.New(e.meters, metrics.Gauges{
+		Active:        func() float64 { return float64(e.gateway.Active()) },
+		Targets:       func() float64 { return float64(e.roster.Len()) },
+		ConfigVersion: func() float64 { return float64(e.gateway.ConfigVersion()) },
+		LogAge:        func() float64 { return time.Since(operators.Fresh()).Seconds() },
+		Dials:         func() float64 { return float64(e.pool.Dials()) },
+		VaultTokens:   func() float64 { held, _, _ := directory.Usage(); return float64(held) },
+		VaultRoom:     func() float64 { _, room, _ := directory.Usage(); return float64(room) },
+		LinesLeftOut:  func() float64 { return float64(lines.LeftOut()) },
+	})
+
+	e.gateway = gateway.New(gateway.Config{
+		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
+		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), Opening: route.OpeningConfig{},
+		RepeatRatio: cfg.Bounds.RepeatRatio * 0.75, RepeatWindow: cfg.Bounds.RepeatWindow,
+		RepeatFloor: max(cfg.Bounds.RepeatSlack/repeatEntries, 1), Meter: meter, Log: log,
+	}, operators.Fresh)
+
+	e.follow(source, operators, register, meter)
+	e.peers = exchange.NewServer(members, map[string]*mirror.Topic{
+		platform.OperatorTopic: operators, platform.RegisterTopic: register,
+	}, e.notice)
+
+	return e
+}
+
+// follow sets up the followers of the log's topics.
+func (e *fleetEntry) follow(source *platform.Log, operators, register *mirror.Topic, meter *metrics.Metrics) {
+	publications := &platform.Publications{
+		Configured: e.configured,
+		Named: func(now time.Time, v platform.WeightVersion) {
+			e.gateway.Named(v.Model, v.Version, operators.Before())
+			e.watcher.Named(now, v.Model, v.Version)
+		},
+		Unreadable: meter.Unreadable, Log: e.log,
+	}
+	listings := &platform.Listings{Roster: e.roster, Unreadable: meter.Unreadable, Log: e.log}
+
+	e.followers = []*mirror.Follower{
+		mirror.NewFollower(mirror.FollowerConfig{
+			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client,
+			Wait: operatorWait, OnNews: publications.Take, Log: e.log,
+		}),
+		mirror.NewFollower(mirror.FollowerConfig{
+			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client,
+			Every: registerEvery, OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
+		}),
+	}
+}
+
+func (e *fleetEntry) configured(_ time.Time, c *site.Configuration) {
+	e.gateway.Configure(c)
+
+	var stores []vault.Store
+
+	for _, s := range c.Vaults() {
+		stores = append(stores, vault.Store{Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens})
+	}
+
+	e.watcher.Configure(stores)
+}
+
+// notice takes what a side process says of its engine.
+func (e *fleetEntry) notice(now time.Time, n exchange.Notice) {
+	id, ok := e.roster.ByAddress(n.Address)
+	if !ok {
+		return
+	}
+
+	if n.Loaded {
+		e.roster.Has(id, n.Model, n.Version, "side process")
+	} else {
+		e.roster.Loading(now, id, n.Model, n.Version)
+	}
+}
+
+// tick does what is due now and then.
+func (e *fleetEntry) tick(ctx context.Context) {
+	for pause.For(ctx, tickEvery) {
+		now := time.Now()
+		e.roster.Tick(now)
+		e.pool.Sweep(now)
+	}
+}
+
+// ready answers the balancer.
+func (e *fleetEntry) ready(w http.ResponseWriter, _ *http.Request) {
+	if !e.gateway.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func runGateway(cfg platform.Settings) error {
+	if err := cfg.RequireEntry(); err != nil {
+		return err
+	}
+
+	bound(cfg)
+
+	e := newFleetEntry(cfg)
+	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick}
+
+	for _, f := range e.followers {
+		duties = append(duties, f.Run)
+	}
+
+	stop := background(duties...)
+	defer stop()
+
+	callers := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerCallers, IdleTimeout: idleCallers}
+	balancer := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerCallers}
+	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerCallers}
+	meters := &http.Server{Handler: promhttp.HandlerFor(e.meters, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerCallers}
+
+	failed := make(chan error, 4)
+
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{peers, cfg.Peers}, {balancer, cfg.Ready}, {callers, cfg.Callers}, {meters, cfg.Internal(metricsPort)}} {
+		if err := serve(s.server, s.address, failed); err != nil {
+			return err
+		}
+	}
+
+	event.Log(e.log, event.ProcessStarted, "callers", cfg.Callers, "peers", cfg.Peers, "ready", cfg.Ready)
+
+	return e.wait(callers, failed)
+}
+
+// serve binds an address and serves it in the background.
+func serve(s *http.Server, address string, failed chan<- error) error {
+	l, err := net.Listen("tcp", address) //nolint:noctx // bound once, at start
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", address)
+	}
+
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+
+	return nil
+}
+
+// wait serves until a signal to stop, then stops without cutting anyone off.
+func (e *fleetEntry) wait(callers *http.Server, failed <-chan error) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+
+	for {
+		select {
+		case err := <-failed:
+			event.Fail(e.log, err, event.ProcessFailed)
+
+			return err
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				event.Log(e.log, event.SettingsReread)
+
+				continue
+			}
+
+			e.leave(callers)
+
+			return nil
+		}
+	}
+}
+
+// leave tells the balancer first and goes on serving until it has stopped sending
+// new callers; then the port is closed and what is in work is finished.
+func (e *fleetEntry) leave(callers *http.Server) {
+	began := time.Now()
+
+	event.Log(e.log, event.ProcessStopping, "requests", e.gateway.Active())
+	e.gateway.Stop()
+	time.Sleep(leaveWait)
+
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.cfg.Bounds.Grace-leaveMargin))
+	defer cancel()
+
+	if err := callers.Shutdown(ctx); err != nil {
+		event.Fail(e.log, err, event.ListenerStopped, "requests", e.gateway.Active())
+	}
+
+	event.Log(e.log, event.ProcessStopped, "requests", e.gateway.Active(), "after_ms", time.Since(began).Milliseconds())
+}
+
+// runLoader brings the engine beside this process to the named weight version.
+func runLoader(cfg platform.Settings) error {
+	if err := cfg.RequireSide(); err != nil {
+		return err
+	}
+
+	bound(cfg)
+
+	lines := output.New(output.Config{To: os.Stdout})
+	log := logTo(cfg, "loader", lines)
+	source := platform.NewLog(cfg.Log)
+	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
+
+	l := loader.New(loader.Config{
+		Address: cfg.Engine, Holder: cfg.VM, Engine: platform.NewCalls(),
+		Register: platform.Siblings{Log: source}, Entries: client, Log: log,
+	})
+
+	publications := &platform.Publications{
+		Named: func(_ time.Time, v platform.WeightVersion) { l.Name(loader.Named{Model: v.Model, Version: v.Version}) },
+		Log:   log,
+	}
+	follower := mirror.NewFollower(mirror.FollowerConfig{
+		Name: platform.OperatorTopic, Topic: &mirror.Topic{}, Source: source, Peers: client,
+		Wait: sideOperatorWait, OnNews: publications.Take, Log: log,
+	})
+
+	stop := background(lines.Run, follower.Run, l.Run)
+	defer stop()
+
+	event.Log(log, event.ProcessStarted, "engine", cfg.Engine, "service", cfg.Service)
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+
+		event.Log(log, event.SettingsReread)
+	}
+
+	event.Log(log, event.ProcessStopped)
+
+	return nil
+}
--- a/cmd/boragehub/main.go
+++ b/cmd/boragehub/main.go
@@ -49,7 +49,8 @@
 // attach puts all subcommands on the program.
 func attach() []command {
 	x := experiment.Attach(1)
-	all := append(roles(), controls()...)
+	all := append(roles(), fleetRoles()...)
+	all = append(all, controls()...)
 	all = append(all, command{x.Subcommand(), func() int { return exit(x.Run(os.Stdout)) }})
 
 	return append(all, standins()...)
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"time"
+
+	"boragehub/event"
+	"boragehub/failure"
+	"boragehub/roster"
+	"boragehub/route"
+	"boragehub/vault"
+)
+
+// choice is the target of an attempt.
+type choice struct {
+	engine roster.Engine
+	// sending is what goes with the request.
+	sending Sending
+	// unread are the tokens that the target is expected to read.
+	unread int
+}
+
+// Times to a target and back, for weighing one against another.
+const (
+	// nearTime is within a data centre.
+	nearTime = 400 * time.Microsecond
+	// farTime is between data centres. The way takes 1 to 2 ms; the rest stands
+	// for the price of bytes between them, so that a far target is taken when
+	// the near one has about one more call before it.
+	farTime = 8 * time.Millisecond
+	// callTime is how long a call of a plain service takes.
+	callTime = 30 * time.Millisecond
+)
+
+// Pauses told to callers.
+const (
+	// loadingPause is for engines that load weights: half a second each, a few at
+	// a time.
+	loadingPause = 300 * time.Millisecond
+	// nonePause is for a service without targets: one that was started anew is
+	// listed within about a second.
+	nonePause = 700 * time.Millisecond
+)
+
+// choose returns the target of the next attempt.
+func (t *task) choose(now time.Time) (choice, error) {
+	model := ""
+	if t.arrival.Prompt != nil {
+		model = t.arrival.Prompt.Model
+	}
+
+	candidates := t.g.cfg.Roster.Candidates(now, t.service.Name, model)
+	if len(candidates) == 0 {
+		return choice{}, failure.New(failure.Unavailable, "the service has no target").After(nonePause)
+	}
+
+	if t.service.Engines != nil && t.arrival.Prompt != nil {
+		return t.chooseEngine(now, candidates)
+	}
+
+	return t.chooseCall(now, candidates)
+}
+
+// chooseCall takes the target of a plain service with the least work before it.
+func (t *task) chooseCall(now time.Time, all []roster.Engine) (choice, error) {
+	calls := make([]route.CallCandidate, len(all))
+
+	for i, e := range all {
+		calls[i] = route.CallCandidate{
+			Name: e.ID, Draining: e.Loading, Suspected: e.Doubted || e.Failures > 0, Tried: t.tried[e.ID],
+			Delay: t.distance(e), LoadAt: now.Add(-e.Load.Age), Running: e.Load.Running, Waiting: e.Load.Waiting,
+			InFlight: e.Ahead, CallTime: callTime, AtOnce: e.Slots,
+		}
+	}
+
+	d := route.DecideCall(now, route.Config{}, t.draw+uint64(t.attempts), calls)
+	if !d.Found() {
+		return choice{}, failure.New(failure.Unavailable, "no target is left to try").After(loadingPause)
+	}
+
+	e := all[d.Target()]
+	t.log(e, "least_work", float64(d.Cost(d.Target()).Seconds)*1000, len(all))
+
+	return choice{engine: e, sending: t.sending(now, e)}, nil
+}
+
+// chooseEngine takes the engine that brings a prompt's first event soonest, what
+// it costs to read the prompt again being counted.
+func (t *task) chooseEngine(now time.Time, all []roster.Engine) (choice, error) {
+	p := t.arrival.Prompt
+	newest := t.g.newest(p.Model)
+	candidates := make([]route.OpeningCandidate, len(all))
+
+	for i, e := range all {
+		candidates[i] = route.OpeningCandidate{
+			Name: e.ID, Excluded: t.exclusion(e), Suspected: e.Doubted || e.Failures > 1,
+			Old: e.Version > 0 && e.Version < newest, Running: e.Load.Running, Waiting: e.Load.Waiting, Age: e.Load.Age,
+			InFlight: e.Ahead, InFlightTokens: e.AheadTokens, Slots: e.Slots, Distance: t.distance(e),
+		}
+	}
+
+	cfg := t.g.cfg.Opening
+	cfg.MemoryTokens = t.service.Engines.MemoryTokens
+
+	d := route.DecideOpening(cfg, t.opening(newest), candidates)
+	if !d.Found() {
+		return choice{}, failure.New(failure.Unavailable, "all engines load weights or were tried").After(loadingPause)
+	}
+
+	e := all[d.Target()]
+	reason := "home"
+
+	if d.Target() != d.Home() {
+		reason = "spill"
+	}
+
+	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens}
+	t.contexts(now, &c)
+	t.log(e, reason, d.Cost(), len(all))
+
+	return c, nil
+}
+
+// opening describes the prompt for the decision.
+func (t *task) opening(version int64) route.OpeningRequest {
+	p := t.arrival.Prompt
+	shared := p.Shared()
+
+	return route.OpeningRequest{
+		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output,
+		Kept: t.kept(version), Left: time.Until(t.deadline),
+	}
+}
+
+// kept reports whether a store has the longest shared part for a version.
+func (t *task) kept(version int64) bool {
+	i := t.longest()
+	if i < 0 {
+		return false
+	}
+
+	_, ok := t.g.cfg.Vaults.Find(vault.Part{Salt: t.scope(version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}, "")
+
+	return ok
+}
+
+// longest returns the index of the longest shared part, -1 when there is none.
+func (t *task) longest() int {
+	parts := t.arrival.Prompt.Parts
+	best := -1
+
+	for i := range len(parts) - 1 {
+		if best < 0 || parts[i].Tokens > parts[best].Tokens {
+			best = i
+		}
+	}
+
+	return best
+}
+
+func (t *task) exclusion(e roster.Engine) route.Exclusion {
+	switch {
+	case t.tried[e.ID]:
+		return route.AlreadyTried
+	case e.Loading:
+		return route.OtherVersion
+	default:
+		return route.None
+	}
+}
+
+func (t *task) distance(e roster.Engine) time.Duration {
+	if e.DataCentre == t.g.cfg.DataCentre {
+		return nearTime
+	}
+
+	return farTime
+}
+
+// sending is what goes with the request to any kind of target.
+func (t *task) sending(now time.Time, e roster.Engine) Sending {
+	s := Sending{
+		Target: e.ID, Address: e.Address, Left: t.deadline.Sub(now), Priority: t.priority(),
+		ResumeAfter: t.resumeAfter(),
+	}
+
+	if t.organisation != nil {
+		s.Organisation = t.organisation.Name
+	}
+
+	return s
+}
+
+// scope says who may use what the request leaves in caches.
+func (t *task) scope(version int64) vault.Scope {
+	s := vault.Scope{Model: t.arrival.Prompt.Model, Version: version}
+	if t.organisation != nil && t.organisation.Isolated {
+		s.Wall = t.organisation.Name
+	}
+
+	return s
+}
+
+// contexts fills in which cached parts the engine uses: only such as were made
+// under the version that the engine is asked to have.
+func (t *task) contexts(now time.Time, c *choice) {
+	s := &c.sending
+
+	if c.engine.Version == 0 {
+		// Nobody knows which version it has, so nothing may be shared.
+		s.Salt = "request/" + t.arrival.ID
+
+		return
+	}
+
+	s.Version = c.engine.Version
+	s.Salt = t.scope(s.Version).Salt()
+
+	if !vault.Right(now, t.g.currentUntil(t.arrival.Prompt.Model, s.Version)) {
+		return
+	}
+
+	t.fetchAndSave(now, c)
+}
+
+// fetchAndSave names a store for each long part: the one to bring it from, or the
+// one to keep it in from now on. Short parts are read faster than fetched.
+func (t *task) fetchAndSave(now time.Time, c *choice) {
+	s := &c.sending
+	parts := t.arrival.Prompt.Parts
+	newest := s.Version >= t.g.newest(t.arrival.Prompt.Model)
+
+	clock, ok := t.g.cfg.Vaults.Clock(now)
+	if !ok {
+		return
+	}
+
+	fetch, save := make([]string, len(parts)), make([]string, len(parts))
+
+	for i := range len(parts) - 1 {
+		if parts[i].Tokens < t.g.cfg.Opening.Short() {
+			continue
+		}
+
+		p := vault.Part{Salt: s.Salt, ID: parts[i].ID}
+
+		if found, ok := t.g.cfg.Vaults.Find(p, c.engine.DataCentre); ok {
+			fetch[i] = found.Address
+			s.Fetch = fetch
+			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
+			c.unread -= parts[i].Tokens
+
+			continue
+		}
+
+		if !newest {
+			continue
+		}
+
+		if address, ok := t.g.cfg.Vaults.Place(now, vault.Held{Part: p, Tokens: parts[i].Tokens}); ok {
+			save[i] = address
+			s.Save = save
+		}
+	}
+}
+
+func (t *task) log(e roster.Engine, reason string, cost float64, candidates int) {
+	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
+		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "in_flight", e.Ahead,
+		"running", e.Load.Running, "waiting", e.Load.Waiting, "load_age_ms", e.Load.Age.Milliseconds(), "version", e.Version,
+		"config", t.cfg.Version())
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,241 @@
+// Package gateway serves callers whose requests are routed by host and path to
+// the targets of a service.
+//
+// # Model
+//
+// A request passes these steps: its route and organisation are found in the
+// configuration in force; it is read whole, so that it can be sent again;
+// a target is chosen; the target's answer is passed on. When an attempt fails,
+// one place (mayRepeat) decides whether the request may go to another target: it
+// may if it has certainly not run, or if it may run twice, and if the budget of
+// repeats, the route's number of attempts and the time left allow it.
+//
+// Answers that aren't streams are read whole before their first byte goes to the
+// caller, so that a broken one can be replaced. Streams are passed on event by
+// event; one that breaks off goes on at another target, behind the last whole
+// event, where its route allows it. An answer that can't be completed ends with
+// a broken connection, so that it doesn't look complete.
+//
+// A request that is given up gets its final answer at once. The answer says that
+// the request has not run only where no byte of it may have reached a target, or
+// where each target that it reached said so.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/failure"
+	"boragehub/quarantine"
+	"boragehub/retry"
+	"boragehub/roster"
+	"boragehub/route"
+	"boragehub/site"
+	"boragehub/upstream"
+	"boragehub/vault"
+)
+
+// Config is what a Gateway works with.
+type Config struct {
+	// DataCentre is where it runs.
+	DataCentre string
+	// Dialect translates requests and answers.
+	Dialect Dialect
+	// Roster are the targets.
+	Roster *roster.Roster
+	// Pool keeps the connections to targets.
+	Pool *upstream.Pool
+	// Vaults knows what the stores of contexts keep.
+	Vaults *vault.Directory
+	// Crashes knows requests that crash targets.
+	Crashes *quarantine.Tracker
+	// Opening says what running prompts costs.
+	Opening route.OpeningConfig
+	// RepeatRatio and RepeatWindow bound repeats to a part of the first attempts;
+	// RepeatFloor is how many this process may make in a window besides.
+	RepeatRatio  float64
+	RepeatWindow time.Duration
+	RepeatFloor  int
+	// Meter counts; nil counts nothing.
+	Meter Meter
+	// Log gets a line for each decision.
+	Log logr.Logger
+}
+
+// Meter counts what happens to requests.
+type Meter interface {
+	// Served counts a request, of a kind of route, that got its whole answer.
+	Served(kind string, first, total time.Duration, attempts int)
+	// Refused counts a request that got an answer of ours.
+	Refused(kind, reason string)
+	// Failed counts an attempt without a whole answer.
+	Failed(outcome string)
+}
+
+// Gateway serves callers. Use New; it is an http.Handler.
+type Gateway struct {
+	cfg    Config
+	active atomic.Int64
+
+	current  atomic.Pointer[site.Configuration]
+	stopping atomic.Bool
+
+	mu       sync.Mutex
+	budgets  map[string]*retry.Budget
+	versions map[string][]named
+	lastSeen func() time.Time // when the newest versions were surely known
+	suspects *suspects
+}
+
+// named is a weight version that operators named.
+type named struct {
+	version int64
+	// before is the last time at which the versions before it were surely the newest.
+	before time.Time
+}
+
+// maxNamed bounds the versions remembered of a model.
+const maxNamed = 8
+
+// New returns a Gateway without a configuration. Known tells when the newest
+// weight versions were surely known.
+func New(cfg Config, known func() time.Time) *Gateway {
+	return &Gateway{
+		cfg:      cfg,
+		budgets:  make(map[string]*retry.Budget),
+		versions: make(map[string][]named),
+		lastSeen: known,
+		suspects: newSuspects(cfg.Crashes),
+	}
+}
+
+// Configure puts a configuration in force. One that is older than that in force
+// is ignored.
+func (g *Gateway) Configure(c *site.Configuration) {
+	for {
+		old := g.current.Load()
+		if old != nil && old.Version() >= c.Version() {
+			return
+		}
+
+		if g.current.CompareAndSwap(old, c) {
+			return
+		}
+	}
+}
+
+// Configured reports whether a configuration is in force.
+func (g *Gateway) Configured() bool { return g.current.Load() != nil }
+
+// Named takes that operators named a weight version. Before is the last time at
+// which the one before was surely the newest.
+func (g *Gateway) Named(model string, version int64, before time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	all := g.versions[model]
+	if n := len(all); n > 0 && all[n-1].version >= version {
+		return
+	}
+
+	all = append(all, named{version, before})
+	g.versions[model] = all[max(0, len(all)-maxNamed):]
+}
+
+// newest returns the version of a model that operators named last, zero for none.
+func (g *Gateway) newest(model string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if all := g.versions[model]; len(all) > 0 {
+		return all[len(all)-1].version
+	}
+
+	return 0
+}
+
+// currentUntil returns the last time at which a version was surely the newest of
+// its model.
+func (g *Gateway) currentUntil(model string, version int64) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	for _, n := range g.versions[model] {
+		if n.version > version {
+			return n.before
+		}
+	}
+
+	return g.lastSeen()
+}
+
+// ConfigVersion returns the version of the configuration in force, zero for none.
+func (g *Gateway) ConfigVersion() int64 {
+	if c := g.current.Load(); c != nil {
+		return c.Version()
+	}
+
+	return 0
+}
+
+// Stop makes the gateway not ready: answers close their connections from now on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Ready reports whether callers should come here.
+func (g *Gateway) Ready() bool {
+	return g.Configured() && !g.stopping.Load() && g.cfg.Roster.Len() > 0
+}
+
+// Active returns how many requests are being served.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// budget returns the budget of repeats of a service.
+func (g *Gateway) budget(service string) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	b, ok := g.budgets[service]
+	if !ok {
+		b = retry.NewBudget(retry.BudgetConfig{Ratio: g.cfg.RepeatRatio, Window: g.cfg.RepeatWindow, Floor: g.cfg.RepeatFloor})
+		g.budgets[service] = b
+	}
+
+	return b
+}
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+
+	now := time.Now()
+	t := &task{g: g, w: w, r: r, began: now}
+
+	if g.stopping.Load() || len(r.TransferEncoding) > 0 {
+		// A chunked request that names a length too may hide a second request
+		// behind its end. Closing the connection after the answer leaves what
+		// follows unread.
+		w.Header().Set("Connection", "close")
+	}
+
+	if err := t.accept(now); err != nil {
+		t.refuse(err)
+
+		return
+	}
+
+	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
+	defer cancel()
+
+	t.run(ctx)
+}
+
+// notReady is the answer while there is no configuration.
+func notReady() error {
+	return failure.New(failure.NotReady, "no configuration is known yet").After(time.Second)
+}
--- /dev/null
+++ b/gateway/task.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragehub/event"
+	"boragehub/failure"
+	"boragehub/quarantine"
+	"boragehub/site"
+)
+
+// task is one request on its way.
+type task struct {
+	g *Gateway
+	w http.ResponseWriter
+	r *http.Request
+
+	began        time.Time
+	deadline     time.Time // when the caller or the route gives up
+	cfg          *site.Configuration
+	route        *site.Route
+	organisation *site.Organisation // nil for none
+	arrival      Arrival
+	body         []byte
+	service      site.Service
+	draw         uint64 // evenly spread, the same for one request
+	print        quarantine.Fingerprint
+
+	attempts int             // sent so far
+	ran      int             // of them those that may have run
+	tried    map[string]bool // targets
+	stream   stream
+}
+
+// Bounds of reading requests.
+const (
+	// maxBody bounds bodies where the configuration doesn't.
+	maxBody = 8 << 20
+	// deadlineGrace is how long past its deadline an attempt may still bring an
+	// answer: the target stops at the deadline and says so, which takes a moment.
+	deadlineGrace = 60 * time.Millisecond
+	// noDeadline is for requests without any bound.
+	noDeadline = time.Minute
+)
+
+// accept reads the request and finds out what it is.
+func (t *task) accept(now time.Time) error {
+	t.cfg = t.g.current.Load()
+
+	a, err := t.g.cfg.Dialect.Arrival(t.r)
+	t.arrival = a
+
+	if err != nil {
+		return err
+	}
+
+	if t.cfg == nil {
+		return notReady()
+	}
+
+	route, ok := t.cfg.Match(t.r.Host, t.r.URL.Path)
+	if !ok {
+		return failure.New(failure.UnknownPath, "no route for this host and path")
+	}
+
+	t.route = route
+
+	if err := t.authenticate(); err != nil {
+		return err
+	}
+
+	if err := t.readBody(); err != nil {
+		return err
+	}
+
+	t.setDeadline(now)
+	t.draw = xxhash.Sum64String(t.arrival.ID)
+
+	service, ok := t.cfg.Service(t.route.Pick(t.draw))
+	if !ok {
+		return failure.New(failure.Unavailable, "the route has no service").After(time.Second)
+	}
+
+	t.service = service
+
+	return t.checkQuarantine(now)
+}
+
+func (t *task) authenticate() error {
+	if !t.cfg.Tenanted() {
+		return nil
+	}
+
+	o, ok := t.cfg.Caller(t.arrival.Key)
+	if ok {
+		t.organisation = o
+
+		return nil
+	}
+
+	if t.route.Public {
+		return nil
+	}
+
+	return failure.New(failure.Unauthenticated, "the key is not known")
+}
+
+// readBody reads the body whole, so that it can be sent to a second target.
+func (t *task) readBody() error {
+	limit := t.cfg.Limits().BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+
+	if t.r.ContentLength > limit {
+		return t.tooLarge(limit)
+	}
+
+	if t.r.ContentLength > 0 {
+		t.body = make([]byte, t.r.ContentLength)
+		if _, err := io.ReadFull(t.r.Body, t.body); err != nil {
+			return failure.Wrap(failure.Cancelled, err, "the body broke off")
+		}
+
+		return nil
+	}
+
+	if t.r.ContentLength == 0 {
+		return nil
+	}
+
+	body, err := io.ReadAll(io.LimitReader(t.r.Body, limit+1))
+	if err != nil {
+		return failure.Wrap(failure.BadRequest, err, "the body can't be read")
+	}
+
+	if int64(len(body)) > limit {
+		return t.tooLarge(limit)
+	}
+
+	t.body = body
+
+	return nil
+}
+
+func (t *task) tooLarge(limit int64) error {
+	t.w.Header().Set("Connection", "close")
+
+	return failure.New(failure.TooLarge, "the body is over %d bytes", limit)
+}
+
+func (t *task) setDeadline(now time.Time) {
+	most := noDeadline
+	if t.arrival.Deadline > 0 {
+		most = t.arrival.Deadline
+	}
+
+	if t.route.Timeout > 0 {
+		most = min(most, t.route.Timeout)
+	}
+
+	t.deadline = now.Add(most)
+}
+
+func (t *task) checkQuarantine(now time.Time) error {
+	name := ""
+	if t.organisation != nil {
+		name = t.organisation.Name
+	}
+
+	t.print = quarantine.Of(name, append([]byte(t.r.URL.Path+"\n"), t.body...))
+
+	_, err := t.g.cfg.Crashes.Check(now, t.print)
+
+	return err
+}
+
+// priority returns the request's rank, 0 first.
+func (t *task) priority() int {
+	if t.organisation != nil && t.organisation.HasPriority {
+		return t.organisation.Priority
+	}
+
+	return t.route.Priority
+}
+
+// refuse ends the request with an answer of our own.
+func (t *task) refuse(err error) {
+	e := failure.As(err)
+	kind := e.Kind()
+
+	if t.r.Context().Err() != nil || kind == failure.Cancelled {
+		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts)
+		panic(http.ErrAbortHandler)
+	}
+
+	a := kind.Answer()
+	h := t.w.Header()
+	dropHeaders(h)
+	t.g.cfg.Dialect.Mark(h, &t.arrival)
+
+	after := e.RetryAfter()
+	if a.Ran == failure.NotRun && a.Retryable && after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+
+	h.Set("Content-Type", "application/json")
+
+	body := `{"error":{"code":"` + a.Code + `"}}` + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	t.w.WriteHeader(a.Status)
+
+	if _, werr := io.WriteString(t.w, body); werr != nil {
+		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts)
+	}
+
+	if t.g.cfg.Meter != nil {
+		t.g.cfg.Meter.Refused(t.kindName(), kind.String())
+	}
+
+	event.Log(t.g.cfg.Log, event.RequestGivenUp, "request_id", t.arrival.ID, "route", t.routeName(), "kind", kind.String(),
+		"status", a.Status, "ran", a.Ran.String(), "retry_after_ms", after.Milliseconds(), "attempts", t.attempts,
+		"cause", cause(e), "after_ms", time.Since(t.began).Milliseconds())
+}
+
+// cause returns the text of an error's cause.
+func cause(err error) string {
+	if c := errors.Unwrap(err); c != nil {
+		return c.Error()
+	}
+
+	return err.Error()
+}
+
+// dropHeaders takes out the headers of a target's answer that is not passed on; the
+// wish to close the connection stays.
+func dropHeaders(h http.Header) {
+	closing := h.Get("Connection")
+	clear(h)
+
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+}
+
+func (t *task) routeName() string {
+	if t.route == nil {
+		return ""
+	}
+
+	return t.route.Name
+}
+
+// noRoute stands for the kind of a request without a route.
+const noRoute = "none"
+
+func (t *task) kindName() string {
+	if t.route == nil {
+		return noRoute
+	}
+
+	return t.route.Kind.String()
+}
--- /dev/null
+++ b/loader/turn.go
@@ -0,0 +1,77 @@
+package loader
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sibling is an engine of the same service.
+type Sibling struct {
+	// ID is the id of its present start.
+	ID string
+	// Version is its weight version.
+	Version int64
+}
+
+// TurnConfig says how engines take turns. Zero values get a default.
+type TurnConfig struct {
+	// Together is the part of the engines that load at once: 0.2 when zero. More
+	// would slow each other down and leave too few that serve.
+	Together float64
+	// Each is the time from the start of one turn to the next: 700 ms when zero,
+	// about what a load takes with the runs before it.
+	Each time.Duration
+}
+
+// Turn is when an engine loads a version.
+type Turn struct {
+	// Rank is the engine's place among those that have yet to load, Of their number.
+	Rank, Of int
+	// Wait is how long it waits.
+	Wait time.Duration
+}
+
+// TakeTurn returns when the engine self loads a version. Each side process works
+// it out for its own engine from the same list, in an order by hash that mixes
+// data centres, so that no process has to lead.
+func TakeTurn(cfg TurnConfig, self string, version int64, siblings []Sibling) Turn {
+	if cfg.Together <= 0 {
+		cfg.Together = 0.2
+	}
+
+	if cfg.Each <= 0 {
+		cfg.Each = 700 * time.Millisecond
+	}
+
+	var due []string
+
+	for _, s := range siblings {
+		if s.Version < version {
+			due = append(due, s.ID)
+		}
+	}
+
+	sort.Slice(due, func(i, j int) bool {
+		a, b := xxhash.Sum64String(due[i]), xxhash.Sum64String(due[j])
+		if a != b {
+			return a < b
+		}
+
+		return due[i] < due[j]
+	})
+
+	together := max(int(cfg.Together*float64(len(siblings))), 1)
+	t := Turn{Of: len(due)}
+
+	for i, id := range due {
+		if id == self {
+			t.Rank = i
+		}
+	}
+
+	t.Wait = time.Duration(t.Rank/together) * cfg.Each
+
+	return t
+}
--- /dev/null
+++ b/mirror/exchange/client.go
@@ -0,0 +1,195 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+
+	"boragehub/mirror"
+	"boragehub/pause"
+)
+
+var errNobody = errors.New("no entry is known")
+
+// asked is how many entries are asked at once: one of them may be as cut off as
+// this process is.
+const asked = 3
+
+// callTimeout bounds a call to another process; they are milliseconds apart.
+const callTimeout = 400 * time.Millisecond
+
+// helloEvery is the pause between two rounds in which an entry asks all others
+// for nothing but their members.
+const helloEvery = 5 * time.Second
+
+// Client asks entries. It implements mirror.Peers and loader.Entries.
+type Client struct {
+	members *Members
+	http    *http.Client
+}
+
+// NewClient returns a Client that asks members.
+func NewClient(m *Members) *Client {
+	return &Client{members: m, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     12 * time.Second,
+		ReadBufferSize:      4 << 10,
+		WriteBufferSize:     4 << 10,
+	}}}
+}
+
+// Newer returns what entries hold of a topic from an offset on: the newest of
+// their answers.
+func (c *Client) Newer(ctx context.Context, topic string, from int64) (mirror.Batch, error) {
+	all := c.members.Ask(time.Now())
+	if len(all) == 0 {
+		return mirror.Batch{}, errNobody
+	}
+
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	all = all[:min(asked, len(all))]
+
+	var (
+		wg   sync.WaitGroup
+		mu   sync.Mutex
+		best mirror.Batch
+		errg errs.Group
+		got  bool
+	)
+
+	for _, a := range all {
+		wg.Go(func() {
+			b, err := c.records(ctx, a, topic, from)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			if err != nil {
+				errg.Add(err)
+
+				return
+			}
+
+			if !got || b.End > best.End || (b.End == best.End && b.AsOf.After(best.AsOf)) {
+				best, got = b, true
+			}
+		})
+	}
+
+	wg.Wait()
+
+	if !got {
+		return mirror.Batch{}, errg.Err()
+	}
+
+	return best, nil
+}
+
+// records asks one entry.
+func (c *Client) records(ctx context.Context, address, topic string, from int64) (mirror.Batch, error) {
+	at := time.Now()
+	q := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "self": {c.members.Self()}}
+
+	body, err := c.call(ctx, http.MethodGet, address, recordsPath+"?"+q.Encode(), nil)
+	if err != nil {
+		return mirror.Batch{}, err
+	}
+
+	var r Reply
+	if err := decoder.Unmarshal(body, &r); err != nil {
+		return mirror.Batch{}, err
+	}
+
+	c.members.Saw(time.Now(), address)
+	c.members.Heard(time.Now(), r.Members)
+
+	b := mirror.Batch{Records: r.Records, End: r.End, Whole: false}
+	if r.AgeMs >= 0 {
+		b.AsOf = at.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	}
+
+	return b, nil
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	err = errs.Combine(err, resp.Body.Close())
+
+	if err == nil && resp.StatusCode/100 != 2 {
+		err = errs.New("%s answered %d", address, resp.StatusCode)
+	}
+
+	return answer, err
+}
+
+// Tell tells all entries what the engine at an address is about to do, or has
+// done. One that can't be told finds out from the engine's refusals and answers.
+func (c *Client) Tell(ctx context.Context, address, model string, version int64, loaded bool) {
+	body, err := cbor.Marshal(Notice{Address: address, Model: model, Version: version, Loaded: loaded})
+	if err != nil {
+		return // a struct of strings and numbers always has a form
+	}
+
+	c.Hello(ctx)
+
+	var wg sync.WaitGroup
+
+	for _, a := range c.members.Ask(time.Now()) {
+		wg.Go(func() {
+			//nolint:errcheck,gosec // see above
+			c.call(ctx, http.MethodPost, a, noticePath, body)
+		})
+	}
+
+	wg.Wait()
+}
+
+// Hello asks all known entries for the others that they know.
+func (c *Client) Hello(ctx context.Context) {
+	var wg sync.WaitGroup
+
+	for _, a := range c.members.Ask(time.Now()) {
+		wg.Go(func() {
+			//nolint:errcheck,gosec // one that doesn't answer is forgotten after a while
+			c.records(ctx, a, "", 0)
+		})
+	}
+
+	wg.Wait()
+}
+
+// Run says hello now and then until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for {
+		c.Hello(ctx)
+
+		if !pause.For(ctx, helloEvery) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/mirror/exchange/exchange.go
@@ -0,0 +1,184 @@
+// Package exchange passes between the system's processes what they mirror of the
+// log, and what side processes say of their engines.
+//
+// # Model
+//
+// The log may be down, or turn single processes away while it serves others. A
+// process that can't read it asks the entries, and takes what is newer than what
+// it has; offsets decide, so nothing ever reverts.
+//
+// Entries find each other by asking: each asks those that its settings name and
+// says where it can be asked itself; answers tell of the others. Who has not
+// asked for a while is forgotten.
+//
+// Messages are CBOR over HTTP on a port that only the system's machines reach.
+package exchange
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"boragehub/mirror"
+)
+
+// Paths of the calls.
+const (
+	recordsPath = "/records"
+	noticePath  = "/notice"
+)
+
+// Reply is the answer to a question for records.
+type Reply struct {
+	// Records are those from the asked offset on.
+	Records []mirror.Record `cbor:"1,keyasint"`
+	// End is the offset after the last record covered.
+	End int64 `cbor:"2,keyasint"`
+	// AgeMs is how long ago the answer was surely up to date; negative for never.
+	AgeMs int64 `cbor:"3,keyasint"`
+	// Loaded says that the answer covers every key that exists.
+	Loaded bool `cbor:"4,keyasint"`
+	// Members are entries that asked of late.
+	Members []string `cbor:"5,keyasint"`
+}
+
+// Notice is what a side process says of its engine.
+type Notice struct {
+	// Address is the engine's.
+	Address string `cbor:"1,keyasint"`
+	// Model and Version are what it loads or has.
+	Model   string `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+	// Loaded says that it has the version; otherwise it is about to load it.
+	Loaded bool `cbor:"4,keyasint"`
+}
+
+// maxMessage bounds what is read of one message: a configuration with thousands
+// of routes.
+const maxMessage = 16 << 20
+
+// decoder bounds what a message may hold.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+
+	return m
+}()
+
+// memberAge is how long an entry is remembered without having asked or answered.
+const memberAge = 20 * time.Second
+
+// maxMembers bounds the entries remembered.
+const maxMembers = 512
+
+// Members are the entries that a process knows. Use NewMembers; its methods may
+// be called from many goroutines.
+type Members struct {
+	self  string
+	seeds []string
+
+	mu   sync.Mutex
+	seen map[string]time.Time
+}
+
+// NewMembers returns Members that know the seeds. Self is this process's own
+// address, empty for a process that can't be asked.
+func NewMembers(self string, seeds []string) *Members {
+	return &Members{self: self, seeds: seeds, seen: make(map[string]time.Time)}
+}
+
+// Self returns this process's own address.
+func (m *Members) Self() string { return m.self }
+
+// Saw takes that an entry asked, or answered.
+func (m *Members) Saw(now time.Time, address string) {
+	if address == "" || address == m.self {
+		return
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if _, ok := m.seen[address]; ok || len(m.seen) < maxMembers {
+		m.seen[address] = now
+	}
+}
+
+// Heard takes that another entry told of one: it is asked once, and remembered
+// if it answers.
+func (m *Members) Heard(now time.Time, addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for _, a := range addresses {
+		if _, ok := m.seen[a]; !ok && a != m.self && a != "" && len(m.seen) < maxMembers {
+			m.seen[a] = now.Add(-memberAge / 2)
+		}
+	}
+}
+
+// Live returns the entries that asked or answered of late, in order, without
+// this process.
+func (m *Members) Live(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	var all []string
+
+	for a, at := range m.seen {
+		if now.Sub(at) > memberAge {
+			delete(m.seen, a)
+
+			continue
+		}
+
+		all = append(all, a)
+	}
+
+	sort.Strings(all)
+
+	return all
+}
+
+// Ask returns whom to ask: the live entries and the seeds.
+func (m *Members) Ask(now time.Time) []string {
+	all := m.Live(now)
+
+	for _, s := range m.seeds {
+		if s != m.self && !contains(all, s) {
+			all = append(all, s)
+		}
+	}
+
+	return all
+}
+
+func contains(all []string, s string) bool {
+	for _, a := range all {
+		if a == s {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Turn returns how many live entries come before this one for a matter, in an
+// order by hash that all agree on.
+func (m *Members) Turn(now time.Time, matter string) int {
+	own := xxhash.Sum64String(matter + "|" + m.self)
+	before := 0
+
+	for _, a := range m.Live(now) {
+		if xxhash.Sum64String(matter+"|"+a) > own {
+			before++
+		}
+	}
+
+	return before
+}
--- /dev/null
+++ b/mirror/follower.go
@@ -0,0 +1,190 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/event"
+	"boragehub/pause"
+)
+
+// ErrTrimmed is returned by a Source that no longer keeps the records asked for.
+var ErrTrimmed = errors.New("records are no longer kept")
+
+// Source is the log.
+type Source interface {
+	// Newest returns the newest record of every key.
+	Newest(ctx context.Context, topic string) (Batch, error)
+	// Read returns the records from an offset on, waiting for the first one.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
+}
+
+// Peers are other processes that follow the same topic.
+type Peers interface {
+	// Newer returns what another process holds from an offset on.
+	Newer(ctx context.Context, topic string, from int64) (Batch, error)
+}
+
+// FollowerConfig says what to follow and how.
+type FollowerConfig struct {
+	// Name is the topic's name.
+	Name string
+	// Topic takes what is read.
+	Topic *Topic
+	// Source is the log.
+	Source Source
+	// Peers are asked while the log doesn't answer; nil asks nobody.
+	Peers Peers
+	// Wait is how long one read waits for a record. It bounds how long a
+	// connection that fell silent goes unnoticed.
+	Wait time.Duration
+	// Every is the pause between two reads; zero reads on at once.
+	Every time.Duration
+	// OnNews gets the records that are new, in order, one call at a time.
+	OnNews func(now time.Time, news []Record)
+	// OnAway is called when the log stops answering and when it answers again; nil
+	// calls nothing.
+	OnAway func(now time.Time, away bool)
+	// Log gets a line when the log is lost and regained.
+	Log logr.Logger
+}
+
+// Pauses while the log doesn't answer.
+const (
+	// retryPause is the pause between two tries. Each costs a call, and an
+	// outage lasts seconds; a third of a second is well under the two seconds in
+	// which a configuration has to be in force.
+	retryPause = 300 * time.Millisecond
+	// readSlack is how much longer than Wait an answer may take before its
+	// connection is given up: the log answers in milliseconds.
+	readSlack = 700 * time.Millisecond
+	// newestTimeout bounds a call that reads every key.
+	newestTimeout = 1500 * time.Millisecond
+	// peerTimeout bounds a question to another process.
+	peerTimeout = 400 * time.Millisecond
+)
+
+// Follower keeps a Topic up to date. Use NewFollower.
+type Follower struct {
+	cfg    FollowerConfig
+	behind time.Time // when the log stopped answering; zero while it answers
+
+	mu sync.Mutex // orders the calls of OnNews
+}
+
+// NewFollower returns a Follower that Run starts.
+func NewFollower(cfg FollowerConfig) *Follower { return &Follower{cfg: cfg} }
+
+// Run follows until ctx ends. The peers are asked beside the first read, since a
+// process that starts in an outage would otherwise wait for it to time out.
+func (f *Follower) Run(ctx context.Context) {
+	go f.askPeers(ctx)
+
+	for ctx.Err() == nil {
+		b, err := f.read(ctx)
+		now := time.Now()
+
+		if err == nil {
+			f.regained(now)
+			f.merge(now, b)
+			pause.For(ctx, f.cfg.Every)
+
+			continue
+		}
+
+		if ctx.Err() != nil {
+			return
+		}
+
+		f.lost(now, err)
+		f.askPeers(ctx)
+		pause.For(ctx, retryPause)
+	}
+}
+
+// read asks the log once. A read that fails with ErrTrimmed is followed by a
+// whole one.
+func (f *Follower) read(ctx context.Context) (Batch, error) {
+	if f.cfg.Topic.Loaded() {
+		at := time.Now()
+		c, cancel := context.WithTimeout(ctx, f.cfg.Wait+readSlack)
+		b, err := f.cfg.Source.Read(c, f.cfg.Name, f.cfg.Topic.End(), f.cfg.Wait)
+
+		cancel()
+
+		b.AsOf = at
+
+		if !errors.Is(err, ErrTrimmed) {
+			return b, err
+		}
+	}
+
+	at := time.Now()
+
+	c, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+
+	b, err := f.cfg.Source.Newest(c, f.cfg.Name)
+	b.AsOf = at
+
+	return b, err
+}
+
+func (f *Follower) askPeers(ctx context.Context) {
+	if f.cfg.Peers == nil {
+		return
+	}
+
+	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+
+	b, err := f.cfg.Peers.Newer(c, f.cfg.Name, f.cfg.Topic.End())
+	if err != nil {
+		f.cfg.Log.V(1).Info("no peer answered", "topic", f.cfg.Name, "error", err.Error())
+
+		return
+	}
+
+	f.merge(time.Now(), b)
+}
+
+func (f *Follower) merge(now time.Time, b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	news := f.cfg.Topic.Merge(b)
+	if len(news) > 0 {
+		f.cfg.OnNews(now, news)
+	}
+}
+
+func (f *Follower) lost(now time.Time, err error) {
+	if !f.behind.IsZero() {
+		return
+	}
+
+	f.behind = now
+
+	if f.cfg.OnAway != nil {
+		f.cfg.OnAway(now, true)
+	}
+
+	event.Fail(f.cfg.Log, err, event.TopicLost, "topic", f.cfg.Name, "offset", f.cfg.Topic.End())
+}
+
+func (f *Follower) regained(now time.Time) {
+	if f.behind.IsZero() {
+		return
+	}
+
+	event.Log(f.cfg.Log, event.TopicRegained, "topic", f.cfg.Name, "after_ms", now.Sub(f.behind).Milliseconds())
+	f.behind = time.Time{}
+
+	if f.cfg.OnAway != nil {
+		f.cfg.OnAway(now, false)
+	}
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,402 @@
+// Package roster joins what the platform's register says of targets with what a
+// process learns of them itself: weight versions, loads of weights, standing.
+//
+// # Model
+//
+// A target is known by the id of its present start; another start is another
+// target, even at the same address. The register adds targets, calls them
+// draining and drops them. A target that drains or was dropped gets no new work.
+//
+// While the log is away, the register may drop targets that live; they are back
+// shortly after it returns. So a drop that is read within Config.Doubt of an
+// outage is believed only after that time.
+//
+// Versions are learned from the register, from answers, from refusals and from
+// the side processes; the highest is right, since an engine never goes back.
+//
+// # Example
+//
+//	r := roster.New(roster.Config{Self: "entry-1", DataCentre: "yvr-east"})
+//	r.List(now, listing)
+//	for _, c := range r.Candidates(now, "boragehub-llm") { … }
+package roster
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/event"
+	"boragehub/target"
+)
+
+// Listing is what the register says of one target.
+type Listing struct {
+	// ID is the id of the target's present start.
+	ID string
+	// Service is the service that it belongs to.
+	Service string
+	// Address is its IP and port.
+	Address string
+	// DataCentre is where it runs.
+	DataCentre string
+	// Draining says that it leaves.
+	Draining bool
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Versions are its weight versions by model.
+	Versions map[string]int64
+}
+
+// same reports whether l says nothing that o doesn't.
+func (l Listing) same(o Listing) bool {
+	if l.Service != o.Service || l.Address != o.Address || l.Draining != o.Draining || l.Slots != o.Slots || len(l.Versions) != len(o.Versions) {
+		return false
+	}
+
+	for model, v := range l.Versions {
+		if o.Versions[model] != v {
+			return false
+		}
+	}
+
+	return true
+}
+
+// Config configures a Roster. Zero durations get a default.
+type Config struct {
+	// Self is this process's VM.
+	Self string
+	// DataCentre is where it runs.
+	DataCentre string
+	// Regions maps data centres to regions.
+	Regions map[string]string
+	// Doubt is how long after an outage of the log a drop is not believed: 2.2 s
+	// when zero, as entries that lapsed are back after two.
+	Doubt time.Duration
+	// LoadMost is how long a load of weights that was announced keeps a target
+	// from work when nothing more is heard: 4 s when zero. Loads take about half
+	// a second, and runs before them a second or two.
+	LoadMost time.Duration
+	// Log gets a line for each change.
+	Log logr.Logger
+}
+
+// Engine is a target with what is known of it besides its standing.
+type Engine struct {
+	target.Target
+	// ID is the id of its present start.
+	ID string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Version is its weight version of the model asked for; zero when not known.
+	Version int64
+	// Loading says that it loads weights and refuses work.
+	Loading bool
+}
+
+// engine is what is kept of one target.
+type engine struct {
+	listing   Listing
+	versions  map[string]int64
+	loading   time.Time // until when it is taken to be loading
+	dropAfter time.Time // when a drop that is in doubt is believed; zero for none
+}
+
+// Roster holds the targets. Use New; its methods may be called from many
+// goroutines.
+type Roster struct {
+	cfg   Config
+	table *target.Table
+
+	mu       sync.Mutex
+	engines  map[string]*engine
+	doubtful time.Time // until when drops are in doubt
+	away     bool      // the log does not answer
+}
+
+// pool is large enough that every target of a deployment is known well; bounded
+// knowledge of the largest fleets is the table's matter.
+const pool = 4096
+
+// New returns an empty Roster.
+func New(cfg Config) *Roster {
+	if cfg.Doubt <= 0 {
+		cfg.Doubt = 2200 * time.Millisecond
+	}
+
+	if cfg.LoadMost <= 0 {
+		cfg.LoadMost = 4 * time.Second
+	}
+
+	return &Roster{
+		cfg: cfg,
+		table: target.NewTable(target.TableConfig{
+			Self: cfg.Self, DataCentre: cfg.DataCentre, Regions: cfg.Regions,
+			Subset: pool, Known: pool, SilentAfter: time.Hour, EjectFor: time.Second, EjectMost: 4 * time.Second,
+			ProbePatience: 2 * time.Second, ForgetAfter: time.Minute,
+		}),
+		engines: make(map[string]*engine),
+	}
+}
+
+// Away tells whether the log answers. Drops are in doubt while it doesn't and for
+// a while after.
+func (r *Roster) Away(now time.Time, away bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.away = away
+	r.doubtful = now.Add(r.cfg.Doubt)
+}
+
+// List takes what the register says of one target.
+func (r *Roster) List(now time.Time, l Listing) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	e, ok := r.engines[l.ID]
+	if !ok {
+		e = &engine{versions: make(map[string]int64)}
+		r.engines[l.ID] = e
+	}
+
+	e.dropAfter = time.Time{}
+	changed := !ok || !e.listing.same(l)
+
+	for model, v := range l.Versions {
+		r.raise(l.ID, e, model, v, "register")
+	}
+
+	if !changed {
+		return
+	}
+
+	e.listing = l
+	event.Log(r.cfg.Log, event.EngineListed, "target", l.ID, "address", l.Address, "service", l.Service, "draining", l.Draining, "versions", l.Versions)
+	r.observe(now)
+}
+
+// Drop takes that the register no longer names a target.
+func (r *Roster) Drop(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	e, ok := r.engines[id]
+	if !ok {
+		return
+	}
+
+	if (r.away || now.Before(r.doubtful)) && !e.listing.Draining {
+		e.dropAfter = r.doubtful
+
+		return
+	}
+
+	r.drop(now, id, "dropped")
+}
+
+// drop forgets a target. The caller holds mu.
+func (r *Roster) drop(now time.Time, id, reason string) {
+	delete(r.engines, id)
+	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
+	r.observe(now)
+}
+
+// Tick believes the drops whose doubt is over. Call it a few times a second.
+func (r *Roster) Tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.away {
+		return
+	}
+
+	for id, e := range r.engines {
+		if !e.dropAfter.IsZero() && now.After(e.dropAfter) {
+			r.drop(now, id, "still missing after an outage of the log")
+		}
+	}
+}
+
+// observe gives the list to the table. The caller holds mu.
+func (r *Roster) observe(now time.Time) {
+	rows := make([]target.Listed, 0, len(r.engines))
+
+	for id, e := range r.engines {
+		state := target.Live
+		if e.listing.Draining {
+			state = target.Leaving
+		}
+
+		rows = append(rows, target.Listed{
+			VM: id, DataCentre: e.listing.DataCentre, Kind: target.KindPlain,
+			Service: e.listing.Service, Address: e.listing.Address, State: state,
+		})
+	}
+
+	sort.Slice(rows, func(i, j int) bool { return rows[i].VM < rows[j].VM })
+
+	for _, c := range r.table.ObserveList(now, rows) {
+		r.change(c)
+	}
+}
+
+// change logs a change of a target's standing.
+func (r *Roster) change(c target.Change) {
+	event.Log(r.cfg.Log, event.TargetChanged, "vm", c.VM, "reason", c.Reason.String(), "until", c.Until)
+}
+
+// Engine returns one target; ok is false when it isn't known.
+func (r *Roster) Engine(now time.Time, id, model string) (Engine, bool) {
+	t, ok := r.table.Target(now, id)
+	if !ok {
+		return Engine{}, false
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	e, ok := r.engines[id]
+	if !ok {
+		return Engine{}, false
+	}
+
+	return e.view(now, t, model), true
+}
+
+// Candidates returns the targets of a service that may get work, with their
+// weight version of a model.
+func (r *Roster) Candidates(now time.Time, service, model string) []Engine {
+	targets := r.table.Candidates(now, service)
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	all := make([]Engine, 0, len(targets))
+
+	for _, t := range targets {
+		if e, ok := r.engines[t.VM]; ok {
+			all = append(all, e.view(now, t, model))
+		}
+	}
+
+	return all
+}
+
+func (e *engine) view(now time.Time, t target.Target, model string) Engine {
+	return Engine{
+		Target: t, ID: t.VM, Slots: e.listing.Slots,
+		Version: e.versions[model], Loading: now.Before(e.loading),
+	}
+}
+
+// Sent records that a request with so many prompt tokens goes to a target.
+func (r *Roster) Sent(now time.Time, id string, tokens int) target.Sending {
+	return r.table.Sent(now, id, tokens)
+}
+
+// Done records how a request ended.
+func (r *Roster) Done(now time.Time, s target.Sending, o target.Outcome) {
+	for _, c := range r.table.Done(now, s, o) {
+		r.change(c)
+	}
+}
+
+// Load takes the load that a target told on an answer.
+func (r *Roster) Load(now time.Time, id string, running, waiting int) {
+	r.table.ObserveLoad(now, id, target.Load{Running: running, Waiting: waiting})
+}
+
+// Loading takes that a target is about to load a version.
+func (r *Roster) Loading(now time.Time, id, model string, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	e, ok := r.engines[id]
+	if !ok || e.versions[model] >= version {
+		return
+	}
+
+	e.loading = now.Add(r.cfg.LoadMost)
+	event.Log(r.cfg.Log, event.EngineLoading, "target", id, "model", model, "version", version)
+}
+
+// Refused takes that a target refused work without being full: it loads weights
+// and nobody announced it. It is left alone for a moment.
+func (r *Roster) Refused(now time.Time, id string, pause time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if e, ok := r.engines[id]; ok && now.Add(pause).After(e.loading) {
+		e.loading = now.Add(pause)
+	}
+}
+
+// Gone takes that another target answers at a target's address. It is left alone
+// until the register says more.
+func (r *Roster) Gone(now time.Time, id string) { r.Refused(now, id, r.cfg.LoadMost) }
+
+// Has takes that a target has a version, as basis said.
+func (r *Roster) Has(id, model string, version int64, basis string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if e, ok := r.engines[id]; ok {
+		r.raise(id, e, model, version, basis)
+	}
+}
+
+// raise raises a version. The caller holds mu.
+func (r *Roster) raise(id string, e *engine, model string, version int64, basis string) {
+	if model == "" || version <= e.versions[model] {
+		return
+	}
+
+	if e.versions[model] > 0 {
+		e.loading = time.Time{}
+		event.Log(r.cfg.Log, event.EngineVersion, "target", id, "model", model, "version", version, "basis", basis)
+	}
+
+	e.versions[model] = version
+}
+
+// Newest returns the highest version of a model that any target has.
+func (r *Roster) Newest(model string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var newest int64
+	for _, e := range r.engines {
+		newest = max(newest, e.versions[model])
+	}
+
+	return newest
+}
+
+// ByAddress returns the id of the target that the register names at an address,
+// the one that doesn't drain when there are two.
+func (r *Roster) ByAddress(address string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	found := ""
+
+	for id, e := range r.engines {
+		if e.listing.Address == address && (found == "" || !e.listing.Draining) {
+			found = id
+		}
+	}
+
+	return found, found != ""
+}
+
+// Len returns how many targets are known.
+func (r *Roster) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return len(r.engines)
+}
--- /dev/null
+++ b/vault/directory.go
@@ -0,0 +1,352 @@
+package vault
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Store is a store as operators configured it.
+type Store struct {
+	// Address is where engines reach it.
+	Address string
+	// DataCentre is where it stands.
+	DataCentre string
+	// Room is how many tokens it holds.
+	Room int
+}
+
+// Copy is a part that may be fetched.
+type Copy struct {
+	// Address is the store's.
+	Address string
+	// Tokens is the part's length.
+	Tokens int
+	// Near says that the store is in the engine's data centre.
+	Near bool
+}
+
+// savePatience is how long a save that was asked for may take until its event
+// arrives. A prompt is read in under a second, and events come a little later.
+const savePatience = 2500 * time.Millisecond
+
+// shelf is what is known of one store.
+type shelf struct {
+	store   Store
+	epoch   int64
+	next    int64
+	known   bool // its list was read in this epoch
+	away    bool // it doesn't answer
+	parts   map[Part]int
+	tokens  int
+	pending map[Part]pending
+}
+
+type pending struct {
+	tokens int
+	until  time.Time
+}
+
+// Directory is what one process knows of the stores. Use NewDirectory; its
+// methods may be called from many goroutines.
+type Directory struct {
+	mu      sync.Mutex
+	shelves map[string]*shelf
+	clock   int64     // the engines' clock in ms …
+	clockAt time.Time // … not later than at this time
+}
+
+// NewDirectory returns an empty Directory.
+func NewDirectory() *Directory { return &Directory{shelves: make(map[string]*shelf)} }
+
+// Configure sets the stores that there are.
+func (d *Directory) Configure(stores []Store) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	kept := make(map[string]*shelf, len(stores))
+
+	for _, s := range stores {
+		sh, ok := d.shelves[s.Address]
+		if !ok {
+			sh = &shelf{away: true, parts: make(map[Part]int), pending: make(map[Part]pending)}
+		}
+
+		sh.store = s
+		kept[s.Address] = sh
+	}
+
+	d.shelves = kept
+}
+
+// Position returns where a store's events go on; ok is false when its list has
+// to be read first.
+func (d *Directory) Position(address string) (next int64, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	sh := d.shelves[address]
+	if sh == nil || !sh.known {
+		return 0, false
+	}
+
+	return sh.next, true
+}
+
+// Learn takes a store's whole list.
+func (d *Directory) Learn(now time.Time, address string, l Listing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.setClock(now, l.Clock)
+
+	sh := d.shelves[address]
+	if sh == nil {
+		return
+	}
+
+	sh.epoch, sh.next, sh.known, sh.away = l.Epoch, l.Next, true, false
+	sh.tokens = 0
+	sh.parts = make(map[Part]int, len(l.Held))
+
+	for _, h := range l.Held {
+		sh.add(h)
+	}
+}
+
+// Follow takes what changed. It returns false when the list has to be read anew:
+// the store restarted, or events are missing.
+func (d *Directory) Follow(now time.Time, address string, e Events) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.setClock(now, e.Clock)
+
+	sh := d.shelves[address]
+	if sh == nil {
+		return true
+	}
+
+	sh.away = false
+
+	if e.Lost || e.Epoch != sh.epoch {
+		// Nothing of an earlier epoch is there any more.
+		sh.known, sh.tokens = false, 0
+		clear(sh.parts)
+
+		return false
+	}
+
+	sh.next = e.Next
+
+	for _, ev := range e.Events {
+		if ev.Added {
+			sh.add(ev.Held)
+		} else {
+			sh.remove(ev.Part)
+		}
+	}
+
+	return true
+}
+
+// Lose takes that a store doesn't answer.
+func (d *Directory) Lose(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if sh := d.shelves[address]; sh != nil {
+		sh.away = true
+	}
+}
+
+func (s *shelf) add(h Held) {
+	delete(s.pending, h.Part)
+	s.tokens += h.Tokens - s.parts[h.Part]
+	s.parts[h.Part] = h.Tokens
+}
+
+func (s *shelf) remove(p Part) {
+	s.tokens -= s.parts[p]
+	delete(s.parts, p)
+}
+
+// setClock keeps the engines' clock. The caller holds mu.
+func (d *Directory) setClock(now time.Time, clock int64) {
+	if clock > 0 {
+		d.clock, d.clockAt = clock, now
+	}
+}
+
+// Clock returns the engines' clock in ms: never ahead of it, as what it told was
+// on its way for a while. ok is false until it was told.
+func (d *Directory) Clock(now time.Time) (ms int64, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.clock + now.Sub(d.clockAt).Milliseconds(), d.clock > 0
+}
+
+// Find returns a copy of a part, one in the engine's data centre if there is one.
+func (d *Directory) Find(p Part, dataCentre string) (Copy, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	var best Copy
+
+	found := false
+
+	for address, sh := range d.shelves {
+		tokens, ok := sh.parts[p]
+		if !ok || sh.away {
+			continue
+		}
+
+		near := sh.store.DataCentre == dataCentre
+		if !found || (near && !best.Near) || (near == best.Near && address < best.Address) {
+			best, found = Copy{Address: address, Tokens: tokens, Near: near}, true
+		}
+	}
+
+	return best, found
+}
+
+// Place returns the store in which a part is to be saved, if it is in none, is
+// not being saved and one has room, and notes that it is being saved. Stores get
+// parts in proportion to their room, each part always the same one while that
+// has room, so that entries which don't know of each other choose alike.
+func (d *Directory) Place(now time.Time, h Held) (address string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	best := 0.0
+
+	for a, sh := range d.shelves {
+		if _, held := sh.parts[h.Part]; held {
+			return "", false
+		}
+
+		if p, saving := sh.pending[h.Part]; saving && now.Before(p.until) {
+			return "", false
+		}
+
+		if sh.away || !sh.known || sh.free(now) < h.Tokens {
+			continue
+		}
+
+		if s := weight(a, h.Part, sh.store.Room); address == "" || s > best {
+			address, best = a, s
+		}
+	}
+
+	if address == "" {
+		return "", false
+	}
+
+	d.shelves[address].pending[h.Part] = pending{tokens: h.Tokens, until: now.Add(savePatience)}
+
+	return address, true
+}
+
+// free returns the tokens that fit, saves under way taken off.
+func (s *shelf) free(now time.Time) int {
+	free := s.store.Room - s.tokens
+
+	for p, w := range s.pending {
+		if now.After(w.until) {
+			delete(s.pending, p)
+
+			continue
+		}
+
+		free -= w.tokens
+	}
+
+	return free
+}
+
+// weight is the score of weighted rendezvous hashing.
+func weight(address string, p Part, room int) float64 {
+	h := xxhash.Sum64String(address + "|" + p.Salt + "|" + p.ID)
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+
+	return -float64(room) / math.Log(u)
+}
+
+// Replaced is what may be freed in one store.
+type Replaced struct {
+	// Address and Epoch are the store's.
+	Address string
+	Epoch   int64
+	// Parts are those of replaced weight versions.
+	Parts []Part
+	// Tokens is their sum.
+	Tokens int
+}
+
+// Replaced returns the parts of a model's versions before a given one, at most so
+// many a store.
+func (d *Directory) Replaced(model string, before int64, most int) []Replaced {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	var all []Replaced
+
+	for address, sh := range d.shelves {
+		if sh.away || !sh.known {
+			continue
+		}
+
+		r := Replaced{Address: address, Epoch: sh.epoch}
+
+		for p, tokens := range sh.parts {
+			s, ok := ParseSalt(p.Salt)
+			if ok && s.Model == model && s.Version < before && len(r.Parts) < most {
+				r.Parts = append(r.Parts, p)
+				r.Tokens += tokens
+			}
+		}
+
+		if len(r.Parts) > 0 {
+			all = append(all, r)
+		}
+	}
+
+	sort.Slice(all, func(i, j int) bool { return all[i].Address < all[j].Address })
+
+	return all
+}
+
+// Freed takes that parts were freed, as the store's events come late.
+func (d *Directory) Freed(r Replaced) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	sh := d.shelves[r.Address]
+	if sh == nil || sh.epoch != r.Epoch {
+		return
+	}
+
+	for _, p := range r.Parts {
+		sh.remove(p)
+	}
+}
+
+// Usage returns the tokens held and the room of all stores that answer.
+func (d *Directory) Usage() (held, room, parts int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for _, sh := range d.shelves {
+		if !sh.away {
+			held += sh.tokens
+			room += sh.store.Room
+			parts += len(sh.parts)
+		}
+	}
+
+	return held, room, parts
+}
--- /dev/null
+++ b/vault/vault.go
@@ -0,0 +1,141 @@
+// Package vault knows which contexts the stores beside the engines keep, and
+// when one may be fetched, saved or freed.
+//
+// # Model
+//
+// The stores drop nothing by themselves and don't know who reads from them. A
+// context that is freed while an engine fetches it would give that engine a
+// broken context, so this package frees nothing that anybody may still fetch:
+//
+//   - A context belongs to a Scope: model, weight version and, for isolated
+//     organisations, the organisation. Only contexts of replaced weight versions
+//     are freed.
+//   - A process fetches contexts of a version only until Grace after the last
+//     time at which it surely knew that no newer version was named (Right). A
+//     fetch that was granted ends by itself at a time that goes with it.
+//   - A process frees contexts of a version only when Grace and the longest fetch
+//     have passed since it learned of a newer one. Whoever did not know of it by
+//     then has lost its right to fetch.
+//
+// So it doesn't matter how many processes free, or which of them are cut off.
+//
+// A Directory learns from the stores' events, late and with gaps. Whatever it
+// gets wrong is a miss: the engine then reads the prompt.
+//
+// # Example
+//
+//	d := vault.NewDirectory()
+//	d.Learn(now, address, listing)
+//	if c, ok := d.Find(now, part, "yvr-east"); ok { … }
+package vault
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Scope says who may use a cached part: only requests with the same model, weight
+// version and wall.
+type Scope struct {
+	// Model is the model's name.
+	Model string
+	// Version is its weight version.
+	Version int64
+	// Wall is the organisation whose parts nobody else may use; empty for those
+	// that all others share.
+	Wall string
+}
+
+// Salt returns the text under which engines and stores keep the parts of the
+// scope.
+func (s Scope) Salt() string {
+	return s.Model + "/" + strconv.FormatInt(s.Version, 10) + "/" + s.Wall
+}
+
+// ParseSalt reads what Salt wrote.
+func ParseSalt(salt string) (Scope, bool) {
+	model, rest, ok := strings.Cut(salt, "/")
+	if !ok {
+		return Scope{}, false
+	}
+
+	version, wall, ok := strings.Cut(rest, "/")
+	if !ok {
+		return Scope{}, false
+	}
+
+	v, err := strconv.ParseInt(version, 10, 64)
+	if err != nil {
+		return Scope{}, false
+	}
+
+	return Scope{Model: model, Version: v, Wall: wall}, true
+}
+
+// Part is one part of a prompt as a store keeps it.
+type Part struct {
+	// Salt is the scope's salt.
+	Salt string
+	// ID is the part's id.
+	ID string
+}
+
+// Held is a part that a store holds whole.
+type Held struct {
+	Part
+	// Tokens is its length.
+	Tokens int
+}
+
+// Event is one change of what a store holds.
+type Event struct {
+	Held
+	// Added says that the part is there now; otherwise it is gone.
+	Added bool
+}
+
+// Events is the answer to the question what changed.
+type Events struct {
+	// Epoch is new at each start of the store.
+	Epoch int64
+	// Next is where to go on.
+	Next int64
+	// Lost says that events before these are missing.
+	Lost bool
+	// Clock is the engines' clock in ms, zero when not told.
+	Clock int64
+	// Events are in order.
+	Events []Event
+}
+
+// Listing is all that a store holds.
+type Listing struct {
+	// Epoch, Next and Clock are as in Events.
+	Epoch, Next, Clock int64
+	// Held are the parts that are whole.
+	Held []Held
+}
+
+// Timing of fetches and frees.
+const (
+	// Grace is how long after a process surely knew that a version was the newest
+	// it may still fetch contexts of it. What it knows is at most two long polls
+	// of the log old, 4 s, while the log answers.
+	Grace = 4500 * time.Millisecond
+	// MaxFetch is how long a fetch may take before the engine throws it away. The
+	// largest context takes 0.3 s between data centres, and a transfer that has
+	// to wait for more than 2 s isn't started.
+	MaxFetch = 1500 * time.Millisecond
+	// freeMargin is for what clocks and messages differ by.
+	freeMargin = 500 * time.Millisecond
+	// FreeAfter is how long after learning of a newer version the contexts of the
+	// ones before are freed.
+	FreeAfter = Grace + MaxFetch + freeMargin
+)
+
+// Right reports whether contexts of a version may be fetched at now, when the
+// process last surely knew at current that no newer version was named.
+func Right(now, current time.Time) bool {
+	return !current.IsZero() && now.Before(current.Add(Grace))
+}
--- /dev/null
+++ b/vault/watcher.go
@@ -0,0 +1,251 @@
+package vault
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/event"
+	"boragehub/pause"
+)
+
+// Source calls stores.
+type Source interface {
+	// Events returns what changed in a store, waiting for the first change.
+	Events(ctx context.Context, address string, since int64, wait time.Duration) (Events, error)
+	// List returns all that a store holds.
+	List(ctx context.Context, address string) (Listing, error)
+	// Free frees parts, unless the store restarted since the epoch or the
+	// engines' clock is past until.
+	Free(ctx context.Context, address string, epoch int64, parts []Part, until int64) error
+}
+
+// Timing of the watch.
+const (
+	// eventWait is how long one question waits for a change: the longest that
+	// stores allow, so that an idle store costs one call a second.
+	eventWait = time.Second
+	// eventSlack is how much longer the answer may take.
+	eventSlack = 700 * time.Millisecond
+	// listTimeout bounds the reading of a whole list.
+	listTimeout = time.Second
+	// awayPause is the pause before a store that doesn't answer is asked again.
+	awayPause = 500 * time.Millisecond
+	// sweepEvery is the pause between two looks for parts to free.
+	sweepEvery = 250 * time.Millisecond
+	// freeAtOnce bounds the parts of one call.
+	freeAtOnce = 500
+	// freePatience is how long a call to free may be under way until the store
+	// ignores it.
+	freePatience = time.Second
+)
+
+// WatcherConfig says what a Watcher works with.
+type WatcherConfig struct {
+	// Directory takes what is learned.
+	Directory *Directory
+	// Source calls the stores.
+	Source Source
+	// Turn returns how many others of the processes that free go first for a
+	// store; each waits so many times TurnWait longer.
+	Turn func(address string) int
+	// Log gets a line for each change.
+	Log logr.Logger
+}
+
+// TurnWait is how much longer the next process in turn waits before it frees, so
+// that usually one process alone calls.
+const TurnWait = 2 * time.Second
+
+// Watcher follows all stores and frees what was replaced. Use NewWatcher; its
+// methods may be called from many goroutines.
+type Watcher struct {
+	cfg WatcherConfig
+
+	mu       sync.Mutex
+	ctx      context.Context //nolint:containedctx // of the goroutines that Configure starts
+	stores   []Store
+	stops    map[string]context.CancelFunc
+	replaced map[string]replacement
+}
+
+// replacement is the newest version of a model and when it was learned of.
+type replacement struct {
+	version int64
+	at      time.Time
+}
+
+// NewWatcher returns a Watcher that Run starts.
+func NewWatcher(cfg WatcherConfig) *Watcher {
+	return &Watcher{cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string]replacement)}
+}
+
+// Configure sets the stores that there are.
+func (w *Watcher) Configure(stores []Store) {
+	w.cfg.Directory.Configure(stores)
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.stores = stores
+	w.start()
+}
+
+// start follows the stores that aren't followed yet and leaves those that are no
+// longer there. The caller holds mu.
+func (w *Watcher) start() {
+	stores := w.stores
+	wanted := make(map[string]bool, len(stores))
+
+	for _, s := range stores {
+		wanted[s.Address] = true
+
+		if _, ok := w.stops[s.Address]; ok || w.ctx == nil {
+			continue
+		}
+
+		ctx, cancel := context.WithCancel(w.ctx)
+		w.stops[s.Address] = cancel
+
+		go w.watch(ctx, s.Address)
+	}
+
+	for address, stop := range w.stops {
+		if !wanted[address] {
+			stop()
+			delete(w.stops, address)
+		}
+	}
+}
+
+// Named takes that a version of a model is the newest.
+func (w *Watcher) Named(now time.Time, model string, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if version > w.replaced[model].version {
+		w.replaced[model] = replacement{version, now}
+	}
+}
+
+// Run frees what was replaced until ctx ends. Configure may be called before.
+func (w *Watcher) Run(ctx context.Context) {
+	w.mu.Lock()
+	w.ctx = ctx
+	w.start()
+	w.mu.Unlock()
+
+	for pause.For(ctx, sweepEvery) {
+		w.sweep(ctx, time.Now())
+	}
+}
+
+// watch follows one store until ctx ends.
+func (w *Watcher) watch(ctx context.Context, address string) {
+	away := true
+
+	for ctx.Err() == nil {
+		err := w.ask(ctx, address)
+		if err == nil {
+			if away {
+				held, room, parts := w.cfg.Directory.Usage()
+				event.Log(w.cfg.Log, event.VaultRegained, "vault", address, "held", held, "room", room, "parts", parts)
+			}
+
+			away = false
+
+			continue
+		}
+
+		if ctx.Err() != nil {
+			return
+		}
+
+		if !away {
+			event.Fail(w.cfg.Log, err, event.VaultLost, "vault", address)
+		}
+
+		away = true
+		w.cfg.Directory.Lose(address)
+		pause.For(ctx, awayPause)
+	}
+}
+
+// ask asks a store once for what changed, or for everything.
+func (w *Watcher) ask(ctx context.Context, address string) error {
+	next, ok := w.cfg.Directory.Position(address)
+	if !ok {
+		return w.list(ctx, address)
+	}
+
+	c, cancel := context.WithTimeout(ctx, eventWait+eventSlack)
+	defer cancel()
+
+	e, err := w.cfg.Source.Events(c, address, next, eventWait)
+	if err != nil {
+		return err
+	}
+
+	if !w.cfg.Directory.Follow(time.Now(), address, e) {
+		event.Log(w.cfg.Log, event.VaultGap, "vault", address, "epoch", e.Epoch, "lost", e.Lost)
+	}
+
+	return nil
+}
+
+func (w *Watcher) list(ctx context.Context, address string) error {
+	c, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+
+	l, err := w.cfg.Source.List(c, address)
+	if err != nil {
+		return err
+	}
+
+	w.cfg.Directory.Learn(time.Now(), address, l)
+
+	return nil
+}
+
+// sweep frees what was replaced long enough ago.
+func (w *Watcher) sweep(ctx context.Context, now time.Time) {
+	w.mu.Lock()
+	due := make(map[string]replacement, len(w.replaced))
+
+	for model, r := range w.replaced {
+		if now.Sub(r.at) >= FreeAfter {
+			due[model] = r
+		}
+	}
+	w.mu.Unlock()
+
+	for model, r := range due {
+		for _, old := range w.cfg.Directory.Replaced(model, r.version, freeAtOnce) {
+			wait := time.Duration(w.cfg.Turn(old.Address)) * TurnWait
+			if now.Sub(r.at) >= FreeAfter+wait {
+				w.free(ctx, now, model, r, old)
+			}
+		}
+	}
+}
+
+func (w *Watcher) free(ctx context.Context, now time.Time, model string, r replacement, old Replaced) {
+	clock, ok := w.cfg.Directory.Clock(now)
+	if !ok {
+		return
+	}
+
+	c, cancel := context.WithTimeout(ctx, freePatience)
+	defer cancel()
+
+	if err := w.cfg.Source.Free(c, old.Address, old.Epoch, old.Parts, clock+freePatience.Milliseconds()); err != nil {
+		event.Fail(w.cfg.Log, err, event.VaultLost, "vault", old.Address, "step", "free")
+
+		return
+	}
+
+	w.cfg.Directory.Freed(old)
+	event.Log(w.cfg.Log, event.VaultFreed, "vault", old.Address, "parts", len(old.Parts), "tokens", old.Tokens, "model", model, "before", r.version)
+}
