pulse, route: tell entries an engine's load at first hand, weigh long prompts by it

Cause: an entry heard of an engine's load on its own answers alone, every second or two; long reviews piled up on two of seven engines (first event p50 1.9 s there, 0.4 s on others). Ruled out: memory; engines with little memory held were as slow. Change: side processes send their engine's load by datagram to entries that subscribe; each request on an engine for long prompts counts 60 ms.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -29,6 +29,7 @@
 	"boragehub/mirror/exchange"
 	"boragehub/pause"
 	"boragehub/platform"
+	"boragehub/pulse"
 	"boragehub/quarantine"
 	"boragehub/roster"
 	"boragehub/route"
@@ -72,8 +73,11 @@
 // crashesToRefuse is how many targets a request may break before it is refused.
 const crashesToRefuse = 3
 
-// metricsPort is the place of the metrics' port among the internal ones.
-const metricsPort = 10
+// Places among the ports for the system's own use.
+const (
+	metricsPort = 10
+	pulsePort   = 2
+)
 
 // fleetRoles are the processes on the users' platform.
 func fleetRoles() []command {
@@ -221,6 +225,11 @@
 	e.watcher.Configure(stores)
 }
 
+// engines returns the addresses of the model engines.
+func (e *fleetEntry) engines() []string {
+	return e.roster.Addresses(e.gateway.HasEngines)
+}
+
 // notice takes what a side process says of its engine.
 func (e *fleetEntry) notice(now time.Time, n exchange.Notice) {
 	id, ok := e.roster.ByAddress(n.Address)
@@ -259,7 +268,16 @@
 	bound(cfg)
 
 	e := newFleetEntry(cfg)
-	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick}
+
+	pulses, err := pulse.Listen(pulse.ListenerConfig{
+		Address: cfg.Internal(pulsePort), Port: cfg.FirstInternal + pulsePort,
+		Engines: e.engines, OnPulse: e.roster.Pulse,
+	})
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
+	}
+
+	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick, pulses.Run}
 
 	for _, f := range e.followers {
 		duties = append(duties, f.Run)
@@ -376,7 +394,14 @@
 		Wait: sideOperatorWait, OnNews: publications.Take, Log: log,
 	})
 
-	stop := background(lines.Run, follower.Run, l.Run)
+	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
+		Address: cfg.Internal(pulsePort), Engine: platform.NewCalls(), EngineAddress: cfg.Engine,
+	})
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
+	}
+
+	stop := background(lines.Run, follower.Run, l.Run, beacon.Run)
 	defer stop()
 
 	event.Log(log, event.ProcessStarted, "engine", cfg.Engine, "service", cfg.Service)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -147,7 +147,7 @@
 	ctx, cancel := context.WithDeadline(ctx, now.Add(t.patience(now)))
 	defer cancel()
 
-	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.unread)
+	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.unread, c.memory)
 	o := t.exchange(ctx, c)
 
 	if t.r.Context().Err() != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -15,8 +15,9 @@
 	engine roster.Engine
 	// sending is what goes with the request.
 	sending Sending
-	// unread are the tokens that the target is expected to read.
-	unread int
+	// unread are the tokens that the target is expected to read, memory those that
+	// the request takes of its memory.
+	unread, memory int
 }
 
 // Times to a target and back, for weighing one against another.
@@ -78,9 +79,10 @@
 	}
 
 	e := all[d.Target()]
-	t.log(e, "least_work", float64(d.Cost(d.Target()).Seconds)*1000, len(all))
+	c := choice{engine: e, sending: t.sending(now, e)}
+	t.log(c, "least_work", float64(d.Cost(d.Target()).Seconds)*1000, len(all))
 
-	return choice{engine: e, sending: t.sending(now, e)}, nil
+	return c, nil
 }
 
 // chooseEngine takes the engine that brings a prompt's first event soonest, what
@@ -93,9 +95,9 @@
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
 			Name: e.ID, Excluded: t.exclusion(e), Suspected: e.Doubted || e.Failures > 1,
-			Old: e.Version > 0 && e.Version < newest, Running: e.Load.Running, Waiting: e.Load.Waiting, Age: e.Load.Age,
-			InFlight: e.Ahead, InFlightTokens: e.AheadTokens, Slots: e.Slots, Distance: t.distance(e),
+			Old: e.Version > 0 && e.Version < newest, Slots: e.Slots, Distance: t.distance(e),
 		}
+		load(&candidates[i], e)
 	}
 
 	cfg := t.g.cfg.Opening
@@ -113,21 +115,39 @@
 		reason = "spill"
 	}
 
-	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens}
+	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens, memory: p.Tokens + p.Output}
 	t.contexts(now, &c)
-	t.log(e, reason, d.Cost(), len(all))
+	t.log(c, reason, d.Cost(), len(all))
 
 	return c, nil
 }
 
+// load fills in what an engine has to do: its pulse and what was sent since, or
+// what this entry knows by itself.
+func load(c *route.OpeningCandidate, e roster.Engine) {
+	if e.Fresh {
+		c.Running, c.Waiting = e.Pulse.Running+e.Since.Requests, e.Pulse.Waiting
+		c.SentTokens = e.Since.Reading
+		c.UsedTokens = e.Pulse.UsedTokens + e.Since.Memory
+
+		return
+	}
+
+	c.Running, c.Waiting = max(e.Ahead, e.Load.Running), e.Load.Waiting
+	c.SentTokens = e.AheadTokens
+	c.UsedTokens = e.AheadTokens
+}
+
 // opening describes the prompt for the decision.
 func (t *task) opening(version int64) route.OpeningRequest {
 	p := t.arrival.Prompt
 	shared := p.Shared()
 
+	kept := t.kept(version)
+
 	return route.OpeningRequest{
 		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output,
-		Kept: t.kept(version), Left: time.Until(t.deadline),
+		Kept: kept, New: !kept && shared > t.g.cfg.Opening.Short(), Left: time.Until(t.deadline),
 	}
 }
 
@@ -263,9 +283,24 @@
 	}
 }
 
-func (t *task) log(e roster.Engine, reason string, cost float64, candidates int) {
+// log writes down where the request goes and what spoke for it.
+func (t *task) log(c choice, reason string, cost float64, candidates int) {
+	e := c.engine
+
 	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
-		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "in_flight", e.Ahead,
-		"running", e.Load.Running, "waiting", e.Load.Waiting, "load_age_ms", e.Load.Age.Milliseconds(), "version", e.Version,
-		"config", t.cfg.Version())
+		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "config", t.cfg.Version(),
+		"running", max(e.Pulse.Running, e.Load.Running), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
+		"reading", e.Pulse.Reading, "used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
+		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread)
+}
+
+// noPulse stands for the age of a pulse that never came.
+const noPulse = -1
+
+func age(e roster.Engine) int64 {
+	if e.Pulse.Start == 0 {
+		return noPulse
+	}
+
+	return e.PulseAge.Milliseconds()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,6 +174,18 @@
 	return g.lastSeen()
 }
 
+// HasEngines reports whether a service is one of model engines.
+func (g *Gateway) HasEngines(service string) bool {
+	c := g.current.Load()
+	if c == nil {
+		return false
+	}
+
+	s, ok := c.Service(service)
+
+	return ok && s.Engines != nil
+}
+
 // ConfigVersion returns the version of the configuration in force, zero for none.
 func (g *Gateway) ConfigVersion() int64 {
 	if c := g.current.Load(); c != nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -29,6 +29,7 @@
 	"github.com/go-logr/logr"
 
 	"boragehub/event"
+	"boragehub/pulse"
 	"boragehub/target"
 )
 
@@ -95,10 +96,27 @@
 	Version int64
 	// Loading says that it loads weights and refuses work.
 	Loading bool
+	// Pulse is its load at first hand, PulseAge how old that is; Fresh says that
+	// it is not too old to go by.
+	Pulse    pulse.Pulse
+	PulseAge time.Duration
+	Fresh    bool
+	// Since are this process's requests sent after the pulse.
+	Since Sent
+}
+
+// Sent are requests that were sent to a target.
+type Sent struct {
+	// Requests is their number, Reading the tokens that they make it read, and
+	// Memory the tokens of memory that they take.
+	Requests, Reading, Memory int
 }
 
 // engine is what is kept of one target.
 type engine struct {
+	pulse     pulse.Pulse
+	pulseAt   time.Time
+	since     Sent
 	listing   Listing
 	versions  map[string]int64
 	loading   time.Time // until when it is taken to be loading
@@ -287,15 +305,67 @@
 }
 
 func (e *engine) view(now time.Time, t target.Target, model string) Engine {
+	age := now.Sub(e.pulseAt)
+
 	return Engine{
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loading),
+		Pulse: e.pulse, PulseAge: age, Fresh: age < pulseMost, Since: e.since,
+	}
+}
+
+// pulseMost is the age up to which a pulse is gone by: several may be lost.
+const pulseMost = 600 * time.Millisecond
+
+// Pulse takes an engine's load at first hand.
+func (r *Roster) Pulse(now time.Time, p pulse.Pulse) {
+	id, ok := r.ByAddress(p.Engine)
+	if !ok {
+		return
 	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	e, ok := r.engines[id]
+	if !ok {
+		return
+	}
+
+	e.pulse, e.pulseAt, e.since = p, now, Sent{}
+	r.raise(id, e, p.Model, p.Version, "pulse")
 }
 
-// Sent records that a request with so many prompt tokens goes to a target.
-func (r *Roster) Sent(now time.Time, id string, tokens int) target.Sending {
-	return r.table.Sent(now, id, tokens)
+// Addresses returns the addresses of the targets of the services that pass.
+func (r *Roster) Addresses(pass func(service string) bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var all []string
+
+	for _, e := range r.engines {
+		if pass(e.listing.Service) {
+			all = append(all, e.listing.Address)
+		}
+	}
+
+	return all
+}
+
+// Sent records that a request goes to a target, which makes it read so many
+// tokens and takes so many tokens of its memory.
+func (r *Roster) Sent(now time.Time, id string, reading, memory int) target.Sending {
+	r.mu.Lock()
+
+	if e, ok := r.engines[id]; ok {
+		e.since.Requests++
+		e.since.Reading += reading
+		e.since.Memory += memory
+	}
+
+	r.mu.Unlock()
+
+	return r.table.Sent(now, id, reading)
 }
 
 // Done records how a request ended.
--- a/route/opening.go
+++ b/route/opening.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -20,6 +21,9 @@
 	// Kept says that a store holds the opening, so that an engine without it
 	// brings it from there instead of reading it.
 	Kept bool
+	// New says that the opening was most likely not read before: no store holds
+	// it, though one had room.
+	New bool
 	// Left is the time until the answer's first event is of no use.
 	Left time.Duration
 }
@@ -38,12 +42,12 @@
 	// Old says that it has older weights than operators named: what it answers is
 	// worth less.
 	Old bool
-	// Running and Waiting are the requests of its last load report, Age how old
-	// that is.
+	// Running and Waiting are its requests.
 	Running, Waiting int
-	Age              time.Duration
-	// InFlight and InFlightTokens are this entry's requests there without an answer.
-	InFlight, InFlightTokens int
+	// SentTokens are the tokens to be read of what was sent there since.
+	SentTokens int
+	// UsedTokens is the memory that its requests hold.
+	UsedTokens int
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Distance is the time to it and back.
@@ -125,6 +129,18 @@
 	suspectCost = 3000
 	// notHomeCost breaks ties in favour of the opening's engines.
 	notHomeCost = 2
+	// longCost is what each request of an engine for long prompts takes before the
+	// next one starts: half of what reading a usual one takes, as it is on the way.
+	// A long request runs for as long as others are read beside it.
+	longCost = 60
+	// waitingCost is what a long prompt takes that waits.
+	waitingCost = 120
+	// newCost keeps a new opening at its first engine against small differences:
+	// another request with it may just be read there.
+	newCost = 50
+	// otherGroupCost keeps long prompts from the engines of short ones, where they
+	// push short openings out of memory, and the other way round.
+	otherGroupCost = 150
 	// overMemoryCost is what a prompt that doesn't fit beside the others costs:
 	// it waits for one of them to end, or pushes one out that is read again.
 	overMemoryCost = 300
@@ -133,14 +149,13 @@
 // DecideOpening returns the engine for a prompt: the least estimated time to its
 // first event plus the cost of reading its opening where it isn't. Each opening
 // has an order of engines, by rendezvous hashing, that all entries agree on
-// without talking; its first engines hold it unless it was evicted.
+// without talking; its first engine holds it unless it was evicted.
 func DecideOpening(cfg OpeningConfig, r OpeningRequest, candidates []OpeningCandidate) OpeningDecision {
 	cfg = cfg.withDefaults()
 	d := OpeningDecision{target: -1, home: -1}
-	ranks := openingRanks(cfg, r, candidates)
 
-	for i := range candidates {
-		if ranks[i] == 0 {
+	for i, p := range places(cfg, r, candidates) {
+		if p.rank == 0 {
 			d.home = i
 		}
 
@@ -149,7 +164,7 @@
 			continue
 		}
 
-		cost := c.cost(cfg, r, ranks[i])
+		cost := c.cost(cfg, r, p)
 		if d.target < 0 || cost < d.cost {
 			d.target, d.cost = i, cost
 		}
@@ -158,48 +173,45 @@
 	return d
 }
 
-// openingRanks returns the place of each candidate in the opening's order.
-// Engines of the other group of lengths come last.
-func openingRanks(cfg OpeningConfig, r OpeningRequest, candidates []OpeningCandidate) []int {
-	group := shortGroup(cfg, candidates)
-	short := r.Shared <= cfg.ShortTokens
+// place is a candidate's place in an opening's order.
+type place struct {
+	// rank is 0 for the opening's first engine.
+	rank int
+	// short says that the engine is one of those for short prompts, group that it
+	// is one of those for prompts of this length.
+	short, group bool
+	score        uint64
+}
 
-	type place struct {
-		index int
-		group bool
-		score uint64
-	}
+// places returns the place of each candidate in the opening's order. Engines of
+// the other group of lengths come last.
+func places(cfg OpeningConfig, r OpeningRequest, candidates []OpeningCandidate) []place {
+	short := r.Shared <= cfg.ShortTokens
+	all := make([]place, len(candidates))
+	order := make([]int, len(candidates))
 
-	places := make([]place, len(candidates))
-	for i := range candidates {
-		places[i] = place{i, group[i] == short, xxhash.Sum64String(r.Opening + "/" + candidates[i].Name)}
+	for i, isShort := range shortGroup(cfg, candidates) {
+		all[i] = place{short: isShort, group: isShort == short, score: xxhash.Sum64String(r.Opening + "/" + candidates[i].Name)}
+		order[i] = i
 	}
 
-	slices.SortFunc(places, func(a, b place) int {
-		if a.group != b.group {
-			if a.group {
+	slices.SortFunc(order, func(a, b int) int {
+		if all[a].group != all[b].group {
+			if all[a].group {
 				return -1
 			}
 
 			return 1
 		}
 
-		if a.score > b.score {
-			return -1
-		}
-
-		return 1
+		return cmp.Compare(all[b].score, all[a].score)
 	})
 
-	ranks := make([]int, len(candidates))
-	for rank, p := range places {
-		ranks[p.index] = rank
-		if !p.group {
-			ranks[p.index] = len(candidates)
-		}
+	for rank, i := range order {
+		all[i].rank = rank
 	}
 
-	return ranks
+	return all
 }
 
 // shortGroup tells which candidates short prompts use. The order is by a hash of
@@ -219,11 +231,7 @@
 	}
 
 	slices.SortFunc(order, func(a, b int) int {
-		if xxhash.Sum64String(candidates[a].Name) < xxhash.Sum64String(candidates[b].Name) {
-			return -1
-		}
-
-		return 1
+		return cmp.Compare(xxhash.Sum64String(candidates[a].Name), xxhash.Sum64String(candidates[b].Name))
 	})
 
 	for _, i := range order[:k] {
@@ -234,20 +242,20 @@
 }
 
 // cost returns the estimated cost of an engine in ms.
-func (c *OpeningCandidate) cost(cfg OpeningConfig, r OpeningRequest, rank int) float64 {
-	ms := c.wait(cfg) + float64(c.Distance)/float64(time.Millisecond)
+func (c *OpeningCandidate) cost(cfg OpeningConfig, r OpeningRequest, p place) float64 {
+	ms := c.wait(cfg, p.short) + float64(c.Distance)/float64(time.Millisecond)
 	ms += float64(r.Own) / cfg.PrefillTokensPerMs
 
-	if rank > 0 {
+	if p.rank > 0 {
 		ms += notHomeCost + c.miss(cfg, r)
 	}
 
-	if rank >= 2 && r.Shared <= cfg.ShortTokens {
-		ms += float64(min(rank, 4))
+	if !p.group {
+		ms += otherGroupCost
 	}
 
-	if c.InFlightTokens+r.tokens() > cfg.MemoryTokens {
-		ms += overMemoryCost * float64(c.InFlightTokens+r.tokens()-cfg.MemoryTokens) / float64(max(r.tokens(), 1))
+	if over := c.UsedTokens + r.tokens() - cfg.MemoryTokens; over > 0 {
+		ms += overMemoryCost * float64(over) / float64(max(r.tokens(), 1))
 	}
 
 	if c.Old {
@@ -263,29 +271,31 @@
 
 // miss is what it costs that an engine has to get the opening.
 func (c *OpeningCandidate) miss(cfg OpeningConfig, r OpeningRequest) float64 {
-	if r.Kept {
+	switch {
+	case r.Kept:
 		return float64(r.Shared) / cfg.FetchTokensPerMs
+	case r.New:
+		return newCost
 	}
 
 	return float64(r.Shared)/cfg.PrefillTokensPerMs + cfg.Miss*float64(r.Shared)/1000
 }
 
-// wait estimates the time before the engine starts on one more prompt: what this
-// entry has there, and what waits there according to a report that fades with age.
-func (c *OpeningCandidate) wait(cfg OpeningConfig) float64 {
-	const reportHalfLife = 250 // ms; first events come within about that time
-
-	fresh := math.Exp2(-float64(c.Age.Milliseconds()) / reportHalfLife)
-	others := fresh * float64(max(c.Running+c.Waiting-c.InFlight, 0))
-	requests := float64(c.InFlight) + others
+// wait estimates the time before the engine starts on one more prompt: the
+// prompts before it are read in pieces, one after the other, and each request
+// that runs makes the steps a little longer.
+func (c *OpeningCandidate) wait(cfg OpeningConfig, short bool) float64 {
 	step := float64(cfg.Step) / float64(time.Millisecond)
+	ms := float64(c.SentTokens) / cfg.PrefillTokensPerMs / 2
 
-	ms := float64(c.InFlightTokens) / cfg.PrefillTokensPerMs / 4
-	ms += requests * step / 8
-	ms += fresh * float64(c.Waiting) * step * 4
+	if short {
+		ms += float64(c.Running)*step/8 + float64(c.Waiting)*step
+	} else {
+		ms += float64(c.Running)*longCost + float64(c.Waiting)*waitingCost
+	}
 
-	if c.Slots > 0 && requests >= float64(c.Slots) {
-		ms += (requests - float64(c.Slots) + 1) * step * 4
+	if c.Slots > 0 && c.Running >= c.Slots {
+		ms += float64(c.Running-c.Slots+1) * step * 4
 	}
 
 	return ms
