vault, loader, route: change weights bit by bit, keep old contexts as long as they are read

All contexts are read anew, the engines of short prompts loaded one after the other, and contexts of the old weights lost their right at once while engines still used them.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -43,7 +43,7 @@
 	// operatorWait is how long an entry's read of the operators' topic waits. A
 	// configuration has to be in force two seconds after it was acknowledged, also
 	// when a connection fell silent shortly before.
-	operatorWait = 2 * time.Second
+	operatorWait = time.Second
 	// sideOperatorWait is a side process's: a weight version has eight seconds.
 	sideOperatorWait = 4 * time.Second
 	// registerEvery is the pause between two reads of the register: half of the
@@ -194,7 +194,7 @@
 	publications := &platform.Publications{
 		Configured: e.configured,
 		Named: func(now time.Time, v platform.WeightVersion) {
-			e.gateway.Named(v.Model, v.Version, operators.Before())
+			e.gateway.Named(now, v.Model, v.Version, operators.Before())
 			e.watcher.Named(now, v.Model, v.Version)
 		},
 		Unreadable: meter.Unreadable, Log: e.log,
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -90,20 +90,22 @@
 func (t *task) chooseEngine(now time.Time, all []roster.Engine) (choice, error) {
 	p := t.arrival.Prompt
 	newest := t.g.newest(p.Model)
+	due := t.g.due(now, p.Model)
 	candidates := make([]route.OpeningCandidate, len(all))
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
 			Name: e.ID, Excluded: t.exclusion(e), Suspected: e.Doubted || e.Failures > 1,
-			Old: e.Version > 0 && e.Version < newest, Slots: e.Slots, Distance: t.distance(e),
+			Old: e.Version > 0 && e.Version < due, Slots: e.Slots, Distance: t.distance(e),
 		}
 		load(&candidates[i], e)
+		candidates[i].Kept, candidates[i].New = t.kept(now, e.Version, newest)
 	}
 
 	cfg := t.g.cfg.Opening
 	cfg.MemoryTokens = t.service.Engines.MemoryTokens
 
-	d := route.DecideOpening(cfg, t.opening(newest), candidates)
+	d := route.DecideOpening(cfg, t.opening(), candidates)
 	if !d.Found() {
 		return choice{}, failure.New(failure.Unavailable, "all engines load weights or were tried").After(loadingPause)
 	}
@@ -139,26 +141,36 @@
 }
 
 // opening describes the prompt for the decision.
-func (t *task) opening(version int64) route.OpeningRequest {
+func (t *task) opening() route.OpeningRequest {
 	p := t.arrival.Prompt
 	shared := p.Shared()
 
-	kept := t.kept(version)
-
 	return route.OpeningRequest{
-		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output,
-		Kept: kept, New: !kept && shared > t.g.cfg.Opening.Short(), Left: time.Until(t.deadline),
+		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output, Left: time.Until(t.deadline),
 	}
 }
 
-// kept reports whether a store has the longest shared part for a version.
-func (t *task) kept(version int64) bool {
+// kept reports whether the longest shared part may be brought from a store for
+// engines of a version, and whether it most likely was not read for it yet.
+func (t *task) kept(now time.Time, version, newest int64) (kept, fresh bool) {
 	i := t.longest()
-	if i < 0 {
+	if i < 0 || t.arrival.Prompt.Parts[i].Tokens < t.g.cfg.Opening.Short() {
+		return false, false
+	}
+
+	kept = t.mayFetch(now, i, version)
+
+	return kept, !kept && version >= newest
+}
+
+// mayFetch reports whether a part of the prompt is in a store and may be fetched.
+func (t *task) mayFetch(now time.Time, i int, version int64) bool {
+	p := vault.Part{Salt: t.scope(version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}
+	if !p.Right(now, t.g.currentUntil(t.arrival.Prompt.Model, version)) {
 		return false
 	}
 
-	_, ok := t.g.cfg.Vaults.Find(vault.Part{Salt: t.scope(version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}, "")
+	_, ok := t.g.cfg.Vaults.Find(p, "")
 
 	return ok
 }
@@ -235,10 +247,6 @@
 	s.Version = c.engine.Version
 	s.Salt = t.scope(s.Version).Salt()
 
-	if !vault.Right(now, t.g.currentUntil(t.arrival.Prompt.Model, s.Version)) {
-		return
-	}
-
 	t.fetchAndSave(now, c)
 }
 
@@ -248,6 +256,7 @@
 	s := &c.sending
 	parts := t.arrival.Prompt.Parts
 	newest := s.Version >= t.g.newest(t.arrival.Prompt.Model)
+	current := t.g.currentUntil(t.arrival.Prompt.Model, s.Version)
 
 	clock, ok := t.g.cfg.Vaults.Clock(now)
 	if !ok {
@@ -263,7 +272,7 @@
 
 		p := vault.Part{Salt: s.Salt, ID: parts[i].ID}
 
-		if found, ok := t.g.cfg.Vaults.Find(p, c.engine.DataCentre); ok {
+		if found, ok := t.g.cfg.Vaults.Find(p, c.engine.DataCentre); ok && p.Right(now, current) {
 			fetch[i] = found.Address
 			s.Fetch = fetch
 			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
@@ -291,7 +300,17 @@
 		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "config", t.cfg.Version(),
 		"running", max(e.Pulse.Running, e.Load.Running), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
 		"reading", e.Pulse.Reading, "used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
-		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread)
+		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread,
+		"opening", t.openingID(), "salt", c.sending.Salt)
+}
+
+// openingID returns the id of the prompt's opening, empty for none.
+func (t *task) openingID() string {
+	if t.arrival.Prompt == nil {
+		return ""
+	}
+
+	return t.arrival.Prompt.Opening()
 }
 
 // noPulse stands for the age of a pulse that never came.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,10 +95,16 @@
 // named is a weight version that operators named.
 type named struct {
 	version int64
+	// at is when this process learned of it.
+	at time.Time
 	// before is the last time at which the versions before it were surely the newest.
 	before time.Time
 }
 
+// versionGrace is how long after a weight version was named answers on the one
+// before are as good: operators allow 1.5 s, and a request takes a while.
+const versionGrace = 1200 * time.Millisecond
+
 // maxNamed bounds the versions remembered of a model.
 const maxNamed = 8
 
@@ -134,7 +140,7 @@
 
 // Named takes that operators named a weight version. Before is the last time at
 // which the one before was surely the newest.
-func (g *Gateway) Named(model string, version int64, before time.Time) {
+func (g *Gateway) Named(now time.Time, model string, version int64, before time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -143,7 +149,7 @@
 		return
 	}
 
-	all = append(all, named{version, before})
+	all = append(all, named{version, now, before})
 	g.versions[model] = all[max(0, len(all)-maxNamed):]
 }
 
@@ -159,6 +165,22 @@
 	return 0
 }
 
+// due returns the version of a model that answers have to be made on: the newest
+// one that was named at least versionGrace ago.
+func (g *Gateway) due(now time.Time, model string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	all := g.versions[model]
+	for i := len(all) - 1; i >= 0; i-- {
+		if now.Sub(all[i].at) >= versionGrace {
+			return all[i].version
+		}
+	}
+
+	return 0
+}
+
 // currentUntil returns the last time at which a version was surely the newest of
 // its model.
 func (g *Gateway) currentUntil(model string, version int64) time.Time {
--- a/loader/turn.go
+++ b/loader/turn.go
@@ -42,7 +42,7 @@
 	}
 
 	if cfg.Each <= 0 {
-		cfg.Each = 700 * time.Millisecond
+		cfg.Each = 1100 * time.Millisecond
 	}
 
 	var due []string
@@ -62,6 +62,8 @@
 		return due[i] < due[j]
 	})
 
+	due = spread(due)
+
 	together := max(int(cfg.Together*float64(len(siblings))), 1)
 	t := Turn{Of: len(due)}
 
@@ -75,3 +77,20 @@
 
 	return t
 }
+
+// spread reorders engines so that each turn takes some from all over the order.
+// Routing gives neighbours in that order the same kind of work; taken together
+// they would leave that work without engines.
+func spread(ids []string) []string {
+	half := (len(ids) + 1) / 2
+	out := make([]string, 0, len(ids))
+
+	for i := range half {
+		out = append(out, ids[i])
+		if half+i < len(ids) {
+			out = append(out, ids[half+i])
+		}
+	}
+
+	return out
+}
--- a/route/opening.go
+++ b/route/opening.go
@@ -18,12 +18,6 @@
 	Shared, Own int
 	// Output is how many tokens the answer may have.
 	Output int
-	// Kept says that a store holds the opening, so that an engine without it
-	// brings it from there instead of reading it.
-	Kept bool
-	// New says that the opening was most likely not read before: no store holds
-	// it, though one had room.
-	New bool
 	// Left is the time until the answer's first event is of no use.
 	Left time.Duration
 }
@@ -48,6 +42,12 @@
 	SentTokens int
 	// UsedTokens is the memory that its requests hold.
 	UsedTokens int
+	// Kept says that a store holds the opening for the engine's weights, so that an
+	// engine without it brings it from there instead of reading it.
+	Kept bool
+	// New says that the opening was most likely not read before for the engine's
+	// weights: no store holds it, though one had room.
+	New bool
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Distance is the time to it and back.
@@ -84,7 +84,7 @@
 	c.FetchTokensPerMs = orDefault(c.FetchTokensPerMs, 200)
 	c.MemoryTokens = orDefault(c.MemoryTokens, 70_000)
 	c.ShortTokens = orDefault(c.ShortTokens, 1000)
-	c.ShortShare = orDefault(c.ShortShare, 0.4)
+	c.ShortShare = orDefault(c.ShortShare, 0.29)
 	c.Miss = orDefault(c.Miss, 40)
 	c.Step = orDefault(c.Step, 6*time.Millisecond)
 
@@ -121,9 +121,10 @@
 
 // Costs beside time, in ms.
 const (
-	// oldCost is what answering on old weights costs: a fifth of an answer's
-	// worth at first, which is more than a second's delay loses.
-	oldCost = 400
+	// oldCost is what answering on old weights costs: a fifth of an answer's worth.
+	// A higher one drives all work to the few engines that have new weights, where
+	// it comes late and loses more.
+	oldCost = 80
 	// suspectCost keeps work from an engine that failed of late while any other
 	// is not overloaded.
 	suspectCost = 3000
@@ -138,9 +139,9 @@
 	// newCost keeps a new opening at its first engine against small differences:
 	// another request with it may just be read there.
 	newCost = 50
-	// otherGroupCost keeps long prompts from the engines of short ones, where they
-	// push short openings out of memory, and the other way round.
-	otherGroupCost = 150
+	// amongShortCost keeps long prompts from the engines of short ones: each makes
+	// all short ones behind it late, and pushes their openings out of memory.
+	amongShortCost = 1200
 	// overMemoryCost is what a prompt that doesn't fit beside the others costs:
 	// it waits for one of them to end, or pushes one out that is read again.
 	overMemoryCost = 300
@@ -247,11 +248,16 @@
 	ms += float64(r.Own) / cfg.PrefillTokensPerMs
 
 	if p.rank > 0 {
-		ms += notHomeCost + c.miss(cfg, r)
+		ms += notHomeCost
+	}
+
+	// The first engine for a long opening mostly has it no longer.
+	if p.rank > 0 || (r.Shared > cfg.ShortTokens && !c.Kept) {
+		ms += c.miss(cfg, r, p)
 	}
 
-	if !p.group {
-		ms += otherGroupCost
+	if !p.group && p.short {
+		ms += amongShortCost
 	}
 
 	if over := c.UsedTokens + r.tokens() - cfg.MemoryTokens; over > 0 {
@@ -270,12 +276,14 @@
 }
 
 // miss is what it costs that an engine has to get the opening.
-func (c *OpeningCandidate) miss(cfg OpeningConfig, r OpeningRequest) float64 {
+func (c *OpeningCandidate) miss(cfg OpeningConfig, r OpeningRequest, p place) float64 {
 	switch {
-	case r.Kept:
+	case c.Kept:
 		return float64(r.Shared) / cfg.FetchTokensPerMs
-	case r.New:
+	case c.New && p.rank > 0:
 		return newCost
+	case c.New:
+		return 0
 	}
 
 	return float64(r.Shared)/cfg.PrefillTokensPerMs + cfg.Miss*float64(r.Shared)/1000
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -287,9 +287,9 @@
 	Tokens int
 }
 
-// Replaced returns the parts of a model's versions before a given one, at most so
-// many a store.
-func (d *Directory) Replaced(model string, before int64, most int) []Replaced {
+// Replaced returns the parts that are due to be freed, when a newer version of
+// their model than theirs was learned of so long ago, at most so many a store.
+func (d *Directory) Replaced(model string, before int64, ago func(address string) time.Duration, most int) []Replaced {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -301,10 +301,11 @@
 		}
 
 		r := Replaced{Address: address, Epoch: sh.epoch}
+		since := ago(address)
 
 		for p, tokens := range sh.parts {
 			s, ok := ParseSalt(p.Salt)
-			if ok && s.Model == model && s.Version < before && len(r.Parts) < most {
+			if ok && s.Model == model && s.Version < before && since >= p.FreeAfter() && len(r.Parts) < most {
 				r.Parts = append(r.Parts, p)
 				r.Tokens += tokens
 			}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -10,12 +10,12 @@
 //   - A context belongs to a Scope: model, weight version and, for isolated
 //     organisations, the organisation. Only contexts of replaced weight versions
 //     are freed.
-//   - A process fetches contexts of a version only until Grace after the last
-//     time at which it surely knew that no newer version was named (Right). A
-//     fetch that was granted ends by itself at a time that goes with it.
-//   - A process frees contexts of a version only when Grace and the longest fetch
-//     have passed since it learned of a newer one. Whoever did not know of it by
-//     then has lost its right to fetch.
+//   - A process fetches a context of a version only until a grace time after it
+//     last surely knew that no newer version was named (Part.Right). A fetch that
+//     was granted ends by itself at a time that goes with it.
+//   - A process frees a context only when its grace time and the longest fetch
+//     have passed since it learned of a newer version (Part.FreeAfter). Whoever
+//     did not know of it by then has lost its right to fetch.
 //
 // So it doesn't matter how many processes free, or which of them are cut off.
 //
@@ -33,6 +33,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Scope says who may use a cached part: only requests with the same model, weight
@@ -119,23 +121,38 @@
 
 // Timing of fetches and frees.
 const (
-	// Grace is how long after a process surely knew that a version was the newest
-	// it may still fetch contexts of it. What it knows is at most two long polls
-	// of the log old, 4 s, while the log answers.
-	Grace = 4500 * time.Millisecond
+	// graceLeast and graceMost bound how long after a process surely knew that a
+	// version was the newest it may still fetch contexts of it. What it knows is
+	// two long polls of the log old at most, 2 s, while the log answers. Parts
+	// differ, so that the room of replaced contexts comes free bit by bit while
+	// engines change over to the new weights, which takes some seven seconds: all
+	// at once would leave either the engines that have yet to change without
+	// contexts, or those that have without room to keep new ones.
+	graceLeast = 2500 * time.Millisecond
+	graceMost  = 7000 * time.Millisecond
 	// MaxFetch is how long a fetch may take before the engine throws it away. The
-	// largest context takes 0.3 s between data centres, and a transfer that has
-	// to wait for more than 2 s isn't started.
-	MaxFetch = 1500 * time.Millisecond
+	// largest context takes 0.3 s between data centres, with a few others before it.
+	MaxFetch = 1000 * time.Millisecond
 	// freeMargin is for what clocks and messages differ by.
-	freeMargin = 500 * time.Millisecond
-	// FreeAfter is how long after learning of a newer version the contexts of the
-	// ones before are freed.
-	FreeAfter = Grace + MaxFetch + freeMargin
+	freeMargin = 300 * time.Millisecond
 )
 
-// Right reports whether contexts of a version may be fetched at now, when the
-// process last surely knew at current that no newer version was named.
-func Right(now, current time.Time) bool {
-	return !current.IsZero() && now.Before(current.Add(Grace))
+// grace returns how long a part may be fetched after its version was surely the
+// newest. All processes agree on it.
+func (p Part) grace() time.Duration {
+	const steps = 1024
+
+	step := time.Duration(xxhash.Sum64String("grace|"+p.ID) % steps)
+
+	return graceLeast + (graceMost-graceLeast)*step/steps
 }
+
+// Right reports whether the part may be fetched at now, when the process last
+// surely knew at current that no newer version was named.
+func (p Part) Right(now, current time.Time) bool {
+	return !current.IsZero() && now.Before(current.Add(p.grace()))
+}
+
+// FreeAfter returns how long after learning of a newer version the part is freed:
+// whoever may still fetch it has learned of it by then, or has lost the right.
+func (p Part) FreeAfter() time.Duration { return p.grace() + MaxFetch + freeMargin }
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 	// awayPause is the pause before a store that doesn't answer is asked again.
 	awayPause = 500 * time.Millisecond
 	// sweepEvery is the pause between two looks for parts to free.
-	sweepEvery = 250 * time.Millisecond
+	sweepEvery = 500 * time.Millisecond
 	// freeAtOnce bounds the parts of one call.
 	freeAtOnce = 500
 	// freePatience is how long a call to free may be under way until the store
@@ -68,10 +69,14 @@
 	ctx      context.Context //nolint:containedctx // of the goroutines that Configure starts
 	stores   []Store
 	stops    map[string]context.CancelFunc
-	replaced map[string]replacement
+	replaced map[string][]replacement
 }
 
-// replacement is the newest version of a model and when it was learned of.
+// maxReplacements bounds the versions remembered of a model.
+const maxReplacements = 8
+
+// replacement is a version of a model that replaced those before, and when it was
+// learned of.
 type replacement struct {
 	version int64
 	at      time.Time
@@ -79,7 +84,7 @@
 
 // NewWatcher returns a Watcher that Run starts.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	return &Watcher{cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string]replacement)}
+	return &Watcher{cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement)}
 }
 
 // Configure sets the stores that there are.
@@ -125,9 +130,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if version > w.replaced[model].version {
-		w.replaced[model] = replacement{version, now}
+	all := w.replaced[model]
+	if n := len(all); n > 0 && all[n-1].version >= version {
+		return
 	}
+
+	all = append(all, replacement{version, now})
+	w.replaced[model] = all[max(0, len(all)-maxReplacements):]
 }
 
 // Run frees what was replaced until ctx ends. Configure may be called before.
@@ -212,19 +221,20 @@
 // sweep frees what was replaced long enough ago.
 func (w *Watcher) sweep(ctx context.Context, now time.Time) {
 	w.mu.Lock()
-	due := make(map[string]replacement, len(w.replaced))
+	replaced := make(map[string][]replacement, len(w.replaced))
 
-	for model, r := range w.replaced {
-		if now.Sub(r.at) >= FreeAfter {
-			due[model] = r
-		}
+	for model, all := range w.replaced {
+		replaced[model] = slices.Clone(all)
 	}
 	w.mu.Unlock()
 
-	for model, r := range due {
-		for _, old := range w.cfg.Directory.Replaced(model, r.version, freeAtOnce) {
-			wait := time.Duration(w.cfg.Turn(old.Address)) * TurnWait
-			if now.Sub(r.at) >= FreeAfter+wait {
+	for model, all := range replaced {
+		for _, r := range all {
+			ago := func(address string) time.Duration {
+				return now.Sub(r.at) - time.Duration(w.cfg.Turn(address))*TurnWait
+			}
+
+			for _, old := range w.cfg.Directory.Replaced(model, r.version, ago, freeAtOnce) {
 				w.free(ctx, now, model, r, old)
 			}
 		}
