--- a/vault/vault.go
+++ b/vault/vault.go
@@ -131,8 +131,9 @@
 	graceLeast = 2500 * time.Millisecond
 	graceMost  = 7000 * time.Millisecond
 	// MaxFetch is how long a fetch may take before the engine throws it away. The
-	// largest context takes 0.3 s between data centres, with a few others before it.
-	MaxFetch = 1000 * time.Millisecond
+	// largest context takes 0.3 s between data centres, with a few others before it,
+	// and the request may wait for its engine first.
+	MaxFetch = 2000 * time.Millisecond
 	// freeMargin is for what clocks and messages differ by.
 	freeMargin = 300 * time.Millisecond
 )
