--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -153,13 +153,13 @@
 	members := exchange.NewMembers(cfg.Peers, cfg.Seeds)
 	calls := platform.NewCalls()
 	source := platform.NewLog(cfg.Log)
-	directory := vault.NewDirectory()
+	directory := vault.NewDirectory(time.Now().UnixNano())
 
 	e.client = exchange.NewClient(members)
 	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
-		Directory: directory, Source: calls, Log: log,
+		Directory: directory, Source: calls, Peers: e.client, Log: log,
 		Turn: func(address string) int { return members.Turn(time.Now(), address) },
 	})
 
@@ -182,9 +182,10 @@
 	}, operators.Fresh)
 
 	e.follow(source, operators, register, meter)
-	e.peers = exchange.NewServer(members, map[string]*mirror.Topic{
-		platform.OperatorTopic: operators, platform.RegisterTopic: register,
-	}, e.notice)
+	e.peers = exchange.NewServer(exchange.ServerConfig{
+		Members: members, Vaults: directory, Notice: e.notice,
+		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
+	})
 
 	return e
 }
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -18,6 +18,7 @@
 
 	"boragehub/mirror"
 	"boragehub/pause"
+	"boragehub/vault"
 )
 
 var errNobody = errors.New("no entry is known")
@@ -169,6 +170,30 @@
 	wg.Wait()
 }
 
+// Watchers returns who is to follow a store.
+func (c *Client) Watchers(address string) (others []string, self bool) {
+	return c.members.Watchers(time.Now(), address)
+}
+
+// Ask asks an entry what changed in stores.
+func (c *Client) Ask(ctx context.Context, peer string, positions []vault.Position) ([]vault.Update, error) {
+	body, err := cbor.Marshal(positions)
+	if err != nil {
+		return nil, err
+	}
+
+	answer, err := c.call(ctx, http.MethodPost, peer, vaultsPath, body)
+	if err != nil {
+		return nil, err
+	}
+
+	var updates []vault.Update
+
+	err = decoder.Unmarshal(answer, &updates)
+
+	return updates, err
+}
+
 // Hello asks all known entries for the others that they know.
 func (c *Client) Hello(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -29,6 +29,7 @@
 const (
 	recordsPath = "/records"
 	noticePath  = "/notice"
+	vaultsPath  = "/vaults"
 )
 
 // Reply is the answer to a question for records.
@@ -168,6 +169,29 @@
 	return false
 }
 
+// watchers is how many entries follow one store: a second one for when the first
+// dies. Stores hold a dozen calls open.
+const watchers = 2
+
+// Watchers returns who is to follow a store, best first, without this process;
+// self says that it is among them.
+func (m *Members) Watchers(now time.Time, address string) (others []string, self bool) {
+	all := append(m.Live(now), m.self)
+	score := func(a string) uint64 { return xxhash.Sum64String("watch|" + address + "|" + a) }
+
+	sort.Slice(all, func(i, j int) bool { return score(all[i]) > score(all[j]) })
+
+	for _, a := range all[:min(watchers, len(all))] {
+		if a == m.self {
+			self = true
+		} else {
+			others = append(others, a)
+		}
+	}
+
+	return others, self
+}
+
 // Turn returns how many live entries come before this one for a matter, in an
 // order by hash that all agree on.
 func (m *Members) Turn(now time.Time, matter string) int {
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"boragehub/mirror"
+	"boragehub/vault"
 )
 
 // Server answers other processes. It is an http.Handler.
@@ -17,11 +18,25 @@
 	members *Members
 	topics  map[string]*mirror.Topic
 	notice  func(now time.Time, n Notice)
+	vaults  *vault.Directory
 }
 
-// NewServer returns a Server that tells of topics and takes notices.
-func NewServer(m *Members, topics map[string]*mirror.Topic, notice func(now time.Time, n Notice)) *Server {
-	s := &Server{mux: http.NewServeMux(), members: m, topics: topics, notice: notice}
+// ServerConfig is what a Server tells of.
+type ServerConfig struct {
+	// Members are the entries known.
+	Members *Members
+	// Topics are the topics mirrored, by name.
+	Topics map[string]*mirror.Topic
+	// Vaults knows the stores.
+	Vaults *vault.Directory
+	// Notice takes what side processes say.
+	Notice func(now time.Time, n Notice)
+}
+
+// NewServer returns a Server.
+func NewServer(cfg ServerConfig) *Server {
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, notice: cfg.Notice, vaults: cfg.Vaults}
+	s.mux.HandleFunc("POST "+vaultsPath, s.stores)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
 	s.mux.HandleFunc("POST "+noticePath, s.take)
 
@@ -55,7 +70,12 @@
 		}
 	}
 
-	body, err := cbor.Marshal(reply)
+	answer(w, reply)
+}
+
+// answer writes a message.
+func answer[T any](w http.ResponseWriter, message T) {
+	body, err := cbor.Marshal(message)
 	if err != nil {
 		http.Error(w, "no answer can be made", http.StatusInternalServerError)
 
@@ -66,18 +86,33 @@
 	w.Write(body)
 }
 
-// take takes what a side process says.
-func (s *Server) take(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
+// question reads a message.
+func question[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var message T
 
-	var n Notice
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
 	if err == nil {
-		err = decoder.Unmarshal(body, &n)
+		err = decoder.Unmarshal(body, &message)
 	}
 
 	if err != nil {
-		http.Error(w, "the notice can't be read", http.StatusBadRequest)
+		http.Error(w, "the message can't be read", http.StatusBadRequest)
+	}
+
+	return message, err == nil
+}
+
+// stores tells what changed in stores.
+func (s *Server) stores(w http.ResponseWriter, r *http.Request) {
+	if positions, ok := question[[]vault.Position](w, r); ok {
+		answer(w, s.vaults.Tell(time.Now(), positions))
+	}
+}
 
+// take takes what a side process says.
+func (s *Server) take(w http.ResponseWriter, r *http.Request) {
+	n, ok := question[Notice](w, r)
+	if !ok {
 		return
 	}
 
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -43,6 +43,10 @@
 	parts   map[Part]int
 	tokens  int
 	pending map[Part]pending
+
+	direct   bool     // its events are read by this process
+	changes  changes  // for other processes
+	followed Position // how far another process's changes were followed
 }
 
 type pending struct {
@@ -55,12 +59,16 @@
 type Directory struct {
 	mu      sync.Mutex
 	shelves map[string]*shelf
+	started int64     // tells this start of the process from others
 	clock   int64     // the engines' clock in ms …
 	clockAt time.Time // … not later than at this time
 }
 
-// NewDirectory returns an empty Directory.
-func NewDirectory() *Directory { return &Directory{shelves: make(map[string]*shelf)} }
+// NewDirectory returns an empty Directory. Started is any number that differs from
+// that of other starts of the process, as the time in ns.
+func NewDirectory(started int64) *Directory {
+	return &Directory{shelves: make(map[string]*shelf), started: started}
+}
 
 // Configure sets the stores that there are.
 func (d *Directory) Configure(stores []Store) {
@@ -89,7 +97,7 @@
 	defer d.mu.Unlock()
 
 	sh := d.shelves[address]
-	if sh == nil || !sh.known {
+	if sh == nil || !sh.known || !sh.direct {
 		return 0, false
 	}
 
@@ -108,8 +116,10 @@
 		return
 	}
 
-	sh.epoch, sh.next, sh.known, sh.away = l.Epoch, l.Next, true, false
+	sh.epoch, sh.next, sh.known, sh.away, sh.direct = l.Epoch, l.Next, true, false, true
 	sh.tokens = 0
+	sh.changes.forget()
+
 	sh.parts = make(map[Part]int, len(l.Held))
 
 	for _, h := range l.Held {
@@ -136,6 +146,7 @@
 		// Nothing of an earlier epoch is there any more.
 		sh.known, sh.tokens = false, 0
 		clear(sh.parts)
+		sh.changes.forget()
 
 		return false
 	}
@@ -167,11 +178,13 @@
 	delete(s.pending, h.Part)
 	s.tokens += h.Tokens - s.parts[h.Part]
 	s.parts[h.Part] = h.Tokens
+	s.changes.note(Event{Held: h, Added: true})
 }
 
 func (s *shelf) remove(p Part) {
 	s.tokens -= s.parts[p]
 	delete(s.parts, p)
+	s.changes.note(Event{Held: Held{Part: p}})
 }
 
 // setClock keeps the engines' clock. The caller holds mu.
--- /dev/null
+++ b/vault/share.go
@@ -0,0 +1,166 @@
+package vault
+
+import (
+	"time"
+)
+
+// Position is how far a process has followed what another one knows of a store.
+type Position struct {
+	// Address is the store's.
+	Address string `cbor:"1,keyasint"`
+	// Teller is the start of the process that told, Sequence its last change.
+	Teller   int64  `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+}
+
+// Update is what one process tells another of a store.
+type Update struct {
+	Position
+	// Watched says that the teller follows the store itself and it answers.
+	Watched bool `cbor:"4,keyasint"`
+	// Epoch is the store's.
+	Epoch int64 `cbor:"5,keyasint"`
+	// Whole says that Added are all parts; otherwise Added and Removed are changes.
+	Whole   bool   `cbor:"6,keyasint"`
+	Added   []Held `cbor:"7,keyasint"`
+	Removed []Part `cbor:"8,keyasint"`
+	// Clock is the engines' clock in ms, never ahead of it.
+	Clock int64 `cbor:"9,keyasint"`
+}
+
+// keptChanges is how many changes of a store are kept for others to follow. At a
+// few hundred contexts that change in the seconds after new weights, it covers
+// several questions; who is further behind gets everything.
+const keptChanges = 256
+
+// changes are the last changes of a shelf.
+type changes struct {
+	sequence uint64 // of the newest
+	kept     []Event
+}
+
+// note keeps a change.
+func (c *changes) note(e Event) {
+	c.sequence++
+	c.kept = append(c.kept, e)
+
+	if len(c.kept) > 2*keptChanges {
+		c.kept = append(c.kept[:0], c.kept[len(c.kept)-keptChanges:]...)
+	}
+}
+
+// forget makes all others start anew.
+func (c *changes) forget() {
+	c.sequence++
+	c.kept = nil
+}
+
+// since returns the changes after a sequence number; ok is false when they are no
+// longer kept.
+func (c *changes) since(sequence uint64) (events []Event, ok bool) {
+	if sequence > c.sequence || c.sequence-sequence > uint64(len(c.kept)) {
+		return nil, false
+	}
+
+	return c.kept[uint64(len(c.kept))-(c.sequence-sequence):], true
+}
+
+// Tell returns what changed since the positions.
+func (d *Directory) Tell(now time.Time, positions []Position) []Update {
+	clock, known := d.Clock(now)
+	if !known {
+		clock = 0
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	updates := make([]Update, 0, len(positions))
+
+	for _, p := range positions {
+		u := Update{Position: Position{Address: p.Address, Teller: d.started}, Clock: clock}
+
+		if sh := d.shelves[p.Address]; sh != nil && sh.direct && sh.known && !sh.away {
+			sh.tell(&u, p, d.started)
+		}
+
+		updates = append(updates, u)
+	}
+
+	return updates
+}
+
+// tell fills in an update.
+func (s *shelf) tell(u *Update, p Position, started int64) {
+	u.Watched, u.Epoch, u.Sequence = true, s.epoch, s.changes.sequence
+
+	events, ok := s.changes.since(p.Sequence)
+	if p.Teller != started || !ok {
+		u.Whole = true
+
+		for part, tokens := range s.parts {
+			u.Added = append(u.Added, Held{Part: part, Tokens: tokens})
+		}
+
+		return
+	}
+
+	for _, e := range events {
+		if e.Added {
+			u.Added = append(u.Added, e.Held)
+		} else {
+			u.Removed = append(u.Removed, e.Part)
+		}
+	}
+}
+
+// Followed returns how far this process has followed what another one told.
+func (d *Directory) Followed(address string) Position {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	p := Position{Address: address}
+	if sh := d.shelves[address]; sh != nil {
+		p = sh.followed
+		p.Address = address
+	}
+
+	return p
+}
+
+// Adopt takes what another process tells of a store. It returns false when that
+// one doesn't follow the store.
+func (d *Directory) Adopt(now time.Time, u Update) bool {
+	if !u.Watched {
+		return false
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.setClock(now, u.Clock)
+
+	sh := d.shelves[u.Address]
+	if sh == nil {
+		return false
+	}
+
+	if u.Whole {
+		clear(sh.parts)
+		sh.tokens = 0
+		sh.changes.forget()
+	}
+
+	for _, p := range u.Removed {
+		sh.remove(p)
+	}
+
+	for _, h := range u.Added {
+		sh.add(h)
+	}
+
+	sh.epoch, sh.known, sh.away, sh.direct = u.Epoch, true, false, false
+	sh.followed = u.Position
+
+	return true
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -78,16 +78,16 @@
 // Part is one part of a prompt as a store keeps it.
 type Part struct {
 	// Salt is the scope's salt.
-	Salt string
+	Salt string `cbor:"1,keyasint"`
 	// ID is the part's id.
-	ID string
+	ID string `cbor:"2,keyasint"`
 }
 
 // Held is a part that a store holds whole.
 type Held struct {
 	Part
 	// Tokens is its length.
-	Tokens int
+	Tokens int `cbor:"3,keyasint"`
 }
 
 // Event is one change of what a store holds.
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -32,6 +32,8 @@
 	eventSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of a whole list.
 	listTimeout = time.Second
+	// peerEvery is the pause between two questions to a process that follows a store.
+	peerEvery = 300 * time.Millisecond
 	// awayPause is the pause before a store that doesn't answer is asked again.
 	awayPause = 500 * time.Millisecond
 	// sweepEvery is the pause between two looks for parts to free.
@@ -43,12 +45,24 @@
 	freePatience = time.Second
 )
 
+// Peers are the other processes that know of stores.
+type Peers interface {
+	// Watchers returns who is to follow a store, best first: a few processes, or
+	// this one alone when there is no other. Self says that this one is among them.
+	Watchers(address string) (others []string, self bool)
+	// Ask asks a process what changed since the positions.
+	Ask(ctx context.Context, peer string, positions []Position) ([]Update, error)
+}
+
 // WatcherConfig says what a Watcher works with.
 type WatcherConfig struct {
 	// Directory takes what is learned.
 	Directory *Directory
 	// Source calls the stores.
 	Source Source
+	// Peers are asked about stores that they follow; stores answer only few callers
+	// at once.
+	Peers Peers
 	// Turn returns how many others of the processes that free go first for a
 	// store; each waits so many times TurnWait longer.
 	Turn func(address string) int
@@ -151,35 +165,62 @@
 	}
 }
 
-// watch follows one store until ctx ends.
+// watch follows one store until ctx ends, by itself or through a process that does.
 func (w *Watcher) watch(ctx context.Context, address string) {
 	away := true
 
 	for ctx.Err() == nil {
-		err := w.ask(ctx, address)
-		if err == nil {
-			if away {
-				held, room, parts := w.cfg.Directory.Usage()
-				event.Log(w.cfg.Log, event.VaultRegained, "vault", address, "held", held, "room", room, "parts", parts)
-			}
-
+		others, self := w.cfg.Peers.Watchers(address)
+		if !self && w.askPeers(ctx, address, others) {
 			away = false
 
+			pause.For(ctx, peerEvery)
+
 			continue
 		}
 
+		err := w.ask(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
 
-		if !away {
-			event.Fail(w.cfg.Log, err, event.VaultLost, "vault", address)
+		w.tellChange(address, away, err)
+		away = err != nil
+
+		if away {
+			w.cfg.Directory.Lose(address)
+			pause.For(ctx, awayPause)
+		}
+	}
+}
+
+// tellChange logs that a store was lost or answers again.
+func (w *Watcher) tellChange(address string, away bool, err error) {
+	switch {
+	case err == nil && away:
+		held, room, parts := w.cfg.Directory.Usage()
+		event.Log(w.cfg.Log, event.VaultRegained, "vault", address, "held", held, "room", room, "parts", parts)
+	case err != nil && !away:
+		event.Fail(w.cfg.Log, err, event.VaultLost, "vault", address)
+	}
+}
+
+// askPeers takes what changed from the first process that follows the store.
+func (w *Watcher) askPeers(ctx context.Context, address string, peers []string) bool {
+	for _, p := range peers {
+		updates, err := w.cfg.Peers.Ask(ctx, p, []Position{w.cfg.Directory.Followed(address)})
+		if err != nil {
+			continue // the next one, or the store itself
 		}
 
-		away = true
-		w.cfg.Directory.Lose(address)
-		pause.For(ctx, awayPause)
+		for _, u := range updates {
+			if w.cfg.Directory.Adopt(time.Now(), u) {
+				return true
+			}
+		}
 	}
+
+	return false
 }
 
 // ask asks a store once for what changed, or for everything.
