--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -99,7 +99,7 @@
 			Old: e.Version > 0 && e.Version < due, Slots: e.Slots, Distance: t.distance(e),
 		}
 		load(&candidates[i], e)
-		candidates[i].Kept, candidates[i].New = t.kept(now, e.Version, newest)
+		t.kept(now, &candidates[i], e, newest)
 	}
 
 	cfg := t.g.cfg.Opening
@@ -150,29 +150,27 @@
 	}
 }
 
-// kept reports whether the longest shared part may be brought from a store for
-// engines of a version, and whether it most likely was not read for it yet.
-func (t *task) kept(now time.Time, version, newest int64) (kept, fresh bool) {
+// kept fills in whether the longest shared part may be brought from a store for
+// the engine's weights, and whether it most likely was not read for them yet.
+func (t *task) kept(now time.Time, c *route.OpeningCandidate, e roster.Engine, newest int64) {
 	i := t.longest()
 	if i < 0 || t.arrival.Prompt.Parts[i].Tokens < t.g.cfg.Opening.Short() {
-		return false, false
+		return
 	}
 
-	kept = t.mayFetch(now, i, version)
-
-	return kept, !kept && version >= newest
+	found, ok := t.find(now, i, e)
+	c.Kept, c.Near = ok, found.Near
+	c.New = !ok && e.Version >= newest
 }
 
-// mayFetch reports whether a part of the prompt is in a store and may be fetched.
-func (t *task) mayFetch(now time.Time, i int, version int64) bool {
-	p := vault.Part{Salt: t.scope(version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}
-	if !p.Right(now, t.g.currentUntil(t.arrival.Prompt.Model, version)) {
-		return false
+// find returns a copy of a part of the prompt that may be fetched for an engine.
+func (t *task) find(now time.Time, i int, e roster.Engine) (vault.Copy, bool) {
+	p := vault.Part{Salt: t.scope(e.Version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}
+	if !p.Right(now, t.g.currentUntil(t.arrival.Prompt.Model, e.Version)) {
+		return vault.Copy{}, false
 	}
 
-	_, ok := t.g.cfg.Vaults.Find(p, "")
-
-	return ok
+	return t.g.cfg.Vaults.Find(p, e.DataCentre)
 }
 
 // longest returns the index of the longest shared part, -1 when there is none.
@@ -256,7 +254,6 @@
 	s := &c.sending
 	parts := t.arrival.Prompt.Parts
 	newest := s.Version >= t.g.newest(t.arrival.Prompt.Model)
-	current := t.g.currentUntil(t.arrival.Prompt.Model, s.Version)
 
 	clock, ok := t.g.cfg.Vaults.Clock(now)
 	if !ok {
@@ -270,9 +267,7 @@
 			continue
 		}
 
-		p := vault.Part{Salt: s.Salt, ID: parts[i].ID}
-
-		if found, ok := t.g.cfg.Vaults.Find(p, c.engine.DataCentre); ok && p.Right(now, current) {
+		if found, ok := t.find(now, i, c.engine); ok {
 			fetch[i] = found.Address
 			s.Fetch = fetch
 			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
@@ -285,7 +280,7 @@
 			continue
 		}
 
-		if address, ok := t.g.cfg.Vaults.Place(now, vault.Held{Part: p, Tokens: parts[i].Tokens}); ok {
+		if address, ok := t.g.cfg.Vaults.Place(now, vault.Held{Part: vault.Part{Salt: s.Salt, ID: parts[i].ID}, Tokens: parts[i].Tokens}); ok {
 			save[i] = address
 			s.Save = save
 		}
--- a/route/opening.go
+++ b/route/opening.go
@@ -45,6 +45,9 @@
 	// Kept says that a store holds the opening for the engine's weights, so that an
 	// engine without it brings it from there instead of reading it.
 	Kept bool
+	// Near says that this store is in the engine's data centre; transfers between
+	// data centres take twice as long.
+	Near bool
 	// New says that the opening was most likely not read before for the engine's
 	// weights: no store holds it, though one had room.
 	New bool
@@ -136,6 +139,8 @@
 	longCost = 60
 	// waitingCost is what a long prompt takes that waits.
 	waitingCost = 120
+	// farTransfer is how many times longer a transfer between data centres takes.
+	farTransfer = 2
 	// newCost keeps a new opening at its first engine against small differences:
 	// another request with it may just be read there.
 	newCost = 50
@@ -252,7 +257,7 @@
 	}
 
 	// The first engine for a long opening mostly has it no longer.
-	if p.rank > 0 || (r.Shared > cfg.ShortTokens && !c.Kept) {
+	if p.rank > 0 || r.Shared > cfg.ShortTokens {
 		ms += c.miss(cfg, r, p)
 	}
 
@@ -278,8 +283,10 @@
 // miss is what it costs that an engine has to get the opening.
 func (c *OpeningCandidate) miss(cfg OpeningConfig, r OpeningRequest, p place) float64 {
 	switch {
-	case c.Kept:
+	case c.Kept && c.Near:
 		return float64(r.Shared) / cfg.FetchTokensPerMs
+	case c.Kept:
+		return farTransfer * float64(r.Shared) / cfg.FetchTokensPerMs
 	case c.New && p.rank > 0:
 		return newCost
 	case c.New:
