loader, gateway: begin a change of weights when answers on the old ones lose, end it in time

Cause: engines changed over while answers on the old weights were still as good, and nothing kept requests from an engine that misses the time allowed.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -178,7 +178,7 @@
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
 		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), Opening: route.OpeningConfig{},
 		RepeatRatio: cfg.Bounds.RepeatRatio * 0.75, RepeatWindow: cfg.Bounds.RepeatWindow,
-		RepeatFloor: max(cfg.Bounds.RepeatSlack/repeatEntries, 1), Meter: meter, Log: log,
+		RepeatFloor: max(cfg.Bounds.RepeatSlack/repeatEntries, 1), VersionWithin: cfg.Bounds.Version, Meter: meter, Log: log,
 	}, operators.Fresh)
 
 	e.follow(source, operators, register, meter)
@@ -382,7 +382,7 @@
 	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
 
 	l := loader.New(loader.Config{
-		Address: cfg.Engine, Holder: cfg.VM, Engine: platform.NewCalls(),
+		Address: cfg.Engine, Holder: cfg.VM, Engine: platform.NewCalls(), Turn: loader.TurnConfig{Within: cfg.Bounds.Version},
 		Register: platform.Siblings{Log: source}, Entries: client, Log: log,
 	})
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -90,12 +90,12 @@
 func (t *task) chooseEngine(now time.Time, all []roster.Engine) (choice, error) {
 	p := t.arrival.Prompt
 	newest := t.g.newest(p.Model)
-	due := t.g.due(now, p.Model)
+	due, required := t.g.namedFor(now, p.Model, versionGrace), t.g.required(now, p.Model)
 	candidates := make([]route.OpeningCandidate, len(all))
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
-			Name: e.ID, Excluded: t.exclusion(e), Suspected: e.Doubted || e.Failures > 1,
+			Name: e.ID, Excluded: t.exclusion(e, required), Suspected: e.Doubted || e.Failures > 1,
 			Old: e.Version > 0 && e.Version < due, Slots: e.Slots, Distance: t.distance(e),
 		}
 		load(&candidates[i], e)
@@ -187,11 +187,11 @@
 	return best
 }
 
-func (t *task) exclusion(e roster.Engine) route.Exclusion {
+func (t *task) exclusion(e roster.Engine, required int64) route.Exclusion {
 	switch {
 	case t.tried[e.ID]:
 		return route.AlreadyTried
-	case e.Loading:
+	case e.Loading, e.Version > 0 && e.Version < required:
 		return route.OtherVersion
 	default:
 		return route.None
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 	RepeatRatio  float64
 	RepeatWindow time.Duration
 	RepeatFloor  int
+	// VersionWithin is the time after which no request may begin on replaced
+	// weights; zero allows it for ever.
+	VersionWithin time.Duration
 	// Meter counts; nil counts nothing.
 	Meter Meter
 	// Log gets a line for each decision.
@@ -105,6 +108,10 @@
 // before are as good: operators allow 1.5 s, and a request takes a while.
 const versionGrace = 1200 * time.Millisecond
 
+// versionMargin is how long before the time allowed an engine with replaced
+// weights gets no more requests: one may wait for its turn there for a while.
+const versionMargin = 600 * time.Millisecond
+
 // maxNamed bounds the versions remembered of a model.
 const maxNamed = 8
 
@@ -165,15 +172,15 @@
 	return 0
 }
 
-// due returns the version of a model that answers have to be made on: the newest
-// one that was named at least versionGrace ago.
-func (g *Gateway) due(now time.Time, model string) int64 {
+// namedFor returns the newest version of a model that was named at least so long
+// ago, zero for none.
+func (g *Gateway) namedFor(now time.Time, model string, ago time.Duration) int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	all := g.versions[model]
 	for i := len(all) - 1; i >= 0; i-- {
-		if now.Sub(all[i].at) >= versionGrace {
+		if now.Sub(all[i].at) >= ago {
 			return all[i].version
 		}
 	}
@@ -181,6 +188,15 @@
 	return 0
 }
 
+// required returns the version of a model below which an engine gets no requests.
+func (g *Gateway) required(now time.Time, model string) int64 {
+	if g.cfg.VersionWithin <= 0 {
+		return 0
+	}
+
+	return g.namedFor(now, model, g.cfg.VersionWithin-versionMargin)
+}
+
 // currentUntil returns the last time at which a version was surely the newest of
 // its model.
 func (g *Gateway) currentUntil(model string, version int64) time.Time {
--- a/loader/turn.go
+++ b/loader/turn.go
@@ -20,9 +20,48 @@
 	// Together is the part of the engines that load at once: 0.2 when zero. More
 	// would slow each other down and leave too few that serve.
 	Together float64
-	// Each is the time from the start of one turn to the next: 700 ms when zero,
-	// about what a load takes with the runs before it.
+	// First is when the first turn starts: 1.2 s when zero. Until 1.5 s after a
+	// version was named answers on the one before are as good, and contexts are
+	// warm only there.
+	First time.Duration
+	// Each is the most time from the start of one turn to the next: 1.1 s when
+	// zero. All contexts are read anew for new weights; taken faster, the engines
+	// can't keep up with that.
 	Each time.Duration
+	// Within is the time in which all engines have to have the version: 8 s when zero.
+	Within time.Duration
+}
+
+// loadTime is what a load takes with the runs before it, at most in usual times.
+const loadTime = 1500 * time.Millisecond
+
+func (c TurnConfig) withDefaults() TurnConfig {
+	if c.Together <= 0 {
+		c.Together = 0.2
+	}
+
+	if c.First <= 0 {
+		c.First = 1200 * time.Millisecond
+	}
+
+	if c.Each <= 0 {
+		c.Each = 1100 * time.Millisecond
+	}
+
+	if c.Within <= 0 {
+		c.Within = 8 * time.Second
+	}
+
+	return c
+}
+
+// each returns the time from one turn to the next.
+func (c TurnConfig) each(turns int) time.Duration {
+	if turns < 2 {
+		return c.Each
+	}
+
+	return max(min(c.Each, (c.Within-c.First-loadTime)/time.Duration(turns-1)), 0)
 }
 
 // Turn is when an engine loads a version.
@@ -37,13 +76,7 @@
 // it out for its own engine from the same list, in an order by hash that mixes
 // data centres, so that no process has to lead.
 func TakeTurn(cfg TurnConfig, self string, version int64, siblings []Sibling) Turn {
-	if cfg.Together <= 0 {
-		cfg.Together = 0.2
-	}
-
-	if cfg.Each <= 0 {
-		cfg.Each = 1100 * time.Millisecond
-	}
+	cfg = cfg.withDefaults()
 
 	var due []string
 
@@ -73,7 +106,8 @@
 		}
 	}
 
-	t.Wait = time.Duration(t.Rank/together) * cfg.Each
+	turns := (t.Of + together - 1) / together
+	t.Wait = cfg.First + time.Duration(t.Rank/together)*cfg.each(turns)
 
 	return t
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -231,4 +231,3 @@
 
 	return 0
 }
-
