--- a/route/opening.go
+++ b/route/opening.go
@@ -70,7 +70,7 @@
 	// when zero. Short prompts have engines of their own, so that the long ones
 	// neither delay them nor push their openings out of memory.
 	ShortTokens int
-	// ShortShare is the part of the engines that short prompts use: 0.4 when zero.
+	// ShortShare is the part of the engines that short prompts use: 0.23 when zero.
 	ShortShare float64
 	// Miss is what reading an opening again costs beyond its time, in ms a 1,000
 	// tokens: 40 when zero.
@@ -87,7 +87,7 @@
 	c.FetchTokensPerMs = orDefault(c.FetchTokensPerMs, 200)
 	c.MemoryTokens = orDefault(c.MemoryTokens, 70_000)
 	c.ShortTokens = orDefault(c.ShortTokens, 1000)
-	c.ShortShare = orDefault(c.ShortShare, 0.29)
+	c.ShortShare = orDefault(c.ShortShare, 0.23)
 	c.Miss = orDefault(c.Miss, 40)
 	c.Step = orDefault(c.Step, 6*time.Millisecond)
 
