--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -220,7 +220,7 @@
 	var stores []vault.Store
 
 	for _, s := range c.Vaults() {
-		stores = append(stores, vault.Store{Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens})
+		stores = append(stores, vault.Store{Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens, FirstByte: s.Vault.FirstByte})
 	}
 
 	e.watcher.Configure(stores)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -248,8 +248,13 @@
 	t.fetchAndSave(now, c)
 }
 
-// fetchAndSave names a store for each long part: the one to bring it from, or the
-// one to keep it in from now on. Short parts are read faster than fetched.
+// keepLeast is the length from which a part is kept in stores: a block of an
+// engine's memory. Also the short ones at the beginning have to be there: a part is
+// of use only together with all before it.
+const keepLeast = 16
+
+// fetchAndSave names a store for each part that is long enough: the one to bring
+// it from, or the one to keep it in from now on.
 func (t *task) fetchAndSave(now time.Time, c *choice) {
 	s := &c.sending
 	parts := t.arrival.Prompt.Parts
@@ -263,7 +268,7 @@
 	fetch, save := make([]string, len(parts)), make([]string, len(parts))
 
 	for i := range len(parts) - 1 {
-		if parts[i].Tokens < t.g.cfg.Opening.Short() {
+		if parts[i].Tokens < keepLeast {
 			continue
 		}
 
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -17,8 +17,25 @@
 	DataCentre string
 	// Room is how many tokens it holds.
 	Room int
+	// FirstByte is the wait before each transfer.
+	FirstByte time.Duration
 }
 
+// quick reports whether the store suits short parts, for which the wait before a
+// transfer is most of its time.
+func (s Store) quick() bool { return s.FirstByte < quickFirstByte }
+
+const (
+	// quickFirstByte separates stores of two makes: half a millisecond and six.
+	quickFirstByte = 2 * time.Millisecond
+	// longPart is the length from which a part is long. Reading a long one again
+	// holds its engine up for as long as fifty short ones.
+	longPart = 1000
+	// shortRoom is the part of a quick store's room that short parts may take: the
+	// rest is for long ones that find no room in the others.
+	shortRoom = 0.6
+)
+
 // Copy is a part that may be fetched.
 type Copy struct {
 	// Address is the store's.
@@ -42,6 +59,7 @@
 	away    bool // it doesn't answer
 	parts   map[Part]int
 	tokens  int
+	short   int // of tokens, those of short parts
 	pending map[Part]pending
 
 	direct   bool     // its events are read by this process
@@ -117,7 +135,7 @@
 	}
 
 	sh.epoch, sh.next, sh.known, sh.away, sh.direct = l.Epoch, l.Next, true, false, true
-	sh.tokens = 0
+	sh.tokens, sh.short = 0, 0
 	sh.changes.forget()
 
 	sh.parts = make(map[Part]int, len(l.Held))
@@ -144,7 +162,7 @@
 
 	if e.Lost || e.Epoch != sh.epoch {
 		// Nothing of an earlier epoch is there any more.
-		sh.known, sh.tokens = false, 0
+		sh.known, sh.tokens, sh.short = false, 0, 0
 		clear(sh.parts)
 		sh.changes.forget()
 
@@ -176,13 +194,22 @@
 
 func (s *shelf) add(h Held) {
 	delete(s.pending, h.Part)
-	s.tokens += h.Tokens - s.parts[h.Part]
+	s.count(-s.parts[h.Part])
+	s.count(h.Tokens)
 	s.parts[h.Part] = h.Tokens
 	s.changes.note(Event{Held: h, Added: true})
 }
 
+// count adds tokens of one part, or takes them off.
+func (s *shelf) count(tokens int) {
+	s.tokens += tokens
+	if max(tokens, -tokens) < longPart {
+		s.short += tokens
+	}
+}
+
 func (s *shelf) remove(p Part) {
-	s.tokens -= s.parts[p]
+	s.count(-s.parts[p])
 	delete(s.parts, p)
 	s.changes.note(Event{Held: Held{Part: p}})
 }
@@ -228,30 +255,28 @@
 }
 
 // Place returns the store in which a part is to be saved, if it is in none, is
-// not being saved and one has room, and notes that it is being saved. Stores get
-// parts in proportion to their room, each part always the same one while that
+// not being saved and one has room, and notes that it is being saved. Long parts go
+// to quick stores only when the others are full, short ones to those alone. Stores
+// get parts in proportion to their room, each part always the same one while that
 // has room, so that entries which don't know of each other choose alike.
 func (d *Directory) Place(now time.Time, h Held) (address string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	best := 0.0
-
-	for a, sh := range d.shelves {
-		if _, held := sh.parts[h.Part]; held {
-			return "", false
-		}
+	if d.held(now, h.Part) {
+		return "", false
+	}
 
-		if p, saving := sh.pending[h.Part]; saving && now.Before(p.until) {
-			return "", false
-		}
+	best, second := 0.0, false
 
-		if sh.away || !sh.known || sh.free(now) < h.Tokens {
+	for a, sh := range d.shelves {
+		if !sh.takes(now, h.Tokens) {
 			continue
 		}
 
-		if s := weight(a, h.Part, sh.store.Room); address == "" || s > best {
-			address, best = a, s
+		s, last := weight(a, h.Part, sh.store.Room), h.Tokens >= longPart && sh.store.quick()
+		if address == "" || (second && !last) || (second == last && s > best) {
+			address, best, second = a, s, last
 		}
 	}
 
@@ -264,6 +289,35 @@
 	return address, true
 }
 
+// held reports whether a part is in a store or on its way to one. The caller
+// holds mu.
+func (d *Directory) held(now time.Time, p Part) bool {
+	for _, sh := range d.shelves {
+		if _, ok := sh.parts[p]; ok {
+			return true
+		}
+
+		if w, ok := sh.pending[p]; ok && now.Before(w.until) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// takes reports whether the store may take a part of a length.
+func (s *shelf) takes(now time.Time, tokens int) bool {
+	if s.away || !s.known {
+		return false
+	}
+
+	if tokens >= longPart {
+		return s.free(now) >= tokens
+	}
+
+	return s.store.quick() && s.free(now) >= tokens && float64(s.short) < shortRoom*float64(s.store.Room)
+}
+
 // free returns the tokens that fit, saves under way taken off.
 func (s *shelf) free(now time.Time) int {
 	free := s.store.Room - s.tokens
--- a/vault/share.go
+++ b/vault/share.go
@@ -29,9 +29,9 @@
 }
 
 // keptChanges is how many changes of a store are kept for others to follow. At a
-// few hundred contexts that change in the seconds after new weights, it covers
-// several questions; who is further behind gets everything.
-const keptChanges = 256
+// few hundred parts a second that change after new weights, it covers several
+// questions; who is further behind gets everything.
+const keptChanges = 512
 
 // changes are the last changes of a shelf.
 type changes struct {
@@ -147,7 +147,7 @@
 
 	if u.Whole {
 		clear(sh.parts)
-		sh.tokens = 0
+		sh.tokens, sh.short = 0, 0
 		sh.changes.forget()
 	}
 
