--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -262,13 +262,16 @@
 // misdirected takes that a target has another weight version than was believed,
 // or that another target has its address.
 func (t *task) misdirected(c choice, a Answer) {
-	if a.Version > c.engine.Version {
-		// Believed now, so that the same target may be tried with it.
-		delete(t.tried, c.engine.ID)
-	}
+	now := time.Now()
 
-	if a.Target != "" && a.Target != c.engine.ID {
-		t.g.cfg.Roster.Gone(time.Now(), c.engine.ID)
+	switch {
+	case a.Target != "" && a.Target != c.engine.ID:
+		t.g.cfg.Roster.Gone(now, c.engine.ID)
+	case a.Version > c.engine.Version:
+		// Believed now, so the same target may be tried with it.
+		delete(t.tried, c.engine.ID)
+	default:
+		t.g.cfg.Roster.Refused(now, c.engine.ID, refusedPause)
 	}
 }
 
@@ -284,11 +287,13 @@
 	if x.Status() == http.StatusMisdirectedRequest {
 		o.kind = failure.WrongVersion
 		t.misdirected(c, a)
+
+		return o
 	}
 
 	// A target that refuses with places free loads weights.
 	pause := refusedPause
-	if x.Status() == http.StatusServiceUnavailable && a.LoadKnown && a.Running < a.Slots && a.Waiting == 0 {
+	if a.LoadKnown && a.Running < a.Slots && a.Waiting == 0 {
 		pause = loadingPause
 	}
 
