--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,6 +49,8 @@
 	Slots int
 	// Versions are its weight versions by model.
 	Versions map[string]int64
+	// Offset orders what the register says: targets write there again and again.
+	Offset int64
 }
 
 // same reports whether l says nothing that o doesn't.
@@ -131,10 +133,22 @@
 
 	mu       sync.Mutex
 	engines  map[string]*engine
+	holders  map[string]holder // by address
 	doubtful time.Time // until when drops are in doubt
 	away     bool      // the log does not answer
 }
 
+// holder is the target that spoke last from an address.
+//
+// A target that was killed and started anew is listed twice for some seconds, under
+// its old id and its new one. Half of the requests would go to the old ids and be
+// refused there; after a power failure that is half of all. One address holds one
+// target, so the one that wrote to the register last has it.
+type holder struct {
+	id     string
+	offset int64
+}
+
 // pool is large enough that every target of a deployment is known well; bounded
 // knowledge of the largest fleets is the table's matter.
 const pool = 4096
@@ -157,6 +171,7 @@
 			ProbePatience: 2 * time.Second, ForgetAfter: time.Minute,
 		}),
 		engines: make(map[string]*engine),
+		holders: make(map[string]holder),
 	}
 }
 
@@ -181,6 +196,10 @@
 		r.engines[l.ID] = e
 	}
 
+	if h := r.holders[l.Address]; h.id == "" || l.Offset >= h.offset {
+		r.holders[l.Address] = holder{l.ID, l.Offset}
+	}
+
 	e.dropAfter = time.Time{}
 	changed := !ok || !e.listing.same(l)
 
@@ -218,6 +237,10 @@
 
 // drop forgets a target. The caller holds mu.
 func (r *Roster) drop(now time.Time, id, reason string) {
+	if address := r.engines[id].listing.Address; r.holders[address].id == id {
+		delete(r.holders, address)
+	}
+
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
 	r.observe(now)
@@ -296,7 +319,7 @@
 	all := make([]Engine, 0, len(targets))
 
 	for _, t := range targets {
-		if e, ok := r.engines[t.VM]; ok {
+		if e, ok := r.engines[t.VM]; ok && r.holds(e) {
 			all = append(all, e.view(now, t, model))
 		}
 	}
@@ -304,6 +327,14 @@
 	return all
 }
 
+// holds reports whether no other target spoke later from a target's address. The
+// caller holds mu.
+func (r *Roster) holds(e *engine) bool {
+	h, ok := r.holders[e.listing.Address]
+
+	return !ok || h.id == e.listing.ID
+}
+
 func (e *engine) view(now time.Time, t target.Target, model string) Engine {
 	age := now.Sub(e.pulseAt)
 
@@ -446,21 +477,14 @@
 	return newest
 }
 
-// ByAddress returns the id of the target that the register names at an address,
-// the one that doesn't drain when there are two.
+// ByAddress returns the id of the target that holds an address.
 func (r *Roster) ByAddress(address string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	found := ""
-
-	for id, e := range r.engines {
-		if e.listing.Address == address && (found == "" || !e.listing.Draining) {
-			found = id
-		}
-	}
+	h, ok := r.holders[address]
 
-	return found, found != ""
+	return h.id, ok
 }
 
 // Len returns how many targets are known.
