--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -31,6 +31,18 @@
 	c.nc.Close()
 }
 
+// abort gives the connection up at once, bytes on their way included. An engine
+// that stands still would otherwise find the request when it goes on, seconds after
+// its caller left, and work on it for nobody.
+func (c *conn) abort() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		//nolint:errcheck,gosec // the connection may be closed already
+		t.SetLinger(0)
+	}
+
+	c.close()
+}
+
 // quiet reports whether the connection is open with nothing to read: it looks
 // at the socket without taking bytes from it.
 func (c *conn) quiet() bool {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -55,7 +55,7 @@
 		}
 	}
 
-	x := &Exchange{pool: p, conn: c, stop: context.AfterFunc(ctx, c.close)}
+	x := &Exchange{pool: p, conn: c, stop: context.AfterFunc(ctx, c.abort)}
 
 	// A context that ended before the first byte left: nothing was sent.
 	if err := ctx.Err(); err != nil {
