gateway, route, vault: let long prompts wait for room instead of for memory

Cause: above some 15 long prompts a second the engines' work collapsed (2 of 10 in time, 7 of 10 prompts read whole): five and more were sent to each engine, each was read in pieces between the others', kept its memory for 3 s, and fetched contexts were pushed out. Ruled out: the stores' links. Change: an engine gets as many long prompts as its memory holds (3); others wait at the entry for 1.2 s at most, first come, first served, then are refused unrun.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -130,16 +130,18 @@
 
 // fleetEntry is an entry on the users' platform.
 type fleetEntry struct {
-	cfg     platform.Settings
-	log     logr.Logger
-	lines   *output.Writer
-	gateway *gateway.Gateway
-	roster  *roster.Roster
-	pool    *upstream.Pool
-	watcher *vault.Watcher
-	client  *exchange.Client
-	peers   *exchange.Server
-	meters  *prometheus.Registry
+	cfg       platform.Settings
+	log       logr.Logger
+	lines     *output.Writer
+	gateway   *gateway.Gateway
+	roster    *roster.Roster
+	pool      *upstream.Pool
+	watcher   *vault.Watcher
+	directory *vault.Directory
+	members   *exchange.Members
+	client    *exchange.Client
+	peers     *exchange.Server
+	meters    *prometheus.Registry
 
 	followers []*mirror.Follower
 }
@@ -155,6 +157,7 @@
 	source := platform.NewLog(cfg.Log)
 	directory := vault.NewDirectory(time.Now().UnixNano())
 
+	e.directory, e.members = directory, members
 	e.client = exchange.NewClient(members)
 	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
 	e.pool = upstream.NewPool(upstream.Config{})
@@ -220,7 +223,10 @@
 	var stores []vault.Store
 
 	for _, s := range c.Vaults() {
-		stores = append(stores, vault.Store{Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens, FirstByte: s.Vault.FirstByte})
+		stores = append(stores, vault.Store{
+			Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens, FirstByte: s.Vault.FirstByte,
+			TokensPerMs: tokensPerMs(s.Vault.LinkMbps, c.TokenBytes()),
+		})
 	}
 
 	e.watcher.Configure(stores)
@@ -231,6 +237,17 @@
 	return e.roster.Addresses(e.gateway.HasEngines)
 }
 
+// tokensPerMs returns how many tokens a link of so many Mbit/s carries in a ms.
+func tokensPerMs(mbps, tokenBytes float64) float64 {
+	if tokenBytes <= 0 {
+		return 0
+	}
+
+	const bytesPerMbitMs = 1e6 / 8 / 1e3
+
+	return mbps * bytesPerMbitMs / tokenBytes
+}
+
 // notice takes what a side process says of its engine.
 func (e *fleetEntry) notice(now time.Time, n exchange.Notice) {
 	id, ok := e.roster.ByAddress(n.Address)
@@ -249,6 +266,7 @@
 func (e *fleetEntry) tick(ctx context.Context) {
 	for pause.For(ctx, tickEvery) {
 		now := time.Now()
+		e.directory.SetSharers(len(e.members.Live(now)) + 1)
 		e.roster.Tick(now)
 		e.pool.Sweep(now)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,6 +42,11 @@
 		now := time.Now()
 
 		c, err := t.choose(now)
+		if errors.Is(err, errNoRoom) {
+			c, err = t.awaitRoom(ctx)
+			now = time.Now()
+		}
+
 		if err == nil {
 			last = t.attempt(ctx, now, c)
 			if last.done {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -18,6 +18,9 @@
 	// unread are the tokens that the target is expected to read, memory those that
 	// the request takes of its memory.
 	unread, memory int
+	// fetchWait and fetchTime are how long the longest fetch is expected to wait
+	// for its store's link and to take.
+	fetchWait, fetchTime time.Duration
 }
 
 // Times to a target and back, for weighing one against another.
@@ -37,6 +40,8 @@
 	// loadingPause is for engines that load weights: half a second each, a few at
 	// a time.
 	loadingPause = 300 * time.Millisecond
+	// roomPause is for engines without room: a long prompt takes about that time.
+	roomPause = time.Second
 	// nonePause is for a service without targets: one that was started anew is
 	// listed within about a second.
 	nonePause = 700 * time.Millisecond
@@ -107,7 +112,7 @@
 
 	d := route.DecideOpening(cfg, t.opening(), candidates)
 	if !d.Found() {
-		return choice{}, failure.New(failure.Unavailable, "all engines load weights or were tried").After(loadingPause)
+		return choice{}, nobody(candidates)
 	}
 
 	e := all[d.Target()]
@@ -159,7 +164,7 @@
 	}
 
 	found, ok := t.find(now, i, e)
-	c.Kept, c.Near = ok, found.Near
+	c.Kept, c.FetchWait, c.Fetch = ok, found.Wait, found.Transfer
 	c.New = !ok && e.Version >= newest
 }
 
@@ -170,7 +175,7 @@
 		return vault.Copy{}, false
 	}
 
-	return t.g.cfg.Vaults.Find(p, e.DataCentre)
+	return t.g.cfg.Vaults.Find(now, p, e.DataCentre)
 }
 
 // longest returns the index of the longest shared part, -1 when there is none.
@@ -193,11 +198,44 @@
 		return route.AlreadyTried
 	case e.Loading, e.Version > 0 && e.Version < required:
 		return route.OtherVersion
+	case t.long() && e.Fresh && e.Pulse.Running+e.Pulse.Waiting+e.Since.Requests >= longAtOnce(t.service.Engines.MemoryTokens):
+		return route.NoRoom
 	default:
 		return route.None
 	}
 }
 
+// longTokens is the memory set aside for a long prompt: an opening of 12,800 tokens,
+// 4,260 of its own, the answer, and what their spread needs.
+const longTokens = 22_000
+
+// longAtOnce returns how many long prompts an engine gets at once: as many as its
+// memory holds. With more, each is read in pieces between all the others', they
+// keep their memory for seconds, and contexts that were fetched are pushed out and
+// read again: at twice the usual load an engine then does a quarter of its work.
+func longAtOnce(memoryTokens int) int { return max(memoryTokens/longTokens, 1) }
+
+// long reports whether the prompt's opening is a long one.
+func (t *task) long() bool {
+	i := t.longest()
+
+	return i >= 0 && t.arrival.Prompt.Parts[i].Tokens > t.g.cfg.Opening.Short()
+}
+
+// errNoRoom says that engines which could take the prompt have no room for it now.
+var errNoRoom = failure.New(failure.QueueFull, "no engine has room for a long prompt").After(roomPause)
+
+// nobody is why no engine was found.
+func nobody(candidates []route.OpeningCandidate) error {
+	for _, c := range candidates {
+		if c.Excluded == route.NoRoom {
+			return errNoRoom
+		}
+	}
+
+	return failure.New(failure.Unavailable, "all engines load weights or were tried").After(loadingPause)
+}
+
 func (t *task) distance(e roster.Engine) time.Duration {
 	if e.DataCentre == t.g.cfg.DataCentre {
 		return nearTime
@@ -273,6 +311,12 @@
 		}
 
 		if found, ok := t.find(now, i, c.engine); ok {
+			t.g.cfg.Vaults.Promise(now, found)
+
+			if found.Transfer > c.fetchTime {
+				c.fetchWait, c.fetchTime = found.Wait, found.Transfer
+			}
+
 			fetch[i] = found.Address
 			s.Fetch = fetch
 			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
@@ -300,7 +344,7 @@
 		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "config", t.cfg.Version(),
 		"running", max(e.Pulse.Running, e.Load.Running), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
 		"reading", e.Pulse.Reading, "used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
-		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread,
+		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
 		"opening", t.openingID(), "salt", c.sending.Salt)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	versions map[string][]named
 	lastSeen func() time.Time // when the newest versions were surely known
 	suspects *suspects
+	room     *room
 }
 
 // named is a weight version that operators named.
@@ -124,6 +125,7 @@
 		versions: make(map[string][]named),
 		lastSeen: known,
 		suspects: newSuspects(cfg.Crashes),
+		room:     newRoom(),
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -136,7 +136,7 @@
 				}
 
 				if strings.HasPrefix(tt.path, "/stream") || strings.HasPrefix(tt.path, "/resume") {
-					return answers(streamTop + events(1, 2) + streamEnd)(c, r)
+					return answers(streamTop+events(1, 2)+streamEnd)(c, r)
 				}
 
 				return answers(whole200)(c, r)
@@ -218,7 +218,7 @@
 	either := func(c net.Conn, r *http.Request) bool {
 		select {
 		case <-broken:
-			return breaksOff(streamTop + events(1, 2) + chunk("id: 3\ndata: to"))(c, r)
+			return breaksOff(streamTop+events(1, 2)+chunk("id: 3\ndata: to"))(c, r)
 		default:
 		}
 
@@ -226,7 +226,7 @@
 			t.Errorf("got it resumed after %q, want 2", got)
 		}
 
-		return answers(streamTop + events(2, 4) + streamEnd)(c, r) // sends one too many
+		return answers(streamTop+events(2, 4)+streamEnd)(c, r) // sends one too many
 	}
 	w := open(t, newEngine(t, "a", either), newEngine(t, "b", either))
 
@@ -417,7 +417,7 @@
 		t.Errorf("after 8 s: got %d, want 503", got.status)
 	}
 
-	w.roster.List(now, roster.Listing{ID: "llmb", Service: "llm", Address: a.address, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 3}})
+	w.roster.List(now, roster.Listing{ID: "llmb", Service: "llm", Address: a.llm, Offset: 1, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 3}})
 
 	if got := w.ask(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 200 {
 		t.Errorf("with an engine that has them: got %d, want 200", got.status)
--- /dev/null
+++ b/gateway/room.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"boragehub/event"
+)
+
+// Waiting for room.
+const (
+	// mostHeld is how long a prompt waits for an engine with room before it is
+	// refused. A caller leaves a stream that shows nothing after some three seconds,
+	// and reading takes up to one.
+	mostHeld = 1200 * time.Millisecond
+	// lookEvery is the pause between two looks for room; pulses come every 100 ms.
+	lookEvery = 25 * time.Millisecond
+	// mostWaiting bounds the prompts that wait here. More are refused at once: they
+	// would not have their turn in time.
+	mostWaiting = 32
+)
+
+// room lets prompts wait for engines with room, first come, first served.
+//
+// When more long prompts come than engines can take, each that is sent all the same
+// slows all others down and pushes contexts out of memory, so that they are read
+// again; one notices engines that do a fraction of their work although nothing
+// fails. Waiting here instead, a prompt costs its engine nothing, and what can't
+// have its turn in time is refused without having run.
+type room struct {
+	turn    chan struct{} // held by the one that looks
+	waiting chan struct{} // a place for each that waits
+}
+
+func newRoom() *room {
+	return &room{turn: make(chan struct{}, 1), waiting: make(chan struct{}, mostWaiting)}
+}
+
+// awaitRoom waits until an engine has room, or gives up with errNoRoom.
+func (t *task) awaitRoom(ctx context.Context) (choice, error) {
+	began := time.Now()
+	r := t.g.room
+
+	select {
+	case r.waiting <- struct{}{}:
+		defer func() { <-r.waiting }()
+	default:
+		return choice{}, errNoRoom
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, mostHeld)
+	defer cancel()
+
+	select {
+	case r.turn <- struct{}{}:
+		defer func() { <-r.turn }()
+	case <-ctx.Done():
+		return choice{}, errNoRoom
+	}
+
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+
+	for {
+		c, err := t.choose(time.Now())
+		if !errors.Is(err, errNoRoom) {
+			event.Log(t.g.cfg.Log, event.RoomAwaited, "request_id", t.arrival.ID, "waited_ms", time.Since(began).Milliseconds(), "waiting", len(r.waiting))
+
+			return c, err
+		}
+
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return choice{}, errNoRoom
+		}
+	}
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -75,7 +75,9 @@
 // engine is a fake target: each arrival is answered by the next behaviour, the
 // last one for all others.
 type engine struct {
-	id, address string
+	id string
+	// address is where it serves the plain service, llm where it is a model engine.
+	address, llm string
 
 	mu       sync.Mutex
 	arrivals []*http.Request
@@ -102,24 +104,29 @@
 func newEngine(t *testing.T, id string, behaviours ...behaviour) *engine {
 	t.Helper()
 
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	e := &engine{id: id}
 
-	e := &engine{id: id, address: l.Addr().String()}
-	t.Cleanup(func() { l.Close() })
+	for _, address := range []*string{&e.address, &e.llm} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
 
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
+		*address = l.Addr().String()
 
-			go e.serve(c, behaviours)
-		}
-	}()
+		t.Cleanup(func() { l.Close() })
+
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+
+				go e.serve(c, behaviours)
+			}
+		}()
+	}
 
 	return e
 }
@@ -249,8 +256,8 @@
 	w.vaults.Learn(now, "vault:1", vault.Listing{Epoch: 1, Clock: 1000})
 
 	for _, e := range engines {
-		for _, service := range []string{"s", "llm"} {
-			w.roster.List(now, roster.Listing{ID: service + e.id, Service: service, Address: e.address, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 1}})
+		for service, address := range map[string]string{"s": e.address, "llm": e.llm} {
+			w.roster.List(now, roster.Listing{ID: service + e.id, Service: service, Address: address, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 1}})
 		}
 	}
 
--- a/route/opening.go
+++ b/route/opening.go
@@ -45,9 +45,9 @@
 	// Kept says that a store holds the opening for the engine's weights, so that an
 	// engine without it brings it from there instead of reading it.
 	Kept bool
-	// Near says that this store is in the engine's data centre; transfers between
-	// data centres take twice as long.
-	Near bool
+	// FetchWait is how long the store's link is taken by others before, Fetch how
+	// long it is taken by bringing the opening.
+	FetchWait, Fetch time.Duration
 	// New says that the opening was most likely not read before for the engine's
 	// weights: no store holds it, though one had room.
 	New bool
@@ -61,9 +61,6 @@
 type OpeningConfig struct {
 	// PrefillTokensPerMs is how fast an engine reads a prompt: 50 when zero.
 	PrefillTokensPerMs float64
-	// FetchTokensPerMs is how fast an opening comes from a store: 200 when zero,
-	// 164 KB a token over a link of some 40 GB/s that others use too.
-	FetchTokensPerMs float64
 	// MemoryTokens is how many tokens an engine's memory holds: 70,000 when zero.
 	MemoryTokens int
 	// ShortTokens is the length of opening up to which a prompt is short: 1,000
@@ -84,7 +81,6 @@
 
 func (c OpeningConfig) withDefaults() OpeningConfig {
 	c.PrefillTokensPerMs = orDefault(c.PrefillTokensPerMs, 50)
-	c.FetchTokensPerMs = orDefault(c.FetchTokensPerMs, 200)
 	c.MemoryTokens = orDefault(c.MemoryTokens, 70_000)
 	c.ShortTokens = orDefault(c.ShortTokens, 1000)
 	c.ShortShare = orDefault(c.ShortShare, 0.23)
@@ -139,8 +135,6 @@
 	longCost = 60
 	// waitingCost is what a long prompt takes that waits.
 	waitingCost = 120
-	// farTransfer is how many times longer a transfer between data centres takes.
-	farTransfer = 2
 	// newCost keeps a new opening at its first engine against small differences:
 	// another request with it may just be read there.
 	newCost = 50
@@ -283,10 +277,8 @@
 // miss is what it costs that an engine has to get the opening.
 func (c *OpeningCandidate) miss(cfg OpeningConfig, r OpeningRequest, p place) float64 {
 	switch {
-	case c.Kept && c.Near:
-		return float64(r.Shared) / cfg.FetchTokensPerMs
 	case c.Kept:
-		return farTransfer * float64(r.Shared) / cfg.FetchTokensPerMs
+		return float64(c.FetchWait+c.Fetch) / float64(time.Millisecond)
 	case c.New && p.rank > 0:
 		return newCost
 	case c.New:
--- a/route/opening_test.go
+++ b/route/opening_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 func engines(n int) []OpeningCandidate {
@@ -110,7 +111,9 @@
 	}{
 		{"alike", func(*OpeningCandidate, *OpeningCandidate) {}, "home"},
 		{"kept for the other's weights alone", func(_, o *OpeningCandidate) { o.Kept = true }, "other"},
-		{"kept near the other", func(h, o *OpeningCandidate) { h.Kept, o.Kept, o.Near = true, true, true }, "other"},
+		{"kept near the other", func(h, o *OpeningCandidate) {
+			h.Kept, o.Kept, h.Fetch, o.Fetch = true, true, 100*time.Millisecond, 50*time.Millisecond
+		}, "other"},
 		{"new anyway", func(h, o *OpeningCandidate) { h.New, o.New = true, true }, "home"},
 		{"old weights that have it kept", func(h, o *OpeningCandidate) { h.Kept, h.Old, o.New = true, true, true }, "other"},
 		{"failed of late", func(h, o *OpeningCandidate) { h.Kept, o.Kept, h.Suspected = true, true, true }, "other"},
--- a/route/route.go
+++ b/route/route.go
@@ -151,11 +151,13 @@
 	AlreadyTried
 	// NoSpeed means that nothing is known of its speed yet.
 	NoSpeed
+	// NoRoom means that it has as much work as its memory allows.
+	NoRoom
 )
 
 // String returns the snake-case name of x.
 func (x Exclusion) String() string {
-	return [...]string{"none", "draining", "suspected", "other_version", "already_tried", "no_speed"}[x]
+	return [...]string{"none", "draining", "suspected", "other_version", "already_tried", "no_speed", "no_room"}[x]
 }
 
 // Cost is what one candidate would cost, with its best way.
--- a/site/site.go
+++ b/site/site.go
@@ -121,6 +121,8 @@
 	Slots int
 	// MemoryTokens is how many tokens one engine's memory holds.
 	MemoryTokens int
+	// TokenBytes is the memory of one token.
+	TokenBytes float64
 	// Models are the names of the models they run.
 	Models []string
 }
@@ -273,6 +275,19 @@
 	return s, ok
 }
 
+// TokenBytes returns the memory of one token, zero when no service tells.
+func (c *Configuration) TokenBytes() float64 {
+	most := 0.0
+
+	for _, s := range c.services {
+		if s.Engines != nil {
+			most = max(most, s.Engines.TokenBytes)
+		}
+	}
+
+	return most
+}
+
 // Vaults returns the stores of kept contexts in order of name.
 func (c *Configuration) Vaults() []Service {
 	var all []Service
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -19,6 +19,26 @@
 	Room int
 	// FirstByte is the wait before each transfer.
 	FirstByte time.Duration
+	// TokensPerMs is how fast its link carries parts within a data centre; zero
+	// takes it for infinitely fast.
+	TokensPerMs float64
+}
+
+// farTransfer is how many times longer a transfer between data centres takes.
+const farTransfer = 2
+
+// transfer returns how long the store's link is taken by a transfer.
+func (s Store) transfer(tokens int, near bool) time.Duration {
+	if s.TokensPerMs <= 0 {
+		return s.FirstByte
+	}
+
+	ms := float64(tokens) / s.TokensPerMs
+	if !near {
+		ms *= farTransfer
+	}
+
+	return s.FirstByte + time.Duration(ms*float64(time.Millisecond))
 }
 
 // quick reports whether the store suits short parts, for which the wait before a
@@ -44,6 +64,9 @@
 	Tokens int
 	// Near says that the store is in the engine's data centre.
 	Near bool
+	// Wait is how long its link is expected to be taken by transfers before this
+	// one, Transfer how long by this one.
+	Wait, Transfer time.Duration
 }
 
 // savePatience is how long a save that was asked for may take until its event
@@ -61,6 +84,7 @@
 	tokens  int
 	short   int // of tokens, those of short parts
 	pending map[Part]pending
+	busy    time.Time // until when the link is expected to be taken
 
 	direct   bool     // its events are read by this process
 	changes  changes  // for other processes
@@ -77,6 +101,7 @@
 type Directory struct {
 	mu      sync.Mutex
 	shelves map[string]*shelf
+	sharers int       // processes that use the stores alike, this one included
 	started int64     // tells this start of the process from others
 	clock   int64     // the engines' clock in ms …
 	clockAt time.Time // … not later than at this time
@@ -85,7 +110,38 @@
 // NewDirectory returns an empty Directory. Started is any number that differs from
 // that of other starts of the process, as the time in ns.
 func NewDirectory(started int64) *Directory {
-	return &Directory{shelves: make(map[string]*shelf), started: started}
+	return &Directory{shelves: make(map[string]*shelf), started: started, sharers: 1}
+}
+
+// SetSharers sets how many processes use the stores, this one included. Each sees
+// only its own transfers, and takes those of the others to be as many.
+func (d *Directory) SetSharers(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.sharers = max(n, 1)
+}
+
+// Promise notes that a copy will be fetched.
+func (d *Directory) Promise(now time.Time, c Copy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if sh := d.shelves[c.Address]; sh != nil {
+		d.promise(now, sh, c.Transfer)
+	}
+}
+
+// promise takes a store's link for a transfer. The caller holds mu.
+func (d *Directory) promise(now time.Time, s *shelf, t time.Duration) {
+	if s.busy.Before(now) {
+		s.busy = now
+	}
+
+	// A transfer that would wait for longer isn't started.
+	if s.busy.Sub(now) < MostWait {
+		s.busy = s.busy.Add(t * time.Duration(d.sharers))
+	}
 }
 
 // Configure sets the stores that there are.
@@ -171,15 +227,20 @@
 
 	sh.next = e.Next
 
-	for _, ev := range e.Events {
-		if ev.Added {
-			sh.add(ev.Held)
+	sh.apply(e.Events)
+
+	return true
+}
+
+// apply takes changes in order.
+func (s *shelf) apply(events []Event) {
+	for _, e := range events {
+		if e.Added {
+			s.add(e.Held)
 		} else {
-			sh.remove(ev.Part)
+			s.remove(e.Part)
 		}
 	}
-
-	return true
 }
 
 // Lose takes that a store doesn't answer.
@@ -230,8 +291,9 @@
 	return d.clock + now.Sub(d.clockAt).Milliseconds(), d.clock > 0
 }
 
-// Find returns a copy of a part, one in the engine's data centre if there is one.
-func (d *Directory) Find(p Part, dataCentre string) (Copy, bool) {
+// Find returns the copy of a part that is there soonest for an engine in a data
+// centre.
+func (d *Directory) Find(now time.Time, p Part, dataCentre string) (Copy, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -246,8 +308,10 @@
 		}
 
 		near := sh.store.DataCentre == dataCentre
-		if !found || (near && !best.Near) || (near == best.Near && address < best.Address) {
-			best, found = Copy{Address: address, Tokens: tokens, Near: near}, true
+		c := Copy{Address: address, Tokens: tokens, Near: near, Wait: max(sh.busy.Sub(now), 0), Transfer: sh.store.transfer(tokens, near)}
+
+		if !found || c.Wait+c.Transfer < best.Wait+best.Transfer || (c == best && address < best.Address) {
+			best, found = c, true
 		}
 	}
 
@@ -284,7 +348,9 @@
 		return "", false
 	}
 
-	d.shelves[address].pending[h.Part] = pending{tokens: h.Tokens, until: now.Add(savePatience)}
+	sh := d.shelves[address]
+	d.promise(now, sh, sh.store.transfer(h.Tokens, false))
+	sh.pending[h.Part] = pending{tokens: h.Tokens, until: now.Add(savePatience)}
 
 	return address, true
 }
--- a/vault/share.go
+++ b/vault/share.go
@@ -1,6 +1,7 @@
 package vault
 
 import (
+	"slices"
 	"time"
 )
 
@@ -20,10 +21,9 @@
 	Watched bool `cbor:"4,keyasint"`
 	// Epoch is the store's.
 	Epoch int64 `cbor:"5,keyasint"`
-	// Whole says that Added are all parts; otherwise Added and Removed are changes.
-	Whole   bool   `cbor:"6,keyasint"`
-	Added   []Held `cbor:"7,keyasint"`
-	Removed []Part `cbor:"8,keyasint"`
+	// Whole says that Events tell of all parts; otherwise they are changes, in order.
+	Whole  bool    `cbor:"6,keyasint"`
+	Events []Event `cbor:"7,keyasint"`
 	// Clock is the engines' clock in ms, never ahead of it.
 	Clock int64 `cbor:"9,keyasint"`
 }
@@ -99,19 +99,13 @@
 		u.Whole = true
 
 		for part, tokens := range s.parts {
-			u.Added = append(u.Added, Held{Part: part, Tokens: tokens})
+			u.Events = append(u.Events, Event{Held: Held{Part: part, Tokens: tokens}, Added: true})
 		}
 
 		return
 	}
 
-	for _, e := range events {
-		if e.Added {
-			u.Added = append(u.Added, e.Held)
-		} else {
-			u.Removed = append(u.Removed, e.Part)
-		}
-	}
+	u.Events = slices.Clone(events)
 }
 
 // Followed returns how far this process has followed what another one told.
@@ -151,13 +145,7 @@
 		sh.changes.forget()
 	}
 
-	for _, p := range u.Removed {
-		sh.remove(p)
-	}
-
-	for _, h := range u.Added {
-		sh.add(h)
-	}
+	sh.apply(u.Events)
 
 	sh.epoch, sh.known, sh.away, sh.direct = u.Epoch, true, false, false
 	sh.followed = u.Position
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -94,7 +94,7 @@
 type Event struct {
 	Held
 	// Added says that the part is there now; otherwise it is gone.
-	Added bool
+	Added bool `cbor:"4,keyasint"`
 }
 
 // Events is the answer to the question what changed.
@@ -134,6 +134,9 @@
 	// largest context takes 0.3 s between data centres, with a few others before it,
 	// and the request may wait for its engine first.
 	MaxFetch = 2000 * time.Millisecond
+	// MostWait is how long a transfer may wait for links; one that would wait longer
+	// isn't started, and the engine reads the prompt.
+	MostWait = 2 * time.Second
 	// freeMargin is for what clocks and messages differ by.
 	freeMargin = 300 * time.Millisecond
 )
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -171,7 +171,7 @@
 	p := held("a", 2000)
 	d.Follow(now, "large", Events{Epoch: 1, Next: 1, Events: []Event{{Held: p, Added: true}}})
 
-	if _, ok := d.Find(p.Part, "east"); !ok {
+	if _, ok := d.Find(now, p.Part, "east"); !ok {
 		t.Fatal("got no copy, want one")
 	}
 
@@ -179,7 +179,7 @@
 		t.Error("got the new epoch followed, want the list asked for")
 	}
 
-	if _, ok := d.Find(p.Part, "east"); ok {
+	if _, ok := d.Find(now, p.Part, "east"); ok {
 		t.Error("got a copy of the epoch before, want none")
 	}
 }
@@ -191,7 +191,7 @@
 	d.Follow(now, "large", Events{Epoch: 1, Next: 1, Events: []Event{{Held: p, Added: true}}})
 	d.Lose("large")
 
-	if _, ok := d.Find(p.Part, "east"); ok {
+	if _, ok := d.Find(now, p.Part, "east"); ok {
 		t.Error("got a copy in a store that is away, want none")
 	}
 
@@ -300,3 +300,34 @@
 		t.Errorf("got %d, want 9000", got)
 	}
 }
+
+// A store's link carries one transfer after another. Entries that don't count what
+// is promised on it send more than it carries; the transfers then wait for seconds
+// and are given up, and all that they were to bring is read again.
+func TestPromisedTransfersMakeTheNextOneWait(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := NewDirectory(1)
+	d.Configure([]Store{{Address: "large", DataCentre: "east", Room: 20_000, FirstByte: 6 * time.Millisecond, TokensPerMs: 250}})
+	d.Learn(now, "large", Listing{Epoch: 1, Held: []Held{held("a", 5000)}})
+	d.SetSharers(4)
+
+	near, _ := d.Find(now, held("a", 0).Part, "east")
+	if want := 26 * time.Millisecond; near.Wait != 0 || near.Transfer != want {
+		t.Errorf("near: got %v after %v, want %v after 0", near.Transfer, near.Wait, want)
+	}
+
+	far, _ := d.Find(now, held("a", 0).Part, "west")
+	if want := 46 * time.Millisecond; far.Transfer != want {
+		t.Errorf("far: got %v, want %v", far.Transfer, want)
+	}
+
+	d.Promise(now, near)
+
+	if c, _ := d.Find(now, held("a", 0).Part, "east"); c.Wait != 4*near.Transfer {
+		t.Errorf("after a promise: got a wait of %v, want %v", c.Wait, 4*near.Transfer)
+	}
+
+	if c, _ := d.Find(now.Add(time.Second), held("a", 0).Part, "east"); c.Wait != 0 {
+		t.Errorf("a second later: got a wait of %v, want none", c.Wait)
+	}
+}
