exchange: an entry that stands still holds no load of weights up

Cause: a side process waited 0.8 s for an entry that was frozen before it gave its order, so that two turns fell together and six engines of 18 were out at once.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -420,7 +420,7 @@
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
 	}
 
-	stop := background(lines.Run, follower.Run, l.Run, beacon.Run)
+	stop := background(lines.Run, follower.Run, client.Run, l.Run, beacon.Run)
 	defer stop()
 
 	event.Log(log, event.ProcessStarted, "engine", cfg.Engine, "service", cfg.Service)
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -148,6 +148,11 @@
 	return answer, err
 }
 
+// tellPatience is how long Tell waits for answers. An entry that stands still would
+// otherwise hold up the load of weights that it is told of, and those whose turn
+// comes after it would load beside it.
+const tellPatience = 50 * time.Millisecond
+
 // Tell tells all entries what the engine at an address is about to do, or has
 // done. One that can't be told finds out from the engine's refusals and answers.
 func (c *Client) Tell(ctx context.Context, address, model string, version int64, loaded bool) {
@@ -156,13 +161,28 @@
 		return // a struct of strings and numbers always has a form
 	}
 
-	c.Hello(ctx)
+	told := make(chan struct{})
+
+	go func() {
+		defer close(told)
 
+		known := c.members.Ask(time.Now())
+		c.post(ctx, known, body)
+	}()
+
+	select {
+	case <-told:
+	case <-time.After(tellPatience):
+	}
+}
+
+// post sends a notice to entries.
+func (c *Client) post(ctx context.Context, to []string, body []byte) {
 	var wg sync.WaitGroup
 
-	for _, a := range c.members.Ask(time.Now()) {
+	for _, a := range to {
 		wg.Go(func() {
-			//nolint:errcheck,gosec // see above
+			//nolint:errcheck,gosec // see Tell
 			c.call(ctx, http.MethodPost, a, noticePath, body)
 		})
 	}
--- /dev/null
+++ b/mirror/exchange/exchange_test.go
@@ -0,0 +1,221 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"boragehub/mirror"
+	"boragehub/vault"
+)
+
+// entry is a process that answers others.
+type entry struct {
+	topic   mirror.Topic
+	members *Members
+	vaults  *vault.Directory
+	address string
+
+	mu      sync.Mutex
+	notices []Notice
+}
+
+func (e *entry) told() []Notice {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return append([]Notice{}, e.notices...)
+}
+
+func newEntry(t *testing.T, seeds ...string) *entry {
+	t.Helper()
+
+	e := &entry{vaults: vault.NewDirectory(1)}
+	s := httptest.NewUnstartedServer(nil)
+	e.address = s.Listener.Addr().String()
+	e.members = NewMembers(e.address, seeds)
+	s.Config.Handler = NewServer(ServerConfig{
+		Members: e.members, Topics: map[string]*mirror.Topic{"t": &e.topic}, Vaults: e.vaults,
+		Notice: func(_ time.Time, n Notice) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+
+			e.notices = append(e.notices, n)
+		},
+	})
+	s.Start()
+	t.Cleanup(s.Close)
+
+	return e
+}
+
+// still is an entry that takes connections and answers nothing, as a machine that
+// stands still.
+func still(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { l.Close() })
+
+	return l.Addr().String()
+}
+
+func TestNewestOfSeveralAnswersIsTaken(t *testing.T) {
+	old, current := newEntry(t), newEntry(t)
+	old.topic.Merge(mirror.Batch{Records: []mirror.Record{{Key: "config", Value: []byte("1"), Offset: 0}}, End: 1, AsOf: time.Now()})
+	current.topic.Merge(mirror.Batch{Records: []mirror.Record{{Key: "config", Value: []byte("2"), Offset: 1}}, End: 2, AsOf: time.Now()})
+
+	c := NewClient(NewMembers("", []string{old.address, current.address, still(t)}))
+
+	b, err := c.Newer(context.Background(), "t", 0)
+	if err != nil || b.End != 2 || len(b.Records) != 1 || string(b.Records[0].Value) != "2" || b.AsOf.IsZero() {
+		t.Errorf("got %+v %v, want the record of the newer one", b, err)
+	}
+}
+
+func TestNobodyToAskIsSaid(t *testing.T) {
+	if _, err := NewClient(NewMembers("", nil)).Newer(context.Background(), "t", 0); err == nil {
+		t.Error("got no error")
+	}
+
+	if _, err := NewClient(NewMembers("", []string{still(t)})).Newer(context.Background(), "t", 0); err == nil {
+		t.Error("from one that stands still: got no error")
+	}
+}
+
+// Settings name three entries at most, and those may be out of date. All others
+// are found through them.
+func TestEntriesFindEachOther(t *testing.T) {
+	seed := newEntry(t)
+	a, b := newEntry(t, seed.address), newEntry(t, seed.address)
+
+	for range 2 {
+		NewClient(a.members).Hello(context.Background())
+		NewClient(b.members).Hello(context.Background())
+	}
+
+	live := a.members.Live(time.Now())
+	if !contains(live, b.address) || !contains(live, seed.address) || contains(live, a.address) {
+		t.Errorf("got %v, want the others", live)
+	}
+
+	if got := a.members.Live(time.Now().Add(time.Hour)); len(got) != 0 {
+		t.Errorf("an hour later: got %v, want nobody", got)
+	}
+}
+
+// An entry stands still while engines take turns to load weights. Waited for, it
+// held each turn up by 0.8 s, so that two turns fell together and twice as many
+// engines were out at once.
+func TestEntryThatStandsStillHoldsNobodyUp(t *testing.T) {
+	e := newEntry(t)
+	c := NewClient(NewMembers("", []string{e.address, still(t)}))
+	began := time.Now()
+
+	c.Tell(context.Background(), "10.0.0.1:80", "m", 2, false)
+
+	if took := time.Since(began); took > callTimeout {
+		t.Errorf("got it told after %v, want %v at most", took, tellPatience)
+	}
+
+	for range 500 {
+		if len(e.told()) > 0 {
+			break
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	if got := e.told(); len(got) != 1 || got[0] != (Notice{Address: "10.0.0.1:80", Model: "m", Version: 2}) {
+		t.Errorf("got %v told", got)
+	}
+}
+
+func TestAFewFollowEachStore(t *testing.T) {
+	now := time.Now()
+	all := []string{"a", "b", "c", "d", "e"}
+	follow := map[string]int{}
+
+	for _, self := range all {
+		m := NewMembers(self, nil)
+		for _, other := range all {
+			m.Saw(now, other)
+		}
+
+		for _, store := range []string{"s1", "s2", "s3"} {
+			others, selfToo := m.Watchers(now, store)
+			if selfToo {
+				follow[store]++
+			}
+
+			if n := len(others); n != watchers && (!selfToo || n != watchers-1) {
+				t.Errorf("%s: got %d others", store, n)
+			}
+		}
+	}
+
+	for store, n := range follow {
+		if n != watchers {
+			t.Errorf("%s: got %d that follow it, want %d", store, n, watchers)
+		}
+	}
+
+	if _, self := NewMembers("alone", nil).Watchers(now, "s1"); !self {
+		t.Error("got nobody to follow a store")
+	}
+}
+
+func TestTurnsDiffer(t *testing.T) {
+	now := time.Now()
+	all := []string{"a", "b", "c", "d"}
+	seen := map[int]bool{}
+
+	for _, self := range all {
+		m := NewMembers(self, nil)
+		for _, other := range all {
+			m.Saw(now, other)
+		}
+
+		seen[m.Turn(now, "store")] = true
+	}
+
+	if len(seen) != len(all) {
+		t.Errorf("got turns %v, want %d different ones", seen, len(all))
+	}
+}
+
+func TestStoresAreToldOf(t *testing.T) {
+	e := newEntry(t)
+	e.vaults.Configure([]vault.Store{{Address: "s1"}})
+	e.vaults.Learn(time.Now(), "s1", vault.Listing{Epoch: 3, Clock: 5, Held: []vault.Held{{Part: vault.Part{Salt: "x", ID: "a"}, Tokens: 7}}})
+
+	u, err := NewClient(NewMembers("", nil)).Ask(context.Background(), e.address, []vault.Position{{Address: "s1"}, {Address: "s2"}})
+	if err != nil || len(u) != 2 || !u[0].Watched || len(u[0].Events) != 1 || u[0].Events[0].Tokens != 7 || u[1].Watched {
+		t.Errorf("got %+v %v", u, err)
+	}
+}
+
+func TestMessagesThatAreNoneAreRefused(t *testing.T) {
+	e := newEntry(t)
+
+	for _, path := range []string{noticePath, vaultsPath} {
+		resp, err := http.Post("http://"+e.address+path, "", strings.NewReader("\xff\xff no message"))
+		if err != nil || resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s: got %v %v, want 400", path, resp, err)
+		}
+	}
+
+	resp, err := http.Get("http://" + e.address + recordsPath + "?topic=t&from=x")
+	if err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("got %v %v, want 400", resp, err)
+	}
+}
