--- a/cmd/boragehub/main.go
+++ b/cmd/boragehub/main.go
@@ -13,7 +13,7 @@
 // version is the program's version, set when a release is built.
 var version = "dev"
 
-// Exit statuses, as documented in docs/OPERATING.md.
+// Exit statuses, as documented in docs/OPERATIONS.md.
 const (
 	exitOK     = 0
 	exitFailed = 1
@@ -50,6 +50,7 @@
 func attach() []command {
 	x := experiment.Attach(1)
 	all := append(roles(), fleetRoles()...)
+	all = append(all, logTools()...)
 	all = append(all, controls()...)
 	all = append(all, command{x.Subcommand(), func() int { return exit(x.Run(os.Stdout)) }})
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -134,8 +134,8 @@
 	mu       sync.Mutex
 	engines  map[string]*engine
 	holders  map[string]holder // by address
-	doubtful time.Time // until when drops are in doubt
-	away     bool      // the log does not answer
+	doubtful time.Time         // until when drops are in doubt
+	away     bool              // the log does not answer
 }
 
 // holder is the target that spoke last from an address.
