--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -46,8 +46,9 @@
 	operatorWait = time.Second
 	// sideOperatorWait is a side process's: a weight version has eight seconds.
 	sideOperatorWait = 4 * time.Second
-	// registerEvery is the pause between two reads of the register: half of the
-	// time in which a target that leaves has to be left alone.
+	// registerEvery is the pause between two reads of the register where the bound
+	// for targets that leave isn't told. Otherwise it is half of that bound: a read
+	// takes milliseconds, and a request that was just sent is on its way meanwhile.
 	registerEvery = time.Second
 	// tickEvery is the pause between two looks at what is due.
 	tickEvery = 250 * time.Millisecond
@@ -212,11 +213,20 @@
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client,
-			Every: registerEvery, OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
+			Every: registerPace(e.cfg.Bounds.Drain), OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
 		}),
 	}
 }
 
+// registerPace returns the pause between two reads of the register.
+func registerPace(drain time.Duration) time.Duration {
+	if drain <= 0 {
+		return registerEvery
+	}
+
+	return drain / 2
+}
+
 func (e *fleetEntry) configured(_ time.Time, c *site.Configuration) {
 	e.gateway.Configure(c)
 
--- a/route/opening.go
+++ b/route/opening.go
@@ -152,14 +152,16 @@
 func DecideOpening(cfg OpeningConfig, r OpeningRequest, candidates []OpeningCandidate) OpeningDecision {
 	cfg = cfg.withDefaults()
 	d := OpeningDecision{target: -1, home: -1}
+	all := places(cfg, r, candidates)
+	wait := crowded(all, candidates)
 
-	for i, p := range places(cfg, r, candidates) {
+	for i, p := range all {
 		if p.rank == 0 {
 			d.home = i
 		}
 
 		c := &candidates[i]
-		if c.Excluded != None {
+		if c.Excluded != None || (wait && !p.group) {
 			continue
 		}
 
@@ -172,6 +174,19 @@
 	return d
 }
 
+// crowded reports whether an engine for prompts of this length has no room at the
+// moment. Its turn is soon; taken to the engines of the other length meanwhile, a
+// crowd of long prompts makes all short ones late.
+func crowded(all []place, candidates []OpeningCandidate) bool {
+	for i, p := range all {
+		if p.group && candidates[i].Excluded == NoRoom {
+			return true
+		}
+	}
+
+	return false
+}
+
 // place is a candidate's place in an opening's order.
 type place struct {
 	// rank is 0 for the opening's first engine.
--- a/route/opening_test.go
+++ b/route/opening_test.go
@@ -147,6 +147,37 @@
 	}
 }
 
+// New weights make all contexts cold, and for some seconds there are more long
+// prompts than room. Sent to the engines for short ones, they made a third of the
+// riders' questions late; they have to wait for their own.
+func TestCrowdOfLongPromptsStaysAmongItsEngines(t *testing.T) {
+	all := engines(12)
+	for i, p := range places(OpeningConfig{}.withDefaults(), long(1), all) {
+		if p.group {
+			all[i].Excluded = NoRoom
+		}
+	}
+
+	if d := DecideOpening(OpeningConfig{}, long(1), all); d.Found() {
+		t.Errorf("got %s, want none for now", all[d.Target()].Name)
+	}
+
+	if !DecideOpening(OpeningConfig{}, short(1), all).Found() {
+		t.Error("a short prompt: got none, want its own engines")
+	}
+
+	// Where its own engines are gone for good, the others serve it.
+	for i := range all {
+		if all[i].Excluded == NoRoom {
+			all[i].Excluded = Leaving
+		}
+	}
+
+	if !DecideOpening(OpeningConfig{}, long(1), all).Found() {
+		t.Error("with its engines gone: got none, want another")
+	}
+}
+
 func TestNobodyLeftIsSaid(t *testing.T) {
 	all := engines(2)
 	all[0].Excluded, all[1].Excluded = AlreadyTried, OtherVersion
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -240,7 +240,7 @@
 
 // keep takes a connection back after a complete answer.
 func (p *Pool) keep(now time.Time, c *conn, most time.Duration) {
-	if most <= 0 || most > p.cfg.IdleMost {
+	if most <= 0 {
 		most = p.cfg.IdleMost
 	}
 
