--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -414,12 +414,15 @@
 		Register: platform.Siblings{Log: source}, Entries: client, Log: log,
 	})
 
+	operators := &mirror.Topic{}
 	publications := &platform.Publications{
-		Named: func(_ time.Time, v platform.WeightVersion) { l.Name(loader.Named{Model: v.Model, Version: v.Version}) },
-		Log:   log,
+		Named: func(_ time.Time, v platform.WeightVersion) {
+			l.Name(loader.Named{Model: v.Model, Version: v.Version, Before: operators.Before().IsZero()})
+		},
+		Log: log,
 	}
 	follower := mirror.NewFollower(mirror.FollowerConfig{
-		Name: platform.OperatorTopic, Topic: &mirror.Topic{}, Source: source, Peers: client,
+		Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: client,
 		Wait: sideOperatorWait, OnNews: publications.Take, Log: log,
 	})
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,9 +147,19 @@
 // Configured reports whether a configuration is in force.
 func (g *Gateway) Configured() bool { return g.current.Load() != nil }
 
+// startGrace is how long after a start a version that was named before counts as
+// allowed to be missing. Nobody knows when it was named: taken for just named, an
+// engine with replaced weights would get requests for as long again.
+const startGrace = 3 * time.Second
+
 // Named takes that operators named a weight version. Before is the last time at
-// which the one before was surely the newest.
+// which the one before was surely the newest, zero for a version that was there when
+// this process started.
 func (g *Gateway) Named(now time.Time, model string, version int64, before time.Time) {
+	if before.IsZero() {
+		now = now.Add(min(startGrace-g.cfg.VersionWithin, 0))
+	}
+
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -423,3 +423,26 @@
 		t.Errorf("with an engine that has them: got %d, want 200", got.status)
 	}
 }
+
+// All entries were killed some seconds after new weights were named, and one engine
+// can't load them. The entries that come back don't know when the weights were
+// named; were the time allowed counted from their start, requests would begin on
+// replaced weights long after they may.
+func TestWeightsNamedBeforeTheStartAreRequiredSoon(t *testing.T) {
+	w := open(t, newEngine(t, "a", answers(streamTop+events(1, 1)+streamEnd)))
+	start := time.Now()
+	w.gateway.Named(start, "m", 2, time.Time{})
+
+	tests := []struct {
+		after time.Duration
+		want  int64
+	}{
+		{0, 0}, {2 * time.Second, 0}, {startGrace - versionMargin, 2},
+	}
+
+	for _, tt := range tests {
+		if got := w.gateway.required(start.Add(tt.after), "m"); got != tt.want {
+			t.Errorf("after %v: got version %d required, want %d", tt.after, got, tt.want)
+		}
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -141,19 +141,21 @@
 	Model string
 	// Version is the version.
 	Version int64
+	// Before says that it was named before this process started, nobody knows when.
+	Before bool
 }
 
 // Loader brings one engine to the versions that are named. Use New.
 type Loader struct {
 	cfg    Config
-	wanted map[string]int64
+	wanted map[string]Named
 	news   chan Named
 	silent bool
 }
 
 // New returns a Loader that Run starts.
 func New(cfg Config) *Loader {
-	return &Loader{cfg: cfg, wanted: make(map[string]int64), news: make(chan Named, 64)}
+	return &Loader{cfg: cfg, wanted: make(map[string]Named), news: make(chan Named, 64)}
 }
 
 // Name takes that operators named a version.
@@ -164,10 +166,10 @@
 	for ctx.Err() == nil {
 		l.wait(ctx)
 
-		for model, version := range l.wanted {
+		for model, n := range l.wanted {
 			s, ok := l.state(ctx)
-			if ok && s.Versions[model] > 0 && s.Versions[model] < version {
-				l.bring(ctx, Named{model, version})
+			if ok && s.Versions[model] > 0 && s.Versions[model] < n.Version {
+				l.bring(ctx, n)
 			}
 		}
 	}
@@ -199,7 +201,11 @@
 	}
 }
 
-func (l *Loader) want(n Named) { l.wanted[n.Model] = max(l.wanted[n.Model], n.Version) }
+func (l *Loader) want(n Named) {
+	if n.Version > l.wanted[n.Model].Version {
+		l.wanted[n.Model] = n
+	}
+}
 
 // state asks the engine and logs when it falls silent and answers again.
 func (l *Loader) state(ctx context.Context) (State, bool) {
@@ -234,7 +240,12 @@
 		event.Fail(l.cfg.Log, err, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", 0, "of", 0, "wait_ms", 0)
 	}
 
-	turn := TakeTurn(l.cfg.Turn, self, n.Version, siblings)
+	cfg := l.cfg.Turn
+	if n.Before {
+		cfg = cfg.hurried()
+	}
+
+	turn := TakeTurn(cfg, self, n.Version, siblings)
 	event.Log(l.cfg.Log, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", turn.Rank, "of", turn.Of, "wait_ms", turn.Wait.Milliseconds())
 
 	if !pause.For(ctx, max(turn.Wait, time.Millisecond)) {
@@ -242,7 +253,7 @@
 	}
 
 	l.takeNews()
-	n.Version = l.wanted[n.Model]
+	n = l.wanted[n.Model]
 
 	l.cfg.Entries.Tell(ctx, l.cfg.Address, n.Model, n.Version, false)
 
@@ -270,14 +281,18 @@
 		case ok && !s.Busy && now.Sub(ordered) > orderAgain:
 			ordered = now
 
-			l.order(ctx, self, n, s)
+			if l.order(ctx, self, n, s) == Refused {
+				// The engine was started anew, and the register still named its
+				// start before: the next look at the register knows better.
+				return
+			}
 		}
 
 		pause.For(ctx, loadEvery)
 	}
 }
 
-func (l *Loader) order(ctx context.Context, self string, n Named, s State) {
+func (l *Loader) order(ctx context.Context, self string, n Named, s State) Reply {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
@@ -289,8 +304,10 @@
 	if err != nil {
 		event.Fail(l.cfg.Log, err, event.VersionOrdered, fields...)
 
-		return
+		return reply
 	}
 
 	event.Log(l.cfg.Log, event.VersionOrdered, fields...)
+
+	return reply
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -72,6 +72,7 @@
 	orders   int64
 	taken    []Order
 	late     int // orders that get no answer and are carried out later
+	refuse   int // orders that are for another start
 	loadTime time.Duration
 }
 
@@ -88,6 +89,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
+	if e.refuse > 0 {
+		e.refuse--
+
+		return Refused, errNoAnswer
+	}
+
 	if e.late > 0 {
 		e.late--
 
@@ -163,7 +170,7 @@
 		running.Go(func() { l.Run(ctx) })
 
 		for at, v := range names {
-			time.AfterFunc(at, func() { l.Name(Named{"m", v}) })
+			time.AfterFunc(at, func() { l.Name(Named{Model: "m", Version: v}) })
 		}
 
 		time.Sleep(d)
@@ -210,6 +217,32 @@
 	}
 }
 
+// A side process is started anew together with its engine. The register still names
+// the engine's start before, which the engine refuses orders for.
+func TestOrderForAnEarlierStartIsGivenAgain(t *testing.T) {
+	engine := &fakeEngine{version: 1, loadTime: 300 * time.Millisecond, refuse: 1}
+	play(t, engine, 5*time.Second, map[time.Duration]int64{time.Millisecond: 2})
+
+	if engine.version != 2 {
+		t.Errorf("got version %d, want 2", engine.version)
+	}
+}
+
+// All side processes were killed after new weights were named. What time is left
+// nobody knows, so the turns follow each other quickly.
+func TestVersionNamedBeforeTheStartIsHurried(t *testing.T) {
+	all := siblings(55, 1)
+	last := time.Duration(0)
+
+	for _, s := range all {
+		last = max(last, TakeTurn(TurnConfig{Within: 10 * time.Second}.hurried(), s.ID, 2, all).Wait)
+	}
+
+	if want := hurriedTime - loadTime + time.Millisecond; last > want {
+		t.Errorf("got the last turn after %v, want %v at most", last, want)
+	}
+}
+
 func TestVersionThatFollowsAtOnceSkipsTheOneBefore(t *testing.T) {
 	engine := &fakeEngine{version: 1, loadTime: 500 * time.Millisecond}
 	play(t, engine, 8*time.Second, map[time.Duration]int64{time.Second: 2, 1500 * time.Millisecond: 3})
--- a/loader/turn.go
+++ b/loader/turn.go
@@ -55,6 +55,19 @@
 	return c
 }
 
+// hurriedTime is the time in which all engines have to have a version that was
+// named before their loaders started.
+const hurriedTime = 3 * time.Second
+
+// hurried returns turns for a version that was named nobody knows how long ago: at
+// once, and soon after each other.
+func (c TurnConfig) hurried() TurnConfig {
+	c.First = time.Millisecond
+	c.Within = hurriedTime
+
+	return c
+}
+
 // each returns the time from one turn to the next.
 func (c TurnConfig) each(turns int) time.Duration {
 	if turns < 2 {
