--- /dev/null
+++ b/cmd/boragehub/fleet_entry.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"boragehub/event"
+	"boragehub/event/output"
+	"boragehub/failure"
+	"boragehub/gateway"
+	"boragehub/gateway/metrics"
+	"boragehub/mirror"
+	"boragehub/mirror/exchange"
+	"boragehub/pause"
+	"boragehub/platform"
+	"boragehub/pulse"
+	"boragehub/quarantine"
+	"boragehub/roster"
+	"boragehub/route"
+	"boragehub/site"
+	"boragehub/upstream"
+	"boragehub/vault"
+)
+
+// fleetEntry is an entry on the users' platform.
+type fleetEntry struct {
+	cfg       platform.Settings
+	log       logr.Logger
+	lines     *output.Writer
+	gateway   *gateway.Gateway
+	roster    *roster.Roster
+	pool      *upstream.Pool
+	watcher   *vault.Watcher
+	directory *vault.Directory
+	members   *exchange.Members
+	client    *exchange.Client
+	peers     *exchange.Server
+	meters    *prometheus.Registry
+
+	followers []*mirror.Follower
+}
+
+func newFleetEntry(cfg platform.Settings) *fleetEntry {
+	lines := output.New(output.Config{To: os.Stdout})
+	log := logTo(cfg, "gateway", lines)
+	e := &fleetEntry{cfg: cfg, log: log, lines: lines, meters: prometheus.NewRegistry()}
+
+	operators, register := &mirror.Topic{}, &mirror.Topic{}
+	members := exchange.NewMembers(cfg.Peers, cfg.Seeds)
+	calls := platform.NewCalls()
+	source := platform.NewLog(cfg.Log)
+	directory := vault.NewDirectory(time.Now().UnixNano())
+
+	e.directory, e.members = directory, members
+	e.client = exchange.NewClient(members)
+	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
+	e.pool = upstream.NewPool(upstream.Config{})
+	e.watcher = vault.NewWatcher(vault.WatcherConfig{
+		Directory: directory, Source: calls, Peers: e.client, Log: log,
+		Turn: func(address string) int { return members.Turn(time.Now(), address) },
+	})
+
+	meter := metrics.New(e.meters, metrics.Gauges{
+		Active:        func() float64 { return float64(e.gateway.Active()) },
+		Targets:       func() float64 { return float64(e.roster.Len()) },
+		ConfigVersion: func() float64 { return float64(e.gateway.ConfigVersion()) },
+		LogAge:        func() float64 { return time.Since(operators.Fresh()).Seconds() },
+		Dials:         func() float64 { return float64(e.pool.Dials()) },
+		VaultTokens:   func() float64 { held, _, _ := directory.Usage(); return float64(held) },
+		VaultRoom:     func() float64 { _, room, _ := directory.Usage(); return float64(room) },
+		LinesLeftOut:  func() float64 { return float64(lines.LeftOut()) },
+	})
+
+	e.gateway = gateway.New(gateway.Config{
+		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
+		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), Opening: route.OpeningConfig{},
+		RepeatRatio: cfg.Bounds.RepeatRatio * repeatShare, RepeatWindow: cfg.Bounds.RepeatWindow,
+		RepeatSlack: cfg.Bounds.RepeatSlack, VersionWithin: cfg.Bounds.Version, Meter: meter, Log: log,
+	}, operators.Fresh)
+
+	e.follow(source, operators, register, meter)
+	e.peers = exchange.NewServer(exchange.ServerConfig{
+		Members: members, Vaults: directory, Notice: e.notice,
+		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
+	})
+
+	return e
+}
+
+// follow sets up the followers of the log's topics.
+func (e *fleetEntry) follow(source *platform.Log, operators, register *mirror.Topic, meter *metrics.Metrics) {
+	publications := &platform.Publications{
+		Configured: e.configured,
+		Named: func(now time.Time, v platform.WeightVersion) {
+			e.gateway.Named(now, v.Model, v.Version, operators.Before())
+			e.watcher.Named(now, v.Model, v.Version)
+		},
+		Unreadable: meter.Unreadable, Log: e.log,
+	}
+	listings := &platform.Listings{Roster: e.roster, Unreadable: meter.Unreadable, Log: e.log}
+
+	e.followers = []*mirror.Follower{
+		mirror.NewFollower(mirror.FollowerConfig{
+			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client,
+			Wait: operatorWait, OnNews: publications.Take, Log: e.log,
+		}),
+		mirror.NewFollower(mirror.FollowerConfig{
+			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client,
+			Every: registerPace(e.cfg.Bounds.Drain), OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
+		}),
+	}
+}
+
+// registerPace returns the pause between two reads of the register.
+func registerPace(drain time.Duration) time.Duration {
+	if drain <= 0 {
+		return registerEvery
+	}
+
+	return drain / 2
+}
+
+func (e *fleetEntry) configured(_ time.Time, c *site.Configuration) {
+	e.gateway.Configure(c)
+
+	var stores []vault.Store
+
+	for _, s := range c.Vaults() {
+		stores = append(stores, vault.Store{
+			Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens, FirstByte: s.Vault.FirstByte,
+			TokensPerMs: tokensPerMs(s.Vault.LinkMbps, c.TokenBytes()),
+		})
+	}
+
+	e.watcher.Configure(stores)
+}
+
+// engines returns the addresses of the model engines.
+func (e *fleetEntry) engines() []string {
+	return e.roster.Addresses(e.gateway.HasEngines)
+}
+
+// tokensPerMs returns how many tokens a link of so many Mbit/s carries in a ms.
+func tokensPerMs(mbps, tokenBytes float64) float64 {
+	if tokenBytes <= 0 {
+		return 0
+	}
+
+	const bytesPerMbitMs = 1e6 / 8 / 1e3
+
+	return mbps * bytesPerMbitMs / tokenBytes
+}
+
+// notice takes what a side process says of its engine.
+func (e *fleetEntry) notice(now time.Time, n exchange.Notice) {
+	id, ok := e.roster.ByAddress(n.Address)
+	if !ok {
+		return
+	}
+
+	if n.Loaded {
+		e.roster.Has(id, n.Model, n.Version, "side process")
+	} else {
+		e.roster.Loading(now, id, n.Model, n.Version)
+	}
+}
+
+// tick does what is due now and then.
+func (e *fleetEntry) tick(ctx context.Context) {
+	for pause.For(ctx, tickEvery) {
+		now := time.Now()
+		entries := len(e.members.Live(now)) + 1
+		e.directory.SetSharers(entries)
+		e.gateway.SetSharers(entries)
+		e.roster.Tick(now)
+		e.pool.Sweep(now)
+	}
+}
+
+// ready answers the balancer.
+func (e *fleetEntry) ready(w http.ResponseWriter, _ *http.Request) {
+	if !e.gateway.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func runGateway(cfg platform.Settings) error {
+	if err := cfg.RequireEntry(); err != nil {
+		return err
+	}
+
+	bound(cfg)
+
+	e := newFleetEntry(cfg)
+
+	pulses, err := pulse.Listen(pulse.ListenerConfig{
+		Address: cfg.Internal(pulsePort), Port: cfg.FirstInternal + pulsePort,
+		Engines: e.engines, OnPulse: e.roster.Pulse,
+	})
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
+	}
+
+	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick, pulses.Run}
+
+	for _, f := range e.followers {
+		duties = append(duties, f.Run)
+	}
+
+	stop := background(duties...)
+	defer stop()
+
+	callers := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerCallers, IdleTimeout: idleCallers}
+	balancer := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerCallers}
+	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerCallers}
+	meters := &http.Server{Handler: promhttp.HandlerFor(e.meters, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerCallers}
+
+	failed := make(chan error, 4)
+
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{peers, cfg.Peers}, {balancer, cfg.Ready}, {callers, cfg.Callers}, {meters, cfg.Internal(metricsPort)}} {
+		if err := serve(s.server, s.address, failed); err != nil {
+			return err
+		}
+	}
+
+	event.Log(e.log, event.ProcessStarted, "callers", cfg.Callers, "peers", cfg.Peers, "ready", cfg.Ready)
+
+	return e.wait(callers, failed)
+}
+
+// serve binds an address and serves it in the background.
+func serve(s *http.Server, address string, failed chan<- error) error {
+	l, err := net.Listen("tcp", address) //nolint:noctx // bound once, at start
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", address)
+	}
+
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+
+	return nil
+}
+
+// wait serves until a signal to stop, then stops without cutting anyone off.
+func (e *fleetEntry) wait(callers *http.Server, failed <-chan error) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+
+	for {
+		select {
+		case err := <-failed:
+			event.Fail(e.log, err, event.ProcessFailed)
+
+			return err
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				event.Log(e.log, event.SettingsReread)
+
+				continue
+			}
+
+			e.leave(callers)
+
+			return nil
+		}
+	}
+}
+
+// leave tells the balancer first and goes on serving until it has stopped sending
+// new callers; then the port is closed and what is in work is finished.
+func (e *fleetEntry) leave(callers *http.Server) {
+	began := time.Now()
+
+	event.Log(e.log, event.ProcessStopping, "requests", e.gateway.Active())
+	e.gateway.Stop()
+	time.Sleep(leaveWait)
+
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.cfg.Bounds.Grace-leaveMargin))
+	defer cancel()
+
+	if err := callers.Shutdown(ctx); err != nil {
+		event.Fail(e.log, err, event.ListenerStopped, "requests", e.gateway.Active())
+	}
+
+	event.Log(e.log, event.ProcessStopped, "requests", e.gateway.Active(), "after_ms", time.Since(began).Milliseconds())
+}
--- /dev/null
+++ b/cmd/boragehub/fleet_loader.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"boragehub/event"
+	"boragehub/event/output"
+	"boragehub/failure"
+	"boragehub/loader"
+	"boragehub/mirror"
+	"boragehub/mirror/exchange"
+	"boragehub/platform"
+	"boragehub/pulse"
+)
+
+// runLoader brings the engine beside this process to the named weight version.
+func runLoader(cfg platform.Settings) error {
+	if err := cfg.RequireSide(); err != nil {
+		return err
+	}
+
+	bound(cfg)
+
+	lines := output.New(output.Config{To: os.Stdout})
+	log := logTo(cfg, "loader", lines)
+	source := platform.NewLog(cfg.Log)
+	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
+
+	l := loader.New(loader.Config{
+		Address: cfg.Engine, Holder: cfg.VM, Engine: platform.NewCalls(), Turn: loader.TurnConfig{Within: cfg.Bounds.Version},
+		Register: platform.Siblings{Log: source}, Entries: client, Log: log,
+	})
+
+	operators := &mirror.Topic{}
+	publications := &platform.Publications{
+		Named: func(_ time.Time, v platform.WeightVersion) {
+			l.Name(loader.Named{Model: v.Model, Version: v.Version, Before: operators.Before().IsZero()})
+		},
+		Log: log,
+	}
+	follower := mirror.NewFollower(mirror.FollowerConfig{
+		Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: client,
+		Wait: sideOperatorWait, OnNews: publications.Take, Log: log,
+	})
+
+	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
+		Address: cfg.Internal(pulsePort), Engine: platform.NewCalls(), EngineAddress: cfg.Engine,
+	})
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
+	}
+
+	stop := background(lines.Run, follower.Run, client.Run, l.Run, beacon.Run)
+	defer stop()
+
+	event.Log(log, event.ProcessStarted, "engine", cfg.Engine, "service", cfg.Service)
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+
+		event.Log(log, event.SettingsReread)
+	}
+
+	event.Log(log, event.ProcessStopped)
+
+	return nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,10 +57,10 @@
 	// Opening says what running prompts costs.
 	Opening route.OpeningConfig
 	// RepeatRatio and RepeatWindow bound repeats to a part of the first attempts;
-	// RepeatFloor is how many this process may make in a window besides.
+	// RepeatSlack is how many all entries together may make in a window besides.
 	RepeatRatio  float64
 	RepeatWindow time.Duration
-	RepeatFloor  int
+	RepeatSlack  int
 	// VersionWithin is the time after which no request may begin on replaced
 	// weights; zero allows it for ever.
 	VersionWithin time.Duration
@@ -90,6 +90,7 @@
 
 	mu       sync.Mutex
 	budgets  map[string]*retry.Budget
+	sharers  int // entries that share the slack of repeats
 	versions map[string][]named
 	lastSeen func() time.Time // when the newest versions were surely known
 	suspects *suspects
@@ -122,6 +123,7 @@
 	return &Gateway{
 		cfg:      cfg,
 		budgets:  make(map[string]*retry.Budget),
+		sharers:  leastSharers,
 		versions: make(map[string][]named),
 		lastSeen: known,
 		suspects: newSuspects(cfg.Crashes),
@@ -263,13 +265,43 @@
 
 	b, ok := g.budgets[service]
 	if !ok {
-		b = retry.NewBudget(retry.BudgetConfig{Ratio: g.cfg.RepeatRatio, Window: g.cfg.RepeatWindow, Floor: g.cfg.RepeatFloor})
+		b = retry.NewBudget(retry.BudgetConfig{Ratio: g.cfg.RepeatRatio, Window: g.cfg.RepeatWindow, Floor: g.slack()})
 		g.budgets[service] = b
 	}
 
 	return b
 }
 
+const (
+	// leastSharers is how many entries are taken to share the slack of repeats at
+	// least: one that has just started knows no other yet.
+	leastSharers = 8
+	// slackShare is the part of the slack that is given out: an entry that nobody
+	// has heard of yet takes its part too.
+	slackShare = 0.75
+)
+
+// slack returns this process's part of the slack of repeats. The caller holds mu.
+func (g *Gateway) slack() int {
+	return max(int(slackShare*float64(g.cfg.RepeatSlack))/g.sharers, 1)
+}
+
+// SetSharers sets how many entries there are, this one included.
+func (g *Gateway) SetSharers(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	n = max(n, leastSharers)
+	if n == g.sharers {
+		return
+	}
+
+	g.sharers = n
+	for _, b := range g.budgets {
+		b.SetFloor(g.slack())
+	}
+}
+
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -186,7 +186,7 @@
 func TestRepeatsAreBounded(t *testing.T) {
 	a, b := newEngine(t, "a", answers(error500)), newEngine(t, "b", answers(error500))
 	w := open(t, a, b)
-	w.gateway.cfg.RepeatFloor = 5
+	w.gateway.cfg.RepeatSlack = 54 // of which an entry among eight has 5
 
 	const requests = 100
 	for range requests {
@@ -198,6 +198,25 @@
 	}
 }
 
+// Thirty entries that each take an eighth of the slack repeat four times what all
+// may together.
+func TestEntriesShareTheSlackOfRepeats(t *testing.T) {
+	w := open(t)
+	w.gateway.cfg.RepeatSlack = 100
+
+	tests := []struct{ entries, want int }{
+		{1, 9}, {8, 9}, {30, 2}, {420, 1},
+	}
+
+	for _, tt := range tests {
+		w.gateway.SetSharers(tt.entries)
+
+		if got := w.gateway.slack(); got != tt.want {
+			t.Errorf("%d entries: got %d, want %d", tt.entries, got, tt.want)
+		}
+	}
+}
+
 func TestStreamsArePassedOnWhole(t *testing.T) {
 	e := newEngine(t, "a", answers(streamTop+chunk("id: 1\nda")+chunk("ta: token1\n\nid: 2\ndata: token2\n\n")+streamEnd))
 	w := open(t, e)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -264,7 +264,7 @@
 	w.gateway = New(Config{
 		DataCentre: "east", Dialect: plainDialect{}, Roster: w.roster, Pool: upstream.NewPool(upstream.Config{}), Vaults: w.vaults,
 		Crashes:     quarantine.NewTracker(quarantine.TrackerConfig{Crashes: 3}),
-		RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatFloor: 100, VersionWithin: 8 * time.Second, Log: logr.Discard(),
+		RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatSlack: 800, VersionWithin: 8 * time.Second, Log: logr.Discard(),
 	}, func() time.Time { return w.seen })
 	w.gateway.Configure(site.New(published))
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -65,6 +65,15 @@
 	return &Budget{cfg: cfg}
 }
 
+// SetFloor changes how many repeats a window allows besides the part of first
+// attempts, as when the number of entries that share them changes.
+func (b *Budget) SetFloor(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.cfg.Floor = n
+}
+
 // First counts a first attempt.
 func (b *Budget) First(now time.Time) {
 	b.mu.Lock()
