vault, exchange: contexts stay fetchable in an outage of the log

Change: entries register in the log; a registered one fetches for 15 s after it last saw no newer version, and whoever frees asks all that stand in the register until each knows the newer version, or waits those 15 s. One that registered after what it last read of the log has no such right.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -34,18 +34,19 @@
 
 // fleetEntry is an entry on the users' platform.
 type fleetEntry struct {
-	cfg       platform.Settings
-	log       logr.Logger
-	lines     *output.Writer
-	gateway   *gateway.Gateway
-	roster    *roster.Roster
-	pool      *upstream.Pool
-	watcher   *vault.Watcher
-	directory *vault.Directory
-	members   *exchange.Members
-	client    *exchange.Client
-	peers     *exchange.Server
-	meters    *prometheus.Registry
+	cfg          platform.Settings
+	log          logr.Logger
+	lines        *output.Writer
+	gateway      *gateway.Gateway
+	roster       *roster.Roster
+	pool         *upstream.Pool
+	watcher      *vault.Watcher
+	directory    *vault.Directory
+	members      *exchange.Members
+	client       *exchange.Client
+	peers        *exchange.Server
+	registration *exchange.Registration
+	meters       *prometheus.Registry
 
 	followers []*mirror.Follower
 }
@@ -63,10 +64,11 @@
 
 	e.directory, e.members = directory, members
 	e.client = exchange.NewClient(members)
+	e.registration = exchange.NewRegistration(source, platform.EntriesTopic, log)
 	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
-		Directory: directory, Source: calls, Peers: e.client, Log: log,
+		Directory: directory, Source: calls, Peers: storePeers{e.client, e.registration, cfg.Peers}, Log: log,
 		Turn: func(address string) int { return members.Turn(time.Now(), address) },
 	})
 
@@ -86,7 +88,7 @@
 		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), Opening: route.OpeningConfig{},
 		RepeatRatio: cfg.Bounds.RepeatRatio * repeatShare, RepeatWindow: cfg.Bounds.RepeatWindow,
 		RepeatSlack: cfg.Bounds.RepeatSlack, VersionWithin: cfg.Bounds.Version, Meter: meter, Log: log,
-	}, operators.Fresh)
+	}, operators.Fresh, e.registration.Since)
 
 	e.follow(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
@@ -103,7 +105,7 @@
 		Configured: e.configured,
 		Named: func(now time.Time, v platform.WeightVersion) {
 			e.gateway.Named(now, v.Model, v.Version, operators.Before())
-			e.watcher.Named(now, v.Model, v.Version)
+			e.watcher.Named(now, v.Model, v.Version, v.Offset)
 		},
 		Unreadable: meter.Unreadable, Log: e.log,
 	}
@@ -175,6 +177,26 @@
 	}
 }
 
+// register writes into the log where this entry can be asked.
+func (e *fleetEntry) register(ctx context.Context) { e.registration.Run(ctx, e.cfg.VM, e.cfg.Peers) }
+
+// storePeers are the other entries, for what concerns stores.
+type storePeers struct {
+	*exchange.Client
+	registration *exchange.Registration
+	self         string
+}
+
+// Registered reads which entries may make use of a long grace.
+func (p storePeers) Registered(ctx context.Context) ([]string, error) {
+	return p.registration.All(ctx, p.self)
+}
+
+// Knows reports whether an entry has read the operators' topic up to an offset.
+func (p storePeers) Knows(ctx context.Context, peer string, offset int64) bool {
+	return p.Client.Knows(ctx, peer, platform.OperatorTopic, offset)
+}
+
 // tick does what is due now and then.
 func (e *fleetEntry) tick(ctx context.Context) {
 	for pause.For(ctx, tickEvery) {
@@ -211,7 +233,7 @@
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
 	}
 
-	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick, pulses.Run}
+	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick, pulses.Run, e.register}
 
 	for _, f := range e.followers {
 		duties = append(duties, f.Run)
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -6,6 +6,7 @@
 	TopicRegained    = register(2201, "topic_regained", "A topic of the log answers again; `after_ms` tells for how long it did not.")
 	RecordUnreadable = register(2202, "record_unreadable", "A record of the log can't be understood; the one before it stays in force: `topic`, `key`, `offset`.")
 	ConfigInForce    = register(2203, "config_in_force", "A configuration is in force in this process: `version`, `offset`, `routes`.")
+	EntryRegistered  = register(2205, "entry_registered", "The log holds where this entry can be asked; it may fetch contexts for longer in an outage: `name`, `address`.")
 	VersionNamed     = register(2204, "version_named", "Operators named a weight version: `model`, `version`, `offset`.")
 )
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -171,7 +171,7 @@
 // find returns a copy of a part of the prompt that may be fetched for an engine.
 func (t *task) find(now time.Time, i int, e roster.Engine) (vault.Copy, bool) {
 	p := vault.Part{Salt: t.scope(e.Version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}
-	if !p.Right(now, t.g.currentUntil(t.arrival.Prompt.Model, e.Version)) {
+	if !t.g.mayFetch(now, p, t.arrival.Prompt.Model, e.Version) {
 		return vault.Copy{}, false
 	}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	sharers  int // entries that share the slack of repeats
 	versions map[string][]named
 	lastSeen func() time.Time // when the newest versions were surely known
+	listed   func() time.Time // since when this process is asked before contexts are freed
 	suspects *suspects
 	room     *room
 }
@@ -118,14 +119,16 @@
 const maxNamed = 8
 
 // New returns a Gateway without a configuration. Known tells when the newest
-// weight versions were surely known.
-func New(cfg Config, known func() time.Time) *Gateway {
+// weight versions were surely known, listed since when this process is registered,
+// so that it is asked before contexts are freed; zero for not yet.
+func New(cfg Config, known, listed func() time.Time) *Gateway {
 	return &Gateway{
 		cfg:      cfg,
 		budgets:  make(map[string]*retry.Budget),
 		sharers:  leastSharers,
 		versions: make(map[string][]named),
 		lastSeen: known,
+		listed:   listed,
 		suspects: newSuspects(cfg.Crashes),
 		room:     newRoom(),
 	}
@@ -211,19 +214,32 @@
 	return g.namedFor(now, model, g.cfg.VersionWithin-versionMargin)
 }
 
+// mayFetch reports whether a part that was made under a version of a model may be
+// fetched from a store.
+func (g *Gateway) mayFetch(now time.Time, p vault.Part, model string, version int64) bool {
+	current, newest := g.currentUntil(model, version)
+
+	// Whoever reads the register after a newer version was named finds this process
+	// there only if it stood there when this process last saw none.
+	since := g.listed()
+	asked := newest && !since.IsZero() && current.After(since)
+
+	return p.Right(now, current, asked)
+}
+
 // currentUntil returns the last time at which a version was surely the newest of
-// its model.
-func (g *Gateway) currentUntil(model string, version int64) time.Time {
+// its model, and whether it still is as far as this process knows.
+func (g *Gateway) currentUntil(model string, version int64) (current time.Time, newest bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	for _, n := range g.versions[model] {
 		if n.version > version {
-			return n.before
+			return n.before, false
 		}
 	}
 
-	return g.lastSeen()
+	return g.lastSeen(), true
 }
 
 // HasEngines reports whether a service is one of model engines.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -67,7 +67,7 @@
 // its would tell callers that what they want doesn't exist.
 func TestWithoutAConfigurationCallersAreToldToComeBack(t *testing.T) {
 	w := open(t)
-	w.gateway = New(w.gateway.cfg, w.gateway.lastSeen)
+	w.gateway = New(w.gateway.cfg, w.gateway.lastSeen, w.gateway.listed)
 	w.server.Config.Handler = w.gateway
 
 	got := w.ask(t, "GET", "/idem/1", "")
@@ -397,6 +397,15 @@
 	w.seen = time.Now().Add(-time.Minute) // this process is cut off from the log
 	w.ask(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
+	w.seen, w.listed = time.Now().Add(-10*time.Second), time.Now().Add(-5*time.Second) // registered too late
+	w.ask(t, "POST", "/llm/1", "x", "Tokens", "5000")
+
+	w.listed = time.Now().Add(-20 * time.Second) // a short outage of the log
+	w.ask(t, "POST", "/llm/1", "x", "Tokens", "5000")
+
+	w.gateway.Named(time.Now(), "m", 2, w.seen) // it was an outage for this process alone
+	w.ask(t, "POST", "/llm/1", "x", "Tokens", "5000")
+
 	if got, want := e.arrival(0).Header.Get("Fetch"), "vault:1,"; got != want {
 		t.Errorf("got it fetched from %q, want %q", got, want)
 	}
@@ -404,6 +413,18 @@
 	if got := e.arrival(1).Header.Get("Fetch"); got != "" {
 		t.Errorf("cut off: got it fetched from %q, want nowhere", got)
 	}
+
+	if got := e.arrival(2).Header.Get("Fetch"); got != "" {
+		t.Errorf("registered since: got it fetched from %q, want nowhere", got)
+	}
+
+	if got, want := e.arrival(3).Header.Get("Fetch"), "vault:1,"; got != want {
+		t.Errorf("in an outage: got it fetched from %q, want %q", got, want)
+	}
+
+	if got := e.arrival(4).Header.Get("Fetch"); got != "" {
+		t.Errorf("replaced: got it fetched from %q, want nowhere", got)
+	}
 }
 
 // An engine has new weights already and says so. The same engine gets the request
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -223,6 +223,7 @@
 	roster  *roster.Roster
 	vaults  *vault.Directory
 	seen    time.Time
+	listed  time.Time
 }
 
 // routes are one of each kind.
@@ -265,7 +266,7 @@
 		DataCentre: "east", Dialect: plainDialect{}, Roster: w.roster, Pool: upstream.NewPool(upstream.Config{}), Vaults: w.vaults,
 		Crashes:     quarantine.NewTracker(quarantine.TrackerConfig{Crashes: 3}),
 		RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatSlack: 800, VersionWithin: 8 * time.Second, Log: logr.Discard(),
-	}, func() time.Time { return w.seen })
+	}, func() time.Time { return w.seen }, func() time.Time { return w.listed })
 	w.gateway.Configure(site.New(published))
 
 	w.server = httptest.NewServer(w.gateway)
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -214,6 +214,13 @@
 	return updates, err
 }
 
+// Knows reports whether an entry has read a topic up to and with an offset.
+func (c *Client) Knows(ctx context.Context, peer, topic string, offset int64) bool {
+	b, err := c.records(ctx, peer, topic, offset)
+
+	return err == nil && b.End > offset
+}
+
 // Hello asks all known entries for the others that they know.
 func (c *Client) Hello(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -422,7 +422,8 @@
 
 // Replaced returns the parts that are due to be freed, when a newer version of
 // their model than theirs was learned of so long ago, at most so many a store.
-func (d *Directory) Replaced(model string, before int64, ago func(address string) time.Duration, most int) []Replaced {
+// Answered is as for Part.FreeAfter.
+func (d *Directory) Replaced(model string, before int64, ago func(address string) time.Duration, answered bool, most int) []Replaced {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -438,7 +439,7 @@
 
 		for p, tokens := range sh.parts {
 			s, ok := ParseSalt(p.Salt)
-			if ok && s.Model == model && s.Version < before && since >= p.FreeAfter() && len(r.Parts) < most {
+			if ok && s.Model == model && s.Version < before && since >= p.FreeAfter(answered) && len(r.Parts) < most {
 				r.Parts = append(r.Parts, p)
 				r.Tokens += tokens
 			}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -16,6 +16,11 @@
 //   - A process frees a context only when its grace time and the longest fetch
 //     have passed since it learned of a newer version (Part.FreeAfter). Whoever
 //     did not know of it by then has lost its right to fetch.
+//   - Grace times are short, so that room comes free, and would end in an outage of
+//     the log. So a process registers in the log before it makes use of a longer
+//     one, and whoever frees asks all that are registered first: one that read the
+//     log before the newer version was named stands in the register that is read
+//     after it.
 //
 // So it doesn't matter how many processes free, or which of them are cut off.
 //
@@ -151,12 +156,32 @@
 	return graceLeast + (graceMost-graceLeast)*step/steps
 }
 
+// LongGrace is how long a registered process may fetch contexts of a version that it
+// takes for the newest. An outage of the log lasts some seconds; without it all
+// contexts would be read anew meanwhile.
+const LongGrace = 15 * time.Second
+
 // Right reports whether the part may be fetched at now, when the process last
-// surely knew at current that no newer version was named.
-func (p Part) Right(now, current time.Time) bool {
-	return !current.IsZero() && now.Before(current.Add(p.grace()))
+// surely knew at current that no newer version was named. Asked says that the
+// process is registered and knows of no newer version, so that nothing is freed
+// before it was asked, or LongGrace has passed.
+func (p Part) Right(now, current time.Time, asked bool) bool {
+	g := p.grace()
+	if asked {
+		g = LongGrace
+	}
+
+	return !current.IsZero() && now.Before(current.Add(g))
 }
 
-// FreeAfter returns how long after learning of a newer version the part is freed:
-// whoever may still fetch it has learned of it by then, or has lost the right.
-func (p Part) FreeAfter() time.Duration { return p.grace() + MaxFetch + freeMargin }
+// FreeAfter returns how long after learning of a newer version the part is freed.
+// Answered says that every registered process has answered that it knows the newer
+// version; who has not registered, or was not reached, loses its right by time.
+func (p Part) FreeAfter(answered bool) time.Duration {
+	g := p.grace()
+	if !answered {
+		g = LongGrace
+	}
+
+	return g + MaxFetch + freeMargin
+}
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -42,13 +42,24 @@
 			current = at(before)
 		}
 
-		if !part.Right(at(fetch), current) {
+		// The process registers at some time. Whoever frees reads the register when the
+		// version is named, and asks those that stand there until they know.
+		registers := rapid.Int64Range(0, 60_000).Draw(t, "registers at ms")
+		reached := rapid.Bool().Draw(t, "reached")
+		listed := registers <= named
+
+		if listed && reached && (known < 0 || known > named) {
+			known = named
+		}
+
+		asked := before >= registers && (known < 0 || known > fetch)
+		if !part.Right(at(fetch), current, asked) {
 			return
 		}
 
 		// Another process learned of the version the moment it was named, and frees
-		// as early as it ever may.
-		freed := at(named).Add(part.FreeAfter())
+		// as early as it ever may: without an answer only if nobody is registered.
+		freed := at(named).Add(part.FreeAfter(reached || !listed))
 		ends := at(fetch).Add(MaxFetch)
 
 		if ends.After(freed) {
@@ -215,16 +226,20 @@
 	}
 
 	long := func(string) time.Duration { return time.Hour }
-	got := d.Replaced("m", 2, long, 10)
+	got := d.Replaced("m", 2, long, true, 10)
 
 	if len(got) != 1 || len(got[0].Parts) != 1 || got[0].Parts[0].ID != "a" {
 		t.Errorf("got %v, want a alone", got)
 	}
 
 	soon := func(string) time.Duration { return graceLeast }
-	if got := d.Replaced("m", 2, soon, 10); len(got) != 0 {
+	if got := d.Replaced("m", 2, soon, true, 10); len(got) != 0 {
 		t.Errorf("too early: got %v, want none", got)
 	}
+
+	if got := d.Replaced("m", 2, func(string) time.Duration { return LongGrace }, false, 10); len(got) != 0 {
+		t.Errorf("not answered by all: got %v, want none", got)
+	}
 }
 
 // TestFollowersKnowWhatTheirTellerKnows draws changes of a store and questions of
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -36,6 +36,8 @@
 	peerEvery = 300 * time.Millisecond
 	// awayPause is the pause before a store that doesn't answer is asked again.
 	awayPause = 500 * time.Millisecond
+	// askAgain is the pause between two questions whether processes know a version.
+	askAgain = 200 * time.Millisecond
 	// sweepEvery is the pause between two looks for parts to free.
 	sweepEvery = 500 * time.Millisecond
 	// freeAtOnce bounds the parts of one call.
@@ -52,6 +54,11 @@
 	Watchers(address string) (others []string, self bool)
 	// Ask asks a process what changed since the positions.
 	Ask(ctx context.Context, peer string, positions []Position) ([]Update, error)
+	// Registered reads from the log which processes may make use of a long grace.
+	Registered(ctx context.Context) ([]string, error)
+	// Knows reports whether a process has read the operators' topic up to and with
+	// an offset.
+	Knows(ctx context.Context, peer string, offset int64) bool
 }
 
 // WatcherConfig says what a Watcher works with.
@@ -94,6 +101,8 @@
 type replacement struct {
 	version int64
 	at      time.Time
+	// answered says that all registered processes know of it.
+	answered bool
 }
 
 // NewWatcher returns a Watcher that Run starts.
@@ -139,8 +148,9 @@
 	}
 }
 
-// Named takes that a version of a model is the newest.
-func (w *Watcher) Named(now time.Time, model string, version int64) {
+// Named takes that a version of a model is the newest, as the record at an offset
+// of the operators' topic says.
+func (w *Watcher) Named(now time.Time, model string, version, offset int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -149,8 +159,12 @@
 		return
 	}
 
-	all = append(all, replacement{version, now})
+	all = append(all, replacement{version: version, at: now})
 	w.replaced[model] = all[max(0, len(all)-maxReplacements):]
+
+	if w.ctx != nil {
+		go w.askAll(w.ctx, model, version, offset)
+	}
 }
 
 // Run frees what was replaced until ctx ends. Configure may be called before.
@@ -259,6 +273,44 @@
 	return nil
 }
 
+// askAll asks all registered processes until each knows a version, or until that
+// no longer matters.
+func (w *Watcher) askAll(ctx context.Context, model string, version, offset int64) {
+	ctx, cancel := context.WithTimeout(ctx, LongGrace)
+	defer cancel()
+
+	open, err := w.cfg.Peers.Registered(ctx)
+	for err != nil {
+		if !pause.For(ctx, askAgain) {
+			return
+		}
+
+		open, err = w.cfg.Peers.Registered(ctx)
+	}
+
+	for len(open) > 0 {
+		open = slices.DeleteFunc(open, func(peer string) bool { return w.cfg.Peers.Knows(ctx, peer, offset) })
+
+		if len(open) > 0 && !pause.For(ctx, askAgain) {
+			return
+		}
+	}
+
+	w.answered(model, version)
+}
+
+// answered notes that all registered processes know a version.
+func (w *Watcher) answered(model string, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	for i := range w.replaced[model] {
+		if w.replaced[model][i].version == version {
+			w.replaced[model][i].answered = true
+		}
+	}
+}
+
 // sweep frees what was replaced long enough ago.
 func (w *Watcher) sweep(ctx context.Context, now time.Time) {
 	w.mu.Lock()
@@ -275,7 +327,7 @@
 				return now.Sub(r.at) - time.Duration(w.cfg.Turn(address))*TurnWait
 			}
 
-			for _, old := range w.cfg.Directory.Replaced(model, r.version, ago, freeAtOnce) {
+			for _, old := range w.cfg.Directory.Replaced(model, r.version, ago, r.answered, freeAtOnce) {
 				w.free(ctx, now, model, r, old)
 			}
 		}
--- /dev/null
+++ b/vault/watcher_test.go
@@ -0,0 +1,161 @@
+package vault
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// fakePeers are registered processes that learn of versions late or never.
+type fakePeers struct {
+	mu      sync.Mutex
+	knows   map[string]bool
+	logDown bool
+}
+
+var errLogDown = errors.New("the log is down")
+
+func (p *fakePeers) set(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.knows[peer] = true
+}
+
+func (*fakePeers) Watchers(string) ([]string, bool) { return nil, true }
+
+func (*fakePeers) Ask(context.Context, string, []Position) ([]Update, error) { return nil, nil }
+
+func (p *fakePeers) Registered(context.Context) ([]string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.logDown {
+		return nil, errLogDown
+	}
+
+	all := []string{}
+	for peer := range p.knows {
+		all = append(all, peer)
+	}
+
+	return all, nil
+}
+
+func (p *fakePeers) Knows(_ context.Context, peer string, _ int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.knows[peer]
+}
+
+// fakeStore holds one part of version 1.
+type fakeStore struct {
+	mu    sync.Mutex
+	freed time.Time
+}
+
+var oldPart = Held{Part: Part{Salt: Scope{Model: "m", Version: 1}.Salt(), ID: "a"}, Tokens: 100}
+
+func (*fakeStore) Events(ctx context.Context, _ string, since int64, wait time.Duration) (Events, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+
+	return Events{Epoch: 1, Next: since, Clock: time.Now().UnixMilli()}, ctx.Err()
+}
+
+func (*fakeStore) List(context.Context, string) (Listing, error) {
+	return Listing{Epoch: 1, Next: 1, Clock: time.Now().UnixMilli(), Held: []Held{oldPart}}, nil
+}
+
+func (s *fakeStore) Free(context.Context, string, int64, []Part, int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.freed = time.Now()
+
+	return nil
+}
+
+// freedAfter runs a watcher for half a minute and returns how long after a newer
+// version was named the old part was freed.
+func freedAfter(t *testing.T, peers *fakePeers, meanwhile func()) time.Duration {
+	t.Helper()
+
+	var after time.Duration
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &fakeStore{}
+		w := NewWatcher(WatcherConfig{Directory: NewDirectory(1), Source: store, Peers: peers, Turn: func(string) int { return 0 }, Log: logr.Discard()})
+
+		var running sync.WaitGroup
+
+		running.Go(func() { w.Run(ctx) })
+		w.Configure([]Store{{Address: "s", Room: 1000}})
+		time.Sleep(time.Second)
+
+		named := time.Now()
+		w.Named(named, "m", 2, 7)
+
+		if meanwhile != nil {
+			meanwhile()
+		}
+
+		time.Sleep(30 * time.Second)
+		cancel()
+		running.Wait()
+		synctest.Wait()
+
+		after = store.freed.Sub(named)
+	})
+
+	return after
+}
+
+// Room for contexts of new weights is short, so the old ones go as soon as nobody
+// can fetch them any more.
+func TestOldContextsGoOnceAllKnowOfTheNewVersion(t *testing.T) {
+	got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": true}}, nil)
+
+	if want := oldPart.FreeAfter(true); got < want || got > want+2*sweepEvery {
+		t.Errorf("got it freed after %v, want %v", got, want)
+	}
+}
+
+// A registered process doesn't answer: it is dead, or cut off and still fetching.
+// Freed early, the context that it fetches would be broken.
+func TestOldContextsStayWhileARegisteredProcessIsSilent(t *testing.T) {
+	got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": false}}, nil)
+
+	if want := oldPart.FreeAfter(false); got < want || got > want+2*sweepEvery {
+		t.Errorf("got it freed after %v, want %v", got, want)
+	}
+}
+
+func TestProcessThatAnswersLateIsAskedAgain(t *testing.T) {
+	peers := &fakePeers{knows: map[string]bool{"a": false}}
+	got := freedAfter(t, peers, func() {
+		time.Sleep(10 * time.Second)
+		peers.set("a")
+	})
+
+	if got < 10*time.Second || got > 10*time.Second+askAgain+2*sweepEvery {
+		t.Errorf("got it freed after %v, want just after 10 s", got)
+	}
+}
+
+func TestUnreadRegisterKeepsOldContexts(t *testing.T) {
+	got := freedAfter(t, &fakePeers{logDown: true}, nil)
+
+	if want := oldPart.FreeAfter(false); got < want {
+		t.Errorf("got it freed after %v, want %v", got, want)
+	}
+}
