--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -151,7 +151,7 @@
 	shared := p.Shared()
 
 	return route.OpeningRequest{
-		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output, Left: time.Until(t.deadline),
+		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output,
 	}
 }
 
@@ -343,7 +343,7 @@
 	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
 		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "config", t.cfg.Version(),
 		"running", max(e.Pulse.Running, e.Load.Running), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
-		"reading", e.Pulse.Reading, "used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
+		"used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
 		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
 		"opening", t.openingID(), "salt", c.sending.Salt)
 }
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -40,11 +40,9 @@
 	// when that began, in ns of its clock.
 	Sequence uint64 `cbor:"2,keyasint"`
 	Start    int64  `cbor:"3,keyasint"`
-	// Running and Waiting are the engine's requests, Reading those of them that
-	// have not made an event yet.
+	// Running and Waiting are the engine's requests.
 	Running int `cbor:"4,keyasint"`
 	Waiting int `cbor:"5,keyasint"`
-	Reading int `cbor:"6,keyasint"`
 	// UsedTokens is the memory that requests hold, of TotalTokens.
 	UsedTokens  int `cbor:"7,keyasint"`
 	TotalTokens int `cbor:"8,keyasint"`
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -290,24 +290,6 @@
 	event.Log(r.cfg.Log, event.TargetChanged, "vm", c.VM, "reason", c.Reason.String(), "until", c.Until)
 }
 
-// Engine returns one target; ok is false when it isn't known.
-func (r *Roster) Engine(now time.Time, id, model string) (Engine, bool) {
-	t, ok := r.table.Target(now, id)
-	if !ok {
-		return Engine{}, false
-	}
-
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	e, ok := r.engines[id]
-	if !ok {
-		return Engine{}, false
-	}
-
-	return e.view(now, t, model), true
-}
-
 // Candidates returns the targets of a service that may get work, with their
 // weight version of a model.
 func (r *Roster) Candidates(now time.Time, service, model string) []Engine {
@@ -464,19 +446,6 @@
 	e.versions[model] = version
 }
 
-// Newest returns the highest version of a model that any target has.
-func (r *Roster) Newest(model string) int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	var newest int64
-	for _, e := range r.engines {
-		newest = max(newest, e.versions[model])
-	}
-
-	return newest
-}
-
 // ByAddress returns the id of the target that holds an address.
 func (r *Roster) ByAddress(address string) (string, bool) {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -113,10 +113,6 @@
 	if got := names(r, at(100))["a"].Version; got != 3 {
 		t.Errorf("got version %d, want 3", got)
 	}
-
-	if got := r.Newest("m"); got != 3 {
-		t.Errorf("newest: got %d, want 3", got)
-	}
 }
 
 // A side process says that its engine is about to load weights, and dies before it
--- a/route/opening.go
+++ b/route/opening.go
@@ -18,8 +18,6 @@
 	Shared, Own int
 	// Output is how many tokens the answer may have.
 	Output int
-	// Left is the time until the answer's first event is of no use.
-	Left time.Duration
 }
 
 // tokens returns the memory that the request takes on an engine.
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -8,6 +8,24 @@
 	"pgregory.net/rapid"
 )
 
+// seen returns the last look, up to a time, that shows no newer version, and the
+// first that shows it; -1 for none.
+func seen(looks []int64, named, until int64) (before, known int64) {
+	before, known = -1, -1
+
+	for _, l := range looks {
+		switch {
+		case l > until:
+		case l < named:
+			before = max(before, l)
+		case known < 0 || l < known:
+			known = l
+		}
+	}
+
+	return before, known
+}
+
 // TestNothingIsFreedThatMayStillBeFetched draws processes that learn of new weight
 // versions early, late or not at all, fetch contexts while they may, and free
 // what was replaced. A context that is freed while an engine fetches it is
@@ -23,19 +41,7 @@
 		looks := rapid.SliceOfN(rapid.Int64Range(0, 40_000), 0, 8).Draw(t, "looks at ms")
 		fetch := rapid.Int64Range(0, 60_000).Draw(t, "fetches at ms")
 
-		var before, known int64 = -1, -1 // last look without the new version, first with it
-
-		for _, l := range looks {
-			if l > fetch {
-				continue
-			}
-
-			if l < named {
-				before = max(before, l)
-			} else if known < 0 || l < known {
-				known = l
-			}
-		}
+		before, known := seen(looks, named, fetch)
 
 		current := time.Time{}
 		if before >= 0 {
