gateway: ask engines believed old for the new weights when no other is left

On the platform the register tells in a second; without it nothing would. Change: when no engine is believed to have the required weights, all are asked for them; one that hasn't refuses without running. The test fails without it (503 for 200).

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"boragehub/event"
@@ -97,6 +98,7 @@
 	newest := t.g.newest(p.Model)
 	due, required := t.g.namedFor(now, p.Model, versionGrace), t.g.required(now, p.Model)
 	candidates := make([]route.OpeningCandidate, len(all))
+	all = expectRequired(all, required)
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
@@ -129,6 +131,24 @@
 	return c, nil
 }
 
+// expectRequired returns the engines as they are asked to be when none is believed
+// to have the weights that are required: with those weights. One that has them, and
+// of which this entry missed it, serves; one that hasn't refuses without running.
+func expectRequired(all []roster.Engine, required int64) []roster.Engine {
+	for _, e := range all {
+		if e.Version >= required {
+			return all
+		}
+	}
+
+	asked := slices.Clone(all)
+	for i := range asked {
+		asked[i].Version = required
+	}
+
+	return asked
+}
+
 // load fills in what an engine has to do: its pulse and what was sent since, or
 // what this entry knows by itself.
 func load(c *route.OpeningCandidate, e roster.Engine) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -439,10 +439,22 @@
 	}
 }
 
+// hasVersion answers as an engine with a weight version: it refuses requests that
+// expect another one, without telling its own.
+func hasVersion(version string) behaviour {
+	return func(c net.Conn, r *http.Request) bool {
+		if v := r.Header.Get("Version"); v != "0" && v != version {
+			return answers("HTTP/1.1 421 Misdirected Request\r\nId: ID\r\nContent-Length: 0\r\n\r\n")(c, r)
+		}
+
+		return answers(streamTop + events(1, 1) + streamEnd)(c, r)
+	}
+}
+
 // Operators named new weights long ago, and one engine still has the old ones, as
-// when its side process died. It gets no more requests.
+// when its side process died. No request may begin there any more.
 func TestEngineWithReplacedWeightsIsLeftOutInTime(t *testing.T) {
-	a := newEngine(t, "a", answers(streamTop+events(1, 1)+streamEnd))
+	a := newEngine(t, "a", hasVersion("1"))
 	w := open(t, a)
 	now := time.Now()
 	w.gateway.Named(now.Add(-7*time.Second), "m", 2, now.Add(-8*time.Second))
@@ -451,19 +463,45 @@
 		t.Errorf("after 7 s: got %d, want 200", got.status)
 	}
 
+	before := a.count()
 	w.gateway.Named(now.Add(-8*time.Second), "m", 3, now.Add(-9*time.Second))
 
 	if got := w.ask(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 503 {
 		t.Errorf("after 8 s: got %d, want 503", got.status)
 	}
 
-	w.roster.List(now, roster.Listing{ID: "llmb", Service: "llm", Address: a.llm, Offset: 1, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 3}})
+	for i := before; i < a.count(); i++ {
+		if got := a.arrival(i).Header.Get("Version"); got != "3" {
+			t.Errorf("got a request that expects version %q, want 3", got)
+		}
+	}
 
-	if got := w.ask(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 200 {
+	b := newEngine(t, "b", hasVersion("3"))
+	w.roster.List(now, roster.Listing{ID: "llmb", Service: "llm", Address: b.llm, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 3}})
+
+	if got := w.ask(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 200 || b.count() != 1 {
 		t.Errorf("with an engine that has them: got %d, want 200", got.status)
 	}
 }
 
+// An entry missed that the engines changed over: it was started meanwhile, and
+// nobody told it. Were they left out for good, it would never learn better, and
+// would refuse everything while all others serve.
+func TestEnginesBelievedOldAreAskedForTheNewWeights(t *testing.T) {
+	a := newEngine(t, "a", hasVersion("2"))
+	w := open(t, a) // which believes that it has version 1
+	now := time.Now()
+	w.gateway.Named(now.Add(-time.Minute), "m", 2, now.Add(-time.Minute))
+
+	if got := w.ask(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 200 {
+		t.Errorf("got %d, want 200", got.status)
+	}
+
+	if got := a.arrival(0).Header; got.Get("Version") != "2" || !strings.Contains(got.Get("Salt"), "/2/") {
+		t.Errorf("got version %q and salt %q, want those of 2", got.Get("Version"), got.Get("Salt"))
+	}
+}
+
 // All entries were killed some seconds after new weights were named, and one engine
 // can't load them. The entries that come back don't know when the weights were
 // named; were the time allowed counted from their start, requests would begin on
