--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -447,7 +447,7 @@
 			return answers("HTTP/1.1 421 Misdirected Request\r\nId: ID\r\nContent-Length: 0\r\n\r\n")(c, r)
 		}
 
-		return answers(streamTop + events(1, 1) + streamEnd)(c, r)
+		return answers(streamTop+events(1, 1)+streamEnd)(c, r)
 	}
 }
 
