--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -94,9 +94,24 @@
 }
 
 // fakePeers answers with what it has.
-type fakePeers struct{ batch Batch }
+type fakePeers struct {
+	mu    sync.Mutex
+	batch Batch
+}
+
+func (p *fakePeers) Newer(context.Context, string, int64) (Batch, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.batch, nil
+}
+
+func (p *fakePeers) set(b Batch) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 
-func (p *fakePeers) Newer(context.Context, string, int64) (Batch, error) { return p.batch, nil }
+	p.batch = b
+}
 
 // follow runs a follower for the body of a test on virtual time.
 func follow(t *testing.T, log *fakeLog, peers Peers, body func(topic *Topic, away func() bool)) {
@@ -175,7 +190,7 @@
 		time.Sleep(100 * time.Millisecond)
 		log.set(true)
 
-		peers.batch = Batch{Records: []Record{{Key: "config", Value: []byte("2"), Offset: 1}}, End: 2}
+		peers.set(Batch{Records: []Record{{Key: "config", Value: []byte("2"), Offset: 1}}, End: 2})
 
 		time.Sleep(5 * time.Second)
 
@@ -206,7 +221,7 @@
 // configuration and serve nobody until the log is back.
 func TestStartInAnOutageTakesWhatPeersHave(t *testing.T) {
 	log := &fakeLog{down: true}
-	peers := &fakePeers{Batch{Records: []Record{{Key: "config", Value: []byte("7"), Offset: 3}}, End: 4}}
+	peers := &fakePeers{batch: Batch{Records: []Record{{Key: "config", Value: []byte("7"), Offset: 3}}, End: 4}}
 
 	follow(t, log, peers, func(topic *Topic, _ func() bool) {
 		time.Sleep(50 * time.Millisecond)
