--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -153,9 +153,6 @@
 // Header returns the answer's headers.
 func (x *Exchange) Header() http.Header { return x.resp.Header }
 
-// Length returns the length of the answer's body, -1 when it isn't told.
-func (x *Exchange) Length() int64 { return x.resp.ContentLength }
-
 // Read reads the answer's body. It returns io.EOF only at the end of a complete
 // answer.
 func (x *Exchange) Read(b []byte) (int, error) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -170,18 +170,6 @@
 	return p.dials
 }
 
-// Forget closes the unused connections of an address, as when its target left.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	conns := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-
-	for _, c := range conns {
-		c.close()
-	}
-}
-
 // Sweep closes the connections that were unused for too long.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*conn
