resident, pulse, gateway: engines tell which long parts they have in memory

Cause: an entry knew of contexts in stores alone.

Change: the process beside an engine follows its cache events and tells its long parts with each pulse; prompts go there or fetch their opening from there, and one that was given to an engine a moment ago is not given to a second one.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -140,7 +140,7 @@
 	for _, s := range c.Vaults() {
 		stores = append(stores, vault.Store{
 			Address: s.Vault.Address, DataCentre: s.Vault.DataCentre, Room: s.Vault.RoomTokens, FirstByte: s.Vault.FirstByte,
-			TokensPerMs: tokensPerMs(s.Vault.LinkMbps, c.TokenBytes()),
+			TokensPerMs: site.TokensPerMs(s.Vault.LinkMbps, c.TokenBytes()),
 		})
 	}
 
@@ -152,17 +152,6 @@
 	return e.roster.Addresses(e.gateway.HasEngines)
 }
 
-// tokensPerMs returns how many tokens a link of so many Mbit/s carries in a ms.
-func tokensPerMs(mbps, tokenBytes float64) float64 {
-	if tokenBytes <= 0 {
-		return 0
-	}
-
-	const bytesPerMbitMs = 1e6 / 8 / 1e3
-
-	return mbps * bytesPerMbitMs / tokenBytes
-}
-
 // notice takes what a side process says of its engine.
 func (e *fleetEntry) notice(now time.Time, n exchange.Notice) {
 	id, ok := e.roster.ByAddress(n.Address)
--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -14,6 +14,7 @@
 	"boragehub/mirror/exchange"
 	"boragehub/platform"
 	"boragehub/pulse"
+	"boragehub/resident"
 )
 
 // runLoader brings the engine beside this process to the named weight version.
@@ -27,10 +28,11 @@
 	lines := output.New(output.Config{To: os.Stdout})
 	log := logTo(cfg, "loader", lines)
 	source := platform.NewLog(cfg.Log)
+	calls := platform.NewCalls()
 	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
 
 	l := loader.New(loader.Config{
-		Address: cfg.Engine, Holder: cfg.VM, Engine: platform.NewCalls(), Turn: loader.TurnConfig{Within: cfg.Bounds.Version},
+		Address: cfg.Engine, Holder: cfg.VM, Engine: calls, Turn: loader.TurnConfig{Within: cfg.Bounds.Version},
 		Register: platform.Siblings{Log: source}, Entries: client, Log: log,
 	})
 
@@ -46,14 +48,16 @@
 		Wait: sideOperatorWait, OnNews: publications.Take, Log: log,
 	})
 
+	memory := resident.NewFollower(resident.Config{Address: cfg.Engine, Source: calls})
+
 	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
-		Address: cfg.Internal(pulsePort), Engine: platform.NewCalls(), EngineAddress: cfg.Engine,
+		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
 	}
 
-	stop := background(lines.Run, follower.Run, client.Run, l.Run, beacon.Run)
+	stop := background(lines.Run, follower.Run, client.Run, l.Run, beacon.Run, memory.Run)
 	defer stop()
 
 	event.Log(log, event.ProcessStarted, "engine", cfg.Engine, "service", cfg.Service)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -99,6 +99,7 @@
 	due, required := t.g.namedFor(now, p.Model, versionGrace), t.g.required(now, p.Model)
 	candidates := make([]route.OpeningCandidate, len(all))
 	all = expectRequired(all, required)
+	l := t.lookup(now, all)
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
@@ -106,7 +107,7 @@
 			Old: e.Version > 0 && e.Version < due, Slots: e.Slots, Distance: t.distance(e),
 		}
 		load(&candidates[i], e)
-		t.kept(now, &candidates[i], e, newest)
+		l.fill(&candidates[i], e, newest)
 	}
 
 	cfg := t.g.cfg.Opening
@@ -125,7 +126,7 @@
 	}
 
 	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens, memory: p.Tokens + p.Output}
-	t.contexts(now, &c)
+	t.contexts(l, &c)
 	t.log(c, reason, d.Cost(), len(all))
 
 	return c, nil
@@ -175,29 +176,6 @@
 	}
 }
 
-// kept fills in whether the longest shared part may be brought from a store for
-// the engine's weights, and whether it most likely was not read for them yet.
-func (t *task) kept(now time.Time, c *route.OpeningCandidate, e roster.Engine, newest int64) {
-	i := t.longest()
-	if i < 0 || t.arrival.Prompt.Parts[i].Tokens < t.g.cfg.Opening.Short() {
-		return
-	}
-
-	found, ok := t.find(now, i, e)
-	c.Kept, c.FetchWait, c.Fetch = ok, found.Wait, found.Transfer
-	c.New = !ok && e.Version >= newest
-}
-
-// find returns a copy of a part of the prompt that may be fetched for an engine.
-func (t *task) find(now time.Time, i int, e roster.Engine) (vault.Copy, bool) {
-	p := vault.Part{Salt: t.scope(e.Version).Salt(), ID: t.arrival.Prompt.Parts[i].ID}
-	if !t.g.mayFetch(now, p, t.arrival.Prompt.Model, e.Version) {
-		return vault.Copy{}, false
-	}
-
-	return t.g.cfg.Vaults.Find(now, p, e.DataCentre)
-}
-
 // longest returns the index of the longest shared part, -1 when there is none.
 func (t *task) longest() int {
 	parts := t.arrival.Prompt.Parts
@@ -290,7 +268,7 @@
 
 // contexts fills in which cached parts the engine uses: only such as were made
 // under the version that the engine is asked to have.
-func (t *task) contexts(now time.Time, c *choice) {
+func (t *task) contexts(l *lookup, c *choice) {
 	s := &c.sending
 
 	if c.engine.Version == 0 {
@@ -303,7 +281,7 @@
 	s.Version = c.engine.Version
 	s.Salt = t.scope(s.Version).Salt()
 
-	t.fetchAndSave(now, c)
+	t.fetchAndSave(l, c)
 }
 
 // keepLeast is the length from which a part is kept in stores: a block of an
@@ -311,14 +289,14 @@
 // of use only together with all before it.
 const keepLeast = 16
 
-// fetchAndSave names a store for each part that is long enough: the one to bring
-// it from, or the one to keep it in from now on.
-func (t *task) fetchAndSave(now time.Time, c *choice) {
+// fetchAndSave names for each part that is long enough where to bring it from, and
+// the store to keep it in from now on where none has it.
+func (t *task) fetchAndSave(l *lookup, c *choice) {
 	s := &c.sending
 	parts := t.arrival.Prompt.Parts
 	newest := s.Version >= t.g.newest(t.arrival.Prompt.Model)
 
-	clock, ok := t.g.cfg.Vaults.Clock(now)
+	clock, ok := t.g.cfg.Vaults.Clock(l.now)
 	if !ok {
 		return
 	}
@@ -330,26 +308,37 @@
 			continue
 		}
 
-		if found, ok := t.find(now, i, c.engine); ok {
-			t.g.cfg.Vaults.Promise(now, found)
+		x := l.part(i, s.Version)
+		found, ok := l.find(x, c.engine)
+
+		switch {
+		case x.on(c.engine):
+			c.unread -= parts[i].Tokens
+		case ok:
+			t.g.cfg.Vaults.Promise(l.now, found)
 
 			if found.Transfer > c.fetchTime {
 				c.fetchWait, c.fetchTime = found.Wait, found.Transfer
 			}
 
+			c.unread -= parts[i].Tokens
+		case x.long:
+			t.g.reading.begin(l.now, x.key, c.engine.ID)
+		}
+
+		if ok {
+			// Also where the engine has the part: it may just have lost it, and
+			// brings nothing that it has.
 			fetch[i] = found.Address
 			s.Fetch = fetch
 			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
-			c.unread -= parts[i].Tokens
-
-			continue
 		}
 
-		if !newest {
+		if x.stored || !newest {
 			continue
 		}
 
-		if address, ok := t.g.cfg.Vaults.Place(now, vault.Held{Part: vault.Part{Salt: s.Salt, ID: parts[i].ID}, Tokens: parts[i].Tokens}); ok {
+		if address, ok := t.g.cfg.Vaults.Place(l.now, vault.Held{Part: x.part, Tokens: parts[i].Tokens}); ok {
 			save[i] = address
 			s.Save = save
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,6 +98,7 @@
 	suspects *suspects
 	room     *room
 	flights  flights
+	reading  reading
 }
 
 // named is a weight version that operators named.
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -239,7 +239,7 @@
 
 var published = site.Published{
 	Version: 1, Routes: routes,
-	Services: []site.Service{{Name: "s"}, {Name: "llm", Engines: &site.Engines{Slots: 8, MemoryTokens: 70_000}}},
+	Services: []site.Service{{Name: "s"}, {Name: "llm", Engines: &site.Engines{Slots: 8, MemoryTokens: 70_000, LinkMbps: 550_000, TokenBytes: 163_840}}},
 	Organisations: []site.Organisation{
 		{Name: "ferry", Keys: []string{"k1"}}, {Name: "bureau", Keys: []string{"k2"}, Isolated: true},
 	},
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -11,8 +11,9 @@
 // subscription lasts. A lost datagram costs nothing but the age of a belief, and
 // a side process needs to know no entry.
 //
-// A pulse has about 60 bytes. At the default pace one engine costs an entry half a
-// kilobyte a second, so an entry that may choose among many engines subscribes to
+// A pulse has about 60 bytes, and 12 more for each long part of a prompt in the
+// engine's memory. At the default pace one engine costs an entry some 1.5 kilobytes a
+// second, so an entry that may choose among many engines subscribes to
 // a few and asks them less often.
 //
 // # Example
@@ -30,6 +31,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"boragehub/pause"
+	"boragehub/resident"
 )
 
 // Pulse is how much an engine has to do.
@@ -49,6 +51,19 @@
 	// Model and Version are what it has loaded.
 	Model   string `cbor:"9,keyasint"`
 	Version int64  `cbor:"10,keyasint"`
+	// Resident are the long parts of prompts in its memory.
+	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
+}
+
+// Has reports whether the engine has so many tokens of a part.
+func (p Pulse) Has(key uint64, tokens int) bool {
+	for _, r := range p.Resident {
+		if r.Key == key {
+			return r.Tokens >= tokens
+		}
+	}
+
+	return false
 }
 
 // Timing.
@@ -82,6 +97,8 @@
 	// Engine is asked, at EngineAddress.
 	Engine        Engine
 	EngineAddress string
+	// Resident returns the long parts in its memory; nil tells none.
+	Resident func() []resident.Part
 }
 
 // Beacon sends an engine's pulse to its subscribers. Use NewBeacon.
@@ -142,6 +159,10 @@
 		}
 
 		next.Engine, next.Start, next.Sequence = b.cfg.EngineAddress, p.Start, p.Sequence+1
+		if b.cfg.Resident != nil {
+			next.Resident = b.cfg.Resident()
+		}
+
 		p = next
 		b.send(p, to)
 	}
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -5,6 +5,10 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"boragehub/resident"
 )
 
 // fixed is an engine that always tells the same.
@@ -85,3 +89,31 @@
 		t.Errorf("got %d kept, want 1", got)
 	}
 }
+
+func TestPulseTellsWhatIsInMemory(t *testing.T) {
+	p := Pulse{Resident: []resident.Part{{Key: 7, Tokens: 2048}}}
+
+	body, err := cbor.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	var got Pulse
+	if err := cbor.Unmarshal(body, &got); err != nil {
+		t.Fatal(err)
+	}
+
+	tests := []struct {
+		key    uint64
+		tokens int
+		want   bool
+	}{
+		{7, 2048, true}, {7, 2049, false}, {8, 1, false},
+	}
+
+	for _, tt := range tests {
+		if has := got.Has(tt.key, tt.tokens); has != tt.want {
+			t.Errorf("%d tokens of %d: got %v, want %v", tt.tokens, tt.key, has, tt.want)
+		}
+	}
+}
--- a/route/opening.go
+++ b/route/opening.go
@@ -40,11 +40,13 @@
 	SentTokens int
 	// UsedTokens is the memory that its requests hold.
 	UsedTokens int
-	// Kept says that a store holds the opening for the engine's weights, so that an
-	// engine without it brings it from there instead of reading it.
+	// Has says that the engine has the opening in its memory, or is reading it.
+	Has bool
+	// Kept says that a store or another engine holds the opening for the engine's
+	// weights, so that an engine without it brings it from there instead of reading it.
 	Kept bool
-	// FetchWait is how long the store's link is taken by others before, Fetch how
-	// long it is taken by bringing the opening.
+	// FetchWait is how long that link is taken by others before, Fetch how long it is
+	// taken by bringing the opening.
 	FetchWait, Fetch time.Duration
 	// New says that the opening was most likely not read before for the engine's
 	// weights: no store holds it, though one had room.
@@ -262,8 +264,9 @@
 		ms += notHomeCost
 	}
 
-	// The first engine for a long opening mostly has it no longer.
-	if p.rank > 0 || r.Shared > cfg.ShortTokens {
+	// The first engine for a short opening mostly has it, the one for a long opening
+	// mostly no longer; of long ones the engines tell.
+	if !c.Has && (p.rank > 0 || r.Shared > cfg.ShortTokens) {
 		ms += c.miss(cfg, r, p)
 	}
 
--- a/site/site.go
+++ b/site/site.go
@@ -123,10 +123,25 @@
 	MemoryTokens int
 	// TokenBytes is the memory of one token.
 	TokenBytes float64
+	// LinkMbps is the speed of an engine's link, in Mbit/s, on which it sends and
+	// fetches contexts.
+	LinkMbps float64
 	// Models are the names of the models they run.
 	Models []string
 }
 
+// TokensPerMs returns how many tokens' memory a link of so many Mbit/s carries in a
+// ms; zero when the memory of a token isn't known.
+func TokensPerMs(mbps, tokenBytes float64) float64 {
+	if tokenBytes <= 0 {
+		return 0
+	}
+
+	const bytesPerMbitMs = 1e6 / 8 / 1e3
+
+	return mbps * bytesPerMbitMs / tokenBytes
+}
+
 // Vault describes a store of kept contexts.
 type Vault struct {
 	// Address is where it is called.
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -29,16 +29,22 @@
 
 // transfer returns how long the store's link is taken by a transfer.
 func (s Store) transfer(tokens int, near bool) time.Duration {
-	if s.TokensPerMs <= 0 {
-		return s.FirstByte
+	return s.FirstByte + Transfer(tokens, s.TokensPerMs, near)
+}
+
+// Transfer returns how long a link of so many tokens a ms is taken by a transfer,
+// within a data centre or between two; nothing when its speed isn't known.
+func Transfer(tokens int, tokensPerMs float64, near bool) time.Duration {
+	if tokensPerMs <= 0 {
+		return 0
 	}
 
-	ms := float64(tokens) / s.TokensPerMs
+	ms := float64(tokens) / tokensPerMs
 	if !near {
 		ms *= farTransfer
 	}
 
-	return s.FirstByte + time.Duration(ms*float64(time.Millisecond))
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // quick reports whether the store suits short parts, for which the wait before a
