vault, pulse: know the engines' clock soon after a start

Change: the first question waits 0.2 s, pulses tell the clock too, and an entry that knows no engine yet subscribes as soon as it does.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -147,6 +147,12 @@
 	e.watcher.Configure(stores)
 }
 
+// pulse takes what a side process tells of its engine.
+func (e *fleetEntry) pulse(now time.Time, p pulse.Pulse) {
+	e.directory.Hear(now, p.Clock)
+	e.roster.Pulse(now, p)
+}
+
 // engines returns the addresses of the model engines.
 func (e *fleetEntry) engines() []string {
 	return e.roster.Addresses(e.gateway.HasEngines)
@@ -217,7 +223,7 @@
 
 	pulses, err := pulse.Listen(pulse.ListenerConfig{
 		Address: cfg.Internal(pulsePort), Port: cfg.FirstInternal + pulsePort,
-		Engines: e.engines, OnPulse: e.roster.Pulse,
+		Engines: e.engines, OnPulse: e.pulse,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -51,6 +51,8 @@
 	// Model and Version are what it has loaded.
 	Model   string `cbor:"9,keyasint"`
 	Version int64  `cbor:"10,keyasint"`
+	// Clock is the engines' clock in ms when the engine was asked.
+	Clock int64 `cbor:"12,keyasint,omitempty"`
 	// Resident are the long parts of prompts in its memory.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
 }
@@ -307,7 +309,9 @@
 // subscribe subscribes to the engines now and then.
 func (l *Listener) subscribe(ctx context.Context) {
 	for {
-		for _, engine := range l.cfg.Engines() {
+		engines := l.cfg.Engines()
+
+		for _, engine := range engines {
 			host, _, err := net.SplitHostPort(engine)
 			if err != nil {
 				continue
@@ -317,7 +321,13 @@
 			l.conn.WriteToUDP([]byte{0}, &net.UDPAddr{IP: net.ParseIP(host), Port: l.cfg.Port})
 		}
 
-		if !pause.For(ctx, subscribeEvery) {
+		every := subscribeEvery
+		if len(engines) == 0 {
+			// The register was not read yet.
+			every = Every
+		}
+
+		if !pause.For(ctx, every) {
 			return
 		}
 	}
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -288,6 +288,14 @@
 	}
 }
 
+// Hear takes the engines' clock as one of them told it.
+func (d *Directory) Hear(now time.Time, clock int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.setClock(now, clock)
+}
+
 // Clock returns the engines' clock in ms: never ahead of it, as what it told was
 // on its way for a while. ok is false until it was told.
 func (d *Directory) Clock(now time.Time) (ms int64, ok bool) {
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -28,6 +28,11 @@
 	// eventWait is how long one question waits for a change: the longest that
 	// stores allow, so that an idle store costs one call a second.
 	eventWait = time.Second
+	// clockWait is the first wait of a process that doesn't know the engines' clock:
+	// lists don't tell it, and until an answer with events does, nothing is fetched.
+	// An entry that has just started read all contexts anew for a second; stores
+	// count a wait of less as a probe.
+	clockWait = 200 * time.Millisecond
 	// eventSlack is how much longer the answer may take.
 	eventSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of a whole list.
@@ -244,10 +249,15 @@
 		return w.list(ctx, address)
 	}
 
-	c, cancel := context.WithTimeout(ctx, eventWait+eventSlack)
+	wait := eventWait
+	if _, ok := w.cfg.Directory.Clock(time.Now()); !ok {
+		wait = clockWait
+	}
+
+	c, cancel := context.WithTimeout(ctx, wait+eventSlack)
 	defer cancel()
 
-	e, err := w.cfg.Source.Events(c, address, next, eventWait)
+	e, err := w.cfg.Source.Events(c, address, next, wait)
 	if err != nil {
 		return err
 	}
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -60,6 +60,36 @@
 	freed time.Time
 }
 
+// quietStore is one whose list doesn't tell the clock, and whose events don't change.
+type quietStore struct{ fakeStore }
+
+func (*quietStore) List(context.Context, string) (Listing, error) {
+	return Listing{Epoch: 1, Next: 1, Held: []Held{oldPart}}, nil
+}
+
+// All processes were killed and start anew. A store tells the engines' clock only
+// with its events, and nothing changes for now; until an entry knows the clock it
+// fetches nothing, so that all contexts were read anew for a second.
+func TestClockIsKnownSoonAfterAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+
+		d := NewDirectory(1)
+		w := NewWatcher(WatcherConfig{Directory: d, Source: &quietStore{}, Peers: &fakePeers{}, Turn: func(string) int { return 0 }, Log: logr.Discard()})
+		w.Configure([]Store{{Address: "s1"}})
+
+		go w.Run(ctx)
+
+		time.Sleep(clockWait + time.Millisecond)
+		synctest.Wait()
+
+		if _, ok := d.Clock(time.Now()); !ok {
+			t.Error("got no clock, want it known")
+		}
+	})
+}
+
 var oldPart = Held{Part: Part{Salt: Scope{Model: "m", Version: 1}.Salt(), ID: "a"}, Tokens: 100}
 
 func (*fakeStore) Events(ctx context.Context, _ string, since int64, wait time.Duration) (Events, error) {
