mirror: a few entries read the log for all

Cause: each entry read the register and the operators' topic itself.

Change: one entry and one more for each twelve read; the others wait there for what is new (heartbeats aren't), and read themselves as soon as the reader doesn't answer, has not read for 1.2 s, or failed within three seconds.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -19,14 +19,15 @@
 const (
 	// operatorWait is how long an entry's read of the operators' topic waits. A
 	// configuration has to be in force two seconds after it was acknowledged, also
-	// when a connection fell silent shortly before.
-	operatorWait = time.Second
+	// when a connection fell silent shortly before, and at entries that wait for it
+	// at this one.
+	operatorWait = 500 * time.Millisecond
 	// sideOperatorWait is a side process's: a weight version has eight seconds.
 	sideOperatorWait = 4 * time.Second
-	// registerEvery is the pause between two reads of the register where the bound
-	// for targets that leave isn't told. Otherwise it is half of that bound: a read
-	// takes milliseconds, and a request that was just sent is on its way meanwhile.
-	registerEvery = time.Second
+	// registerEvery is the pause between two reads of the register, or a quarter of
+	// the bound for targets that leave if that is less: an entry that waits at this
+	// one may know of it 0.85 s later.
+	registerEvery = 500 * time.Millisecond
 	// tickEvery is the pause between two looks at what is due.
 	tickEvery = 250 * time.Millisecond
 	// leaveWait is how long new callers still come after the balancer was told:
--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -56,7 +56,7 @@
 	log := logTo(cfg, "gateway", lines)
 	e := &fleetEntry{cfg: cfg, log: log, lines: lines, meters: prometheus.NewRegistry()}
 
-	operators, register := &mirror.Topic{}, &mirror.Topic{}
+	operators, register := &mirror.Topic{}, mirror.NewTopic(platform.SameListing)
 	members := exchange.NewMembers(cfg.Peers, cfg.Seeds)
 	calls := platform.NewCalls()
 	source := platform.NewLog(cfg.Log)
@@ -113,11 +113,11 @@
 
 	e.followers = []*mirror.Follower{
 		mirror.NewFollower(mirror.FollowerConfig{
-			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client,
+			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client, Relay: e.client,
 			Wait: operatorWait, OnNews: publications.Take, Log: e.log,
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
-			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client,
+			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client, Relay: e.client,
 			Every: registerPace(e.cfg.Bounds.Drain), OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
 		}),
 	}
@@ -129,7 +129,7 @@
 		return registerEvery
 	}
 
-	return drain / 2
+	return min(drain/4, registerEvery)
 }
 
 func (e *fleetEntry) configured(_ time.Time, c *site.Configuration) {
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -72,7 +72,7 @@
 
 	for _, a := range all {
 		wg.Go(func() {
-			b, err := c.records(ctx, a, topic, from)
+			b, err := c.records(ctx, a, topic, from, 0)
 
 			mu.Lock()
 			defer mu.Unlock()
@@ -98,12 +98,29 @@
 	return best, nil
 }
 
-// records asks one entry.
-func (c *Client) records(ctx context.Context, address, topic string, from int64) (mirror.Batch, error) {
+// errNotLoaded says that an entry has not read the whole topic yet.
+var errNotLoaded = errors.New("the reader has not read the topic yet")
+
+// Readers returns which entries read a topic for all.
+func (c *Client) Readers(topic string) (others []string, self bool) {
+	return c.members.Readers(time.Now(), topic)
+}
+
+// Follow waits at an entry for what is newer than an offset.
+func (c *Client) Follow(ctx context.Context, reader, topic string, from int64, wait time.Duration) (mirror.Batch, error) {
+	return c.records(ctx, reader, topic, from, wait)
+}
+
+// records asks one entry. With a wait it has to have read the whole topic.
+func (c *Client) records(ctx context.Context, address, topic string, from int64, wait time.Duration) (mirror.Batch, error) {
 	at := time.Now()
 	q := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "self": {c.members.Self()}}
 
-	body, err := c.call(ctx, http.MethodGet, address, recordsPath+"?"+q.Encode(), nil)
+	if wait > 0 {
+		q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	}
+
+	body, err := c.call(ctx, http.MethodGet, address, recordsPath+"?"+q.Encode(), nil, wait)
 	if err != nil {
 		return mirror.Batch{}, err
 	}
@@ -116,16 +133,23 @@
 	c.members.Saw(time.Now(), address)
 	c.members.Heard(time.Now(), r.Members)
 
+	if wait > 0 && !r.Loaded {
+		return mirror.Batch{}, errNotLoaded
+	}
+
 	b := mirror.Batch{Records: r.Records, End: r.End, Whole: false}
 	if r.AgeMs >= 0 {
-		b.AsOf = at.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+		// The answer was made after the question had been held for so long, so it
+		// can't be older than that.
+		b.AsOf = at.Add(time.Duration(r.HeldMs-r.AgeMs) * time.Millisecond)
 	}
 
 	return b, nil
 }
 
-func (c *Client) call(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// call makes a call whose answer may be held back for so long.
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte, held time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+held)
 	defer cancel()
 
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
@@ -183,7 +207,7 @@
 	for _, a := range to {
 		wg.Go(func() {
 			//nolint:errcheck,gosec // see Tell
-			c.call(ctx, http.MethodPost, a, noticePath, body)
+			c.call(ctx, http.MethodPost, a, noticePath, body, 0)
 		})
 	}
 
@@ -202,7 +226,7 @@
 		return nil, err
 	}
 
-	answer, err := c.call(ctx, http.MethodPost, peer, vaultsPath, body)
+	answer, err := c.call(ctx, http.MethodPost, peer, vaultsPath, body, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -216,7 +240,7 @@
 
 // Knows reports whether an entry has read a topic up to and with an offset.
 func (c *Client) Knows(ctx context.Context, peer, topic string, offset int64) bool {
-	b, err := c.records(ctx, peer, topic, offset)
+	b, err := c.records(ctx, peer, topic, offset, 0)
 
 	return err == nil && b.End > offset
 }
@@ -228,7 +252,7 @@
 	for _, a := range c.members.Ask(time.Now()) {
 		wg.Go(func() {
 			//nolint:errcheck,gosec // one that doesn't answer is forgotten after a while
-			c.records(ctx, a, "", 0)
+			c.records(ctx, a, "", 0, 0)
 		})
 	}
 
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -44,6 +44,8 @@
 	Loaded bool `cbor:"4,keyasint"`
 	// Members are entries that asked of late.
 	Members []string `cbor:"5,keyasint"`
+	// HeldMs is how long the question was held before it was answered.
+	HeldMs int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Notice is what a side process says of its engine.
@@ -177,9 +179,7 @@
 // self says that it is among them.
 func (m *Members) Watchers(now time.Time, address string) (others []string, self bool) {
 	all := append(m.Live(now), m.self)
-	score := func(a string) uint64 { return xxhash.Sum64String("watch|" + address + "|" + a) }
-
-	sort.Slice(all, func(i, j int) bool { return score(all[i]) > score(all[j]) })
+	byScore(all, "watch|"+address)
 
 	for _, a := range all[:min(watchers, len(all))] {
 		if a == m.self {
@@ -192,6 +192,39 @@
 	return others, self
 }
 
+// readerShare is how many entries one reader of the log serves: each asks it three
+// times a second.
+const readerShare = 12
+
+// Readers returns which entries read a topic of the log for all, without this
+// process and in an order of its own, so that each serves a part of the others; self
+// says that this process is one of them.
+func (m *Members) Readers(now time.Time, topic string) (others []string, self bool) {
+	all := append(m.Live(now), m.self)
+	byScore(all, "read|"+topic)
+
+	most := min(1+(len(all)+readerShare-1)/readerShare, len(all))
+
+	for _, a := range all[:most] {
+		if a == m.self {
+			self = true
+		} else {
+			others = append(others, a)
+		}
+	}
+
+	byScore(others, m.self)
+
+	return others, self
+}
+
+// byScore orders addresses by a hash for a matter.
+func byScore(all []string, matter string) {
+	score := func(a string) uint64 { return xxhash.Sum64String(matter + "|" + a) }
+
+	sort.Slice(all, func(i, j int) bool { return score(all[i]) > score(all[j]) })
+}
+
 // Turn returns how many live entries come before this one for a matter, in an
 // order by hash that all agree on.
 func (m *Members) Turn(now time.Time, matter string) int {
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -219,3 +220,79 @@
 		t.Errorf("got %v %v, want 400", resp, err)
 	}
 }
+
+// A process that waits at a reader has to have what is new at once, and must not wait
+// at one that can't read the log itself.
+func TestFollowWaitsForNews(t *testing.T) {
+	news := mirror.Batch{Records: []mirror.Record{{Key: "config", Value: []byte("2"), Offset: 7}}, End: 8}
+
+	tests := []struct {
+		name string
+		// age is how old the reader's knowledge is, later what it learns meanwhile.
+		age   time.Duration
+		later mirror.Batch
+		want  int
+	}{
+		{"nothing new", 0, mirror.Batch{}, 0},
+		{"something new", 0, news, 1},
+		{"cut off from the log", time.Minute, mirror.Batch{}, 0},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(t)
+			e.topic.Merge(mirror.Batch{End: 7, Whole: true, AsOf: time.Now().Add(-tt.age)})
+			time.AfterFunc(20*time.Millisecond, func() { e.topic.Merge(tt.later) })
+
+			b, err := NewClient(NewMembers("", nil)).Follow(context.Background(), e.address, "t", 7, 200*time.Millisecond)
+			if err != nil || len(b.Records) != tt.want {
+				t.Errorf("got %d records %v, want %d", len(b.Records), err, tt.want)
+			}
+
+			if got := time.Since(b.AsOf); got < tt.age {
+				t.Errorf("got it %v old, want %v at least", got, tt.age)
+			}
+		})
+	}
+}
+
+func TestFollowNeedsAWholeTopic(t *testing.T) {
+	e := newEntry(t)
+
+	if _, err := NewClient(NewMembers("", nil)).Follow(context.Background(), e.address, "t", 0, time.Millisecond); err == nil {
+		t.Error("got no error from a reader that has read nothing")
+	}
+}
+
+func TestAFewEntriesReadTheLogForAll(t *testing.T) {
+	now := time.Now()
+
+	tests := []struct{ entries, want int }{{1, 1}, {2, 2}, {4, 2}, {24, 3}, {210, 19}}
+
+	for _, tt := range tests {
+		var all []string
+		for i := range tt.entries {
+			all = append(all, "10.0.0."+strconv.Itoa(i))
+		}
+
+		readers := 0
+
+		for _, self := range all {
+			m := NewMembers(self, nil)
+			for _, other := range all {
+				m.Saw(now, other)
+			}
+
+			others, selfToo := m.Readers(now, "op")
+			if selfToo {
+				readers++
+			} else if len(others) != tt.want {
+				t.Errorf("%d entries: got %d readers told, want %d", tt.entries, len(others), tt.want)
+			}
+		}
+
+		if readers != tt.want {
+			t.Errorf("%d entries: got %d readers, want %d", tt.entries, readers, tt.want)
+		}
+	}
+}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -62,7 +64,9 @@
 			return
 		}
 
-		b := t.Since(from)
+		b := hold(r.Context(), now, t, from, waitOf(q))
+		reply.HeldMs = time.Since(now).Milliseconds()
+		now = now.Add(time.Duration(reply.HeldMs) * time.Millisecond)
 		reply.Records, reply.End, reply.Loaded = b.Records, b.End, t.Loaded()
 
 		if !b.AsOf.IsZero() {
@@ -73,6 +77,44 @@
 	answer(w, reply)
 }
 
+// maxHold bounds how long a question is held.
+const maxHold = 2 * time.Second
+
+// waitOf returns how long a question may be held; zero when it doesn't say.
+func waitOf(q url.Values) time.Duration {
+	ms, err := strconv.ParseInt(q.Get("wait_ms"), 10, 32)
+	if err != nil {
+		return 0
+	}
+
+	return min(max(time.Duration(ms)*time.Millisecond, 0), maxHold)
+}
+
+// hold returns what a topic holds from an offset on, as soon as there is something
+// or the wait is over. Whoever waits at a process that can't read the log has to
+// know at once, so that isn't held.
+func hold(ctx context.Context, now time.Time, t *mirror.Topic, from int64, wait time.Duration) mirror.Batch {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	for {
+		news := t.News()
+
+		b := t.Since(from)
+		if len(b.Records) > 0 || wait <= 0 || now.Sub(b.AsOf) > wait {
+			return b
+		}
+
+		select {
+		case <-news:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			wait = 0
+		}
+	}
+}
+
 // answer writes a message.
 func answer[T any](w http.ResponseWriter, message T) {
 	body, err := cbor.Marshal(message)
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -29,6 +29,15 @@
 	Newer(ctx context.Context, topic string, from int64) (Batch, error)
 }
 
+// Relay passes on what a few processes read for all.
+type Relay interface {
+	// Readers returns who reads a topic, best first and without this process; self
+	// says that this process is one of them.
+	Readers(topic string) (others []string, self bool)
+	// Follow waits at a reader for what is newer than an offset.
+	Follow(ctx context.Context, reader, topic string, from int64, wait time.Duration) (Batch, error)
+}
+
 // FollowerConfig says what to follow and how.
 type FollowerConfig struct {
 	// Name is the topic's name.
@@ -39,6 +48,8 @@
 	Source Source
 	// Peers are asked while the log doesn't answer; nil asks nobody.
 	Peers Peers
+	// Relay tells who reads for all; nil has this process read itself.
+	Relay Relay
 	// Wait is how long one read waits for a record. It bounds how long a
 	// connection that fell silent goes unnoticed.
 	Wait time.Duration
@@ -68,16 +79,35 @@
 	peerTimeout = 400 * time.Millisecond
 )
 
+// Waiting at a reader. A reader reads at least every half second; with these, what a
+// process knows is 1.4 s old at most when its reader dies, falls silent or is cut off
+// from the log, and two seconds are allowed.
+const (
+	// relayWait is how long one question waits for news.
+	relayWait = 600 * time.Millisecond
+	// relaySlack is how much longer its answer may take.
+	relaySlack = 250 * time.Millisecond
+	// relayStale is the age from which what a reader has is not taken for current.
+	relayStale = 1200 * time.Millisecond
+	// relayRest is for how long a reader that failed is not asked again: one that has
+	// just woken thinks that what it knows is current.
+	relayRest = 3 * time.Second
+)
+
 // Follower keeps a Topic up to date. Use NewFollower.
 type Follower struct {
 	cfg    FollowerConfig
 	behind time.Time // when the log stopped answering; zero while it answers
 
 	mu sync.Mutex // orders the calls of OnNews
+
+	resting map[string]time.Time // readers that failed, and until when they rest
 }
 
 // NewFollower returns a Follower that Run starts.
-func NewFollower(cfg FollowerConfig) *Follower { return &Follower{cfg: cfg} }
+func NewFollower(cfg FollowerConfig) *Follower {
+	return &Follower{cfg: cfg, resting: make(map[string]time.Time)}
+}
 
 // Run follows until ctx ends. The peers are asked beside the first read, since a
 // process that starts in an outage would otherwise wait for it to time out.
@@ -85,6 +115,10 @@
 	go f.askPeers(ctx)
 
 	for ctx.Err() == nil {
+		if f.relayed(ctx) {
+			continue
+		}
+
 		b, err := f.read(ctx)
 		now := time.Now()
 
@@ -106,6 +140,46 @@
 	}
 }
 
+// relayed waits for news at a process that reads for all. It returns false when this
+// process has to read itself.
+func (f *Follower) relayed(ctx context.Context) bool {
+	if f.cfg.Relay == nil || !f.cfg.Topic.Loaded() {
+		return false
+	}
+
+	readers, self := f.cfg.Relay.Readers(f.cfg.Name)
+	if self {
+		return false
+	}
+
+	for _, r := range readers {
+		now := time.Now()
+		if now.Before(f.resting[r]) {
+			continue
+		}
+
+		c, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
+		b, err := f.cfg.Relay.Follow(c, r, f.cfg.Name, f.cfg.Topic.End(), relayWait)
+
+		cancel()
+
+		now = time.Now()
+		if err == nil && now.Sub(b.AsOf) < relayStale {
+			f.regained(now)
+			f.merge(now, b)
+
+			return true
+		}
+
+		f.resting[r] = now.Add(relayRest)
+
+		// The time that one reader takes to fail is all that there is.
+		return false
+	}
+
+	return false
+}
+
 // read asks the log once. A read that fails with ErrTrimmed is followed by a
 // whole one.
 func (f *Follower) read(ctx context.Context) (Batch, error) {
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -10,7 +10,10 @@
 // doesn't bring the key back.
 //
 // Follower reads the log by long polls and, while the log doesn't answer, asks
-// the other processes.
+// the other processes. In a fleet a few processes read a topic for all: reading by
+// each would grow with the square of the fleet, since all targets write their
+// heartbeats there. The others wait at one of these readers for what is new, and read
+// themselves as soon as it doesn't answer or has itself not read for a while.
 package mirror
 
 import (
@@ -51,8 +54,10 @@
 // Topic holds the newest records. The zero Topic is empty and ready; its methods
 // may be called from many goroutines.
 type Topic struct {
+	same    func(old, value []byte) bool
 	mu      sync.Mutex
-	records map[string]Record
+	records map[string]held
+	news    chan struct{} // closed at the next news; nil while nobody waits
 	dropped int
 	end     int64
 	loaded  bool
@@ -60,13 +65,29 @@
 	before  time.Time // fresh as it was before the newest batch that brought news
 }
 
+// held is a record with the offset at which it last said something new.
+type held struct {
+	Record
+	changed int64
+}
+
+// NewTopic returns an empty Topic. Same reports whether a new value of a key says
+// nothing that the old one didn't, as heartbeats do; such a record is no news and is
+// not passed on.
+func NewTopic(same func(old, value []byte) bool) *Topic { return &Topic{same: same} }
+
+// repeats reports whether a record says what is known.
+func (t *Topic) repeats(old, r Record) bool {
+	return t.same != nil && !old.Dropped() && !r.Dropped() && t.same(old.Value, r.Value)
+}
+
 // Merge takes a batch and returns the records that are new, in order of offset.
 func (t *Topic) Merge(b Batch) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.records == nil {
-		t.records = make(map[string]Record)
+		t.records = make(map[string]held)
 	}
 
 	news := t.add(b.Records)
@@ -79,6 +100,11 @@
 
 	if len(news) > 0 {
 		t.before = t.fresh
+
+		if t.news != nil {
+			close(t.news)
+			t.news = nil
+		}
 	}
 
 	if b.AsOf.After(t.fresh) {
@@ -101,6 +127,12 @@
 			continue
 		}
 
+		if known && t.repeats(old.Record, r) {
+			t.records[r.Key] = held{r, old.changed}
+
+			continue
+		}
+
 		if known && old.Dropped() {
 			t.dropped--
 		}
@@ -109,7 +141,7 @@
 			t.dropped++
 		}
 
-		t.records[r.Key] = r
+		t.records[r.Key] = held{r, r.Offset}
 		news = append(news, r)
 	}
 
@@ -146,7 +178,7 @@
 
 	for _, r := range t.records {
 		if r.Dropped() {
-			marks = append(marks, r)
+			marks = append(marks, r.Record)
 		}
 	}
 
@@ -158,7 +190,8 @@
 	}
 }
 
-// Since returns the records at offset from or later, markers included.
+// Since returns the records that said something new at offset from or later, markers
+// included.
 func (t *Topic) Since(from int64) Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -166,8 +199,8 @@
 	b := Batch{End: t.end, AsOf: t.fresh}
 
 	for _, r := range t.records {
-		if r.Offset >= from {
-			b.Records = append(b.Records, r)
+		if r.changed >= from {
+			b.Records = append(b.Records, r.Record)
 		}
 	}
 
@@ -183,7 +216,19 @@
 
 	r, ok := t.records[key]
 
-	return r, ok && !r.Dropped()
+	return r.Record, ok && !r.Dropped()
+}
+
+// News returns a channel that is closed when something new is merged.
+func (t *Topic) News() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.news == nil {
+		t.news = make(chan struct{})
+	}
+
+	return t.news
 }
 
 // End returns the offset from which to read on.
