pulse, exchange, mirror: bound what entries and loaders tell each other

Cause: an entry subscribed to all engines ten times a second, asked all entries every five seconds for all entries, and each side process held a poll of 4 s at the log.

Change: at most 240 pulses a second an entry, 20 in the largest fleets, from the engines used last; greetings to four entries, whose answers tell of 24 with their age, so that dead ones are forgotten; side processes wait 15 s at the log and are told with each subscription how far the entry has read.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -22,8 +22,10 @@
 	// when a connection fell silent shortly before, and at entries that wait for it
 	// at this one.
 	operatorWait = 500 * time.Millisecond
-	// sideOperatorWait is a side process's: a weight version has eight seconds.
-	sideOperatorWait = 4 * time.Second
+	// sideOperatorWait is a side process's. Entries tell it once a second how far they
+	// have read, so a connection that fell silent delays nothing; there are several
+	// times as many side processes as entries, and each call counts.
+	sideOperatorWait = 15 * time.Second
 	// registerEvery is the pause between two reads of the register, or a quarter of
 	// the bound for targets that leave if that is less: an entry that waits at this
 	// one may know of it 0.85 s later.
--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -48,6 +48,7 @@
 	registration *exchange.Registration
 	meters       *prometheus.Registry
 
+	operators *mirror.Topic
 	followers []*mirror.Follower
 }
 
@@ -62,7 +63,7 @@
 	source := platform.NewLog(cfg.Log)
 	directory := vault.NewDirectory(time.Now().UnixNano())
 
-	e.directory, e.members = directory, members
+	e.directory, e.members, e.operators = directory, members, operators
 	e.client = exchange.NewClient(members)
 	e.registration = exchange.NewRegistration(source, platform.EntriesTopic, log)
 	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
@@ -153,9 +154,9 @@
 	e.roster.Pulse(now, p)
 }
 
-// engines returns the addresses of the model engines.
-func (e *fleetEntry) engines() []string {
-	return e.roster.Addresses(e.gateway.HasEngines)
+// engines returns the addresses of the model engines to hear of, and how often.
+func (e *fleetEntry) engines() (addresses []string, pace time.Duration) {
+	return e.roster.Watched(e.gateway.HasEngines)
 }
 
 // notice takes what a side process says of its engine.
@@ -223,7 +224,7 @@
 
 	pulses, err := pulse.Listen(pulse.ListenerConfig{
 		Address: cfg.Internal(pulsePort), Port: cfg.FirstInternal + pulsePort,
-		Engines: e.engines, OnPulse: e.pulse,
+		Engines: e.engines, OnPulse: e.pulse, Known: e.operators.End,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -52,6 +52,7 @@
 
 	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
 		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts,
+		OnSubscription: follower.Hint,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -30,9 +30,15 @@
 // callTimeout bounds a call to another process; they are milliseconds apart.
 const callTimeout = 400 * time.Millisecond
 
-// helloEvery is the pause between two rounds in which an entry asks all others
-// for nothing but their members.
-const helloEvery = 5 * time.Second
+// Saying hello: an entry asks a few others which entries they know. Asking all would
+// take as many calls as there are entries, with answers of that length.
+const (
+	// helloEvery is the pause between two rounds. What was heard of an entry spreads
+	// to all others in a few rounds, and is remembered for twenty seconds.
+	helloEvery = 2 * time.Second
+	// helloAsked is how many are asked in one round.
+	helloAsked = 4
+)
 
 // Client asks entries. It implements mirror.Peers and loader.Entries.
 type Client struct {
@@ -54,14 +60,11 @@
 // Newer returns what entries hold of a topic from an offset on: the newest of
 // their answers.
 func (c *Client) Newer(ctx context.Context, topic string, from int64) (mirror.Batch, error) {
-	all := c.members.Ask(time.Now())
+	all := c.some(asked)
 	if len(all) == 0 {
 		return mirror.Batch{}, errNobody
 	}
 
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	all = all[:min(asked, len(all))]
-
 	var (
 		wg   sync.WaitGroup
 		mu   sync.Mutex
@@ -98,6 +101,14 @@
 	return best, nil
 }
 
+// some returns so many of the known entries, drawn anew each time.
+func (c *Client) some(n int) []string {
+	all := c.members.Ask(time.Now())
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+
+	return all[:min(n, len(all))]
+}
+
 // errNotLoaded says that an entry has not read the whole topic yet.
 var errNotLoaded = errors.New("the reader has not read the topic yet")
 
@@ -245,11 +256,11 @@
 	return err == nil && b.End > offset
 }
 
-// Hello asks all known entries for the others that they know.
+// Hello asks a few known entries for the others that they know.
 func (c *Client) Hello(ctx context.Context) {
 	var wg sync.WaitGroup
 
-	for _, a := range c.members.Ask(time.Now()) {
+	for _, a := range c.some(helloAsked) {
 		wg.Go(func() {
 			//nolint:errcheck,gosec // one that doesn't answer is forgotten after a while
 			c.records(ctx, a, "", 0, 0)
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -42,12 +42,21 @@
 	AgeMs int64 `cbor:"3,keyasint"`
 	// Loaded says that the answer covers every key that exists.
 	Loaded bool `cbor:"4,keyasint"`
-	// Members are entries that asked of late.
-	Members []string `cbor:"5,keyasint"`
+	// Members are some of the entries that the one asked knows.
+	Members []Member `cbor:"5,keyasint,omitempty"`
 	// HeldMs is how long the question was held before it was answered.
 	HeldMs int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Member is an entry that another one knows.
+type Member struct {
+	_ struct{} `cbor:",toarray"`
+	// Address is where it can be asked.
+	Address string
+	// AgeMs is how long ago it was surely alive.
+	AgeMs int64
+}
+
 // Notice is what a side process says of its engine.
 type Notice struct {
 	// Address is the engine's.
@@ -112,19 +121,51 @@
 	}
 }
 
-// Heard takes that another entry told of one: it is asked once, and remembered
-// if it answers.
-func (m *Members) Heard(now time.Time, addresses []string) {
+// Heard takes which entries another one knows. What is told of one counts as of when
+// that one was surely alive, so that a dead one is forgotten however many tell of it.
+func (m *Members) Heard(now time.Time, told []Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	for _, a := range addresses {
-		if _, ok := m.seen[a]; !ok && a != m.self && a != "" && len(m.seen) < maxMembers {
-			m.seen[a] = now.Add(-memberAge / 2)
+	for _, x := range told {
+		age := time.Duration(max(x.AgeMs, 0)) * time.Millisecond
+		if x.Address == "" || x.Address == m.self || age > memberAge {
+			continue
+		}
+
+		at, ok := m.seen[x.Address]
+		if (ok && at.Before(now.Add(-age))) || (!ok && len(m.seen) < maxMembers) {
+			m.seen[x.Address] = now.Add(-age)
 		}
 	}
 }
 
+// told is how many entries one answer tells of: with three answers a second or two
+// from each entry asked, all are told of within the time for which they are remembered
+// also among hundreds.
+const told = 24
+
+// Tell returns some of the entries known.
+func (m *Members) Tell(now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	all := make([]Member, 0, min(told, len(m.seen)))
+
+	// Maps are walked in a random order.
+	for a, at := range m.seen {
+		if len(all) == told {
+			break
+		}
+
+		if age := now.Sub(at); age <= memberAge {
+			all = append(all, Member{Address: a, AgeMs: age.Milliseconds()})
+		}
+	}
+
+	return all
+}
+
 // Live returns the entries that asked or answered of late, in order, without
 // this process.
 func (m *Members) Live(now time.Time) []string {
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -296,3 +296,38 @@
 		}
 	}
 }
+
+// Entries tell each other whom they know. A dead one must not live on in what they
+// tell each other: it would be asked, and waited for, for ever.
+func TestDeadEntriesAreForgottenByAll(t *testing.T) {
+	start := time.Unix(1000, 0)
+	a, b := NewMembers("a", nil), NewMembers("b", nil)
+	a.Saw(start, "dead")
+
+	for s := range 30 {
+		now := start.Add(time.Duration(s) * time.Second)
+		b.Heard(now, a.Tell(now))
+		a.Heard(now, b.Tell(now))
+
+		want := time.Duration(s)*time.Second <= memberAge
+		if got := contains(b.Live(now), "dead"); got != want {
+			t.Fatalf("after %d s: got it known %v, want %v", s, got, want)
+		}
+	}
+}
+
+func TestAnswersTellOfAFewEntries(t *testing.T) {
+	m, now := NewMembers("self", nil), time.Unix(1000, 0)
+
+	for i := range 10 * told {
+		m.Saw(now, strconv.Itoa(i))
+	}
+
+	if got := len(m.Tell(now)); got != told {
+		t.Errorf("got %d told, want %d", got, told)
+	}
+
+	if got := len(m.Tell(now.Add(time.Minute))); got != 0 {
+		t.Errorf("a minute later: got %d told, want none", got)
+	}
+}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -48,15 +48,21 @@
 // ServeHTTP answers one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// records tells what this process holds of a topic, and which entries it knows.
+// records tells what this process holds of a topic, or, without one, which entries it
+// knows.
 func (s *Server) records(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	q := r.URL.Query()
 	s.members.Saw(now, q.Get("self"))
 
-	reply := Reply{AgeMs: -1, Members: s.members.Live(now)}
+	reply := Reply{AgeMs: -1}
+	topic := q.Get("topic")
 
-	if t, ok := s.topics[q.Get("topic")]; ok {
+	if topic == "" {
+		reply.Members = s.members.Tell(now)
+	}
+
+	if t, ok := s.topics[topic]; ok {
 		from, err := strconv.ParseInt(q.Get("from"), 10, 64)
 		if err != nil {
 			http.Error(w, "from is no offset", http.StatusBadRequest)
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -101,6 +102,7 @@
 
 	mu sync.Mutex // orders the calls of OnNews
 
+	hinted  atomic.Bool          // others are being asked
 	resting map[string]time.Time // readers that failed, and until when they rest
 }
 
@@ -226,6 +228,21 @@
 	f.merge(time.Now(), b)
 }
 
+// Hint takes that another process has read the topic up to an offset. If that is
+// further than this process has, the others are asked: its read may wait on a
+// connection that fell silent, for as long as Wait.
+func (f *Follower) Hint(end int64) {
+	if f.cfg.Topic.End() >= end || !f.hinted.CompareAndSwap(false, true) {
+		return
+	}
+
+	go func() {
+		defer f.hinted.Store(false)
+
+		f.askPeers(context.Background())
+	}()
+}
+
 func (f *Follower) merge(now time.Time, b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -185,3 +185,36 @@
 		t.Errorf("got %v %v, want the newest record", r, ok)
 	}
 }
+
+// toldPeers know a record that the log has not brought yet.
+type toldPeers struct{}
+
+func (toldPeers) Newer(context.Context, string, int64) (Batch, error) {
+	return Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 100}}, End: 101}, nil
+}
+
+// A side process waits at the log on a connection that fell silent, and misses that
+// new weights were named. An entry that has read further tells it so.
+func TestHintBringsWhatASilentConnectionDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &Topic{}
+		f := NewFollower(FollowerConfig{
+			Name: "op", Topic: topic, Source: &countingSource{}, Peers: toldPeers{}, Wait: time.Hour,
+			OnNews: func(time.Time, []Record) {}, Log: logr.Discard(),
+		})
+
+		f.Hint(0)
+		synctest.Wait()
+
+		if _, ok := topic.Get("version"); ok {
+			t.Fatal("got others asked, though nobody has read further")
+		}
+
+		f.Hint(101)
+		synctest.Wait()
+
+		if _, ok := topic.Get("version"); !ok {
+			t.Error("got nothing, want what the others know")
+		}
+	})
+}
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -14,7 +14,11 @@
 // A pulse has about 60 bytes, and 12 more for each long part of a prompt in the
 // engine's memory. At the default pace one engine costs an entry some 1.5 kilobytes a
 // second, so an entry that may choose among many engines subscribes to
-// a few and asks them less often.
+// a few and asks them less often (Share).
+//
+// A subscription also says how far the entry has read what operators publish, so that
+// a side process which waits at the log for something new learns of it in time also
+// when its connection to the log fell silent.
 //
 // # Example
 //
@@ -26,6 +30,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,6 +60,16 @@
 	Clock int64 `cbor:"12,keyasint,omitempty"`
 	// Resident are the long parts of prompts in its memory.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
+	// Pace is the pause between two pulses that the listener asked for.
+	Pace time.Duration `cbor:"-"`
+}
+
+// Subscription is what an entry sends to a side process.
+type Subscription struct {
+	// PaceMs is the pause between two pulses, zero for the shortest one.
+	PaceMs int64 `cbor:"1,keyasint,omitempty"`
+	// Known is how far the entry has read what operators publish.
+	Known int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Has reports whether the engine has so many tokens of a part.
@@ -78,6 +93,27 @@
 	subscribed = 3500 * time.Millisecond
 )
 
+// What pulses may cost an entry. With an engine more each of them gets less of an
+// entry's requests, so that its load is known well enough from fewer pulses. At a dozen
+// engines pulses of 100, 200 and 400 ms gave a worth of 0.668, 0.658 and 0.643.
+const (
+	// mostPulses is how many pulses a second an entry gets at most.
+	mostPulses = 240
+	// leastPulses is how many it gets in the largest fleets: two kilobytes a second.
+	leastPulses = 20
+	// pulseEngines is how many engines there are when mostPulses begins to fall.
+	pulseEngines = 64
+)
+
+// Share returns to how many of so many engines an entry subscribes, and at which pace.
+func Share(engines int) (most int, pace time.Duration) {
+	pulses := min(max(mostPulses*pulseEngines/max(engines, 1), leastPulses), mostPulses)
+	most = min(engines, pulses, pulseEngines)
+	pace = max(time.Duration((most*1000+pulses-1)/pulses)*time.Millisecond, Every)
+
+	return most, pace
+}
+
 // Bounds.
 const (
 	// maxDatagram is more than a pulse has.
@@ -101,6 +137,9 @@
 	EngineAddress string
 	// Resident returns the long parts in its memory; nil tells none.
 	Resident func() []resident.Part
+	// OnSubscription gets how far an entry has read what operators publish; nil calls
+	// nothing.
+	OnSubscription func(known int64)
 }
 
 // Beacon sends an engine's pulse to its subscribers. Use NewBeacon.
@@ -115,6 +154,8 @@
 type subscriber struct {
 	address *net.UDPAddr
 	until   time.Time
+	pace    time.Duration
+	next    time.Time // when its next pulse is due
 }
 
 // NewBeacon binds the address.
@@ -146,7 +187,7 @@
 	p := Pulse{Start: time.Now().UnixNano()}
 
 	for pause.For(ctx, Every) {
-		to := b.live(time.Now())
+		to := b.due(time.Now())
 		if len(to) == 0 {
 			continue
 		}
@@ -181,7 +222,7 @@
 	buf := make([]byte, maxDatagram)
 
 	for ctx.Err() == nil {
-		_, from, err := b.conn.ReadFromUDP(buf)
+		n, from, err := b.conn.ReadFromUDP(buf)
 		if err != nil {
 			if !pause.For(ctx, Every) {
 				return
@@ -190,18 +231,34 @@
 			continue
 		}
 
-		b.mu.Lock()
+		var s Subscription
+		if cbor.Unmarshal(buf[:n], &s) != nil {
+			s = Subscription{}
+		}
+
+		b.subscribe(time.Now(), from, s)
 
-		if _, ok := b.subscribers[from.String()]; ok || len(b.subscribers) < maxSubscribers {
-			b.subscribers[from.String()] = subscriber{from, time.Now().Add(subscribed)}
+		if b.cfg.OnSubscription != nil {
+			b.cfg.OnSubscription(s.Known)
 		}
+	}
+}
+
+func (b *Beacon) subscribe(now time.Time, from *net.UDPAddr, s Subscription) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 
-		b.mu.Unlock()
+	old, ok := b.subscribers[from.String()]
+	if !ok && len(b.subscribers) >= maxSubscribers {
+		return
 	}
+
+	old.address, old.until, old.pace = from, now.Add(subscribed), time.Duration(s.PaceMs)*time.Millisecond
+	b.subscribers[from.String()] = old
 }
 
-// live returns the subscribers whose subscription lasts.
-func (b *Beacon) live(now time.Time) []*net.UDPAddr {
+// due returns the subscribers whose next pulse is due.
+func (b *Beacon) due(now time.Time) []*net.UDPAddr {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -214,6 +271,14 @@
 			continue
 		}
 
+		// The beacon looks once in Every, so what falls due before the next look is
+		// due by half of that.
+		if now.Add(Every / 2).Before(s.next) {
+			continue
+		}
+
+		s.next = now.Add(s.pace)
+		b.subscribers[name] = s
 		all = append(all, s.address)
 	}
 
@@ -239,8 +304,12 @@
 	Address string
 	// Port is the port of side processes' beacons.
 	Port int
-	// Engines returns the addresses of the engines to subscribe to.
-	Engines func() []string
+	// Engines returns the addresses of the engines to subscribe to, and the pause
+	// between two pulses of one.
+	Engines func() (addresses []string, pace time.Duration)
+	// Known returns how far this process has read what operators publish; nil tells
+	// nothing.
+	Known func() int64
 	// OnPulse gets each pulse, newest last, from one goroutine.
 	OnPulse func(now time.Time, p Pulse)
 }
@@ -250,6 +319,7 @@
 	cfg  ListenerConfig
 	conn *net.UDPConn
 	seen map[string]Pulse
+	pace atomic.Int64 // in ns, as asked for last
 }
 
 // Listen binds the address.
@@ -284,6 +354,7 @@
 			continue
 		}
 
+		p.Pace = time.Duration(l.pace.Load())
 		l.cfg.OnPulse(time.Now(), p)
 	}
 }
@@ -309,7 +380,10 @@
 // subscribe subscribes to the engines now and then.
 func (l *Listener) subscribe(ctx context.Context) {
 	for {
-		engines := l.cfg.Engines()
+		engines, pace := l.cfg.Engines()
+		l.pace.Store(int64(pace))
+
+		body := l.subscription(pace)
 
 		for _, engine := range engines {
 			host, _, err := net.SplitHostPort(engine)
@@ -318,7 +392,7 @@
 			}
 
 			//nolint:errcheck,gosec // the next one may arrive
-			l.conn.WriteToUDP([]byte{0}, &net.UDPAddr{IP: net.ParseIP(host), Port: l.cfg.Port})
+			l.conn.WriteToUDP(body, &net.UDPAddr{IP: net.ParseIP(host), Port: l.cfg.Port})
 		}
 
 		every := subscribeEvery
@@ -332,3 +406,18 @@
 		}
 	}
 }
+
+// subscription returns what is sent to engines.
+func (l *Listener) subscription(pace time.Duration) []byte {
+	s := Subscription{PaceMs: pace.Milliseconds()}
+	if l.cfg.Known != nil {
+		s.Known = l.cfg.Known()
+	}
+
+	body, err := cbor.Marshal(s)
+	if err != nil {
+		return []byte{0} // two numbers always have a form
+	}
+
+	return body
+}
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -29,7 +29,7 @@
 
 	l, err := Listen(ListenerConfig{
 		Address: "127.0.0.1:0", Port: b.conn.LocalAddr().(*net.UDPAddr).Port,
-		Engines: func() []string { return []string{"127.0.0.1:9"} },
+		Engines: func() ([]string, time.Duration) { return []string{"127.0.0.1:9"}, Every },
 		OnPulse: func(_ time.Time, p Pulse) { got <- p },
 	})
 	if err != nil {
@@ -78,16 +78,113 @@
 func TestSubscriptionsEndAndAreBounded(t *testing.T) {
 	b := &Beacon{subscribers: map[string]subscriber{}}
 	now := time.Unix(100, 0)
-	b.subscribers["a"] = subscriber{&net.UDPAddr{Port: 1}, now.Add(time.Second)}
-	b.subscribers["b"] = subscriber{&net.UDPAddr{Port: 2}, now.Add(-time.Second)}
+	b.subscribe(now, &net.UDPAddr{Port: 1}, Subscription{})
+	b.subscribe(now.Add(-2*subscribed), &net.UDPAddr{Port: 2}, Subscription{})
 
-	if got := len(b.live(now)); got != 1 {
+	if got := len(b.due(now)); got != 1 {
 		t.Errorf("got %d subscribers, want 1", got)
 	}
 
 	if got := len(b.subscribers); got != 1 {
 		t.Errorf("got %d kept, want 1", got)
 	}
+
+	for i := range 2 * maxSubscribers {
+		b.subscribe(now, &net.UDPAddr{Port: 10 + i}, Subscription{})
+	}
+
+	if got := len(b.subscribers); got != maxSubscribers {
+		t.Errorf("got %d kept, want %d", got, maxSubscribers)
+	}
+}
+
+func TestSubscribersGetPulsesAtTheirPace(t *testing.T) {
+	tests := []struct {
+		pace time.Duration
+		want int // pulses in ten looks
+	}{
+		{0, 10}, {Every, 10}, {2 * Every, 5}, {5 * Every, 2},
+	}
+
+	for _, tt := range tests {
+		b := &Beacon{subscribers: map[string]subscriber{}}
+		now := time.Unix(100, 0)
+		b.subscribe(now, &net.UDPAddr{Port: 1}, Subscription{PaceMs: tt.pace.Milliseconds()})
+
+		got := 0
+		for i := range 10 {
+			got += len(b.due(now.Add(time.Duration(i) * Every)))
+		}
+
+		if got != tt.want {
+			t.Errorf("%v: got %d pulses, want %d", tt.pace, got, tt.want)
+		}
+	}
+}
+
+// In a large fleet each entry may choose among hundreds of engines. Pulses of all of
+// them several times a second would take more than all callers' requests.
+func TestPulsesOfALargeFleetAreBounded(t *testing.T) {
+	tests := []struct {
+		engines, most int
+		pace          time.Duration
+	}{
+		{0, 0, Every},
+		{12, 12, Every},
+		{48, 48, 200 * time.Millisecond},
+		{1700, leastPulses, time.Second},
+	}
+
+	for _, tt := range tests {
+		if most, pace := Share(tt.engines); most != tt.most || pace != tt.pace {
+			t.Errorf("%d engines: got %d each %v, want %d each %v", tt.engines, most, pace, tt.most, tt.pace)
+		}
+	}
+
+	for n := range 2000 {
+		if most, pace := Share(n); int64(most)*1000 > mostPulses*pace.Milliseconds() {
+			t.Errorf("%d engines: got %d each %v", n, most, pace)
+		}
+	}
+}
+
+// An entry tells side processes how far it has read, since their own connection to the
+// log may have fallen silent.
+func TestSideProcessHearsHowFarOthersHaveRead(t *testing.T) {
+	known := make(chan int64, 16)
+
+	b, err := NewBeacon(BeaconConfig{
+		Address: "127.0.0.1:0", Engine: fixed{}, EngineAddress: "127.0.0.1:9",
+		OnSubscription: func(n int64) { known <- n },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	l, err := Listen(ListenerConfig{
+		Address: "127.0.0.1:0", Port: b.conn.LocalAddr().(*net.UDPAddr).Port,
+		Engines: func() ([]string, time.Duration) { return []string{"127.0.0.1:9"}, Every },
+		Known:   func() int64 { return 41 },
+		OnPulse: func(time.Time, Pulse) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	go b.Run(ctx)
+	go l.Run(ctx)
+
+	select {
+	case got := <-known:
+		if got != 41 {
+			t.Errorf("got %d, want 41", got)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("got no subscription")
+	}
 }
 
 func TestPulseTellsWhatIsInMemory(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -121,6 +121,7 @@
 	pulse     pulse.Pulse
 	pulseAt   time.Time
 	since     Sent
+	sentAt    time.Time // when it last got a request
 	listing   Listing
 	versions  map[string]int64
 	loading   time.Time // until when it is taken to be loading
@@ -329,13 +330,18 @@
 	return Engine{
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loading),
-		Pulse: e.pulse, PulseAge: age, Fresh: age < pulseMost, Since: e.since,
-		Quiet: e.life.quiet(),
+		Pulse: e.pulse, PulseAge: age, Fresh: age < e.pulseMost(), Since: e.since,
+		Quiet: e.quiet(),
 	}
 }
 
-// pulseMost is the age up to which a pulse is gone by: several may be lost.
-const pulseMost = 600 * time.Millisecond
+// pulsesMissed is how many pulses may be lost before the last one isn't gone by.
+const pulsesMissed = 5
+
+// pulseMost is the age up to which an engine's pulse is gone by.
+func (e *engine) pulseMost() time.Duration {
+	return (pulsesMissed + 1) * max(e.pulse.Pace, pulse.Every)
+}
 
 // Pulse takes an engine's load at first hand.
 func (r *Roster) Pulse(now time.Time, p pulse.Pulse) {
@@ -357,20 +363,30 @@
 	r.raise(id, e, p.Model, p.Version, "pulse")
 }
 
-// Addresses returns the addresses of the targets of the services that pass.
-func (r *Roster) Addresses(pass func(service string) bool) []string {
+// Watched returns the addresses of the targets whose pulse this process wants: those
+// of the services that pass, the ones used last when they are too many, and the pause
+// between two pulses.
+func (r *Roster) Watched(pass func(service string) bool) (addresses []string, pace time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	var all []string
+	var all []*engine
 
 	for _, e := range r.engines {
 		if pass(e.listing.Service) {
-			all = append(all, e.listing.Address)
+			all = append(all, e)
 		}
 	}
 
-	return all
+	most, pace := pulse.Share(len(all))
+
+	sort.Slice(all, func(i, j int) bool { return all[i].sentAt.After(all[j].sentAt) })
+
+	for _, e := range all[:most] {
+		addresses = append(addresses, e.listing.Address)
+	}
+
+	return addresses, pace
 }
 
 // Sent records that a request goes to a target, which makes it read so many
@@ -379,6 +395,7 @@
 	r.mu.Lock()
 
 	if e, ok := r.engines[id]; ok {
+		e.sentAt = now
 		e.since.Requests++
 		e.since.Reading += reading
 		e.since.Memory += memory
--- a/roster/silence.go
+++ b/roster/silence.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"boragehub/pulse"
+)
 
 // A machine that stands still keeps its connections, and takes new ones: nothing
 // fails, nothing answers. An entry notices that neither pulses nor bytes of answers
@@ -8,8 +12,8 @@
 // requests wait until their callers leave, and the target works on them for nobody
 // when it goes on.
 
-// Looks without a sign of life, by calls of Tick, which come every 250 ms. Looks are
-// counted instead of time, as time also passes while this process stands still.
+// Looks without a sign of life, by calls of Tick, at the shortest pace of pulses. Looks
+// are counted instead of time, as time also passes while this process stands still.
 const (
 	// quietLooks is after how many a target is suspected: four or more pulses are
 	// missing then, which doesn't happen by loss.
@@ -30,8 +34,22 @@
 // hear takes a sign of life.
 func (l *life) hear() { l.heard, l.unheard = true, 0 }
 
+// lookEvery is the pause between two looks.
+const lookEvery = 250 * time.Millisecond
+
+// longer returns how many looks more than at the shortest pace it takes until so many
+// of an engine's pulses are missing.
+func (e *engine) longer(pulses int) int {
+	more := time.Duration(pulses) * max(e.pulse.Pace-pulse.Every, 0)
+
+	return int((more + lookEvery - 1) / lookEvery)
+}
+
 // quiet reports whether signs of life are missing.
-func (l *life) quiet() bool { return l.unheard >= quietLooks }
+func (e *engine) quiet() bool { return e.life.unheard >= quietLooks+e.longer(quietLooks) }
+
+// silent reports whether nothing is to be expected of the engine.
+func (e *engine) silent() bool { return e.life.unheard >= silentLooks+e.longer(silentLooks) }
 
 // Heard takes that bytes came from a target.
 func (r *Roster) Heard(id string) {
@@ -52,7 +70,7 @@
 	var all []string
 
 	for id, e := range r.engines {
-		if e.life.unheard >= silentLooks {
+		if e.silent() {
 			all = append(all, id)
 		}
 	}
--- a/roster/silence_test.go
+++ b/roster/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"boragehub/pulse"
 )
@@ -25,6 +26,8 @@
 		{"four looks", func(r *Roster) { beat(r, 0, a) }, func(r *Roster, ms int) { beat(r, ms, b) }, 5, true, true},
 		{"its answers go on", func(r *Roster) { beat(r, 0, a) }, func(r *Roster, ms int) { beat(r, ms, b); r.Heard("a") }, 9, false, false},
 		{"nobody is heard", func(r *Roster) { beat(r, 0, a); beat(r, 0, b) }, func(*Roster, int) {}, 9, false, false},
+		{"its pulses come seldom", func(r *Roster) { slow := pulse.Pulse{Engine: a, Pace: time.Second}; r.Pulse(at(0), slow) }, func(r *Roster, ms int) { beat(r, ms, b) }, 5, false, false},
+		{"several of them are missing", func(r *Roster) { slow := pulse.Pulse{Engine: a, Pace: time.Second}; r.Pulse(at(0), slow) }, func(r *Roster, ms int) { beat(r, ms, b) }, 12, true, false},
 		{"it never beat", func(*Roster) {}, func(r *Roster, ms int) { beat(r, ms, b) }, 9, false, false},
 	}
 
