gateway: nothing begins on replaced weights after its time

Change: such engines get nothing from 1.5 s before the bound on, when the last ones are loading anyway; what still waits at one 0.4 s before it is taken back.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -201,7 +201,7 @@
 		e.directory.SetSharers(entries)
 		e.gateway.SetSharers(entries)
 		e.roster.Tick(now)
-		e.gateway.Tick()
+		e.gateway.Tick(now)
 		e.pool.Sweep(now)
 	}
 }
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -12,19 +12,20 @@
 
 // Events of the gateway: requests routed by host and path.
 var (
-	AttemptSent    = register(2300, "attempt_sent", "A request goes to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age.")
-	RequestServed  = register(2301, "request_served", "A request got its whole answer: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`.")
-	RequestGivenUp = register(2302, "request_given_up", "A request got an error of ours: `request_id`, `route`, `kind`, `status`, `retry_after_ms`, `ran`, `attempts`.")
-	AttemptFailed  = register(2303, "attempt_failed", "An attempt did not bring a whole answer: `request_id`, `target`, `attempt`, `outcome`, `ran`.")
-	CallerLeft     = register(2304, "caller_left", "A caller closed its connection before its answer; the target's work was cancelled.")
-	StreamResumed  = register(2305, "stream_resumed", "A stream goes on at another target: `request_id`, `target`, `after_id`.")
-	RoomAwaited    = register(2306, "room_awaited", "A long prompt waited for an engine with room: `request_id`, `waited_ms`, `waiting`.")
-	TargetSilent   = register(2307, "target_silent", "Nothing came from a target for over a second while others were heard; what waits there is given up: `target`, `attempts`.")
-	EngineListed   = register(2310, "engine_listed", "The register names a target anew or in another state: `target`, `state`, `service`, `version`.")
-	EngineDropped  = register(2311, "engine_dropped", "The register no longer names a target; it gets no new work: `target`, `reason`.")
-	EngineLoading  = register(2312, "engine_loading", "A target says that it takes a weight version and gets no work meanwhile: `target`, `version`.")
-	EngineVersion  = register(2313, "engine_version", "A target has another weight version: `target`, `version`, `basis`.")
-	LinesLeftOut   = register(2320, "lines_left_out", "Log lines were left out to bound their volume: `lines` since the last such line.")
+	AttemptSent     = register(2300, "attempt_sent", "A request goes to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age.")
+	RequestServed   = register(2301, "request_served", "A request got its whole answer: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`.")
+	RequestGivenUp  = register(2302, "request_given_up", "A request got an error of ours: `request_id`, `route`, `kind`, `status`, `retry_after_ms`, `ran`, `attempts`.")
+	AttemptFailed   = register(2303, "attempt_failed", "An attempt did not bring a whole answer: `request_id`, `target`, `attempt`, `outcome`, `ran`.")
+	CallerLeft      = register(2304, "caller_left", "A caller closed its connection before its answer; the target's work was cancelled.")
+	StreamResumed   = register(2305, "stream_resumed", "A stream goes on at another target: `request_id`, `target`, `after_id`.")
+	RoomAwaited     = register(2306, "room_awaited", "A long prompt waited for an engine with room: `request_id`, `waited_ms`, `waiting`.")
+	TargetSilent    = register(2307, "target_silent", "Nothing came from a target for over a second while others were heard; what waits there is given up: `target`, `attempts`.")
+	AttemptsOverdue = register(2308, "attempts_overdue", "Requests waited at engines with replaced weights until they might no longer begin there, and were taken back: `attempts`.")
+	EngineListed    = register(2310, "engine_listed", "The register names a target anew or in another state: `target`, `state`, `service`, `version`.")
+	EngineDropped   = register(2311, "engine_dropped", "The register no longer names a target; it gets no new work: `target`, `reason`.")
+	EngineLoading   = register(2312, "engine_loading", "A target says that it takes a weight version and gets no work meanwhile: `target`, `version`.")
+	EngineVersion   = register(2313, "engine_version", "A target has another weight version: `target`, `version`, `basis`.")
+	LinesLeftOut    = register(2320, "lines_left_out", "Log lines were left out to bound their volume: `lines` since the last such line.")
 )
 
 // Events of a side process that brings its engine to a weight version.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -159,7 +159,8 @@
 	defer cancel()
 
 	ctx, abandon := context.WithCancelCause(ctx)
-	defer t.g.flights.begin(c.engine.ID, abandon)()
+	t.flight = &flight{abandon: abandon, model: t.model(), version: c.sending.Version}
+	defer t.g.flights.begin(c.engine.ID, t.flight)()
 
 	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.unread, c.memory)
 	o := t.exchange(ctx, c)
@@ -234,6 +235,7 @@
 // learn takes what the head of an answer says of its target.
 func (t *task) learn(c choice, a Answer) {
 	now := time.Now()
+	t.flight.begun.Store(true)
 	t.g.cfg.Roster.Heard(c.engine.ID)
 
 	if a.LoadKnown {
@@ -250,10 +252,10 @@
 	o := outcome{kind: failure.TargetLost, cause: err, standing: target.Failed}
 	o.ran = upstream.ReachedOf(err) == upstream.MaybeSent
 
-	if silent := context.Cause(ctx); errors.Is(silent, errSilent) {
-		// Its standing is left alone: it is taken as quiet until it is heard again,
-		// and then has all its work and memory.
-		o.cause, o.standing = silent, target.Neutral
+	if why := context.Cause(ctx); errors.Is(why, errSilent) || errors.Is(why, errOverdue) {
+		// Its standing is left alone: a silent one is taken as quiet until it is heard
+		// again, and then has all its work and memory.
+		o.cause, o.standing = why, target.Neutral
 	} else if ctx.Err() != nil {
 		// Its patience may have ended before the caller's.
 		if !time.Now().Before(t.deadline) {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -50,12 +50,7 @@
 
 // choose returns the target of the next attempt.
 func (t *task) choose(now time.Time) (choice, error) {
-	model := ""
-	if t.arrival.Prompt != nil {
-		model = t.arrival.Prompt.Model
-	}
-
-	candidates := t.g.cfg.Roster.Candidates(now, t.service.Name, model)
+	candidates := t.g.cfg.Roster.Candidates(now, t.service.Name, t.model())
 	if len(candidates) == 0 {
 		return choice{}, failure.New(failure.Unavailable, "the service has no target").After(nonePause)
 	}
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 )
 
-// errSilent is why an attempt ends whose target stands still.
-var errSilent = errors.New("the target fell silent")
+// Why attempts end before their time.
+var (
+	errSilent  = errors.New("the target fell silent")
+	errOverdue = errors.New("it may no longer begin on the target's weights")
+)
 
 // flights are the attempts under way, by target. The zero value is empty.
 //
@@ -22,12 +26,14 @@
 // flight is one attempt.
 type flight struct {
 	abandon context.CancelCauseFunc
+	// model and version are the weights that the request was sent for.
+	model   string
+	version int64
+	begun   atomic.Bool // the head of its answer came
 }
 
 // begin notes an attempt until the function that it returns is called.
-func (f *flights) begin(id string, abandon context.CancelCauseFunc) (end func()) {
-	x := &flight{abandon}
-
+func (f *flights) begin(id string, x *flight) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -43,7 +49,7 @@
 
 	return func() {
 		f.end(id, x)
-		abandon(nil)
+		x.abandon(nil)
 	}
 }
 
@@ -69,3 +75,27 @@
 
 	return len(f.all[id])
 }
+
+// takeBack ends the attempts that have not begun and whose weights are older than due
+// says for their model, and returns how many there were.
+//
+// An engine that has yet to load new weights may have a long queue. What waits there
+// would begin on the replaced weights after the time within which it may.
+func (f *flights) takeBack(due func(model string) int64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	n := 0
+
+	for _, all := range f.all {
+		for x := range all {
+			if x.version > 0 && !x.begun.Load() && x.version < due(x.model) {
+				x.abandon(errOverdue)
+
+				n++
+			}
+		}
+	}
+
+	return n
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,9 +114,17 @@
 // before are as good: operators allow 1.5 s, and a request takes a while.
 const versionGrace = 1200 * time.Millisecond
 
-// versionMargin is how long before the time allowed an engine with replaced
-// weights gets no more requests: one may wait for its turn there for a while.
-const versionMargin = 600 * time.Millisecond
+// Margins before the time within which an engine with replaced weights may begin
+// requests. One that begins on them later breaks what operators were promised.
+const (
+	// versionMargin is how long before it such an engine gets no more requests. They
+	// wait for their turn there, in bad times for more than a second; the last engines
+	// are loading by then anyway.
+	versionMargin = 1500 * time.Millisecond
+	// overdueMargin is how long before it what still waits there is taken back. It is
+	// looked for four times a second.
+	overdueMargin = 400 * time.Millisecond
+)
 
 // maxNamed bounds the versions remembered of a model.
 const maxNamed = 8
@@ -158,7 +166,7 @@
 // startGrace is how long after a start a version that was named before counts as
 // allowed to be missing. Nobody knows when it was named: taken for just named, an
 // engine with replaced weights would get requests for as long again.
-const startGrace = 3 * time.Second
+const startGrace = 3900 * time.Millisecond
 
 // Named takes that operators named a weight version. Before is the last time at
 // which the one before was surely the newest, zero for a version that was there when
@@ -208,6 +216,15 @@
 	return 0
 }
 
+// overdue returns the version of a model below which nothing may begin any more.
+func (g *Gateway) overdue(now time.Time, model string) int64 {
+	if g.cfg.VersionWithin <= 0 {
+		return 0
+	}
+
+	return g.namedFor(now, model, g.cfg.VersionWithin-overdueMargin)
+}
+
 // required returns the version of a model below which an engine gets no requests.
 func (g *Gateway) required(now time.Time, model string) int64 {
 	if g.cfg.VersionWithin <= 0 {
@@ -274,9 +291,14 @@
 	return g.Configured() && !g.stopping.Load() && g.cfg.Roster.Len() > 0
 }
 
-// Tick gives up what waits for targets from which nothing is to be expected. Call
-// it four times a second.
-func (g *Gateway) Tick() {
+// Tick gives up what waits for targets from which nothing is to be expected, or for
+// weights that it may no longer begin on. Call it four times a second.
+func (g *Gateway) Tick(now time.Time) {
+	due := func(model string) int64 { return g.overdue(now, model) }
+	if n := g.flights.takeBack(due); n > 0 {
+		event.Log(g.cfg.Log, event.AttemptsOverdue, "attempts", n)
+	}
+
 	for _, id := range g.cfg.Roster.Silent() {
 		if n := g.flights.abandon(id); n > 0 {
 			event.Log(g.cfg.Log, event.TargetSilent, "target", id, "attempts", n)
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -36,6 +36,7 @@
 	ran      int             // of them those that may have run
 	tried    map[string]bool // targets
 	stream   stream
+	flight   *flight // the attempt under way
 }
 
 // Bounds of reading requests.
@@ -181,6 +182,15 @@
 	return err
 }
 
+// model returns the model that the request names; empty for none.
+func (t *task) model() string {
+	if t.arrival.Prompt == nil {
+		return ""
+	}
+
+	return t.arrival.Prompt.Model
+}
+
 // priority returns the request's rank, 0 first.
 func (t *task) priority() int {
 	if t.organisation != nil && t.organisation.HasPriority {
