gateway, exchange: entries tell each other what crashed targets

Cause: each entry counted by itself which requests were on targets that crashed.

Change: what broke at once on a target is told to all entries, which add what broke there under their own hands, also a single connection.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -86,14 +86,14 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), Opening: route.OpeningConfig{},
+		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), TellCrash: e.client.TellCrash, Opening: route.OpeningConfig{},
 		RepeatRatio: cfg.Bounds.RepeatRatio * repeatShare, RepeatWindow: cfg.Bounds.RepeatWindow,
 		RepeatSlack: cfg.Bounds.RepeatSlack, VersionWithin: cfg.Bounds.Version, Meter: meter, Log: log,
 	}, operators.Fresh, e.registration.Since)
 
 	e.follow(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, Notice: e.notice,
+		Members: members, Vaults: directory, Notice: e.notice, Crash: e.gateway.Heard,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -21,6 +21,7 @@
 	RoomAwaited     = register(2306, "room_awaited", "A long prompt waited for an engine with room: `request_id`, `waited_ms`, `waiting`.")
 	TargetSilent    = register(2307, "target_silent", "Nothing came from a target for over a second while others were heard; what waits there is given up: `target`, `attempts`.")
 	AttemptsOverdue = register(2308, "attempts_overdue", "Requests waited at engines with replaced weights until they might no longer begin there, and were taken back: `attempts`.")
+	CrashSuspected  = register(2309, "crash_suspected", "Several requests broke off at a target at once, or another entry says so; they are suspects: `target`, `requests`, `basis`.")
 	EngineListed    = register(2310, "engine_listed", "The register names a target anew or in another state: `target`, `state`, `service`, `version`.")
 	EngineDropped   = register(2311, "engine_dropped", "The register no longer names a target; it gets no new work: `target`, `reason`.")
 	EngineLoading   = register(2312, "engine_loading", "A target says that it takes a weight version and gets no work meanwhile: `target`, `version`.")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,9 @@
 	Vaults *vault.Directory
 	// Crashes knows requests that crash targets.
 	Crashes *quarantine.Tracker
+	// TellCrash tells the other entries what was on a target as it crashed; nil tells
+	// nobody.
+	TellCrash func(quarantine.Crash)
 	// Opening says what running prompts costs.
 	Opening route.OpeningConfig
 	// RepeatRatio and RepeatWindow bound repeats to a part of the first attempts;
@@ -140,7 +143,7 @@
 		versions: make(map[string][]named),
 		lastSeen: known,
 		listed:   listed,
-		suspects: newSuspects(cfg.Crashes),
+		suspects: newSuspects(cfg.Crashes, cfg.TellCrash, cfg.Log),
 		room:     newRoom(),
 	}
 }
@@ -306,6 +309,9 @@
 	}
 }
 
+// Heard takes what another entry tells of a target's crash.
+func (g *Gateway) Heard(now time.Time, c quarantine.Crash) { g.suspects.heard(now, c) }
+
 // Active returns how many requests are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -18,6 +18,7 @@
 
 	"boragehub/mirror"
 	"boragehub/pause"
+	"boragehub/quarantine"
 	"boragehub/vault"
 )
 
@@ -191,18 +192,12 @@
 // Tell tells all entries what the engine at an address is about to do, or has
 // done. One that can't be told finds out from the engine's refusals and answers.
 func (c *Client) Tell(ctx context.Context, address, model string, version int64, loaded bool) {
-	body, err := cbor.Marshal(Notice{Address: address, Model: model, Version: version, Loaded: loaded})
-	if err != nil {
-		return // a struct of strings and numbers always has a form
-	}
-
 	told := make(chan struct{})
 
 	go func() {
 		defer close(told)
 
-		known := c.members.Ask(time.Now())
-		c.post(ctx, known, body)
+		post(ctx, c, noticePath, Notice{Address: address, Model: model, Version: version, Loaded: loaded})
 	}()
 
 	select {
@@ -211,14 +206,25 @@
 	}
 }
 
-// post sends a notice to entries.
-func (c *Client) post(ctx context.Context, to []string, body []byte) {
+// TellCrash tells all entries what was on a target as it crashed. One that can't be
+// told finds out when the request crashes a target under its own hands.
+func (c *Client) TellCrash(crash quarantine.Crash) {
+	post(context.Background(), c, crashPath, crash)
+}
+
+// post sends a message to all known entries.
+func post[T any](ctx context.Context, c *Client, path string, message T) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return // a struct of strings and numbers always has a form
+	}
+
 	var wg sync.WaitGroup
 
-	for _, a := range to {
+	for _, a := range c.members.Ask(time.Now()) {
 		wg.Go(func() {
-			//nolint:errcheck,gosec // see Tell
-			c.call(ctx, http.MethodPost, a, noticePath, body, 0)
+			//nolint:errcheck,gosec // see Tell and TellCrash
+			c.call(ctx, http.MethodPost, a, path, body, 0)
 		})
 	}
 
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -30,6 +30,7 @@
 	recordsPath = "/records"
 	noticePath  = "/notice"
 	vaultsPath  = "/vaults"
+	crashPath   = "/crash"
 )
 
 // Reply is the answer to a question for records.
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"boragehub/mirror"
+	"boragehub/quarantine"
 	"boragehub/vault"
 )
 
@@ -24,6 +25,7 @@
 
 	mu      sync.Mutex
 	notices []Notice
+	crashes chan quarantine.Crash
 }
 
 func (e *entry) told() []Notice {
@@ -36,7 +38,7 @@
 func newEntry(t *testing.T, seeds ...string) *entry {
 	t.Helper()
 
-	e := &entry{vaults: vault.NewDirectory(1)}
+	e := &entry{vaults: vault.NewDirectory(1), crashes: make(chan quarantine.Crash, 1)}
 	s := httptest.NewUnstartedServer(nil)
 	e.address = s.Listener.Addr().String()
 	e.members = NewMembers(e.address, seeds)
@@ -48,6 +50,7 @@
 
 			e.notices = append(e.notices, n)
 		},
+		Crash: func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
 	})
 	s.Start()
 	t.Cleanup(s.Close)
@@ -208,7 +211,7 @@
 func TestMessagesThatAreNoneAreRefused(t *testing.T) {
 	e := newEntry(t)
 
-	for _, path := range []string{noticePath, vaultsPath} {
+	for _, path := range []string{noticePath, vaultsPath, crashPath} {
 		resp, err := http.Post("http://"+e.address+path, "", strings.NewReader("\xff\xff no message"))
 		if err != nil || resp.StatusCode != http.StatusBadRequest {
 			t.Errorf("%s: got %v %v, want 400", path, resp, err)
@@ -331,3 +334,14 @@
 		t.Errorf("a minute later: got %d told, want none", got)
 	}
 }
+
+func TestCrashesAreToldToOtherEntries(t *testing.T) {
+	e := newEntry(t)
+	want := quarantine.Crash{Target: "t1", Boot: "t1", Running: []quarantine.Fingerprint{quarantine.Of("ferry", []byte("poison"))}}
+
+	NewClient(NewMembers("", []string{e.address})).TellCrash(want)
+
+	if got := <-e.crashes; got.Target != want.Target || len(got.Running) != 1 || got.Running[0] != want.Running[0] {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"boragehub/mirror"
+	"boragehub/quarantine"
 	"boragehub/vault"
 )
 
@@ -20,6 +21,7 @@
 	members *Members
 	topics  map[string]*mirror.Topic
 	notice  func(now time.Time, n Notice)
+	crash   func(now time.Time, c quarantine.Crash)
 	vaults  *vault.Directory
 }
 
@@ -33,14 +35,17 @@
 	Vaults *vault.Directory
 	// Notice takes what side processes say.
 	Notice func(now time.Time, n Notice)
+	// Crash takes what other entries say of targets that crashed.
+	Crash func(now time.Time, c quarantine.Crash)
 }
 
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, notice: cfg.Notice, vaults: cfg.Vaults}
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, notice: cfg.Notice, crash: cfg.Crash, vaults: cfg.Vaults}
 	s.mux.HandleFunc("POST "+vaultsPath, s.stores)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
-	s.mux.HandleFunc("POST "+noticePath, s.take)
+	s.mux.HandleFunc("POST "+noticePath, take(func(n Notice) { s.notice(time.Now(), n) }))
+	s.mux.HandleFunc("POST "+crashPath, take(func(c quarantine.Crash) { s.crash(time.Now(), c) }))
 
 	return s
 }
@@ -157,13 +162,15 @@
 	}
 }
 
-// take takes what a side process says.
-func (s *Server) take(w http.ResponseWriter, r *http.Request) {
-	n, ok := question[Notice](w, r)
-	if !ok {
-		return
-	}
+// take handles a message that needs no answer.
+func take[T any](handle func(message T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		message, ok := question[T](w, r)
+		if !ok {
+			return
+		}
 
-	s.notice(time.Now(), n)
-	w.WriteHeader(http.StatusNoContent)
+		handle(message)
+		w.WriteHeader(http.StatusNoContent)
+	}
 }
