pulse, gateway, vault, cmd: a file for each matter, no error dropped on the way

Files that held several matters are split (beacon, listener, share; version, allowance, context, store), an old test of heartbeats stands beside what it tests, and three errors of the product's own servers that were dropped are logged.

--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -160,7 +160,7 @@
 	}
 
 	stop := background(append(p.duties(), p.entry.Run, p.lease.Run, p.leader.Run, p.writes.Run, p.snapshots.Run, p.operators.Run, func(ctx context.Context) {
-		_ = p.server.Serve(ctx, p.entry.Handle)
+		serveConversations(ctx, p.log, p.server, p.entry.Handle)
 	})...)
 
 	ctx, cancel := signalled()
@@ -188,6 +188,14 @@
 	return err
 }
 
+// serveConversations serves other processes until ctx ends. When that ends sooner, the
+// process is as good as cut off, and only this line says so.
+func serveConversations(ctx context.Context, log logr.Logger, s *peer.Server, handle peer.Handler) {
+	if err := s.Serve(ctx, handle); err != nil && ctx.Err() == nil {
+		event.Fail(log, err, event.ProcessFailed)
+	}
+}
+
 func (p *entryProcess) leave(callers *http.Server) {
 	event.Log(p.log, event.ProcessStopping, "requests", p.entry.Active())
 	p.entry.Leave()
@@ -196,7 +204,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.cfg.Limits.DrainTimeout))
 	defer cancel()
 
-	_ = callers.Shutdown(ctx)
+	if err := callers.Shutdown(ctx); err != nil {
+		event.Fail(p.log, err, event.ListenerStopped, "requests", p.entry.Active())
+
+		return
+	}
 
 	event.Log(p.log, event.ListenerStopped, "requests", p.entry.Active())
 }
@@ -205,7 +217,7 @@
 // work and waits for what runs.
 func (p *sideProcess) run() error {
 	duties := append(p.duties(), p.side.Run, p.operators.Run, func(ctx context.Context) {
-		_ = p.server.Serve(ctx, p.side.Handle)
+		serveConversations(ctx, p.log, p.server, p.side.Handle)
 	})
 
 	if p.homes != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -8,7 +8,6 @@
 	"boragehub/failure"
 	"boragehub/roster"
 	"boragehub/route"
-	"boragehub/vault"
 )
 
 // choice is the target of an attempt.
@@ -198,43 +197,6 @@
 	}
 }
 
-// Memory of engines for long prompts.
-const (
-	// longTokens is the memory that a long prompt takes which an engine has not
-	// started: an opening of 12,800 tokens, and what it has of its own.
-	longTokens = 15_000
-	// memoryShare is the part of an engine's memory up to which long prompts are sent.
-	// Of 12 days on two sites, with 0.8 and 0.95 of it: worth 0.681 and 0.680, 0.620
-	// and 0.626; with three prompts an engine, whatever their length: 0.669 and 0.617.
-	memoryShare = 0.95
-)
-
-// fits reports whether a long prompt fits into an engine's memory beside what runs and
-// waits there; one alone always does. With more, each is read in pieces between all
-// the others', they keep their memory for seconds, and contexts that were fetched are
-// pushed out and read again: at twice the usual load an engine then does a quarter of
-// its work.
-func (t *task) fits(e roster.Engine) bool {
-	if e.Pulse.Running+e.Pulse.Waiting+e.Since.Requests == 0 {
-		return true
-	}
-
-	p := t.arrival.Prompt
-	used := e.Pulse.UsedTokens + e.Since.Memory + longTokens*e.Pulse.Waiting
-
-	return float64(used+p.Tokens+p.Output) <= memoryShare*float64(t.service.Engines.MemoryTokens)
-}
-
-// long reports whether the prompt's opening is a long one.
-func (t *task) long() bool {
-	i := t.longest()
-
-	return i >= 0 && t.arrival.Prompt.Parts[i].Tokens > t.g.cfg.Opening.Short()
-}
-
-// errNoRoom says that engines which could take the prompt have no room for it now.
-var errNoRoom = failure.New(failure.QueueFull, "no engine has room for a long prompt").After(roomPause)
-
 // nobody is why no engine was found.
 func nobody(candidates []route.OpeningCandidate) error {
 	for _, c := range candidates {
@@ -268,95 +230,6 @@
 	return s
 }
 
-// scope says who may use what the request leaves in caches.
-func (t *task) scope(version int64) vault.Scope {
-	s := vault.Scope{Model: t.arrival.Prompt.Model, Version: version}
-	if t.organisation != nil && t.organisation.Isolated {
-		s.Wall = t.organisation.Name
-	}
-
-	return s
-}
-
-// contexts fills in which cached parts the engine uses: only such as were made
-// under the version that the engine is asked to have.
-func (t *task) contexts(l *lookup, c *choice) {
-	s := &c.sending
-
-	if c.engine.Version == 0 {
-		// Nobody knows which version it has, so nothing may be shared.
-		s.Salt = "request/" + t.arrival.ID
-
-		return
-	}
-
-	s.Version = c.engine.Version
-	s.Salt = t.scope(s.Version).Salt()
-
-	t.fetchAndSave(l, c)
-}
-
-// keepLeast is the length from which a part is kept in stores: a block of an
-// engine's memory. Also the short ones at the beginning have to be there: a part is
-// of use only together with all before it.
-const keepLeast = 16
-
-// fetchAndSave names for each part that is long enough where to bring it from, and
-// the store to keep it in from now on where none has it.
-func (t *task) fetchAndSave(l *lookup, c *choice) {
-	s := &c.sending
-	parts := t.arrival.Prompt.Parts
-	newest := s.Version >= t.g.newest(t.arrival.Prompt.Model)
-
-	clock, ok := t.g.cfg.Vaults.Clock(l.now)
-	if !ok {
-		return
-	}
-
-	fetch, save := make([]string, len(parts)), make([]string, len(parts))
-
-	for i := range len(parts) - 1 {
-		if parts[i].Tokens < keepLeast {
-			continue
-		}
-
-		x := l.part(i, s.Version)
-		found, ok := l.find(x, c.engine)
-
-		switch {
-		case x.on(c.engine):
-			c.unread -= parts[i].Tokens
-		case ok:
-			t.g.cfg.Vaults.Promise(l.now, found)
-
-			if found.Transfer > c.fetchTime {
-				c.fetchWait, c.fetchTime = found.Wait, found.Transfer
-			}
-
-			c.unread -= parts[i].Tokens
-		case x.long:
-			t.g.reading.begin(l.now, x.key, c.engine.ID)
-		}
-
-		if ok {
-			// Also where the engine has the part: it may just have lost it, and
-			// brings nothing that it has.
-			fetch[i] = found.Address
-			s.Fetch = fetch
-			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
-		}
-
-		if x.stored || !newest {
-			continue
-		}
-
-		if address, ok := t.g.cfg.Vaults.Place(l.now, vault.Held{Part: x.part, Tokens: parts[i].Tokens}); ok {
-			save[i] = address
-			s.Save = save
-		}
-	}
-}
-
 // log writes down where the request goes and what spoke for it.
 func (t *task) log(c choice, reason string, cost float64, candidates int) {
 	e := c.engine
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"boragehub/resident"
@@ -85,17 +86,7 @@
 
 // on reports whether an engine has the part, or is reading it.
 func (x *location) on(e roster.Engine) bool {
-	if x.reader != "" && x.reader == e.ID {
-		return true
-	}
-
-	for _, h := range x.engines {
-		if h.ID == e.ID {
-			return true
-		}
-	}
-
-	return false
+	return x.reader == e.ID || slices.ContainsFunc(x.engines, func(h roster.Engine) bool { return h.ID == e.ID })
 }
 
 // find returns the copy of a part that is there soonest for an engine.
--- /dev/null
+++ b/pulse/beacon.go
@@ -0,0 +1,189 @@
+package pulse
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"boragehub/pause"
+	"boragehub/resident"
+)
+
+// Engine tells what there is to tell of the engine beside this process.
+type Engine interface {
+	// Pulse asks the engine. Sequence and Start are the beacon's to set.
+	Pulse(ctx context.Context, address string) (Pulse, error)
+}
+
+// BeaconConfig configures a Beacon.
+type BeaconConfig struct {
+	// Address is where subscriptions come in.
+	Address string
+	// Engine is asked, at EngineAddress.
+	Engine        Engine
+	EngineAddress string
+	// Resident returns the long parts in its memory; nil tells none.
+	Resident func() []resident.Part
+	// OnSubscription gets how far an entry has read what operators publish; nil calls
+	// nothing.
+	OnSubscription func(known int64)
+}
+
+// Beacon sends an engine's pulse to its subscribers. Use NewBeacon.
+type Beacon struct {
+	cfg  BeaconConfig
+	conn *net.UDPConn
+
+	mu          sync.Mutex
+	subscribers map[string]subscriber
+}
+
+type subscriber struct {
+	address *net.UDPAddr
+	until   time.Time
+	pace    time.Duration
+	next    time.Time // when its next pulse is due
+}
+
+// NewBeacon binds the address.
+func NewBeacon(cfg BeaconConfig) (*Beacon, error) {
+	conn, err := listen(cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+
+	return &Beacon{cfg: cfg, conn: conn, subscribers: make(map[string]subscriber)}, nil
+}
+
+func listen(address string) (*net.UDPConn, error) {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+
+	return net.ListenUDP("udp4", a)
+}
+
+// Run serves until ctx ends.
+func (b *Beacon) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { closeConn(b.conn) })
+	defer stop()
+
+	go b.subscriptions(ctx)
+
+	p := Pulse{Start: time.Now().UnixNano()}
+
+	for pause.For(ctx, Every) {
+		to := b.due(time.Now())
+		if len(to) == 0 {
+			continue
+		}
+
+		c, cancel := context.WithTimeout(ctx, Every)
+		next, err := b.cfg.Engine.Pulse(c, b.cfg.EngineAddress)
+
+		cancel()
+
+		if err != nil {
+			continue // silence tells the entries
+		}
+
+		next.Engine, next.Start, next.Sequence = b.cfg.EngineAddress, p.Start, p.Sequence+1
+		if b.cfg.Resident != nil {
+			next.Resident = b.cfg.Resident()
+		}
+
+		p = next
+		b.send(p, to)
+	}
+}
+
+// closeConn ends the reads of a connection; closing it twice does no harm.
+func closeConn(c *net.UDPConn) {
+	//nolint:errcheck,gosec // see above
+	c.Close()
+}
+
+// subscriptions takes subscriptions until the connection is closed.
+func (b *Beacon) subscriptions(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+
+	for ctx.Err() == nil {
+		n, from, err := b.conn.ReadFromUDP(buf)
+		if err != nil {
+			if !pause.For(ctx, Every) {
+				return
+			}
+
+			continue
+		}
+
+		var s Subscription
+		if cbor.Unmarshal(buf[:n], &s) != nil {
+			s = Subscription{}
+		}
+
+		b.subscribe(time.Now(), from, s)
+
+		if b.cfg.OnSubscription != nil {
+			b.cfg.OnSubscription(s.Known)
+		}
+	}
+}
+
+func (b *Beacon) subscribe(now time.Time, from *net.UDPAddr, s Subscription) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	old, ok := b.subscribers[from.String()]
+	if !ok && len(b.subscribers) >= maxSubscribers {
+		return
+	}
+
+	old.address, old.until, old.pace = from, now.Add(subscribed), time.Duration(s.PaceMs)*time.Millisecond
+	b.subscribers[from.String()] = old
+}
+
+// due returns the subscribers whose next pulse is due.
+func (b *Beacon) due(now time.Time) []*net.UDPAddr {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var all []*net.UDPAddr
+
+	for name, s := range b.subscribers {
+		if now.After(s.until) {
+			delete(b.subscribers, name)
+
+			continue
+		}
+
+		// The beacon looks once in Every, so what falls due before the next look is
+		// due by half of that.
+		if now.Add(Every / 2).Before(s.next) {
+			continue
+		}
+
+		s.next = now.Add(s.pace)
+		b.subscribers[name] = s
+		all = append(all, s.address)
+	}
+
+	return all
+}
+
+// send sends a pulse. A datagram that can't be sent is as good as one that is lost.
+func (b *Beacon) send(p Pulse, to []*net.UDPAddr) {
+	body, err := cbor.Marshal(p)
+	if err != nil {
+		return // a struct of strings and numbers always has a form
+	}
+
+	for _, a := range to {
+		//nolint:errcheck,gosec // see above
+		b.conn.WriteToUDP(body, a)
+	}
+}
