vault, exchange: ask about all stores in one question

Cause: an entry asked about each store three times a second, in a call of its own to one of two entries that followed that store.

Change: two to eight entries follow all stores, the others ask one of them about all.

--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -231,9 +231,9 @@
 	wg.Wait()
 }
 
-// Watchers returns who is to follow a store.
-func (c *Client) Watchers(address string) (others []string, self bool) {
-	return c.members.Watchers(time.Now(), address)
+// Watchers returns which entries follow the stores for all.
+func (c *Client) Watchers() (others []string, self bool) {
+	return c.members.Watchers(time.Now())
 }
 
 // Ask asks an entry what changed in stores.
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -213,25 +213,13 @@
 	return false
 }
 
-// watchers is how many entries follow one store: a second one for when the first
-// dies. Stores hold a dozen calls open.
-const watchers = 2
+// mostWatchers bounds the entries that follow the stores: stores hold a dozen calls
+// open.
+const mostWatchers = 8
 
-// Watchers returns who is to follow a store, best first, without this process;
-// self says that it is among them.
-func (m *Members) Watchers(now time.Time, address string) (others []string, self bool) {
-	all := append(m.Live(now), m.self)
-	byScore(all, "watch|"+address)
-
-	for _, a := range all[:min(watchers, len(all))] {
-		if a == m.self {
-			self = true
-		} else {
-			others = append(others, a)
-		}
-	}
-
-	return others, self
+// Watchers returns which entries follow the stores for all, in the same way as Readers.
+func (m *Members) Watchers(now time.Time) (others []string, self bool) {
+	return m.few(now, "watch", mostWatchers)
 }
 
 // readerShare is how many entries one reader of the log serves: each asks it three
@@ -242,10 +230,15 @@
 // process and in an order of its own, so that each serves a part of the others; self
 // says that this process is one of them.
 func (m *Members) Readers(now time.Time, topic string) (others []string, self bool) {
+	return m.few(now, "read|"+topic, maxMembers)
+}
+
+// few returns the entries that do something for all, at most so many.
+func (m *Members) few(now time.Time, matter string, most int) (others []string, self bool) {
 	all := append(m.Live(now), m.self)
-	byScore(all, "read|"+topic)
+	byScore(all, matter)
 
-	most := min(1+(len(all)+readerShare-1)/readerShare, len(all))
+	most = min(1+(len(all)+readerShare-1)/readerShare, len(all), most)
 
 	for _, a := range all[:most] {
 		if a == m.self {
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -144,38 +144,39 @@
 	}
 }
 
-func TestAFewFollowEachStore(t *testing.T) {
+func TestAFewEntriesFollowTheStoresForAll(t *testing.T) {
 	now := time.Now()
-	all := []string{"a", "b", "c", "d", "e"}
-	follow := map[string]int{}
 
-	for _, self := range all {
-		m := NewMembers(self, nil)
-		for _, other := range all {
-			m.Saw(now, other)
+	tests := []struct{ entries, want int }{{1, 1}, {2, 2}, {5, 2}, {24, 3}, {210, mostWatchers}}
+
+	for _, tt := range tests {
+		var all []string
+		for i := range tt.entries {
+			all = append(all, strconv.Itoa(i))
 		}
 
-		for _, store := range []string{"s1", "s2", "s3"} {
-			others, selfToo := m.Watchers(now, store)
+		follow := 0
+
+		for _, self := range all {
+			m := NewMembers(self, nil)
+			for _, other := range all {
+				m.Saw(now, other)
+			}
+
+			others, selfToo := m.Watchers(now)
 			if selfToo {
-				follow[store]++
+				follow++
 			}
 
-			if n := len(others); n != watchers && (!selfToo || n != watchers-1) {
-				t.Errorf("%s: got %d others", store, n)
+			if n := len(others); n != tt.want && (!selfToo || n != tt.want-1) {
+				t.Errorf("%d entries: got %d others, want %d", tt.entries, n, tt.want)
 			}
 		}
-	}
 
-	for store, n := range follow {
-		if n != watchers {
-			t.Errorf("%s: got %d that follow it, want %d", store, n, watchers)
+		if follow != tt.want {
+			t.Errorf("%d entries: got %d that follow the stores, want %d", tt.entries, follow, tt.want)
 		}
 	}
-
-	if _, self := NewMembers("alone", nil).Watchers(now, "s1"); !self {
-		t.Error("got nobody to follow a store")
-	}
 }
 
 func TestTurnsDiffer(t *testing.T) {
--- /dev/null
+++ b/vault/others_test.go
@@ -0,0 +1,116 @@
+package vault
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// tellers are processes that follow the stores for all.
+type tellers struct {
+	fakePeers
+
+	mu    sync.Mutex
+	dead  map[string]bool
+	asked map[string]int // questions
+	knows map[string]bool
+}
+
+func (*tellers) Watchers() ([]string, bool) { return []string{"one", "two"}, false }
+
+func (p *tellers) Ask(_ context.Context, peer string, positions []Position) ([]Update, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.asked[peer]++
+
+	if p.dead[peer] {
+		return nil, errLogDown
+	}
+
+	var all []Update
+
+	for _, x := range positions {
+		x.Teller = 1
+		all = append(all, Update{Position: x, Watched: p.knows[x.Address], Epoch: 1, Whole: true})
+	}
+
+	return all, nil
+}
+
+func (p *tellers) kill(peers ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, x := range peers {
+		p.dead[x] = true
+	}
+}
+
+// countedStore counts the calls of the stores.
+type countedStore struct {
+	fakeStore
+
+	mu    sync.Mutex
+	calls map[string]int
+}
+
+func (s *countedStore) List(ctx context.Context, address string) (Listing, error) {
+	s.mu.Lock()
+	s.calls[address]++
+	s.mu.Unlock()
+
+	return s.fakeStore.List(ctx, address)
+}
+
+// In a large fleet each entry would ask about hundreds of stores three times a second.
+// One question covers all of them. When those who follow the stores die, or don't
+// follow one, an entry asks the stores itself; otherwise all contexts would be read anew.
+func TestOneQuestionCoversAllStores(t *testing.T) {
+	tests := []struct {
+		name string
+		dead []string
+		// direct are the stores that are asked then.
+		direct map[string]bool
+	}{
+		{"both live", nil, map[string]bool{"s3": true}},
+		{"one is dead", []string{"one"}, map[string]bool{"s3": true}},
+		{"both are dead", []string{"one", "two"}, map[string]bool{"s1": true, "s2": true, "s3": true}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+
+				peers := &tellers{dead: map[string]bool{}, asked: map[string]int{}, knows: map[string]bool{"s1": true, "s2": true}}
+				store := &countedStore{calls: map[string]int{}}
+				w := NewWatcher(WatcherConfig{Directory: NewDirectory(1), Source: store, Peers: peers, Turn: func(string) int { return 0 }, Log: logr.Discard()})
+				w.Configure([]Store{{Address: "s1"}, {Address: "s2"}, {Address: "s3"}})
+
+				go w.Run(ctx)
+
+				time.Sleep(2 * time.Second)
+				peers.kill(tt.dead...)
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+
+				for _, address := range []string{"s1", "s2", "s3"} {
+					if got := store.calls[address] > 0; got != tt.direct[address] {
+						t.Errorf("%s: got it asked %v, want %v", address, got, tt.direct[address])
+					}
+				}
+
+				const rounds = 16 // of 300 ms in four seconds, and some to spare
+				if got := peers.asked["one"]; got > rounds {
+					t.Errorf("got %d questions, want %d at most", got, rounds)
+				}
+			})
+		})
+	}
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -54,9 +54,9 @@
 
 // Peers are the other processes that know of stores.
 type Peers interface {
-	// Watchers returns who is to follow a store, best first: a few processes, or
+	// Watchers returns who follows the stores for all, best first: a few processes, or
 	// this one alone when there is no other. Self says that this one is among them.
-	Watchers(address string) (others []string, self bool)
+	Watchers() (others []string, self bool)
 	// Ask asks a process what changed since the positions.
 	Ask(ctx context.Context, peer string, positions []Position) ([]Update, error)
 	// Registered reads from the log which processes may make use of a long grace.
@@ -96,6 +96,7 @@
 	stores   []Store
 	stops    map[string]context.CancelFunc
 	replaced map[string][]replacement
+	told     map[string]bool // stores, by whether another process told of them last time
 }
 
 // maxReplacements bounds the versions remembered of a model.
@@ -112,7 +113,7 @@
 
 // NewWatcher returns a Watcher that Run starts.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	return &Watcher{cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement)}
+	return &Watcher{cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement), told: make(map[string]bool)}
 }
 
 // Configure sets the stores that there are.
@@ -149,6 +150,7 @@
 		if !wanted[address] {
 			stop()
 			delete(w.stops, address)
+			delete(w.told, address)
 		}
 	}
 }
@@ -179,6 +181,8 @@
 	w.start() //nolint:contextcheck // with the context of Run, which it is given here
 	w.mu.Unlock()
 
+	go w.askOthers(ctx)
+
 	for pause.For(ctx, sweepEvery) {
 		w.sweep(ctx, time.Now())
 	}
@@ -189,11 +193,10 @@
 	away := true
 
 	for ctx.Err() == nil {
-		others, self := w.cfg.Peers.Watchers(address)
-		if !self && w.askPeers(ctx, address, others) {
-			away = false
+		if told, known := w.toldOf(address); told || !known {
+			away = away && !told
 
-			pause.For(ctx, peerEvery)
+			pause.For(ctx, peerEvery/4)
 
 			continue
 		}
@@ -224,22 +227,82 @@
 	}
 }
 
-// askPeers takes what changed from the first process that follows the store.
-func (w *Watcher) askPeers(ctx context.Context, address string, peers []string) bool {
-	for _, p := range peers {
-		updates, err := w.cfg.Peers.Ask(ctx, p, []Position{w.cfg.Directory.Followed(address)})
+// toldOf reports whether another process told of a store when it was last asked; known
+// is false before that. A process that follows the stores itself is told nothing.
+func (w *Watcher) toldOf(address string) (told, known bool) {
+	if _, self := w.cfg.Peers.Watchers(); self {
+		return false, true
+	}
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	told, known = w.told[address]
+
+	return told, known
+}
+
+// askOthers asks those who follow the stores what changed, until ctx ends: one question
+// for all stores, since in a large fleet there are hundreds of them.
+func (w *Watcher) askOthers(ctx context.Context) {
+	for ctx.Err() == nil {
+		if others, self := w.cfg.Peers.Watchers(); !self {
+			w.askRound(ctx, others)
+		}
+
+		pause.For(ctx, peerEvery)
+	}
+}
+
+// askRound asks one process after the other, each about the stores of which those
+// before told nothing. Of what is left then, this process asks the stores.
+func (w *Watcher) askRound(ctx context.Context, others []string) {
+	w.mu.Lock()
+	open := make(map[string]bool, len(w.stores))
+
+	for _, s := range w.stores {
+		open[s.Address] = true
+	}
+	w.mu.Unlock()
+
+	for _, peer := range others {
+		if len(open) == 0 {
+			return
+		}
+
+		updates, err := w.cfg.Peers.Ask(ctx, peer, w.positions(open))
 		if err != nil {
 			continue // the next one, or the store itself
 		}
 
 		for _, u := range updates {
-			if w.cfg.Directory.Adopt(time.Now(), u) {
-				return true
+			if open[u.Address] && w.cfg.Directory.Adopt(time.Now(), u) {
+				delete(open, u.Address)
+				w.setTold(u.Address, true)
 			}
 		}
 	}
 
-	return false
+	for address := range open {
+		w.setTold(address, false)
+	}
+}
+
+// positions returns how far stores were followed.
+func (w *Watcher) positions(addresses map[string]bool) []Position {
+	all := make([]Position, 0, len(addresses))
+	for a := range addresses {
+		all = append(all, w.cfg.Directory.Followed(a))
+	}
+
+	return all
+}
+
+func (w *Watcher) setTold(address string, told bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.told[address] = told
 }
 
 // ask asks a store once for what changed, or for everything.
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -27,7 +27,7 @@
 	p.knows[peer] = true
 }
 
-func (*fakePeers) Watchers(string) ([]string, bool) { return nil, true }
+func (*fakePeers) Watchers() ([]string, bool) { return nil, true }
 
 func (*fakePeers) Ask(context.Context, string, []Position) ([]Update, error) { return nil, nil }
 
