mirror, pulse: side processes ask entries while they wait at the log

Cause: a side process waited 15 s at the log and relied on the entries' subscriptions to say that they had read further.

Change: it asks entries every three seconds, on connections that it needs anyway. What subscriptions said besides their pace is gone, and the two tests of that are replaced by one that asks for the same behind any silent connection.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -22,10 +22,12 @@
 	// when a connection fell silent shortly before, and at entries that wait for it
 	// at this one.
 	operatorWait = 500 * time.Millisecond
-	// sideOperatorWait is a side process's. Entries tell it once a second how far they
-	// have read, so a connection that fell silent delays nothing; there are several
-	// times as many side processes as entries, and each call counts.
+	// sideOperatorWait is a side process's. There are several times as many of them as
+	// entries, and each call of the log counts, so they ask entries besides: a weight
+	// version has eight seconds, and a connection to the log may fall silent.
 	sideOperatorWait = 15 * time.Second
+	// sideAskEvery is the pause between two such questions.
+	sideAskEvery = 3 * time.Second
 	// registerEvery is the pause between two reads of the register, or a quarter of
 	// the bound for targets that leave if that is less: an entry that waits at this
 	// one may know of it 0.85 s later.
--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -48,7 +48,6 @@
 	registration *exchange.Registration
 	meters       *prometheus.Registry
 
-	operators *mirror.Topic
 	followers []*mirror.Follower
 }
 
@@ -63,7 +62,7 @@
 	source := platform.NewLog(cfg.Log)
 	directory := vault.NewDirectory(time.Now().UnixNano())
 
-	e.directory, e.members, e.operators = directory, members, operators
+	e.directory, e.members = directory, members
 	e.client = exchange.NewClient(members)
 	e.registration = exchange.NewRegistration(source, platform.EntriesTopic, log)
 	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
@@ -224,7 +223,7 @@
 
 	pulses, err := pulse.Listen(pulse.ListenerConfig{
 		Address: cfg.Internal(pulsePort), Port: cfg.FirstInternal + pulsePort,
-		Engines: e.engines, OnPulse: e.pulse, Known: e.operators.End,
+		Engines: e.engines, OnPulse: e.pulse,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -45,14 +45,13 @@
 	}
 	follower := mirror.NewFollower(mirror.FollowerConfig{
 		Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: client,
-		Wait: sideOperatorWait, OnNews: publications.Take, Log: log,
+		Wait: sideOperatorWait, AskEvery: sideAskEvery, OnNews: publications.Take, Log: log,
 	})
 
 	memory := resident.NewFollower(resident.Config{Address: cfg.Engine, Source: calls})
 
 	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
 		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts,
-		OnSubscription: follower.Hint,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -56,6 +55,9 @@
 	Wait time.Duration
 	// Every is the pause between two reads; zero reads on at once.
 	Every time.Duration
+	// AskEvery is the pause between two questions to the Peers while the log answers;
+	// zero asks them only when it doesn't.
+	AskEvery time.Duration
 	// OnNews gets the records that are new, in order, one call at a time.
 	OnNews func(now time.Time, news []Record)
 	// OnAway is called when the log stops answering and when it answers again; nil
@@ -102,7 +104,6 @@
 
 	mu sync.Mutex // orders the calls of OnNews
 
-	hinted  atomic.Bool          // others are being asked
 	resting map[string]time.Time // readers that failed, and until when they rest
 }
 
@@ -116,6 +117,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	go f.askPeers(ctx)
 
+	if f.cfg.AskEvery > 0 {
+		go f.askRegularly(ctx)
+	}
+
 	for ctx.Err() == nil {
 		if f.relayed(ctx) {
 			continue
@@ -228,19 +233,12 @@
 	f.merge(time.Now(), b)
 }
 
-// Hint takes that another process has read the topic up to an offset. If that is
-// further than this process has, the others are asked: its read may wait on a
-// connection that fell silent, for as long as Wait.
-func (f *Follower) Hint(end int64) {
-	if f.cfg.Topic.End() >= end || !f.hinted.CompareAndSwap(false, true) {
-		return
+// askRegularly asks the others now and then while a read of the log waits: its
+// connection may have fallen silent, which shows only when Wait is over.
+func (f *Follower) askRegularly(ctx context.Context) {
+	for pause.For(ctx, f.cfg.AskEvery) {
+		f.askPeers(ctx)
 	}
-
-	go func() {
-		defer f.hinted.Store(false)
-
-		f.askPeers(context.Background())
-	}()
 }
 
 func (f *Follower) merge(now time.Time, b Batch) {
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -186,35 +186,54 @@
 	}
 }
 
-// toldPeers know a record that the log has not brought yet.
-type toldPeers struct{}
+// laterPeers know a record from some time on.
+type laterPeers struct{ from time.Time }
+
+func (p *laterPeers) Newer(context.Context, string, int64) (Batch, error) {
+	if time.Now().Before(p.from) {
+		return Batch{}, errReaderGone
+	}
 
-func (toldPeers) Newer(context.Context, string, int64) (Batch, error) {
 	return Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 100}}, End: 101}, nil
 }
 
+// silentSource is a log whose connection falls silent behind the first read.
+type silentSource struct{ countingSource }
+
+func (*silentSource) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (Batch, error) {
+	<-ctx.Done()
+
+	return Batch{}, ctx.Err()
+}
+
 // A side process waits at the log on a connection that fell silent, and misses that
-// new weights were named. An entry that has read further tells it so.
-func TestHintBringsWhatASilentConnectionDoesNot(t *testing.T) {
+// new weights were named. It has them from the entries long before its read is over.
+func TestOthersBringWhatASilentConnectionDoesNot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		topic := &Topic{}
 		f := NewFollower(FollowerConfig{
-			Name: "op", Topic: topic, Source: &countingSource{}, Peers: toldPeers{}, Wait: time.Hour,
-			OnNews: func(time.Time, []Record) {}, Log: logr.Discard(),
+			Name: "op", Topic: topic, Source: &silentSource{}, Peers: &laterPeers{from: time.Now().Add(time.Second)},
+			Wait: time.Hour, AskEvery: 3 * time.Second, OnNews: func(time.Time, []Record) {}, Log: logr.Discard(),
 		})
 
-		f.Hint(0)
-		synctest.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+
+		go f.Run(ctx)
+
+		time.Sleep(2 * time.Second)
 
 		if _, ok := topic.Get("version"); ok {
-			t.Fatal("got others asked, though nobody has read further")
+			t.Fatal("got it before anybody was asked")
 		}
 
-		f.Hint(101)
-		synctest.Wait()
+		time.Sleep(1500 * time.Millisecond)
 
 		if _, ok := topic.Get("version"); !ok {
 			t.Error("got nothing, want what the others know")
 		}
+
+		cancel()
+		synctest.Wait()
 	})
 }
--- a/pulse/beacon.go
+++ b/pulse/beacon.go
@@ -27,9 +27,6 @@
 	EngineAddress string
 	// Resident returns the long parts in its memory; nil tells none.
 	Resident func() []resident.Part
-	// OnSubscription gets how far an entry has read what operators publish; nil calls
-	// nothing.
-	OnSubscription func(known int64)
 }
 
 // Beacon sends an engine's pulse to its subscribers. Use NewBeacon.
@@ -127,10 +124,6 @@
 		}
 
 		b.subscribe(time.Now(), from, s)
-
-		if b.cfg.OnSubscription != nil {
-			b.cfg.OnSubscription(s.Known)
-		}
 	}
 }
 
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -20,9 +20,6 @@
 	// Engines returns the addresses of the engines to subscribe to, and the pause
 	// between two pulses of one.
 	Engines func() (addresses []string, pace time.Duration)
-	// Known returns how far this process has read what operators publish; nil tells
-	// nothing.
-	Known func() int64
 	// OnPulse gets each pulse, newest last, from one goroutine.
 	OnPulse func(now time.Time, p Pulse)
 }
@@ -96,7 +93,7 @@
 		engines, pace := l.cfg.Engines()
 		l.pace.Store(int64(pace))
 
-		body := l.subscription(pace)
+		body := subscription(pace)
 
 		for _, engine := range engines {
 			host, _, err := net.SplitHostPort(engine)
@@ -121,15 +118,10 @@
 }
 
 // subscription returns what is sent to engines.
-func (l *Listener) subscription(pace time.Duration) []byte {
-	s := Subscription{PaceMs: pace.Milliseconds()}
-	if l.cfg.Known != nil {
-		s.Known = l.cfg.Known()
-	}
-
-	body, err := cbor.Marshal(s)
+func subscription(pace time.Duration) []byte {
+	body, err := cbor.Marshal(Subscription{PaceMs: pace.Milliseconds()})
 	if err != nil {
-		return []byte{0} // two numbers always have a form
+		return []byte{0} // a number always has a form
 	}
 
 	return body
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -16,10 +16,6 @@
 // second, so an entry that may choose among many engines subscribes to
 // a few and asks them less often (Share).
 //
-// A subscription also says how far the entry has read what operators publish, so that
-// a side process which waits at the log for something new learns of it in time also
-// when its connection to the log fell silent.
-//
 // # Example
 //
 //	l, err := pulse.Listen(pulse.ListenerConfig{Address: "10.0.0.1:7712", Port: 7712, OnPulse: …})
@@ -61,8 +57,6 @@
 type Subscription struct {
 	// PaceMs is the pause between two pulses, zero for the shortest one.
 	PaceMs int64 `cbor:"1,keyasint,omitempty"`
-	// Known is how far the entry has read what operators publish.
-	Known int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Has reports whether the engine has so many tokens of a part.
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -148,45 +148,6 @@
 	}
 }
 
-// An entry tells side processes how far it has read, since their own connection to the
-// log may have fallen silent.
-func TestSideProcessHearsHowFarOthersHaveRead(t *testing.T) {
-	known := make(chan int64, 16)
-
-	b, err := NewBeacon(BeaconConfig{
-		Address: "127.0.0.1:0", Engine: fixed{}, EngineAddress: "127.0.0.1:9",
-		OnSubscription: func(n int64) { known <- n },
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-
-	l, err := Listen(ListenerConfig{
-		Address: "127.0.0.1:0", Port: b.conn.LocalAddr().(*net.UDPAddr).Port,
-		Engines: func() ([]string, time.Duration) { return []string{"127.0.0.1:9"}, Every },
-		Known:   func() int64 { return 41 },
-		OnPulse: func(time.Time, Pulse) {},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	go b.Run(ctx)
-	go l.Run(ctx)
-
-	select {
-	case got := <-known:
-		if got != 41 {
-			t.Errorf("got %d, want 41", got)
-		}
-	case <-time.After(10 * time.Second):
-		t.Fatal("got no subscription")
-	}
-}
-
 func TestPulseTellsWhatIsInMemory(t *testing.T) {
 	p := Pulse{Resident: []resident.Part{{Key: 7, Tokens: 2048}}}
 
