mirror, exchange: hold questions at readers that wait at the log themselves

Cause: a question was answered at once when what the reader knew was older than the wait; one that waits at the log itself is up to two of its waits behind, so the others asked again and again without a pause.

Change: a question is held for less when what is known is old, twice the wait at most, and there is a pause of 50 ms between two.

--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -346,3 +346,28 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// A reader that waits at the log itself knows things that are up to a second old. Whoever
+// waits there must not be answered at once each time: it would ask hundreds of times a
+// second, and one notices entries that take half as much processor time again.
+func TestQuestionsAreHeldAtAReaderThatWaitsItself(t *testing.T) {
+	const wait = 100 * time.Millisecond
+
+	tests := []struct {
+		age  time.Duration
+		held bool
+	}{
+		{0, true}, {wait, true}, {3 * wait / 2, true}, {3 * wait, false},
+	}
+
+	for _, tt := range tests {
+		topic, now := &mirror.Topic{}, time.Now()
+		topic.Merge(mirror.Batch{End: 1, Whole: true, AsOf: now.Add(-tt.age)})
+
+		hold(context.Background(), now, topic, 1, wait)
+
+		if got := time.Since(now) >= wait/4; got != tt.held {
+			t.Errorf("known %v ago: got it held %v, want %v", tt.age, got, tt.held)
+		}
+	}
+}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -102,9 +102,13 @@
 }
 
 // hold returns what a topic holds from an offset on, as soon as there is something
-// or the wait is over. Whoever waits at a process that can't read the log has to
-// know at once, so that isn't held.
+// or the wait is over. Whoever waits at a process that can't read the log has to know
+// in time, so a question is held for less when what is known is old already: twice the
+// wait is the oldest that it may be told. A process that reads by waiting at the log is
+// up to two of its own waits behind.
 func hold(ctx context.Context, now time.Time, t *mirror.Topic, from int64, wait time.Duration) mirror.Batch {
+	wait = min(wait, 2*wait-now.Sub(t.Fresh()))
+
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 
@@ -112,7 +116,7 @@
 		news := t.News()
 
 		b := t.Since(from)
-		if len(b.Records) > 0 || wait <= 0 || now.Sub(b.AsOf) > wait {
+		if len(b.Records) > 0 || wait <= 0 {
 			return b
 		}
 
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -92,6 +92,9 @@
 	relaySlack = 250 * time.Millisecond
 	// relayStale is the age from which what a reader has is not taken for current.
 	relayStale = 1200 * time.Millisecond
+	// relayPause is the least pause between two questions, whatever is answered: without
+	// it an answer that comes at once is followed by the next question at once.
+	relayPause = 50 * time.Millisecond
 	// relayRest is for how long a reader that failed is not asked again: one that has
 	// just woken thinks that what it knows is current.
 	relayRest = 3 * time.Second
@@ -174,6 +177,7 @@
 		if err == nil && now.Sub(b.AsOf) < relayStale {
 			f.regained(now)
 			f.merge(now, b)
+			pause.For(ctx, relayPause)
 
 			return true
 		}
