route, gateway, profile: go by what engines still have to read, learn their speed

Cause: costs were worked out with 50 tokens a ms, lengths of 1,000 tokens and a share of 0.23 of the engines for short prompts, all measured on two deployments. On a third one, whose engines read 157 tokens a ms and whose short openings have 1,900, all prompts counted as long and two of nine engines stood nearly idle. Engines that only generate counted as busy as those that read.

Ruled out: other numbers. They help that deployment alone.

Change: side processes tell how many of the running prompts are still being read, which a report shows as those without a token. An entry learns the rate of reading from the time to the first event of prompts that found their engine idle (median of slopes), and what a usual prompt makes an engine read and hold. The wait before an engine is the tokens before it at that rate. With it, the engines of their own for short prompts are no longer needed: a short one passes by those that read. All other costs are parts of the time of reading or of the aim. Prompts of any length are admitted by memory.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -26,7 +26,6 @@
 	"boragehub/pulse"
 	"boragehub/quarantine"
 	"boragehub/roster"
-	"boragehub/route"
 	"boragehub/site"
 	"boragehub/upstream"
 	"boragehub/vault"
@@ -85,7 +84,7 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), TellCrash: e.client.TellCrash, Opening: route.OpeningConfig{},
+		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), TellCrash: e.client.TellCrash,
 		RepeatRatio: cfg.Bounds.RepeatRatio * repeatShare, RepeatWindow: cfg.Bounds.RepeatWindow,
 		RepeatSlack: cfg.Bounds.RepeatSlack, VersionWithin: cfg.Bounds.Version, Meter: meter, Log: log,
 	}, operators.Fresh, e.registration.Since)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -162,6 +162,11 @@
 	t.flight = &flight{abandon: abandon, model: t.model(), version: c.sending.Version}
 	defer t.g.flights.begin(c.engine.ID, t.flight)()
 
+	if t.arrival.Prompt != nil {
+		t.g.learned.sent(&c)
+	}
+
+	t.sentAt = now
 	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.unread, c.memory)
 	o := t.exchange(ctx, c)
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -6,6 +6,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/resident"
 	"boragehub/roster"
 	"boragehub/route"
 )
@@ -21,6 +22,9 @@
 	// fetchWait and fetchTime are how long the longest fetch is expected to wait
 	// for its store's link and to take.
 	fetchWait, fetchTime time.Duration
+	// idle says that the target has nothing else to read and brings nothing, so that
+	// its time to the first event tells how fast it reads.
+	idle bool
 }
 
 // Times to a target and back, for weighing one against another.
@@ -104,10 +108,7 @@
 		l.fill(&candidates[i], e, newest)
 	}
 
-	cfg := t.g.cfg.Opening
-	cfg.MemoryTokens = t.service.Engines.MemoryTokens
-
-	d := route.DecideOpening(cfg, t.opening(), candidates)
+	d := route.DecideOpening(t.g.opening(t.service), t.opening(), candidates)
 	if !d.Found() {
 		return choice{}, nobody(candidates)
 	}
@@ -121,6 +122,7 @@
 
 	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens, memory: p.Tokens + p.Output}
 	t.contexts(l, &c)
+	c.idle = e.Fresh && e.Pulse.Reading+e.Pulse.Waiting+e.Since.Requests == 0 && len(c.sending.Fetch) == 0
 	t.log(c, reason, d.Cost(), len(all))
 
 	return c, nil
@@ -148,7 +150,7 @@
 // what this entry knows by itself.
 func load(c *route.OpeningCandidate, e roster.Engine) {
 	if e.Fresh {
-		c.Running, c.Waiting = e.Pulse.Running+e.Since.Requests, e.Pulse.Waiting
+		c.Running, c.Reading, c.Waiting = e.Pulse.Running+e.Since.Requests, e.Pulse.Reading, e.Pulse.Waiting
 		c.SentTokens = e.Since.Reading
 		c.UsedTokens = e.Pulse.UsedTokens + e.Since.Memory
 
@@ -166,10 +168,18 @@
 	shared := p.Shared()
 
 	return route.OpeningRequest{
-		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output,
+		Opening: p.Opening(), Shared: shared, Own: p.Tokens - shared, Output: p.Output, Aim: t.route.Aim,
+		Untold: t.untold(),
 	}
 }
 
+// untold reports whether engines don't tell if they have the opening.
+func (t *task) untold() bool {
+	i := t.longest()
+
+	return i >= 0 && t.arrival.Prompt.Parts[i].Tokens < resident.LongPart
+}
+
 // longest returns the index of the longest shared part, -1 when there is none.
 func (t *task) longest() int {
 	parts := t.arrival.Prompt.Parts
@@ -190,7 +200,7 @@
 		return route.AlreadyTried
 	case e.Loading, e.Version > 0 && e.Version < required:
 		return route.OtherVersion
-	case t.long() && e.Fresh && !t.fits(e):
+	case e.Fresh && !t.fits(e):
 		return route.NoRoom
 	default:
 		return route.None
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,6 @@
 	"boragehub/quarantine"
 	"boragehub/retry"
 	"boragehub/roster"
-	"boragehub/route"
 	"boragehub/site"
 	"boragehub/upstream"
 	"boragehub/vault"
@@ -58,8 +57,6 @@
 	// TellCrash tells the other entries what was on a target as it crashed; nil tells
 	// nobody.
 	TellCrash func(quarantine.Crash)
-	// Opening says what running prompts costs.
-	Opening route.OpeningConfig
 	// RepeatRatio and RepeatWindow bound repeats to a part of the first attempts;
 	// RepeatSlack is how many all entries together may make in a window besides.
 	RepeatRatio  float64
@@ -102,6 +99,7 @@
 	room     *room
 	flights  flights
 	reading  reading
+	learned  learned
 }
 
 // New returns a Gateway without a configuration. Known tells when the newest
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -116,7 +116,9 @@
 
 // fill fills in how an engine would get the prompt's opening, if that is a long one.
 func (l *lookup) fill(c *route.OpeningCandidate, e roster.Engine, newest int64) {
-	if l.opening < 0 || l.t.arrival.Prompt.Parts[l.opening].Tokens < l.t.g.cfg.Opening.Short() {
+	if l.opening < 0 {
+		c.Has = true
+
 		return
 	}
 
@@ -125,5 +127,5 @@
 
 	c.Has = x.on(e)
 	c.Kept, c.FetchWait, c.Fetch = ok, found.Wait, found.Transfer
-	c.New = !ok && x.reader == "" && e.Version >= newest
+	c.New = !ok && x.long && x.reader == "" && e.Version >= newest
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -80,20 +80,14 @@
 	}
 }
 
-// Memory of engines for long prompts.
-const (
-	// longTokens is the memory that a long prompt takes which an engine has not
-	// started: an opening of 12,800 tokens, and what it has of its own.
-	longTokens = 15_000
-	// memoryShare is the part of an engine's memory up to which long prompts are sent.
-	// Of 12 days on two sites, with 0.8 and 0.95 of it: worth 0.681 and 0.680, 0.620
-	// and 0.626; with three prompts an engine, whatever their length: 0.669 and 0.617.
-	memoryShare = 0.95
-)
-
-// fits reports whether a long prompt fits into an engine's memory beside what runs and
-// waits there; one alone always does. With more, each is read in pieces between all
-// the others', they keep their memory for seconds, and contexts that were fetched are
+// memoryShare is the part of an engine's memory up to which prompts are sent: the rest
+// is for what those that run still generate. Of 12 days on two sites, with 0.8 and 0.95
+// of it: worth 0.681 and 0.680, 0.620 and 0.626.
+const memoryShare = 0.95
+
+// fits reports whether a prompt fits into an engine's memory beside what runs and waits
+// there; one alone always does. With more, each is read in pieces between all the
+// others', they keep their memory for seconds, and contexts that were fetched are
 // pushed out and read again: at twice the usual load an engine then does a quarter of
 // its work.
 func (t *task) fits(e roster.Engine) bool {
@@ -102,17 +96,11 @@
 	}
 
 	p := t.arrival.Prompt
-	used := e.Pulse.UsedTokens + e.Since.Memory + longTokens*e.Pulse.Waiting
+	usual, _ := t.g.learned.memory.Value()
+	used := e.Pulse.UsedTokens + e.Since.Memory + int(usual)*e.Pulse.Waiting
 
 	return float64(used+p.Tokens+p.Output) <= memoryShare*float64(t.service.Engines.MemoryTokens)
 }
 
-// long reports whether the prompt's opening is a long one.
-func (t *task) long() bool {
-	i := t.longest()
-
-	return i >= 0 && t.arrival.Prompt.Parts[i].Tokens > t.g.cfg.Opening.Short()
-}
-
 // errNoRoom says that engines which could take the prompt have no room for it now.
-var errNoRoom = failure.New(failure.QueueFull, "no engine has room for a long prompt").After(roomPause)
+var errNoRoom = failure.New(failure.QueueFull, "no engine has room for the prompt").After(roomPause)
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -26,7 +26,11 @@
 	}
 
 	for _, tt := range tests {
+		g := &Gateway{}
+		g.learned.memory.Observe(15_000)
+
 		task := &task{
+			g:       g,
 			service: site.Service{Engines: &site.Engines{MemoryTokens: 70_000}},
 			arrival: Arrival{Prompt: &Prompt{Tokens: tt.tokens}},
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -80,10 +80,16 @@
 			end = len(held)
 		}
 
+		begins := !t.stream.started
+
 		if werr := t.emit(x, held[:end]); werr != nil {
 			t.left()
 		}
 
+		if begins && t.stream.started {
+			t.g.learned.first(&c, time.Since(t.sentAt))
+		}
+
 		held = held[:copy(held, held[end:])]
 
 		switch {
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -36,7 +36,8 @@
 	ran      int             // of them those that may have run
 	tried    map[string]bool // targets
 	stream   stream
-	flight   *flight // the attempt under way
+	flight   *flight   // the attempt under way
+	sentAt   time.Time // when it was sent
 }
 
 // Bounds of reading requests.
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -39,6 +39,8 @@
 	// Running and Waiting are the engine's requests.
 	Running int `cbor:"4,keyasint"`
 	Waiting int `cbor:"5,keyasint"`
+	// Reading are those of Running whose prompt is still being read.
+	Reading int `cbor:"13,keyasint,omitempty"`
 	// UsedTokens is the memory that requests hold, of TotalTokens.
 	UsedTokens  int `cbor:"7,keyasint"`
 	TotalTokens int `cbor:"8,keyasint"`
