roster, gateway, platform, loader: engines started anew under their id, foreign entries

Cause: an engine may start again under the id that it had. What was believed of it (weights, contexts, load, standing, orders, requests under way) stayed. And an entry of the register with fields missing or of another type was taken for a target with the rest guessed; one of a service that nobody named took the address of an engine that lives.

Change: engines tell when they were started, in the register, in their reports and so in pulses. A later start drops all that was known, ends what waits there as not answered (it may have run), has an order given again with the new count, and empties what the side process tells of its memory; news of an earlier start is ignored. Entries are checked field by field, and one that names no target takes its own away and leaves the others; services that nobody named hold no address.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -64,7 +64,11 @@
 	e.directory, e.members = directory, members
 	e.client = exchange.NewClient(members)
 	e.registration = exchange.NewRegistration(source, platform.EntriesTopic, log)
-	e.roster = roster.New(roster.Config{Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log})
+	e.roster = roster.New(roster.Config{
+		Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log,
+		Named:     func(service string) bool { return e.gateway.Serves(service) },
+		Restarted: func(id string) { e.gateway.Restarted(id) },
+	})
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
 		Directory: directory, Source: calls, Peers: storePeers{e.client, e.registration, cfg.Peers}, Log: log,
--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -33,7 +33,7 @@
 
 	l := loader.New(loader.Config{
 		Address: cfg.Engine, Holder: cfg.VM, Engine: calls, Turn: loader.TurnConfig{Within: cfg.Bounds.Version},
-		Register: platform.Siblings{Log: source}, Entries: client, Log: log,
+		Register: platform.Siblings{Log: source, Service: cfg.Service}, Entries: client, Log: log,
 	})
 
 	operators := &mirror.Topic{}
@@ -51,7 +51,7 @@
 	memory := resident.NewFollower(resident.Config{Address: cfg.Engine, Source: calls})
 
 	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
-		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts,
+		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts, Restarted: memory.Forget,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -257,16 +257,26 @@
 	o := outcome{kind: failure.TargetLost, cause: err, standing: target.Failed}
 	o.ran = upstream.ReachedOf(err) == upstream.MaybeSent
 
-	if why := context.Cause(ctx); errors.Is(why, errSilent) || errors.Is(why, errOverdue) {
+	why := context.Cause(ctx)
+
+	switch {
+	case errors.Is(why, errRestarted):
+		// Its failures were those of the start before. The request may be why it ended.
+		o.cause, o.standing = why, target.Neutral
+
+		if o.ran {
+			t.g.suspects.add(time.Now(), c.engine.ID, t.print)
+		}
+	case errors.Is(why, errSilent), errors.Is(why, errOverdue):
 		// Its standing is left alone: a silent one is taken as quiet until it is heard
 		// again, and then has all its work and memory.
 		o.cause, o.standing = why, target.Neutral
-	} else if ctx.Err() != nil {
+	case ctx.Err() != nil:
 		// Its patience may have ended before the caller's.
 		if !time.Now().Before(t.deadline) {
 			o.kind = failure.Timeout
 		}
-	} else if o.ran {
+	case o.ran:
 		t.g.suspects.add(time.Now(), c.engine.ID, t.print)
 	}
 
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -9,8 +9,9 @@
 
 // Why attempts end before their time.
 var (
-	errSilent  = errors.New("the target fell silent")
-	errOverdue = errors.New("it may no longer begin on the target's weights")
+	errSilent    = errors.New("the target fell silent")
+	errRestarted = errors.New("the target was started anew")
+	errOverdue   = errors.New("it may no longer begin on the target's weights")
 )
 
 // flights are the attempts under way, by target. The zero value is empty.
@@ -64,13 +65,13 @@
 	}
 }
 
-// abandon ends the attempts at a target and returns how many there were.
-func (f *flights) abandon(id string) int {
+// abandon ends the attempts at a target for a reason and returns how many there were.
+func (f *flights) abandon(id string, why error) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	for x := range f.all[id] {
-		x.abandon(errSilent)
+		x.abandon(why)
 	}
 
 	return len(f.all[id])
--- a/gateway/flights_test.go
+++ b/gateway/flights_test.go
@@ -53,6 +53,48 @@
 	}
 }
 
+// An engine crashes while calls wait there and is started anew under its id; nothing
+// resets their connections. A booking may have run and is not sent again: its caller is
+// told at once that nobody knows. A lookup is asked of another target.
+func TestWhatWaitsAtATargetStartedAnewIsAnsweredAtOnce(t *testing.T) {
+	tests := []struct {
+		path   string
+		status int
+		others int
+	}{
+		{"/once/1", http.StatusBadGateway, 0},
+		{"/idem/1", http.StatusOK, 1},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			arrived := make(chan struct{})
+			crashed := newEngine(t, "a", func(c net.Conn, r *http.Request) bool {
+				close(arrived)
+
+				return hangs(c, r)
+			})
+			w := open(t, crashed)
+			other := newEngine(t, "b", answers(whole200))
+			got := make(chan reply, 1)
+
+			go func() { got <- w.ask(t, "POST", tt.path, "x") }()
+
+			<-arrived
+			w.list(other)
+			w.gateway.Restarted("sa")
+
+			if r := <-got; r.status != tt.status {
+				t.Errorf("got %d %v, want %d", r.status, r.err, tt.status)
+			}
+
+			if n := other.count(); n != tt.others {
+				t.Errorf("got %d requests at the other target, want %d", n, tt.others)
+			}
+		})
+	}
+}
+
 // New weights are named, and an engine that has yet to load them has a long queue. A
 // prompt that waits there would begin on the replaced weights after the time within
 // which it may; it is taken back in time and goes to an engine with the new ones.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,29 @@
 	return ok && s.Engines != nil
 }
 
+// Serves reports whether operators named a service. Before a configuration is known
+// each may be one.
+func (g *Gateway) Serves(service string) bool {
+	c := g.current.Load()
+	if c == nil {
+		return true
+	}
+
+	_, ok := c.Service(service)
+
+	return ok
+}
+
+// Restarted takes that a target was started anew under its id: what waits for an answer
+// of its last start gets none, and nothing is being read there.
+func (g *Gateway) Restarted(id string) {
+	g.reading.forget(id)
+
+	if n := g.flights.abandon(id, errRestarted); n > 0 {
+		event.Log(g.cfg.Log, event.AttemptsLost, "target", id, "attempts", n)
+	}
+}
+
 // ConfigVersion returns the version of the configuration in force, zero for none.
 func (g *Gateway) ConfigVersion() int64 {
 	if c := g.current.Load(); c != nil {
@@ -174,7 +197,7 @@
 	}
 
 	for _, id := range g.cfg.Roster.Silent() {
-		if n := g.flights.abandon(id); n > 0 {
+		if n := g.flights.abandon(id, errSilent); n > 0 {
 			event.Log(g.cfg.Log, event.TargetSilent, "target", id, "attempts", n)
 		}
 	}
--- a/gateway/reading.go
+++ b/gateway/reading.go
@@ -53,3 +53,15 @@
 
 	return x.engine
 }
+
+// forget takes that an engine reads nothing of what it was given.
+func (r *reading) forget(engine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for key, x := range r.parts {
+		if x.engine == engine {
+			delete(r.parts, key)
+		}
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -35,6 +35,8 @@
 	Orders int64
 	// Running and Waiting are its requests.
 	Running, Waiting int
+	// Born is when it was started, in ms of its clock; zero when it doesn't tell.
+	Born int64
 }
 
 // Order is an order to load a weight version.
@@ -266,12 +268,20 @@
 func (l *Loader) load(ctx context.Context, self string, n Named) {
 	began := time.Now()
 
-	var ordered time.Time
+	var (
+		ordered time.Time
+		born    int64
+	)
 
 	for ctx.Err() == nil && time.Since(began) < loadPatience {
 		s, ok := l.state(ctx)
 		now := time.Now()
 
+		if ok && s.Born > born {
+			// It knows of no order that its last start was given.
+			born, ordered = s.Born, time.Time{}
+		}
+
 		switch {
 		case ok && s.Versions[n.Model] >= n.Version && !s.Busy:
 			event.Log(l.cfg.Log, event.VersionLoaded, "model", n.Model, "version", s.Versions[n.Model], "after_ms", now.Sub(began).Milliseconds())
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -74,6 +74,8 @@
 	late     int // orders that get no answer and are carried out later
 	refuse   int // orders that are for another start
 	loadTime time.Duration
+	born     int64
+	start    int // counts its starts
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -82,7 +84,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return State{Versions: map[string]int64{"m": e.version}, Busy: e.busy, Orders: e.orders}, nil
+	return State{Versions: map[string]int64{"m": e.version}, Busy: e.busy, Orders: e.orders, Born: e.born}, nil
 }
 
 func (e *fakeEngine) Order(ctx context.Context, _ string, o Order) (Reply, error) {
@@ -121,10 +123,16 @@
 	e.busy = true
 	e.taken = append(e.taken, o)
 
+	start := e.start
+
 	time.AfterFunc(e.loadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 
+		if e.start != start {
+			return
+		}
+
 		e.busy, e.version = false, o.Version
 	})
 
@@ -154,8 +162,12 @@
 	e.told = append(e.told, fmt.Sprintf("%d %v", version, loaded))
 }
 
+// crashAt is when play has its engine crash, where it does: within the load of a
+// version that was named after a second.
+const crashAt = 2800 * time.Millisecond
+
 // play runs a loader for so long, with versions named at times.
-func play(t *testing.T, engine *fakeEngine, d time.Duration, names map[time.Duration]int64) *fakeEntries {
+func play(t *testing.T, engine *fakeEngine, d time.Duration, names map[time.Duration]int64, crash ...func()) *fakeEntries {
 	t.Helper()
 
 	entries := &fakeEntries{}
@@ -173,6 +185,10 @@
 			time.AfterFunc(at, func() { l.Name(Named{Model: "m", Version: v}) })
 		}
 
+		for _, f := range crash {
+			time.AfterFunc(crashAt, f)
+		}
+
 		time.Sleep(d)
 		cancel()
 		running.Wait()
@@ -217,6 +233,27 @@
 	}
 }
 
+// An engine crashes while it loads and is started anew under its id, with the weights
+// and the counts that it had at first. An order of before is lost; waited for as usual,
+// it keeps the engine on replaced weights for longer than operators allow.
+func TestEngineStartedAnewWhileItLoadsIsOrderedAgain(t *testing.T) {
+	engine := &fakeEngine{version: 1, born: 1000, loadTime: 5 * time.Second}
+
+	crash := func() {
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+
+		engine.busy, engine.orders, engine.born, engine.loadTime = false, 0, 2000, 300*time.Millisecond
+		engine.start++
+	}
+
+	play(t, engine, 3900*time.Millisecond, map[time.Duration]int64{time.Second: 2}, crash)
+
+	if engine.version != 2 || len(engine.taken) != 2 || engine.taken[1].Expected != 0 {
+		t.Errorf("got version %d after %+v, want 2 after a second order that expects none before", engine.version, engine.taken)
+	}
+}
+
 // A side process is started anew together with its engine. The register still names
 // the engine's start before, which the engine refuses orders for.
 func TestOrderForAnEarlierStartIsGivenAgain(t *testing.T) {
--- a/pulse/beacon.go
+++ b/pulse/beacon.go
@@ -27,6 +27,9 @@
 	EngineAddress string
 	// Resident returns the long parts in its memory; nil tells none.
 	Resident func() []resident.Part
+	// Restarted is called when the engine was started anew, before its next pulse is
+	// sent; nil calls nothing.
+	Restarted func()
 }
 
 // Beacon sends an engine's pulse to its subscribers. Use NewBeacon.
@@ -88,6 +91,10 @@
 			continue // silence tells the entries
 		}
 
+		if next.Born > p.Born && p.Born > 0 && b.cfg.Restarted != nil {
+			b.cfg.Restarted()
+		}
+
 		next.Engine, next.Start, next.Sequence = b.cfg.EngineAddress, p.Start, p.Sequence+1
 		if b.cfg.Resident != nil {
 			next.Resident = b.cfg.Resident()
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -49,12 +49,19 @@
 	Version int64  `cbor:"10,keyasint"`
 	// Clock is the engines' clock in ms when the engine was asked.
 	Clock int64 `cbor:"12,keyasint,omitempty"`
+	// Born is when the engine was started, in ms of its clock; zero when it doesn't
+	// tell.
+	Born int64 `cbor:"14,keyasint,omitempty"`
 	// Resident are the long parts of prompts in its memory.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
 	// Pace is the pause between two pulses that the listener asked for.
 	Pace time.Duration `cbor:"-"`
 }
 
+// Forgotten returns what is left of a pulse when its engine was started anew: nothing
+// but the pace at which it is told.
+func (p Pulse) Forgotten() Pulse { return Pulse{Engine: p.Engine, Pace: p.Pace} }
+
 // Subscription is what an entry sends to a side process.
 type Subscription struct {
 	// PaceMs is the pause between two pulses, zero for the shortest one.
--- a/resident/resident.go
+++ b/resident/resident.go
@@ -114,7 +114,7 @@
 		if err != nil {
 			// An engine that doesn't answer may have lost everything; its silence is
 			// logged by who orders it.
-			f.forget()
+			f.Forget()
 			pause.For(ctx, awayRest)
 
 			continue
@@ -125,7 +125,8 @@
 	}
 }
 
-func (f *Follower) forget() {
+// Forget takes that the engine was started anew and has nothing in its memory.
+func (f *Follower) Forget() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,8 +3,9 @@
 //
 // # Model
 //
-// A target is known by the id of its present start; another start is another
-// target, even at the same address. The register adds targets, calls them
+// A target is known by the id of its start; another id is another target, even at
+// the same address. One that was started anew under the id that it had tells so by
+// the time of its start, and what was known of it before counts no more. The register adds targets, calls them
 // draining and drops them. A target that drains or was dropped gets no new work.
 //
 // While the log is away, the register may drop targets that live; they are back
@@ -49,13 +50,15 @@
 	Slots int
 	// Versions are its weight versions by model.
 	Versions map[string]int64
+	// Born is when it was started, in ms of its own clock; zero when it doesn't tell.
+	Born int64
 	// Offset orders what the register says: targets write there again and again.
 	Offset int64
 }
 
 // same reports whether l says nothing that o doesn't.
 func (l Listing) same(o Listing) bool {
-	if l.Service != o.Service || l.Address != o.Address || l.Draining != o.Draining || l.Slots != o.Slots || len(l.Versions) != len(o.Versions) {
+	if l.Service != o.Service || l.Address != o.Address || l.Draining != o.Draining || l.Slots != o.Slots || l.Born != o.Born || len(l.Versions) != len(o.Versions) {
 		return false
 	}
 
@@ -83,6 +86,12 @@
 	// from work when nothing more is heard: 4 s when zero. Loads take about half
 	// a second, and runs before them a second or two.
 	LoadMost time.Duration
+	// Named reports whether operators named a service; nil takes all for named. An
+	// entry of the register with another service names no target.
+	Named func(service string) bool
+	// Restarted is called, from any goroutine, when a target was started anew under
+	// its id; nil calls nothing.
+	Restarted func(id string)
 	// Log gets a line for each change.
 	Log logr.Logger
 }
@@ -127,6 +136,7 @@
 	loading   time.Time // until when it is taken to be loading
 	dropAfter time.Time // when a drop that is in doubt is believed; zero for none
 	life      life
+	born      int64 // when it was started, in ms of its clock; zero when not told
 }
 
 // Roster holds the targets. Use New; its methods may be called from many
@@ -137,9 +147,9 @@
 
 	mu       sync.Mutex
 	engines  map[string]*engine
-	holders  map[string]holder // by address
-	doubtful time.Time         // until when drops are in doubt
-	away     bool              // the log does not answer
+	holders  map[string][]holder // by address, in order of id
+	doubtful time.Time           // until when drops are in doubt
+	away     bool                // the log does not answer
 }
 
 // holder is the target that spoke last from an address.
@@ -147,10 +157,11 @@
 // A target that was killed and started anew is listed twice for some seconds, under
 // its old id and its new one. Half of the requests would go to the old ids and be
 // refused there; after a power failure that is half of all. One address holds one
-// target, so the one that wrote to the register last has it.
+// target, so the one that wrote to the register last has it. Entries of services that
+// nobody named come from other writers and hold nothing.
 type holder struct {
-	id     string
-	offset int64
+	id, service string
+	offset      int64
 }
 
 // pool is large enough that every target of a deployment is known well; bounded
@@ -175,7 +186,7 @@
 			ProbePatience: 2 * time.Second, ForgetAfter: time.Minute,
 		}),
 		engines: make(map[string]*engine),
-		holders: make(map[string]holder),
+		holders: make(map[string][]holder),
 	}
 }
 
@@ -192,32 +203,47 @@
 // List takes what the register says of one target.
 func (r *Roster) List(now time.Time, l Listing) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	restarted := r.list(now, l)
+	r.mu.Unlock()
+
+	r.tellRestart(l.ID, restarted)
+}
 
+// list takes a listing and reports whether the target was started anew. The caller
+// holds mu.
+func (r *Roster) list(now time.Time, l Listing) (restarted bool) {
 	e, ok := r.engines[l.ID]
 	if !ok {
 		e = &engine{versions: make(map[string]int64)}
 		r.engines[l.ID] = e
 	}
 
-	if h := r.holders[l.Address]; h.id == "" || l.Offset >= h.offset {
-		r.holders[l.Address] = holder{l.ID, l.Offset}
+	restarted = r.bear(now, l.ID, e, l.Born)
+
+	if ok && e.listing.Address != l.Address {
+		r.release(e.listing.Address, l.ID)
 	}
 
+	r.hold(l)
+
 	e.dropAfter = time.Time{}
 	changed := !ok || !e.listing.same(l)
 
-	for model, v := range l.Versions {
-		r.raise(l.ID, e, model, v, "register")
+	if !e.before(l.Born) {
+		for model, v := range l.Versions {
+			r.raise(l.ID, e, model, v, "register")
+		}
 	}
 
 	if !changed {
-		return
+		return restarted
 	}
 
 	e.listing = l
 	event.Log(r.cfg.Log, event.EngineListed, "target", l.ID, "address", l.Address, "service", l.Service, "draining", l.Draining, "versions", l.Versions)
 	r.observe(now)
+
+	return restarted
 }
 
 // Drop takes that the register no longer names a target.
@@ -241,10 +267,7 @@
 
 // drop forgets a target. The caller holds mu.
 func (r *Roster) drop(now time.Time, id, reason string) {
-	if address := r.engines[id].listing.Address; r.holders[address].id == id {
-		delete(r.holders, address)
-	}
-
+	r.release(r.engines[id].listing.Address, id)
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
 	r.observe(now)
@@ -308,7 +331,7 @@
 	all := make([]Engine, 0, len(targets))
 
 	for _, t := range targets {
-		if e, ok := r.engines[t.VM]; ok && r.holds(e) {
+		if e, ok := r.engines[t.VM]; ok && r.holder(e.listing.Address).id == t.VM {
 			all = append(all, e.view(now, t, model))
 		}
 	}
@@ -316,14 +339,6 @@
 	return all
 }
 
-// holds reports whether no other target spoke later from a target's address. The
-// caller holds mu.
-func (r *Roster) holds(e *engine) bool {
-	h, ok := r.holders[e.listing.Address]
-
-	return !ok || h.id == e.listing.ID
-}
-
 func (e *engine) view(now time.Time, t target.Target, model string) Engine {
 	age := now.Sub(e.pulseAt)
 
@@ -345,22 +360,33 @@
 
 // Pulse takes an engine's load at first hand.
 func (r *Roster) Pulse(now time.Time, p pulse.Pulse) {
-	id, ok := r.ByAddress(p.Engine)
-	if !ok {
-		return
-	}
-
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	id, restarted := r.take(now, p)
+	r.mu.Unlock()
+
+	r.tellRestart(id, restarted)
+}
+
+// take takes a pulse; it returns whose it is and whether that was started anew. The
+// caller holds mu.
+func (r *Roster) take(now time.Time, p pulse.Pulse) (id string, restarted bool) {
+	id = r.holder(p.Engine).id
 
 	e, ok := r.engines[id]
 	if !ok {
-		return
+		return "", false
+	}
+
+	restarted = r.bear(now, id, e, p.Born)
+	if e.before(p.Born) {
+		return "", false
 	}
 
 	e.beat(now)
 	e.pulse, e.since = p, Sent{}
 	r.raise(id, e, p.Model, p.Version, "pulse")
+
+	return id, restarted
 }
 
 // Watched returns the addresses of the targets whose pulse this process wants: those
@@ -476,9 +502,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	h, ok := r.holders[address]
+	h := r.holder(address)
 
-	return h.id, ok
+	return h.id, h.id != ""
 }
 
 // Len returns how many targets are known.
--- a/target/table.go
+++ b/target/table.go
@@ -191,6 +191,23 @@
 	}
 }
 
+// ObserveRestart takes that a target was started anew under the name it had: its
+// failures and its load were those of the start before.
+func (t *Table) ObserveRestart(_ time.Time, vm string) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	r, ok := t.rows[vm]
+	if !ok {
+		return nil
+	}
+
+	r.outlier = outlier{}
+	r.load, r.loadKnown = Load{}, false
+
+	return []Change{{VM: r.vm, Reason: NewBoot}}
+}
+
 // ObserveDrained takes the whole list of targets that operators drained.
 func (t *Table) ObserveDrained(_ time.Time, vms []string) {
 	t.mu.Lock()
