loader, pulse, route: tell ahead when an engine loads weights

Cause: an engine in turn for new weights refuses work until its last run has ended.

Ruled out: letting runs go on under the new weights (what they make then is worth nothing to callers).

Change: pulses tell how long it is until the engine is ordered to load; an entry learns how long a token of an answer takes, and what a prompt would run beyond that time counts as cost in ms. Long answers go elsewhere in time, short ones are served until the load begins.

--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -51,7 +51,7 @@
 	memory := resident.NewFollower(resident.Config{Address: cfg.Engine, Source: calls})
 
 	beacon, err := pulse.NewBeacon(pulse.BeaconConfig{
-		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts, Restarted: memory.Forget,
+		Address: cfg.Internal(pulsePort), Engine: calls, EngineAddress: cfg.Engine, Resident: memory.Parts, Restarted: memory.Forget, LoadIn: l.LoadIn,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -98,6 +98,7 @@
 	candidates := make([]route.OpeningCandidate, len(all))
 	all = expectRequired(all, required)
 	l := t.lookup(now, all)
+	run := t.g.learned.run(p.Output)
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
@@ -105,6 +106,11 @@
 			Old: e.Version > 0 && e.Version < due, Slots: e.Slots, Distance: t.distance(e),
 		}
 		load(&candidates[i], e)
+
+		if e.Loads {
+			candidates[i].Overrun = max(run-e.LoadsIn, 0)
+		}
+
 		l.fill(&candidates[i], e, newest)
 	}
 
--- a/gateway/learned.go
+++ b/gateway/learned.go
@@ -15,6 +15,9 @@
 	// unread are the tokens that a prompt makes its engine read, memory those that it
 	// takes of its memory.
 	unread, memory profile.Mean
+	// token is how long a token takes that an answer may have, from the first event
+	// on, in ms. Answers mostly have fewer than they may.
+	token profile.Mean
 }
 
 // sent takes what a prompt asks of its engine.
@@ -30,6 +33,21 @@
 	}
 }
 
+// ended takes that an answer that might have so many tokens was complete so long after
+// its first event.
+func (l *learned) ended(output int, after time.Duration) {
+	if output > 0 {
+		l.token.Observe(float64(after) / float64(time.Millisecond) / float64(output))
+	}
+}
+
+// run returns how long an answer is expected to take that may have so many tokens.
+func (l *learned) run(output int) time.Duration {
+	ms, _ := l.token.Value()
+
+	return time.Duration(ms * float64(output) * float64(time.Millisecond))
+}
+
 // opening returns what is known of a service's engines; what isn't is left zero.
 func (g *Gateway) opening(s site.Service) route.OpeningConfig {
 	cfg := route.OpeningConfig{MemoryTokens: s.Engines.MemoryTokens}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -110,7 +110,13 @@
 		t.start(x.Header(), x.Status())
 	}
 
-	t.g.cfg.Crashes.Completed(time.Now(), t.print)
+	now := time.Now()
+	t.g.cfg.Crashes.Completed(now, t.print)
+
+	if t.arrival.Prompt != nil {
+		t.g.learned.ended(t.arrival.Prompt.Output, now.Sub(t.stream.first))
+	}
+
 	t.served(c, x.Status(), t.stream.first)
 
 	return outcome{done: true, ran: true, standing: target.Succeeded}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -153,6 +154,7 @@
 	wanted map[string]Named
 	news   chan Named
 	silent bool
+	turn   atomic.Pointer[time.Time] // when the engine's turn to load is; nil for none
 }
 
 // New returns a Loader that Run starts.
@@ -160,6 +162,17 @@
 	return &Loader{cfg: cfg, wanted: make(map[string]Named), news: make(chan Named, 64)}
 }
 
+// LoadIn returns how long it is until the engine is ordered to load a version, zero
+// while it loads; ok is false when it isn't to.
+func (l *Loader) LoadIn(now time.Time) (in time.Duration, ok bool) {
+	at := l.turn.Load()
+	if at == nil {
+		return 0, false
+	}
+
+	return max(at.Sub(now), 0), true
+}
+
 // Name takes that operators named a version.
 func (l *Loader) Name(n Named) { l.news <- n }
 
@@ -250,6 +263,11 @@
 	turn := TakeTurn(cfg, self, n.Version, siblings)
 	event.Log(l.cfg.Log, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", turn.Rank, "of", turn.Of, "wait_ms", turn.Wait.Milliseconds())
 
+	at := time.Now().Add(turn.Wait)
+	l.turn.Store(&at)
+
+	defer l.turn.Store(nil)
+
 	if !pause.For(ctx, max(turn.Wait, time.Millisecond)) {
 		return
 	}
--- a/pulse/beacon.go
+++ b/pulse/beacon.go
@@ -27,6 +27,9 @@
 	EngineAddress string
 	// Resident returns the long parts in its memory; nil tells none.
 	Resident func() []resident.Part
+	// LoadIn returns how long it is until the engine is ordered to load new weights;
+	// ok is false when it isn't to. Nil tells nothing.
+	LoadIn func(now time.Time) (in time.Duration, ok bool)
 	// Restarted is called when the engine was started anew, before its next pulse is
 	// sent; nil calls nothing.
 	Restarted func()
@@ -100,11 +103,27 @@
 			next.Resident = b.cfg.Resident()
 		}
 
+		next.LoadInMs = b.loadIn(time.Now())
+
 		p = next
 		b.send(p, to)
 	}
 }
 
+// loadIn returns what a pulse tells of the next load.
+func (b *Beacon) loadIn(now time.Time) int64 {
+	if b.cfg.LoadIn == nil {
+		return 0
+	}
+
+	in, ok := b.cfg.LoadIn(now)
+	if !ok {
+		return 0
+	}
+
+	return max(in.Milliseconds(), 1)
+}
+
 // closeConn ends the reads of a connection; closing it twice does no harm.
 func closeConn(c *net.UDPConn) {
 	//nolint:errcheck,gosec // see above
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -52,6 +52,9 @@
 	// Born is when the engine was started, in ms of its clock; zero when it doesn't
 	// tell.
 	Born int64 `cbor:"14,keyasint,omitempty"`
+	// LoadInMs is how long it is until the engine is to load new weights, at least 1;
+	// zero when it isn't to.
+	LoadInMs int64 `cbor:"15,keyasint,omitempty"`
 	// Resident are the long parts of prompts in its memory.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
 	// Pace is the pause between two pulses that the listener asked for.
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -175,3 +175,26 @@
 		}
 	}
 }
+
+// Entries are told of a load of weights ahead, so that long answers end before it.
+func TestPulseTellsTheNextLoad(t *testing.T) {
+	now := time.Unix(1000, 0)
+
+	tests := []struct {
+		name   string
+		loadIn func(time.Time) (time.Duration, bool)
+		want   int64
+	}{
+		{"nobody knows", nil, 0},
+		{"none", func(time.Time) (time.Duration, bool) { return 0, false }, 0},
+		{"under way", func(time.Time) (time.Duration, bool) { return 0, true }, 1},
+		{"in a second", func(time.Time) (time.Duration, bool) { return time.Second, true }, 1000},
+	}
+
+	for _, tt := range tests {
+		b := &Beacon{cfg: BeaconConfig{LoadIn: tt.loadIn}}
+		if got := b.loadIn(now); got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -107,6 +107,9 @@
 	Version int64
 	// Loading says that it loads weights and refuses work.
 	Loading bool
+	// Loads says that it is to load weights in LoadsIn.
+	Loads   bool
+	LoadsIn time.Duration
 	// Pulse is its load at first hand, PulseAge how old that is; Fresh says that
 	// it is not too old to go by.
 	Pulse    pulse.Pulse
@@ -342,7 +345,10 @@
 func (e *engine) view(now time.Time, t target.Target, model string) Engine {
 	age := now.Sub(e.pulseAt)
 
+	loads := time.Duration(e.pulse.LoadInMs) * time.Millisecond
+
 	return Engine{
+		Loads: loads > 0, LoadsIn: max(loads-age, 0),
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loading),
 		Pulse: e.pulse, PulseAge: age, Fresh: age < e.pulseMost(), Since: e.since,
--- a/roster/start_test.go
+++ b/roster/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -109,3 +110,25 @@
 		t.Errorf("got %q at the new address, want a", id)
 	}
 }
+
+func TestNextLoadComesNearerBetweenPulses(t *testing.T) {
+	r := open()
+	r.Pulse(at(0), pulse.Pulse{Engine: "10.0.0.1:80", Model: "m", Version: 1, LoadInMs: 300})
+
+	tests := []struct {
+		ms   int
+		want time.Duration
+	}{{0, 300 * time.Millisecond}, {100, 200 * time.Millisecond}, {400, 0}}
+
+	for _, tt := range tests {
+		if got := names(r, at(tt.ms))["a"]; !got.Loads || got.LoadsIn != tt.want {
+			t.Errorf("after %d ms: got %v in %v, want in %v", tt.ms, got.Loads, got.LoadsIn, tt.want)
+		}
+	}
+
+	r.Pulse(at(500), pulse.Pulse{Engine: "10.0.0.1:80", Model: "m", Version: 2})
+
+	if names(r, at(500))["a"].Loads {
+		t.Error("with the new weights: got it to load")
+	}
+}
--- a/route/opening.go
+++ b/route/opening.go
@@ -58,6 +58,9 @@
 	Slots int
 	// Distance is the time to it and back.
 	Distance time.Duration
+	// Overrun is how much longer the prompt is expected to run than until the engine
+	// is to load new weights.
+	Overrun time.Duration
 }
 
 // OpeningConfig says what is known of the engines and of the prompts that come. Zero
@@ -188,6 +191,9 @@
 		ms += oldFactor * float64(r.Aim) / float64(time.Millisecond)
 	}
 
+	// An engine that is to load waits for its last run, and nothing else begins there.
+	ms += float64(c.Overrun) / float64(time.Millisecond)
+
 	if c.Suspected {
 		ms += suspectCost
 	}
--- a/route/opening_test.go
+++ b/route/opening_test.go
@@ -82,6 +82,25 @@
 	}
 }
 
+// An engine that is to load new weights waits for its last run, and nothing else begins
+// there: with a long answer under way it stands idle for seconds. Long answers go
+// elsewhere in time, short ones are served until the load begins.
+func TestLongAnswersAvoidAnEngineThatIsToLoad(t *testing.T) {
+	all := engines(3)
+	home := DecideOpening(OpeningConfig{}, long(1), all).Target()
+	all[home].Has = true
+
+	if got := DecideOpening(OpeningConfig{}, long(1), all).Target(); got != home {
+		t.Fatalf("got %d, want the engine that has the opening", got)
+	}
+
+	all[home].Overrun = 1500 * time.Millisecond
+
+	if got := DecideOpening(OpeningConfig{}, long(1), all).Target(); got == home {
+		t.Error("got the engine that would have to wait for it for 1.5 s, want another")
+	}
+}
+
 // The same queue is a quarter of a second on an engine that reads 50 tokens a ms and
 // nothing to speak of on one that reads 500. Weighed alike, contexts of quick engines
 // are read again though their turn would come at once.
