mirror, exchange, pause: large configurations over small links

An entry whose reader was cut off asked the log and three others at once, each for all of it, and gave each up after 0.4 to 1.2 s; the answers it did not wait for filled its link, and it began anew, for up to thirteen seconds (edge-chaco-c-7 and -c-8: version 10 never, version 16 at 37.4 s).

Ruled out: the reader (others had the version within 0.6 s), the register (small, regained at once).

Change: a wait ends when nothing comes any more, not after a fixed time for the whole transfer (pause.Patient), three seconds at the most; long records are passed on between own processes packed, a tenth of the length, packed once for all who ask for the same.

The test with a link of which a tenth is left failed first."

--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -28,8 +28,13 @@
 // this process is.
 const asked = 3
 
-// callTimeout bounds a call to another process; they are milliseconds apart.
-const callTimeout = 400 * time.Millisecond
+const (
+	// callTimeout is how long a call to another process may stand still; they are
+	// milliseconds apart.
+	callTimeout = 400 * time.Millisecond
+	// transferMost bounds an answer that keeps coming.
+	transferMost = 3 * time.Second
+)
 
 // Saying hello: an entry asks a few others which entries they know. Asking all would
 // take as many calls as there are entries, with answers of that length.
@@ -149,7 +154,12 @@
 		return mirror.Batch{}, errNotLoaded
 	}
 
-	b := mirror.Batch{Records: r.Records, End: r.End, Whole: false}
+	records, err := r.unpack()
+	if err != nil {
+		return mirror.Batch{}, err
+	}
+
+	b := mirror.Batch{Records: records, End: r.End, Whole: false}
 	if r.AgeMs >= 0 {
 		// The answer was made after the question had been held for so long, so it
 		// can't be older than that.
@@ -161,7 +171,7 @@
 
 // call makes a call whose answer may be held back for so long.
 func (c *Client) call(ctx context.Context, method, address, path string, body []byte, held time.Duration) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+held)
+	ctx, cancel := pause.Patient(ctx, callTimeout+held, held+transferMost)
 	defer cancel()
 
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
@@ -174,7 +184,7 @@
 		return nil, err
 	}
 
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	answer, err := io.ReadAll(pause.Reader(ctx, io.LimitReader(resp.Body, maxMessage)))
 	err = errs.Combine(err, resp.Body.Close())
 
 	if err == nil && resp.StatusCode/100 != 2 {
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -47,6 +47,8 @@
 	Members []Member `cbor:"5,keyasint,omitempty"`
 	// HeldMs is how long the question was held before it was answered.
 	HeldMs int64 `cbor:"6,keyasint,omitempty"`
+	// Packed are the records in place of Records when they are long.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
 }
 
 // Member is an entry that another one knows.
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -23,6 +23,7 @@
 	notice  func(now time.Time, n Notice)
 	crash   func(now time.Time, c quarantine.Crash)
 	vaults  *vault.Directory
+	packer  packer
 }
 
 // ServerConfig is what a Server tells of.
@@ -78,7 +79,8 @@
 		b := hold(r.Context(), now, t, from, waitOf(q))
 		reply.HeldMs = time.Since(now).Milliseconds()
 		now = now.Add(time.Duration(reply.HeldMs) * time.Millisecond)
-		reply.Records, reply.End, reply.Loaded = b.Records, b.End, t.Loaded()
+		reply.End, reply.Loaded = b.End, t.Loaded()
+		reply.Records, reply.Packed = s.packer.pack(topic, from, b)
 
 		if !b.AsOf.IsZero() {
 			reply.AgeMs = now.Sub(b.AsOf).Milliseconds()
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -80,6 +80,11 @@
 	newestTimeout = 1500 * time.Millisecond
 	// peerTimeout bounds a question to another process.
 	peerTimeout = 400 * time.Millisecond
+	// transferMost is how long a batch may take that keeps coming; the times above
+	// are those without a single byte. A configuration with thousands of routes has
+	// 320 KB, which is a quarter of a second on the smallest link, 10 Mbit/s, when
+	// nothing else is on it.
+	transferMost = 3 * time.Second
 )
 
 // Waiting at a reader. A reader reads at least every half second; with these, what a
@@ -168,7 +173,7 @@
 			continue
 		}
 
-		c, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
+		c, cancel := pause.Patient(ctx, relayWait+relaySlack, relayWait+transferMost)
 		b, err := f.cfg.Relay.Follow(c, r, f.cfg.Name, f.cfg.Topic.End(), relayWait)
 
 		cancel()
@@ -196,7 +201,7 @@
 func (f *Follower) read(ctx context.Context) (Batch, error) {
 	if f.cfg.Topic.Loaded() {
 		at := time.Now()
-		c, cancel := context.WithTimeout(ctx, f.cfg.Wait+readSlack)
+		c, cancel := pause.Patient(ctx, f.cfg.Wait+readSlack, f.cfg.Wait+transferMost)
 		b, err := f.cfg.Source.Read(c, f.cfg.Name, f.cfg.Topic.End(), f.cfg.Wait)
 
 		cancel()
@@ -210,7 +215,7 @@
 
 	at := time.Now()
 
-	c, cancel := context.WithTimeout(ctx, newestTimeout)
+	c, cancel := pause.Patient(ctx, newestTimeout, newestTimeout+transferMost)
 	defer cancel()
 
 	b, err := f.cfg.Source.Newest(c, f.cfg.Name)
@@ -224,7 +229,7 @@
 		return
 	}
 
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := pause.Patient(ctx, peerTimeout, transferMost)
 	defer cancel()
 
 	b, err := f.cfg.Peers.Newer(c, f.cfg.Name, f.cfg.Topic.End())
--- /dev/null
+++ b/mirror/slow_test.go
@@ -0,0 +1,106 @@
+package mirror
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/pause"
+)
+
+// slowLog is a log behind a link that brings so much a second, shared by all reads.
+type slowLog struct {
+	bytesPerS int
+
+	mu    sync.Mutex
+	value []byte
+	end   int64
+	reads int // under way
+}
+
+func (l *slowLog) put(value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.value, l.end = value, l.end+1
+}
+
+func (l *slowLog) Newest(context.Context, string) (Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return Batch{Whole: true, End: l.end}, nil
+}
+
+func (l *slowLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Batch, error) {
+	const piece = 16 << 10
+
+	l.mu.Lock()
+	value, end := l.value, l.end
+	l.mu.Unlock()
+
+	if end == from {
+		if !pause.For(ctx, wait) {
+			return Batch{}, ctx.Err()
+		}
+
+		return Batch{End: from}, nil
+	}
+
+	for sent := 0; sent < len(value); sent += piece {
+		l.mu.Lock()
+		l.reads++
+		n := l.reads
+		l.mu.Unlock()
+
+		on := pause.For(ctx, time.Duration(n*piece)*time.Second/time.Duration(l.bytesPerS))
+
+		l.mu.Lock()
+		l.reads--
+		l.mu.Unlock()
+
+		if !on {
+			return Batch{}, ctx.Err()
+		}
+
+		pause.Moves(ctx)
+	}
+
+	return Batch{Records: []Record{{Key: "config", Value: value, Offset: end - 1}}, End: end}, nil
+}
+
+// The configuration grows by two thousand routes and has 320 KB from then on. An entry
+// whose link carries 10 Mbit/s, nine tenths of them taken by callers, gets it in two and
+// a half seconds. Given up before, it is asked for anew again and again and fills the
+// link, and callers get 404 for routes that were added and 401 for keys that were.
+func TestLargeConfigurationArrivesOverASmallLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slowLog{bytesPerS: 10_000_000 / 8 / 10}
+		topic := &Topic{}
+		f := NewFollower(FollowerConfig{
+			Name: "t", Topic: topic, Source: l, Wait: 500 * time.Millisecond,
+			OnNews: func(time.Time, []Record) {}, Log: logr.Discard(),
+		})
+
+		ctx, cancel := context.WithCancel(t.Context())
+
+		var running sync.WaitGroup
+
+		running.Go(func() { f.Run(ctx) })
+		time.Sleep(time.Second)
+		l.put(bytes.Repeat([]byte("a route; "), 320_000/9))
+		time.Sleep(3100 * time.Millisecond)
+
+		if got := len(topic.Since(0).Records); got != 1 {
+			t.Errorf("got %d records after three seconds, want the configuration", got)
+		}
+
+		cancel()
+		running.Wait()
+	})
+}
