gateway: hold prompts for room no longer than their aim

Cause: a prompt waited up to 1.2 s for an engine with room, a time that fitted an aim of 0.8 s; where the aim is 0.3 or 0.5 s it was late long before, and all that waited behind it with it. Places for 32 that wait were full in a burst.

Change: the aim bounds the wait; 256 places bound the memory.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -12,15 +12,13 @@
 
 // Waiting for room.
 const (
-	// mostHeld is how long a prompt waits for an engine with room before it is
-	// refused. A caller leaves a stream that shows nothing after some three seconds,
-	// and reading takes up to one.
-	mostHeld = 1200 * time.Millisecond
 	// lookEvery is the pause between two looks for room; pulses come every 100 ms.
 	lookEvery = 25 * time.Millisecond
-	// mostWaiting bounds the prompts that wait here. More are refused at once: they
-	// would not have their turn in time.
-	mostWaiting = 32
+	// mostWaiting bounds the prompts that wait here, and so the memory that they take.
+	// Time bounds them long before.
+	mostWaiting = 256
+	// noAim is how long a prompt without an aim waits.
+	noAim = time.Second
 )
 
 // room lets prompts wait for engines with room, first come, first served.
@@ -39,6 +37,16 @@
 	return &room{turn: make(chan struct{}, 1), waiting: make(chan struct{}, mostWaiting)}
 }
 
+// mostHeld is how long the prompt waits for an engine with room before it is refused:
+// after its aim it is late in any case, and all behind it would be.
+func (t *task) mostHeld() time.Duration {
+	if t.route.Aim > 0 {
+		return t.route.Aim
+	}
+
+	return noAim
+}
+
 // awaitRoom waits until an engine has room, or gives up with errNoRoom.
 func (t *task) awaitRoom(ctx context.Context) (choice, error) {
 	began := time.Now()
@@ -51,7 +59,7 @@
 		return choice{}, errNoRoom
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, mostHeld)
+	ctx, cancel := context.WithTimeout(ctx, t.mostHeld())
 	defer cancel()
 
 	select {
