route, profile, experiment: hold long prompts while engines have much to read

Change: what isn't quick is held at the entry while an engine has prompts to read for over a quarter of the quick prompts' aim, until its own aim has passed; six samples tell the speed.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -84,6 +84,7 @@
 		VaultTokens:   func() float64 { held, _, _ := directory.Usage(); return float64(held) },
 		VaultRoom:     func() float64 { _, room, _ := directory.Usage(); return float64(room) },
 		LinesLeftOut:  func() float64 { return float64(lines.LeftOut()) },
+		TokensPerMs:   func() float64 { return e.gateway.TokensPerMs() },
 	})
 
 	e.gateway = gateway.New(gateway.Config{
--- a/experiment/command.go
+++ b/experiment/command.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/integrii/flaggy"
+
+	"boragehub/experiment/drawn"
 )
 
 // Command is the subcommand "experiment" of the program. Use Attach.
@@ -14,6 +16,8 @@
 	sub                              *flaggy.Subcommand
 	cfg                              Config
 	loads, policies, without, faulty string
+	drawn                            int
+	asJSON                           bool
 }
 
 // all is the word for every value of a list.
@@ -37,6 +41,8 @@
 	c.sub.Int(&c.cfg.Workers, "j", "workers", "how many runs go on at once")
 	c.sub.String(&c.cfg.CSV, "", "csv", "file for a line of figures for each run and workload")
 	c.sub.String(&c.cfg.Plot, "", "plot", "file for a plot over the loads, .svg or .png")
+	c.sub.Int(&c.drawn, "", "drawn", "play where prompts go on so many deployments drawn from seeds, and nothing else")
+	c.sub.Bool(&c.asJSON, "", "json", "write what --drawn gives as JSON")
 	flaggy.AttachSubcommand(c.sub, position)
 
 	return c
@@ -47,6 +53,10 @@
 
 // Run carries out the experiment and writes its table to w.
 func (c *Command) Run(w io.Writer) error {
+	if c.drawn > 0 {
+		return drawn.Write(w, drawn.Rows(c.cfg.Seed, c.drawn), c.asJSON)
+	}
+
 	cfg := c.cfg
 
 	var err error
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -98,7 +98,7 @@
 	candidates := make([]route.OpeningCandidate, len(all))
 	all = expectRequired(all, required)
 	l := t.lookup(now, all)
-	run := t.g.learned.run(p.Output)
+	run := t.g.learned.Run(p.Output)
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
@@ -114,12 +114,12 @@
 		l.fill(&candidates[i], e, newest)
 	}
 
-	d := route.DecideOpening(t.g.opening(t.service), t.opening(), candidates)
+	d := route.DecideOpening(t.g.learned.Opening(t.service.Engines.MemoryTokens), t.opening(), candidates)
 	if !d.Found() {
 		return choice{}, nobody(candidates)
 	}
 
-	if err := t.late(d.Wait()); err != nil {
+	if err := t.paced(d); err != nil {
 		return choice{}, err
 	}
 
@@ -132,7 +132,7 @@
 
 	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens, memory: p.Tokens + p.Output}
 	t.contexts(l, &c)
-	c.sending.Priority = urgency(t.priority(), t.g.learned.quick(c.unread))
+	c.sending.Priority = urgency(t.priority(), t.g.learned.Quick(c.unread))
 	c.idle = e.Fresh && e.Pulse.Reading+e.Pulse.Waiting+e.Since.Requests == 0 && len(c.sending.Fetch) == 0
 	t.log(c, reason, d.Cost(), len(all))
 
@@ -184,24 +184,18 @@
 	}
 }
 
-// late returns an error if an engine would read other prompts for so long that the first
-// event can't be on time.
-//
-// When more comes than engines can read, as after new weights, queues grow until all
-// answers are late, and engines read prompts whose callers have left meanwhile. One that
-// is refused at once costs its engine nothing and may come back when its turn is near; the
-// others are on time. On a day with two changes of weights prompts that were neither
-// served nor refused fell from 3.0 to 1.4 in a hundred and those on time rose from
-// 0.82 to 0.85 of the credit owed.
-func (t *task) late(wait time.Duration) error {
-	over := wait - t.route.Aim
-
-	// Before the engines' speed is known, they are taken for the slowest there are.
-	if _, known := t.g.learned.reader.TokensPerMs(); !known || t.route.Aim <= 0 || over <= 0 {
+// paced returns an error if a prompt isn't to be sent now.
+func (t *task) paced(d route.OpeningDecision) error {
+	switch d.Pace() {
+	case route.Hold:
+		return errNoRoom
+	case route.TooLate:
+		over := d.Wait() - t.route.Aim
+
+		return failure.New(failure.QueueFull, "engines have others to read for %v", d.Wait().Round(time.Millisecond)).After(over)
+	default:
 		return nil
 	}
-
-	return failure.New(failure.QueueFull, "engines have others to read for %v", wait.Round(time.Millisecond)).After(over)
 }
 
 // leastUrgent is the last rank that engines know.
@@ -292,7 +286,7 @@
 
 	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
 		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "config", t.cfg.Version(),
-		"running", max(e.Pulse.Running, e.Load.Running), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
+		"running", max(e.Pulse.Running, e.Load.Running), "reading", e.Pulse.Reading, "tokens_per_ms", int(t.g.learned.TokensPerMs()), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
 		"used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
 		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
 		"opening", t.openingID(), "salt", c.sending.Salt)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/profile"
 	"boragehub/quarantine"
 	"boragehub/retry"
 	"boragehub/roster"
@@ -99,7 +100,7 @@
 	room     *room
 	flights  flights
 	reading  reading
-	learned  learned
+	learned  profile.Fleet
 }
 
 // New returns a Gateway without a configuration. Known tells when the newest
@@ -206,6 +207,9 @@
 // Heard takes what another entry tells of a target's crash.
 func (g *Gateway) Heard(now time.Time, c quarantine.Crash) { g.suspects.heard(now, c) }
 
+// TokensPerMs returns how fast engines are known to read prompts, zero while not known.
+func (g *Gateway) TokensPerMs() float64 { return g.learned.TokensPerMs() }
+
 // Active returns how many requests are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/gateway/learned_test.go
+++ b/gateway/learned_test.go
@@ -14,26 +14,29 @@
 func knowing(g *Gateway) {
 	for i := range 64 {
 		tokens := 200 * (i % 16)
-		g.learned.reader.Observe(tokens, 40*time.Millisecond+time.Duration(tokens)*10*time.Microsecond)
+		g.learned.Read(tokens, 40*time.Millisecond+time.Duration(tokens)*10*time.Microsecond)
 	}
 
-	g.learned.unread.Observe(2000)
+	g.learned.Sent(2000, 2000, 300*time.Millisecond)
 }
 
 // New weights make all contexts cold at once, and engines have prompts to read for longer
 // than callers gladly wait. Sent there all the same, a prompt is answered late or not at
 // all, and makes all behind it late too. It is refused at once, as not run, and told to
-// come back when its turn would be near. The aim is 300 ms; five prompts take 100 ms.
+// come back when its turn would be near. A long one is held meanwhile while what is to be
+// read would make short ones late. The aim is 300 ms; five prompts take 100 ms.
 func TestPromptThatCanNotBeOnTimeIsRefusedAtOnce(t *testing.T) {
 	tests := []struct {
 		name    string
 		waiting int
 		known   bool
 		status  int
+		after   float64 // when to come back, in seconds
 	}{
-		{"a short queue", 5, true, http.StatusOK},
-		{"a queue of half a second", 25, true, http.StatusServiceUnavailable},
-		{"the same, before the speed is known", 25, false, http.StatusOK},
+		{"a short queue", 3, true, http.StatusOK, 0},
+		{"a queue that short ones would wait for", 5, true, http.StatusServiceUnavailable, 1},
+		{"a queue of half a second", 25, true, http.StatusServiceUnavailable, 0.2},
+		{"the same, before the speed is known", 25, false, http.StatusOK, 0},
 	}
 
 	for _, tt := range tests {
@@ -56,8 +59,8 @@
 				return
 			}
 
-			if after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64); err != nil || after < 0.1 || after > 0.3 {
-				t.Errorf("got Retry-After %q, want the 0.2 s by which it would be late", r.header.Get("Retry-After"))
+			if after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64); err != nil || after < tt.after-0.1 || after > tt.after+0.1 {
+				t.Errorf("got Retry-After %q, want about %v", r.header.Get("Retry-After"), tt.after)
 			}
 
 			if n := e.count(); n != 0 {
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -37,6 +37,8 @@
 	VaultTokens, VaultRoom func() float64
 	// LinesLeftOut is the number of log lines left out.
 	LinesLeftOut func() float64
+	// TokensPerMs is how fast engines are known to read, zero while that isn't known.
+	TokensPerMs func() float64
 }
 
 // buckets are bounds in seconds around the aims of 0.15, 0.4 and 0.8 s.
@@ -68,6 +70,7 @@
 		{"boragehub_vault_tokens", "Tokens kept in stores that answer.", g.VaultTokens},
 		{"boragehub_vault_room_tokens", "Room of stores that answer.", g.VaultRoom},
 		{"boragehub_log_lines_left_out", "Log lines left out since the start.", g.LinesLeftOut},
+		{"boragehub_engine_tokens_per_ms", "How fast engines read prompts as learned from answers, zero while not known.", g.TokensPerMs},
 	} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: x.name, Help: x.help}, x.value))
 	}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -104,8 +104,7 @@
 	}
 
 	p := t.arrival.Prompt
-	usual, _ := t.g.learned.memory.Value()
-	used := e.Pulse.UsedTokens + e.Since.Memory + int(usual)*e.Pulse.Waiting
+	used := e.Pulse.UsedTokens + e.Since.Memory + t.g.learned.Memory()*e.Pulse.Waiting
 
 	return float64(used+p.Tokens+p.Output) <= memoryShare*float64(t.service.Engines.MemoryTokens)
 }
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"boragehub/pulse"
 	"boragehub/roster"
@@ -27,7 +28,7 @@
 
 	for _, tt := range tests {
 		g := &Gateway{}
-		g.learned.memory.Observe(15_000)
+		g.learned.Sent(4000, 15_000, time.Second)
 
 		task := &task{
 			g:       g,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,7 +87,7 @@
 		}
 
 		if begins && t.stream.started {
-			t.g.learned.first(&c, time.Since(t.sentAt))
+			t.first(&c)
 		}
 
 		held = held[:copy(held, held[end:])]
@@ -104,6 +104,13 @@
 	}
 }
 
+// first takes what the time to the first event tells of how fast engines read.
+func (t *task) first(c *choice) {
+	if c.idle {
+		t.g.learned.Read(c.unread, time.Since(t.sentAt))
+	}
+}
+
 // finish ends a stream that came to its end.
 func (t *task) finish(c choice, x *upstream.Exchange) outcome {
 	if !t.stream.started {
@@ -114,7 +121,7 @@
 	t.g.cfg.Crashes.Completed(now, t.print)
 
 	if t.arrival.Prompt != nil {
-		t.g.learned.ended(t.arrival.Prompt.Output, now.Sub(t.stream.first))
+		t.g.learned.Ended(t.arrival.Prompt.Output, now.Sub(t.stream.first))
 	}
 
 	t.served(c, x.Status(), t.stream.first)
--- a/profile/profile.go
+++ b/profile/profile.go
@@ -29,14 +29,14 @@
 	// prompts, which cover short and long ones.
 	keptSamples = 64
 	// leastSamples is how many there have to be before the rate is told.
-	leastSamples = 12
+	leastSamples = 6
 	// refitAfter is how many new observations make a new fit worth its time, some 20 us.
-	refitAfter = 8
+	refitAfter = 4
 	// leastApart is by how many tokens two prompts have to differ for their times to
 	// tell the rate: reading them takes longer than the times vary by chance.
 	leastApart = 500
 	// leastPairs is how many such pairs there have to be.
-	leastPairs = 24
+	leastPairs = 8
 )
 
 // Reader learns how fast engines read prompts. The zero value has learned nothing; its
--- a/route/opening.go
+++ b/route/opening.go
@@ -75,6 +75,8 @@
 	// QuickTokens is the same of the prompts that have less to read than usual, which
 	// engines take first among equals: PromptTokens when zero.
 	QuickTokens float64
+	// QuickAim is the aim of those prompts; nothing is held for them when zero.
+	QuickAim time.Duration
 	// MemoryTokens is how many tokens an engine's memory holds: 70,000 when zero.
 	MemoryTokens int
 }
@@ -105,6 +107,7 @@
 	home   int
 	cost   float64
 	wait   float64
+	pace   Pace
 }
 
 // Found reports whether any engine can take the prompt.
@@ -119,6 +122,9 @@
 // Cost returns the estimated cost in ms.
 func (d OpeningDecision) Cost() float64 { return d.cost }
 
+// Pace returns whether the prompt is to be sent now.
+func (d OpeningDecision) Pace() Pace { return d.pace }
+
 // Wait returns how long the chosen engine is expected to read other prompts first.
 func (d OpeningDecision) Wait() time.Duration {
 	return time.Duration(d.wait * float64(time.Millisecond))
@@ -150,6 +156,7 @@
 // has an order of engines, by rendezvous hashing, that all entries agree on
 // without talking; its first engine holds it unless it was evicted.
 func DecideOpening(cfg OpeningConfig, r OpeningRequest, candidates []OpeningCandidate) OpeningDecision {
+	known := cfg
 	cfg = cfg.withDefaults()
 	d := OpeningDecision{target: -1, home: home(r, candidates)}
 
@@ -162,6 +169,7 @@
 		cost := c.cost(cfg, r, i == d.home)
 		if d.target < 0 || cost < d.cost {
 			d.target, d.cost, d.wait = i, cost, c.wait(cfg, r)
+			d.pace = known.pace(r, d.Wait(), c.quick(cfg, r))
 		}
 	}
 
