wholepath, standin: hold requests until all run before the stops

TestPlannedStopCutsOffNoRequest/entry_and_side_process_at_once failed beside load ("not all run", load average 25). Cause: it waited for a moment at which eight streams of 0.8 s and four bookings of 0.4 s run; on a busy machine the first have ended before the last begin. Calls are held and engines slowed until all run; what is checked is the same.

--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -33,11 +33,16 @@
 // crashStatus is the exit status of a crash.
 const crashStatus = 134
 
+// heldEvery is the pause between two looks of a call that is held.
+const heldEvery = 5 * time.Millisecond
+
 // Faults are the switches of a plain service.
 type Faults struct {
 	standin.Silent
 	// DelayMS is how long a call takes before it is carried out, in ms.
 	DelayMS int64 `json:"delay_ms"`
+	// Held keeps all calls from being carried out for as long as it is set.
+	Held bool `json:"held"`
 	// CrashBody ends the process when a body contains this text; empty is none.
 	CrashBody string `json:"crash_body"`
 	// FailStatus is answered in place of carrying out the call; 0 is none.
@@ -215,6 +220,12 @@
 		return
 	}
 
+	for s.Faults().Held {
+		if !pause.For(r.Context(), heldEvery) {
+			return
+		}
+	}
+
 	if f.CrashBody != "" && bytes.Contains(body, []byte(f.CrashBody)) {
 		s.cfg.Crash()
 		panic(http.ErrAbortHandler)
--- a/wholepath/stop_test.go
+++ b/wholepath/stop_test.go
@@ -117,7 +117,14 @@
 
 	w := start(t, shape{engines: 2, entries: 2, plains: 1, engine: func(_ int, cfg *engine.Config) { cfg.DecodeTokensPerSecond = 100 }})
 	homed := w.homed()
-	w.fault(w.plains[0].addr, map[string]any{"delay_ms": 400})
+
+	// All have to run at one moment. Left to their time, the first ones end before the
+	// last ones begin on a busy machine, and the moment never comes.
+	w.fault(w.plains[0].addr, map[string]any{"held": true})
+
+	for _, e := range w.engines {
+		w.fault(e.addr, map[string]any{"slow_factor": 50})
+	}
 
 	var all sync.WaitGroup
 
@@ -145,6 +152,12 @@
 		return w.engines[0].engine.Running()+w.engines[1].engine.Running() == riders && w.plains[0].plain.Running() == bookings
 	})
 
+	w.fault(w.plains[0].addr, map[string]any{"held": false, "delay_ms": 400})
+
+	for _, e := range w.engines {
+		w.fault(e.addr, map[string]any{"slow_factor": 1})
+	}
+
 	for _, stop := range stops {
 		all.Go(func() { stop(w) })
 	}
