vault, roster: keep contexts while a machine with an engine stands still

The context had been freed meanwhile, in right by all clocks.

Ruled out: the fetch was granted in time (weights named at 10.0 s, sent at 15.97 s), and the free came after grace, longest fetch and margin.

Change: while a target that used to be heard is not, and for a second after, contexts of replaced weights are kept for ten seconds longer; one that the register drops meanwhile counts for six seconds more, as it drops what stands still after four.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -153,6 +153,7 @@
 	holders  map[string][]holder // by address, in order of id
 	doubtful time.Time           // until when drops are in doubt
 	away     bool                // the log does not answer
+	still    time.Time           // until when a target counts as standing still
 }
 
 // holder is the target that spoke last from an address.
@@ -270,6 +271,10 @@
 
 // drop forgets a target. The caller holds mu.
 func (r *Roster) drop(now time.Time, id, reason string) {
+	if r.engines[id].quiet() {
+		r.standStill(now, stillDropped)
+	}
+
 	r.release(r.engines[id].listing.Address, id)
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
@@ -282,7 +287,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.look()
+	r.look(now)
 
 	if r.away {
 		return
--- a/roster/silence.go
+++ b/roster/silence.go
@@ -78,10 +78,37 @@
 	return all
 }
 
+// How long a target counts as standing still.
+const (
+	// stillRest is for how long after it was heard again: what was under way there
+	// comes to its end first.
+	stillRest = time.Second
+	// stillDropped is for how long after the register dropped one that was not heard.
+	// It drops those that stand still after some four seconds, and they go on some
+	// seconds later.
+	stillDropped = 6 * time.Second
+)
+
+// Still reports whether a target stands still, or did until a moment ago.
+func (r *Roster) Still(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return now.Before(r.still)
+}
+
+// standStill notes that a target counts as standing still for so long. The caller
+// holds mu.
+func (r *Roster) standStill(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(r.still) {
+		r.still = until
+	}
+}
+
 // look counts the looks at which targets were not heard. When none was heard, this
 // process is the one that stood still or is cut off, and nothing is counted. The
 // caller holds mu.
-func (r *Roster) look() {
+func (r *Roster) look(now time.Time) {
 	anyone := false
 
 	for _, e := range r.engines {
@@ -98,6 +125,10 @@
 		}
 
 		e.life.heard = false
+
+		if e.quiet() {
+			r.standStill(now, stillRest)
+		}
 	}
 }
 
--- a/roster/silence_test.go
+++ b/roster/silence_test.go
@@ -57,3 +57,39 @@
 		})
 	}
 }
+
+// Frees of contexts wait for a machine that stands still, and for a moment after it.
+func TestStandstillIsToldUntilAMomentAfter(t *testing.T) {
+	const a, b = "10.0.0.1:80", "10.0.0.2:80"
+
+	r := open()
+	r.Pulse(at(0), pulse.Pulse{Engine: a})
+
+	for i := range 4 {
+		if got, want := r.Still(at(250*i)), i > 2; got != want {
+			t.Errorf("after %d looks: got still %v, want %v", i, got, want)
+		}
+
+		r.Pulse(at(250*i), pulse.Pulse{Engine: b})
+		r.Tick(at(250 * i))
+	}
+
+	r.Pulse(at(800), pulse.Pulse{Engine: a})
+	r.Tick(at(1000))
+
+	if !r.Still(at(1500)) || r.Still(at(1800)) {
+		t.Errorf("got still %v and %v, want it for a second", r.Still(at(1500)), r.Still(at(1800)))
+	}
+
+	// It stands still again, and the register drops it as it is not heard there either.
+	for i := range 4 {
+		r.Pulse(at(2000+250*i), pulse.Pulse{Engine: b})
+		r.Tick(at(2000 + 250*i))
+	}
+
+	r.Drop(at(4000), "a")
+
+	if !r.Still(at(9000)) || r.Still(at(10_100)) {
+		t.Errorf("after the drop: got still %v and %v, want it for six seconds", r.Still(at(9000)), r.Still(at(10_100)))
+	}
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -78,10 +78,22 @@
 	// Turn returns how many others of the processes that free go first for a
 	// store; each waits so many times TurnWait longer.
 	Turn func(address string) int
+	// Still reports whether a machine with an engine stands still, or did until a
+	// moment ago; nil takes none to.
+	Still func(now time.Time) bool
 	// Log gets a line for each change.
 	Log logr.Logger
 }
 
+// stillGrace is how much longer contexts are kept while a machine with an engine stands
+// still.
+//
+// A fetch under way stands still with its engine, and goes on when that does, past the
+// time at which it should have been thrown away: what it reads then must not have been
+// freed. Machines stand still for some seconds; one that does for longer is taken for
+// dead, or the room of replaced contexts would never come free.
+const stillGrace = 10 * time.Second
+
 // TurnWait is how much longer the next process in turn waits before it frees, so
 // that usually one process alone calls.
 const TurnWait = 2 * time.Second
@@ -394,10 +406,15 @@
 	}
 	w.mu.Unlock()
 
+	later := time.Duration(0)
+	if w.cfg.Still != nil && w.cfg.Still(now) {
+		later = stillGrace
+	}
+
 	for model, all := range replaced {
 		for _, r := range all {
 			ago := func(address string) time.Duration {
-				return now.Sub(r.at) - time.Duration(w.cfg.Turn(address))*TurnWait
+				return now.Sub(r.at) - time.Duration(w.cfg.Turn(address))*TurnWait - later
 			}
 
 			for _, old := range w.cfg.Directory.Replaced(model, r.version, ago, r.answered, freeAtOnce) {
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -116,7 +116,7 @@
 
 // freedAfter runs a watcher for half a minute and returns how long after a newer
 // version was named the old part was freed.
-func freedAfter(t *testing.T, peers *fakePeers, meanwhile func()) time.Duration {
+func freedAfter(t *testing.T, peers *fakePeers, meanwhile func(), still ...func(time.Time) bool) time.Duration {
 	t.Helper()
 
 	var after time.Duration
@@ -124,7 +124,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &fakeStore{}
-		w := NewWatcher(WatcherConfig{Directory: NewDirectory(1), Source: store, Peers: peers, Turn: func(string) int { return 0 }, Log: logr.Discard()})
+		cfg := WatcherConfig{Directory: NewDirectory(1), Source: store, Peers: peers, Turn: func(string) int { return 0 }, Log: logr.Discard()}
+
+		for _, f := range still {
+			cfg.Still = f
+		}
+
+		w := NewWatcher(cfg)
 
 		var running sync.WaitGroup
 
@@ -160,6 +166,40 @@
 	}
 }
 
+// A machine with an engine stands still in the middle of a fetch and goes on five seconds
+// later, with the fetch: the engine reads what the store holds then. Freed meanwhile, it
+// would get a broken context. One that never goes on must not keep the room for ever.
+func TestOldContextsStayWhileAMachineStandsStill(t *testing.T) {
+	usual := oldPart.FreeAfter(true)
+
+	tests := []struct {
+		name  string
+		until time.Duration // how long after the start it stands still
+		want  time.Duration
+	}{
+		{"for a while", usual + 5*time.Second, usual + 4*time.Second},
+		{"for good", time.Hour, usual + stillGrace},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var began time.Time
+
+			got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": true}}, nil, func(now time.Time) bool {
+				if began.IsZero() {
+					began = now
+				}
+
+				return now.Sub(began) < tt.until
+			})
+
+			if got < tt.want-2*sweepEvery || got > tt.want+2*sweepEvery {
+				t.Errorf("got it freed after %v, want about %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // A registered process doesn't answer: it is dead, or cut off and still fetching.
 // Freed early, the context that it fetches would be broken.
 func TestOldContextsStayWhileARegisteredProcessIsSilent(t *testing.T) {
