--- a/experiment/drawn/table.go
+++ b/experiment/drawn/table.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -54,13 +55,19 @@
 		return json.NewEncoder(w).Encode(rows)
 	}
 
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "seed\tpolicy\tengines\ttokens_per_ms\tkinds\ton_time\tlate\trefused\tworst_kind\tread_again")
+	var b strings.Builder
+
+	b.WriteString("seed\tpolicy\tengines\ttokens_per_ms\tkinds\ton_time\tlate\trefused\tworst_kind\tread_again\n")
 
 	for _, r := range rows {
-		fmt.Fprintf(t, "%d\t%s\t%d\t%.0f\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d\n",
+		fmt.Fprintf(&b, "%d\t%s\t%d\t%.0f\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d\n",
 			r.Seed, r.Policy, r.Engines, r.TokensPerMs, r.Kinds, r.OnTime, r.Late, r.Refused, r.Worst, r.ReadAgain)
 	}
 
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(t, b.String()); err != nil {
+		return err
+	}
+
 	return t.Flush()
 }
