gateway: openings being read are not remembered

Cause: an entry remembered for 1.5 s which engine it had given a long part to read, so that a second prompt with it went there too. Now that a new opening goes to its first engine unless that has much to read, this buys nothing.

Removed with its code; the test that two prompts with one new opening go to one engine stays and passes.

--- a/gateway/context.go
+++ b/gateway/context.go
@@ -70,8 +70,6 @@
 			}
 
 			c.unread -= parts[i].Tokens
-		case x.long:
-			t.g.reading.begin(l.now, x.key, c.engine.ID)
 		}
 
 		if ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,7 +99,6 @@
 	suspects *suspects
 	room     *room
 	flights  flights
-	reading  reading
 	learned  profile.Fleet
 }
 
@@ -163,10 +162,8 @@
 }
 
 // Restarted takes that a target was started anew under its id: what waits for an answer
-// of its last start gets none, and nothing is being read there.
+// of its last start gets none.
 func (g *Gateway) Restarted(id string) {
-	g.reading.forget(id)
-
 	if n := g.flights.abandon(id, errRestarted); n > 0 {
 		event.Log(g.cfg.Log, event.AttemptsLost, "target", id, "attempts", n)
 	}
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -41,8 +41,6 @@
 	right, stored bool
 	// engines have it in their memory, and may be asked for it.
 	engines []roster.Engine
-	// reader is the engine that this entry had read it a moment ago; empty for none.
-	reader string
 }
 
 // lookup returns the lookup of the request's parts among engines.
@@ -70,7 +68,6 @@
 
 	if x.long {
 		x.key = resident.Key(x.part)
-		x.reader = g.reading.by(l.now, x.key)
 
 		for _, e := range l.all {
 			if e.Version == version && e.Fresh && !e.Quiet && !e.Loading && e.Pulse.Has(x.key, x.tokens) {
@@ -84,9 +81,9 @@
 	return x
 }
 
-// on reports whether an engine has the part, or is reading it.
+// on reports whether an engine has the part.
 func (x *location) on(e roster.Engine) bool {
-	return x.reader == e.ID || slices.ContainsFunc(x.engines, func(h roster.Engine) bool { return h.ID == e.ID })
+	return slices.ContainsFunc(x.engines, func(h roster.Engine) bool { return h.ID == e.ID })
 }
 
 // find returns the copy of a part that is there soonest for an engine.
@@ -127,5 +124,5 @@
 
 	c.Has = x.on(e)
 	c.Kept, c.FetchWait, c.Fetch = ok, found.Wait, found.Transfer
-	c.New = !ok && x.long && x.reader == "" && e.Version >= newest
+	c.New = !ok && x.long && e.Version >= newest
 }
