gateway: learn of each service's engines by itself

Cause: one Fleet stood for all services with engines; on a deployment with two of different speed neither would be known. Test with engines of 50 and 500 tokens a ms.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -163,7 +163,7 @@
 	defer t.g.flights.begin(c.engine.ID, t.flight)()
 
 	if t.arrival.Prompt != nil {
-		t.g.learned.Sent(c.unread, c.memory, t.route.Aim)
+		t.fleet().Sent(c.unread, c.memory, t.route.Aim)
 	}
 
 	t.sentAt = now
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -98,7 +98,7 @@
 	candidates := make([]route.OpeningCandidate, len(all))
 	all = expectRequired(all, required)
 	l := t.lookup(now, all)
-	run := t.g.learned.Run(p.Output)
+	run := t.fleet().Run(p.Output)
 
 	for i, e := range all {
 		candidates[i] = route.OpeningCandidate{
@@ -114,7 +114,7 @@
 		l.fill(&candidates[i], e, newest)
 	}
 
-	d := route.DecideOpening(t.g.learned.Opening(t.service.Engines.MemoryTokens), t.opening(), candidates)
+	d := route.DecideOpening(t.fleet().Opening(t.service.Engines.MemoryTokens), t.opening(), candidates)
 	if !d.Found() {
 		return choice{}, nobody(candidates)
 	}
@@ -132,7 +132,7 @@
 
 	c := choice{engine: e, sending: t.sending(now, e), unread: p.Tokens, memory: p.Tokens + p.Output}
 	t.contexts(l, &c)
-	c.sending.Priority = urgency(t.priority(), t.g.learned.Quick(c.unread))
+	c.sending.Priority = urgency(t.priority(), t.fleet().Quick(c.unread))
 	c.idle = e.Fresh && e.Pulse.Reading+e.Pulse.Waiting+e.Since.Requests == 0 && len(c.sending.Fetch) == 0
 	t.log(c, reason, d.Cost(), len(all))
 
@@ -286,7 +286,7 @@
 
 	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
 		"target", e.ID, "reason", reason, "cost_ms", int(cost), "candidates", candidates, "config", t.cfg.Version(),
-		"running", max(e.Pulse.Running, e.Load.Running), "reading", e.Pulse.Reading, "tokens_per_ms", int(t.g.learned.TokensPerMs()), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
+		"running", max(e.Pulse.Running, e.Load.Running), "reading", e.Pulse.Reading, "tokens_per_ms", int(t.fleet().TokensPerMs()), "waiting", max(e.Pulse.Waiting, e.Load.Waiting),
 		"used_tokens", e.Pulse.UsedTokens, "pulse_age_ms", age(e), "sent_since", e.Since.Requests,
 		"version", c.sending.Version, "fetches", len(c.sending.Fetch) > 0, "saves", len(c.sending.Save) > 0, "unread", c.unread, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
 		"opening", t.openingID(), "salt", c.sending.Salt)
--- a/gateway/fleets_test.go
+++ b/gateway/fleets_test.go
@@ -14,10 +14,10 @@
 func knowing(g *Gateway) {
 	for i := range 64 {
 		tokens := 200 * (i % 16)
-		g.learned.Read(tokens, 40*time.Millisecond+time.Duration(tokens)*10*time.Microsecond)
+		g.fleets.of("llm").Read(tokens, 40*time.Millisecond+time.Duration(tokens)*10*time.Microsecond)
 	}
 
-	g.learned.Sent(2000, 2000, 300*time.Millisecond)
+	g.fleets.of("llm").Sent(2000, 2000, 300*time.Millisecond)
 }
 
 // New weights make all contexts cold at once, and engines have prompts to read for longer
@@ -83,3 +83,27 @@
 		}
 	}
 }
+
+// One service has engines that read ten times as fast as another's. What is learned of
+// one must not stand for the other.
+func TestEachServiceIsLearnedByItself(t *testing.T) {
+	var f fleets
+
+	for i := range 64 {
+		tokens := 200 * (i % 16)
+		f.of("slow").Read(tokens, 40*time.Millisecond+time.Duration(tokens)*20*time.Microsecond)
+		f.of("fast").Read(tokens, 40*time.Millisecond+time.Duration(tokens)*2*time.Microsecond)
+	}
+
+	if slow, fast := f.of("slow").TokensPerMs(), f.of("fast").TokensPerMs(); slow > 55 || fast < 450 {
+		t.Errorf("got %.0f and %.0f tokens a ms, want 50 and 500", slow, fast)
+	}
+
+	if got := f.of("new").TokensPerMs(); got != 0 {
+		t.Errorf("got %.0f tokens a ms of a service that was not asked, want none", got)
+	}
+
+	if got := f.tokensPerMs(); got < 450 {
+		t.Errorf("got %.0f tokens a ms for the fastest, want 500", got)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,6 @@
 
 	"boragehub/event"
 	"boragehub/failure"
-	"boragehub/profile"
 	"boragehub/quarantine"
 	"boragehub/retry"
 	"boragehub/roster"
@@ -99,7 +98,7 @@
 	suspects *suspects
 	room     *room
 	flights  flights
-	learned  profile.Fleet
+	fleets   fleets
 }
 
 // New returns a Gateway without a configuration. Known tells when the newest
@@ -204,8 +203,9 @@
 // Heard takes what another entry tells of a target's crash.
 func (g *Gateway) Heard(now time.Time, c quarantine.Crash) { g.suspects.heard(now, c) }
 
-// TokensPerMs returns how fast engines are known to read prompts, zero while not known.
-func (g *Gateway) TokensPerMs() float64 { return g.learned.TokensPerMs() }
+// TokensPerMs returns how fast the fastest engines are known to read prompts, zero while
+// not known.
+func (g *Gateway) TokensPerMs() float64 { return g.fleets.tokensPerMs() }
 
 // Active returns how many requests are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -104,7 +104,7 @@
 	}
 
 	p := t.arrival.Prompt
-	used := e.Pulse.UsedTokens + e.Since.Memory + t.g.learned.Memory()*e.Pulse.Waiting
+	used := e.Pulse.UsedTokens + e.Since.Memory + t.fleet().Memory()*e.Pulse.Waiting
 
 	return float64(used+p.Tokens+p.Output) <= memoryShare*float64(t.service.Engines.MemoryTokens)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -107,7 +107,7 @@
 // first takes what the time to the first event tells of how fast engines read.
 func (t *task) first(c *choice) {
 	if c.idle {
-		t.g.learned.Read(c.unread, time.Since(t.sentAt))
+		t.fleet().Read(c.unread, time.Since(t.sentAt))
 	}
 }
 
@@ -121,7 +121,7 @@
 	t.g.cfg.Crashes.Completed(now, t.print)
 
 	if t.arrival.Prompt != nil {
-		t.g.learned.Ended(t.arrival.Prompt.Output, now.Sub(t.stream.first))
+		t.fleet().Ended(t.arrival.Prompt.Output, now.Sub(t.stream.first))
 	}
 
 	t.served(c, x.Status(), t.stream.first)
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -11,6 +11,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/profile"
 	"boragehub/quarantine"
 	"boragehub/site"
 )
@@ -183,6 +184,9 @@
 	return err
 }
 
+// fleet returns what was learned of the engines of the request's service.
+func (t *task) fleet() *profile.Fleet { return t.g.fleets.of(t.service.Name) }
+
 // model returns the model that the request names; empty for none.
 func (t *task) model() string {
 	if t.arrival.Prompt == nil {
