gateway: streams that have begun are neither refused nor held

Change: what the caller has a part of goes on at once. The test failed first (half of the stream, then a cut).

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -184,8 +184,13 @@
 	}
 }
 
-// paced returns an error if a prompt isn't to be sent now.
+// paced returns an error if a prompt isn't to be sent now. What the caller has a part of
+// goes on at once wherever it can: a late rest is worth more than none.
 func (t *task) paced(d route.OpeningDecision) error {
+	if t.stream.started {
+		return nil
+	}
+
 	switch d.Pace() {
 	case route.Hold:
 		return errNoRoom
@@ -240,7 +245,7 @@
 		return route.AlreadyTried
 	case e.Loading, e.Version > 0 && e.Version < required:
 		return route.OtherVersion
-	case e.Fresh && !t.fits(e):
+	case e.Fresh && !t.stream.started && !t.fits(e):
 		return route.NoRoom
 	default:
 		return route.None
--- a/gateway/fleets_test.go
+++ b/gateway/fleets_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// An engine breaks off in the middle of a stream, and the only other one has a long queue
+// and hardly any memory left. The caller has read half of its answer: a late rest is worth
+// more to it than none, so what has begun is neither refused nor held.
+func TestStreamThatHasBegunGoesOnAtABusyEngine(t *testing.T) {
+	broken := newEngine(t, "a", breaksOff(streamTop+events(0, 1)))
+	busy := newEngine(t, "b", answers(streamTop+events(2, 3)+streamEnd))
+	w := open(t, broken, busy)
+	knowing(w.gateway)
+
+	w.roster.Pulse(time.Now(), pulse.Pulse{Engine: broken.llm, Model: "m", Version: 1})
+	w.roster.Pulse(time.Now(), pulse.Pulse{Engine: busy.llm, Running: 9, Waiting: 40, UsedTokens: 69_000, Model: "m", Version: 1})
+
+	r := w.ask(t, "POST", "/soon/1", "x", "Tokens", "3000")
+	if want := eventText(0) + eventText(1) + eventText(2) + eventText(3); r.status != http.StatusOK || r.err != nil || r.body != want {
+		t.Errorf("got %d %q %v, want the whole stream", r.status, r.body, r.err)
+	}
+}
+
 func TestPromptsWithLittleToReadComeFirstAmongEquals(t *testing.T) {
 	tests := []struct {
 		rank  int
--- a/gateway/lookup_test.go
+++ b/gateway/lookup_test.go
@@ -12,8 +12,8 @@
 // sharedPart is the opening of prompts of 5000 tokens under version 1.
 var sharedPart = vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
 
-// shortID is of an engine that gets the short prompts among engines b, c and itself.
-const shortID = "a"
+// otherID is of an engine beside b and c.
+const otherID = "a"
 
 // pulseOf is an engine's pulse that tells its long parts.
 func pulseOf(e *engine, running int, parts ...resident.Part) pulse.Pulse {
@@ -45,9 +45,8 @@
 
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			// The third one is for short prompts.
 			all := map[string]*engine{"b": newEngine(t, "b", stream), "c": newEngine(t, "c", stream)}
-			w := open(t, all["b"], all["c"], newEngine(t, shortID, stream))
+			w := open(t, all["b"], all["c"], newEngine(t, otherID, stream))
 			now := time.Now()
 			w.roster.Pulse(now, pulseOf(all["b"], tt.running, tt.parts...))
 			w.roster.Pulse(now, pulseOf(all["c"], 0))
@@ -77,7 +76,7 @@
 func TestOpeningThatIsBeingReadIsNotReadTwice(t *testing.T) {
 	stream := answers(streamTop + events(1, 1) + streamEnd)
 	b, c := newEngine(t, "b", stream), newEngine(t, "c", stream)
-	w := open(t, b, c, newEngine(t, shortID, stream))
+	w := open(t, b, c, newEngine(t, otherID, stream))
 
 	for range 3 {
 		for _, e := range []*engine{b, c} {
