mirror: the slow log of a test answers as soon as there is news

Cause: the test's log answered a read that waits only when the wait was over, so where the read began in the same virtual instant as the change, the transfer began half a second later and ended 20 ms after the check. The log on the users' platform answers at once.

--- a/mirror/slow_test.go
+++ b/mirror/slow_test.go
@@ -37,19 +37,28 @@
 	return Batch{Whole: true, End: l.end}, nil
 }
 
-func (l *slowLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Batch, error) {
-	const piece = 16 << 10
+// await returns the newest value as soon as there is one behind an offset, as the log
+// does, or when the wait is over.
+func (l *slowLog) await(ctx context.Context, from int64, wait time.Duration) (value []byte, end int64) {
+	const step = 10 * time.Millisecond
 
-	l.mu.Lock()
-	value, end := l.value, l.end
-	l.mu.Unlock()
+	for waited := time.Duration(0); ; waited += step {
+		l.mu.Lock()
+		value, end = l.value, l.end
+		l.mu.Unlock()
 
-	if end == from {
-		if !pause.For(ctx, wait) {
-			return Batch{}, ctx.Err()
+		if end != from || waited >= wait || !pause.For(ctx, step) {
+			return value, end
 		}
+	}
+}
+
+func (l *slowLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Batch, error) {
+	const piece = 16 << 10
 
-		return Batch{End: from}, nil
+	value, end := l.await(ctx, from, wait)
+	if end == from {
+		return Batch{End: from}, ctx.Err()
 	}
 
 	for sent := 0; sent < len(value); sent += piece {
