drain, socket: tell what callers' connections hold as the port closes

A closed connection left no line. Change: callers' connections are counted by what they do, and event 1005 tells at the closing of the port how many are opened, busy, idle, and pending (a request has arrived and isn't served). The look at a socket moves from upstream into a package of its own; it doesn't wait for who reads.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"boragehub/drain"
 	"boragehub/event"
 	"boragehub/event/output"
 	"boragehub/failure"
@@ -243,7 +244,7 @@
 	stop := background(duties...)
 	defer stop()
 
-	callers := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerCallers, IdleTimeout: idleCallers}
+	callers := drain.NewServer(drain.Config{Handler: e.gateway, HeaderTimeout: headerCallers, IdleTimeout: idleCallers})
 	balancer := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerCallers}
 	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerCallers}
 	meters := &http.Server{Handler: promhttp.HandlerFor(e.meters, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerCallers}
@@ -251,7 +252,7 @@
 	failed := make(chan error, 4)
 
 	for _, s := range []struct {
-		server  *http.Server
+		server  server
 		address string
 	}{{peers, cfg.Peers}, {balancer, cfg.Ready}, {callers, cfg.Callers}, {meters, cfg.Internal(metricsPort)}} {
 		if err := serve(s.server, s.address, failed); err != nil {
@@ -264,8 +265,13 @@
 	return e.wait(callers, failed)
 }
 
+// server is what serves an address: an http.Server or a drain.Server.
+type server interface {
+	Serve(l net.Listener) error
+}
+
 // serve binds an address and serves it in the background.
-func serve(s *http.Server, address string, failed chan<- error) error {
+func serve(s server, address string, failed chan<- error) error {
 	l, err := net.Listen("tcp", address) //nolint:noctx // bound once, at start
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", address)
@@ -281,7 +287,7 @@
 }
 
 // wait serves until a signal to stop, then stops without cutting anyone off.
-func (e *fleetEntry) wait(callers *http.Server, failed <-chan error) error {
+func (e *fleetEntry) wait(callers *drain.Server, failed <-chan error) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 
@@ -307,7 +313,7 @@
 
 // leave tells the balancer first and goes on serving until it has stopped sending
 // new callers; then the port is closed and what is in work is finished.
-func (e *fleetEntry) leave(callers *http.Server) {
+func (e *fleetEntry) leave(callers *drain.Server) {
 	began := time.Now()
 
 	event.Log(e.log, event.ProcessStopping, "requests", e.gateway.Active())
@@ -317,6 +323,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.cfg.Bounds.Grace-leaveMargin))
 	defer cancel()
 
+	n := callers.Count()
+	event.Log(e.log, event.PortClosing, "opened", n.Opened, "busy", n.Busy, "idle", n.Idle, "pending", n.Pending, "after_ms", time.Since(began).Milliseconds())
+
 	if err := callers.Shutdown(ctx); err != nil {
 		event.Fail(e.log, err, event.ListenerStopped, "requests", e.gateway.Active())
 	}
--- /dev/null
+++ b/drain/conn.go
@@ -0,0 +1,134 @@
+package drain
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"boragehub/socket"
+)
+
+// phase is what a caller's connection is doing.
+type phase uint32
+
+const (
+	// opened: no request has come on it yet.
+	opened phase = iota
+	// busy: a request is being served.
+	busy
+	// idle: its last answer is complete.
+	idle
+)
+
+// conn is a caller's connection. It notes when bytes of a request have been read: the
+// HTTP server calls a connection idle until it has read the whole head of the next
+// request, and one that is closed by then loses that request.
+type conn struct {
+	*net.TCPConn
+
+	phase atomic.Uint32
+	since atomic.Int64 // when the phase began, in Unix nanoseconds
+	heard atomic.Bool  // bytes were read in this phase
+}
+
+// Read reads from the caller.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+
+	return n, err
+}
+
+// enter begins a phase.
+func (c *conn) enter(now time.Time, p phase) {
+	c.heard.Store(false)
+	c.since.Store(now.UnixNano())
+	c.phase.Store(uint32(p))
+}
+
+// pending reports whether a request, or a part of one, has reached this machine and
+// isn't being served yet.
+func (c *conn) pending() bool {
+	return phase(c.phase.Load()) != busy && (c.heard.Load() || socket.Peek(c.TCPConn) == socket.Unread)
+}
+
+// Count is how many connections are in each state.
+type Count struct {
+	// Opened have not had a request, Busy are being served, Idle wait for their next
+	// request.
+	Opened, Busy, Idle int
+	// Pending are those of Opened and Idle whose next request has arrived, at least in
+	// part, and isn't being served.
+	Pending int
+}
+
+// census knows the callers' connections.
+type census struct {
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+func newCensus() *census { return &census{conns: make(map[*conn]struct{})} }
+
+// add takes a new connection in.
+func (s *census) add(now time.Time, tcp *net.TCPConn) *conn {
+	c := &conn{TCPConn: tcp}
+	c.enter(now, opened)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.conns[c] = struct{}{}
+
+	return c
+}
+
+// changed takes what the HTTP server says of a connection.
+func (s *census) changed(now time.Time, nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+
+	switch state {
+	case http.StateActive:
+		c.enter(now, busy)
+	case http.StateIdle:
+		c.enter(now, idle)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		delete(s.conns, c)
+	case http.StateNew:
+	}
+}
+
+// count counts the connections.
+func (s *census) count() Count {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var n Count
+
+	for c := range s.conns {
+		switch phase(c.phase.Load()) {
+		case opened:
+			n.Opened++
+		case busy:
+			n.Busy++
+		case idle:
+			n.Idle++
+		}
+
+		if c.pending() {
+			n.Pending++
+		}
+	}
+
+	return n
+}
--- /dev/null
+++ b/socket/socket.go
@@ -0,0 +1,59 @@
+// Package socket tells what the operating system knows of a TCP connection and Go's
+// standard library doesn't say.
+package socket
+
+import (
+	"net"
+	"syscall"
+)
+
+// State is what a connection's receive queue holds.
+type State uint8
+
+// The values of State.
+const (
+	// Quiet: the connection is open and nothing waits to be read.
+	Quiet State = iota
+	// Unread: bytes have arrived that nobody has read.
+	Unread
+	// Ended: the other side has closed, or the connection has failed.
+	Ended
+)
+
+// Peek looks at a connection without taking bytes from it and without waiting. A
+// connection without a socket, such as a pipe in a test, is Quiet.
+func Peek(c net.Conn) State {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return Quiet
+	}
+
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return Ended
+	}
+
+	state := Ended
+
+	// Control, and not Read, which would wait for whoever is reading.
+	if err := raw.Control(func(fd uintptr) { state = peek(int(fd)) }); err != nil {
+		return Ended
+	}
+
+	return state
+}
+
+func peek(fd int) State {
+	var b [1]byte
+
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+
+	switch {
+	case err == syscall.EAGAIN: //nolint:errorlint // a bare number from the kernel, the same as EWOULDBLOCK
+		return Quiet
+	case err == nil && n > 0:
+		return Unread
+	default:
+		return Ended
+	}
+}
--- /dev/null
+++ b/socket/socket_test.go
@@ -0,0 +1,59 @@
+package socket
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+func TestPeek(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = near.Close() }()
+
+	steps := []struct {
+		name string
+		do   func() error
+		want State
+	}{
+		{"nothing sent", func() error { return nil }, Quiet},
+		{"a byte sent", func() error { _, err := far.Write([]byte("x")); return err }, Unread},
+		{"looked at before", func() error { return nil }, Unread},
+		{"the byte read", func() error { _, err := near.Read(make([]byte, 1)); return err }, Quiet},
+		{"while somebody reads", func() error { go func() { _, _ = near.Read(make([]byte, 1)) }(); return nil }, Quiet},
+		{"closed by the other side", func() error { return far.Close() }, Ended},
+		{"closed by this side", func() error { return near.Close() }, Ended},
+	}
+
+	for _, s := range steps {
+		if err := s.do(); err != nil {
+			t.Fatalf("%s: %v", s.name, err)
+		}
+
+		got := Peek(near)
+		for deadline := time.Now().Add(10 * time.Second); got != s.want && time.Now().Before(deadline); got = Peek(near) {
+			time.Sleep(time.Millisecond) // the bytes are on their way
+		}
+
+		if got != s.want {
+			t.Errorf("%s: got %d, want %d", s.name, got, s.want)
+		}
+	}
+
+	if got := Peek(&net.UnixConn{}); got != Ended {
+		t.Errorf("without a connection: got %d, want %d", got, Ended)
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"boragehub/socket"
 )
 
 // readBuffer is the size of a connection's read buffer: two network packets'
@@ -50,28 +52,7 @@
 		return false
 	}
 
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-
-	quiet := false
-
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-
-		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errno == syscall.EAGAIN || errno == syscall.EWOULDBLOCK
-
-		return true
-	})
-
-	return err == nil && quiet
+	return socket.Peek(c.nc) == socket.Quiet
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
