drain: the mend, callers are told before their connections close and the port stays open

Cause: a stopping entry closed its port three seconds after the signal, whoever still came, and closed connections that net/http holds to be idle, which it does until the whole head of the next request is parsed. A balancer that finds few entries ready sends callers to those that stop, too. Ruled out: the process ending under a request (it lives on for more than a second); a time-out. Change: answers tell how long their connection may stay unused, and after the signal that it closes; connections are closed only when their callers know; the stop goes by the balancer's questions and not by a fixed time; the port stays open while long answers run and what comes can be served in time, and what takes long is refused, unrun.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -34,12 +34,12 @@
 	registerEvery = 500 * time.Millisecond
 	// tickEvery is the pause between two looks at what is due.
 	tickEvery = 250 * time.Millisecond
-	// leaveWait is how long new callers still come after the balancer was told:
-	// it asks once a second and believes the second answer.
-	leaveWait = 3 * time.Second
 	// leaveMargin is what is left of the grace time for ending the process.
 	leaveMargin = 400 * time.Millisecond
-	// idleCallers is how long a caller's connection may stay unused.
+	// keepCallers is how long callers are told that their connections may stay unused. A
+	// stop takes as long, and a balancer needs up to two seconds besides it to know of one.
+	keepCallers = 2 * time.Second
+	// idleCallers is how long a connection of a caller that doesn't heed this may.
 	idleCallers = 2 * time.Minute
 	// headerCallers is how long a caller may take to send a header.
 	headerCallers = 10 * time.Second
--- a/drain/conn.go
+++ b/drain/conn.go
@@ -56,6 +56,21 @@
 	return phase(c.phase.Load()) != busy && (c.heard.Load() || socket.Peek(c.TCPConn) == socket.Unread)
 }
 
+// unused reports whether the connection has been without a request for so long that its
+// caller will send none on it.
+func (c *conn) unused(now time.Time, keepAlive time.Duration) bool {
+	most := keepAlive
+	if phase(c.phase.Load()) == opened {
+		most = firstRequest
+	}
+
+	return now.Sub(time.Unix(0, c.since.Load())) >= most
+}
+
+// firstRequest is how long a caller that has opened a connection may take to send its
+// first request. Callers send it at once; the time is for a way that is full.
+const firstRequest = time.Second
+
 // Count is how many connections are in each state.
 type Count struct {
 	// Opened have not had a request, Busy are being served, Idle wait for their next
@@ -132,3 +147,26 @@
 
 	return n
 }
+
+// settled reports whether no caller would miss an answer if all connections were closed
+// now: none is being served, none has a request that has arrived, and none was used so
+// lately that its caller may have a request on its way. The sockets are looked at last,
+// as each look is a system call.
+func (s *census) settled(now time.Time, keepAlive time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for c := range s.conns {
+		if phase(c.phase.Load()) == busy || c.heard.Load() || !c.unused(now, keepAlive) {
+			return false
+		}
+	}
+
+	for c := range s.conns {
+		if c.pending() {
+			return false
+		}
+	}
+
+	return true
+}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,12 +1,40 @@
-// Package drain serves callers over HTTP/1.1 and knows what each of their connections
-// is doing.
+// Package drain serves callers over HTTP/1.1, and at a planned stop lets them go without
+// losing a request.
+//
+// # Model
+//
+// HTTP/1.1 lets a server close a connection at any time, and a request that crosses the
+// close is lost: its caller sees neither answer nor refusal, and doesn't know whether a
+// seat was booked. http.Server.Shutdown closes each connection that it holds to be idle,
+// which it does until the whole head of the next request was parsed. On a busy machine
+// that is up to half a second after the request arrived.
+//
+// A Server therefore tells callers beforehand. Each answer says how long its connection
+// may stay unused (Keep-Alive); after Leave each answer says that its connection closes
+// (Connection: close). Drain closes a connection only when its caller knows by one of
+// these that it must not be used any more.
+//
+// The port stays open while anything runs that takes long. A balancer may go on sending
+// callers to a process that has said that it leaves, when too many others leave as well;
+// who comes is served meanwhile, and finds nobody only while the last quick answers end and
+// the process starts anew.
+//
+// One case is left: a connection whose opening crosses the close of the port is reset, and
+// so is a request that its caller sent on it at once. Nobody has read it then.
 package drain
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"boragehub/pause"
+	"boragehub/socket"
 )
 
 // Config says how callers are served.
@@ -15,39 +43,199 @@
 	Handler http.Handler
 	// HeaderTimeout is how long a caller may take to send a header.
 	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection may stay unused.
+	// IdleTimeout is how long a connection may stay unused, for callers who don't heed
+	// KeepAlive.
 	IdleTimeout time.Duration
+	// KeepAlive is how long a connection may stay unused, as told to callers, in whole
+	// seconds. A stop takes at least that long.
+	KeepAlive time.Duration
 	// MaxHeaderBytes bounds a header; zero leaves the default of net/http.
 	MaxHeaderBytes int
 }
 
+// Times of a stop.
+const (
+	// onTheWay is how long an answer may be under way to its caller and the next request
+	// back. Ways are some milliseconds long; a link of 10 Mbit/s that has half a megabyte
+	// waiting takes 0.4 s.
+	onTheWay = 400 * time.Millisecond
+	// lookEvery is the pause between two looks whether the stop may end.
+	lookEvery = 10 * time.Millisecond
+	// looks is how many looks in a row have to find all settled: between two of them each
+	// connection that was accepted is taken in and each request is begun to be read.
+	looks = 2
+)
+
 // Server serves callers. Use NewServer.
 type Server struct {
-	http   *http.Server
-	census *census
+	cfg     Config
+	http    *http.Server
+	census  *census
+	leaving atomic.Bool
+
+	mu        sync.Mutex
+	listeners []net.Listener
 }
 
 // NewServer returns a Server.
 func NewServer(cfg Config) *Server {
-	s := &Server{census: newCensus()}
+	s := &Server{cfg: cfg, census: newCensus()}
 	s.http = &http.Server{
-		Handler: cfg.Handler, ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
+		Handler: http.HandlerFunc(s.answer), ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
 		ConnState: func(nc net.Conn, state http.ConnState) { s.census.changed(time.Now(), nc, state) },
 	}
 
 	return s
 }
 
-// Serve serves the callers of l until it is closed; like http.Server.Serve it returns
+// Serve serves the callers of l until Drain or Close closes it; it returns
 // http.ErrServerClosed then.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&listener{l, s.census}) }
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+
+	err := s.http.Serve(&listener{l, s.census})
+	if s.leaving.Load() {
+		return http.ErrServerClosed
+	}
+
+	return err
+}
+
+// Leave begins a planned stop: from now on each answer closes its connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Stop says how a planned stop goes. Nil functions stand for no more to wait for.
+type Stop struct {
+	// Released reports whether nobody sends new callers any more, for all that is known.
+	Released func(now time.Time) bool
+	// Closing is called when those who couldn't know of the stop have come: who comes from
+	// then on may be refused.
+	Closing func()
+	// Short reports whether all that is being served is done soon, so that the port may
+	// close.
+	Short func(now time.Time) bool
+}
+
+// Drain makes a planned stop: it serves callers until none would miss an answer, and then
+// closes the port and all connections. If ctx ends before, all is closed with what is in
+// work. It returns what the connections were doing just before they were closed.
+func (s *Server) Drain(ctx context.Context, stop Stop) Count {
+	s.Leave()
+
+	told := time.Now().Add(s.keepAlive())
+	s.until(ctx, 1, func(now time.Time) bool { return !now.Before(told) && holds(stop.Released, now) })
+
+	if stop.Closing != nil {
+		stop.Closing()
+	}
+
+	s.until(ctx, 1, func(now time.Time) bool { return holds(stop.Short, now) && !s.arriving() })
+	s.closePort()
+	s.until(ctx, looks, func(now time.Time) bool { return s.census.settled(now, s.keepAlive()) })
+
+	n := s.Count()
+	s.Close()
+
+	return n
+}
+
+// holds reports whether a condition holds; nil always does.
+func holds(condition func(now time.Time) bool, now time.Time) bool {
+	return condition == nil || condition(now)
+}
+
+// keepAlive is how long after an answer its caller may still use the connection.
+func (s *Server) keepAlive() time.Duration { return s.cfg.KeepAlive + onTheWay }
+
+// until waits until a condition holds at so many looks in a row, or ctx ends.
+func (s *Server) until(ctx context.Context, looks int, holds func(now time.Time) bool) {
+	for n := 0; n < looks && pause.For(ctx, lookEvery); {
+		n++
+
+		if !holds(time.Now()) {
+			n = 0
+		}
+	}
+}
+
+// arriving reports whether a connection waits to be accepted.
+func (s *Server) arriving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.ContainsFunc(s.listeners, socket.Arriving)
+}
 
-// Shutdown closes the port and then each connection that is idle, until none is left.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) closePort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, l := range s.listeners {
+		//nolint:errcheck,gosec // one that is closed already is what is wanted
+		l.Close()
+	}
+}
+
+// Close closes the port and all connections at once.
+func (s *Server) Close() {
+	s.Leave()
+	//nolint:errcheck,gosec // what can't be closed is closed already
+	s.http.Close()
+}
 
 // Count returns what the connections are doing.
 func (s *Server) Count() Count { return s.census.count() }
 
+// answer answers one request and tells its caller how long its connection is of use.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
+	m := &marked{ResponseWriter: w, server: s}
+	s.cfg.Handler.ServeHTTP(m, r)
+	m.mark()
+}
+
+// marked is an answer whose head says how long its connection is of use. It is marked as
+// late as possible: a request that was being worked on as the stop began is told as well.
+type marked struct {
+	http.ResponseWriter
+
+	server *Server
+	done   bool
+}
+
+func (m *marked) mark() {
+	if m.done {
+		return
+	}
+
+	m.done = true
+	h := m.Header()
+
+	switch {
+	case m.server.leaving.Load():
+		h.Set("Connection", "close")
+	case m.server.cfg.KeepAlive > 0 && h.Get("Connection") == "":
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(m.server.cfg.KeepAlive.Seconds())))
+	}
+}
+
+// WriteHeader marks the answer and sends its head.
+func (m *marked) WriteHeader(status int) {
+	m.mark()
+	m.ResponseWriter.WriteHeader(status)
+}
+
+// Write marks the answer and sends a part of its body.
+func (m *marked) Write(b []byte) (int, error) {
+	m.mark()
+
+	return m.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (m *marked) Unwrap() http.ResponseWriter { return m.ResponseWriter }
+
 // listener accepts callers' connections and takes them into the census.
 type listener struct {
 	net.Listener
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 
 	current  atomic.Pointer[site.Configuration]
 	stopping atomic.Bool
+	work     *work
 
 	mu       sync.Mutex
 	budgets  map[string]*retry.Budget
@@ -114,6 +115,7 @@
 		listed:   listed,
 		suspects: newSuspects(cfg.Crashes, cfg.TellCrash, cfg.Log),
 		room:     newRoom(),
+		work:     newWork(),
 	}
 }
 
@@ -177,9 +179,6 @@
 	return 0
 }
 
-// Stop makes the gateway not ready: answers close their connections from now on.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // Ready reports whether callers should come here.
 func (g *Gateway) Ready() bool {
 	return g.Configured() && !g.stopping.Load() && g.cfg.Roster.Len() > 0
@@ -218,7 +217,7 @@
 	now := time.Now()
 	t := &task{g: g, w: w, r: r, began: now}
 
-	if g.stopping.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		// A chunked request that names a length too may hide a second request
 		// behind its end. Closing the connection after the answer leaves what
 		// follows unread.
@@ -231,6 +230,8 @@
 		return
 	}
 
+	defer g.work.done(t)
+
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
 	defer cancel()
 
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"boragehub/failure"
+	"boragehub/site"
+)
+
+// usualWork knows reviews that take a second and questions that take a tenth of it.
+func usualWork() *work {
+	k := newWork()
+
+	for range 100 {
+		k.took("review", time.Second)
+
+		for range 9 {
+			k.took("seat", 100*time.Millisecond)
+		}
+	}
+
+	return k
+}
+
+// Most entries of a data centre stop at once, and the balancer sends callers to those that
+// are leaving. One that takes all of them is still serving as its grace ends, and answers
+// break off; one that takes none leaves them nobody.
+func TestLastPartOfAStopServesWhatIsSoonDone(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	end := t0.Add(5 * time.Second)
+	tests := []struct {
+		name, route string
+		at          time.Duration // after the last part began
+		deadline    time.Duration // the caller's
+		want        bool
+	}{
+		{"quick", "seat", 0, 10 * time.Second, true},
+		{"quick, while ten times its time is left", "seat", 4 * time.Second, 10 * time.Second, true},
+		{"quick, later", "seat", 4*time.Second + time.Millisecond, 10 * time.Second, false},
+		{"quick, later, its caller leaves before the end", "seat", 4500 * time.Millisecond, 500 * time.Millisecond, true},
+		{"long", "review", 0, 10 * time.Second, false},
+		{"long, its caller leaves before the end", "review", 0, 4 * time.Second, false},
+		{"unknown", "new", 0, 10 * time.Second, false},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := usualWork()
+			now := t0.Add(tt.at)
+			x := &task{route: &site.Route{Name: tt.route}, deadline: now.Add(tt.deadline)}
+
+			if err := k.begin(now, x); err != nil {
+				t.Fatalf("before the last part: got %v, want it served", err)
+			}
+
+			k.done(x)
+			k.close(end)
+
+			err := k.begin(now, x)
+			if got := err == nil; got != tt.want {
+				t.Errorf("got served %v (%v), want %v", got, err, tt.want)
+			}
+
+			if err != nil && failure.KindOf(err).Answer().Ran != failure.NotRun {
+				t.Errorf("got %v, want a refusal that promises it has not run", err)
+			}
+		})
+	}
+}
+
+// The port of an entry that stops may close once nothing runs that takes long, or when
+// nobody would be taken in anyway.
+func TestPortMayCloseWhenNothingLongRuns(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	end := t0.Add(5 * time.Second)
+	tests := []struct {
+		name, route string
+		at          time.Time
+		want        bool
+	}{
+		{"nothing", "", t0, true},
+		{"quick", "seat", t0, true},
+		{"long", "review", t0, false},
+		{"long, to the last time", "review", end.Add(-lastTime), false},
+		{"long, in the last time", "review", end.Add(-lastTime + 1), true},
+		{"unknown", "new", t0, false},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := usualWork()
+			x := &task{route: &site.Route{Name: tt.route}, deadline: t0.Add(10 * time.Second)}
+
+			if tt.route != "" {
+				if err := k.begin(t0, x); err != nil {
+					t.Fatal(err)
+				}
+			}
+
+			k.close(end)
+
+			if got := k.short(tt.at); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+
+			late := &task{route: &site.Route{Name: "seat"}, deadline: end.Add(time.Second)}
+			if err := k.begin(end.Add(-time.Millisecond), late); err == nil {
+				t.Error("no time is left: got a quick request served, want it refused")
+			}
+
+			if !k.short(tt.at) {
+				t.Error("a quick request was refused: got false, want true")
+			}
+
+			k.done(x)
+
+			if !k.short(tt.at) {
+				t.Error("all done: got false, want true")
+			}
+		})
+	}
+}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -83,6 +83,7 @@
 	}
 
 	t.setDeadline(now)
+
 	t.draw = xxhash.Sum64String(t.arrival.ID)
 
 	service, ok := t.cfg.Service(t.route.Pick(t.draw))
@@ -92,7 +93,11 @@
 
 	t.service = service
 
-	return t.checkQuarantine(now)
+	if err := t.checkQuarantine(now); err != nil {
+		return err
+	}
+
+	return t.g.work.begin(now, t)
 }
 
 func (t *task) authenticate() error {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a connection's receive queue holds.
@@ -57,3 +59,29 @@
 		return Ended
 	}
 }
+
+// Arriving reports whether a connection waits to be accepted by a listener. Such a
+// connection is open for the one that made it, who may have sent a request on it, and is
+// reset when the listener closes.
+func Arriving(l net.Listener) bool {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+
+	arriving := false
+
+	//nolint:errcheck,gosec // a closed listener has nobody waiting
+	raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		arriving = err == nil && n > 0
+	})
+
+	return arriving
+}
