--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -25,6 +25,10 @@
 
 	bound(cfg)
 
+	// A signal that nobody has asked for ends a process at once.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+
 	lines := output.New(output.Config{To: os.Stdout})
 	log := logTo(cfg, "loader", lines)
 	source := platform.NewLog(cfg.Log)
@@ -62,9 +66,6 @@
 
 	event.Log(log, event.ProcessStarted, "engine", cfg.Engine, "service", cfg.Service)
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
