drain: connections' ages go by the steady clock

Cause: the time since a connection's last use was worked out from the time of day, which may jump by seconds; a jump forward would have closed connections that callers still use. Found on reading. Change: ages count from when the connection was accepted. Before and after: the tests of package drain pass; the jump itself is not shown by a run.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -28,8 +28,9 @@
 type conn struct {
 	*net.TCPConn
 
+	born  time.Time // when it was accepted
 	phase atomic.Uint32
-	since atomic.Int64 // when the phase began, in Unix nanoseconds
+	since atomic.Int64 // how long after born the phase began, in ns; the time of day may jump
 	heard atomic.Bool  // bytes were read in this phase
 }
 
@@ -46,7 +47,7 @@
 // enter begins a phase.
 func (c *conn) enter(now time.Time, p phase) {
 	c.heard.Store(false)
-	c.since.Store(now.UnixNano())
+	c.since.Store(int64(now.Sub(c.born)))
 	c.phase.Store(uint32(p))
 }
 
@@ -64,7 +65,7 @@
 		most = firstRequest
 	}
 
-	return now.Sub(time.Unix(0, c.since.Load())) >= most
+	return now.Sub(c.born)-time.Duration(c.since.Load()) >= most
 }
 
 // firstRequest is how long a caller that has opened a connection may take to send its
@@ -91,7 +92,7 @@
 
 // add takes a new connection in.
 func (s *census) add(now time.Time, tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp}
+	c := &conn{TCPConn: tcp, born: now}
 	c.enter(now, opened)
 
 	s.mu.Lock()
