site, platform: tell how long callers of a stream wait

Cause: nothing in the product knows when the callers of a stream that shows nothing leave; the platform tells it by a rule of its own (the longest of two seconds, four times the aim and eight times the longest pause). Nothing uses it yet.

--- a/site/site.go
+++ b/site/site.go
@@ -70,6 +70,9 @@
 	Aim time.Duration
 	// Gap is the longest pause between two events that is still on time.
 	Gap time.Duration
+	// Patience is how long callers wait for a stream's next event before they leave;
+	// zero when that is not known.
+	Patience time.Duration
 	// Priority is the rank among requests, 0 first.
 	Priority int
 	// Shares are the services that run the requests.
