--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -226,6 +226,9 @@
 	listed  time.Time
 }
 
+// shortPatience is that of the callers of the route "patient".
+const shortPatience = 300 * time.Millisecond
+
 // routes are one of each kind.
 var routes = []site.Route{
 	{Name: "once", Host: "desk", Prefix: "/once/", Kind: site.Once, Timeout: 2 * time.Second, Aim: 100 * time.Millisecond, Shares: []site.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2},
@@ -235,6 +238,7 @@
 	{Name: "quick", Host: "desk", Prefix: "/quick/", Kind: site.Once, Timeout: 100 * time.Millisecond, Shares: []site.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
 	{Name: "llm", Host: "desk", Prefix: "/llm/", Kind: site.Stream, Resumable: true, Timeout: 2 * time.Second, Shares: []site.Share{{Service: "llm", Weight: 1}}, MaxAttempts: 2},
 	{Name: "soon", Host: "desk", Prefix: "/soon/", Kind: site.Stream, Resumable: true, Timeout: 2 * time.Second, Aim: 300 * time.Millisecond, Shares: []site.Share{{Service: "llm", Weight: 1}}, MaxAttempts: 2},
+	{Name: "patient", Host: "desk", Prefix: "/patient/", Kind: site.Stream, Resumable: true, Timeout: 30 * time.Second, Patience: shortPatience, Shares: []site.Share{{Service: "llm", Weight: 1}}, MaxAttempts: 2},
 	{Name: "open", Host: "desk", Prefix: "/open/", Kind: site.Idempotent, Public: true, Timeout: time.Second, Shares: []site.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
 }
 
