--- a/gateway/flights_test.go
+++ b/gateway/flights_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,12 +14,7 @@
 // doesn't go to a second engine, and the first one is as good as before when it is
 // heard again.
 func TestRequestAtAnEngineThatStandsStillIsAnsweredAtOnce(t *testing.T) {
-	arrived := make(chan struct{})
-	still := newEngine(t, "a", func(c net.Conn, r *http.Request) bool {
-		close(arrived)
-
-		return hangs(c, r)
-	})
+	still, arrived := hanging(t, "a", "")
 	w := open(t, still)
 	other := newEngine(t, "b", answers(streamTop+events(0, 1)+streamEnd))
 	w.roster.Pulse(time.Now(), pulse.Pulse{Engine: still.llm, Model: "m", Version: 1})
@@ -68,12 +62,7 @@
 
 	for _, tt := range tests {
 		t.Run(tt.path, func(t *testing.T) {
-			arrived := make(chan struct{})
-			crashed := newEngine(t, "a", func(c net.Conn, r *http.Request) bool {
-				close(arrived)
-
-				return hangs(c, r)
-			})
+			crashed, arrived := hanging(t, "a", "")
 			w := open(t, crashed)
 			other := newEngine(t, "b", answers(whole200))
 			got := make(chan reply, 1)
@@ -99,12 +88,7 @@
 // prompt that waits there would begin on the replaced weights after the time within
 // which it may; it is taken back in time and goes to an engine with the new ones.
 func TestWhatWaitsForReplacedWeightsIsTakenBack(t *testing.T) {
-	arrived := make(chan struct{})
-	old := newEngine(t, "a", func(c net.Conn, r *http.Request) bool {
-		close(arrived)
-
-		return hangs(c, r)
-	})
+	old, arrived := hanging(t, "a", "")
 	w := open(t, old)
 	changed := newEngine(t, "b", hasVersion("2"))
 	got := make(chan reply, 1)
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -59,13 +59,7 @@
 
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			arrived := make(chan struct{})
-			still := newEngine(t, "a", func(c net.Conn, r *http.Request) bool {
-				answers(tt.shown)(c, r)
-				close(arrived)
-
-				return hangs(c, r)
-			})
+			still, arrived := hanging(t, "a", tt.shown)
 			w := open(t, still)
 			other := newEngine(t, "b", answers(streamTop+events(0, 1)+streamEnd))
 			w.roster.Pulse(time.Now(), pulse.Pulse{Engine: still.llm, Model: "m", Version: 1})
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -184,6 +184,21 @@
 	return false
 }
 
+// hanging returns a target that answers its first request with a text and then hangs, and
+// what is closed as that request has arrived.
+func hanging(t *testing.T, id, text string) (e *engine, arrived <-chan struct{}) {
+	t.Helper()
+
+	came := make(chan struct{})
+
+	return newEngine(t, id, func(c net.Conn, r *http.Request) bool {
+		answers(text)(c, r)
+		close(came)
+
+		return hangs(c, r)
+	}), came
+}
+
 // Answers of targets.
 const (
 	whole200  = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok"
