--- a/drain/conn.go
+++ b/drain/conn.go
@@ -46,9 +46,10 @@
 
 // enter begins a phase.
 func (c *conn) enter(now time.Time, p phase) {
-	c.heard.Store(false)
 	c.since.Store(int64(now.Sub(c.born)))
 	c.phase.Store(uint32(p))
+	// Last, so that no look in between finds a connection idle, unused and nothing heard.
+	c.heard.Store(false)
 }
 
 // pending reports whether a request, or a part of one, has reached this machine and
@@ -149,6 +150,21 @@
 	return n
 }
 
+// expected reports whether a caller may still send a request on a connection that it was
+// told to be of use.
+func (s *census) expected(now time.Time, keepAlive time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for c := range s.conns {
+		if phase(c.phase.Load()) == idle && !c.unused(now, keepAlive) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // settled reports whether no caller would miss an answer if all connections were closed
 // now: none is being served, none has a request that has arrived, and none was used so
 // lately that its caller may have a request on its way. The sockets are looked at last,
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -131,7 +131,11 @@
 		stop.Closing()
 	}
 
-	s.until(ctx, 1, func(now time.Time) bool { return holds(stop.Short, now) && !s.arriving() })
+	// An answer whose head went out before the stop has told its caller that the connection
+	// is of use. Nobody is to find the port closed while such a connection is waited for.
+	s.until(ctx, 1, func(now time.Time) bool {
+		return holds(stop.Short, now) && !s.census.expected(now, s.keepAlive()) && !s.arriving()
+	})
 	s.closePort()
 	s.until(ctx, looks, func(now time.Time) bool { return s.census.settled(now, s.keepAlive()) })
 
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -270,6 +270,57 @@
 	}
 }
 
+// The head of a long answer went out before the stop, and says that the connection may be
+// used for a while behind the answer. With the port closed meanwhile, callers find nobody
+// for seconds although the process lives and serves nothing.
+func TestPortStaysOpenWhileACallerMayUseItsConnection(t *testing.T) {
+	head := make(chan struct{})
+	rest := make(chan struct{})
+	s := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/long" {
+			ok(w, r)
+
+			return
+		}
+
+		_, _ = io.WriteString(w, "o")
+		_ = http.NewResponseController(w).Flush()
+
+		close(head)
+		<-rest
+
+		_, _ = io.WriteString(w, "k")
+	}), time.Second)
+	c := s.connect(t)
+	c.send(t, "GET /long HTTP/1.1\r\nHost: desk\r\n\r\n")
+	<-head
+
+	drained := make(chan Count, 1)
+
+	go func() { drained <- s.Drain(t.Context(), Stop{}) }()
+
+	eventually(t, "the stop has begun", s.leaving.Load)
+	close(rest)
+
+	if resp, body, err := c.answer(); err != nil || body != "ok" || resp.Close {
+		t.Fatalf("got %q, %v, want ok and no word that the connection closes", body, err)
+	}
+
+	if !s.takes() {
+		t.Error("got the port closed behind the answer, want it open")
+	}
+
+	c.send(t, request)
+
+	if resp, body, err := c.answer(); err != nil || body != "ok" || !resp.Close {
+		t.Errorf("got %q, %v, want ok and that the connection closes", body, err)
+	}
+
+	if got, want := <-drained, (Count{}); got != want {
+		t.Errorf("got %+v closed, want %+v", got, want)
+	}
+}
+
 // An answer that doesn't end in the time that a stop may take is broken off, and the
 // count says so.
 func TestStopEndsInTime(t *testing.T) {
