peer, wholepath: stops of side processes leave requests in doubt, tests that fail

Cause: a process that stops waits for the conversations that it has accepted, then ends its accepting and its other duties, and tears its connections down without a word. What arrives in between, or has arrived and was not accepted, is looked at by nobody, and the entry only hears nothing for two seconds. It must then take the request for one that may have run, and for one that may have crashed its target. The last answers have the same fate: they count as given when they are written, not when they have arrived.

Ruled out: that entries stop sending in time. They learn that a target leaves from its first refusal or from a question every three seconds; one that sends nothing in between knows nothing.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -196,15 +196,18 @@
 }
 
 // flows passes datagrams between a dialer and a server, as a machine on the way
-// does that keeps track of flows, and can lose track of those that it has.
+// does that keeps track of flows, and can lose track of those that it has. It can
+// also drop what the server sends.
 type flows struct {
 	t      *testing.T
 	front  *net.UDPConn
 	server *net.UDPAddr
 
-	mu    sync.Mutex
-	known map[string]*net.UDPConn
-	lost  map[string]bool
+	mu       sync.Mutex
+	known    map[string]*net.UDPConn
+	lost     map[string]bool
+	dropping bool
+	dropped  int
 }
 
 func newFlows(t *testing.T, server string) *flows {
@@ -249,6 +252,22 @@
 	}
 }
 
+// drop begins or ends dropping what the server sends.
+func (f *flows) drop(dropping bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.dropping = dropping
+}
+
+// drops returns how many datagrams of the server were dropped.
+func (f *flows) drops() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.dropped
+}
+
 func (f *flows) forward() {
 	buf := make([]byte, 64<<10)
 
@@ -298,16 +317,24 @@
 			return
 		}
 
-		f.mu.Lock()
-		lost := f.lost[to.String()]
-		f.mu.Unlock()
-
-		if !lost {
+		if f.passes(to.String()) {
 			_, _ = f.front.WriteToUDP(buf[:n], to)
 		}
 	}
 }
 
+// passes reports whether a datagram of the server reaches a dialer.
+func (f *flows) passes(to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.dropping {
+		f.dropped++
+	}
+
+	return !f.dropping && !f.lost[to]
+}
+
 // A machine between the ends loses track of an open connection: nothing fails,
 // nothing arrives any more, and new connections work. A caller would wait until
 // its deadline, and so would the next one on the same connection.
--- /dev/null
+++ b/wholepath/doubt_test.go
@@ -0,0 +1,167 @@
+package wholepath
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"boragehub/claim"
+	"boragehub/standin/engine"
+)
+
+// homeOf returns the target beside which the home of a key's shard runs.
+func (w *world) homeOf(shard int) *target {
+	w.t.Helper()
+
+	for _, p := range w.plains {
+		for _, s := range p.homes.Homes() {
+			if s == shard {
+				return p
+			}
+		}
+	}
+
+	w.t.Fatalf("shard %d has no home", shard)
+
+	return nil
+}
+
+// insistOnBooking books until the booking is made, and checks that each answer before
+// says truthfully that it was not.
+func (w *world) insistOnBooking(n *entryNode, key string) {
+	for {
+		r := w.book(n, key)
+		if r.status == http.StatusOK {
+			return
+		}
+
+		if r.ran != "not_run" {
+			w.t.Errorf("%s: got %d %s, want a booking or a refusal", key, r.status, r.body)
+
+			return
+		}
+	}
+}
+
+// wantBookings checks that each key was booked once.
+func (w *world) wantBookings(keys []string) {
+	w.t.Helper()
+
+	made := map[string]int{}
+
+	for _, p := range w.plains {
+		for _, r := range p.plain.Runs() {
+			made[r.Key]++
+		}
+	}
+
+	for _, key := range keys {
+		if got, want := made[key], 1; got != want {
+			w.t.Errorf("%s: got %d bookings made, want %d", key, got, want)
+		}
+	}
+}
+
+// A side process has finished its last conversation and is still putting things away.
+// An entry that has not heard of it sends a booking, which nobody looks at any more.
+// The desk would be told that the seat may have been booked, and the booking would
+// count as one that brings down what runs it.
+func TestBookingThatMeetsTheEndOfASideProcess(t *testing.T) {
+	const key = "one-seat"
+
+	w := start(t, shape{engines: 0, entries: 1, plains: 2})
+	w.homed()
+
+	ends := w.homeOf(claim.Shard("desk-agents", key, claim.DefaultShards))
+	decided := w.lines.count(`"shard"=`)
+
+	var booked sync.WaitGroup
+
+	ends.process.late = func() {
+		booked.Go(func() { w.insistOnBooking(w.entries[0], key) })
+		w.eventually("the booking goes nowhere", func() bool { return w.lines.count(`"shard"=`) > decided })
+	}
+
+	w.drain(ends)
+	booked.Wait()
+	w.wantBookings([]string{key})
+
+	if got := w.lines.count("request_suspect"); got != 0 {
+		t.Errorf("got %d suspects, want none", got)
+	}
+}
+
+// A side process is stopped while desks go on booking and riders go on asking, through
+// entries that keep their connections to it until it is gone. Nobody may be left in
+// doubt whether his request was run, and none may count as one that crashed a target.
+func TestStoppedSideProcessLeavesNothingInDoubt(t *testing.T) {
+	const desks, riders, after = 6, 6, 20
+
+	w := start(t, shape{engines: 2, entries: 2, plains: 2})
+	w.homed()
+
+	var (
+		all  sync.WaitGroup
+		gone atomic.Bool
+		mu   sync.Mutex
+		keys []string
+	)
+
+	begun := make(chan struct{}, desks+riders)
+
+	// Each goes on for a while after the stop.
+	goOn := func(i int, once func(n *entryNode, i, j int)) {
+		all.Go(func() {
+			for j, left := 0, after; left > 0; j++ {
+				once(w.entries[i%len(w.entries)], i, j)
+
+				if j == 0 {
+					begun <- struct{}{}
+				}
+
+				if gone.Load() {
+					left--
+				}
+			}
+		})
+	}
+
+	for i := range desks {
+		goOn(i, func(n *entryNode, i, j int) {
+			key := fmt.Sprintf("booking-%d-%d", i, j)
+			w.insistOnBooking(n, key)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			keys = append(keys, key)
+		})
+	}
+
+	for i := range riders {
+		goOn(i, func(n *entryNode, i, j int) {
+			prompt := fmt.Sprintf("rider %d asks for the %d. time", i, j)
+
+			got, err := n.complete(t.Context(), desk, prompt, 4)
+			if want := engine.Answer(prompt, 4); got != want || err != nil {
+				t.Errorf("%s: got %q, %v, want %q", prompt, got, err, want)
+			}
+		})
+	}
+
+	for range desks + riders {
+		<-begun
+	}
+
+	w.drain(w.plains[0])
+	w.drain(w.engines[0])
+	gone.Store(true)
+	all.Wait()
+	w.wantBookings(keys)
+
+	if got := w.lines.count("request_suspect"); got != 0 {
+		t.Errorf("got %d suspects, want none", got)
+	}
+}
--- a/wholepath/world_test.go
+++ b/wholepath/world_test.go
@@ -150,6 +150,7 @@
 	relay    relay
 	duties   []func(context.Context)
 	end      func()
+	late     func() // called by end when the duties have ended
 }
 
 // relay carries news to a role that is made after what brings them.
@@ -401,7 +402,7 @@
 		w.t.Fatal(err)
 	}
 
-	p := &process{server: server, dialer: peer.NewDialer(cfg, log)}
+	p := &process{server: server, dialer: peer.NewDialer(cfg, log), late: func() {}}
 	p.relay = relay{
 		list:     func(time.Time, *vm.List) {},
 		settings: func(time.Time, *publication.Published) {},
@@ -439,6 +440,7 @@
 	p.end = sync.OnceFunc(func() {
 		cancel()
 		all.Wait()
+		p.late()
 		p.dialer.Close()
 		p.server.Close()
 	})
