peer: a stopping process says which conversations it has not looked at

Cause: Server.Wait ended when the handlers of all accepted conversations had returned, and Close tore the connections down without a word. What had arrived and was not accepted, or arrived later, ended in two seconds of silence; an answer whose datagrams were still on their way, or lost, was not sent again.

Ruled out: waiting until no conversation comes any more. QUIC has no word by which a server asks for that, and entries that keep on asking would never let it end. Closing with a word alone was ruled out too: the word overtakes answers that the peer has not read, as TestSlowReaderGetsTheLastAnswer shows.

Change: Server.Shutdown stops looking at new conversations, waits until the peers have closed their ends of those that it looked at, which they do when they have the answer, and closes each connection with a code that says that nothing else was looked at. The other end makes of it a refusal of kind draining, which lets a booking go elsewhere. A peer too slow to read gets the old, silent kind of end.

--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -244,7 +244,7 @@
 		}
 	}
 
-	p.server.Wait(late)
+	p.server.Shutdown(late)
 	stop()
 	p.close()
 	event.Log(p.log, event.ProcessStopped)
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -39,8 +39,8 @@
 	return &Dialer{cfg: cfg.withDefaults(), log: log, slots: map[Address]*slot{}}
 }
 
-// Open starts a conversation with the peer at a, dialling if needed. Errors are
-// failure.TargetLost (nothing was sent) or those of ctx.
+// Open starts a conversation with the peer at a, dialling if needed. Nothing was sent
+// when it fails, with failure.TargetLost.
 func (d *Dialer) Open(ctx context.Context, a Address) (*Stream, error) {
 	s := d.slot(a)
 
--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -61,10 +61,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), stopWait)
 		defer cancel()
 
-		p.Wait(ctx)
+		p.Shutdown(ctx)
 		p.cancel()
 		<-p.ended
-		p.Close()
 	}()
 
 	return gone
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -20,6 +20,8 @@
 	codeCancelled quic.StreamErrorCode      = 1
 	codeSilent    quic.ApplicationErrorCode = 2
 	codeStopped   quic.ApplicationErrorCode = 3
+	// codeUnserved says that what has no answer on this connection was not looked at.
+	codeUnserved quic.ApplicationErrorCode = 4
 )
 
 const streamBuffer = 4 << 10
@@ -106,6 +108,36 @@
 	t.s.CancelRead(codeCancelled)
 }
 
+// finish ends the answering end and waits for a while until the peer has the whole
+// answer, or has given the conversation up: it closes its own end only then. An answer
+// that was written may still be on its way, or lost there, or unread in the peer's memory.
+func (t *Stream) finish() (received bool) {
+	t.halt()
+
+	t.mu.Lock()
+	_ = t.s.Close()
+	t.mu.Unlock()
+
+	return t.awaitEnd(time.Now().Add(t.cfg.Silence))
+}
+
+// awaitEnd waits until the peer has closed its end or the connection is gone; it returns
+// false when the deadline comes first. The zero deadline never comes.
+func (t *Stream) awaitEnd(deadline time.Time) bool {
+	if t.s.SetReadDeadline(deadline) != nil {
+		return true
+	}
+
+	_, err := io.Copy(io.Discard, t.r)
+	if isTimeout(err) {
+		return false
+	}
+
+	t.s.CancelRead(codeCancelled)
+
+	return true
+}
+
 // Cancel breaks the conversation off; the peer's Context ends.
 func (t *Stream) Cancel() {
 	t.halt()
@@ -145,6 +177,10 @@
 		return nil
 	}
 
+	if unserved(err) {
+		return failure.Wrap(failure.Draining, err, "the peer has stopped and not looked at this conversation")
+	}
+
 	var known *failure.Error
 	if errors.As(err, &known) && !isTimeout(err) {
 		return err
@@ -168,6 +204,20 @@
 	return failure.Wrap(failure.TargetLost, err, "the connection to the peer is gone")
 }
 
+// unserved reports whether a connection was closed by a Server that never looked at
+// what has no answer on it: one that stopped in order, or one that did not accept the
+// connection.
+func unserved(err error) bool {
+	var closed *quic.ApplicationError
+	if errors.As(err, &closed) {
+		return closed.Remote && closed.ErrorCode == codeUnserved
+	}
+
+	var refused *quic.TransportError
+
+	return errors.As(err, &refused) && refused.Remote && refused.ErrorCode == quic.ConnectionRefused
+}
+
 func isTimeout(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/wholepath/stop_test.go
+++ b/wholepath/stop_test.go
@@ -43,7 +43,7 @@
 		_ = t.homes.Drain(ctx)
 	}
 
-	t.process.server.Wait(ctx)
+	t.process.server.Shutdown(ctx)
 	t.process.end()
 }
 
