entry: a call that was sent to nobody is refused as not run

Cause: when no target was left after a failed attempt, call.run answered with the bare failure of that attempt. For one that could not even be begun, as at a side process that has just stopped, that is target_lost, whose answer says "may have run".

Ruled out: the home of the key. It is given back in order and taken over by another side process, and the booking is made there as soon as its caller asks again.

Change: the failure that is kept for that case is the truthful one, as it is for a call that may not be repeated.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -179,11 +179,12 @@
 			return reply, nil
 		}
 
-		last = err
+		// This is the answer too when no other target is found.
+		last = c.truthful(sent, err)
 		c.tried[t.VM] = true
 
 		if !c.shouldRetry(ctx, sent, err) {
-			return message.Reply{}, c.truthful(sent, err)
+			return message.Reply{}, last
 		}
 	}
 }
