wholepath: an entry that stops leaves other entries in silence, a test that fails

Cause: the entry ends accepting conversations and then closes its connections without a word, as side processes did.

--- a/wholepath/doubt_test.go
+++ b/wholepath/doubt_test.go
@@ -8,6 +8,9 @@
 	"testing"
 
 	"boragehub/claim"
+	"boragehub/failure"
+	"boragehub/message"
+	"boragehub/peer"
 	"boragehub/standin/engine"
 )
 
@@ -165,3 +168,40 @@
 		t.Errorf("got %d suspects, want none", got)
 	}
 }
+
+// An entry stops while another one asks it what it knows of a context, on the
+// connection between them. A rider at the other entry waits for that answer before his
+// prompt is given to an engine, so silence costs him time to his first token.
+func TestLeavingEntryLeavesNoPeerInDoubt(t *testing.T) {
+	w := start(t, shape{engines: 1, entries: 2})
+	leaving, asks := w.entries[0].process, w.entries[1].process
+	to := peer.Address{VM: "entry-1", Addr: leaving.server.Addr()}
+
+	if _, err := asks.dialer.Ask(t.Context(), to, message.Locate{}); err != nil {
+		t.Fatal(err)
+	}
+
+	var asked sync.WaitGroup
+
+	leaving.late = func() {
+		s, err := asks.dialer.Open(t.Context(), to)
+		if err != nil {
+			return // nothing was sent
+		}
+
+		if err := s.Send(message.Locate{}); err != nil {
+			t.Errorf("got %v, want the question sent", err)
+		}
+
+		asked.Go(func() {
+			defer s.Close()
+
+			if _, err := s.Receive(); err != nil && failure.KindOf(err) != failure.Draining {
+				t.Errorf("got %v, want an answer or a refusal", err)
+			}
+		})
+	}
+
+	w.leave(w.entries[0])
+	asked.Wait()
+}
