cmd/boragehub: an entry that stops tells the other entries

Cause: see the test. What other entries ask of a stopping one, such as who holds a context, got silence; a rider's first token waits for that answer.

Change: the entry shuts its conversations down by peer.Server.Shutdown, after its callers have gone, also when their time ran out.

--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -206,11 +206,11 @@
 
 	if err := callers.Shutdown(ctx); err != nil {
 		event.Fail(p.log, err, event.ListenerStopped, "requests", p.entry.Active())
-
-		return
+	} else {
+		event.Log(p.log, event.ListenerStopped, "requests", p.entry.Active())
 	}
 
-	event.Log(p.log, event.ListenerStopped, "requests", p.entry.Active())
+	p.server.Shutdown(ctx)
 }
 
 // run guards the target until a signal, then hands its claims over, takes no new
--- a/wholepath/stop_test.go
+++ b/wholepath/stop_test.go
@@ -26,6 +26,7 @@
 		w.t.Errorf("the entry's callers were cut off: %v", err)
 	}
 
+	n.process.server.Shutdown(ctx)
 	n.process.end()
 }
 
