cmd/boragehub: a planned stop of an entry serves whoever still comes

Cause: see the tests. The port was closed a fixed time after SIGTERM by http.Server.Shutdown, and connections were closed as idle under requests that had arrived.

Ruled out: package drain under netutil.LimitListener. It wraps connections, and drain, which looks at their sockets, would see none of them and close all.

Change: the entry serves callers by drain.Server and stops by its Drain, as the entry of the users' platform does; the port stays open while anything is in work, for half of the time to drain at most. The bound on connections is kept by a listener that leaves them as they are. 1120 listener_stopped gives way to 1005 port_closed, which tells what was cut.

--- /dev/null
+++ b/cmd/boragehub/bounded_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+)
+
+// More callers connect than an entry has memory for. Those beyond the bound have to wait
+// until another one goes; without it the process would be ended for want of memory, with all
+// that it serves.
+func TestBoundedListenerWaitsForRoom(t *testing.T) {
+	const most = 3
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = l.Close() }()
+
+	var open atomic.Int64
+
+	b := &boundedListener{Listener: l, most: most, open: func() int { return int(open.Load()) }}
+
+	for range most + 1 {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		defer func() { _ = nc.Close() }()
+	}
+
+	accepted := make(chan net.Conn)
+
+	go func() {
+		for range most + 1 {
+			nc, err := b.Accept()
+			if err != nil {
+				t.Error(err)
+			}
+
+			open.Add(1)
+
+			accepted <- nc
+		}
+	}()
+
+	for range most {
+		if _, ok := (<-accepted).(*net.TCPConn); !ok {
+			t.Error("got a connection that hides its socket")
+		}
+	}
+
+	select {
+	case <-accepted:
+		t.Errorf("got connection %d accepted, want it to wait", most+1)
+	default:
+	}
+
+	open.Add(-1)
+	<-accepted
+}
--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync"
@@ -11,10 +10,10 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/net/netutil"
 
 	"boragehub/certificate"
 	"boragehub/claim"
+	"boragehub/drain"
 	"boragehub/entry"
 	"boragehub/entry/placement"
 	"boragehub/event"
@@ -31,12 +30,6 @@
 	"boragehub/vm"
 )
 
-// Limits of the callers' server.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-)
-
 // relay carries news from the followers, which are made first, to the role that
 // needs them.
 type relay struct {
@@ -139,9 +132,7 @@
 	}
 }
 
-// run serves callers until a signal, then stops without cutting anyone off:
-// first /readyz fails, so that the balancer sends no new callers; then the port
-// is closed and what is in work is finished.
+// run serves callers until a signal, then stops without cutting anyone off.
 func (p *entryProcess) run() error {
 	p.relay.list = p.entry.OnList
 	p.relay.settings = p.entry.OnSettings
@@ -152,12 +143,13 @@
 		return failure.Wrap(failure.BadSettings, err, "callers' address %q can't be bound", p.cfg.Listen.Callers)
 	}
 
-	callers := &http.Server{
-		Handler:           p.entry.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    p.cfg.Limits.MaxHeaderBytes,
-	}
+	callers := drain.NewServer(drain.Config{
+		Handler:        p.entry.Handler(),
+		HeaderTimeout:  headerCallers,
+		IdleTimeout:    idleCallers,
+		KeepAlive:      keepCallers,
+		MaxHeaderBytes: p.cfg.Limits.MaxHeaderBytes,
+	})
 
 	stop := background(append(p.duties(), p.entry.Run, p.lease.Run, p.leader.Run, p.writes.Run, p.snapshots.Run, p.operators.Run, func(ctx context.Context) {
 		serveConversations(ctx, p.log, p.server, p.entry.Handle)
@@ -170,7 +162,7 @@
 
 	failed := make(chan error, 1)
 
-	go func() { failed <- callers.Serve(netutil.LimitListener(l, p.cfg.Limits.MaxConnections)) }()
+	go func() { failed <- callers.Serve(newBoundedListener(l, p.cfg.Limits.MaxConnections, callers)) }()
 
 	select {
 	case err = <-failed:
@@ -196,19 +188,28 @@
 	}
 }
 
-func (p *entryProcess) leave(callers *http.Server) {
+// leave fails /readyz, so that the balancer sends no new callers, and serves whoever
+// still comes until nothing is in work, and at least until the balancer has noticed and
+// callers know that they must not use their connections any more.
+func (p *entryProcess) leave(callers *drain.Server) {
 	event.Log(p.log, event.ProcessStopping, "requests", p.entry.Active())
 	p.entry.Leave()
-	time.Sleep(time.Duration(p.cfg.Limits.BalancerGrace))
 
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.cfg.Limits.DrainTimeout))
+	noticed := time.Now().Add(time.Duration(p.cfg.Limits.BalancerGrace))
+	end := noticed.Add(time.Duration(p.cfg.Limits.DrainTimeout))
+
+	// Under a balancer that goes on sending callers there may always be something in
+	// work. The port then closes at half time, and what is in work has the other half.
+	halfTime := noticed.Add(end.Sub(noticed) / 2)
+
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 
-	if err := callers.Shutdown(ctx); err != nil {
-		event.Fail(p.log, err, event.ListenerStopped, "requests", p.entry.Active())
-	} else {
-		event.Log(p.log, event.ListenerStopped, "requests", p.entry.Active())
-	}
+	n := callers.Drain(ctx, drain.Stop{
+		Released: func(now time.Time) bool { return !now.Before(noticed) },
+		Short:    func(now time.Time) bool { return p.entry.Active() == 0 || !now.Before(halfTime) },
+	})
+	event.Log(p.log, event.PortClosed, "opened", n.Opened, "busy", n.Busy, "idle", n.Idle, "pending", n.Pending)
 
 	p.server.Shutdown(ctx)
 }
--- a/event/entry.go
+++ b/event/entry.go
@@ -9,6 +9,5 @@
 	AnswerCrossed   = register(1104, "answer_crossed", "A target's token did not follow the one before; the attempt is given up, so that nothing is repeated or skipped.")
 	ContextLocated  = register(1110, "context_located", "Who is said to hold a prompt's context, and how long asking its owner took.")
 	OwnerSilent     = register(1111, "owner_silent", "The owner of a context did not answer in time; the request goes on without its knowledge.")
-	ListenerStopped = register(1120, "listener_stopped", "A planned stop: no new callers are accepted, and those that are served are finished.")
 	PolicyChanged   = register(1121, "policy_changed", "A new version of the settings is in force in this process.")
 )
