wholepath: entries serve callers and stop as their processes do

The tests served entries by httptest and stopped them by http.Server.Shutdown, which is no longer what a process does. They use package drain now. TestLeavingEntryAnswersWhoever- KeepsAConnection adds callers who go on coming on kept connections; it passes since entries drain, and fails when the connections are closed at once instead.

The load of two tests, callers who ask again and again, is one type.

--- a/wholepath/client_test.go
+++ b/wholepath/client_test.go
@@ -17,7 +17,7 @@
 // client returns the official client of the OpenAI API for one entry, as its
 // users get it but for retries of its own.
 func (n *entryNode) client(key string) openai.Client {
-	return openai.NewClient(option.WithBaseURL(n.callers.URL+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+	return openai.NewClient(option.WithBaseURL(n.url+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
 }
 
 // question is a chat with one question.
--- a/wholepath/doubt_test.go
+++ b/wholepath/doubt_test.go
@@ -4,14 +4,12 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"boragehub/claim"
 	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/peer"
-	"boragehub/standin/engine"
 )
 
 // homeOf returns the target beside which the home of a key's shard runs.
@@ -100,41 +98,21 @@
 // entries that keep their connections to it until it is gone. Nobody may be left in
 // doubt whether his request was run, and none may count as one that crashed a target.
 func TestStoppedSideProcessLeavesNothingInDoubt(t *testing.T) {
-	const desks, riders, after = 6, 6, 20
+	const desks, riders = 6, 6
 
 	w := start(t, shape{engines: 2, entries: 2, plains: 2})
 	w.homed()
 
 	var (
-		all  sync.WaitGroup
-		gone atomic.Bool
+		c    crowd
 		mu   sync.Mutex
 		keys []string
 	)
 
-	begun := make(chan struct{}, desks+riders)
-
-	// Each goes on for a while after the stop.
-	goOn := func(i int, once func(n *entryNode, i, j int)) {
-		all.Go(func() {
-			for j, left := 0, after; left > 0; j++ {
-				once(w.entries[i%len(w.entries)], i, j)
-
-				if j == 0 {
-					begun <- struct{}{}
-				}
-
-				if gone.Load() {
-					left--
-				}
-			}
-		})
-	}
-
 	for i := range desks {
-		goOn(i, func(n *entryNode, i, j int) {
+		c.add(func(j int) {
 			key := fmt.Sprintf("booking-%d-%d", i, j)
-			w.insistOnBooking(n, key)
+			w.insistOnBooking(w.entries[i%len(w.entries)], key)
 
 			mu.Lock()
 			defer mu.Unlock()
@@ -144,24 +122,15 @@
 	}
 
 	for i := range riders {
-		goOn(i, func(n *entryNode, i, j int) {
-			prompt := fmt.Sprintf("rider %d asks for the %d. time", i, j)
-
-			got, err := n.complete(t.Context(), desk, prompt, 4)
-			if want := engine.Answer(prompt, 4); got != want || err != nil {
-				t.Errorf("%s: got %q, %v, want %q", prompt, got, err, want)
-			}
+		c.add(func(j int) {
+			w.wantAnswer(w.entries[i%len(w.entries)], fmt.Sprintf("rider %d asks for the %d. time", i, j))
 		})
 	}
 
-	for range desks + riders {
-		<-begun
-	}
-
-	w.drain(w.plains[0])
-	w.drain(w.engines[0])
-	gone.Store(true)
-	all.Wait()
+	c.during(func() {
+		w.drain(w.plains[0])
+		w.drain(w.engines[0])
+	})
 	w.wantBookings(keys)
 
 	if got := w.lines.count("request_suspect"); got != 0 {
--- a/wholepath/input_test.go
+++ b/wholepath/input_test.go
@@ -24,7 +24,7 @@
 func (w *world) ask(n *entryNode, method, path, body string, headers ...string) reply {
 	w.t.Helper()
 
-	r, err := http.NewRequestWithContext(w.t.Context(), method, n.callers.URL+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(w.t.Context(), method, n.url+path, strings.NewReader(body))
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/wholepath/stop_test.go
+++ b/wholepath/stop_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"boragehub/claim"
+	"boragehub/drain"
 	"boragehub/standin/engine"
 	"boragehub/vm"
 )
@@ -22,8 +24,9 @@
 
 	n.Leave()
 
-	if err := n.callers.Config.Shutdown(ctx); err != nil {
-		w.t.Errorf("the entry's callers were cut off: %v", err)
+	left := n.callers.Drain(ctx, drain.Stop{Short: func(time.Time) bool { return n.Active() == 0 }})
+	if left.Busy+left.Pending != 0 {
+		w.t.Errorf("the entry's callers were cut off: got %+v", left)
 	}
 
 	n.process.server.Shutdown(ctx)
@@ -209,3 +212,51 @@
 		t.Errorf("the leaving engine got %d runs, want none", got)
 	}
 }
+
+// An entry stops while riders and desks go on coming on the connections that they keep
+// to it, until the balancer sends them elsewhere. One whose connection is closed under his
+// request has neither an answer nor a refusal.
+func TestLeavingEntryAnswersWhoeverKeepsAConnection(t *testing.T) {
+	const desks, riders = 6, 6
+
+	w := start(t, shape{engines: 2, entries: 2, plains: 1})
+	w.homed()
+
+	// Each asks the entry that leaves while it is ready, and the other one then.
+	inRotation := func() *entryNode {
+		if n := w.entries[0]; n.Ready() {
+			return n
+		}
+
+		return w.entries[1]
+	}
+
+	var c crowd
+
+	for i := range desks {
+		c.add(func(j int) {
+			key := fmt.Sprintf("booking-%d-%d", i, j)
+			if r := w.book(inRotation(), key); r.status != http.StatusOK {
+				t.Errorf("%s: got %d %s, want a booking", key, r.status, r.body)
+			}
+		})
+	}
+
+	for i := range riders {
+		c.add(func(j int) {
+			w.wantAnswer(inRotation(), fmt.Sprintf("rider %d asks for the %d. time", i, j))
+		})
+	}
+
+	c.during(func() { w.leave(w.entries[0]) })
+}
+
+// wantAnswer asks for a short completion.
+func (w *world) wantAnswer(n *entryNode, prompt string) {
+	w.t.Helper()
+
+	got, err := n.complete(w.t.Context(), desk, prompt, 4)
+	if want := engine.Answer(prompt, 4); got != want || err != nil {
+		w.t.Errorf("%s: got %q, %v, want %q", prompt, got, err, want)
+	}
+}
--- a/wholepath/world_test.go
+++ b/wholepath/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 
 	"boragehub/certificate"
 	"boragehub/claim"
+	"boragehub/drain"
 	"boragehub/entry"
 	"boragehub/journal"
 	"boragehub/organisation"
@@ -49,6 +51,7 @@
 	bureau = "key-of-the-bureau"
 
 	drainTimeout = 10 * time.Second
+	keepAlive    = time.Second
 	patience     = 30 * time.Second
 	kept         = 200 // log lines shown when a test fails
 )
@@ -137,7 +140,8 @@
 type entryNode struct {
 	*entry.Entry
 	process *process
-	callers *httptest.Server
+	callers *drain.Server
+	url     string
 }
 
 // process is what every process of the system has.
@@ -545,10 +549,32 @@
 		Post: p.board.Post, Log: w.lines.logger(name), Seed: uint64(i + 1),
 	})}
 	p.relay = relay{list: n.OnList, settings: n.OnSettings, crash: n.Crashed}
-	n.callers = httptest.NewServer(n.Handler())
-	w.t.Cleanup(n.callers.Close)
+	n.serve(w)
 	w.run(p, n.Run, func(ctx context.Context) { _ = p.server.Serve(ctx, n.Handle) })
-	w.list(vm.Entry, name, "", n.callers.Listener.Addr().String(), p.server.Addr())
+	w.list(vm.Entry, name, "", strings.TrimPrefix(n.url, "http://"), p.server.Addr())
 
 	return n
 }
+
+// serve serves callers as an entry's process does.
+func (n *entryNode) serve(w *world) {
+	w.t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+
+	n.url = "http://" + l.Addr().String()
+	n.callers = drain.NewServer(drain.Config{Handler: n.Handler(), HeaderTimeout: patience, IdleTimeout: patience, KeepAlive: keepAlive})
+	served := make(chan error, 1)
+
+	go func() { served <- n.callers.Serve(l) }()
+	w.t.Cleanup(func() {
+		n.callers.Close()
+
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			w.t.Errorf("got %v, want %v", err, http.ErrServerClosed)
+		}
+	})
+}
