wholepath: an engine that stops makes innocent requests suspect, a test that fails

Cause: the side process sends runs on connections that it keeps to its engine. An engine that stops closes those that it holds to be idle, also when the next run is on its way there or lies unread, and then its port. The side process sees a run that was given and an engine that is gone, and reports a crash.

--- a/wholepath/blame_test.go
+++ b/wholepath/blame_test.go
@@ -1,7 +1,10 @@
 package wholepath
 
 import (
+	"fmt"
+	"net/http"
 	"slices"
+	"sync"
 	"testing"
 
 	"boragehub/message"
@@ -87,3 +90,45 @@
 		}
 	}
 }
+
+// An engine is stopped in order and closes the connections that nobody uses, just as the
+// side process sends the next run on one that it keeps. Nothing of the run was read, yet
+// it would count as one that brought the engine down: after a second engine, as in
+// a round of restarts, everybody who asks the same is refused.
+func TestStoppedEngineBlamesNobody(t *testing.T) {
+	const riders = 20
+
+	var (
+		mu   sync.Mutex
+		used = map[string]bool{}
+	)
+
+	// The second run that comes on a connection finds it closed, and then the port.
+	stops := func(i int, h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if i == 0 && r.URL.Path == "/v1/completions" {
+				mu.Lock()
+				again := used[r.RemoteAddr]
+				used[r.RemoteAddr] = true
+				mu.Unlock()
+
+				if again {
+					_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+
+					panic(http.ErrAbortHandler)
+				}
+			}
+
+			h.ServeHTTP(w, r)
+		})
+	}
+	w := start(t, shape{engines: 2, entries: 1, meddle: stops})
+
+	for i := range riders {
+		w.wantAnswer(w.entries[0], fmt.Sprintf("rider %d", i))
+	}
+
+	if got := w.lines.count("request_suspect"); got != 0 {
+		t.Errorf("got %d suspects, want none", got)
+	}
+}
