operator, cmd/boragehub: a stop waits for operators' calls, signals are asked for first

The product's own processes asked for signals after they had begun to serve, and SIGHUP ended them; they ask first, and leave SIGHUP alone. The signals are read, not shown by a run.

--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -111,8 +111,13 @@
 	return p.run()
 }
 
-// signalled returns a context that ends with SIGTERM or SIGINT.
+// signalled returns a context that ends with SIGTERM or SIGINT. It is asked for before
+// anybody is served: a signal that nobody has asked for ends a process at once, with all
+// that it serves. So does SIGHUP, by which an operator may mean settings that changed;
+// nothing here reads them again.
 func signalled() (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGHUP)
+
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
@@ -134,6 +139,9 @@
 
 // run serves callers until a signal, then stops without cutting anyone off.
 func (p *entryProcess) run() error {
+	ctx, cancel := signalled()
+	defer cancel()
+
 	p.relay.list = p.entry.OnList
 	p.relay.settings = p.entry.OnSettings
 	p.relay.crash = p.entry.Crashed
@@ -155,9 +163,6 @@
 		serveConversations(ctx, p.log, p.server, p.entry.Handle)
 	})...)
 
-	ctx, cancel := signalled()
-	defer cancel()
-
 	event.Log(p.log, event.ProcessStarted, "callers", l.Addr().String(), "peers", p.server.Addr(), "operators", p.operators.Addr())
 
 	failed := make(chan error, 1)
@@ -217,6 +222,9 @@
 // run guards the target until a signal, then hands its claims over, takes no new
 // work and waits for what runs.
 func (p *sideProcess) run() error {
+	ctx, cancel := signalled()
+	defer cancel()
+
 	duties := append(p.duties(), p.side.Run, p.operators.Run, func(ctx context.Context) {
 		serveConversations(ctx, p.log, p.server, p.side.Handle)
 	})
@@ -227,9 +235,6 @@
 
 	stop := background(duties...)
 
-	ctx, cancel := signalled()
-	defer cancel()
-
 	event.Log(p.log, event.ProcessStarted, "target", p.cfg.Target.URL, "peers", p.server.Addr(), "operators", p.operators.Addr())
 	<-ctx.Done()
 	event.Log(p.log, event.ProcessStopping)
--- a/operator/server.go
+++ b/operator/server.go
@@ -91,17 +91,24 @@
 // Addr returns the bound address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, and then finishes what it serves: Serve returns as Shutdown
+// begins, and the process may end as soon as Run has returned.
 func (s *Server) Run(ctx context.Context) {
+	stopped := make(chan struct{})
+
 	stop := context.AfterFunc(ctx, func() {
 		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 		defer cancel()
+		defer close(stopped)
 
 		_ = s.server.Shutdown(late)
 	})
-	defer stop()
 
 	_ = s.server.Serve(s.listener)
+
+	if !stop() {
+		<-stopped
+	}
 }
 
 // Handler returns the operators' pages.
