drain: a file for each concept, and what an HTTP server loses

Read as a newcomer: the package's page tells both ways in which a shutdown loses requests; connections, their census, answers and the listener have files of their own. No logic is changed.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -5,9 +5,11 @@
 //
 // HTTP/1.1 lets a server close a connection at any time, and a request that crosses the
 // close is lost: its caller sees neither answer nor refusal, and doesn't know whether a
-// seat was booked. http.Server.Shutdown closes each connection that it holds to be idle,
-// which it does until the whole head of the next request was parsed. On a busy machine
-// that is up to half a second after the request arrived.
+// seat was booked. http.Server.Shutdown loses requests in two ways. It closes each
+// connection that it holds to be idle, which it does until the whole head of the next
+// request was parsed; on a busy machine that is up to half a second after the request
+// arrived. And a request whose head is read after Shutdown began is dropped without a
+// word, as are all on connections opened shortly before.
 //
 // A Server therefore tells callers beforehand. Each answer says how long its connection
 // may stay unused (Keep-Alive); after Leave each answer says that its connection closes
@@ -28,7 +30,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,8 +62,8 @@
 	onTheWay = 400 * time.Millisecond
 	// lookEvery is the pause between two looks whether the stop may end.
 	lookEvery = 10 * time.Millisecond
-	// looks is how many looks in a row have to find all settled: between two of them each
-	// connection that was accepted is taken in and each request is begun to be read.
+	// looks is how many looks in a row have to find all settled: what came just as the first
+	// one was made, and wasn't taken in yet, is seen by the second.
 	looks = 2
 )
 
@@ -195,72 +196,3 @@
 
 // Count returns what the connections are doing.
 func (s *Server) Count() Count { return s.census.count(time.Now()) }
-
-// answer answers one request and tells its caller how long its connection is of use.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
-	m := &marked{ResponseWriter: w, server: s}
-	s.cfg.Handler.ServeHTTP(m, r)
-	m.mark()
-}
-
-// marked is an answer whose head says how long its connection is of use. It is marked as
-// late as possible: a request that was being worked on as the stop began is told as well.
-type marked struct {
-	http.ResponseWriter
-
-	server *Server
-	done   bool
-}
-
-func (m *marked) mark() {
-	if m.done {
-		return
-	}
-
-	m.done = true
-	h := m.Header()
-
-	switch {
-	case m.server.leaving.Load():
-		h.Set("Connection", "close")
-	case m.server.cfg.KeepAlive > 0 && h.Get("Connection") == "":
-		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(m.server.cfg.KeepAlive.Seconds())))
-	}
-}
-
-// WriteHeader marks the answer and sends its head.
-func (m *marked) WriteHeader(status int) {
-	m.mark()
-	m.ResponseWriter.WriteHeader(status)
-}
-
-// Write marks the answer and sends a part of its body.
-func (m *marked) Write(b []byte) (int, error) {
-	m.mark()
-
-	return m.ResponseWriter.Write(b)
-}
-
-// Unwrap returns the writer below, for http.ResponseController.
-func (m *marked) Unwrap() http.ResponseWriter { return m.ResponseWriter }
-
-// listener accepts callers' connections and takes them into the census.
-type listener struct {
-	net.Listener
-
-	census *census
-}
-
-// Accept returns the next caller's connection.
-func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		return l.census.add(time.Now(), tcp), nil
-	}
-
-	return nc, nil
-}
