--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -40,7 +40,8 @@
 	// refused, and a time-out that falls there can still be told.
 	lastAnswers = 200 * time.Millisecond
 	// keepCallers is how long callers are told that their connections may stay unused. A
-	// stop takes as long, and a balancer needs up to two seconds besides it to know of one.
+	// stop takes at least as long, which is what a balancer needs to know of it as well. With
+	// one second stops are no shorter, as answers that run decide.
 	keepCallers = 2 * time.Second
 	// idleCallers is how long a connection of a caller that doesn't heed this may.
 	idleCallers = 2 * time.Minute
