socket, drain: looking for whoever arrives and closing the port are one step

Trace: no process has a line of the request, the write itself failed, so nothing was sent; the entry runs 35 ms of each 100 and was held up between its look at the listener and the close, inferred from the times. Ruled out: an accepted connection that was closed (none was open at the close). Change: both are done in one call (poll, then shutdown of the listener), a few microseconds apart.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -135,7 +135,7 @@
 	// An answer whose head went out before the stop has told its caller that the connection
 	// is of use. Nobody is to find the port closed while such a connection is waited for.
 	s.until(ctx, 1, func(now time.Time) bool {
-		return holds(stop.Short, now) && !s.census.expected(now, s.keepAlive()) && !s.arriving()
+		return holds(stop.Short, now) && !s.census.expected(now, s.keepAlive()) && s.shut()
 	})
 	s.closePort()
 
@@ -169,12 +169,12 @@
 	}
 }
 
-// arriving reports whether a connection waits to be accepted.
-func (s *Server) arriving() bool {
+// shut makes the port take no more connections, unless one waits to be accepted.
+func (s *Server) shut() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return slices.ContainsFunc(s.listeners, socket.Arriving)
+	return !slices.ContainsFunc(s.listeners, func(l net.Listener) bool { return !socket.Shut(l) })
 }
 
 func (s *Server) closePort() {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -60,28 +60,36 @@
 	}
 }
 
-// Arriving reports whether a connection waits to be accepted by a listener. Such a
-// connection is open for the one that made it, who may have sent a request on it, and is
-// reset when the listener closes.
-func Arriving(l net.Listener) bool {
+// Shut makes a listener take no more connections, unless one waits to be accepted; it
+// reports whether it did. A connection that waits is open for the one that made it, who
+// may have sent a request on it, and is reset when the listener closes. Looking and
+// closing as two steps would leave a moment between them, and a process that is held up
+// just there resets all that came meanwhile. The listener still has to be closed.
+func Shut(l net.Listener) bool {
 	sc, ok := l.(syscall.Conn)
 	if !ok {
-		return false
+		return true
 	}
 
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 
-	arriving := false
+	shut := true
 
 	//nolint:errcheck,gosec // a closed listener has nobody waiting
 	raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(p, 0)
-		arriving = err == nil && n > 0
+		if n, err := unix.Poll(p, 0); err == nil && n > 0 {
+			shut = false
+
+			return
+		}
+
+		//nolint:errcheck // closing does the same, a moment later
+		unix.Shutdown(int(fd), unix.SHUT_RD)
 	})
 
-	return arriving
+	return shut
 }
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -57,3 +57,41 @@
 		t.Errorf("without a connection: got %d, want %d", got, Ended)
 	}
 }
+
+// A connection is made just as a server looks whether it may close its port. It is to be
+// accepted first, or its maker's request is lost.
+func TestShutWaitsForWhoeverArrives(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+
+	if Shut(l) {
+		t.Error("with a connection waiting: got shut, want it left open")
+	}
+
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = near.Close() }()
+
+	if !Shut(l) {
+		t.Error("with nobody waiting: got it left open, want it shut")
+	}
+
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		t.Errorf("got a connection to %v, want none", c.RemoteAddr())
+	}
+
+	if Peek(near) != Quiet {
+		t.Error("got the accepted connection disturbed")
+	}
+}
