side, engine: the orderly end of an engine blames nobody

Cause: a run was sent on a kept connection, which an engine that stops closes as unused while the run is on its way there; and a port that was found closed made suspects of all that still ran, though such an engine ends what runs.

Ruled out: a margin by time after which an answer that goes on clears the others (bytes that were sent before a crash may be read long after it); the engine's event poll as a witness (it has ended for another reason just then too often).

Change: each run has a connection of its own; one that is reset before a byte of the answer was not read and is a refusal; a lost run is judged when the port is closed by whether the boot still holds a connection of another run open. The side process tells the entry that its target is gone and judged, so that the entry doesn't guess besides.

Not mended: a run that is dropped without a word while no other runs there can't be told from a crash; it is a suspect once.

--- a/engine/complete.go
+++ b/engine/complete.go
@@ -125,9 +125,11 @@
 		return failure.Wrap(failure.Internal, err, "a completion could not be encoded")
 	}
 
-	resp, err := c.send(ctx, http.MethodPost, "/v1/completions", "application/json", b)
+	a := &answering{}
+
+	resp, err := c.send(a.watch(ctx), http.MethodPost, "/v1/completions", "application/json", b)
 	if err != nil {
-		return err
+		return a.unread(err)
 	}
 
 	defer func() { _ = resp.Body.Close() }()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -105,12 +105,13 @@
 // by a question on a new connection. Without the question a cut line would be
 // taken for a crash, and two of them would quarantine a request that harmed
 // nobody. No answer counts as a crash until the target is heard with the same
-// boot: to spare the next target is worth more than this request.
+// boot: to spare the next target is worth more than this request. A side process that
+// knows its target to be gone has judged what the target died of, and told so.
 func (e *Entry) lost(ctx context.Context, t target.Target, f quarantine.Fingerprint) {
 	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
 	defer cancel()
 
-	if s, err := e.state(ctx, t); err == nil && s.Ready && s.Boot == t.BootID {
+	if s, err := e.state(ctx, t); err == nil && (s.Ready || s.Gone) && s.Boot == t.BootID {
 		return
 	}
 
--- a/message/message.go
+++ b/message/message.go
@@ -311,6 +311,8 @@
 	Accepted uint64 `cbor:"24,keyasint,omitempty"`
 	// UpMS is for how long this boot has lasted, in milliseconds.
 	UpMS int64 `cbor:"25,keyasint,omitempty"`
+	// Gone says that nothing listens at the target's address; what crashed it has been told.
+	Gone bool `cbor:"26,keyasint,omitempty"`
 }
 
 // Fetch asks a peer for the settings after a version.
--- a/side/call.go
+++ b/side/call.go
@@ -50,12 +50,10 @@
 	}
 
 	lost := err != nil && failure.KindOf(err) == failure.TargetLost
-	s.guard.leave(id, lost)
+	s.guard.leave(time.Now(), id, lost)
 
 	if lost {
-		if c := s.probe(context.WithoutCancel(ctx)); c != nil {
-			_ = to.Send(*c)
-		}
+		s.checkCrash(ctx, id, to)
 	}
 
 	event.Log(s.cfg.Log, event.CallEnded, "request_id", m.RequestID, "organisation", m.Organisation, "once", m.Once,
--- a/side/given.go
+++ b/side/given.go
@@ -16,7 +16,7 @@
 // the connection, would be blamed for a death that it had no part in.
 func (s *Side) giving(ctx context.Context, id uint64) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { s.guard.give(id) },
+		GotConn: func(info httptrace.GotConnInfo) { s.guard.give(id, info.Conn) },
 	})
 }
 
--- a/side/guard.go
+++ b/side/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -26,20 +27,14 @@
 	info     engine.Info
 	load     engine.Load
 	next     uint64
+	gone     bool // nothing listened at the target's address when it was last asked
 	inFlight map[uint64]*flight
-	idle     chan struct{} // closed and replaced whenever nothing is in flight
-}
-
-// flight is a request that was admitted.
-type flight struct {
-	fingerprint quarantine.Fingerprint
-	boot        string
-	given       bool // the target has it; until then it can't be what the target dies of
-	ended       bool
+	judged   map[uint64]verdict // of lost requests, until those who sent them have asked
+	idle     chan struct{}      // closed and replaced whenever nothing is in flight
 }
 
 func newGuard(maxWaiting int) *guard {
-	return &guard{maxWaiting: maxWaiting, self: uuid.NewString(), began: time.Now(), inFlight: map[uint64]*flight{}, idle: make(chan struct{})}
+	return &guard{maxWaiting: maxWaiting, self: uuid.NewString(), began: time.Now(), inFlight: map[uint64]*flight{}, judged: map[uint64]verdict{}, idle: make(chan struct{})}
 }
 
 // plainRunning is how many calls a plain service is taken to run at once.
@@ -70,19 +65,19 @@
 
 // give notes that an admitted request goes to the target now, over a connection
 // that stands: what was never connected can't be what the target dies of.
-func (g *guard) give(id uint64) {
+func (g *guard) give(id uint64, conn net.Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	if f := g.inFlight[id]; f != nil {
-		f.given = true
+		f.conn = conn
 		f.boot = g.boot()
 	}
 }
 
 // leave ends a request. One that was lost with its target stays on the books
-// until watch has seen whether the target died of it.
-func (g *guard) leave(id uint64, lost bool) {
+// until it is judged whether the target died of it.
+func (g *guard) leave(now time.Time, id uint64, lost bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -91,9 +86,9 @@
 		return
 	}
 
-	f.ended = true
-
-	if !lost {
+	if lost {
+		f.lost = now
+	} else {
 		delete(g.inFlight, id)
 	}
 
@@ -108,7 +103,7 @@
 	n := 0
 
 	for _, f := range g.inFlight {
-		if !f.ended {
+		if f.lost.IsZero() {
 			n++
 		}
 	}
@@ -136,38 +131,36 @@
 	return max(time.Duration(seconds*float64(time.Second)), 100*time.Millisecond)
 }
 
-// observe takes in what the target says of itself. When the target has another
-// boot than before it returns the requests that ran on the old one.
-func (g *guard) observe(now time.Time, info engine.Info, load engine.Load) (first bool, oldBoot string, crashed []quarantine.Fingerprint) {
+// observe takes in what the target says of itself. It returns the requests that were lost
+// with an earlier boot.
+func (g *guard) observe(now time.Time, info engine.Info, load engine.Load) (first bool, crashes []verdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	first = !g.up
 	g.up = info.Ready()
+	g.gone = false
 
 	if g.info.BootID != "" && g.info.BootID != info.BootID {
-		oldBoot = g.boot()
-		crashed = g.takeCrashed(oldBoot)
 		g.began = now
-	} else {
-		g.dropLost()
 	}
 
 	g.info = info
 	g.load = load
+	g.clear(func(f *flight) bool { return f.boot == g.boot() })
 
-	return first && g.up, oldBoot, crashed
+	return first && g.up, g.convict(now)
 }
 
 // died notes that nothing listens at the target's address any more.
-func (g *guard) died() (last bool, boot string, crashed []quarantine.Fingerprint) {
+func (g *guard) died(now time.Time) (last bool, crashes []verdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	last = g.up
-	g.up = false
+	g.up, g.gone = false, true
 
-	return last, g.boot(), g.takeCrashed(g.boot())
+	return last, g.convict(now)
 }
 
 // silent notes that the target does not answer though something listens.
@@ -176,7 +169,7 @@
 	defer g.mu.Unlock()
 
 	last = g.up
-	g.up = false
+	g.up, g.gone = false, false
 
 	return last
 }
@@ -185,38 +178,6 @@
 // is started again must not be taken for the one that said it was leaving.
 func (g *guard) boot() string { return g.info.BootID + "." + g.self }
 
-// takeCrashed takes the requests of a boot that ended off the books.
-func (g *guard) takeCrashed(boot string) []quarantine.Fingerprint {
-	var fingerprints []quarantine.Fingerprint
-
-	for id, f := range g.inFlight {
-		if f.boot != boot || !f.given {
-			continue
-		}
-
-		fingerprints = append(fingerprints, f.fingerprint)
-
-		// Those that have not ended yet will notice by themselves; without a
-		// boot they can't be reaped twice.
-		f.boot = ""
-
-		if f.ended {
-			delete(g.inFlight, id)
-		}
-	}
-
-	return fingerprints
-}
-
-// dropLost drops lost requests after all: the target lives, so it did not die of them.
-func (g *guard) dropLost() {
-	for id, f := range g.inFlight {
-		if f.ended {
-			delete(g.inFlight, id)
-		}
-	}
-}
-
 func (g *guard) drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -279,6 +240,7 @@
 		BlockTokens:   g.info.BlockTokens,
 		Ready:         g.up && !g.draining,
 		Draining:      g.draining,
+		Gone:          g.gone,
 		Load:          g.loadAt(now),
 		PrefillRate:   g.info.PrefillRate,
 		DecodeRate:    g.info.DecodeRate,
--- a/side/run.go
+++ b/side/run.go
@@ -55,7 +55,7 @@
 
 	if m.Suspect {
 		if err := s.isolate(ctx, m.Fingerprint); err != nil {
-			s.guard.leave(id, false)
+			s.guard.leave(time.Now(), id, false)
 
 			return err
 		}
@@ -75,11 +75,11 @@
 	}
 
 	lost := failure.KindOf(err) == failure.TargetLost && err != nil
-	s.guard.leave(id, lost)
+	s.guard.leave(time.Now(), id, lost)
 
 	switch {
 	case lost:
-		r.checkCrash(ctx)
+		s.checkCrash(ctx, id, to)
 	case err != nil && stale(err):
 		// The engine has moved on, or gone, since it was last asked. The entry
 		// asks again when it gets this refusal, and must then hear of it.
@@ -180,7 +180,9 @@
 	}
 }
 
-// complete runs the prompt and passes each token on.
+// complete runs the prompt and passes each token on. Each run has a connection of its own:
+// an engine that stops in order closes those that it holds to be idle, also while the
+// next run is on its way there, which looks as if the engine had died of it.
 func (r *run) complete(ctx context.Context) error {
 	q := engine.Completion{
 		Sampling:      r.Sampling,
@@ -198,7 +200,7 @@
 	ctx, r.dog = newWatchdog(ctx, r.s.cfg.FirstSilence)
 	defer r.dog.stop()
 
-	err := notGiven(r.s.engine.Complete(r.s.giving(ctx, r.id), q, r.take))
+	err := notGiven(r.s.runs.Complete(r.s.giving(ctx, r.id), q, r.take))
 	if err != nil && r.dog.barked() {
 		return failure.Wrap(failure.TargetLost, err, "the engine's connection fell silent")
 	}
@@ -245,14 +247,6 @@
 	return r.to.Send(t)
 }
 
-// checkCrash finds out at once whether the engine died, and tells the entry before
-// the refusal: it must know not to try this request on a third target.
-func (r *run) checkCrash(ctx context.Context) {
-	if c := r.s.probe(context.WithoutCancel(ctx)); c != nil {
-		_ = r.to.Send(*c)
-	}
-}
-
 func (r *run) done() error {
 	return r.to.Send(message.Done{
 		Tokens:         r.index,
--- a/side/side.go
+++ b/side/side.go
@@ -120,6 +120,7 @@
 type Side struct {
 	cfg       Config
 	engine    engine.Client
+	runs      engine.Client // the same engine, with a connection for each run
 	plain     *http.Client
 	stores    *http.Client
 	rooming   *http.Client
@@ -161,6 +162,7 @@
 	return &Side{
 		cfg:     cfg,
 		engine:  engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: engineConnections}}},
+		runs:    engine.Client{Address: cfg.Address, HTTP: once.NewClient()},
 		plain:   once.NewClient(),
 		stores:  &http.Client{Timeout: storeTimeout, Transport: &http.Transport{}},
 		rooming: &http.Client{Timeout: roomTimeout, Transport: &http.Transport{}},
--- a/side/watch.go
+++ b/side/watch.go
@@ -10,6 +10,7 @@
 	"boragehub/event"
 	"boragehub/message"
 	"boragehub/pause"
+	"boragehub/peer"
 	"boragehub/quarantine"
 )
 
@@ -37,15 +38,15 @@
 	}
 }
 
-// probe asks once. It returns the crash that it noticed, if any.
-func (s *Side) probe(ctx context.Context) *message.Crashed {
+// probe asks once.
+func (s *Side) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 
 	info, load, err := s.inspect(ctx)
 	if err == nil {
 		now := time.Now()
-		first, boot, crashed := s.guard.observe(now, info, load)
+		first, crashes := s.guard.observe(now, info, load)
 
 		if failed := s.orders.observe(now, info); failed != "" {
 			event.Log(s.cfg.Log, event.LoadFailed, "weight_version", failed)
@@ -55,23 +56,25 @@
 			event.Log(s.cfg.Log, event.TargetUp, "boot", info.BootID, "weight_version", info.WeightVersion)
 		}
 
-		return s.crashed(boot, crashed)
+		s.crashed(crashes)
+
+		return
 	}
 
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		last, boot, crashed := s.guard.died()
+		last, crashes := s.guard.died(time.Now())
 		if last {
 			event.Fail(s.cfg.Log, err, event.TargetDown)
 		}
 
-		return s.crashed(boot, crashed)
+		s.crashed(crashes)
+
+		return
 	}
 
 	if s.guard.silent() {
 		event.Fail(s.cfg.Log, err, event.TargetDown)
 	}
-
-	return nil
 }
 
 func (s *Side) inspect(ctx context.Context) (engine.Info, engine.Load, error) {
@@ -92,20 +95,54 @@
 }
 
 // crashed tells the entries what ran when the target died.
-func (s *Side) crashed(boot string, running []quarantine.Fingerprint) *message.Crashed {
-	if len(running) == 0 {
-		return nil
+func (s *Side) crashed(crashes []verdict) {
+	for _, v := range crashes {
+		m := s.crash(time.Now(), v)
+		event.Log(s.cfg.Log, event.TargetCrashed, "boot", v.boot, "requests", len(v.running))
+		s.tellAll(m)
+
+		if s.cfg.Post != nil {
+			s.cfg.Post(m.Crash)
+		}
 	}
+}
+
+// crash is the message for a verdict.
+func (s *Side) crash(now time.Time, v verdict) message.Crashed {
+	return message.Crashed{Crash: quarantine.Crash{Target: s.cfg.VM, Boot: v.boot, At: now, Running: v.running}}
+}
+
+const (
+	// verdictEvery is how often is looked whether a lost request has been judged.
+	verdictEvery = settled
+	// verdictTime bounds the wait; a target that is silent can't be judged.
+	verdictTime = time.Second
+)
+
+// checkCrash finds out whether the target died with a request that was lost, and tells the
+// entry before the refusal: it must know not to try this request on a third target.
+func (s *Side) checkCrash(ctx context.Context, id uint64, to *peer.Stream) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verdictTime)
+	defer cancel()
+
+	for ctx.Err() == nil {
+		s.probe(ctx)
+
+		v, judged := s.guard.verdict(id)
+		if !judged {
+			pause.For(ctx, verdictEvery)
 
-	m := &message.Crashed{Crash: quarantine.Crash{Target: s.cfg.VM, Boot: boot, At: time.Now(), Running: running}}
-	event.Log(s.cfg.Log, event.TargetCrashed, "boot", boot, "requests", len(running))
-	s.tellAll(*m)
+			continue
+		}
+
+		if len(v.running) > 0 {
+			_ = to.Send(s.crash(time.Now(), v)) // an entry that has gone tries nothing more
+		}
 
-	if s.cfg.Post != nil {
-		s.cfg.Post(m.Crash)
+		return
 	}
 
-	return m
+	s.guard.abandon(id)
 }
 
 // followEvents keeps held in step with the engine until ctx ends.
--- a/wholepath/blame_test.go
+++ b/wholepath/blame_test.go
@@ -132,3 +132,45 @@
 		t.Errorf("got %d suspects, want none", got)
 	}
 }
+
+// An engine is stopped in order while riders read long answers and a crowd asks. The long
+// answers end whole behind the closed port, and what has just arrived is dropped without a
+// word. None of it brought the engine down; riders who count as suspects wait for each
+// other on the engines that are left.
+func TestEngineThatStopsUnderACrowdBlamesNobody(t *testing.T) {
+	const readers, tokens, riders = 8, 300, 24
+
+	w := start(t, shape{engines: 2, entries: 2, engine: func(_ int, cfg *engine.Config) { cfg.DecodeTokensPerSecond = 100 }})
+
+	var reading sync.WaitGroup
+
+	for i := range readers {
+		reading.Go(func() {
+			prompt := fmt.Sprintf("reader %d", i)
+
+			got, err := w.entries[i%2].stream(t.Context(), desk, prompt, tokens)
+			if want := engine.Answer(prompt, tokens); got != want || err != nil {
+				t.Errorf("%s: got %q, %v, want %q", prompt, got, err, want)
+			}
+		})
+	}
+
+	w.eventually("the stopping engine has no reader", func() bool { return w.engines[0].engine.Running() > 0 })
+
+	var c crowd
+
+	for i := range riders {
+		c.add(func(j int) {
+			if err := w.entries[i%2].insist(t.Context(), fmt.Sprintf("rider %d asks for the %d. time", i, j), 4); err != nil {
+				t.Errorf("rider %d: %v", i, err)
+			}
+		})
+	}
+
+	c.during(w.engines[0].stop)
+	reading.Wait()
+
+	if got := w.lines.count("request_suspect"); got != 0 {
+		t.Errorf("got %d suspects, want none", got)
+	}
+}
