loader, cmd/boragehub: entries stand by for engines whose loader is missing

Cause: only the process beside an engine orders it. Where that is dead, frozen, cut off or not there, the engine keeps replaced weights; when these may no longer be used, requests go to engines that refuse them, and callers are refused.

Ruled out: a lease on each engine (calls of the log, and none in its outages); entries that order all engines in the place of loaders (looks at an engine are free beside it alone).

Change: Standby, in each entry, orders an engine whose turn has passed, by a hash over the entries alive; loaders and entries use the same turns and the same code for a load. The engine's count of orders makes two that both believe harmless; a stateful test plays loaders and entries that are missing or cut off, late orders, engines that start again, versions one upon the other.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -20,6 +20,7 @@
 	"boragehub/failure"
 	"boragehub/gateway"
 	"boragehub/gateway/metrics"
+	"boragehub/loader"
 	"boragehub/mirror"
 	"boragehub/mirror/exchange"
 	"boragehub/pause"
@@ -42,6 +43,7 @@
 	pool         *upstream.Pool
 	watcher      *vault.Watcher
 	directory    *vault.Directory
+	standby      *loader.Standby
 	members      *exchange.Members
 	client       *exchange.Client
 	peers        *exchange.Server
@@ -78,6 +80,11 @@
 		Still: e.roster.Still,
 	})
 
+	e.standby = loader.NewStandby(loader.StandbyConfig{
+		Holder: cfg.VM, Turn: loader.TurnConfig{Within: cfg.Bounds.Version}, Engine: calls, Entries: e, Fleet: servingFleet{e.roster},
+		Ring: members, Log: log,
+	})
+
 	meter := metrics.New(e.meters, metrics.Gauges{
 		Active:        func() float64 { return float64(e.gateway.Active()) },
 		Targets:       func() float64 { return float64(e.roster.Len()) },
@@ -112,7 +119,9 @@
 	publications := &platform.Publications{
 		Configured: e.configured,
 		Named: func(now time.Time, v platform.WeightVersion) {
-			e.gateway.Named(now, v.Model, v.Version, operators.Before())
+			before := operators.Before()
+			e.gateway.Named(now, v.Model, v.Version, before)
+			e.standby.Name(loader.Named{Model: v.Model, Version: v.Version, Before: before.IsZero()})
 			e.watcher.Named(now, v.Model, v.Version, v.Offset)
 		},
 		Unreadable: meter.Unreadable, Log: e.log,
@@ -180,6 +189,28 @@
 	}
 }
 
+// Tell tells all entries, this one included, what a target that this entry orders is about
+// to do or has done.
+func (e *fleetEntry) Tell(ctx context.Context, address, model string, version int64, loaded bool) {
+	e.notice(time.Now(), exchange.Notice{Address: address, Model: model, Version: version, Loaded: loaded})
+	e.client.Tell(ctx, address, model, version, loaded)
+}
+
+// servingFleet is what the roster says of engines, for the one who stands in for their loaders.
+type servingFleet struct{ roster *roster.Roster }
+
+// Serving returns the engines that have a version of a model and don't leave.
+func (f servingFleet) Serving(now time.Time, model string) []loader.Candidate {
+	held := f.roster.Holdings(now, model)
+	all := make([]loader.Candidate, len(held))
+
+	for i, h := range held {
+		all[i] = loader.Candidate(h)
+	}
+
+	return all
+}
+
 // register writes into the log where this entry can be asked.
 func (e *fleetEntry) register(ctx context.Context) { e.registration.Run(ctx, e.cfg.VM, e.cfg.Peers) }
 
@@ -235,7 +266,7 @@
 		return failure.Wrap(failure.BadSettings, err, "address %q can't be bound", cfg.Internal(pulsePort))
 	}
 
-	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.tick, pulses.Run, e.register}
+	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, pulses.Run, e.register}
 
 	for _, f := range e.followers {
 		duties = append(duties, f.Run)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -13,6 +13,8 @@
 // Engines take turns (TakeTurn): each process works its engine's turn out from
 // the register. Before the order, the entries are told, so that they send their
 // requests elsewhere; afterwards they are told of the new version.
+//
+// A Standby, in each entry, orders those engines whose turn has passed without an order.
 package loader
 
 import (
@@ -125,19 +127,13 @@
 	idleEvery = time.Second
 	// loadEvery is the pause between two looks at an engine that loads.
 	loadEvery = 50 * time.Millisecond
-	// callTimeout bounds a call of the engine beside this process.
-	callTimeout = 600 * time.Millisecond
-	// headStart is how long before the order the entries are told, so that what
-	// they sent just before has started.
-	headStart = 60 * time.Millisecond
-	// orderAgain is how long an order may show no effect before it is given again.
-	orderAgain = 1500 * time.Millisecond
-	// loadPatience is how long a load may take.
-	loadPatience = 6 * time.Second
 	// registerTimeout bounds the look into the register.
 	registerTimeout = 800 * time.Millisecond
 )
 
+// namedRing is how many versions may be named while this process does something else.
+const namedRing = 64
+
 // Named is a weight version that operators named.
 type Named struct {
 	// Model is the model's name.
@@ -159,7 +155,7 @@
 
 // New returns a Loader that Run starts.
 func New(cfg Config) *Loader {
-	return &Loader{cfg: cfg, wanted: make(map[string]Named), news: make(chan Named, 64)}
+	return &Loader{cfg: cfg, wanted: make(map[string]Named), news: make(chan Named, namedRing)}
 }
 
 // LoadIn returns how long it is until the engine is ordered to load a version, zero
@@ -224,10 +220,7 @@
 
 // state asks the engine and logs when it falls silent and answers again.
 func (l *Loader) state(ctx context.Context) (State, bool) {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-
-	s, err := l.cfg.Engine.State(c, l.cfg.Address)
+	s, err := askState(ctx, l.cfg.Engine, l.cfg.Address)
 	if err != nil && ctx.Err() != nil {
 		return State{}, false
 	}
@@ -275,67 +268,9 @@
 	l.takeNews()
 	n = l.wanted[n.Model]
 
-	l.cfg.Entries.Tell(ctx, l.cfg.Address, n.Model, n.Version, false)
-
-	if pause.For(ctx, headStart) {
-		l.load(ctx, self, n)
+	b := bringer{
+		engine: l.cfg.Engine, entries: l.cfg.Entries, address: l.cfg.Address, holder: l.cfg.Holder,
+		every: loadEvery, state: l.state, log: l.cfg.Log,
 	}
-}
-
-// load orders the version and waits until the engine has it.
-func (l *Loader) load(ctx context.Context, self string, n Named) {
-	began := time.Now()
-
-	var (
-		ordered time.Time
-		born    int64
-	)
-
-	for ctx.Err() == nil && time.Since(began) < loadPatience {
-		s, ok := l.state(ctx)
-		now := time.Now()
-
-		if ok && s.Born > born {
-			// It knows of no order that its last start was given.
-			born, ordered = s.Born, time.Time{}
-		}
-
-		switch {
-		case ok && s.Versions[n.Model] >= n.Version && !s.Busy:
-			event.Log(l.cfg.Log, event.VersionLoaded, "model", n.Model, "version", s.Versions[n.Model], "after_ms", now.Sub(began).Milliseconds())
-			l.cfg.Entries.Tell(ctx, l.cfg.Address, n.Model, s.Versions[n.Model], true)
-
-			return
-		case ok && !s.Busy && now.Sub(ordered) > orderAgain:
-			ordered = now
-
-			if l.order(ctx, self, n, s) == Refused {
-				// The engine was started anew, and the register still named its
-				// start before: the next look at the register knows better.
-				return
-			}
-		}
-
-		pause.For(ctx, loadEvery)
-	}
-}
-
-func (l *Loader) order(ctx context.Context, self string, n Named, s State) Reply {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-
-	reply, err := l.cfg.Engine.Order(c, l.cfg.Address, Order{
-		Target: self, Model: n.Model, Version: n.Version, Holder: l.cfg.Holder, Fence: n.Version, Expected: s.Orders,
-	})
-
-	fields := []any{"model", n.Model, "version", n.Version, "fence", n.Version, "expected", s.Orders, "status", reply.String(), "running", s.Running, "waiting", s.Waiting}
-	if err != nil {
-		event.Fail(l.cfg.Log, err, event.VersionOrdered, fields...)
-
-		return reply
-	}
-
-	event.Log(l.cfg.Log, event.VersionOrdered, fields...)
-
-	return reply
+	b.bring(ctx, self, n)
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -75,7 +75,8 @@
 	refuse   int // orders that are for another start
 	loadTime time.Duration
 	born     int64
-	start    int // counts its starts
+	start    int  // counts its starts
+	back     bool // it was brought to an older version than it had
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -100,11 +101,16 @@
 	if e.late > 0 {
 		e.late--
 
+		start := e.start
+
 		time.AfterFunc(4*time.Second, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 
-			e.take(o)
+			// An order names the start that it is for and doesn't outlive it.
+			if e.start == start {
+				e.take(o)
+			}
 		})
 
 		return NoReply, errNoAnswer
@@ -133,6 +139,7 @@
 			return
 		}
 
+		e.back = e.back || o.Version < e.version
 		e.busy, e.version = false, o.Version
 	})
 
--- /dev/null
+++ b/loader/standby_test.go
@@ -0,0 +1,207 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// fakeFleet is engines of one model at addresses that are their ids.
+type fakeFleet struct {
+	mu      sync.Mutex
+	engines map[string]*fakeEngine
+	heard   bool            // their loaders are
+	hidden  map[string]bool // what entries don't know of
+}
+
+func newFakeFleet(n int) *fakeFleet {
+	f := &fakeFleet{engines: make(map[string]*fakeEngine), hidden: make(map[string]bool)}
+	for i := range n {
+		f.engines[fmt.Sprintf("engine-%d", i)] = &fakeEngine{version: 1, loadTime: 500 * time.Millisecond}
+	}
+
+	return f
+}
+
+func (f *fakeFleet) Serving(time.Time, string) []Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var all []Candidate
+
+	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
+		if e := f.engines[id]; !f.hidden[id] {
+			all = append(all, Candidate{ID: id, Address: id, Version: e.has(), Heard: f.heard})
+		}
+	}
+
+	return all
+}
+
+func (f *fakeFleet) State(ctx context.Context, address string) (State, error) {
+	return f.engines[address].State(ctx, address)
+}
+
+func (f *fakeFleet) Order(ctx context.Context, address string, o Order) (Reply, error) {
+	return f.engines[address].Order(ctx, address, o)
+}
+
+// has returns the version that it has.
+func (e *fakeEngine) has() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.version
+}
+
+// ordered returns the versions that it was ordered to load.
+func (e *fakeEngine) ordered() []int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	var all []int64
+	for _, o := range e.taken {
+		all = append(all, o.Version)
+	}
+
+	return all
+}
+
+// orderedBy returns who ordered it.
+func (e *fakeEngine) orderedBy() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	var all []string
+	for _, o := range e.taken {
+		all = append(all, o.Holder)
+	}
+
+	return all
+}
+
+// place is an entry's place in the order for every engine.
+type place int
+
+func (p place) Turn(time.Time, string) int { return int(p) }
+
+// standby starts an entry that stands by; stop ends it.
+func (f *fakeFleet) standby(ctx context.Context, p place) *Standby {
+	s := NewStandby(StandbyConfig{
+		Holder: fmt.Sprintf("entry-%d", p), Engine: f, Entries: &fakeEntries{}, Fleet: f, Ring: p, Log: logr.Discard(),
+	})
+
+	go s.Run(ctx)
+
+	return s
+}
+
+// Operators name new weights while the loaders of all engines are gone. Without anybody
+// who stands in for them the engines keep the old ones, and when these may no longer
+// be used every caller is refused.
+func TestEnginesWithoutLoadersAreBroughtToTheVersion(t *testing.T) {
+	const engines = 12
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFakeFleet(engines)
+
+		for p := range 3 {
+			f.standby(ctx, place(p)).Name(Named{Model: "m", Version: 2})
+		}
+
+		time.Sleep(8 * time.Second)
+
+		for id, e := range f.engines {
+			if got := e.has(); got != 2 {
+				t.Errorf("%s: got version %d after 8 s, want 2", id, got)
+			}
+
+			if got := len(e.ordered()); got != 1 {
+				t.Errorf("%s: got %d orders carried out, want 1", id, got)
+			}
+		}
+
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// All loaders do their work. An entry that ordered besides would have engines load out of
+// turn.
+func TestStandbyKeepsOutOfWhatLoadersDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFakeFleet(1)
+		f.heard = true
+
+		l := New(Config{Address: "engine-0", Holder: "vm", Engine: f, Register: fakeRegister{f.engines["engine-0"]}, Entries: &fakeEntries{}, Log: logr.Discard()})
+		go l.Run(ctx)
+
+		s := f.standby(ctx, 0)
+
+		l.Name(Named{Model: "m", Version: 2})
+		s.Name(Named{Model: "m", Version: 2})
+		time.Sleep(10 * time.Second)
+
+		if taken := f.engines["engine-0"].orderedBy(); len(taken) != 1 || taken[0] != "vm" {
+			t.Errorf("got orders of %v, want one of the loader", taken)
+		}
+
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The entry that comes first for all engines is dead, and not yet known to be.
+func TestNextEntryFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFakeFleet(1)
+
+		f.standby(ctx, 1).Name(Named{Model: "m", Version: 2})
+		time.Sleep(5 * time.Second)
+
+		if got := f.engines["engine-0"].has(); got != 2 {
+			t.Errorf("got version %d, want 2", got)
+		}
+
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// An entry starts while an old version is long since named and one engine is listed only
+// later. Nobody tells the entry again.
+func TestEngineThatIsKnownLateIsBroughtToTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFakeFleet(2)
+		f.hidden["engine-1"] = true
+
+		f.standby(ctx, 0).Name(Named{Model: "m", Version: 2, Before: true})
+		time.Sleep(3 * time.Second)
+
+		f.mu.Lock()
+		f.hidden["engine-1"] = false
+		f.mu.Unlock()
+
+		time.Sleep(3 * time.Second)
+
+		for id, e := range f.engines {
+			if got := e.has(); got != 2 {
+				t.Errorf("%s: got version %d, want 2", id, got)
+			}
+		}
+
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/roster/holding_test.go
@@ -0,0 +1,49 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"boragehub/pulse"
+)
+
+// An entry that holds an engine's loader for alive, though its pulses have stopped, leaves
+// the engine on replaced weights for longer than it has to; one that never asked for its
+// pulses can't know.
+func TestHoldingsTellWhoseLoaderIsHeard(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	r := New(Config{Self: "entry-1", DataCentre: "east"})
+
+	for _, l := range []Listing{
+		{ID: "a", Service: "llm", Address: "a:1", Versions: map[string]int64{"m": 3}},
+		{ID: "leaving", Service: "llm", Address: "b:1", Versions: map[string]int64{"m": 3}, Draining: true},
+		{ID: "of another model", Service: "llm", Address: "c:1", Versions: map[string]int64{"n": 3}},
+	} {
+		r.List(t0, l)
+	}
+
+	steps := []struct {
+		name string
+		do   func()
+		at   time.Duration
+		want bool
+	}{
+		{"not asked", func() {}, 0, true},
+		{"asked", func() { r.Watched(func(string) bool { return true }) }, 0, false},
+		{"heard", func() { r.Pulse(t0, pulse.Pulse{Engine: "a:1", Sequence: 1, Start: 1, Model: "m", Version: 3}) }, 0, true},
+		{"not heard for long", func() {}, time.Second, false},
+	}
+
+	for _, s := range steps {
+		s.do()
+
+		got := r.Holdings(t0.Add(s.at), "m")
+		if len(got) != 1 {
+			t.Fatalf("%s: got %+v, want one", s.name, got)
+		}
+
+		if want := (Holding{ID: "a", Address: "a:1", Version: 3, Heard: s.want}); got[0] != want {
+			t.Errorf("%s: got %+v, want %+v", s.name, got[0], want)
+		}
+	}
+}
--- a/roster/pulse.go
+++ b/roster/pulse.go
@@ -66,8 +66,12 @@
 
 	sort.Slice(all, func(i, j int) bool { return all[i].sentAt.After(all[j].sentAt) })
 
-	for _, e := range all[:most] {
-		addresses = append(addresses, e.listing.Address)
+	for i, e := range all {
+		e.watched = i < most
+
+		if e.watched {
+			addresses = append(addresses, e.listing.Address)
+		}
 	}
 
 	return addresses, pace
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -132,6 +132,7 @@
 type engine struct {
 	pulse     pulse.Pulse
 	pulseAt   time.Time
+	watched   bool // this process asks for its pulse
 	since     Sent
 	sentAt    time.Time // when it last got a request
 	listing   Listing
