gateway: a port stays open while an answer runs long, by its age

Cause: what takes long was told by the mean of its route alone. A question that is usually quick and sent to a slow engine counted as quick, and the port was closed while it ran, though it had run for 0.7 to 1.4 s.

Ruled out: leaving out the refusals that close the port (callers fare worse refused than without a connection); the longest answer alone as a bound (0.15 s on an even fleet).

Change: an answer under way is long by its route or by its age; what an answer may take is ten times the mean, or half more than the longest of the last minute and at least two seconds if that is less.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -11,12 +11,12 @@
 // Bounds of what a stopping entry still serves once all those have come who couldn't know
 // of the stop.
 const (
-	// clearly longer than the mean of all answers is what takes so many times as long. It
-	// is chosen, not measured: quick and long routes differ by more than twice.
+	// clearly longer than the mean of all answers is what takes so many times as long.
 	clearly = 1.5
-	// seldomLonger times the usual time is what an answer may take: of 67,000 quick prompts
-	// on overloaded engines, 0.41 s on the mean, nine took more than 3.9 s.
+	// seldomLonger times the usual time is what an answer may take, on overloaded engines too.
 	seldomLonger = 10
+	// longestAge is how long the longest answer of a route is remembered.
+	longestAge = time.Minute
 	// lastTime is how long before its end an entry takes nobody in any more, so that calls
 	// which come one upon the other end as well.
 	lastTime = 2 * time.Second
@@ -31,14 +31,12 @@
 // An entry that serves them all never ends, until its grace does with answers broken off;
 // one that closes its port at once leaves them nobody while long answers still run. So
 // what takes long is refused first, and quick requests are served until the long answers
-// are done. With 24 entries stopped within six seconds and again 15 s later, of 32,700
-// requests 18 to 73 were refused or found nobody in the end, and 69 to 173 with the port
-// closed at once.
+// are done.
 type work struct {
 	mu    sync.Mutex
-	usual map[string]*profile.Mean // by route, how long answers take, in ms
-	all   profile.Mean             // of all routes
-	long  map[*task]bool           // what is being served, and whether it takes long
+	usual map[string]*usual  // by route, how long answers take
+	all   profile.Mean       // of all routes, in ms
+	under map[*task]underway // what is being served
 
 	closing bool
 	full    bool      // a request was refused for want of time, not for taking long
@@ -46,8 +44,44 @@
 	over    chan struct{}
 }
 
+// usual is how long a route's answers take.
+type usual struct {
+	mean    profile.Mean  // in ms
+	longest time.Duration // of late
+	at      time.Time     // when that was
+}
+
+// took takes how long an answer took.
+func (u *usual) took(now time.Time, total time.Duration) {
+	u.mean.Observe(millis(total))
+
+	if total >= u.longest || now.Sub(u.at) > longestAge {
+		u.longest, u.at = total, now
+	}
+}
+
+// most returns what an answer may take that usually takes so long. Where a few engines are
+// slow the mean stands for no answer at all: ten times as long, nobody would be served
+// any more seconds before the end of a stop.
+func (u *usual) most(takes time.Duration) time.Duration {
+	most := seldomLonger * takes
+	if u.longest > 0 {
+		most = min(most, max(time.Duration(clearly*float64(u.longest)), lastTime))
+	}
+
+	return max(most, takes)
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// underway is an answer under way.
+type underway struct {
+	began time.Time
+	long  bool // by what its route usually takes
+}
+
 func newWork() *work {
-	return &work{usual: make(map[string]*profile.Mean), long: make(map[*task]bool), over: make(chan struct{})}
+	return &work{usual: make(map[string]*usual), under: make(map[*task]underway), over: make(chan struct{})}
 }
 
 // close begins the last part of a stop, whose last answers go out at end.
@@ -79,19 +113,21 @@
 	defer k.mu.Unlock()
 
 	takes := t.deadline.Sub(now)
-	if ms, ok := k.mean(t.route.Name).Value(); ok {
+	u := k.of(t.route.Name)
+
+	if ms, ok := u.mean.Value(); ok {
 		takes = min(takes, time.Duration(ms*float64(time.Millisecond)))
 	}
 
 	long := k.takesLong(takes)
 
-	if k.closing && (long || !k.ends(now, t.deadline, takes)) {
+	if k.closing && (long || !k.ends(now, t.deadline, u.most(takes))) {
 		k.full = k.full || !long
 
 		return failure.New(failure.Draining, "this entry ends soon").After(elsewherePause)
 	}
 
-	k.long[t] = long
+	k.under[t] = underway{began: now, long: long}
 
 	return nil
 }
@@ -101,25 +137,26 @@
 func (k *work) takesLong(takes time.Duration) bool {
 	ms, ok := k.all.Value()
 
-	return !ok || float64(takes)/float64(time.Millisecond) > clearly*ms
+	return !ok || millis(takes) > clearly*ms
 }
 
-// ends reports whether an answer that usually takes so long ends before the process does.
-// The caller holds mu.
-func (k *work) ends(now, deadline time.Time, takes time.Duration) bool {
-	return !deadline.After(k.end) || !now.Add(seldomLonger*takes).After(k.end)
+// ends reports whether an answer that may take so long ends before the process does. The
+// caller holds mu.
+func (k *work) ends(now, deadline time.Time, most time.Duration) bool {
+	return !deadline.After(k.end) || !now.Add(most).After(k.end)
 }
 
 // short reports whether the port may close: what is being served doesn't take long, or
 // what comes can't be served any more. A caller that is refused has used up a try, and
-// one that finds the port closed goes to the next entry at once: of those refused a
-// quarter weren't served in the end, of those without a connection one in 25.
+// one that finds the port closed goes to the next entry at once. What is usually quick runs
+// long on an engine that is slow just now: such an answer is told by its age, or the port
+// would be closed for as long as it goes on, while callers find nobody.
 func (k *work) short(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	for _, long := range k.long {
-		if long {
+	for _, u := range k.under {
+		if u.long || k.takesLong(now.Sub(u.began)) {
 			return k.full || now.Add(lastTime).After(k.end)
 		}
 	}
@@ -132,29 +169,27 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	delete(k.long, t)
+	delete(k.under, t)
 }
 
 // took takes how long a whole answer of a route took.
-func (k *work) took(route string, total time.Duration) {
+func (k *work) took(now time.Time, route string, total time.Duration) {
 	k.mu.Lock()
-	m := k.mean(route)
-	k.mu.Unlock()
+	defer k.mu.Unlock()
 
-	ms := float64(total) / float64(time.Millisecond)
-	m.Observe(ms)
-	k.all.Observe(ms)
+	k.of(route).took(now, total)
+	k.all.Observe(millis(total))
 }
 
-// mean returns the mean of a route. The caller holds mu.
-func (k *work) mean(route string) *profile.Mean {
-	m, ok := k.usual[route]
+// of returns what is usual for a route. The caller holds mu.
+func (k *work) of(route string) *usual {
+	u, ok := k.usual[route]
 	if !ok {
-		m = &profile.Mean{}
-		k.usual[route] = m
+		u = &usual{}
+		k.usual[route] = u
 	}
 
-	return m
+	return u
 }
 
 // Stop begins a planned stop: the gateway is not ready any more. It serves all that comes.
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -11,15 +11,18 @@
 	"boragehub/site"
 )
 
+// usualTime is when usualWork learned what it knows.
+var usualTime = time.Unix(990, 0)
+
 // usualWork knows reviews that take a second and questions that take a tenth of it.
 func usualWork() *work {
 	k := newWork()
 
 	for range 100 {
-		k.took("review", time.Second)
+		k.took(usualTime, "review", time.Second)
 
 		for range 9 {
-			k.took("seat", 100*time.Millisecond)
+			k.took(usualTime, "seat", 100*time.Millisecond)
 		}
 	}
 
@@ -72,6 +75,36 @@
 	}
 }
 
+// A third of the engines is slow, and quick questions there take fifteen times as long as
+// elsewhere. By ten times the mean, none would be served any more five seconds before the
+// end of the stop, and the port would be closed under those that run.
+func TestLastPartOfAStopGoesByTheLongestOfLate(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	k := newWork()
+
+	for range 100 {
+		k.took(t0, "seat", 1500*time.Millisecond)
+		k.took(t0, "seat", 100*time.Millisecond)
+		k.took(t0, "seat", 100*time.Millisecond)
+	}
+
+	k.close(t0, t0.Add(5*time.Second))
+
+	tests := []struct {
+		at   time.Duration
+		want bool
+	}{{2750 * time.Millisecond, true}, {2751 * time.Millisecond, false}}
+
+	for _, tt := range tests {
+		now := t0.Add(tt.at)
+		x := &task{route: &site.Route{Name: "seat"}, deadline: now.Add(10 * time.Second)}
+
+		if err := k.begin(now, x); (err == nil) != tt.want {
+			t.Errorf("at %v: got %v, want served %v", tt.at, err, tt.want)
+		}
+	}
+}
+
 // A prompt waits for an engine with room as the time for a stop ends. It has run nowhere,
 // and its caller may come again at once; cut off, it would not know so.
 func TestWhatWaitsForRoomIsRefusedAsAStopEnds(t *testing.T) {
@@ -107,7 +140,7 @@
 	w := open(t, e)
 
 	for range 10 {
-		w.gateway.work.took("once", 50*time.Millisecond)
+		w.gateway.work.took(time.Now(), "once", 50*time.Millisecond)
 	}
 
 	now := time.Now()
@@ -143,7 +176,8 @@
 }
 
 // The port of an entry that stops may close once nothing runs that takes long, or when
-// nobody would be taken in anyway.
+// nobody would be taken in anyway. A question that is usually quick may have run on a slow
+// engine for a second already; with the port closed then, callers find nobody until it ends.
 func TestPortMayCloseWhenNothingLongRuns(t *testing.T) {
 	t0 := time.Unix(1000, 0)
 	end := t0.Add(5 * time.Second)
@@ -154,6 +188,7 @@
 	}{
 		{"nothing", "", t0, true},
 		{"quick", "seat", t0, true},
+		{"quick, on a slow engine", "seat", t0.Add(time.Second), false},
 		{"long", "review", t0, false},
 		{"long, to the last time", "review", end.Add(-lastTime), false},
 		{"long, in the last time", "review", end.Add(-lastTime + 1), true},
