loader, roster: entries stand by only for engines that have no loader

Ruled out: a longer margin behind the loader's turn, since a loader that stands still may wake at any moment.

Change: entries order only engines beside which no loader was heard in 12 s of asking; they take slots of six seconds one after the other, the fencing number is made of version, slot and place, and an entry whose news is older than 1.1 s orders nothing.

An engine whose loader is dead or frozen keeps its weights until that is back, as before.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -82,7 +82,7 @@
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
 		Holder: cfg.VM, Turn: loader.TurnConfig{Within: cfg.Bounds.Version}, Engine: calls, Entries: e, Fleet: servingFleet{e.roster},
-		Ring: members, Log: log,
+		Ring: members, News: operators.Fresh, Log: log,
 	})
 
 	meter := metrics.New(e.meters, metrics.Gauges{
@@ -172,7 +172,7 @@
 
 // engines returns the addresses of the model engines to hear of, and how often.
 func (e *fleetEntry) engines() (addresses []string, pace time.Duration) {
-	return e.roster.Watched(e.gateway.HasEngines)
+	return e.roster.Watched(time.Now(), e.gateway.HasEngines)
 }
 
 // notice takes what a side process says of its engine.
@@ -235,7 +235,7 @@
 func (e *fleetEntry) tick(ctx context.Context) {
 	for pause.For(ctx, tickEvery) {
 		now := time.Now()
-		entries := len(e.members.Live(now)) + 1
+		entries := e.members.Size(now)
 		e.directory.SetSharers(entries)
 		e.gateway.SetSharers(entries)
 		e.roster.Tick(now)
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -38,8 +38,8 @@
 	VersionLoaded  = register(2402, "version_loaded", "The engine has a weight version: `version`, `after_ms`.")
 	EngineSilent   = register(2403, "engine_silent", "The engine beside this process does not answer.")
 	EngineAnswers  = register(2404, "engine_answers", "The engine beside this process answers again.")
-	StandbyOrders  = register(2405, "standby_orders", "Nobody has brought a target to a weight version in its turn, and this entry does: `target`, `model`, `version`, `has`, `loader_heard`.")
-	StandbyUnheard = register(2406, "standby_unheard", "A target that nobody has brought to a weight version doesn't answer: `target`, `model`, `version`.")
+	StandbyOrders  = register(2405, "standby_orders", "A target without a loader is to be brought to a weight version, and this entry orders it: `target`, `model`, `version`, `has`, `slot`.")
+	StandbyUnheard = register(2406, "standby_unheard", "A target without a loader that is to be brought to a weight version doesn't answer: `target`, `model`, `version`.")
 )
 
 // Events of stores of kept contexts.
--- a/loader/bringer.go
+++ b/loader/bringer.go
@@ -31,6 +31,9 @@
 	address string // the engine's
 	holder  string // this process's VM
 	every   time.Duration
+	place   int       // of this process among those who may order the engine
+	slot    int       // of those who may order the engine one after the other; 0 is its loader's
+	until   time.Time // when it may be ordered no more; zero for always
 	state   func(ctx context.Context) (State, bool)
 	log     logr.Logger
 }
@@ -76,7 +79,7 @@
 			b.entries.Tell(ctx, b.address, n.Model, s.Versions[n.Model], true)
 
 			return
-		case ok && !s.Busy && now.Sub(ordered) > orderAgain:
+		case ok && !s.Busy && now.Sub(ordered) > orderAgain && b.may(now):
 			ordered = now
 
 			if b.order(ctx, self, n, s) == Refused {
@@ -90,15 +93,34 @@
 	}
 }
 
+// More than the slots that pass until an engine has a version, and than there are entries.
+const (
+	fenceSlots  = 1000
+	fencePlaces = 1000
+)
+
+// fence returns the fencing number of an order. It rises with the versions, and within one
+// version with the slots; two holders never use the same one.
+func (b *bringer) fence(version int64) int64 {
+	slot, place := min(b.slot, fenceSlots-1), min(b.place, fencePlaces-1)
+
+	return (version*fenceSlots+int64(slot))*fencePlaces + int64(place)
+}
+
+// may reports whether the engine may still be ordered.
+func (b *bringer) may(now time.Time) bool { return b.until.IsZero() || now.Before(b.until) }
+
 func (b *bringer) order(ctx context.Context, self string, n Named, s State) Reply {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
+	fence := b.fence(n.Version)
+
 	reply, err := b.engine.Order(c, b.address, Order{
-		Target: self, Model: n.Model, Version: n.Version, Holder: b.holder, Fence: n.Version, Expected: s.Orders,
+		Target: self, Model: n.Model, Version: n.Version, Holder: b.holder, Fence: fence, Expected: s.Orders,
 	})
 
-	fields := []any{"model", n.Model, "version", n.Version, "fence", n.Version, "expected", s.Orders, "status", reply.String(), "running", s.Running, "waiting", s.Waiting}
+	fields := []any{"model", n.Model, "version", n.Version, "fence", fence, "expected", s.Orders, "status", reply.String(), "running", s.Running, "waiting", s.Waiting}
 	if err != nil {
 		event.Fail(b.log, err, event.VersionOrdered, fields...)
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -4,8 +4,8 @@
 // # Model
 //
 // Each side process orders its own engine alone, so an engine has one holder by
-// construction and nobody has to be elected. The fencing number of an order is
-// the version that it names: versions only rise, so an order that comes late is
+// construction and nobody has to be elected. The fencing number of an order rises
+// with the version that it names: versions only rise, so an order that comes late is
 // always the one with the lower number. An order also names how many orders the
 // engine had taken before, so that one which is carried out seconds late, after
 // another, is dropped.
@@ -14,7 +14,7 @@
 // the register. Before the order, the entries are told, so that they send their
 // requests elsewhere; afterwards they are told of the new version.
 //
-// A Standby, in each entry, orders those engines whose turn has passed without an order.
+// A Standby, in each entry, orders those engines that have no loader.
 package loader
 
 import (
--- a/loader/standby.go
+++ b/loader/standby.go
@@ -10,14 +10,15 @@
 	"boragehub/event"
 )
 
-// An engine whose loader is dead, stands still or is cut off from all news keeps its
-// weights when operators name newer ones. One notices that its requests go to the other
-// engines, and that with many such engines callers are refused until loaders are back.
+// An engine without a loader beside it keeps its weights when operators name newer ones.
+// One notices that its requests go to the other engines, and that where there are no
+// loaders at all every caller is refused once the old weights may no longer be used.
 //
-// So each entry stands by for engines: when an engine's turn has passed and nobody has
-// ordered it, an entry does. Who does follows from a hash over the entries alive; the next
-// one in that order follows a little later. Two that order the same engine do no harm: an
-// order says how many orders the engine has taken before, and versions only rise.
+// So entries order the engines whose loader was never heard, though it was listened for.
+// Who does follows from a hash over the entries alive: each has a slot of time after the
+// engine's turn, in which it may order and the others don't. An engine with a loader that is
+// dead or stands still is left to it: it may be back at any moment, and not all engines
+// check who orders them.
 
 // Candidate is an engine as an entry believes it to be.
 type Candidate struct {
@@ -27,8 +28,8 @@
 	Version int64
 	// Loading says that it loads, as somebody told.
 	Loading bool
-	// Heard says that its loader was heard of late.
-	Heard bool
+	// Alone says that no loader was ever heard beside it, though one was listened for.
+	Alone bool
 }
 
 // Fleet knows the engines.
@@ -41,6 +42,8 @@
 type Ring interface {
 	// Turn returns how many of them come before this one for a matter.
 	Turn(now time.Time, matter string) int
+	// Size returns how many there are, this one included.
+	Size(now time.Time) int
 }
 
 // StandbyConfig is what a Standby works with.
@@ -54,22 +57,24 @@
 	Entries Entries
 	Fleet   Fleet
 	Ring    Ring
+	// News returns when this process surely knew the newest version.
+	News func() time.Time
 	// Log gets a line for each step.
 	Log logr.Logger
 }
 
 // Timing of a Standby.
 const (
+	// newsMost is the age up to which what is known of versions is gone by. The first engines
+	// are ordered later than that after a version was named, so whoever orders knows of it.
+	newsMost = 1100 * time.Millisecond
 	// standbyEvery is the pause between two looks at what is due.
 	standbyEvery = 250 * time.Millisecond
-	// unheardMargin is how long after its turn an engine is ordered whose loader isn't heard.
-	unheardMargin = 200 * time.Millisecond
-	// heardMargin is the same where the loader is heard, which may be late itself.
-	heardMargin = 1500 * time.Millisecond
-	// placeMargin is how much later each further entry of the order follows.
-	placeMargin = 700 * time.Millisecond
-	// standbyAgain is how long after a try the next one follows.
-	standbyAgain = time.Second
+	// slotTime is the time from one entry's slot to the next one's, slotOrders the part of it
+	// in which the entry may order. Who has ordered an engine is taken to hold it for three
+	// seconds, and entries learn of a version up to a second after each other.
+	slotTime   = 6 * time.Second
+	slotOrders = 2 * time.Second
 	// standbyLoadEvery is the pause between two looks at an engine that loads; they cross
 	// data centres.
 	standbyLoadEvery = 200 * time.Millisecond
@@ -122,7 +127,7 @@
 		for _, j := range s.due(time.Now()) {
 			all.Go(func() {
 				s.bring(ctx, j)
-				s.done(time.Now(), j)
+				s.done(j)
 			})
 		}
 	}
@@ -140,15 +145,37 @@
 	s.plans[n.Model] = &plan{named: n, at: now, turns: make(map[string]time.Time)}
 }
 
+// slotAt returns the slot at a time after an engine's turn, and until when its entry may
+// order; ok is false outside of that time.
+func slotAt(now, turn time.Time) (slot int, until time.Time, ok bool) {
+	after := now.Sub(turn)
+	if after < 0 {
+		return 0, time.Time{}, false
+	}
+
+	slot = int(after / slotTime)
+	until = turn.Add(time.Duration(slot)*slotTime + slotOrders)
+
+	return slot, until, now.Before(until)
+}
+
 // job is an engine that is to be brought to a version.
 type job struct {
 	engine Candidate
 	named  Named
+	slot   int
+	place  int       // of this process among the entries
+	until  time.Time // when the slot's time for orders is over
 }
 
 // due returns the engines that this process is to order now, and counts them as being
 // brought.
 func (s *Standby) due(now time.Time) []job {
+	// One that is cut off from news would order an older version after a newer one.
+	if now.Sub(s.cfg.News()) > newsMost {
+		return nil
+	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -159,30 +186,25 @@
 		p.take(now, s.cfg.Turn, engines)
 
 		for _, e := range engines {
-			if _, busy := s.under[e.ID]; busy || e.Loading || e.Version >= p.named.Version {
+			if _, busy := s.under[e.ID]; busy || !e.Alone || e.Loading || e.Version >= p.named.Version {
 				continue
 			}
 
-			if !now.Before(s.after(now, p.turns[e.ID], e)) {
-				s.under[e.ID] = struct{}{}
-				jobs = append(jobs, job{e, p.named})
+			slot, until, ok := slotAt(now, p.turns[e.ID])
+			place := s.cfg.Ring.Turn(now, e.ID)
+
+			if !ok || slot%s.cfg.Ring.Size(now) != place {
+				continue
 			}
+
+			s.under[e.ID] = struct{}{}
+			jobs = append(jobs, job{e, p.named, slot, place, until})
 		}
 	}
 
 	return jobs
 }
 
-// after returns when this process orders an engine whose turn is at a time.
-func (s *Standby) after(now, turn time.Time, e Candidate) time.Time {
-	margin := unheardMargin
-	if e.Heard {
-		margin = heardMargin
-	}
-
-	return turn.Add(margin + time.Duration(s.cfg.Ring.Turn(now, e.ID))*placeMargin)
-}
-
 // take plans the turns of engines that have none yet. Those that are known when the version
 // is named have the turns that their loaders work out; others come as soon after each other
 // as may be.
@@ -206,16 +228,12 @@
 	}
 }
 
-// done ends a try. The engine is due again after a while, if it still lacks the version.
-func (s *Standby) done(now time.Time, j job) {
+// done ends a try. The engine may be tried again, if it still lacks the version.
+func (s *Standby) done(j job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	delete(s.under, j.engine.ID)
-
-	if p := s.plans[j.named.Model]; p != nil {
-		p.turns[j.engine.ID] = now.Add(standbyAgain)
-	}
 }
 
 // bring asks the engine first, which knows best, and orders it if it lacks the version.
@@ -238,10 +256,10 @@
 		return
 	}
 
-	event.Log(s.cfg.Log, event.StandbyOrders, "target", e.ID, "model", n.Model, "version", n.Version, "has", state.Versions[n.Model], "loader_heard", e.Heard)
+	event.Log(s.cfg.Log, event.StandbyOrders, "target", e.ID, "model", n.Model, "version", n.Version, "has", state.Versions[n.Model], "slot", j.slot)
 
 	b := bringer{
-		engine: s.cfg.Engine, entries: s.cfg.Entries, address: e.Address, holder: s.cfg.Holder, every: standbyLoadEvery, log: s.cfg.Log,
+		engine: s.cfg.Engine, entries: s.cfg.Entries, address: e.Address, holder: s.cfg.Holder, every: standbyLoadEvery, slot: j.slot + 1, place: j.place, until: j.until, log: s.cfg.Log,
 		state: func(ctx context.Context) (State, bool) {
 			state, err := askState(ctx, s.cfg.Engine, e.Address)
 
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -262,6 +262,9 @@
 	sort.Slice(all, func(i, j int) bool { return score(all[i]) > score(all[j]) })
 }
 
+// Size returns how many entries are live, this one included.
+func (m *Members) Size(now time.Time) int { return len(m.Live(now)) + 1 }
+
 // Turn returns how many live entries come before this one for a matter, in an
 // order by hash that all agree on.
 func (m *Members) Turn(now time.Time, matter string) int {
--- a/roster/holding.go
+++ b/roster/holding.go
@@ -10,11 +10,14 @@
 	Version int64
 	// Loading says that it loads weights.
 	Loading bool
-	// Heard says that the process beside it was heard of late; it also counts as heard
-	// while this process doesn't ask for its pulse.
-	Heard bool
+	// Alone says that no process beside it was ever heard, though this process has asked for
+	// its pulse for a while.
+	Alone bool
 }
 
+// aloneAfter is how long a pulse is asked for, several times, until none is taken to come.
+const aloneAfter = 12 * time.Second
+
 // Holdings returns the targets that have a version of a model and don't leave.
 func (r *Roster) Holdings(now time.Time, model string) []Holding {
 	r.mu.Lock()
@@ -27,7 +30,7 @@
 		if v := e.versions[model]; v > 0 && !l.Draining && r.holder(l.Address).id == id {
 			all = append(all, Holding{
 				ID: id, Address: l.Address, Version: v, Loading: now.Before(e.loading),
-				Heard: !e.watched || now.Sub(e.pulseAt) < e.pulseMost(),
+				Alone: !r.guarded[l.Address] && !e.watched.IsZero() && now.Sub(e.watched) >= aloneAfter,
 			})
 		}
 	}
--- a/roster/pulse.go
+++ b/roster/pulse.go
@@ -28,12 +28,13 @@
 // caller holds mu.
 func (r *Roster) take(now time.Time, p pulse.Pulse) (id string, restarted bool) {
 	id = r.holder(p.Engine).id
-
 	e, ok := r.engines[id]
 	if !ok {
 		return "", false
 	}
 
+	r.guarded[p.Engine] = true
+
 	restarted = r.bear(now, id, e, p.Born)
 	if e.before(p.Born) {
 		return "", false
@@ -50,7 +51,7 @@
 // Watched returns the addresses of the targets whose pulse this process wants: those
 // of the services that pass, the ones used last when they are too many, and the pause
 // between two pulses.
-func (r *Roster) Watched(pass func(service string) bool) (addresses []string, pace time.Duration) {
+func (r *Roster) Watched(now time.Time, pass func(service string) bool) (addresses []string, pace time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -67,11 +68,17 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].sentAt.After(all[j].sentAt) })
 
 	for i, e := range all {
-		e.watched = i < most
+		if i >= most {
+			e.watched = time.Time{}
 
-		if e.watched {
-			addresses = append(addresses, e.listing.Address)
+			continue
 		}
+
+		if e.watched.IsZero() {
+			e.watched = now
+		}
+
+		addresses = append(addresses, e.listing.Address)
 	}
 
 	return addresses, pace
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -132,7 +132,7 @@
 type engine struct {
 	pulse     pulse.Pulse
 	pulseAt   time.Time
-	watched   bool // this process asks for its pulse
+	watched   time.Time // since when its pulse is asked for; zero while it isn't
 	since     Sent
 	sentAt    time.Time // when it last got a request
 	listing   Listing
@@ -152,6 +152,7 @@
 	mu       sync.Mutex
 	engines  map[string]*engine
 	holders  map[string][]holder // by address, in order of id
+	guarded  map[string]bool     // addresses beside which a process was heard
 	doubtful time.Time           // until when drops are in doubt
 	away     bool                // the log does not answer
 	still    time.Time           // until when a target counts as standing still
@@ -193,6 +194,7 @@
 		}),
 		engines: make(map[string]*engine),
 		holders: make(map[string][]holder),
+		guarded: make(map[string]bool),
 	}
 }
 
