route: old weights are used while the engines with new ones are busy

An old answer counted for a tenth of the aim, 40 and 80 ms, which is more than the wait that was expected at a new engine.

Change: old weights cost a fiftieth of the aim.

--- a/route/opening.go
+++ b/route/opening.go
@@ -148,9 +148,10 @@
 	// newFactor is what reading a new opening at another engine than its first costs,
 	// in parts of its time: another request with it may just be read there.
 	newFactor = 0.2
-	// oldFactor is what answering on old weights costs, in parts of the aim: it loses a
-	// fifth of an answer's worth, where coming late loses four fifths.
-	oldFactor = 0.1
+	// oldFactor is what answering on old weights costs, in parts of the aim. They may be
+	// used for a while, their contexts are warm, and a late answer loses far more; so it
+	// decides among engines that are about as free.
+	oldFactor = 0.02
 )
 
 // DecideOpening returns the engine for a prompt: the least estimated time to its
