--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -40,8 +40,7 @@
 	// refused, and a time-out that falls there can still be told.
 	lastAnswers = 200 * time.Millisecond
 	// keepCallers is how long callers are told that their connections may stay unused. A
-	// stop takes at least as long, which is what a balancer needs to know of it as well. With
-	// one second stops are no shorter, as answers that run decide.
+	// stop takes at least as long, which is what a balancer needs to know of it as well.
 	keepCallers = 2 * time.Second
 	// idleCallers is how long a connection of a caller that doesn't heed this may.
 	idleCallers = 2 * time.Minute
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,8 +79,7 @@
 	case errors.Is(o.cause, errSilent), errors.Is(o.cause, errLeaving):
 		// Another target would read the whole prompt anew, and the callers of all
 		// targets that stand still come back by themselves: with repeats of ours
-		// besides, the other targets are overloaded (worth of a day on which a third
-		// of the engines stands still four times: 0.48 with repeats, 0.57 without).
+		// besides, the other targets are overloaded.
 		return t.failed(o, failure.Timeout)
 	case !retry.May(retry.Attempt{
 		Idempotent: t.route.Repeatable(), Sent: o.ran, Kind: o.kind, Number: t.ran, Most: max(t.route.MaxAttempts, 1),
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -96,8 +96,7 @@
 }
 
 // memoryShare is the part of an engine's memory up to which prompts are sent: the rest
-// is for what those that run still generate. Of 12 days on two sites, with 0.8 and 0.95
-// of it: worth 0.681 and 0.680, 0.620 and 0.626.
+// is for what those that run still generate.
 const memoryShare = 0.95
 
 // fits reports whether a prompt fits into an engine's memory beside what runs and waits
--- a/pulse/share.go
+++ b/pulse/share.go
@@ -5,8 +5,7 @@
 )
 
 // What pulses may cost an entry. With an engine more each of them gets less of an
-// entry's requests, so that its load is known well enough from fewer pulses. At a dozen
-// engines pulses of 100, 200 and 400 ms gave a worth of 0.668, 0.658 and 0.643.
+// entry's requests, so that its load is known well enough from fewer pulses.
 const (
 	// mostPulses is how many pulses a second an entry gets at most.
 	mostPulses = 240
--- a/roster/silence.go
+++ b/roster/silence.go
@@ -25,8 +25,8 @@
 )
 
 // lateAfter is after how long without a sign of life a target is late, at the shortest
-// pace of pulses. Of 14,700 prompts that were sent while all machines ran, none went by a
-// pulse older than 117 ms. One that is lost makes its target late as well.
+// pace of pulses, on which a busy machine is a little late. One that is lost makes its
+// target late as well.
 const lateAfter = 150 * time.Millisecond
 
 // life is what is known of a target's signs of life.
--- a/route/opening.go
+++ b/route/opening.go
@@ -130,9 +130,7 @@
 	return time.Duration(d.wait * float64(time.Millisecond))
 }
 
-// Costs beside time. That of reading again and that of what generates were worth 0.009
-// and 0.006 of the prompts on time on forty deployments drawn from seeds; the others
-// decide ties there.
+// Costs beside time.
 const (
 	// suspectCost, in ms, keeps work from an engine that failed of late while any
 	// other is not overloaded.
--- a/route/pace.go
+++ b/route/pace.go
@@ -19,9 +19,7 @@
 func (p Pace) String() string { return [...]string{"send_now", "hold", "too_late"}[p] }
 
 // queueShare is the part of the quick prompts' aim for which engines may have other
-// prompts to read when a long one is sent. On forty deployments drawn from seeds, without
-// a bound and with 1 / 0.5 / 0.25 / 0.1 of the aim: on time 0.815 and 0.823 / 0.833 / 0.850
-// / 0.853 of the prompts, of the kind served worst 0.756 and 0.756 / 0.773 / 0.793 / 0.780.
+// prompts to read when a long one is sent.
 const queueShare = 0.25
 
 // pace returns whether a prompt is sent to an engine that reads others for so long first.
@@ -29,9 +27,7 @@
 // When more comes than engines can read, as after new weights, queues grow until all
 // answers are late, and engines read prompts whose callers have left meanwhile. A prompt
 // that can't be on time is refused at once instead; it costs its engine nothing and may
-// come back when its turn is near. On a day with two changes of weights prompts that were
-// neither served nor refused fell from 3.0 to 1.4 in a hundred, and 0.85 of the credit
-// was earned in place of 0.82.
+// come back when its turn is near.
 //
 // Long prompts mostly have long aims. Were they sent for as long as they are on time,
 // engines would always have that much to read, and every short prompt, whose aim is less,
