--- a/loader/standby.go
+++ b/loader/standby.go
@@ -80,7 +80,7 @@
 	standbyLoadEvery = 200 * time.Millisecond
 )
 
-// Standby orders engines that their loaders have left behind. Use NewStandby.
+// Standby orders engines that have no loader. Use NewStandby.
 type Standby struct {
 	cfg  StandbyConfig
 	news chan Named
