gateway: a stop counts answers that did not end

Change: what a request has lasted counts when it is given up too, and the age of what is under way. An answer may take at least that.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -230,7 +230,7 @@
 		return
 	}
 
-	defer g.work.done(t)
+	defer func() { g.work.done(time.Now(), t) }()
 
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
 	defer cancel()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -46,30 +46,32 @@
 
 // usual is how long a route's answers take.
 type usual struct {
-	mean    profile.Mean  // in ms
-	longest time.Duration // of late
+	mean    profile.Mean  // of whole answers, in ms
+	longest time.Duration // of late, of those that didn't end as well
 	at      time.Time     // when that was
 }
 
-// took takes how long an answer took.
-func (u *usual) took(now time.Time, total time.Duration) {
-	u.mean.Observe(millis(total))
-
+// lasted takes how long a request was served.
+func (u *usual) lasted(now time.Time, total time.Duration) {
 	if total >= u.longest || now.Sub(u.at) > longestAge {
 		u.longest, u.at = total, now
 	}
 }
 
-// most returns what an answer may take that usually takes so long. Where a few engines are
-// slow the mean stands for no answer at all: ten times as long, nobody would be served
-// any more seconds before the end of a stop.
-func (u *usual) most(takes time.Duration) time.Duration {
+// most returns what an answer may take that usually takes so long, while one has been under
+// way for as long as oldest. Where a few engines are slow the mean stands for no answer at
+// all: ten times as long, nobody would be served any more seconds before the end of a stop.
+// Where a machine is held up, answers that run for seconds are given up, and the mean of
+// those that ended knows nothing of them: what has lasted so long may do so again.
+func (u *usual) most(takes, oldest time.Duration) time.Duration {
+	longest := max(u.longest, oldest)
 	most := seldomLonger * takes
-	if u.longest > 0 {
-		most = min(most, max(time.Duration(clearly*float64(u.longest)), lastTime))
+
+	if longest > 0 {
+		most = min(most, max(time.Duration(clearly*float64(longest)), lastTime))
 	}
 
-	return max(most, takes)
+	return max(most, takes, longest)
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -121,7 +123,7 @@
 
 	long := k.takesLong(takes)
 
-	if k.closing && (long || !k.ends(now, t.deadline, u.most(takes))) {
+	if k.closing && (long || !k.ends(now, t.deadline, u.most(takes, k.oldest(now, t.route.Name)))) {
 		k.full = k.full || !long
 
 		return failure.New(failure.Draining, "this entry ends soon").After(elsewherePause)
@@ -164,20 +166,40 @@
 	return true
 }
 
-// done takes that a request is not served any more.
-func (k *work) done(t *task) {
+// done takes that a request is not served any more, whether its answer came or not.
+func (k *work) done(now time.Time, t *task) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
+	if u, ok := k.under[t]; ok {
+		k.of(t.route.Name).lasted(now, now.Sub(u.began))
+	}
+
 	delete(k.under, t)
 }
 
+// oldest returns for how long the oldest answer of a route has been under way. The caller
+// holds mu.
+func (k *work) oldest(now time.Time, route string) time.Duration {
+	var oldest time.Duration
+
+	for t, u := range k.under {
+		if t.route.Name == route {
+			oldest = max(oldest, now.Sub(u.began))
+		}
+	}
+
+	return oldest
+}
+
 // took takes how long a whole answer of a route took.
 func (k *work) took(now time.Time, route string, total time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	k.of(route).took(now, total)
+	u := k.of(route)
+	u.mean.Observe(millis(total))
+	u.lasted(now, total)
 	k.all.Observe(millis(total))
 }
 
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -60,7 +60,7 @@
 				t.Fatalf("before the last part: got %v, want it served", err)
 			}
 
-			k.done(x)
+			k.done(now, x)
 			k.close(t0, end)
 
 			err := k.begin(now, x)
@@ -105,6 +105,37 @@
 	}
 }
 
+// A machine is held up, and answers that run for three seconds are given up or still run. Of
+// them nothing is learned if only whole answers count: the entry takes more callers in two
+// seconds before its end, and breaks their answers off.
+func TestLastPartOfAStopCountsWhatDoesNotEnd(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+
+	for _, ended := range []bool{false, true} {
+		k := newWork()
+		for range 100 {
+			k.took(t0, "seat", 100*time.Millisecond)
+		}
+
+		slow := &task{route: &site.Route{Name: "seat"}, deadline: t0.Add(10 * time.Second)}
+		if err := k.begin(t0, slow); err != nil {
+			t.Fatal(err)
+		}
+
+		k.close(t0, t0.Add(5*time.Second))
+
+		now := t0.Add(3 * time.Second)
+		if ended {
+			k.done(now, slow)
+		}
+
+		x := &task{route: &site.Route{Name: "seat"}, deadline: now.Add(10 * time.Second)}
+		if err := k.begin(now, x); err == nil {
+			t.Errorf("given up %v: got a question served two seconds before the end, want it refused", ended)
+		}
+	}
+}
+
 // A prompt waits for an engine with room as the time for a stop ends. It has run nowhere,
 // and its caller may come again at once; cut off, it would not know so.
 func TestWhatWaitsForRoomIsRefusedAsAStopEnds(t *testing.T) {
@@ -221,7 +252,7 @@
 				t.Error("a quick request was refused: got false, want true")
 			}
 
-			k.done(x)
+			k.done(tt.at, x)
 
 			if !k.short(tt.at) {
 				t.Error("all done: got false, want true")
