loader: the roster's own type, and turns only for engines that need one

loader.Candidate repeated roster.Holding and an adapter copied one into the other; the standby takes the roster itself. Behaviour and assertions stay.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -81,7 +81,7 @@
 	})
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
-		Holder: cfg.VM, Turn: loader.TurnConfig{Within: cfg.Bounds.Version}, Engine: calls, Entries: e, Fleet: servingFleet{e.roster},
+		Holder: cfg.VM, Turn: loader.TurnConfig{Within: cfg.Bounds.Version}, Engine: calls, Entries: e, Fleet: e.roster,
 		Ring: members, News: operators.Fresh, Log: log,
 	})
 
@@ -196,21 +196,6 @@
 	e.client.Tell(ctx, address, model, version, loaded)
 }
 
-// servingFleet is what the roster says of engines, for the one who stands in for their loaders.
-type servingFleet struct{ roster *roster.Roster }
-
-// Serving returns the engines that have a version of a model and don't leave.
-func (f servingFleet) Serving(now time.Time, model string) []loader.Candidate {
-	held := f.roster.Holdings(now, model)
-	all := make([]loader.Candidate, len(held))
-
-	for i, h := range held {
-		all[i] = loader.Candidate(h)
-	}
-
-	return all
-}
-
 // register writes into the log where this entry can be asked.
 func (e *fleetEntry) register(ctx context.Context) { e.registration.Run(ctx, e.cfg.VM, e.cfg.Peers) }
 
--- a/loader/standby.go
+++ b/loader/standby.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"boragehub/event"
+	"boragehub/roster"
 )
 
 // An engine without a loader beside it keeps its weights when operators name newer ones.
@@ -20,22 +21,10 @@
 // dead or stands still is left to it: it may be back at any moment, and not all engines
 // check who orders them.
 
-// Candidate is an engine as an entry believes it to be.
-type Candidate struct {
-	// ID is the id of its present start, Address where it is.
-	ID, Address string
-	// Version is its weight version.
-	Version int64
-	// Loading says that it loads, as somebody told.
-	Loading bool
-	// Alone says that no loader was ever heard beside it, though one was listened for.
-	Alone bool
-}
-
-// Fleet knows the engines.
+// Fleet knows the engines; *roster.Roster is one.
 type Fleet interface {
-	// Serving returns the engines that have a version of a model and don't leave.
-	Serving(now time.Time, model string) []Candidate
+	// Holdings returns the engines that have a version of a model and don't leave.
+	Holdings(now time.Time, model string) []roster.Holding
 }
 
 // Ring orders the entries alive.
@@ -161,7 +150,7 @@
 
 // job is an engine that is to be brought to a version.
 type job struct {
-	engine Candidate
+	engine roster.Holding
 	named  Named
 	slot   int
 	place  int       // of this process among the entries
@@ -182,7 +171,7 @@
 	var jobs []job
 
 	for model, p := range s.plans {
-		engines := s.cfg.Fleet.Serving(now, model)
+		engines := s.cfg.Fleet.Holdings(now, model)
 		p.take(now, s.cfg.Turn, engines)
 
 		for _, e := range engines {
@@ -205,27 +194,38 @@
 	return jobs
 }
 
-// take plans the turns of engines that have none yet. Those that are known when the version
-// is named have the turns that their loaders work out; others come as soon after each other
-// as may be.
-func (p *plan) take(now time.Time, cfg TurnConfig, engines []Candidate) {
-	first := len(p.turns) == 0
+// take plans the turns of engines without a loader that have none yet. Those that are known
+// when the version is named have the turns that loaders work out for theirs; others come
+// as soon after each other as may be.
+func (p *plan) take(now time.Time, cfg TurnConfig, engines []roster.Holding) {
 	from := p.at
 
-	if p.named.Before || !first {
+	if p.named.Before || len(p.turns) > 0 {
 		cfg, from = cfg.hurried(), now
 	}
 
+	var all []Sibling
+
+	for _, e := range engines {
+		if _, ok := p.turns[e.ID]; ok || !e.Alone || e.Version >= p.named.Version {
+			continue
+		}
+
+		if all == nil {
+			all = siblingsOf(engines)
+		}
+
+		p.turns[e.ID] = from.Add(TakeTurn(cfg, e.ID, p.named.Version, all).Wait)
+	}
+}
+
+func siblingsOf(engines []roster.Holding) []Sibling {
 	all := make([]Sibling, len(engines))
 	for i, e := range engines {
 		all[i] = Sibling{ID: e.ID, Version: e.Version}
 	}
 
-	for _, e := range engines {
-		if _, ok := p.turns[e.ID]; !ok && e.Version < p.named.Version {
-			p.turns[e.ID] = from.Add(TakeTurn(cfg, e.ID, p.named.Version, all).Wait)
-		}
-	}
+	return all
 }
 
 // done ends a try. The engine may be tried again, if it still lacks the version.
--- a/loader/standby_test.go
+++ b/loader/standby_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"boragehub/roster"
 )
 
 // fakeFleet is engines of one model at addresses that are their ids.
@@ -31,15 +33,15 @@
 	return f
 }
 
-func (f *fakeFleet) Serving(time.Time, string) []Candidate {
+func (f *fakeFleet) Holdings(time.Time, string) []roster.Holding {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	var all []Candidate
+	var all []roster.Holding
 
 	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
 		if e := f.engines[id]; !f.hidden[id] {
-			all = append(all, Candidate{ID: id, Address: id, Version: e.has(), Alone: !f.guarded[id]})
+			all = append(all, roster.Holding{ID: id, Address: id, Version: e.has(), Alone: !f.guarded[id]})
 		}
 	}
 
@@ -116,6 +118,18 @@
 // Size returns the number of entries in these tests.
 func (place) Size(time.Time) int { return 3 }
 
+// playFleet has things happen to engines on virtual time; do starts them and waits.
+func playFleet(t *testing.T, n int, do func(ctx context.Context, f *fakeFleet)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		do(ctx, newFakeFleet(n))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // standby starts an entry that stands by; stop ends it.
 func (f *fakeFleet) standby(ctx context.Context, p place) *Standby {
 	s := NewStandby(StandbyConfig{
@@ -133,10 +147,7 @@
 func TestEnginesWithoutLoadersAreBroughtToTheVersion(t *testing.T) {
 	const engines = 12
 
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFakeFleet(engines)
-
+	playFleet(t, engines, func(ctx context.Context, f *fakeFleet) {
 		for p := range 3 {
 			f.standby(ctx, place(p)).Name(Named{Model: "m", Version: 2})
 		}
@@ -152,19 +163,13 @@
 				t.Errorf("%s: got %d orders carried out, want 1", id, got)
 			}
 		}
-
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // An engine has a loader. Two who order the same engine within seconds are two holders, and
 // not every engine checks which of them is the later one.
 func TestStandbyKeepsOutOfWhatLoadersDo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFakeFleet(1)
-
+	playFleet(t, 1, func(ctx context.Context, f *fakeFleet) {
 		l := New(Config{Address: "engine-0", Holder: "vm", Engine: f, Register: fakeRegister{f.engines["engine-0"]}, Entries: &fakeEntries{}, Log: logr.Discard()})
 		go l.Run(ctx)
 
@@ -177,36 +182,25 @@
 		if taken := f.engines["engine-0"].orderedBy(); len(taken) != 1 || taken[0] != "vm" {
 			t.Errorf("got orders of %v, want one of the loader", taken)
 		}
-
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // The entry that comes first for all engines is dead, and not yet known to be.
 func TestNextEntryFollows(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFakeFleet(1)
-
+	playFleet(t, 1, func(ctx context.Context, f *fakeFleet) {
 		f.standby(ctx, 1).Name(Named{Model: "m", Version: 2})
 		time.Sleep(slotTime + 3*time.Second)
 
 		if got := f.engines["engine-0"].has(); got != 2 {
 			t.Errorf("got version %d, want 2", got)
 		}
-
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // An entry starts while an old version is long since named and one engine is listed only
 // later. Nobody tells the entry again.
 func TestEngineThatIsKnownLateIsBroughtToTheVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFakeFleet(2)
+	playFleet(t, 2, func(ctx context.Context, f *fakeFleet) {
 		f.hidden["engine-1"] = true
 
 		f.standby(ctx, 0).Name(Named{Model: "m", Version: 2, Before: true})
@@ -223,8 +217,5 @@
 				t.Errorf("%s: got version %d, want 2", id, got)
 			}
 		}
-
-		cancel()
-		synctest.Wait()
 	})
 }
