side: what was lost with the present boot is acquitted without a predicate

guard.clear took a function for its one caller, and judged runs that never had a connection, which convict does as well.

--- a/side/guard.go
+++ b/side/guard.go
@@ -147,7 +147,7 @@
 
 	g.info = info
 	g.load = load
-	g.clear(func(f *flight) bool { return f.boot == g.boot() })
+	g.acquit()
 
 	return first && g.up, g.convict(now)
 }
--- a/side/verdict.go
+++ b/side/verdict.go
@@ -33,10 +33,10 @@
 	unreadTime = 500 * time.Millisecond
 )
 
-// clear judges lost requests to have been lost by a target that lived on. The caller holds mu.
-func (g *guard) clear(innocent func(f *flight) bool) {
+// acquit judges what was lost with the present boot, which lives on. The caller holds mu.
+func (g *guard) acquit() {
 	for id, f := range g.inFlight {
-		if !f.lost.IsZero() && (f.conn == nil || innocent(f)) {
+		if !f.lost.IsZero() && f.boot == g.boot() {
 			g.judge(id, verdict{})
 		}
 	}
