--- a/vault/others_test.go
+++ b/vault/others_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,3 +115,59 @@
 		})
 	}
 }
+
+// countedTellers counts the calls of Watchers.
+type countedTellers struct {
+	tellers
+
+	watchersCalls int
+}
+
+func (p *countedTellers) Watchers() ([]string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.watchersCalls++
+
+	return []string{"one", "two"}, false
+}
+
+// Guards against polling for each store that other processes follow, whose cost grows with
+// the number of stores.
+func TestStoresFollowedByOthersAreNotPolled(t *testing.T) {
+	for _, n := range []int{3, 60, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			peers := &countedTellers{tellers: tellers{asked: make(map[string]int), knows: make(map[string]bool)}}
+			source := &countedStore{calls: make(map[string]int)}
+
+			var stores []Store
+
+			for i := range n {
+				s := Store{Address: strconv.Itoa(i)}
+				stores = append(stores, s)
+				peers.knows[s.Address] = true
+			}
+
+			w := NewWatcher(WatcherConfig{Directory: NewDirectory(1), Source: source, Peers: peers, Turn: func(string) int { return 0 }, Log: logr.Discard()})
+			w.Configure(stores)
+
+			var wg sync.WaitGroup
+
+			wg.Go(func() { w.Run(ctx) })
+			time.Sleep(30 * time.Second)
+			cancel()
+			wg.Wait()
+			synctest.Wait()
+
+			// One more call at the start, and one for the signal of Configure.
+			if got, want := peers.watchersCalls, int(30*time.Second/peerEvery)+2; got > want {
+				t.Errorf("%d stores: got %d calls of Watchers in 30 s, want at most %d", n, got, want)
+			}
+
+			if got := len(source.calls); got != 0 {
+				t.Errorf("%d stores: got calls to %d of them, want none", n, got)
+			}
+		})
+	}
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -104,11 +105,12 @@
 	cfg WatcherConfig
 
 	mu       sync.Mutex
-	ctx      context.Context //nolint:containedctx // of the goroutines that Configure starts
+	ctx      context.Context //nolint:containedctx // of the goroutines that Named starts
 	stores   []Store
-	stops    map[string]context.CancelFunc
+	stops    map[string]context.CancelFunc // by address, of the stores followed directly
 	replaced map[string][]replacement
-	told     map[string]bool // stores, by whether another process told of them last time
+	told     map[string]bool // addresses of the stores that another process told of
+	changed  chan struct{}   // signals that Configure was called
 }
 
 // maxReplacements bounds the versions remembered of a model.
@@ -125,7 +127,10 @@
 
 // NewWatcher returns a Watcher that Run starts.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	return &Watcher{cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement), told: make(map[string]bool)}
+	return &Watcher{
+		cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement),
+		told: make(map[string]bool), changed: make(chan struct{}, 1),
+	}
 }
 
 // Configure sets the stores that there are.
@@ -136,33 +141,39 @@
 	defer w.mu.Unlock()
 
 	w.stores = stores
-	w.start()
-}
 
-// start follows the stores that aren't followed yet and leaves those that are no
-// longer there. The caller holds mu.
-func (w *Watcher) start() {
-	stores := w.stores
-	wanted := make(map[string]bool, len(stores))
+	maps.DeleteFunc(w.told, func(address string, _ bool) bool {
+		return !slices.ContainsFunc(stores, func(s Store) bool { return s.Address == address })
+	})
+
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
 
-	for _, s := range stores {
-		wanted[s.Address] = true
+// follow starts following the stores at these addresses directly and stops following all others.
+func (w *Watcher) follow(ctx context.Context, addresses map[string]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 
-		if _, ok := w.stops[s.Address]; ok || w.ctx == nil {
+	for address := range addresses {
+		if _, ok := w.stops[address]; ok {
 			continue
 		}
 
-		ctx, cancel := context.WithCancel(w.ctx)
-		w.stops[s.Address] = cancel
+		c, cancel := context.WithCancel(ctx)
+		w.stops[address] = cancel
+
+		go w.watch(c, address, !w.told[address])
 
-		go w.watch(ctx, s.Address)
+		delete(w.told, address)
 	}
 
 	for address, stop := range w.stops {
-		if !wanted[address] {
+		if !addresses[address] {
 			stop()
 			delete(w.stops, address)
-			delete(w.told, address)
 		}
 	}
 }
@@ -190,7 +201,6 @@
 func (w *Watcher) Run(ctx context.Context) {
 	w.mu.Lock()
 	w.ctx = ctx
-	w.start() //nolint:contextcheck // with the context of Run, which it is given here
 	w.mu.Unlock()
 
 	go w.askOthers(ctx)
@@ -200,19 +210,10 @@
 	}
 }
 
-// watch follows one store until ctx ends, by itself or through a process that does.
-func (w *Watcher) watch(ctx context.Context, address string) {
-	away := true
-
+// watch follows one store directly until ctx ends. Away is false if the store is known to
+// be reachable.
+func (w *Watcher) watch(ctx context.Context, address string, away bool) {
 	for ctx.Err() == nil {
-		if told, known := w.toldOf(address); told || !known {
-			away = away && !told
-
-			pause.For(ctx, peerEvery/4)
-
-			continue
-		}
-
 		err := w.ask(ctx, address)
 		if ctx.Err() != nil {
 			return
@@ -239,44 +240,53 @@
 	}
 }
 
-// toldOf reports whether another process told of a store when it was last asked; known
-// is false before that. A process that follows the stores itself is told nothing.
-func (w *Watcher) toldOf(address string) (told, known bool) {
-	if _, self := w.cfg.Peers.Watchers(); self {
-		return false, true
-	}
-
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	told, known = w.told[address]
-
-	return told, known
-}
-
 // askOthers asks those who follow the stores what changed, until ctx ends: one question
-// for all stores, since in a large fleet there are hundreds of them.
+// for all stores, since in a large fleet there are hundreds of them. Stores that no
+// other process tells of are followed directly.
 func (w *Watcher) askOthers(ctx context.Context) {
 	for ctx.Err() == nil {
+		open := w.addresses()
 		if others, self := w.cfg.Peers.Watchers(); !self {
-			w.askRound(ctx, others)
+			w.askRound(ctx, others, open)
+		}
+
+		if ctx.Err() != nil {
+			return
 		}
 
-		pause.For(ctx, peerEvery)
+		w.follow(ctx, open)
+		w.waitRound(ctx)
 	}
 }
 
-// askRound asks one process after the other, each about the stores of which those
-// before told nothing. Of what is left then, this process asks the stores.
-func (w *Watcher) askRound(ctx context.Context, others []string) {
+// waitRound waits until the next round is due, Configure is called or ctx ends.
+func (w *Watcher) waitRound(ctx context.Context) {
+	timer := time.NewTimer(peerEvery)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-w.changed:
+	case <-ctx.Done():
+	}
+}
+
+// addresses returns the addresses of all configured stores as a set.
+func (w *Watcher) addresses() map[string]bool {
 	w.mu.Lock()
-	open := make(map[string]bool, len(w.stores))
+	defer w.mu.Unlock()
 
+	all := make(map[string]bool, len(w.stores))
 	for _, s := range w.stores {
-		open[s.Address] = true
+		all[s.Address] = true
 	}
-	w.mu.Unlock()
 
+	return all
+}
+
+// askRound asks one process after the other, each about the stores of which those
+// before told nothing. It removes from open the stores that were told of.
+func (w *Watcher) askRound(ctx context.Context, others []string, open map[string]bool) {
 	for _, peer := range others {
 		if len(open) == 0 {
 			return
@@ -290,14 +300,10 @@
 		for _, u := range updates {
 			if open[u.Address] && w.cfg.Directory.Adopt(time.Now(), u) {
 				delete(open, u.Address)
-				w.setTold(u.Address, true)
+				w.setTold(u.Address)
 			}
 		}
 	}
-
-	for address := range open {
-		w.setTold(address, false)
-	}
 }
 
 // positions returns how far stores were followed.
@@ -310,11 +316,11 @@
 	return all
 }
 
-func (w *Watcher) setTold(address string, told bool) {
+func (w *Watcher) setTold(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.told[address] = told
+	w.told[address] = true
 }
 
 // ask asks a store once for what changed, or for everything.
