exchange: make entries know all others in large fleets

Cause: an answer lists 24 random entries, and an entry that no answer lists for 20 s is forgotten. In simulated time, entries know all others in fleets of 30 and 68. In a fleet of 412, each knows 237 to 295 (median 266), and in one of 824, 266 to 337 (median 301). In addition, at most 512 entries were remembered. As a result, each entry takes too large a share of the retries allowed to the whole fleet (1.5 times at 412), and entries disagree on which of them read the log and follow the stores for all.

Change: entries compare a hash of the entries they know. If the hashes are equal, an answer contains the ages of all entries, one byte each. If they differ, it lists 24 entries as before, those added in the last 10 s first. At the start, and after three rounds without an equal hash, one of the entries asked returns its full list. Up to 4,096 entries are remembered, at about 100 bytes each.

While membership is stable, an entry receives 2 (n + 8) bytes per second in a fleet of n, 840 at 412, instead of about 1,150.

--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -168,7 +169,6 @@
 	}
 
 	c.members.Saw(time.Now(), address)
-	c.members.Heard(time.Now(), r.Members)
 
 	if wait > 0 && !r.Loaded {
 		return mirror.Batch{}, errNotLoaded
@@ -294,16 +294,50 @@
 
 // Hello asks a few known entries for the others that they know.
 func (c *Client) Hello(ctx context.Context) {
-	var wg sync.WaitGroup
+	var (
+		wg    sync.WaitGroup
+		equal atomic.Bool
+	)
+
+	viewHash, needAll := c.members.ViewHash(time.Now())
 
-	for _, a := range c.some(helloAsked) {
+	for i, a := range c.some(helloAsked) {
 		wg.Go(func() {
-			//nolint:errcheck,gosec // one that doesn't answer is forgotten after a while
-			c.records(ctx, a, "", 0, 0)
+			// One complete list per round is sufficient.
+			if c.requestMembers(ctx, a, viewHash, needAll && i == 0) {
+				equal.Store(true)
+			}
 		})
 	}
 
 	wg.Wait()
+	c.members.EndRound(equal.Load())
+}
+
+// requestMembers asks one entry for the entries that it knows, and reports whether its view is
+// equal. Errors are dropped, since an entry that doesn't answer expires.
+func (c *Client) requestMembers(ctx context.Context, address string, viewHash uint64, all bool) (equal bool) {
+	q := url.Values{"self": {c.members.Self()}, "view": {strconv.FormatUint(viewHash, 16)}}
+	if all {
+		q.Set("all", "1")
+	}
+
+	body, err := c.call(ctx, http.MethodGet, address, recordsPath+"?"+q.Encode(), nil, 0)
+	if err != nil {
+		return false
+	}
+
+	var r Reply
+	if decoder.Unmarshal(body, &r) != nil {
+		return false
+	}
+
+	now := time.Now()
+	c.members.Saw(now, address)
+	c.members.Heard(now, r.Members)
+	c.members.HeardAges(now, viewHash, r.Ages)
+
+	return r.Ages != nil
 }
 
 // Run says hello now and then until ctx ends.
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -38,12 +38,16 @@
 	AgeMs int64 `cbor:"3,keyasint"`
 	// Loaded says that the answer covers every key that exists.
 	Loaded bool `cbor:"4,keyasint"`
-	// Members are some of the entries that the one asked knows.
+	// Members are some of the entries that the one asked knows, or all on request.
 	Members []Member `cbor:"5,keyasint,omitempty"`
 	// HeldMs is how long the question was held before it was answered.
 	HeldMs int64 `cbor:"6,keyasint,omitempty"`
 	// Packed are the records in place of Records when they are long.
 	Packed []byte `cbor:"7,keyasint,omitempty"`
+	// Ages replaces Members when the entry that asks has an equal view. It holds how long ago
+	// each entry of the view was last known to be alive, in order of address, in units of 0.1 s
+	// and capped at 25.5 s.
+	Ages []byte `cbor:"8,keyasint,omitempty"`
 }
 
 // Member is an entry that another one knows.
--- a/mirror/exchange/members.go
+++ b/mirror/exchange/members.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,8 +17,8 @@
 // memberAge is how long an entry is remembered without having asked or answered.
 const memberAge = 20 * time.Second
 
-// maxMembers bounds the entries remembered.
-const maxMembers = 512
+// maxMembers bounds the entries remembered. Each takes about 100 bytes.
+const maxMembers = 4096
 
 // Members are the entries that a process knows. Use NewMembers; its methods may
 // be called from many goroutines.
@@ -24,9 +26,16 @@
 	self  string
 	seeds []string
 
-	mu   sync.Mutex
-	seen map[string]time.Time
-	live liveSet
+	mu         sync.Mutex
+	seen       map[string]memberState
+	live       liveSet
+	mismatches int // consecutive rounds without an equal view, see EndRound
+}
+
+// memberState is the state of one remembered entry.
+type memberState struct {
+	lastAlive time.Time // latest time at which it is known to have been alive
+	added     time.Time // when this process added it
 }
 
 // liveSet caches the live entries and the selections made from them. It is rebuilt when an
@@ -34,6 +43,8 @@
 // score takes half a millisecond.
 type liveSet struct {
 	all        []string                     // sorted, without this process
+	view       []string                     // sorted, with this process
+	viewHash   uint64                       // equal for processes with the same view
 	expires    time.Time                    // no entry expires before
 	joined     bool                         // an entry joined since the last rebuild
 	selections map[string]mirror.Assignment // by rendezvous key
@@ -42,7 +53,7 @@
 // NewMembers returns Members that know the seeds. Self is this process's own
 // address, empty for a process that can't be asked.
 func NewMembers(self string, seeds []string) *Members {
-	return &Members{self: self, seeds: seeds, seen: make(map[string]time.Time)}
+	return &Members{self: self, seeds: seeds, seen: make(map[string]memberState), mismatches: maxMismatches}
 }
 
 // Self returns this process's own address.
@@ -57,10 +68,25 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	if _, ok := m.seen[address]; ok || len(m.seen) < maxMembers {
-		m.seen[address] = now
-		m.live.joined = m.live.joined || !ok
+	m.update(now, address, now)
+}
+
+// update adds an entry if it is unknown and there is room, or advances the time at which it was
+// last alive. The caller holds mu.
+func (m *Members) update(now time.Time, address string, lastAlive time.Time) {
+	x, ok := m.seen[address]
+
+	switch {
+	case ok && x.lastAlive.Before(lastAlive):
+		x.lastAlive = lastAlive
+	case !ok && len(m.seen) < maxMembers:
+		x = memberState{lastAlive, now}
+		m.live.joined = true
+	default:
+		return
 	}
+
+	m.seen[address] = x
 }
 
 // Heard takes which entries another one knows. What is told of one counts as of when
@@ -75,40 +101,140 @@
 			continue
 		}
 
-		at, ok := m.seen[x.Address]
-		if (ok && at.Before(now.Add(-age))) || (!ok && len(m.seen) < maxMembers) {
-			m.seen[x.Address] = now.Add(-age)
-			m.live.joined = m.live.joined || !ok
-		}
+		m.update(now, x.Address, now.Add(-age))
 	}
 }
 
-// told is how many entries one answer tells of: with three answers a second or two
-// from each entry asked, all are told of within the time for which they are remembered
-// also among hundreds.
-const told = 24
+const (
+	// told bounds the entries in an answer when the views differ, unless all are asked for.
+	told = 24
+	// newMemberAge is how long after its addition an entry takes precedence in answers.
+	newMemberAge = 10 * time.Second
+	// maxMismatches is the number of consecutive rounds without an equal view after which a
+	// process asks for all entries.
+	maxMismatches = 3
+)
 
-// Tell returns some of the entries known.
+// Tell returns some of the entries known, recently added ones first.
 func (m *Members) Tell(now time.Time) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	all := make([]Member, 0, min(told, len(m.seen)))
+	recent, others := make([]Member, 0, told), make([]Member, 0, told)
 
 	// Maps are walked in a random order.
-	for a, at := range m.seen {
-		if len(all) == told {
-			break
+	for a, x := range m.seen {
+		age := now.Sub(x.lastAlive)
+
+		switch {
+		case age > memberAge:
+		case now.Sub(x.added) < newMemberAge && len(recent) < told:
+			recent = append(recent, Member{Address: a, AgeMs: age.Milliseconds()})
+		case len(others) < told:
+			others = append(others, Member{Address: a, AgeMs: age.Milliseconds()})
 		}
 
-		if age := now.Sub(at); age <= memberAge {
-			all = append(all, Member{Address: a, AgeMs: age.Milliseconds()})
+		if len(recent) == told {
+			break
 		}
 	}
 
+	return append(recent, others[:min(told-len(recent), len(others))]...)
+}
+
+// TellAll returns all entries known.
+func (m *Members) TellAll(now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.refresh(now)
+
+	all := make([]Member, 0, len(m.live.all))
+	for _, a := range m.live.all {
+		all = append(all, Member{Address: a, AgeMs: now.Sub(m.seen[a].lastAlive).Milliseconds()})
+	}
+
 	return all
 }
 
+// ViewHash returns a hash of this process's view: the live entries, this one included. NeedAll
+// reports whether to ask for all entries in the next round: at the start, and after maxMismatches
+// consecutive rounds without an equal view.
+func (m *Members) ViewHash(now time.Time) (hash uint64, needAll bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.refresh(now)
+
+	return m.live.viewHash, m.mismatches >= maxMismatches
+}
+
+// EndRound records whether any entry asked in a round had an equal view. A round that asked for
+// all entries restarts the count of mismatches.
+func (m *Members) EndRound(equal bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	switch {
+	case equal:
+		m.mismatches = 0
+	case m.mismatches >= maxMismatches:
+		m.mismatches = 1
+	default:
+		m.mismatches++
+	}
+}
+
+// ageUnit is the unit in which entries with equal views exchange ages, as one byte per entry.
+const ageUnit = 100 * time.Millisecond
+
+// Ages returns how long ago each entry of the view was last known to be alive, in units of
+// ageUnit and in the order of the view. It returns nil if this process's view has another hash.
+func (m *Members) Ages(now time.Time, viewHash uint64) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.refresh(now)
+
+	if viewHash != m.live.viewHash {
+		return nil
+	}
+
+	ages := make([]byte, len(m.live.view))
+
+	for i, a := range m.live.view {
+		if a == m.self {
+			continue
+		}
+
+		// Round up and add one unit for the transfer. Otherwise the age of a dead entry would
+		// decrease with each exchange, which delays its expiry.
+		units := (now.Sub(m.seen[a].lastAlive)+ageUnit-1)/ageUnit + 1
+		ages[i] = byte(min(units, math.MaxUint8))
+	}
+
+	return ages
+}
+
+// HeardAges takes the ages that an entry with an equal view returned. It ignores them if their
+// number is wrong or this process's view has changed since the request.
+func (m *Members) HeardAges(now time.Time, viewHash uint64, ages []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.refresh(now)
+
+	if viewHash != m.live.viewHash || len(ages) != len(m.live.view) {
+		return
+	}
+
+	for i, a := range m.live.view {
+		if age := time.Duration(ages[i]) * ageUnit; a != m.self && age <= memberAge {
+			m.update(now, a, now.Add(-age))
+		}
+	}
+}
+
 // Live returns the entries that asked or answered of late, in order, without
 // this process.
 func (m *Members) Live(now time.Time) []string {
@@ -128,25 +254,40 @@
 
 	oldest, expired := now, false
 
-	for a, at := range m.seen {
-		if now.Sub(at) > memberAge {
+	for a, x := range m.seen {
+		if now.Sub(x.lastAlive) > memberAge {
 			delete(m.seen, a)
 
 			expired = true
-		} else if at.Before(oldest) {
-			oldest = at
+		} else if x.lastAlive.Before(oldest) {
+			oldest = x.lastAlive
 		}
 	}
 
 	m.live.expires = oldest.Add(memberAge)
 
-	if m.live.joined || expired {
+	if m.live.joined || expired || m.live.view == nil {
 		m.live.all = slices.Sorted(maps.Keys(m.seen))
+		m.live.view = m.withSelf()
+		m.live.viewHash = xxhash.Sum64String(strings.Join(m.live.view, "|"))
 		m.live.selections = make(map[string]mirror.Assignment)
 		m.live.joined = false
 	}
 }
 
+// withSelf returns the live entries and this process, sorted. The result is never nil,
+// since refresh treats a nil view as not built yet. The caller holds mu.
+func (m *Members) withSelf() []string {
+	all := slices.Clone(m.live.all)
+	if m.self == "" {
+		return append(make([]string, 0, len(all)), all...)
+	}
+
+	i, _ := slices.BinarySearch(all, m.self)
+
+	return slices.Insert(all, i, m.self)
+}
+
 // Ask returns whom to ask: the live entries and the seeds.
 func (m *Members) Ask(now time.Time) []string {
 	all := m.Live(now)
--- a/mirror/exchange/members_test.go
+++ b/mirror/exchange/members_test.go
@@ -128,7 +128,7 @@
 		maxServed = 3 * readerShare // hashing distributes entries unevenly
 	)
 
-	tests := []struct{ entries, readers int }{{1, 1}, {2, 2}, {4, 2}, {24, 3}, {68, 7}, {84, 8}, {85, 8}, {96, 8}, {120, 8}, {210, 8}, {412, 8}, {500, 8}}
+	tests := []struct{ entries, readers int }{{1, 1}, {2, 2}, {4, 2}, {24, 3}, {68, 7}, {84, 8}, {85, 8}, {96, 8}, {120, 8}, {210, 8}, {412, 8}, {824, 8}}
 
 	for _, tt := range tests {
 		all := assignments(time.Unix(1000, 0), tt.entries)
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -65,7 +65,7 @@
 	topic := q.Get("topic")
 
 	if topic == "" {
-		reply.Members = s.members.Tell(now)
+		reply.Ages, reply.Members = s.membership(now, q)
 	}
 
 	if t, ok := s.topics[topic]; ok {
@@ -90,6 +90,23 @@
 	answer(w, reply)
 }
 
+// membership returns only the ages of the known entries if the view hash in the query is equal
+// to that of this process. Otherwise it returns all known entries if the query asks for them,
+// and some if not.
+func (s *Server) membership(now time.Time, q url.Values) (ages []byte, members []Member) {
+	if viewHash, err := strconv.ParseUint(q.Get("view"), 16, 64); err == nil {
+		if ages = s.members.Ages(now, viewHash); ages != nil {
+			return ages, nil
+		}
+	}
+
+	if q.Get("all") != "" {
+		return nil, s.members.TellAll(now)
+	}
+
+	return nil, s.members.Tell(now)
+}
+
 // maxHold bounds how long a question is held.
 const maxHold = 2 * time.Second
 
