vault: don't fetch from a store that may have restarted

Cause: a store is empty after a restart, and entries save their contexts to it again. An entry that does not yet know of the restart lets engines fetch a context that is still being saved, and the engine reads it half-written.

Change: an entry fetches from a store only until 3 s after it last knew the store's epoch for certain, and an engine's fetch must end by then. No fetch begins with less than 0.3 s left, and a request with several fetches gets the earliest of their deadlines. The entry saves nothing in an epoch until 3.3 s after the epoch was first known, so that any entry that does not know of it has lost the right to fetch. Entries tell each other both times, on the engines' clock.

Tests that save at once now start with a store that has been known for 3.3 s or 4 s; their checks are unchanged. Not covered: two entries that save the same context at nearly the same time, one of the saves waiting in an engine's queue while the store restarts.

--- a/gateway/context.go
+++ b/gateway/context.go
@@ -77,7 +77,16 @@
 			// brings nothing that it has.
 			fetch[i] = found.Address
 			s.Fetch = fetch
-			s.FetchUntil = clock + vault.MaxFetch.Milliseconds()
+
+			until := clock + vault.MaxFetch.Milliseconds()
+			if found.FetchUntil > 0 {
+				until = min(until, found.FetchUntil)
+			}
+
+			// One deadline covers all fetches of the request, so the earliest applies.
+			if s.FetchUntil == 0 || until < s.FetchUntil {
+				s.FetchUntil = until
+			}
 		}
 
 		if x.stored || !newest {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -278,7 +278,9 @@
 	})
 	w.vaults = vault.NewDirectory(1)
 	w.vaults.Configure([]vault.Store{{Address: "vault:1", DataCentre: "east", Room: 100_000}})
-	w.vaults.Learn(now, "vault:1", vault.Listing{Epoch: 1, Clock: 1000})
+	// Stores whose epoch has only just been learned are not saved to.
+	w.vaults.Learn(now.Add(-4*time.Second), "vault:1", vault.Listing{Epoch: 1, Clock: 1000})
+	w.vaults.Follow(now, "vault:1", vault.Events{Epoch: 1, Clock: 5000})
 
 	w.gateway = New(Config{
 		DataCentre: "east", Dialect: plainDialect{}, Roster: w.roster, Pool: upstream.NewPool(upstream.Config{}), Vaults: w.vaults,
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -26,6 +26,10 @@
 	pending map[Part]pending
 	busy    time.Time // until when the link is expected to be taken
 
+	// When the store was first and last known to be in epoch, on the engines' clock in
+	// ms; zero if unknown.
+	epochFirstSeen, epochLastSeen int64
+
 	direct   bool     // its events are read by this process
 	changes  changes  // for other processes
 	followed Position // how far another process's changes were followed
@@ -130,7 +134,8 @@
 		return
 	}
 
-	sh.epoch, sh.next, sh.known, sh.away, sh.direct = l.Epoch, l.Next, true, false, true
+	sh.observeEpoch(l.Epoch, l.Clock, l.Clock)
+	sh.next, sh.known, sh.away, sh.direct = l.Next, true, false, true
 	sh.tokens, sh.short = 0, 0
 	sh.changes.forget()
 
@@ -156,7 +161,10 @@
 
 	sh.away = false
 
-	if e.Lost || e.Epoch != sh.epoch {
+	restarted := e.Epoch != sh.epoch
+	sh.observeEpoch(e.Epoch, e.Clock, e.Clock)
+
+	if e.Lost || restarted {
 		// Nothing of an earlier epoch is there any more.
 		sh.known, sh.tokens, sh.short = false, 0, 0
 		clear(sh.parts)
@@ -172,6 +180,22 @@
 	return true
 }
 
+// observeEpoch records that the store was in an epoch from firstSeen until lastSeen, in ms
+// on the engines' clock; zero means unknown. Times of a different epoch are discarded.
+func (s *shelf) observeEpoch(epoch, firstSeen, lastSeen int64) {
+	if epoch != s.epoch {
+		s.epoch, s.epochFirstSeen, s.epochLastSeen = epoch, firstSeen, lastSeen
+
+		return
+	}
+
+	if s.epochFirstSeen == 0 || (firstSeen > 0 && firstSeen < s.epochFirstSeen) {
+		s.epochFirstSeen = firstSeen
+	}
+
+	s.epochLastSeen = max(s.epochLastSeen, lastSeen)
+}
+
 // apply takes changes in order.
 func (s *shelf) apply(events []Event) {
 	for _, e := range events {
@@ -236,7 +260,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.clock + now.Sub(d.clockAt).Milliseconds(), d.clock > 0
+	return d.clockNow(now), d.clock > 0
+}
+
+// clockNow returns the engines' clock in ms. The caller holds mu.
+func (d *Directory) clockNow(now time.Time) int64 {
+	return d.clock + now.Sub(d.clockAt).Milliseconds()
+}
+
+// fetchUntil returns the time on the engines' clock, in ms, by which fetches from the store
+// must end.
+func (s *shelf) fetchUntil() int64 { return s.epochLastSeen + epochGrace.Milliseconds() }
+
+// earlierFetchesEnded reports whether all fetches granted in earlier epochs have ended.
+func (s *shelf) earlierFetchesEnded(clock int64) bool {
+	return s.epochFirstSeen > 0 && clock >= s.epochFirstSeen+(epochGrace+freeMargin).Milliseconds()
 }
 
 // Find returns the copy of a part that is there soonest for an engine in a data
@@ -247,16 +285,16 @@
 
 	var best Copy
 
-	found := false
+	clock, found := d.clockNow(now), false
 
 	for address, sh := range d.shelves {
 		tokens, ok := sh.parts[p]
-		if !ok || sh.away {
+		if !ok || sh.away || clock+minFetch.Milliseconds() > sh.fetchUntil() {
 			continue
 		}
 
 		near := sh.store.DataCentre == dataCentre
-		c := Copy{Address: address, Tokens: tokens, Near: near, Wait: max(sh.busy.Sub(now), 0), Transfer: sh.store.transfer(tokens, near)}
+		c := Copy{Address: address, Tokens: tokens, FetchUntil: min(clock+MaxFetch.Milliseconds(), sh.fetchUntil()), Near: near, Wait: max(sh.busy.Sub(now), 0), Transfer: sh.store.transfer(tokens, near)}
 
 		if !found || c.Wait+c.Transfer < best.Wait+best.Transfer || (c == best && address < best.Address) {
 			best, found = c, true
@@ -280,9 +318,10 @@
 	}
 
 	best, second := 0.0, false
+	clock := d.clockNow(now)
 
 	for a, sh := range d.shelves {
-		if !sh.takes(now, h.Tokens) {
+		if !sh.earlierFetchesEnded(clock) || !sh.takes(now, h.Tokens) {
 			continue
 		}
 
--- a/vault/share.go
+++ b/vault/share.go
@@ -26,6 +26,10 @@
 	Events []Event `cbor:"7,keyasint"`
 	// Clock is the engines' clock in ms, never ahead of it.
 	Clock int64 `cbor:"9,keyasint"`
+	// EpochFirstSeen and EpochLastSeen are when the store was first and last known to be
+	// in Epoch, on the engines' clock in ms; zero if unknown.
+	EpochFirstSeen int64 `cbor:"10,keyasint"`
+	EpochLastSeen  int64 `cbor:"11,keyasint"`
 }
 
 // keptChanges is how many changes of a store are kept for others to follow. At a
@@ -93,6 +97,7 @@
 // tell fills in an update.
 func (s *shelf) tell(u *Update, p Position, started int64) {
 	u.Watched, u.Epoch, u.Sequence = true, s.epoch, s.changes.sequence
+	u.EpochFirstSeen, u.EpochLastSeen = s.epochFirstSeen, s.epochLastSeen
 
 	events, ok := s.changes.since(p.Sequence)
 	if p.Teller != started || !ok {
@@ -147,7 +152,8 @@
 
 	sh.apply(u.Events)
 
-	sh.epoch, sh.known, sh.away, sh.direct = u.Epoch, true, false, false
+	sh.observeEpoch(u.Epoch, u.EpochFirstSeen, u.EpochLastSeen)
+	sh.known, sh.away, sh.direct = true, false, false
 	sh.followed = u.Position
 
 	return true
--- a/vault/store.go
+++ b/vault/store.go
@@ -63,6 +63,9 @@
 	Address string
 	// Tokens is the part's length.
 	Tokens int
+	// FetchUntil is the time on the engines' clock, in ms, by which a fetch of the copy
+	// must end; zero sets no limit other than MaxFetch.
+	FetchUntil int64
 	// Near says that the store is in the engine's data centre.
 	Near bool
 	// Wait is how long its link is expected to be taken by transfers before this
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -21,6 +21,10 @@
 //     one, and whoever frees asks all that are registered first: one that read the
 //     log before the newer version was named stands in the register that is read
 //     after it.
+//   - A store may restart and lose everything. A process fetches from it only until a
+//     grace time after the store was last known to be in its epoch. It saves nothing in
+//     a new epoch until every process that does not know of it has lost its right to
+//     fetch.
 //
 // So it doesn't matter how many processes free, or which of them are cut off.
 //
@@ -142,6 +146,15 @@
 	// MostWait is how long a transfer may wait for links; one that would wait longer
 	// isn't started, and the engine reads the prompt.
 	MostWait = 2 * time.Second
+	// epochGrace is how long engines may fetch from a store after it was last known to be
+	// in its epoch. Nothing is saved in a new epoch until epochGrace and freeMargin have
+	// passed since it was first known: an engine whose process does not know of the
+	// restart could otherwise fetch a context that is only partly saved. In normal
+	// operation, what entries know of a store is at most 1.8 s old: one event call and
+	// two polls between entries.
+	epochGrace = 3 * time.Second
+	// minFetch is the least time that must be left for a fetch to be granted.
+	minFetch = 300 * time.Millisecond
 	// freeMargin is for what clocks and messages differ by.
 	freeMargin = 300 * time.Millisecond
 )
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -128,8 +128,11 @@
 	d := NewDirectory(1)
 	d.Configure(stores)
 
+	firstSeen := now.Add(-epochGrace - freeMargin)
+
 	for _, s := range stores {
-		d.Learn(now, s.Address, Listing{Epoch: 1, Clock: 5000})
+		d.Learn(firstSeen, s.Address, Listing{Epoch: 1, Clock: 1000})
+		d.Follow(now, s.Address, Events{Epoch: 1, Clock: 1000 + now.Sub(firstSeen).Milliseconds()})
 	}
 
 	return d
@@ -329,7 +332,7 @@
 	now := time.Unix(100, 0)
 	d := NewDirectory(1)
 	d.Configure([]Store{{Address: "large", DataCentre: "east", Room: 20_000, FirstByte: 6 * time.Millisecond, TokensPerMs: 250}})
-	d.Learn(now, "large", Listing{Epoch: 1, Held: []Held{held("a", 5000)}})
+	d.Learn(now, "large", Listing{Epoch: 1, Clock: 7000, Held: []Held{held("a", 5000)}})
 	d.SetSharers(4)
 
 	near, _ := d.Find(now, held("a", 0).Part, "east")
