vault, exchange: bound the calls of a large fleet to its stores

Cause: eight entries follow the stores for all others. Each was polled by 50 others three times a second, with 61 stores per request, on machines with 0.144 of a core. An entry that got no answer within 0.4 s, or was told that a store does not answer, called the store directly twice a second, and stores refuse more than a dozen concurrent calls.

Change: in fleets of more than 84 entries, relays poll those eight and serve the others, as they do for the log. An entry that relays serve asks at most two relays and two of the eight, the others at most four of the eight. A report from an entry that follows a store is also accepted when it says that the store does not answer; no other entry then calls that store. Entries that get no report from any other entry call the stores directly, with a pause that doubles from 0.5 to 4 s.

--- a/mirror/exchange/members.go
+++ b/mirror/exchange/members.go
@@ -311,16 +311,38 @@
 	return false
 }
 
-// mostWatchers bounds the entries that follow the stores: stores hold a dozen calls
-// open.
-const mostWatchers = 8
-
-// Watchers returns the entries that follow the stores on behalf of all, without this process.
-// Their order depends on this process, which distributes the other entries among them. Self
-// reports whether this process is one of them. The slice is shared between calls and must not
-// be modified.
+// maxAskedRelays and maxAskedWatchers bound how many relays, and how many entries that follow
+// the stores directly, one entry asks about the stores. Relays, and all entries of fleets
+// without relays, ask only the latter, up to the sum of both bounds.
+const (
+	maxAskedRelays   = 2
+	maxAskedWatchers = 2
+)
+
+// Watchers returns the entries to ask about the stores, in order of preference. The order
+// depends on this process, which distributes the requests among them. Self reports whether
+// this process follows the stores directly. The slice is shared between calls and must not be
+// modified.
+//
+// At most maxReaders entries follow the stores directly, since a store refuses more than a
+// dozen concurrent calls. In large fleets, relays serve the remaining entries, as in Assignment.
 func (m *Members) Watchers(now time.Time) (others []string, self bool) {
-	a := m.selection(now, "watch", func(all []string) mirror.Assignment { return m.selectEntries(all, mostWatchers) })
+	a := m.selection(now, "watch", func(all []string) mirror.Assignment {
+		a := m.assign(all)
+		if a.Reads {
+			return a
+		}
+
+		asked := slices.Clone(a.Addresses[:min(maxAskedRelays, len(a.Addresses))])
+
+		for _, w := range m.selectEntries(all, maxReaders).Addresses {
+			if len(asked) < maxAskedRelays+maxAskedWatchers && !slices.Contains(asked, w) {
+				asked = append(asked, w)
+			}
+		}
+
+		return mirror.Assignment{Addresses: asked}
+	})
 
 	return a.Addresses, a.Reads
 }
@@ -329,8 +351,9 @@
 	// readerShare is the number of entries per reader or relay. Each of them polls three
 	// times a second.
 	readerShare = 12
-	// maxReaders bounds the entries that read the log. In larger fleets, additional entries
-	// act as relays: they poll a reader and serve the remaining entries.
+	// maxReaders bounds the entries that read the log, and those that follow the stores
+	// directly. In larger fleets, additional entries act as relays: they poll a reader and
+	// serve the remaining entries.
 	maxReaders = 8
 	// relayPollWait is how long one poll of a relay waits at a reader. It is half the default
 	// wait, which limits the staleness that a relay adds.
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -30,9 +30,11 @@
 	// ms; zero if unknown.
 	epochFirstSeen, epochLastSeen int64
 
-	direct   bool     // its events are read by this process
-	changes  changes  // for other processes
-	followed Position // how far another process's changes were followed
+	direct       bool      // its events are read by this process
+	callFailed   bool      // the last direct call failed, and no other process has told of it since
+	peerUpdateAt time.Time // when another process last told of it
+	changes      changes   // for other processes
+	followed     Position  // how far another process's changes were followed
 }
 
 type pending struct {
@@ -135,7 +137,7 @@
 	}
 
 	sh.observeEpoch(l.Epoch, l.Clock, l.Clock)
-	sh.next, sh.known, sh.away, sh.direct = l.Next, true, false, true
+	sh.next, sh.known, sh.away, sh.direct, sh.callFailed = l.Next, true, false, true, false
 	sh.tokens, sh.short = 0, 0
 	sh.changes.forget()
 
@@ -159,7 +161,7 @@
 		return true
 	}
 
-	sh.away = false
+	sh.away, sh.callFailed = false, false
 
 	restarted := e.Epoch != sh.epoch
 	sh.observeEpoch(e.Epoch, e.Clock, e.Clock)
@@ -213,7 +215,7 @@
 	defer d.mu.Unlock()
 
 	if sh := d.shelves[address]; sh != nil {
-		sh.away = true
+		sh.away, sh.callFailed = true, true
 	}
 }
 
--- a/vault/share.go
+++ b/vault/share.go
@@ -17,13 +17,17 @@
 // Update is what one process tells another of a store.
 type Update struct {
 	Position
-	// Watched says that the teller follows the store itself and it answers.
+	// Watched is set if the teller follows the store, directly or through another process,
+	// and the store answers.
 	Watched bool `cbor:"4,keyasint"`
 	// Epoch is the store's.
 	Epoch int64 `cbor:"5,keyasint"`
 	// Whole says that Events tell of all parts; otherwise they are changes, in order.
 	Whole  bool    `cbor:"6,keyasint"`
 	Events []Event `cbor:"7,keyasint"`
+	// Away is set if the teller follows the store, directly or through another process,
+	// and the store does not answer.
+	Away bool `cbor:"8,keyasint,omitempty"`
 	// Clock is the engines' clock in ms, never ahead of it.
 	Clock int64 `cbor:"9,keyasint"`
 	// EpochFirstSeen and EpochLastSeen are when the store was first and last known to be
@@ -84,8 +88,12 @@
 	for _, p := range positions {
 		u := Update{Position: Position{Address: p.Address, Teller: d.started}, Clock: clock}
 
-		if sh := d.shelves[p.Address]; sh != nil && sh.direct && sh.known && !sh.away {
-			sh.tell(&u, p, d.started)
+		if sh := d.shelves[p.Address]; sh != nil && sh.follows(now) {
+			if sh.known && !sh.away {
+				sh.tell(&u, p, d.started)
+			} else {
+				u.Away = sh.away
+			}
 		}
 
 		updates = append(updates, u)
@@ -94,6 +102,14 @@
 	return updates
 }
 
+// maxPeerUpdateAge bounds the age of updates from another process that are passed on.
+const maxPeerUpdateAge = 2 * peerEvery
+
+// follows reports whether this process follows the store, directly or through another process.
+func (s *shelf) follows(now time.Time) bool {
+	return s.direct || s.callFailed || now.Sub(s.peerUpdateAt) < maxPeerUpdateAge
+}
+
 // tell fills in an update.
 func (s *shelf) tell(u *Update, p Position, started int64) {
 	u.Watched, u.Epoch, u.Sequence = true, s.epoch, s.changes.sequence
@@ -128,7 +144,7 @@
 }
 
 // Adopt takes what another process tells of a store. It returns false when that
-// one doesn't follow the store.
+// one doesn't follow the store or gets no answer from it.
 func (d *Directory) Adopt(now time.Time, u Update) bool {
 	if !u.Watched {
 		return false
@@ -153,8 +169,18 @@
 	sh.apply(u.Events)
 
 	sh.observeEpoch(u.Epoch, u.EpochFirstSeen, u.EpochLastSeen)
-	sh.known, sh.away, sh.direct = true, false, false
-	sh.followed = u.Position
+	sh.known, sh.away, sh.direct, sh.callFailed = true, false, false, false
+	sh.followed, sh.peerUpdateAt = u.Position, now
 
 	return true
 }
+
+// AdoptAway records that a store does not answer the processes that follow it.
+func (d *Directory) AdoptAway(now time.Time, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if sh := d.shelves[address]; sh != nil {
+		sh.away, sh.direct, sh.callFailed, sh.peerUpdateAt = true, false, false, now
+	}
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -42,6 +42,10 @@
 	peerEvery = 300 * time.Millisecond
 	// awayPause is the pause before a store that doesn't answer is asked again.
 	awayPause = 500 * time.Millisecond
+	// maxAwayPause bounds that pause, which doubles with each failure, in processes that do
+	// not follow the stores for others. If those that do are lost, hundreds of processes may
+	// call a store at once.
+	maxAwayPause = 4 * time.Second
 	// askAgain is the pause between two questions whether processes know a version.
 	askAgain = 200 * time.Millisecond
 	// sweepEvery is the pause between two looks for parts to free.
@@ -55,8 +59,8 @@
 
 // Peers are the other processes that know of stores.
 type Peers interface {
-	// Watchers returns who follows the stores for all, best first: a few processes, or
-	// this one alone when there is no other. Self says that this one is among them.
+	// Watchers returns the processes to ask about the stores, in order of preference. Self
+	// reports whether this process follows the stores directly.
 	Watchers() (others []string, self bool)
 	// Ask asks a process what changed since the positions.
 	Ask(ctx context.Context, peer string, positions []Position) ([]Update, error)
@@ -153,7 +157,8 @@
 }
 
 // follow starts following the stores at these addresses directly and stops following all others.
-func (w *Watcher) follow(ctx context.Context, addresses map[string]bool) {
+// The pause after each failed call doubles up to maxPause.
+func (w *Watcher) follow(ctx context.Context, addresses map[string]bool, maxPause time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -165,7 +170,7 @@
 		c, cancel := context.WithCancel(ctx)
 		w.stops[address] = cancel
 
-		go w.watch(c, address, !w.told[address])
+		go w.watch(c, address, !w.told[address], maxPause)
 
 		delete(w.told, address)
 	}
@@ -212,7 +217,9 @@
 
 // watch follows one store directly until ctx ends. Away is false if the store is known to
 // be reachable.
-func (w *Watcher) watch(ctx context.Context, address string, away bool) {
+func (w *Watcher) watch(ctx context.Context, address string, away bool, maxPause time.Duration) {
+	retryPause := awayPause
+
 	for ctx.Err() == nil {
 		err := w.ask(ctx, address)
 		if ctx.Err() != nil {
@@ -222,10 +229,15 @@
 		w.tellChange(address, away, err)
 		away = err != nil
 
-		if away {
-			w.cfg.Directory.Lose(address)
-			pause.For(ctx, awayPause)
+		if !away {
+			retryPause = awayPause
+
+			continue
 		}
+
+		w.cfg.Directory.Lose(address)
+		pause.For(ctx, retryPause)
+		retryPause = min(2*retryPause, maxPause)
 	}
 }
 
@@ -246,15 +258,20 @@
 func (w *Watcher) askOthers(ctx context.Context) {
 	for ctx.Err() == nil {
 		open := w.addresses()
-		if others, self := w.cfg.Peers.Watchers(); !self {
+		others, self := w.cfg.Peers.Watchers()
+		maxPause := awayPause
+
+		if !self {
 			w.askRound(ctx, others, open)
+
+			maxPause = maxAwayPause
 		}
 
 		if ctx.Err() != nil {
 			return
 		}
 
-		w.follow(ctx, open)
+		w.follow(ctx, open, maxPause)
 		w.waitRound(ctx)
 	}
 }
@@ -284,9 +301,13 @@
 	return all
 }
 
-// askRound asks one process after the other, each about the stores of which those
-// before told nothing. It removes from open the stores that were told of.
+// askRound asks one process after the other, each about the stores that none of those
+// before reported as answering. It removes from open all stores that were reported, including
+// those reported only as not answering: direct calls from hundreds of processes would
+// overload such a store when it comes back.
 func (w *Watcher) askRound(ctx context.Context, others []string, open map[string]bool) {
+	away := make(map[string]bool)
+
 	for _, peer := range others {
 		if len(open) == 0 {
 			return
@@ -298,12 +319,23 @@
 		}
 
 		for _, u := range updates {
-			if open[u.Address] && w.cfg.Directory.Adopt(time.Now(), u) {
+			switch {
+			case !open[u.Address]:
+			case w.cfg.Directory.Adopt(time.Now(), u):
 				delete(open, u.Address)
 				w.setTold(u.Address)
+			case u.Away:
+				away[u.Address] = true
 			}
 		}
 	}
+
+	for address := range open {
+		if away[address] {
+			w.cfg.Directory.AdoptAway(time.Now(), address)
+			delete(open, address)
+		}
+	}
 }
 
 // positions returns how far stores were followed.
