mirror, exchange, loader: reduce reads of the log at fleet startup

Change: the first rounds in which entries ask each other are 0.3 s apart, for at most ten rounds, until the views are equal. A process beside an engine waits at startup for up to 4 s for an entry that has the whole operators' topic. While less than 0.1 s has passed, a source that fails is followed by the next one instead of a read of the log. At most four entries read the log, instead of eight; eight still follow the stores.

Tests: a process that starts and finds another one with the topic makes 0 calls to the log, and one that finds none reads the log after 4 s. With 30 to 400 processes, reads of one topic per second are at most 10 (18 before).

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -29,6 +29,10 @@
 	sideOperatorWait = 15 * time.Second
 	// sideAskEvery is the pause between two such questions.
 	sideAskEvery = 3 * time.Second
+	// sideLoadWait is how long a starting side process waits for an entry to return the
+	// operators' topic before it reads the log. After a power failure, all side processes
+	// start at once.
+	sideLoadWait = 4 * time.Second
 	// registerEvery is the pause between two reads of the register, or a quarter of
 	// the bound for targets that leave if that is less: an entry that waits at this
 	// one may know of it 0.85 s later.
--- a/cmd/boragehub/fleet_loader.go
+++ b/cmd/boragehub/fleet_loader.go
@@ -66,7 +66,7 @@
 		Log: log,
 	}
 	follower := mirror.NewFollower(mirror.FollowerConfig{
-		Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: client, Relay: exchange.NewSubscriber(client, cfg.VM),
+		Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: client, Relay: exchange.NewSubscriber(client, cfg.VM), LoadWait: sideLoadWait,
 		Wait: sideOperatorWait, AskEvery: sideAskEvery, OnNews: publications.Take, Log: log,
 	})
 
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -45,6 +45,11 @@
 	helloEvery = 2 * time.Second
 	// helloAsked is how many are asked in one round.
 	helloAsked = 4
+	// initialHelloEvery replaces helloEvery until the view of another entry is equal, for at
+	// most maxInitialRounds rounds. With an incomplete view, an entry may select itself as a
+	// reader of the log.
+	initialHelloEvery = 300 * time.Millisecond
+	maxInitialRounds  = 10
 )
 
 // Client asks entries. It implements mirror.Peers and loader.Entries.
@@ -292,8 +297,9 @@
 	return err == nil && b.End > offset
 }
 
-// Hello asks a few known entries for the others that they know.
-func (c *Client) Hello(ctx context.Context) {
+// Hello asks a few known entries for the others that they know, and reports whether the view
+// of at least one of them is equal.
+func (c *Client) Hello(ctx context.Context) bool {
 	var (
 		wg    sync.WaitGroup
 		equal atomic.Bool
@@ -312,6 +318,8 @@
 
 	wg.Wait()
 	c.members.EndRound(equal.Load())
+
+	return equal.Load()
 }
 
 // requestMembers asks one entry for the entries that it knows, and reports whether its view is
@@ -342,10 +350,17 @@
 
 // Run says hello now and then until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	for {
-		c.Hello(ctx)
+	converged := false
+
+	for round := 0; ; round++ {
+		converged = c.Hello(ctx) || converged
+
+		interval := helloEvery
+		if !converged && round < maxInitialRounds {
+			interval = initialHelloEvery
+		}
 
-		if !pause.For(ctx, helloEvery) {
+		if !pause.For(ctx, interval) {
 			return
 		}
 	}
--- a/mirror/exchange/members.go
+++ b/mirror/exchange/members.go
@@ -324,18 +324,18 @@
 // this process follows the stores directly. The slice is shared between calls and must not be
 // modified.
 //
-// At most maxReaders entries follow the stores directly, since a store refuses more than a
+// At most maxWatchers entries follow the stores directly, since a store refuses more than a
 // dozen concurrent calls. In large fleets, relays serve the remaining entries, as in Assignment.
 func (m *Members) Watchers(now time.Time) (others []string, self bool) {
 	a := m.selection(now, "watch", func(all []string) mirror.Assignment {
-		a := m.assign(all)
+		a := m.assign(all, maxWatchers)
 		if a.Reads {
 			return a
 		}
 
 		asked := slices.Clone(a.Addresses[:min(maxAskedRelays, len(a.Addresses))])
 
-		for _, w := range m.selectEntries(all, maxReaders).Addresses {
+		for _, w := range m.selectEntries(all, maxWatchers).Addresses {
 			if len(asked) < maxAskedRelays+maxAskedWatchers && !slices.Contains(asked, w) {
 				asked = append(asked, w)
 			}
@@ -351,10 +351,11 @@
 	// readerShare is the number of entries per reader or relay. Each of them polls three
 	// times a second.
 	readerShare = 12
-	// maxReaders bounds the entries that read the log, and those that follow the stores
-	// directly. In larger fleets, additional entries act as relays: they poll a reader and
-	// serve the remaining entries.
-	maxReaders = 8
+	// maxReaders bounds the entries that read the log, and maxWatchers those that follow the
+	// stores directly. In larger fleets, additional entries act as relays: they poll these
+	// entries and serve the remaining ones.
+	maxReaders  = 4
+	maxWatchers = 8
 	// relayPollWait is how long one poll of a relay waits at a reader. It is half the default
 	// wait, which limits the staleness that a relay adds.
 	relayPollWait = 300 * time.Millisecond
@@ -366,17 +367,18 @@
 // poll the readers and serve the remaining entries, so that neither the reads of the log nor
 // the number of entries that poll the same one grow with the fleet.
 func (m *Members) Assignment(now time.Time, topic string) mirror.Assignment {
-	return m.selection(now, "read|"+topic, m.assign)
+	return m.selection(now, "read|"+topic, func(all []string) mirror.Assignment { return m.assign(all, maxReaders) })
 }
 
-// assign returns this process's assignment, given all entries in rendezvous order.
-func (m *Members) assign(all []string) mirror.Assignment {
-	a := m.selectEntries(all, maxReaders)
-	if a.Reads || servingCount(len(all)) <= maxReaders {
+// assign returns this process's assignment, given all entries in rendezvous order. At most
+// limit entries read the source directly.
+func (m *Members) assign(all []string, limit int) mirror.Assignment {
+	a := m.selectEntries(all, limit)
+	if a.Reads || servingCount(len(all)) <= limit {
 		return a
 	}
 
-	relays := slices.Clone(all[maxReaders : maxReaders+relayCount(len(all))])
+	relays := slices.Clone(all[limit : limit+relayCount(len(all))])
 	if slices.Contains(relays, m.self) {
 		a.Wait = relayPollWait
 
--- a/mirror/exchange/members_test.go
+++ b/mirror/exchange/members_test.go
@@ -131,11 +131,12 @@
 	)
 
 	sources := []struct {
-		name   string
-		assign func(m *Members, now time.Time) mirror.Assignment
+		name       string
+		maxReaders int
+		assign     func(m *Members, now time.Time) mirror.Assignment
 	}{
-		{"log", func(m *Members, now time.Time) mirror.Assignment { return m.Assignment(now, "op") }},
-		{"stores", func(m *Members, now time.Time) mirror.Assignment {
+		{"log", 4, func(m *Members, now time.Time) mirror.Assignment { return m.Assignment(now, "op") }},
+		{"stores", 8, func(m *Members, now time.Time) mirror.Assignment {
 			others, self := m.Watchers(now)
 
 			return mirror.Assignment{Reads: self, Addresses: others}
@@ -143,7 +144,7 @@
 	}
 
 	tests := []struct{ entries, readers int }{
-		{1, 1}, {2, 2}, {4, 2}, {5, 2}, {24, 3}, {68, 7}, {84, 8}, {85, 8}, {96, 8}, {120, 8}, {210, 8}, {412, 8}, {824, 8},
+		{1, 1}, {2, 2}, {4, 2}, {5, 2}, {24, 3}, {37, 5}, {48, 5}, {68, 7}, {84, 8}, {85, 8}, {96, 8}, {120, 8}, {210, 8}, {412, 8}, {824, 8},
 	}
 
 	for _, source := range sources {
@@ -178,8 +179,8 @@
 				}
 			}
 
-			if readers != tt.readers {
-				t.Errorf("%s, %d entries: got %d readers, want %d", source.name, tt.entries, readers, tt.readers)
+			if want := min(tt.readers, source.maxReaders); readers != want {
+				t.Errorf("%s, %d entries: got %d readers, want %d", source.name, tt.entries, readers, want)
 			}
 
 			for entry, n := range served {
--- a/mirror/exchange/relay_test.go
+++ b/mirror/exchange/relay_test.go
@@ -153,11 +153,11 @@
 	const (
 		wait     = 500 * time.Millisecond
 		window   = 5 * time.Second
-		maxRate  = 18              // reads of the log per second, at any fleet size
+		maxRate  = 10              // reads of the log per second, at any fleet size
 		maxDelay = 2 * time.Second // strictest bound of any deployment for applying a configuration
 	)
 
-	for _, n := range []int{30, 85, 100, 400} {
+	for _, n := range []int{30, 37, 85, 100, 400} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			log, fleet := &countingSource{}, make(map[string]*process)
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -48,6 +48,18 @@
 	Wait time.Duration
 }
 
+// pollWait returns how long one poll waits for new records, with the default applied.
+func (a Assignment) pollWait() time.Duration {
+	if a.Wait <= 0 {
+		return relayWait
+	}
+
+	return a.Wait
+}
+
+// staleAfter returns the age from which a batch from another process is rejected as stale.
+func (a Assignment) staleAfter() time.Duration { return max(relayStale, 2*a.pollWait()) }
+
 // FollowerConfig says what to follow and how.
 type FollowerConfig struct {
 	// Name is the topic's name.
@@ -60,6 +72,10 @@
 	Peers Peers
 	// Relay tells who reads for all; nil has this process read itself.
 	Relay Relay
+	// LoadWait is how long a starting process waits for another one to return the whole
+	// topic before it reads the log; zero reads the log at once. It has no effect without
+	// a Relay.
+	LoadWait time.Duration
 	// Wait is how long one read waits for a record. It bounds how long a
 	// connection that fell silent goes unnoticed.
 	Wait time.Duration
@@ -112,6 +128,14 @@
 	// relayPause is the least pause between two questions, whatever is answered: without
 	// it an answer that comes at once is followed by the next question at once.
 	relayPause = 50 * time.Millisecond
+	// relayRetryWindow is the time since the first poll within which a failed poll is
+	// followed by a poll of the next process. After that, the log is read.
+	relayRetryWindow = 100 * time.Millisecond
+	// loadRetryPause is the pause before all processes are polled again for the whole topic.
+	loadRetryPause = 200 * time.Millisecond
+	// loadPollWait is how long one poll for the whole topic waits. It is short because
+	// existing records are returned immediately.
+	loadPollWait = 50 * time.Millisecond
 	// relayRest is for how long a reader that failed is not asked again: one that has
 	// just woken thinks that what it knows is current.
 	relayRest = 3 * time.Second
@@ -141,6 +165,8 @@
 		go f.askRegularly(ctx)
 	}
 
+	f.load(ctx)
+
 	for ctx.Err() == nil {
 		if f.relayed(ctx) {
 			continue
@@ -167,6 +193,36 @@
 	}
 }
 
+// load polls other processes for the whole topic until it is loaded or LoadWait has passed.
+func (f *Follower) load(ctx context.Context) {
+	if f.cfg.Relay == nil || f.cfg.LoadWait <= 0 {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.LoadWait)
+	defer cancel()
+
+	for ctx.Err() == nil && !f.cfg.Topic.Loaded() {
+		a := f.cfg.Relay.Assignment(f.cfg.Name)
+
+		for _, address := range a.Addresses {
+			c, done := pause.Patient(ctx, peerTimeout, transferMost)
+			b, err := f.cfg.Relay.Follow(c, address, f.cfg.Name, 0, loadPollWait)
+
+			done()
+
+			if now := time.Now(); err == nil && now.Sub(b.AsOf) < a.staleAfter() {
+				b.Whole = true
+				f.merge(now, b)
+
+				return
+			}
+		}
+
+		pause.For(ctx, loadRetryPause)
+	}
+}
+
 // relayed waits for news at another process. It returns false when this process has to read
 // itself.
 func (f *Follower) relayed(ctx context.Context) bool {
@@ -179,10 +235,8 @@
 		return false
 	}
 
-	wait := a.Wait
-	if wait <= 0 {
-		wait = relayWait
-	}
+	wait := a.pollWait()
+	began := time.Now()
 
 	for _, r := range a.Addresses {
 		now := time.Now()
@@ -196,7 +250,7 @@
 		cancel()
 
 		now = time.Now()
-		if err == nil && now.Sub(b.AsOf) < max(relayStale, 2*wait) {
+		if err == nil && now.Sub(b.AsOf) < a.staleAfter() {
 			f.regained(now)
 			f.merge(now, b)
 			pause.For(ctx, relayPause)
@@ -206,8 +260,10 @@
 
 		f.resting[r] = now.Add(relayRest)
 
-		// The time that one reader takes to fail is all that there is.
-		return false
+		// The time allowed for an update permits at most one slow failure.
+		if now.Sub(began) > relayRetryWindow {
+			return false
+		}
 	}
 
 	return false
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -237,3 +237,72 @@
 		synctest.Wait()
 	})
 }
+
+// startupRelay assigns two processes: one always fails immediately, the other one returns the
+// whole topic if loaded is set.
+type startupRelay struct {
+	loaded bool
+}
+
+func (*startupRelay) Assignment(string) Assignment {
+	return Assignment{Addresses: []string{"failing", "loaded"}}
+}
+
+func (r *startupRelay) Follow(ctx context.Context, address, _ string, _ int64, wait time.Duration) (Batch, error) {
+	if address == "failing" || !r.loaded {
+		return Batch{}, errReaderGone
+	}
+
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+
+	return Batch{Records: []Record{{Key: "config", Value: []byte("1"), Offset: 0}}, End: 1, AsOf: time.Now()}, ctx.Err()
+}
+
+// Guards against processes that all read the whole log at startup, or as soon as the first
+// process that they poll fails.
+func TestStartupAndFastFailuresAvoidLogReads(t *testing.T) {
+	const loadWait = 4 * time.Second
+
+	tests := []struct {
+		name   string
+		loaded bool // another process has the whole topic
+		after  time.Duration
+		want   int // reads of the log, capped at 1
+	}{
+		{"another process has the topic", true, 20 * time.Second, 0},
+		{"no process has the topic yet", false, loadWait - 10*time.Millisecond, 0},
+		{"no process has the topic in time", false, loadWait + time.Second, 1},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, topic := &countingSource{}, &Topic{}
+				f := NewFollower(FollowerConfig{
+					Name: "op", Topic: topic, Source: source, Relay: &startupRelay{loaded: tt.loaded}, LoadWait: loadWait,
+					Wait: 15 * time.Second, OnNews: func(time.Time, []Record) {}, Log: logr.Discard(),
+				})
+
+				ctx, cancel := context.WithCancel(t.Context())
+
+				go f.Run(ctx)
+
+				time.Sleep(tt.after)
+
+				if got := min(source.count(), 1); got != tt.want {
+					t.Errorf("got %d reads of the log, want %d", source.count(), tt.want)
+				}
+
+				if _, got := topic.Get("config"); got != tt.loaded {
+					t.Errorf("got the record present %v, want %v", got, tt.loaded)
+				}
+
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
