exchange: compress requests for store updates and their responses

Cause: with 61 stores, a request for store updates has 1,395 bytes and its response 4,201 bytes, even when nothing has changed. Each of the 404 entries sends three such requests a second. By calculation, that is 6.8 MB/s across the fleet, five sixths of it between data centres.

Change: request bodies of 1 KB or more to an entry are compressed, as are responses about stores of that size if the client accepts it. Compressors are pooled, since their state is far larger than a message. Requests are compressed without negotiation: an entry of an earlier version refuses them, and the one that asked turns to the next.

After: the request has 173 bytes and the response 642. The test bounds both at a third of the uncompressed size.

--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -199,7 +199,7 @@
 	ctx, cancel := pause.Patient(ctx, callTimeout+held, held+transferMost)
 	defer cancel()
 
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	req, err := newRequest(ctx, method, "http://"+address+path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -216,9 +216,47 @@
 		err = errs.New("%s answered %d", address, resp.StatusCode)
 	}
 
+	if err == nil && resp.Header.Get(contentEncodingHeader) == encodingDeflate {
+		return decompress(answer)
+	}
+
 	return answer, err
 }
 
+// HTTP headers that declare and negotiate compression.
+const (
+	contentEncodingHeader = "Content-Encoding"
+	acceptEncodingHeader  = "Accept-Encoding"
+)
+
+// newRequest returns a request that accepts a compressed response. A body of at least
+// compressAbove bytes is compressed.
+func newRequest(ctx context.Context, method, rawURL string, body []byte) (*http.Request, error) {
+	encoding := ""
+
+	if len(body) >= compressAbove {
+		compressed, err := compress(body)
+		if err != nil {
+			return nil, err
+		}
+
+		body, encoding = compressed, encodingDeflate
+	}
+
+	req, err := http.NewRequestWithContext(ctx, method, rawURL, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+
+	req.Header.Set(acceptEncodingHeader, encodingDeflate)
+
+	if encoding != "" {
+		req.Header.Set(contentEncodingHeader, encoding)
+	}
+
+	return req, nil
+}
+
 // tellPatience is how long Tell waits for answers. An entry that stands still would
 // otherwise hold up the load of weights that it is told of, and those whose turn
 // comes after it would load beside it.
--- a/mirror/exchange/pack.go
+++ b/mirror/exchange/pack.go
@@ -62,14 +62,43 @@
 }
 
 func deflate(records []mirror.Record) ([]byte, error) {
-	var out bytes.Buffer
-
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	body, err := cbor.Marshal(records)
 	if err != nil {
 		return nil, err
 	}
 
-	if err := cbor.NewEncoder(w).Encode(records); err != nil {
+	return compress(body)
+}
+
+// compressAbove is the length in bytes from which request bodies and responses about stores are
+// compressed. Messages about stores compress well, since they repeat the same few values for
+// each store.
+const compressAbove = 1 << 10
+
+// encodingDeflate is the Content-Encoding of compressed messages, which are raw DEFLATE data
+// without a zlib header.
+const encodingDeflate = "deflate"
+
+// flateWriters holds compressors for reuse, since their state is far larger than a message.
+var flateWriters sync.Pool
+
+// compress returns body in DEFLATE format.
+func compress(body []byte) ([]byte, error) {
+	var out bytes.Buffer
+
+	w, ok := flateWriters.Get().(*flate.Writer)
+	if !ok {
+		var err error
+		if w, err = flate.NewWriter(&out, flate.BestSpeed); err != nil {
+			return nil, err
+		}
+	}
+
+	defer flateWriters.Put(w)
+
+	w.Reset(&out)
+
+	if _, err := w.Write(body); err != nil {
 		return nil, err
 	}
 
@@ -80,13 +109,18 @@
 	return out.Bytes(), nil
 }
 
+// decompress returns the decompressed body, truncated to maxMessage bytes.
+func decompress(body []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxMessage))
+}
+
 // unpack returns the records of a reply.
 func (r Reply) unpack() ([]mirror.Record, error) {
 	if len(r.Packed) == 0 {
 		return r.Records, nil
 	}
 
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), maxMessage))
+	body, err := decompress(r.Packed)
 	if err != nil {
 		return nil, err
 	}
--- a/mirror/exchange/pack_test.go
+++ b/mirror/exchange/pack_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"boragehub/mirror"
+	"boragehub/vault"
 )
 
 // routes is a configuration of so many routes, as operators write it.
@@ -72,3 +75,55 @@
 		t.Errorf("got %d records, %v, want the configuration", len(b.Records), err)
 	}
 }
+
+// Guards against polling for store updates using most of a slow link in a fleet with many stores.
+func TestStoreMessagesAreCompressed(t *testing.T) {
+	const storeCount = 61
+
+	e, follower := newEntry(t), vault.NewDirectory(2)
+
+	var (
+		stores    []vault.Store
+		positions []vault.Position
+	)
+
+	for i := range storeCount {
+		stores = append(stores, vault.Store{Address: fmt.Sprintf("172.20.0.%d:8443", i)})
+	}
+
+	e.vaults.Configure(stores)
+	follower.Configure(stores)
+
+	for i, s := range stores {
+		e.vaults.Learn(time.Now(), s.Address, vault.Listing{Epoch: 162382030219276 + int64(i), Clock: 1776805800959 + int64(i)})
+
+		for _, u := range e.vaults.Tell(time.Now(), []vault.Position{follower.Followed(s.Address)}) {
+			follower.Adopt(time.Now(), u)
+		}
+
+		positions = append(positions, follower.Followed(s.Address))
+	}
+
+	want := e.vaults.Tell(time.Now(), positions)
+
+	for name, message := range map[string]any{"request": positions, "response": want} {
+		body, err := cbor.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		compressed, err := compress(body)
+		if err != nil || len(compressed) > len(body)/3 {
+			t.Errorf("%s: got %d of %d bytes after compression, %v, want at most a third", name, len(compressed), len(body), err)
+		}
+
+		if decompressed, err := decompress(compressed); err != nil || !bytes.Equal(decompressed, body) {
+			t.Errorf("%s: got %d bytes after decompression, %v, want the original %d", name, len(decompressed), err, len(body))
+		}
+	}
+
+	got, err := NewClient(NewMembers("", nil)).Ask(context.Background(), e.address, positions)
+	if err != nil || len(got) != storeCount || got[storeCount-1].Epoch != want[storeCount-1].Epoch || !got[storeCount-1].Watched {
+		t.Errorf("got %d updates, %v, want %d", len(got), err, storeCount)
+	}
+}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -162,11 +162,37 @@
 	w.Write(body)
 }
 
+// answerCompressed writes a message. It is compressed if it has at least compressAbove bytes and
+// the client accepts the encoding.
+func answerCompressed[T any](w http.ResponseWriter, r *http.Request, message T) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		http.Error(w, "no answer can be made", http.StatusInternalServerError)
+
+		return
+	}
+
+	if len(body) >= compressAbove && r.Header.Get(acceptEncodingHeader) == encodingDeflate {
+		if compressed, err := compress(body); err == nil {
+			w.Header().Set(contentEncodingHeader, encodingDeflate)
+
+			body = compressed
+		}
+	}
+
+	//nolint:errcheck,gosec // the client retries, here or at another entry
+	w.Write(body)
+}
+
 // question reads a message.
 func question[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
 	var message T
 
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
+	if err == nil && r.Header.Get(contentEncodingHeader) == encodingDeflate {
+		body, err = decompress(body)
+	}
+
 	if err == nil {
 		err = decoder.Unmarshal(body, &message)
 	}
@@ -181,7 +207,7 @@
 // stores tells what changed in stores.
 func (s *Server) stores(w http.ResponseWriter, r *http.Request) {
 	if positions, ok := question[[]vault.Position](w, r); ok {
-		answer(w, s.vaults.Tell(time.Now(), positions))
+		answerCompressed(w, r, s.vaults.Tell(time.Now(), positions))
 	}
 }
 
