cmd, exchange, mirror: load topics from other entries at first system startup

Cause: at startup, each of 412 entries reads both topics in full from the log, with three calls per entry.

Change: if the settings say that the whole system starts for the first time, so that there are no callers yet, an entry waits up to 3 s until it knows the same entries as another one, and then up to 3 s for an entry that has the topic. Entries that are to read the log don't wait for others after that. After a power failure, or when a single entry starts, the log is read immediately, as before. An entry that has not read a topic says so immediately instead of holding the request.

The fake relay of the test now refuses immediately where a topic isn't loaded, as the server does; it used to block.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -37,6 +37,12 @@
 	// the bound for targets that leave if that is less: an entry that waits at this
 	// one may know of it 0.85 s later.
 	registerEvery = 500 * time.Millisecond
+	// bootstrapViewWait is how long an entry waits, when the whole system starts for the first
+	// time, until its view of the entries is equal to that of another one. bootstrapLoadWait is
+	// how long it then waits for another entry to return a topic before it reads the log.
+	// These waits prevent all entries from reading both topics from the log at once.
+	bootstrapViewWait = 3 * time.Second
+	bootstrapLoadWait = 3 * time.Second
 	// tickEvery is the pause between two looks at what is due.
 	tickEvery = 250 * time.Millisecond
 	// leaveMargin is what is left of the grace time for ending the process.
--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -136,15 +136,25 @@
 	e.followers = []*mirror.Follower{
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client, Relay: e.client,
-			Wait: operatorWait, OnNews: publications.Take, Log: e.log,
+			LoadWait: e.loadWait(), Wait: operatorWait, OnNews: publications.Take, Log: e.log,
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client, Relay: e.client,
-			Every: registerPace(e.cfg.Bounds.Drain), OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
+			LoadWait: e.loadWait(), Every: registerPace(e.cfg.Bounds.Drain), OnNews: listings.Take, OnAway: e.roster.Away, Log: e.log,
 		}),
 	}
 }
 
+// loadWait returns the LoadWait of the followers. It is zero unless the whole system starts for
+// the first time: after a power failure, callers are waiting, so the log is read at once.
+func (e *fleetEntry) loadWait() time.Duration {
+	if e.cfg.Bootstrap {
+		return bootstrapLoadWait
+	}
+
+	return 0
+}
+
 // registerPace returns the pause between two reads of the register.
 func registerPace(drain time.Duration) time.Duration {
 	if drain <= 0 {
@@ -277,7 +287,13 @@
 	duties := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, pulses.Run, e.register}
 
 	for _, f := range e.followers {
-		duties = append(duties, f.Run)
+		duties = append(duties, func(ctx context.Context) {
+			if cfg.Bootstrap {
+				e.client.WaitConverged(ctx, bootstrapViewWait)
+			}
+
+			f.Run(ctx)
+		})
 	}
 
 	stop := background(duties...)
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -54,13 +54,14 @@
 
 // Client asks entries. It implements mirror.Peers and loader.Entries.
 type Client struct {
-	members *Members
-	http    *http.Client
+	members   *Members
+	http      *http.Client
+	converged chan struct{} // closed once the view of another entry is equal
 }
 
 // NewClient returns a Client that asks members.
 func NewClient(m *Members) *Client {
-	return &Client{members: m, http: &http.Client{Transport: &http.Transport{
+	return &Client{members: m, converged: make(chan struct{}), http: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     12 * time.Second,
@@ -391,7 +392,11 @@
 	converged := false
 
 	for round := 0; ; round++ {
-		converged = c.Hello(ctx) || converged
+		if c.Hello(ctx) && !converged {
+			converged = true
+
+			close(c.converged)
+		}
 
 		interval := helloEvery
 		if !converged && round < maxInitialRounds {
@@ -403,3 +408,16 @@
 		}
 	}
 }
+
+// WaitConverged waits until Run finds an entry whose view is equal, the timeout has passed or
+// ctx ends.
+func (c *Client) WaitConverged(ctx context.Context, timeout time.Duration) {
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+
+	select {
+	case <-c.converged:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -117,6 +117,36 @@
 	}
 }
 
+// Guards against a wait that returns before the other entries are known, or never returns if
+// there are none.
+func TestWaitConverged(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+
+	seed := newEntry(t)
+	a, alone := newEntry(t, seed.address), newEntry(t)
+
+	tests := []struct {
+		name string
+		e    *entry
+		want int // known entries, including itself
+	}{{"another entry", a, 2}, {"no other entry", alone, 1}}
+
+	for _, tt := range tests {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := NewClient(tt.e.members)
+
+		go c.Run(ctx)
+
+		c.WaitConverged(ctx, timeout)
+
+		if got := tt.e.members.Size(time.Now()); got != tt.want {
+			t.Errorf("%s: got %d known entries, want %d", tt.name, got, tt.want)
+		}
+
+		cancel()
+	}
+}
+
 // An entry stands still while engines take turns to load weights. Waited for, it
 // held each turn up by 0.8 s, so that two turns fell together and twice as many
 // engines were out at once.
--- a/mirror/exchange/relay_test.go
+++ b/mirror/exchange/relay_test.go
@@ -109,12 +109,16 @@
 
 func (p *process) Follow(ctx context.Context, address, _ string, from int64, wait time.Duration) (mirror.Batch, error) {
 	other := p.fleet[address]
-	if other.isFrozen() || !other.topic.Loaded() {
+	if other.isFrozen() {
 		<-ctx.Done()
 
 		return mirror.Batch{}, errUnreachable
 	}
 
+	if !other.topic.Loaded() {
+		return mirror.Batch{}, errNotLoaded
+	}
+
 	b := hold(ctx, time.Now(), &other.topic, from, wait)
 	if other.isFrozen() {
 		<-ctx.Done()
@@ -151,10 +155,12 @@
 // readers and relays freeze at once.
 func TestUpdatesReachFleetInTime(t *testing.T) {
 	const (
-		wait     = 500 * time.Millisecond
-		window   = 5 * time.Second
-		maxRate  = 10              // reads of the log per second, at any fleet size
-		maxDelay = 2 * time.Second // strictest bound of any deployment for applying a configuration
+		wait            = 500 * time.Millisecond
+		window          = 5 * time.Second
+		startupWindow   = 2 * time.Second
+		maxStartupReads = 25              // reads of the log within startupWindow, at any fleet size
+		maxRate         = 10              // reads of the log per second, at any fleet size
+		maxDelay        = 2 * time.Second // strictest bound of any deployment for applying a configuration
 	)
 
 	for _, n := range []int{30, 37, 85, 100, 400} {
@@ -175,14 +181,17 @@
 				}
 
 				go mirror.NewFollower(mirror.FollowerConfig{
-					Name: "op", Topic: &p.topic, Source: log, Relay: p, Wait: wait,
+					Name: "op", Topic: &p.topic, Source: log, Relay: p, Wait: wait, LoadWait: 3 * time.Second,
 					OnNews: func(time.Time, []mirror.Record) {}, Log: logr.Discard(),
 				}).Run(ctx)
 			}
 
-			time.Sleep(2 * time.Second)
+			time.Sleep(startupWindow)
 
 			before := log.count()
+			if before > maxStartupReads {
+				t.Errorf("%d processes: got %d reads of the log in the first %v, want at most %d", n, before, startupWindow, maxStartupReads)
+			}
 
 			time.Sleep(window)
 
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -76,7 +76,12 @@
 			return
 		}
 
-		b := hold(r.Context(), now, t, from, waitOf(q))
+		wait := waitOf(q)
+		if !t.Loaded() {
+			wait = 0 // lets the client try another process without delay
+		}
+
+		b := hold(r.Context(), now, t, from, wait)
 		reply.HeldMs = time.Since(now).Milliseconds()
 		now = now.Add(time.Duration(reply.HeldMs) * time.Millisecond)
 		reply.End, reply.Loaded = b.End, t.Loaded()
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -193,7 +193,8 @@
 	}
 }
 
-// load polls other processes for the whole topic until it is loaded or LoadWait has passed.
+// load polls other processes for the whole topic until it is loaded, LoadWait has passed or
+// this process is to read the log itself.
 func (f *Follower) load(ctx context.Context) {
 	if f.cfg.Relay == nil || f.cfg.LoadWait <= 0 {
 		return
@@ -204,6 +205,9 @@
 
 	for ctx.Err() == nil && !f.cfg.Topic.Loaded() {
 		a := f.cfg.Relay.Assignment(f.cfg.Name)
+		if a.Reads {
+			return
+		}
 
 		for _, address := range a.Addresses {
 			c, done := pause.Patient(ctx, peerTimeout, transferMost)
