vault: split the stateful test of store epochs

The store and its processes are a type with a method for each action now; actions, checks and bounds are the same.

--- a/vault/epoch_test.go
+++ b/vault/epoch_test.go
@@ -46,146 +46,163 @@
 	from, until int64 // in ms
 }
 
-// Guards against fetches of contexts that are being saved again in a restarted store,
-// granted by processes that do not know of the restart.
-func TestContextsSavedAgainAfterRestartAreNotFetched(t *testing.T) {
-	const (
-		address   = "large"
-		processes = 4 // only process 0 saves; it polls the store before each save
-	)
+const (
+	epochStore     = "large"
+	epochProcesses = 4 // only process 0 saves; it polls the store before each save
+)
 
-	rapid.Check(t, func(t *rapid.T) {
-		start := time.Unix(1000, 0)
-		clock := int64(10_000) // the engines' clock in ms
-		store := &storeModel{epoch: 1, held: make(map[Part]bool), saving: make(map[Part]int64)}
-		now := func() time.Time { return start.Add(time.Duration(clock) * time.Millisecond) }
-
-		var (
-			directories []*Directory
-			inbox       [processes][]message
-			grants      []grant
-		)
-
-		for i := range processes {
-			d := NewDirectory(int64(i + 1))
-			d.Configure([]Store{{Address: address, Room: 100_000}})
-			directories = append(directories, d)
-		}
+// epochWorld is a store and the processes that use it.
+type epochWorld struct {
+	clock       int64 // the engines' clock in ms
+	store       *storeModel
+	directories [epochProcesses]*Directory
+	inbox       [epochProcesses][]message
+	grants      []grant
+}
 
-		deliver := func(d *Directory, m message) {
-			switch {
-			case m.update != nil:
-				d.Adopt(now(), *m.update)
-			case m.listing != nil:
-				d.Learn(now(), address, *m.listing)
-			default:
-				d.Follow(now(), address, m.events)
-			}
+// newEpochWorld returns a world in which the store holds one part and all processes know of it.
+func newEpochWorld() *epochWorld {
+	w := &epochWorld{clock: 10_000, store: &storeModel{epoch: 1, held: make(map[Part]bool), saving: make(map[Part]int64)}}
+
+	for i := range w.directories {
+		w.directories[i] = NewDirectory(int64(i + 1))
+		w.directories[i].Configure([]Store{{Address: epochStore, Room: 100_000}})
+	}
+
+	w.store.saving[epochPart(0)] = w.clock
+
+	for range 3 {
+		for i := range w.directories {
+			w.deliver(i, w.poll(i))
 		}
 
-		// pollStore returns the store's answer to process i.
-		pollStore := func(i int) message {
-			next, ok := directories[i].Position(address)
-			if !ok {
-				l := &Listing{Epoch: store.epoch, Next: int64(len(store.events)), Clock: clock}
-				for p := range store.held {
-					l.Held = append(l.Held, Held{Part: p, Tokens: 100})
-				}
+		w.advance((epochGrace + freeMargin).Milliseconds())
+	}
 
-				return message{listing: l}
-			}
+	return w
+}
 
-			e := Events{Epoch: store.epoch, Next: int64(len(store.events)), Clock: clock}
-			if next <= int64(len(store.events)) {
-				e.Events = append(e.Events, store.events[next:]...)
-			}
+func epochPart(i int) Part {
+	return Part{Salt: Scope{Model: "m", Version: 1}.Salt(), ID: fmt.Sprint(i)}
+}
 
-			return message{events: e}
-		}
+func (w *epochWorld) now() time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(w.clock) * time.Millisecond)
+}
 
-		advance := func(by int64) {
-			clock += by
-			store.completeSaves(clock)
+func (w *epochWorld) advance(ms int64) {
+	w.clock += ms
+	w.store.completeSaves(w.clock)
+}
+
+// poll returns the store's answer to process i.
+func (w *epochWorld) poll(i int) message {
+	next, ok := w.directories[i].Position(epochStore)
+	if !ok {
+		l := &Listing{Epoch: w.store.epoch, Next: int64(len(w.store.events)), Clock: w.clock}
+		for p := range w.store.held {
+			l.Held = append(l.Held, Held{Part: p, Tokens: 100})
 		}
 
-		// Initially, the store holds one part and all processes know of it.
-		store.saving[Part{Salt: Scope{Model: "m", Version: 1}.Salt(), ID: "0"}] = clock
+		return message{listing: l}
+	}
+
+	e := Events{Epoch: w.store.epoch, Next: int64(len(w.store.events)), Clock: w.clock}
+	if next <= int64(len(w.store.events)) {
+		e.Events = append(e.Events, w.store.events[next:]...)
+	}
+
+	return message{events: e}
+}
+
+// ask returns what process j tells process i.
+func (w *epochWorld) ask(i, j int) message {
+	u := w.directories[j].Tell(w.now(), []Position{w.directories[i].Followed(epochStore)})
+
+	return message{update: &u[0]}
+}
+
+func (w *epochWorld) deliver(i int, m message) {
+	switch d := w.directories[i]; {
+	case m.update != nil:
+		d.Adopt(w.now(), *m.update)
+	case m.listing != nil:
+		d.Learn(w.now(), epochStore, *m.listing)
+	default:
+		d.Follow(w.now(), epochStore, m.events)
+	}
+}
+
+// save has process 0 save a part.
+func (w *epochWorld) save(t *rapid.T, p Part) {
+	// Watchers poll at least once a second, and again after a restart to read the list.
+	for range 2 {
+		w.deliver(0, w.poll(0))
+	}
+
+	if _, ok := w.directories[0].Place(w.now(), Held{Part: p, Tokens: 100}); !ok {
+		return
+	}
+
+	if _, ok := w.store.saving[p]; ok || w.store.held[p] {
+		return
+	}
 
-		for range 3 {
-			for i := range processes {
-				deliver(directories[i], pollStore(i))
-			}
+	w.store.saving[p] = w.clock + rapid.Int64Range(1, 2000).Draw(t, "duration ms")
+	if rapid.Bool().Draw(t, "interrupted") {
+		// Long enough for the save not to complete during the test.
+		w.store.saving[p] = w.clock + int64(time.Hour/time.Millisecond)
+	}
 
-			advance((epochGrace + freeMargin).Milliseconds())
+	for _, g := range w.grants {
+		if g.part == p && g.until > w.clock {
+			t.Fatalf("fetch of %v granted at %d ms until %d ms, but its save starts at %d ms", p, g.from, g.until, w.clock)
 		}
+	}
+}
 
-		process := rapid.IntRange(0, processes-1)
-		part := rapid.Custom(func(t *rapid.T) Part {
-			return Part{Salt: Scope{Model: "m", Version: 1}.Salt(), ID: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "part"))}
-		})
+// fetch has process i let an engine fetch a part.
+func (w *epochWorld) fetch(t *rapid.T, i int, p Part) {
+	c, ok := w.directories[i].Find(w.now(), p, "east")
+	if !ok {
+		return
+	}
+
+	// An engine discards a fetch whose deadline has passed.
+	if _, saving := w.store.saving[p]; saving && c.FetchUntil > w.clock {
+		t.Fatalf("fetch of %v granted at %d ms, while it is being saved", p, w.clock)
+	}
+
+	w.grants = append(w.grants, grant{p, w.clock, c.FetchUntil})
+}
+
+// Guards against fetches of contexts that are being saved again in a restarted store,
+// granted by processes that do not know of the restart.
+func TestContextsSavedAgainAfterRestartAreNotFetched(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newEpochWorld()
+		process := rapid.IntRange(0, epochProcesses-1)
+		part := rapid.Custom(func(t *rapid.T) Part { return epochPart(rapid.IntRange(0, 2).Draw(t, "part")) })
 
 		t.Repeat(map[string]func(*rapid.T){
-			"":                   func(t *rapid.T) { advance(rapid.Int64Range(0, 1000).Draw(t, "elapsed ms")) },
-			"the store restarts": func(*rapid.T) { store.restart() },
+			"":                   func(t *rapid.T) { w.advance(rapid.Int64Range(0, 1000).Draw(t, "elapsed ms")) },
+			"the store restarts": func(*rapid.T) { w.store.restart() },
 			"a process polls the store": func(t *rapid.T) {
 				i := process.Draw(t, "process")
-				inbox[i] = append(inbox[i], pollStore(i))
+				w.inbox[i] = append(w.inbox[i], w.poll(i))
 			},
 			"a process polls another": func(t *rapid.T) {
-				i, j := rapid.IntRange(1, processes-1).Draw(t, "process"), process.Draw(t, "peer")
-				u := directories[j].Tell(now(), []Position{directories[i].Followed(address)})
-				inbox[i] = append(inbox[i], message{update: &u[0]})
+				i, j := rapid.IntRange(1, epochProcesses-1).Draw(t, "process"), process.Draw(t, "peer")
+				w.inbox[i] = append(w.inbox[i], w.ask(i, j))
 			},
 			"an answer arrives": func(t *rapid.T) {
-				i := process.Draw(t, "process")
-				if len(inbox[i]) > 0 {
-					deliver(directories[i], inbox[i][0])
-					inbox[i] = inbox[i][1:]
+				if i := process.Draw(t, "process"); len(w.inbox[i]) > 0 {
+					w.deliver(i, w.inbox[i][0])
+					w.inbox[i] = w.inbox[i][1:]
 				}
 			},
-			"a context is saved": func(t *rapid.T) {
-				// Watchers poll at least once a second, and again after a restart to read the list.
-				for range 2 {
-					deliver(directories[0], pollStore(0))
-				}
-
-				p := part.Draw(t, "part")
-
-				if _, ok := directories[0].Place(now(), Held{Part: p, Tokens: 100}); !ok {
-					return
-				}
-
-				if _, ok := store.saving[p]; ok || store.held[p] {
-					return
-				}
-
-				store.saving[p] = clock + rapid.Int64Range(1, 2000).Draw(t, "duration ms")
-				if rapid.Bool().Draw(t, "interrupted") {
-					// Long enough for the save not to complete during the test.
-					store.saving[p] = clock + int64(time.Hour/time.Millisecond)
-				}
-
-				for _, g := range grants {
-					if g.part == p && g.until > clock {
-						t.Fatalf("fetch of %v granted at %d ms until %d ms, but its save starts at %d ms", p, g.from, g.until, clock)
-					}
-				}
-			},
-			"a context is fetched": func(t *rapid.T) {
-				i, p := process.Draw(t, "process"), part.Draw(t, "part")
-
-				c, ok := directories[i].Find(now(), p, "east")
-				if !ok {
-					return
-				}
-
-				// An engine discards a fetch whose deadline has passed.
-				if _, saving := store.saving[p]; saving && c.FetchUntil > clock {
-					t.Fatalf("fetch of %v granted at %d ms, while it is being saved", p, clock)
-				}
-
-				grants = append(grants, grant{p, clock, c.FetchUntil})
-			},
+			"a context is saved":   func(t *rapid.T) { w.save(t, part.Draw(t, "part")) },
+			"a context is fetched": func(t *rapid.T) { w.fetch(t, process.Draw(t, "process"), part.Draw(t, "part")) },
 		})
 	})
 }
