drain: make the partly read request test independent of the port's closing time

A stop waits 1 s (nextPart) for the next part of a request. The test sent one part, waited until the port was closed (0.4 s on an idle machine) and then sent the rest. If the machine adds a delay of 0.6 s in between, the server may close the connection.

The test now sends a header line before each check of the port, so that consecutive parts are not far apart.

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -175,9 +175,8 @@
 	}
 }
 
-// A caller's request comes in pieces, as on a slow line, while the process stops. The
-// HTTP server calls the connection idle until the last piece of its head is there; one
-// that closes it then cuts off a request that was sent whole.
+// Guards against a stop that closes a connection as idle when the head of the next request has
+// been read only in part.
 func TestStopWaitsForARequestThatIsPartlyRead(t *testing.T) {
 	s := serve(t, ok, 0)
 	c := s.connect(t)
@@ -187,15 +186,21 @@
 		t.Fatal(err)
 	}
 
-	c.send(t, request[:20])
+	c.send(t, "GET / HTTP/1.1\r\nHost: desk\r\n")
 	eventually(t, "a part is read", func() bool { return s.Count() == Count{Idle: 1, Pending: 1} })
 
 	drained := make(chan Count, 1)
 
 	go func() { drained <- s.Drain(t.Context(), Stop{}) }()
 
-	eventually(t, "the port is closed", func() bool { return !s.takes() })
-	c.send(t, request[20:])
+	// Sends a header line before each check of the port, so that the interval between parts
+	// doesn't grow to nextPart while the port is still open.
+	eventually(t, "the port is closed", func() bool {
+		c.send(t, "X-Part: 1\r\n")
+
+		return !s.takes()
+	})
+	c.send(t, "\r\n")
 
 	if _, body, err := c.answer(); err != nil || body != "ok" {
 		t.Errorf("got %q, %v, want ok", body, err)
