vault: ask peers that recently failed last

A process that doesn't follow the stores directly asks up to four other processes about them every 300 ms, in a fixed order. An unreachable process keeps its place in that order until it is removed from the members (20 s), and each round waits 400 ms for it to time out. A process that passes updates on (a relay) then receives its own only every 700 ms, but passes them on for only 600 ms. In the remaining time, the processes that ask it get no updates and call all stores directly, and stores refuse more than a dozen calls.

Ask a peer that failed to answer after the others for 20 s, which is as long as a lost process stays among the members.

The effect on a running fleet was not measured separately.

--- a/vault/others_test.go
+++ b/vault/others_test.go
@@ -228,3 +228,68 @@
 		})
 	}
 }
+
+// hangingTellers are tellers of which some never answer, so that calls to them time out.
+type hangingTellers struct {
+	tellers
+
+	hanging map[string]bool
+}
+
+const askTimeout = 400 * time.Millisecond
+
+func (p *hangingTellers) Ask(ctx context.Context, peer string, positions []Position) ([]Update, error) {
+	if p.hanging[peer] {
+		time.Sleep(askTimeout)
+
+		return nil, context.DeadlineExceeded
+	}
+
+	return p.tellers.Ask(ctx, peer, positions)
+}
+
+// Guards against an unresponsive peer delaying updates until they are too old to be passed on,
+// which makes other processes call all stores directly.
+func TestProcessServesOthersWhileAPeerHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		peers := &hangingTellers{tellers{asked: make(map[string]int), knows: map[string]bool{"s": true}}, map[string]bool{"one": true}}
+		source := &countedStore{calls: make(map[string]int)}
+		d := NewDirectory(2)
+		w := NewWatcher(WatcherConfig{Directory: d, Source: source, Peers: peers, Turn: func(string) int { return 0 }, Log: logr.Discard()})
+		w.Configure([]Store{{Address: "s"}})
+
+		var wg sync.WaitGroup
+
+		wg.Go(func() { w.Run(ctx) })
+		time.Sleep(3 * time.Second)
+
+		const (
+			step        = 10 * time.Millisecond
+			duration    = 30 * time.Second
+			maxTotalGap = 300 * time.Millisecond
+		)
+
+		var totalGap time.Duration
+
+		for range duration / step {
+			if u := d.Tell(time.Now(), []Position{{Address: "s"}}); !u[0].Watched {
+				totalGap += step
+			}
+
+			time.Sleep(step)
+		}
+
+		cancel()
+		wg.Wait()
+		synctest.Wait()
+
+		if totalGap > maxTotalGap {
+			t.Errorf("got no update of the store to pass on for %v of %v, want at most %v", totalGap, duration, maxTotalGap)
+		}
+
+		if got := source.calls["s"]; got > 0 {
+			t.Errorf("got %d calls to the store, want none", got)
+		}
+	})
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -46,6 +46,8 @@
 	// not follow the stores for others. If those that do are lost, hundreds of processes may
 	// call a store at once.
 	maxAwayPause = 4 * time.Second
+	// maxPeerFailureAge is how long a process that failed to answer is ranked behind the others.
+	maxPeerFailureAge = 20 * time.Second
 	// askAgain is the pause between two questions whether processes know a version.
 	askAgain = 200 * time.Millisecond
 	// sweepEvery is the pause between two looks for parts to free.
@@ -115,6 +117,8 @@
 	replaced map[string][]replacement
 	told     map[string]bool // addresses of the stores that another process told of
 	changed  chan struct{}   // signals that Configure was called
+
+	peerFailedAt map[string]time.Time // last failures to answer; only the askOthers goroutine may use it
 }
 
 // maxReplacements bounds the versions remembered of a model.
@@ -133,7 +137,7 @@
 func NewWatcher(cfg WatcherConfig) *Watcher {
 	return &Watcher{
 		cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement),
-		told: make(map[string]bool), changed: make(chan struct{}, 1),
+		told: make(map[string]bool), changed: make(chan struct{}, 1), peerFailedAt: make(map[string]time.Time),
 	}
 }
 
@@ -308,16 +312,20 @@
 func (w *Watcher) askRound(ctx context.Context, others []string, open map[string]bool) {
 	away := make(map[string]bool)
 
-	for _, peer := range others {
+	for _, peer := range w.askOrder(time.Now(), others) {
 		if len(open) == 0 {
 			return
 		}
 
 		updates, err := w.cfg.Peers.Ask(ctx, peer, w.positions(open))
 		if err != nil {
+			w.peerFailedAt[peer] = time.Now()
+
 			continue // the next one, or the store itself
 		}
 
+		delete(w.peerFailedAt, peer)
+
 		for _, u := range updates {
 			switch {
 			case !open[u.Address]:
@@ -338,6 +346,18 @@
 	}
 }
 
+// askOrder returns the processes in the order in which to ask them. Those that failed to answer
+// within maxPeerFailureAge come last, the most recent failure at the end: waiting for the timeout
+// of an unreachable process in each round would make updates too old to be passed on.
+func (w *Watcher) askOrder(now time.Time, others []string) []string {
+	maps.DeleteFunc(w.peerFailedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= maxPeerFailureAge })
+
+	order := slices.Clone(others)
+	slices.SortStableFunc(order, func(a, b string) int { return w.peerFailedAt[a].Compare(w.peerFailedAt[b]) })
+
+	return order
+}
+
 // positions returns how far stores were followed.
 func (w *Watcher) positions(addresses map[string]bool) []Position {
 	all := make([]Position, 0, len(addresses))
