cmd, exchange, mirror: load topics from other entries at every start

After a power failure, all entries start at once. Each of them read the configuration and the whole register from the log, and they share its bandwidth of 80 MB/s. The number of bytes read grows with the number of entries times the number of targets.

An entry now first requests the list of members from any other entry. It waits at most 0.3 s for this and repeats the request every 50 ms (in the first second) until one has answered. It then loads both topics from the entry that serves it, for at most 1 s.

An entry polls at most three others between two pauses of 0.1 s, and the next three after each pause, instead of all relays. Lists of members are compressed.

Not tested: seeds that hang instead of failing at once.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -43,6 +43,12 @@
 	// These waits prevent all entries from reading both topics from the log at once.
 	bootstrapViewWait = 3 * time.Second
 	bootstrapLoadWait = 3 * time.Second
+	// restartViewWait is how long an entry waits, at any other start, until another entry has
+	// returned its members. restartLoadWait replaces bootstrapLoadWait. Both are shorter because
+	// callers are waiting. They prevent all entries from reading the register from the log at
+	// once after a power failure, which takes longer than loading it from each other.
+	restartViewWait = 300 * time.Millisecond
+	restartLoadWait = time.Second
 	// tickEvery is the pause between two looks at what is due.
 	tickEvery = 250 * time.Millisecond
 	// leaveMargin is what is left of the grace time for ending the process.
--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -145,14 +145,23 @@
 	}
 }
 
-// loadWait returns the LoadWait of the followers. It is zero unless the whole system starts for
-// the first time: after a power failure, callers are waiting, so the log is read at once.
+// loadWait returns the LoadWait of the followers.
 func (e *fleetEntry) loadWait() time.Duration {
 	if e.cfg.Bootstrap {
 		return bootstrapLoadWait
 	}
 
-	return 0
+	return restartLoadWait
+}
+
+// waitForPeers waits until this entry knows other entries to load topics from, a timeout has
+// passed or ctx ends.
+func (e *fleetEntry) waitForPeers(ctx context.Context) {
+	if e.cfg.Bootstrap {
+		e.client.WaitConverged(ctx, bootstrapViewWait)
+	} else {
+		e.client.WaitAnswered(ctx, restartViewWait)
+	}
 }
 
 // registerPace returns the pause between two reads of the register.
@@ -288,10 +297,7 @@
 
 	for _, f := range e.followers {
 		duties = append(duties, func(ctx context.Context) {
-			if cfg.Bootstrap {
-				e.client.WaitConverged(ctx, bootstrapViewWait)
-			}
-
+			e.waitForPeers(ctx)
 			f.Run(ctx)
 		})
 	}
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -46,22 +46,29 @@
 	// helloAsked is how many are asked in one round.
 	helloAsked = 4
 	// initialHelloEvery replaces helloEvery until the view of another entry is equal, for at
-	// most maxInitialRounds rounds. With an incomplete view, an entry may select itself as a
-	// reader of the log.
-	initialHelloEvery = 300 * time.Millisecond
-	maxInitialRounds  = 10
+	// most initialHelloWindow after the start. With an incomplete view, an entry may select
+	// itself as a reader of the log.
+	initialHelloEvery  = 300 * time.Millisecond
+	initialHelloWindow = 3 * time.Second
+	// unansweredHelloEvery replaces initialHelloEvery until an entry has answered, for at most
+	// unansweredHelloWindow after the start. If all processes start at once, the seeds may not
+	// be listening yet in the first rounds.
+	unansweredHelloEvery  = 50 * time.Millisecond
+	unansweredHelloWindow = time.Second
 )
 
 // Client asks entries. It implements mirror.Peers and loader.Entries.
 type Client struct {
-	members   *Members
-	http      *http.Client
-	converged chan struct{} // closed once the view of another entry is equal
+	members      *Members
+	http         *http.Client
+	answered     chan struct{} // closed once another entry has returned its members
+	answeredOnce sync.Once     // guards the closing of answered
+	converged    chan struct{} // closed once the view of another entry is equal
 }
 
 // NewClient returns a Client that asks members.
 func NewClient(m *Members) *Client {
-	return &Client{members: m, converged: make(chan struct{}), http: &http.Client{Transport: &http.Transport{
+	return &Client{members: m, answered: make(chan struct{}), converged: make(chan struct{}), http: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     12 * time.Second,
@@ -336,12 +343,12 @@
 	return err == nil && b.End > offset
 }
 
-// Hello asks a few known entries for the others that they know, and reports whether the view
-// of at least one of them is equal.
-func (c *Client) Hello(ctx context.Context) bool {
+// Hello asks a few known entries for the others that they know. It reports whether at least one
+// of them answered, and whether the view of at least one of them is equal.
+func (c *Client) Hello(ctx context.Context) (answered, equal bool) {
 	var (
-		wg    sync.WaitGroup
-		equal atomic.Bool
+		wg                    sync.WaitGroup
+		anyAnswered, anyEqual atomic.Bool
 	)
 
 	viewHash, needAll := c.members.ViewHash(time.Now())
@@ -349,21 +356,29 @@
 	for i, a := range c.some(helloAsked) {
 		wg.Go(func() {
 			// One complete list per round is sufficient.
-			if c.requestMembers(ctx, a, viewHash, needAll && i == 0) {
-				equal.Store(true)
+			equal, err := c.requestMembers(ctx, a, viewHash, needAll && i == 0)
+			if err != nil {
+				return // an entry that does not answer expires
+			}
+
+			anyAnswered.Store(true)
+			c.answeredOnce.Do(func() { close(c.answered) })
+
+			if equal {
+				anyEqual.Store(true)
 			}
 		})
 	}
 
 	wg.Wait()
-	c.members.EndRound(equal.Load())
+	c.members.EndRound(anyEqual.Load())
 
-	return equal.Load()
+	return anyAnswered.Load(), anyEqual.Load()
 }
 
 // requestMembers asks one entry for the entries that it knows, and reports whether its view is
-// equal. Errors are dropped, since an entry that doesn't answer expires.
-func (c *Client) requestMembers(ctx context.Context, address string, viewHash uint64, all bool) (equal bool) {
+// equal.
+func (c *Client) requestMembers(ctx context.Context, address string, viewHash uint64, all bool) (equal bool, err error) {
 	q := url.Values{"self": {c.members.Self()}, "view": {strconv.FormatUint(viewHash, 16)}}
 	if all {
 		q.Set("all", "1")
@@ -371,12 +386,12 @@
 
 	body, err := c.call(ctx, http.MethodGet, address, recordsPath+"?"+q.Encode(), nil, 0)
 	if err != nil {
-		return false
+		return false, err
 	}
 
 	var r Reply
-	if decoder.Unmarshal(body, &r) != nil {
-		return false
+	if err := decoder.Unmarshal(body, &r); err != nil {
+		return false, err
 	}
 
 	now := time.Now()
@@ -384,39 +399,62 @@
 	c.members.Heard(now, r.Members)
 	c.members.HeardAges(now, viewHash, r.Ages)
 
-	return r.Ages != nil
+	return r.Ages != nil, nil
 }
 
 // Run says hello now and then until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	converged := false
+	began := time.Now()
+	answered, converged := false, false
+
+	for {
+		roundAnswered, roundEqual := c.Hello(ctx)
+		answered = answered || roundAnswered
 
-	for round := 0; ; round++ {
-		if c.Hello(ctx) && !converged {
+		if roundEqual && !converged {
 			converged = true
 
 			close(c.converged)
 		}
 
-		interval := helloEvery
-		if !converged && round < maxInitialRounds {
-			interval = initialHelloEvery
-		}
-
-		if !pause.For(ctx, interval) {
+		if !pause.For(ctx, helloInterval(time.Since(began), answered, converged)) {
 			return
 		}
 	}
 }
 
+// helloInterval returns the pause before the next round, given the time since the start and
+// whether any entry has answered and any view has been equal so far.
+func helloInterval(elapsed time.Duration, answered, converged bool) time.Duration {
+	switch {
+	case converged || elapsed >= initialHelloWindow:
+		return helloEvery
+	case answered || elapsed >= unansweredHelloWindow:
+		return initialHelloEvery
+	default:
+		return unansweredHelloEvery
+	}
+}
+
+// WaitAnswered waits until Run has received the members of another entry, the timeout has passed
+// or ctx ends.
+func (c *Client) WaitAnswered(ctx context.Context, timeout time.Duration) {
+	waitForClose(ctx, c.answered, timeout)
+}
+
 // WaitConverged waits until Run finds an entry whose view is equal, the timeout has passed or
 // ctx ends.
 func (c *Client) WaitConverged(ctx context.Context, timeout time.Duration) {
+	waitForClose(ctx, c.converged, timeout)
+}
+
+// waitForClose waits until ch is closed, the timeout has passed or ctx ends.
+func waitForClose(ctx context.Context, ch <-chan struct{}, timeout time.Duration) {
 	t := time.NewTimer(timeout)
 	defer t.Stop()
 
 	select {
-	case <-c.converged:
+	case <-ch:
 	case <-t.C:
 	case <-ctx.Done():
 	}
--- a/mirror/exchange/pack.go
+++ b/mirror/exchange/pack.go
@@ -70,9 +70,9 @@
 	return compress(body)
 }
 
-// compressAbove is the length in bytes from which request bodies and responses about stores are
-// compressed. Messages about stores compress well, since they repeat the same few values for
-// each store.
+// compressAbove is the length in bytes from which request bodies, and responses about stores and
+// members, are compressed. They compress well, since messages about stores repeat the same few
+// values for each store, and the addresses of members are similar.
 const compressAbove = 1 << 10
 
 // encodingDeflate is the Content-Encoding of compressed messages, which are raw DEFLATE data
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -92,6 +92,12 @@
 		}
 	}
 
+	if topic == "" {
+		answerCompressed(w, r, reply)
+
+		return
+	}
+
 	answer(w, reply)
 }
 
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -131,8 +131,11 @@
 	// relayRetryWindow is the time since the first poll within which a failed poll is
 	// followed by a poll of the next process. After that, the log is read.
 	relayRetryWindow = 100 * time.Millisecond
-	// loadRetryPause is the pause before all processes are polled again for the whole topic.
-	loadRetryPause = 200 * time.Millisecond
+	// loadRetryPause is the pause between two rounds of polls for the whole topic.
+	loadRetryPause = 100 * time.Millisecond
+	// maxLoadPolls is the maximum number of processes polled in one round. It limits the load
+	// on the polled processes, since hundreds poll the same few if all start at once.
+	maxLoadPolls = 3
 	// loadPollWait is how long one poll for the whole topic waits. It is short because
 	// existing records are returned immediately.
 	loadPollWait = 50 * time.Millisecond
@@ -203,13 +206,17 @@
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.LoadWait)
 	defer cancel()
 
-	for ctx.Err() == nil && !f.cfg.Topic.Loaded() {
+	for polls := 0; ctx.Err() == nil && !f.cfg.Topic.Loaded(); {
 		a := f.cfg.Relay.Assignment(f.cfg.Name)
 		if a.Reads {
 			return
 		}
 
-		for _, address := range a.Addresses {
+		// Each round continues with the processes that follow those polled in the previous one.
+		for range min(maxLoadPolls, len(a.Addresses)) {
+			address := a.Addresses[polls%len(a.Addresses)]
+			polls++
+
 			c, done := pause.Patient(ctx, peerTimeout, transferMost)
 			b, err := f.cfg.Relay.Follow(c, address, f.cfg.Name, 0, loadPollWait)
 
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -238,14 +239,15 @@
 	})
 }
 
-// startupRelay assigns two processes: one always fails immediately, the other one returns the
-// whole topic if loaded is set.
+// startupRelay assigns the given number of processes that always fail immediately, followed by
+// one that returns the whole topic if loaded is set.
 type startupRelay struct {
-	loaded bool
+	failing int
+	loaded  bool
 }
 
-func (*startupRelay) Assignment(string) Assignment {
-	return Assignment{Addresses: []string{"failing", "loaded"}}
+func (r *startupRelay) Assignment(string) Assignment {
+	return Assignment{Addresses: append(slices.Repeat([]string{"failing"}, r.failing), "loaded")}
 }
 
 func (r *startupRelay) Follow(ctx context.Context, address, _ string, _ int64, wait time.Duration) (Batch, error) {
@@ -267,14 +269,16 @@
 	const loadWait = 4 * time.Second
 
 	tests := []struct {
-		name   string
-		loaded bool // another process has the whole topic
-		after  time.Duration
-		want   int // reads of the log, capped at 1
+		name    string
+		failing int  // number of processes that always fail
+		loaded  bool // another process has the whole topic
+		after   time.Duration
+		want    int // reads of the log, capped at 1
 	}{
-		{"another process has the topic", true, 20 * time.Second, 0},
-		{"no process has the topic yet", false, loadWait - 10*time.Millisecond, 0},
-		{"no process has the topic in time", false, loadWait + time.Second, 1},
+		{"another process has the topic", 1, true, 20 * time.Second, 0},
+		{"only the last process has the topic", 2 * maxLoadPolls, true, time.Second, 0},
+		{"no process has the topic yet", 1, false, loadWait - 10*time.Millisecond, 0},
+		{"no process has the topic in time", 1, false, loadWait + time.Second, 1},
 	}
 
 	for _, tt := range tests {
@@ -282,7 +286,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				source, topic := &countingSource{}, &Topic{}
 				f := NewFollower(FollowerConfig{
-					Name: "op", Topic: topic, Source: source, Relay: &startupRelay{loaded: tt.loaded}, LoadWait: loadWait,
+					Name: "op", Topic: topic, Source: source, Relay: &startupRelay{tt.failing, tt.loaded}, LoadWait: loadWait,
 					Wait: 15 * time.Second, OnNews: func(time.Time, []Record) {}, Log: logr.Discard(),
 				})
 
