gateway: hold requests while the process starts

A request that arrived before an entry knew the configuration and the targets was refused at once, with a Retry-After of 0.7 or 1 s. After a power failure, all entries start at once and all callers are affected.

The deadline of a held request counts from its arrival.

Tests: how long requests are held, on virtual time; a held request is served using what became known while it was held.

--- a/cmd/boragehub/fleet.go
+++ b/cmd/boragehub/fleet.go
@@ -49,6 +49,10 @@
 	// once after a power failure, which takes longer than loading it from each other.
 	restartViewWait = 300 * time.Millisecond
 	restartLoadWait = time.Second
+	// startupWindow is the time after the start of the process during which requests are held
+	// until the configuration and the targets are known. It is shorter than the 1 s after which
+	// callers abandon a connection on which a request remains unread.
+	startupWindow = 800 * time.Millisecond
 	// tickEvery is the pause between two looks at what is due.
 	tickEvery = 250 * time.Millisecond
 	// leaveMargin is what is left of the grace time for ending the process.
--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -105,7 +105,8 @@
 		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{Crashes: crashesToRefuse}), TellCrash: e.client.TellCrash,
 		RepeatRatio: cfg.Bounds.RepeatRatio * repeatShare, RepeatWindow: cfg.Bounds.RepeatWindow,
 		RepeatSlack: cfg.Bounds.RepeatSlack, VersionWithin: cfg.Bounds.Version,
-		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack, Meter: meter, Log: log,
+		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
+		HoldUntil: time.Now().Add(startupWindow), Meter: meter, Log: log,
 	}, operators.Fresh, e.registration.Since)
 
 	e.balancer = drain.NewBalancer(e.gateway.Ready)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,10 @@
 	// second: its rate times the one plus the other.
 	SlowStartOverage float64
 	SlowStartSlack   int
+	// HoldUntil is the end of the startup window. Requests that arrive earlier are held until
+	// the configuration and the targets are known, but not beyond it. If zero, requests are
+	// never held.
+	HoldUntil time.Time
 	// Meter counts; nil counts nothing.
 	Meter Meter
 	// Log gets a line for each decision.
@@ -104,6 +108,7 @@
 	listed   func() time.Time // since when this process is asked before contexts are freed
 	suspects *suspects
 	room     *room
+	startup  *startupHold
 	flights  flights
 	fleets   fleets
 }
@@ -112,7 +117,7 @@
 // weight versions were surely known, listed since when this process is registered,
 // so that it is asked before contexts are freed; zero for not yet.
 func New(cfg Config, known, listed func() time.Time) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		cfg:      cfg,
 		budgets:  make(map[string]*retry.Budget),
 		sharers:  leastSharers,
@@ -123,6 +128,9 @@
 		room:     newRoom(),
 		work:     newWork(),
 	}
+	g.startup = newStartupHold(cfg.HoldUntil, func() bool { return g.Ready() || g.stopping.Load() })
+
+	return g
 }
 
 // Configure puts a configuration in force. One that is older than that in force
@@ -248,6 +256,8 @@
 		w.Header().Set("Connection", "close")
 	}
 
+	g.startup.wait(r.Context(), now)
+
 	if err := t.accept(now); err != nil {
 		t.refuse(err)
 
