--- a/vault/epoch_test.go
+++ b/vault/epoch_test.go
@@ -47,162 +47,165 @@
 }
 
 const (
-	epochStore     = "large"
-	epochProcesses = 4 // only process 0 saves; it polls the store before each save
+	storeAddress = "large"
+	processCount = 4 // only process 0 saves; it polls the store before each save
 )
 
-// epochWorld is a store and the processes that use it.
-type epochWorld struct {
+// epochSimulation simulates a store and the processes that use it.
+type epochSimulation struct {
 	clock       int64 // the engines' clock in ms
 	store       *storeModel
-	directories [epochProcesses]*Directory
-	inbox       [epochProcesses][]message
+	directories [processCount]*Directory
+	inbox       [processCount][]message
 	grants      []grant
 }
 
-// newEpochWorld returns a world in which the store holds one part and all processes know of it.
-func newEpochWorld() *epochWorld {
-	w := &epochWorld{clock: 10_000, store: &storeModel{epoch: 1, held: make(map[Part]bool), saving: make(map[Part]int64)}}
+// newEpochSimulation returns a simulation in which the store holds one part and all processes
+// know of it.
+func newEpochSimulation() *epochSimulation {
+	s := &epochSimulation{clock: 10_000, store: &storeModel{epoch: 1, held: make(map[Part]bool), saving: make(map[Part]int64)}}
 
-	for i := range w.directories {
-		w.directories[i] = NewDirectory(int64(i + 1))
-		w.directories[i].Configure([]Store{{Address: epochStore, Room: 100_000}})
+	for i := range s.directories {
+		s.directories[i] = NewDirectory(int64(i + 1))
+		s.directories[i].Configure([]Store{{Address: storeAddress, Room: 100_000}})
 	}
 
-	w.store.saving[epochPart(0)] = w.clock
+	s.store.saving[numberedPart(0)] = s.clock
 
 	for range 3 {
-		for i := range w.directories {
-			w.deliver(i, w.poll(i))
+		for i := range s.directories {
+			s.deliver(i, s.pollStore(i))
 		}
 
-		w.advance((epochGrace + freeMargin).Milliseconds())
+		s.advance((epochGrace + freeMargin).Milliseconds())
 	}
 
-	return w
+	return s
 }
 
-func epochPart(i int) Part {
+func numberedPart(i int) Part {
 	return Part{Salt: Scope{Model: "m", Version: 1}.Salt(), ID: fmt.Sprint(i)}
 }
 
-func (w *epochWorld) now() time.Time {
-	return time.Unix(1000, 0).Add(time.Duration(w.clock) * time.Millisecond)
+func (s *epochSimulation) now() time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(s.clock) * time.Millisecond)
 }
 
-func (w *epochWorld) advance(ms int64) {
-	w.clock += ms
-	w.store.completeSaves(w.clock)
+func (s *epochSimulation) advance(ms int64) {
+	s.clock += ms
+	s.store.completeSaves(s.clock)
 }
 
-// poll returns the store's answer to process i.
-func (w *epochWorld) poll(i int) message {
-	next, ok := w.directories[i].Position(epochStore)
+// pollStore returns the store's answer to process i.
+func (s *epochSimulation) pollStore(i int) message {
+	next, ok := s.directories[i].Position(storeAddress)
 	if !ok {
-		l := &Listing{Epoch: w.store.epoch, Next: int64(len(w.store.events)), Clock: w.clock}
-		for p := range w.store.held {
+		l := &Listing{Epoch: s.store.epoch, Next: int64(len(s.store.events)), Clock: s.clock}
+		for p := range s.store.held {
 			l.Held = append(l.Held, Held{Part: p, Tokens: 100})
 		}
 
 		return message{listing: l}
 	}
 
-	e := Events{Epoch: w.store.epoch, Next: int64(len(w.store.events)), Clock: w.clock}
-	if next <= int64(len(w.store.events)) {
-		e.Events = append(e.Events, w.store.events[next:]...)
+	e := Events{Epoch: s.store.epoch, Next: int64(len(s.store.events)), Clock: s.clock}
+	if next <= int64(len(s.store.events)) {
+		e.Events = append(e.Events, s.store.events[next:]...)
 	}
 
 	return message{events: e}
 }
 
-// ask returns what process j tells process i.
-func (w *epochWorld) ask(i, j int) message {
-	u := w.directories[j].Tell(w.now(), []Position{w.directories[i].Followed(epochStore)})
+// askPeer returns the answer of process j to process i.
+func (s *epochSimulation) askPeer(i, j int) message {
+	u := s.directories[j].Tell(s.now(), []Position{s.directories[i].Followed(storeAddress)})
 
 	return message{update: &u[0]}
 }
 
-func (w *epochWorld) deliver(i int, m message) {
-	switch d := w.directories[i]; {
+func (s *epochSimulation) deliver(i int, m message) {
+	switch d := s.directories[i]; {
 	case m.update != nil:
-		d.Adopt(w.now(), *m.update)
+		d.Adopt(s.now(), *m.update)
 	case m.listing != nil:
-		d.Learn(w.now(), epochStore, *m.listing)
+		d.Learn(s.now(), storeAddress, *m.listing)
 	default:
-		d.Follow(w.now(), epochStore, m.events)
+		d.Follow(s.now(), storeAddress, m.events)
 	}
 }
 
-// save has process 0 save a part.
-func (w *epochWorld) save(t *rapid.T, p Part) {
+// save starts a save of p if process 0 finds a place for it. It fails the test if an engine
+// may still be fetching p.
+func (s *epochSimulation) save(t *rapid.T, p Part) {
 	// Watchers poll at least once a second, and again after a restart to read the list.
 	for range 2 {
-		w.deliver(0, w.poll(0))
+		s.deliver(0, s.pollStore(0))
 	}
 
-	if _, ok := w.directories[0].Place(w.now(), Held{Part: p, Tokens: 100}); !ok {
+	if _, ok := s.directories[0].Place(s.now(), Held{Part: p, Tokens: 100}); !ok {
 		return
 	}
 
-	if _, ok := w.store.saving[p]; ok || w.store.held[p] {
+	if _, ok := s.store.saving[p]; ok || s.store.held[p] {
 		return
 	}
 
-	w.store.saving[p] = w.clock + rapid.Int64Range(1, 2000).Draw(t, "duration ms")
+	s.store.saving[p] = s.clock + rapid.Int64Range(1, 2000).Draw(t, "duration ms")
 	if rapid.Bool().Draw(t, "interrupted") {
 		// Long enough for the save not to complete during the test.
-		w.store.saving[p] = w.clock + int64(time.Hour/time.Millisecond)
+		s.store.saving[p] = s.clock + int64(time.Hour/time.Millisecond)
 	}
 
-	for _, g := range w.grants {
-		if g.part == p && g.until > w.clock {
-			t.Fatalf("fetch of %v granted at %d ms until %d ms, but its save starts at %d ms", p, g.from, g.until, w.clock)
+	for _, g := range s.grants {
+		if g.part == p && g.until > s.clock {
+			t.Fatalf("fetch of %v granted at %d ms until %d ms, but its save starts at %d ms", p, g.from, g.until, s.clock)
 		}
 	}
 }
 
-// fetch has process i let an engine fetch a part.
-func (w *epochWorld) fetch(t *rapid.T, i int, p Part) {
-	c, ok := w.directories[i].Find(w.now(), p, "east")
+// fetch records the fetch of p that process i grants, if any. It fails the test if the fetch may
+// run while p is being saved.
+func (s *epochSimulation) fetch(t *rapid.T, i int, p Part) {
+	c, ok := s.directories[i].Find(s.now(), p, "east")
 	if !ok {
 		return
 	}
 
 	// An engine discards a fetch whose deadline has passed.
-	if _, saving := w.store.saving[p]; saving && c.FetchUntil > w.clock {
-		t.Fatalf("fetch of %v granted at %d ms, while it is being saved", p, w.clock)
+	if _, saving := s.store.saving[p]; saving && c.FetchUntil > s.clock {
+		t.Fatalf("fetch of %v granted at %d ms, while it is being saved", p, s.clock)
 	}
 
-	w.grants = append(w.grants, grant{p, w.clock, c.FetchUntil})
+	s.grants = append(s.grants, grant{p, s.clock, c.FetchUntil})
 }
 
 // Guards against fetches of contexts that are being saved again in a restarted store,
 // granted by processes that do not know of the restart.
 func TestContextsSavedAgainAfterRestartAreNotFetched(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newEpochWorld()
-		process := rapid.IntRange(0, epochProcesses-1)
-		part := rapid.Custom(func(t *rapid.T) Part { return epochPart(rapid.IntRange(0, 2).Draw(t, "part")) })
+		s := newEpochSimulation()
+		process := rapid.IntRange(0, processCount-1)
+		part := rapid.Custom(func(t *rapid.T) Part { return numberedPart(rapid.IntRange(0, 2).Draw(t, "part")) })
 
 		t.Repeat(map[string]func(*rapid.T){
-			"":                   func(t *rapid.T) { w.advance(rapid.Int64Range(0, 1000).Draw(t, "elapsed ms")) },
-			"the store restarts": func(*rapid.T) { w.store.restart() },
+			"":                   func(t *rapid.T) { s.advance(rapid.Int64Range(0, 1000).Draw(t, "elapsed ms")) },
+			"the store restarts": func(*rapid.T) { s.store.restart() },
 			"a process polls the store": func(t *rapid.T) {
 				i := process.Draw(t, "process")
-				w.inbox[i] = append(w.inbox[i], w.poll(i))
+				s.inbox[i] = append(s.inbox[i], s.pollStore(i))
 			},
 			"a process polls another": func(t *rapid.T) {
-				i, j := rapid.IntRange(1, epochProcesses-1).Draw(t, "process"), process.Draw(t, "peer")
-				w.inbox[i] = append(w.inbox[i], w.ask(i, j))
+				i, j := rapid.IntRange(1, processCount-1).Draw(t, "process"), process.Draw(t, "peer")
+				s.inbox[i] = append(s.inbox[i], s.askPeer(i, j))
 			},
 			"an answer arrives": func(t *rapid.T) {
-				if i := process.Draw(t, "process"); len(w.inbox[i]) > 0 {
-					w.deliver(i, w.inbox[i][0])
-					w.inbox[i] = w.inbox[i][1:]
+				if i := process.Draw(t, "process"); len(s.inbox[i]) > 0 {
+					s.deliver(i, s.inbox[i][0])
+					s.inbox[i] = s.inbox[i][1:]
 				}
 			},
-			"a context is saved":   func(t *rapid.T) { w.save(t, part.Draw(t, "part")) },
-			"a context is fetched": func(t *rapid.T) { w.fetch(t, process.Draw(t, "process"), part.Draw(t, "part")) },
+			"a context is saved":   func(t *rapid.T) { s.save(t, part.Draw(t, "part")) },
+			"a context is fetched": func(t *rapid.T) { s.fetch(t, process.Draw(t, "process"), part.Draw(t, "part")) },
 		})
 	})
 }
