vault: delay direct calls to stores that no process has reported yet

A process that does not follow the stores for others called a store directly as soon as no other process had reported it in one round. When all processes start together, none can report a store yet: each entry called all 61 stores, and the stores refused calls beyond a dozen, including those from the eight entries that follow them for the others. The contents of the stores were known only 1 to 2.5 s after the start.

Such a process now calls a store directly only after no other process has reported it for 1 s. One that already calls a store, since it followed the stores for others until now, goes on until another process reports it (this part has no test of its own).

--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -46,6 +46,10 @@
 	// not follow the stores for others. If those that do are lost, hundreds of processes may
 	// call a store at once.
 	maxAwayPause = 4 * time.Second
+	// directCallDelay is how long a store must go unreported by other processes before a process
+	// that does not follow the stores for others calls it. When all processes start together,
+	// those that follow the stores need some rounds before they know them.
+	directCallDelay = time.Second
 	// maxPeerFailureAge is how long a process that failed to answer is ranked behind the others.
 	maxPeerFailureAge = 20 * time.Second
 	// askAgain is the pause between two questions whether processes know a version.
@@ -118,7 +122,9 @@
 	told     map[string]bool // addresses of the stores that another process told of
 	changed  chan struct{}   // signals that Configure was called
 
-	peerFailedAt map[string]time.Time // last failures to answer; only the askOthers goroutine may use it
+	// Only the askOthers goroutine may use these.
+	peerFailedAt    map[string]time.Time // last failures to answer, by process
+	unreportedSince map[string]time.Time // start of the current period without reports from other processes, by address
 }
 
 // maxReplacements bounds the versions remembered of a model.
@@ -138,6 +144,7 @@
 	return &Watcher{
 		cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement),
 		told: make(map[string]bool), changed: make(chan struct{}, 1), peerFailedAt: make(map[string]time.Time),
+		unreportedSince: make(map[string]time.Time),
 	}
 }
 
@@ -258,15 +265,18 @@
 
 // askOthers asks those who follow the stores what changed, until ctx ends: one question
 // for all stores, since in a large fleet there are hundreds of them. Stores that no
-// other process tells of are followed directly.
+// other process tells of are followed directly, see delayDirectCalls.
 func (w *Watcher) askOthers(ctx context.Context) {
 	for ctx.Err() == nil {
 		open := w.addresses()
 		others, self := w.cfg.Peers.Watchers()
 		maxPause := awayPause
 
-		if !self {
+		if self {
+			clear(w.unreportedSince)
+		} else {
 			w.askRound(ctx, others, open)
+			w.delayDirectCalls(time.Now(), open)
 
 			maxPause = maxAwayPause
 		}
@@ -280,6 +290,31 @@
 	}
 }
 
+// delayDirectCalls removes from open the stores that have been unreported for less than
+// directCallDelay, except those followed directly already. Open must hold the stores that no
+// other process reported in this round.
+func (w *Watcher) delayDirectCalls(now time.Time, open map[string]bool) {
+	maps.DeleteFunc(w.unreportedSince, func(address string, _ time.Time) bool { return !open[address] })
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	for address := range open {
+		if _, ok := w.stops[address]; ok {
+			continue
+		}
+
+		since, ok := w.unreportedSince[address]
+		if !ok {
+			w.unreportedSince[address], since = now, now
+		}
+
+		if now.Sub(since) < directCallDelay {
+			delete(open, address)
+		}
+	}
+}
+
 // waitRound waits until the next round is due, Configure is called or ctx ends.
 func (w *Watcher) waitRound(ctx context.Context) {
 	timer := time.NewTimer(peerEvery)
