exchange, platform: register entries through a few of them

An entry is now registered by one of at most four other entries (registrars). A registrar collects registrations for 0.2 s, appends them in one call, and responds after the log has accepted them. If this fails, the entry calls the log directly, as before. An entry waits until it knows other entries before it registers. Append accepts several records, and so does the stand-in for the log.

The test runs on virtual time, with all entries starting within 0.3 s. It requires at most 12 calls to the log with 30, 400 and 1,000 entries (previously one per entry), registration of all entries within 3 s, also when the registrar refuses or hangs, and that no entry counts as registered before the log has accepted its record.

Not covered: a log so slow that registrations through registrars time out (1.2 s), after which each entry calls it; the HTTP path.

--- a/cmd/boragehub/fleet_entry.go
+++ b/cmd/boragehub/fleet_entry.go
@@ -68,7 +68,7 @@
 
 	e.directory, e.members = directory, members
 	e.client = exchange.NewClient(members)
-	e.registration = exchange.NewRegistration(source, platform.EntriesTopic, log)
+	e.registration = exchange.NewRegistration(exchange.RegistrationConfig{Log: source, Topic: platform.EntriesTopic, Peers: e.client, Logger: log})
 	e.roster = roster.New(roster.Config{
 		Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log,
 		Named:     func(service string) bool { return e.gateway.Serves(service) },
@@ -112,7 +112,7 @@
 	e.balancer = drain.NewBalancer(e.gateway.Ready)
 	e.follow(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, Notice: e.notice, Crash: e.gateway.Heard,
+		Members: members, Vaults: directory, Notice: e.notice, Crash: e.gateway.Heard, Add: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
@@ -240,7 +240,11 @@
 }
 
 // register writes into the log where this entry can be asked.
-func (e *fleetEntry) register(ctx context.Context) { e.registration.Run(ctx, e.cfg.VM, e.cfg.Peers) }
+func (e *fleetEntry) register(ctx context.Context) {
+	// Without known peers, this entry would call the log itself.
+	e.waitForPeers(ctx)
+	e.registration.Run(ctx, e.cfg.VM, e.cfg.Peers)
+}
 
 // storePeers are the other entries, for what concerns stores.
 type storePeers struct {
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -336,6 +336,25 @@
 	return updates, err
 }
 
+// Registrar returns the address of the entry that registers this one in a topic, or an empty
+// string if this entry registers itself.
+func (c *Client) Registrar(topic string) string {
+	return c.members.Registrar(time.Now(), topic)
+}
+
+// Register requests that a registrar register an entry, and returns after the log has accepted
+// the record.
+func (c *Client) Register(ctx context.Context, registrar string, entry Registrant) error {
+	body, err := cbor.Marshal(entry)
+	if err != nil {
+		return err
+	}
+
+	_, err = c.call(ctx, http.MethodPost, registrar, entriesPath, body, registrationTimeout)
+
+	return err
+}
+
 // Knows reports whether an entry has read a topic up to and with an offset.
 func (c *Client) Knows(ctx context.Context, peer, topic string, offset int64) bool {
 	b, err := c.records(ctx, peer, topic, offset, 0)
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -26,6 +26,7 @@
 	noticePath  = "/notice"
 	vaultsPath  = "/vaults"
 	crashPath   = "/crash"
+	entriesPath = "/entries"
 )
 
 // Reply is the answer to a question for records.
--- a/mirror/exchange/members.go
+++ b/mirror/exchange/members.go
@@ -390,6 +390,18 @@
 	return mirror.Assignment{Addresses: relays}
 }
 
+// Registrar returns the address of the entry that registers this process in a topic of the log,
+// or an empty string if this process registers itself. At most maxReaders entries register the
+// others.
+func (m *Members) Registrar(now time.Time, topic string) string {
+	a := m.selection(now, "register|"+topic, func(all []string) mirror.Assignment { return m.selectEntries(all, maxReaders) })
+	if a.Reads || len(a.Addresses) == 0 {
+		return ""
+	}
+
+	return a.Addresses[0]
+}
+
 // servingCount returns how many of n entries are needed to serve the others directly.
 func servingCount(n int) int { return min(1+relayCount(n), n) }
 
--- a/mirror/exchange/registration.go
+++ b/mirror/exchange/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,45 +17,150 @@
 type Log interface {
 	// Newest returns the newest record of every key of a topic.
 	Newest(ctx context.Context, topic string) (mirror.Batch, error)
-	// Append writes a record.
-	Append(ctx context.Context, topic, key string, value []byte) error
+	// Append writes records atomically in one call.
+	Append(ctx context.Context, topic string, records ...mirror.Record) error
 }
 
-// registrationTimeout bounds a call of the log.
-const registrationTimeout = time.Second
+const (
+	// registrationTimeout bounds each call to the log or to a registrar. It is also the delay
+	// between retries.
+	registrationTimeout = time.Second
+	// registrationBatchWindow is how long a registrar collects registrations before it appends
+	// them in one call to the log.
+	registrationBatchWindow = 200 * time.Millisecond
+)
+
+// Registrant is an entry to register.
+type Registrant struct {
+	// Name is the key of its record in the log.
+	Name string `cbor:"1,keyasint"`
+	// Address is where other entries reach it.
+	Address string `cbor:"2,keyasint"`
+}
+
+// RegistrationPeers are the other entries, some of which act as registrars: they register
+// entries on request.
+type RegistrationPeers interface {
+	// Registrar returns the address of the entry that registers this one in a topic, or an empty
+	// string if this entry registers itself.
+	Registrar(topic string) string
+	// Register requests that a registrar register an entry, and returns after the log has
+	// accepted the record.
+	Register(ctx context.Context, registrar string, entry Registrant) error
+}
+
+// RegistrationConfig configures a Registration.
+type RegistrationConfig struct {
+	// Log and Topic are where the registrations are stored.
+	Log   Log
+	Topic string
+	// Peers are asked to register this entry. If nil, it calls the log directly.
+	Peers RegistrationPeers
+	// Logger receives a message when this entry is registered.
+	Logger logr.Logger
+}
 
 // Registration writes into the log where this entry can be asked, and reads where
 // all others can. Use NewRegistration.
 type Registration struct {
-	log   Log
-	topic string
-	lines logr.Logger
+	cfg   RegistrationConfig
 	since atomic.Pointer[time.Time]
+
+	mu    sync.Mutex
+	batch *registrationBatch // collects registrations; nil if there are none
 }
 
-// NewRegistration returns a Registration in a topic of the log.
-func NewRegistration(l Log, topic string, lines logr.Logger) *Registration {
-	return &Registration{log: l, topic: topic, lines: lines}
+// registrationBatch holds registrations that are appended in one call to the log.
+type registrationBatch struct {
+	records []mirror.Record
+	done    chan struct{} // closed when the call returns
+	err     error         // result of the call, valid after done is closed
 }
 
-// Run writes the entry's address under its name, again until the log has taken it.
-func (r *Registration) Run(ctx context.Context, name, address string) {
-	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, registrationTimeout)
-		err := r.log.Append(c, r.topic, name, []byte(address))
+// NewRegistration returns a Registration with the given configuration.
+func NewRegistration(cfg RegistrationConfig) *Registration { return &Registration{cfg: cfg} }
 
-		cancel()
+// Run writes the entry's address under its name, and retries until the log has accepted it. The
+// first attempt goes through a registrar, which keeps the number of calls to the log from growing
+// with the fleet. Retries call the log directly.
+func (r *Registration) Run(ctx context.Context, name, address string) {
+	entry := Registrant{Name: name, Address: address}
 
-		if err == nil {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		if err := r.register(ctx, entry, attempt == 0); err == nil {
 			now := time.Now()
 			r.since.Store(&now)
-			event.Log(r.lines, event.EntryRegistered, "name", name, "address", address)
+			event.Log(r.cfg.Logger, event.EntryRegistered, "name", name, "address", address)
 
 			return
 		}
 
-		pause.For(ctx, registrationTimeout)
+		if attempt > 0 {
+			pause.For(ctx, registrationTimeout)
+		}
+	}
+}
+
+// register makes one attempt, through a registrar if delegate is set and peers are configured.
+func (r *Registration) register(ctx context.Context, entry Registrant, delegate bool) error {
+	if !delegate || r.cfg.Peers == nil {
+		ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
+		defer cancel()
+
+		return r.cfg.Log.Append(ctx, r.cfg.Topic, entry.record())
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, registrationBatchWindow+registrationTimeout)
+	defer cancel()
+
+	if registrar := r.cfg.Peers.Registrar(r.cfg.Topic); registrar != "" {
+		return r.cfg.Peers.Register(ctx, registrar, entry)
+	}
+
+	return r.Add(ctx, entry)
+}
+
+func (e Registrant) record() mirror.Record {
+	return mirror.Record{Key: e.Name, Value: []byte(e.Address)}
+}
+
+// Add registers an entry, and returns after the log has accepted the record. Entries added within
+// registrationBatchWindow share one call to the log.
+func (r *Registration) Add(ctx context.Context, entry Registrant) error {
+	r.mu.Lock()
+
+	if r.batch == nil {
+		r.batch = &registrationBatch{done: make(chan struct{})}
+
+		go r.flush(context.WithoutCancel(ctx), r.batch)
 	}
+
+	batch := r.batch
+	batch.records = append(batch.records, entry.record())
+	r.mu.Unlock()
+
+	select {
+	case <-batch.done:
+		return batch.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// flush waits for registrationBatchWindow, then closes the batch to new entries and appends it to
+// the log.
+func (r *Registration) flush(ctx context.Context, batch *registrationBatch) {
+	time.Sleep(registrationBatchWindow)
+
+	r.mu.Lock()
+	r.batch = nil
+	r.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
+	defer cancel()
+
+	batch.err = r.cfg.Log.Append(ctx, r.cfg.Topic, batch.records...)
+	close(batch.done)
 }
 
 // Since returns when the log had taken the entry's address, zero before that. What
@@ -73,7 +179,7 @@
 	c, cancel := context.WithTimeout(ctx, registrationTimeout)
 	defer cancel()
 
-	b, err := r.log.Newest(c, r.topic)
+	b, err := r.cfg.Log.Newest(c, r.cfg.Topic)
 	if err != nil {
 		return nil, err
 	}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -22,6 +22,7 @@
 	topics  map[string]*mirror.Topic
 	notice  func(now time.Time, n Notice)
 	crash   func(now time.Time, c quarantine.Crash)
+	add     func(ctx context.Context, entry Registrant) error
 	vaults  *vault.Directory
 	packer  packer
 }
@@ -38,13 +39,16 @@
 	Notice func(now time.Time, n Notice)
 	// Crash takes what other entries say of targets that crashed.
 	Crash func(now time.Time, c quarantine.Crash)
+	// Add registers another entry. If nil, requests to register entries are refused.
+	Add func(ctx context.Context, entry Registrant) error
 }
 
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, notice: cfg.Notice, crash: cfg.Crash, vaults: cfg.Vaults}
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, notice: cfg.Notice, crash: cfg.Crash, add: cfg.Add, vaults: cfg.Vaults}
 	s.mux.HandleFunc("POST "+vaultsPath, s.stores)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
+	s.mux.HandleFunc("POST "+entriesPath, s.register)
 	s.mux.HandleFunc("POST "+noticePath, take(func(n Notice) { s.notice(time.Now(), n) }))
 	s.mux.HandleFunc("POST "+crashPath, take(func(c quarantine.Crash) { s.crash(time.Now(), c) }))
 
@@ -222,6 +226,22 @@
 	}
 }
 
+// register registers another entry, and responds after the log has accepted the record.
+func (s *Server) register(w http.ResponseWriter, r *http.Request) {
+	entry, ok := question[Registrant](w, r)
+	if !ok {
+		return
+	}
+
+	if s.add == nil || s.add(r.Context(), entry) != nil {
+		http.Error(w, "the entry could not be registered", http.StatusServiceUnavailable)
+
+		return
+	}
+
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // take handles a message that needs no answer.
 func take[T any](handle func(message T)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
