wholepath: give the test of silent connections enough repeats

Traced in its log: five of the six riders were on the engine whose connections fell silent, four were repeated at the other one, and the fifth was refused ("repeat_refused", reason "budget"): repeats are limited to a fifth of the first attempts in 10 s and three more, which is 4.2 for six requests. How the riders are spread over two equal engines isn't fixed, so the limit was met now and then. The limit is as it should be.

Twenty short requests before the riders raise it to 8.2.

--- a/wholepath/answer_test.go
+++ b/wholepath/answer_test.go
@@ -182,6 +182,15 @@
 
 	w := start(t, shape{engines: 2, engine: func(_ int, cfg *engine.Config) { cfg.DecodeTokensPerSecond = 100 }})
 
+	// Repeats are limited to a fifth of the first attempts and three more. Without these requests,
+	// the limit would be below the number of riders that may be on the same engine.
+	for i := range 20 {
+		prompt := fmt.Sprintf("warm-up request %d", i)
+		if _, err := w.entries[0].read(t.Context(), desk, prompt, 1, func() {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+
 	var (
 		all    sync.WaitGroup
 		pieces [riders]atomic.Int32
