gateway, roster, pulse, platform: log the rate limits that targets name

Nothing that is decided changes. An engine that names a limit of requests a second got more than that, and no line told whether entries knew of it.

target_rate_limit (2321) is logged when a target names, changes or ends a limit, with the value before, its age and where it was learned: from a response, or from a load report, whose side process sees the headers of its engine's own report. attempt_sent has the limit that was known when the target was chosen.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -248,6 +248,8 @@
 	t.inFlight.answered.Store(true)
 	t.g.cfg.Roster.ObserveAnswer(now, c.engine.ID)
 
+	t.g.cfg.Roster.ObserveRateLimit(now, c.engine.ID, a.RateLimit)
+
 	if a.HasLoad {
 		t.g.cfg.Roster.ObserveLoad(now, c.engine.ID, a.Running, a.Waiting)
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -351,7 +351,7 @@
 	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
 		"target", e.ID, "reason", c.reason, "cost_ms", int(c.cost), "candidates", c.candidates, "cold_ms", e.ColdFor.Milliseconds(), "config", t.cfg.Version(),
 		"running", max(e.Report.Running, e.Load.Running), "reading", e.Report.Prefilling, "tokens_per_ms", int(t.profile().TokensPerMs()), "waiting", max(e.Report.Waiting, e.Load.Waiting),
-		"used_tokens", e.Report.UsedTokens, "pulse_age_ms", loadReportAge(e), "sent_since", e.SentSince.Requests,
+		"used_tokens", e.Report.UsedTokens, "pulse_age_ms", loadReportAge(e), "rate_limit", e.RateLimit, "sent_since", e.SentSince.Requests,
 		"version", c.params.Version, "fetches", len(c.params.Fetch) > 0, "saves", len(c.params.Save) > 0, "unread", c.prefillTokens, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
 		"opening", t.prefixID(), "salt", c.params.Salt)
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -103,6 +103,9 @@
 	Running, Waiting, Slots int
 	// Version is its weight version; zero if not reported.
 	Version int64
+	// RateLimit is how many requests a second the target takes from all entries together; zero
+	// if it names no limit.
+	RateLimit float64
 	// Encoded is true if the body has a content encoding, so that it is not as the target made it.
 	Encoded bool
 }
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -60,6 +60,9 @@
 	// Permits is the number of requests that the subscriber may send while the engine is
 	// cold, in addition to those permitted earlier.
 	Permits int `cbor:"17,keyasint,omitempty"`
+	// RateLimit is the limit that the engine names in the responses to the side process, in
+	// requests a second from all entries together; zero for none.
+	RateLimit float64 `cbor:"19,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
 	// Interval is the time between two load reports that the listener asked for.
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -32,6 +32,7 @@
 	e.loadingUntil = time.Time{}
 	e.report, e.reportedAt, e.sentSince = e.report.AfterRestart(), time.Time{}, Sent{}
 	e.liveness = liveness{}
+	e.rateLimit = rateLimit{}
 	e.slowStart.assumeCold(now, r.slowStartLimit(service))
 
 	event.Log(r.cfg.Log, event.EngineRestarted, "target", id, "born", startedMs)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -137,6 +137,9 @@
 	// Throttled reports whether this process may send the target no request now because
 	// the target may be cold.
 	Throttled bool
+	// RateLimit is the number of requests a second that the target takes from all entries
+	// together; zero when it names no limit.
+	RateLimit float64
 }
 
 // Entries ranks the live entries.
@@ -169,6 +172,7 @@
 	liveness     liveness
 	startedMs    int64 // start time in ms of its own clock; zero when not reported
 	slowStart    slowStart
+	rateLimit    rateLimit
 }
 
 // Roster holds the known targets. Use New. Its methods are safe for concurrent use.
@@ -429,7 +433,7 @@
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loadingUntil),
 		Report: e.report, ReportAge: age, Fresh: age < e.maxReportAge(), SentSince: e.sentSince,
-		HeartbeatMissing: e.suspected(),
+		HeartbeatMissing: e.suspected(), RateLimit: e.rateLimit.limit,
 	}
 }
 
