gateway, roster, quota: keep to the rate limits that targets name

Class of fault: a statement of a target about itself is passed on to the caller and not used by those who route to it. Each entry's keeping to the limit by itself would not have been enough, since it holds for all entries together.

Change: quota.Share gives each entry an equal share of the limit, as slots that expire, since hundreds of entries that use saved slots at once exceed any limit. The number of entries is the largest of the last minute, as an entry that is cut off from the others would use their shares. The limit is learned from the head of each response (streams, refusals, errors, retries; one place, recordHead) and from the engine's report to its side process, which load reports pass on; changes of more than a tenth are announced to the other entries, but not by an entry that was paused. It is kept over a gap in the register and dropped when the target restarts. Roster.Admit is the one place where slots are used, which first attempts, retries, resumed streams and waiting prompts all pass. Health checks take a tenth of the limit at most.

Requests that can't get a slot in time are refused at once; Retry-After gives refused callers the slots to come in the order of their refusal (the schedule of package limit, now retry.Schedule).

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -75,6 +75,9 @@
 		Restarted:  func(id string) { e.gateway.TargetRestarted(id) },
 		SlowStart:  func(service string) slowstart.Limit { return e.gateway.SlowStart(service) },
 		Entries:    members,
+		RateLimitChanged: func(l roster.RateLimit) {
+			go e.client.AnnounceRateLimit(context.Background(), exchange.RateLimitAnnouncement{Target: l.ID, Limit: l.Limit})
+		},
 	})
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
@@ -89,15 +92,16 @@
 	})
 
 	meter := metrics.New(e.registry, metrics.Gauges{
-		Active:        func() float64 { return float64(e.gateway.Active()) },
-		Targets:       func() float64 { return float64(e.roster.Len()) },
-		ConfigVersion: func() float64 { return float64(e.gateway.ConfigVersion()) },
-		LogAge:        func() float64 { return time.Since(operators.SyncedAt()).Seconds() },
-		Dials:         func() float64 { return float64(e.pool.Dials()) },
-		VaultTokens:   func() float64 { held, _, _ := directory.Usage(); return float64(held) },
-		VaultCapacity: func() float64 { _, capacity, _ := directory.Usage(); return float64(capacity) },
-		LinesLeftOut:  func() float64 { return float64(lines.Dropped()) },
-		TokensPerMs:   func() float64 { return e.gateway.TokensPerMs() },
+		Active:         func() float64 { return float64(e.gateway.Active()) },
+		LimitedTargets: func() float64 { return float64(e.roster.LimitedTargets()) },
+		Targets:        func() float64 { return float64(e.roster.Len()) },
+		ConfigVersion:  func() float64 { return float64(e.gateway.ConfigVersion()) },
+		LogAge:         func() float64 { return time.Since(operators.SyncedAt()).Seconds() },
+		Dials:          func() float64 { return float64(e.pool.Dials()) },
+		VaultTokens:    func() float64 { held, _, _ := directory.Usage(); return float64(held) },
+		VaultCapacity:  func() float64 { _, capacity, _ := directory.Usage(); return float64(capacity) },
+		LinesLeftOut:   func() float64 { return float64(lines.Dropped()) },
+		TokensPerMs:    func() float64 { return e.gateway.TokensPerMs() },
 	})
 
 	e.gateway = gateway.New(gateway.Config{
@@ -112,7 +116,7 @@
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, Register: e.registration.Add,
+		Members: members, Vaults: directory, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, Register: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
@@ -234,6 +238,11 @@
 	}
 }
 
+// onRateLimit handles the announcement of a target's rate limit.
+func (e *gatewayProcess) onRateLimit(now time.Time, l exchange.RateLimitAnnouncement) {
+	e.roster.ObserveAnnouncedRateLimit(now, roster.RateLimit{ID: l.Target, Limit: l.Limit})
+}
+
 // AnnounceVersion announces to all entries, this one included, that a target which this entry
 // orders to load a version is about to load it or has loaded it.
 func (e *gatewayProcess) AnnounceVersion(ctx context.Context, address, model string, version int64, loaded bool) {
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -29,7 +29,7 @@
 	EngineDropped       = register(2311, "engine_dropped", "The register no longer lists a target; it gets no new work: `target`, `reason`.")
 	EngineLoading       = register(2312, "engine_loading", "A target announced the load of a weight version; it gets no work until the load ends or its maximum duration has passed: `target`, `version`.")
 	EngineVersion       = register(2313, "engine_version", "The weight version of a target changed: `target`, `version`, `basis`.")
-	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned).")
+	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned), `entries` that share it, `interval_ms` between two requests of this entry.")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -230,7 +230,7 @@
 	defer x.Close()
 
 	a := d.ParseResponse(x.Header())
-	t.recordHead(c, a)
+	t.recordHead(c, x.Status(), a)
 
 	switch {
 	case a.NotRun || x.Status() == http.StatusMisdirectedRequest:
@@ -243,12 +243,15 @@
 }
 
 // recordHead records what the head of a response reports about its target.
-func (t *task) recordHead(c choice, a ResponseHead) {
+func (t *task) recordHead(c choice, status int, a ResponseHead) {
 	now := time.Now()
 	t.inFlight.answered.Store(true)
 	t.g.cfg.Roster.ObserveAnswer(now, c.engine.ID)
 
-	t.g.cfg.Roster.ObserveRateLimit(now, c.engine.ID, a.RateLimit)
+	// A misdirected request may have been answered by another target at the same address.
+	if status != http.StatusMisdirectedRequest || a.Target == c.engine.ID {
+		t.g.cfg.Roster.ObserveRateLimit(now, c.engine.ID, a.RateLimit)
+	}
 
 	if a.HasLoad {
 		t.g.cfg.Roster.ObserveLoad(now, c.engine.ID, a.Running, a.Waiting)
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -60,10 +60,11 @@
 
 func (testDialect) ParseResponse(h http.Header) ResponseHead {
 	v, _ := strconv.ParseInt(h.Get("Version"), 10, 64)
+	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 
 	return ResponseHead{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Seal") != "", Target: h.Get("Target"), Version: v,
-		Encoded: h.Get("Content-Encoding") != "",
+		Encoded: h.Get("Content-Encoding") != "", RateLimit: limit,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,8 @@
 	startup         *startupHold
 	inFlight        attemptTracker
 	profiles        serviceProfiles
+
+	rateLimitRefusals rateLimitRefusals
 }
 
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -27,6 +27,8 @@
 	Active func() float64
 	// Targets returns the number of known targets.
 	Targets func() float64
+	// LimitedTargets returns the number of targets that name a rate limit.
+	LimitedTargets func() float64
 	// ConfigVersion returns the version of the configuration in force, zero for none.
 	ConfigVersion func() float64
 	// LogAge returns how old, in seconds, the known state of the log may be.
@@ -64,6 +66,7 @@
 	}{
 		{"boragehub_requests_active", "Requests being served.", g.Active},
 		{"boragehub_targets", "Targets that the register names.", g.Targets},
+		{"boragehub_limited_targets", "Targets that name a rate limit.", g.LimitedTargets},
 		{"boragehub_config_version", "Version of the configuration in force.", g.ConfigVersion},
 		{"boragehub_log_age_seconds", "How old what is known of the log may be.", g.LogAge},
 		{"boragehub_target_connections_opened", "Connections opened to targets since the start.", g.Dials},
--- /dev/null
+++ b/gateway/rate_limit_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"boragehub/failure"
+	"boragehub/roster"
+)
+
+// withHeader adds a header to a response's text.
+func withHeader(text, name, value string) string {
+	return strings.Replace(text, "\r\n", "\r\n"+name+": "+value+"\r\n", 1)
+}
+
+// target returns what the roster holds of a target.
+func (env *testEnv) target(t *testing.T, service, id string) roster.Engine {
+	t.Helper()
+
+	for _, e := range env.roster.Candidates(time.Now(), service, "m") {
+		if e.ID == id {
+			return e
+		}
+	}
+
+	t.Fatalf("%s is not a candidate", id)
+
+	return roster.Engine{}
+}
+
+// Guards against a rate limit that is missed because the response that names it takes another path
+// than usual: refusals, errors, streams and responses that break off.
+func TestRateLimitIsLearnedFromEveryResponse(t *testing.T) {
+	const named = 7.5
+
+	tests := []struct {
+		name, path, response string
+		want                 float64
+	}{
+		{"complete response", "/once/1", ok200, named},
+		{"refusal", "/once/1", notRun503, named},
+		{"refusal that does not say that it has not run", "/once/1", mayHaveRun503, named},
+		{"error", "/once/1", error500, named},
+		{"bad request", "/once/1", bad400, named},
+		{"truncated response", "/once/1", truncated200, named},
+		{"unsigned response", "/once/1", unsigned200, named},
+		{"stream", "/llm/1", streamHead + events(1, 2) + streamEnd, named},
+		{"stream that breaks off before its first event", "/llm/1", streamHead, named},
+		{"newer weights", "/llm/1", withHeader(newerVersion421, "Target", "llma"), named},
+		{"another target at the same address", "/once/1", otherTarget421, 0},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t, newFakeEngine(t, "a", respondAndClose(withHeader(tt.response, "Limit", "7.5"))))
+
+			service := "s"
+			if tt.path == "/llm/1" {
+				service = "llm"
+			}
+
+			env.request(t, "POST", tt.path, "x", promptHeaders(tt.path)...)
+
+			if got := env.target(t, service, service+"a").RateLimit; got != tt.want {
+				t.Errorf("got a limit of %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against requests that go past a target's rate limit by a retry or a resumed stream.
+func TestRetriesKeepToRateLimits(t *testing.T) {
+	limited := newFakeEngine(t, "a", respond(withHeader(ok200, "Limit", "0.5")))
+	env := newTestEnv(t, limited)
+	env.request(t, "POST", "/once/1", "x")
+	env.request(t, "POST", "/once/1", "x") // in the first slot
+
+	failing := newFakeEngine(t, "b", respondAndClose(""))
+	env.list(failing)
+
+	if r := env.request(t, "GET", "/idem/1", ""); r.status == http.StatusOK {
+		t.Errorf("got %d, want no response of the limited target", r.status)
+	}
+
+	if got, want := limited.count(), 2; got != want || failing.count() == 0 {
+		t.Errorf("got %d requests at the limited target and %d at the other, want %d and one or two", got, failing.count(), want)
+	}
+}
+
+// Guards against callers that wait for a target until their deadline although its rate limit
+// already shows that they can't be served, and against refused callers that return at the same
+// moment.
+func TestRequestsBeyondRateLimitsAreRefusedInOrder(t *testing.T) {
+	for _, path := range []string{"/idem/1", "/soon/1"} {
+		t.Run(path, func(t *testing.T) {
+			text := withHeader(ok200, "Limit", "0.5")
+			if path == "/soon/1" {
+				text = withHeader(streamHead, "Limit", "0.5") + events(1, 2) + streamEnd
+			}
+
+			e := newFakeEngine(t, "a", respond(text))
+			env := newTestEnv(t, e)
+
+			for i := range 2 {
+				if r := env.request(t, "POST", path, "x", promptHeaders(path)...); r.status != http.StatusOK {
+					t.Fatalf("request %d: got %d, want 200", i, r.status)
+				}
+			}
+
+			var after []float64
+
+			for range 3 {
+				r := env.request(t, "POST", path, "x", promptHeaders(path)...)
+
+				s, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+				if r.status != http.StatusServiceUnavailable || err != nil {
+					t.Fatalf("got %d with Retry-After %q, want a refusal", r.status, r.header.Get("Retry-After"))
+				}
+
+				after = append(after, s)
+			}
+
+			if interval := after[2] - after[1]; after[0] >= after[1] || interval < 10 {
+				t.Errorf("got Retry-After %v, want times that follow each other at the interval of the slots", after)
+			}
+
+			if got := e.count(); got != 2 {
+				t.Errorf("got %d requests at the target, want 2", got)
+			}
+		})
+	}
+}
+
+func TestPromptWaitsForASlotThatOpensInTime(t *testing.T) {
+	e := newFakeEngine(t, "a", respond(withHeader(streamHead, "Limit", "40")+events(1, 2)+streamEnd))
+	env := newTestEnv(t, e)
+
+	for i := range 5 {
+		if r := env.request(t, "POST", "/soon/1", "x", "Tokens", "100"); r.status != http.StatusOK {
+			t.Errorf("request %d: got %d, want 200", i, r.status)
+		}
+	}
+}
+
+func TestRateLimitedWait(t *testing.T) {
+	l := rateLimited{slotIn: 100 * time.Millisecond, perSecond: 4}
+
+	if got, want := l.wait(2), 600*time.Millisecond; got != want {
+		t.Errorf("got %v behind two requests, want %v", got, want)
+	}
+
+	if got, ok := asRateLimited(failure.Wrap(failure.QueueFull, l, "limited")); !ok || got != l {
+		t.Errorf("got %v, %v from a wrapped limit, want %v", got, ok, l)
+	}
+}
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -101,6 +101,10 @@
 		return choice{}, lastErr
 	}
 
+	if l, ok := asRateLimited(lastErr); ok && l.wait(len(q.waiting)) > t.maxWait() {
+		return choice{}, t.refuseRateLimited(began, l, len(q.waiting))
+	}
+
 	select {
 	case q.waiting <- struct{}{}:
 		defer func() { <-q.waiting }()
--- a/limit/account.go
+++ b/limit/account.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"boragehub/retry"
 )
 
 // account is the state kept for one organisation.
@@ -17,8 +19,8 @@
 	demand        float64 // recentDemand with headroom, as of the last fair level
 	active        bool    // whether it is in Gate.active
 	lastSeen      time.Time
-	rateSchedule  retrySchedule
-	shareSchedule retrySchedule
+	rateSchedule  retry.Schedule
+	shareSchedule retry.Schedule
 }
 
 // account returns the organisation's account, with the rate and weight of q. Beyond
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"boragehub/failure"
+	"boragehub/retry"
 	"boragehub/setting"
 )
 
@@ -124,7 +125,7 @@
 	cachedLevel    float64 // places per unit of weight, as of cachedLevelAt
 	cachedLevelAt  time.Time
 	releases       rateMeter
-	classSchedules [numClasses]retrySchedule
+	classSchedules [numClasses]retry.Schedule
 	refusals       [refusalKinds]uint64
 }
 
--- a/limit/refusal.go
+++ b/limit/refusal.go
@@ -14,7 +14,7 @@
 
 	limit := float64(a.limiter.Limit())
 	missing := (1 - a.limiter.TokensAt(now)) / limit
-	retryAfter := a.rateSchedule.nextSlot(now, seconds(missing), seconds(1/limit))
+	retryAfter := a.rateSchedule.NextSlot(now, seconds(missing), seconds(1/limit))
 
 	return g.refuse(failure.RateLimited, retryAfter, "organisation %s exceeds its request rate limit", q.Organisation)
 }
@@ -26,7 +26,7 @@
 	}
 
 	late := now.Add(q.Wait).Sub(q.Deadline)
-	retryAfter := g.classSchedules[classRank(q.Class)].nextSlot(now, late, g.timeToRelease(now, q.Cost))
+	retryAfter := g.classSchedules[classRank(q.Class)].NextSlot(now, late, g.timeToRelease(now, q.Cost))
 
 	return g.refuse(failure.DeadlineHopeless, retryAfter, "the first token is expected in %v, past the deadline", q.Wait.Round(time.Millisecond))
 }
@@ -43,7 +43,7 @@
 	g.recordDemand(now, a, a.used+q.Cost)
 
 	excess := g.used + q.Cost - g.places*classFraction(q.Class)
-	retryAfter := g.classSchedules[classRank(q.Class)].nextSlot(now, g.timeToRelease(now, excess), g.timeToRelease(now, q.Cost))
+	retryAfter := g.classSchedules[classRank(q.Class)].NextSlot(now, g.timeToRelease(now, excess), g.timeToRelease(now, q.Cost))
 
 	return g.refuse(failure.QueueFull, retryAfter, "no capacity is available")
 }
@@ -68,7 +68,7 @@
 
 	fraction := min(1, max(share, q.Cost)/g.places)
 	excess := a.used + q.Cost - share
-	retryAfter := a.shareSchedule.nextSlot(now, scale(g.timeToRelease(now, excess), 1/fraction), scale(g.timeToRelease(now, q.Cost), 1/fraction))
+	retryAfter := a.shareSchedule.NextSlot(now, scale(g.timeToRelease(now, excess), 1/fraction), scale(g.timeToRelease(now, q.Cost), 1/fraction))
 
 	return g.refuse(failure.ShareExceeded, retryAfter, "organisation %s already uses its fair share of the capacity", q.Organisation)
 }
--- a/limit/schedule.go
+++ b/limit/schedule.go
@@ -7,39 +7,6 @@
 	"boragehub/setting"
 )
 
-// retrySchedule assigns retry slots to refused callers one after the other, so that they don't
-// retry at the same time.
-type retrySchedule struct {
-	lastSlot time.Time // time of the slot that was assigned last
-}
-
-// nextSlot assigns the next slot and returns the time until it. The slot is not before first and
-// at least period after the one assigned last, but no later than maxSlotDelay.
-func (s *retrySchedule) nextSlot(now time.Time, first, period time.Duration) time.Duration {
-	at := now.Add(first)
-	if after := s.lastSlot.Add(period); after.After(at) {
-		at = after
-	}
-
-	// Without this bound a flood of requests would extend the schedule by hours. Slots
-	// beyond it coincide, but callers wouldn't keep the order over such a time anyway.
-	at = earlier(at, now.Add(maxSlotDelay))
-	s.lastSlot = at
-
-	return at.Sub(now)
-}
-
-// maxSlotDelay is how far ahead slots are assigned.
-const maxSlotDelay = time.Minute
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-
-	return a
-}
-
 // meterHalfLife is the half-life of a rateMeter's sum.
 const meterHalfLife = 5 * time.Second
 
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -300,6 +300,12 @@
 	broadcast(context.Background(), c, crashPath, crash)
 }
 
+// AnnounceRateLimit announces to all entries the rate limit that a target names. An entry that
+// doesn't receive the message learns of the limit from the target's responses to its own requests.
+func (c *Client) AnnounceRateLimit(ctx context.Context, l RateLimitAnnouncement) {
+	broadcast(ctx, c, limitPath, l)
+}
+
 // broadcast sends a message to all live entries and seeds, and waits for their responses.
 func broadcast[T any](ctx context.Context, c *Client, path string, message T) {
 	body, err := cbor.Marshal(message)
@@ -311,7 +317,7 @@
 
 	for _, a := range c.members.LiveAndSeeds(time.Now()) {
 		wg.Go(func() {
-			//nolint:errcheck,gosec // see AnnounceVersion and ReportCrash
+			//nolint:errcheck,gosec // see AnnounceVersion, ReportCrash and AnnounceRateLimit
 			c.call(ctx, http.MethodPost, a, path, body, 0)
 		})
 	}
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -28,6 +28,7 @@
 	vaultsPath  = "/vaults"
 	crashPath   = "/crash"
 	entriesPath = "/entries"
+	limitPath   = "/limit"
 )
 
 // Reply is the response to a request for records of a topic, or for members.
@@ -74,6 +75,14 @@
 	Loaded bool `cbor:"4,keyasint"`
 }
 
+// RateLimitAnnouncement announces the rate limit that a target names.
+type RateLimitAnnouncement struct {
+	// Target is the id of the target's current start.
+	Target string `cbor:"1,keyasint"`
+	// Limit is in requests a second from all entries together; zero for none.
+	Limit float64 `cbor:"2,keyasint"`
+}
+
 // maxMessage bounds the bytes read of one message, before and after decompression. It suffices for
 // a configuration with thousands of routes.
 const maxMessage = 16 << 20
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -26,6 +26,7 @@
 	mu            sync.Mutex
 	announcements []VersionAnnouncement
 	crashes       chan quarantine.Crash
+	limits        chan RateLimitAnnouncement
 }
 
 // received returns the announcements received so far.
@@ -39,7 +40,7 @@
 func newEntry(t *testing.T, seeds ...string) *testEntry {
 	t.Helper()
 
-	e := &testEntry{vaults: vault.NewDirectory(1), crashes: make(chan quarantine.Crash, 1)}
+	e := &testEntry{vaults: vault.NewDirectory(1), crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1)}
 	s := httptest.NewUnstartedServer(nil)
 	e.address = s.Listener.Addr().String()
 	e.members = NewMembers(e.address, seeds)
@@ -51,7 +52,8 @@
 
 			e.announcements = append(e.announcements, n)
 		},
-		OnCrash: func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
+		OnCrash:     func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
+		OnRateLimit: func(_ time.Time, l RateLimitAnnouncement) { e.limits <- l },
 	})
 	s.Start()
 	t.Cleanup(s.Close)
@@ -333,3 +335,16 @@
 		}
 	}
 }
+
+func TestRateLimitsAreAnnouncedToOtherEntries(t *testing.T) {
+	a, b := newEntry(t), newEntry(t)
+	want := RateLimitAnnouncement{Target: "i-1", Limit: 4.6}
+
+	NewClient(NewMembers("", []string{a.address, b.address, unresponsiveEntry(t)})).AnnounceRateLimit(context.Background(), want)
+
+	for _, e := range []*testEntry{a, b} {
+		if got := <-e.limits; got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+}
--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -4,19 +4,66 @@
 	"time"
 
 	"boragehub/event"
+	"boragehub/quota"
 )
 
 // Sources of a target's rate limit, as logged.
 const (
-	basisResponse   = "response"
-	basisLoadReport = "load_report"
+	basisResponse     = "response"
+	basisLoadReport   = "load_report"
+	basisAnnouncement = "announcement"
 )
 
-// rateLimit is the limit that a target names on the requests that it takes from all entries
+const (
+	// announcedChange is the relative change of a limit above which the other entries are told.
+	announcedChange = 0.1
+	// maxTickGap is the time between two calls of Tick above which this process has been paused.
+	// What it has read of responses since may be as old as the pause.
+	maxTickGap = 4 * checkInterval
+	// entriesMemory is how long the largest number of live entries is remembered. An entry that
+	// can't reach the others would otherwise use their shares of a limit, while they use them too.
+	entriesMemory = time.Minute
+	// minEntries is the least number of entries assumed to share a limit while this process may
+	// not know the others yet.
+	minEntries = 8
+	// departedMemory is how long the limits of targets that left the register are remembered. A
+	// target that is alive is listed again within seconds after an outage of the log.
+	departedMemory = time.Minute
+)
+
+// RateLimit is a limit that a target names on the requests that it takes from all entries
 // together.
+type RateLimit struct {
+	// ID is the id of the target's current start.
+	ID string
+	// Limit is in requests a second; zero for none.
+	Limit float64
+}
+
+// rateLimit is the limit that a target names.
 type rateLimit struct {
-	limit  float64   // in requests a second; zero for none
-	seenAt time.Time // when it was last named
+	share     quota.Share
+	seenAt    time.Time // when it was last named
+	announced float64   // limit that all entries were last told
+}
+
+// departed is the limit of a target that left the register.
+type departed struct {
+	limit rateLimit
+	at    time.Time
+}
+
+// sharingEntries is the number of entries that share a limit.
+type sharingEntries struct {
+	most   int       // largest number of live entries
+	mostAt time.Time // when there were as many
+}
+
+// observe records the number of live entries.
+func (s *sharingEntries) observe(now time.Time, n int) {
+	if n >= s.most || now.Sub(s.mostAt) > entriesMemory {
+		s.most, s.mostAt = n, now
+	}
 }
 
 // ObserveRateLimit records the rate limit that a target named in a response, in requests a second
@@ -30,6 +77,17 @@
 	}
 }
 
+// ObserveAnnouncedRateLimit records a rate limit that another entry announced.
+func (r *Roster) ObserveAnnouncedRateLimit(now time.Time, l RateLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if e, ok := r.engines[l.ID]; ok {
+		r.setRateLimit(now, l.ID, e, l.Limit, basisAnnouncement)
+		e.rateLimit.announced = l.Limit
+	}
+}
+
 // applyReportedRateLimit applies the rate limit in a load report. A report without a limit ends
 // only one that load reports have named, since a target may name its limit to callers alone. The
 // caller holds mu.
@@ -43,11 +101,15 @@
 func (r *Roster) setRateLimit(now time.Time, id string, e *engine, limit float64, basis string) {
 	l := &e.rateLimit
 
-	if limit != l.limit {
-		event.Log(r.cfg.Log, event.TargetRateLimit, "target", id, "limit", limit, "before", l.limit, "before_age_ms", l.age(now).Milliseconds(), "basis", basis)
+	if before := l.share.Limit(); limit != before {
+		entries, phase := r.shareOfLimit(now, e.listing.Address)
+		l.share.Set(now, limit, entries, phase)
+
+		event.Log(r.cfg.Log, event.TargetRateLimit, "target", id, "limit", limit, "before", before, "before_age_ms", l.age(now).Milliseconds(),
+			"basis", basis, "entries", entries, "interval_ms", l.share.Interval().Milliseconds())
 	}
 
-	l.limit, l.seenAt = limit, now
+	l.seenAt = now
 }
 
 // age returns how long ago the limit was last named; zero if it never was.
@@ -58,3 +120,82 @@
 
 	return now.Sub(l.seenAt)
 }
+
+// significant reports whether a limit differs enough from the last announced one to announce it.
+func (l *rateLimit) significant() bool {
+	limit := l.share.Limit()
+	if (limit == 0) != (l.announced == 0) {
+		return true
+	}
+
+	return limit < l.announced*(1-announcedChange) || limit > l.announced*(1+announcedChange)
+}
+
+// shareOfLimit returns the number of entries that share a target's limit, and this process's
+// position among them as a fraction. The caller holds mu.
+func (r *Roster) shareOfLimit(now time.Time, address string) (entries int, phase float64) {
+	if r.cfg.Entries == nil {
+		return 1, 0
+	}
+
+	entries = max(r.sharing.most, r.liveEntries, 1)
+	if now.Sub(r.firstListedAt) < entriesSettleTime {
+		entries = max(entries, minEntries)
+	}
+
+	rank := r.cfg.Entries.Rank(now, address)
+
+	return entries, float64(min(rank, entries-1)) / float64(entries)
+}
+
+// tickRateLimits updates the shares of the targets' limits and returns the limits to announce to
+// the other entries. The caller holds mu.
+func (r *Roster) tickRateLimits(now time.Time) []RateLimit {
+	paused := !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > maxTickGap
+	r.tickedAt = now
+
+	if r.cfg.Entries != nil {
+		r.sharing.observe(now, r.liveEntries)
+	}
+
+	for id, d := range r.departed {
+		if now.Sub(d.at) > departedMemory {
+			delete(r.departed, id)
+		}
+	}
+
+	var announce []RateLimit
+
+	for id, e := range r.engines {
+		l := &e.rateLimit
+
+		if limit := l.share.Limit(); limit > 0 {
+			entries, phase := r.shareOfLimit(now, e.listing.Address)
+			l.share.Set(now, limit, entries, phase)
+		}
+
+		// The next response tells whether the limit is still as it was before the pause.
+		if !paused && l.significant() {
+			l.announced = l.share.Limit()
+			announce = append(announce, RateLimit{ID: id, Limit: l.announced})
+		}
+	}
+
+	return announce
+}
+
+// LimitedTargets returns the number of targets that name a rate limit.
+func (r *Roster) LimitedTargets() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	n := 0
+
+	for _, e := range r.engines {
+		if e.rateLimit.share.Limit() > 0 {
+			n++
+		}
+	}
+
+	return n
+}
--- a/roster/rate_limit_test.go
+++ b/roster/rate_limit_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"pgregory.net/rapid"
+
+	"boragehub/pulse"
 )
 
 // limitedTarget is a simulated target that may name a rate limit.
@@ -50,11 +53,12 @@
 	entries []*limitedEntry
 	targets []*limitedTarget
 	pending []delayed
-	sent    int
+	// loss is the fraction of announcements between entries that is lost.
+	loss float64
 }
 
-func newLimitedFleet(seed uint64, entries, targets int) *limitedFleet {
-	f := &limitedFleet{rnd: rand.New(rand.NewPCG(seed, 2)), now: at(0)}
+func newLimitedFleet(seed uint64, entries, targets int, loss float64) *limitedFleet {
+	f := &limitedFleet{rnd: rand.New(rand.NewPCG(seed, 2)), now: at(0), loss: loss}
 
 	for i := range targets {
 		f.targets = append(f.targets, &limitedTarget{id: fmt.Sprintf("e%d", i), address: fmt.Sprintf("10.0.0.%d:80", i)})
@@ -71,7 +75,10 @@
 // start starts an entry, or starts it again.
 func (f *limitedFleet) start(i int) {
 	x := &limitedEntry{known: &knownEntries{i, []int{i}}, told: make(map[string]time.Time)}
-	x.r = New(Config{Self: fmt.Sprint(i), DataCentre: "east", Entries: x.known, Log: logr.Discard()})
+	x.r = New(Config{
+		Self: fmt.Sprint(i), DataCentre: "east", Entries: x.known, Log: logr.Discard(),
+		RateLimitChanged: func(l RateLimit) { f.announce(x, l) },
+	})
 	f.entries[i] = x
 
 	for _, e := range f.targets {
@@ -95,6 +102,29 @@
 	f.entries[i].known.known = known
 }
 
+// announce passes a limit on to all other entries. A cut-off entry reaches none.
+func (f *limitedFleet) announce(from *limitedEntry, l RateLimit) {
+	if f.now.Before(from.cutUntil) {
+		return
+	}
+
+	for _, x := range f.entries {
+		if x != from && f.rnd.Float64() >= f.loss {
+			f.after(time.Duration(1+f.rnd.IntN(50))*time.Millisecond, func() { f.receive(x, l) })
+		}
+	}
+}
+
+// receive passes an announced limit to an entry. A frozen entry reads it when it resumes.
+func (f *limitedFleet) receive(x *limitedEntry, l RateLimit) {
+	switch wait := x.frozenUntil.Sub(f.now); {
+	case wait > 0:
+		f.after(wait, func() { f.receive(x, l) })
+	case !f.now.Before(x.cutUntil):
+		x.r.ObserveAnnouncedRateLimit(f.now, l)
+	}
+}
+
 func (f *limitedFleet) after(d time.Duration, do func()) {
 	f.pending = append(f.pending, delayed{f.now.Add(d), do})
 }
@@ -150,8 +180,10 @@
 			}
 		}
 
-		for _, e := range f.targets {
-			e.check(t, f.now)
+		if f.now.Sub(at(0))%(100*time.Millisecond) == 0 {
+			for _, e := range f.targets {
+				e.check(t, f.now)
+			}
 		}
 	}
 }
@@ -177,8 +209,6 @@
 		return
 	}
 
-	f.sent++
-
 	for _, e := range f.targets {
 		if e.id == id {
 			f.arrive(x, e)
@@ -263,17 +293,131 @@
 }
 
 // Guards against a target that names a rate limit and gets more from the entries that it told, all
-// of them together.
+// of them together, also while the limit falls, rises and ends, and while entries start, freeze,
+// are cut off or know only some of the others.
 func TestRateLimitIsKeptByAllEntriesTogether(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		f := newLimitedFleet(rapid.Uint64().Draw(r, "seed"), rapid.IntRange(1, 40).Draw(r, "entries"), rapid.IntRange(2, 5).Draw(r, "targets"))
-		perEntry := rapid.SampledFrom([]float64{3, 20, 60}).Draw(r, "demand")
+		n := rapid.OneOf(rapid.IntRange(1, 20), rapid.SampledFrom([]int{60, 200})).Draw(r, "entries")
+		f := newLimitedFleet(rapid.Uint64().Draw(r, "seed"), n, rapid.IntRange(2, 5).Draw(r, "targets"), rapid.SampledFrom([]float64{0, 0.02}).Draw(r, "loss"))
+		perEntry := rapid.SampledFrom([]float64{3, 20, 60}).Draw(r, "demand") / (1 + float64(n)/20)
 		f.run(r, 5*time.Second, perEntry)
 
-		for range rapid.IntRange(1, 4).Draw(r, "events") {
+		for range rapid.IntRange(1, 5).Draw(r, "events") {
 			e := f.targets[rapid.IntRange(0, len(f.targets)-1).Draw(r, "target")]
-			f.name(e, rapid.SampledFrom([]float64{0, 0.2, 1, 4.6, 12, 40}).Draw(r, "limit"))
+
+			switch rapid.SampledFrom([]string{"limit", "limit", "start", "freeze", "cut", "forget"}).Draw(r, "event") {
+			case "limit":
+				f.name(e, rapid.SampledFrom([]float64{0, 0.2, 1, 4.6, 12, 40}).Draw(r, "limit"))
+			case "start":
+				f.start(rapid.IntRange(0, n-1).Draw(r, "entry"))
+			case "freeze":
+				f.some(r, func(x *limitedEntry) { x.frozenUntil = f.now.Add(2 * time.Second) })
+			case "cut":
+				f.some(r, func(x *limitedEntry) { x.cutUntil = f.now.Add(2 * time.Second) })
+			case "forget":
+				// Entries reach targets and not each other.
+				f.some(r, func(x *limitedEntry) { x.known.known = x.known.known[:1] })
+				f.after(5*time.Second, func() {
+					for i := range f.entries {
+						f.introduce(i)
+					}
+				})
+			}
+
 			f.run(r, time.Duration(rapid.IntRange(500, 9000).Draw(r, "ms"))*time.Millisecond, perEntry)
 		}
 	})
 }
+
+// some calls do for half of the entries, at least one.
+func (f *limitedFleet) some(r *rapid.T, do func(x *limitedEntry)) {
+	first := rapid.IntRange(0, 1).Draw(r, "first")
+	for i := min(first, len(f.entries)-1); i < len(f.entries); i += 2 {
+		do(f.entries[i])
+	}
+}
+
+// Guards against a limit that is forgotten while the register lacks its target during an outage, that
+// outlives a restart of the target, or that load reports end although responses still name it.
+func TestRateLimitLastsAsLongAsItIsNamed(t *testing.T) {
+	const address = "10.0.0.1:80"
+
+	report := func(limit float64, startedMs int64) pulse.Report {
+		return pulse.Report{Engine: address, Model: "m", Version: 1, RateLimit: limit, StartedMs: startedMs}
+	}
+
+	tests := []struct {
+		name string
+		do   func(r *Roster)
+		want float64
+	}{
+		{"named in a response", func(*Roster) {}, 4.6},
+		{"changed", func(r *Roster) { r.ObserveRateLimit(at(10), "a", 2) }, 2},
+		{"ended", func(r *Roster) { r.ObserveRateLimit(at(10), "a", 0) }, 0},
+		{"changed by an announcement", func(r *Roster) { r.ObserveAnnouncedRateLimit(at(10), RateLimit{"a", 3}) }, 3},
+		{"announced for another start", func(r *Roster) { r.ObserveAnnouncedRateLimit(at(10), RateLimit{"z", 3}) }, 4.6},
+		{"load report that never named one", func(r *Roster) { r.ObserveReport(at(10), report(0, 0)) }, 4.6},
+		{"load report that names another one", func(r *Roster) { r.ObserveReport(at(10), report(3, 0)) }, 3},
+		{"load report that names it no more", func(r *Roster) {
+			r.ObserveReport(at(10), report(3, 0))
+			r.ObserveReport(at(20), report(0, 0))
+		}, 0},
+		{"listed again", func(r *Roster) {
+			r.ObserveRemoval(at(10), "a")
+			r.ObserveListing(at(900), testListing("a", address, 1))
+		}, 4.6},
+		{"listed again much later", func(r *Roster) {
+			r.ObserveRemoval(at(10), "a")
+			r.Tick(at(100_000))
+			r.ObserveListing(at(100_010), testListing("a", address, 1))
+		}, 0},
+		{"restarted", func(r *Roster) {
+			r.ObserveReport(at(10), report(0, 1000))
+			r.ObserveReport(at(20), report(0, 2000))
+		}, 0},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTestRoster()
+			r.ObserveRateLimit(at(0), "a", 4.6)
+			tt.do(r)
+
+			if got := candidatesByID(r, at(100_020))["a"].RateLimit; got != tt.want {
+				t.Errorf("got a limit of %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against an entry that resumes after a pause, reads old responses and tells all others of a
+// limit that has changed meanwhile.
+func TestRateLimitsReadAfterAPauseAreNotAnnounced(t *testing.T) {
+	var got []RateLimit
+
+	r := New(Config{Self: "entry-1", DataCentre: "east", Log: logr.Discard(), RateLimitChanged: func(l RateLimit) { got = append(got, l) }})
+	r.ObserveListing(at(0), testListing("a", "10.0.0.1:80", 1))
+
+	steps := []struct {
+		name  string
+		at    int
+		limit float64
+		want  []RateLimit
+	}{
+		{"first", 250, 4.6, []RateLimit{{"a", 4.6}}},
+		{"hardly changed", 500, 4.5, nil},
+		{"fallen", 750, 2, []RateLimit{{"a", 2}}},
+		{"after a pause", 5000, 0, nil},
+		{"confirmed", 5250, 0, []RateLimit{{"a", 0}}},
+	}
+
+	for _, s := range steps {
+		got = nil
+		r.ObserveRateLimit(at(s.at), "a", s.limit)
+		r.Tick(at(s.at))
+
+		if !slices.Equal(got, s.want) {
+			t.Errorf("%s: got %v announced, want %v", s.name, got, s.want)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -97,8 +97,12 @@
 	// SlowStart returns the request limit of a service's cold targets; nil means no
 	// limit.
 	SlowStart func(service string) slowstart.Limit
-	// Entries ranks the live entries, which share that limit; required with SlowStart.
+	// Entries ranks the live entries, which share that limit and the rate limits that targets
+	// name; required with SlowStart. Nil means that there is no other entry.
 	Entries Entries
+	// RateLimitChanged is called when the other entries are to be told of a target's rate limit;
+	// may be nil.
+	RateLimitChanged func(l RateLimit)
 	// Restarted is called when a target has restarted under the same id, possibly from
 	// several goroutines; may be nil.
 	Restarted func(id string)
@@ -135,11 +139,16 @@
 	// ColdFor is the time until the target is warm; zero when it is warm or has no limit.
 	ColdFor time.Duration
 	// Throttled reports whether this process may send the target no request now because
-	// the target may be cold.
+	// the target may be cold or names a rate limit.
 	Throttled bool
 	// RateLimit is the number of requests a second that the target takes from all entries
 	// together; zero when it names no limit.
 	RateLimit float64
+	// SlotIn is the time until this process may send the target a request under that limit; zero
+	// when it may now. Throttled is set with it.
+	SlotIn time.Duration
+	// SlotInterval is the time between two such requests of this process.
+	SlotInterval time.Duration
 }
 
 // Entries ranks the live entries.
@@ -192,6 +201,9 @@
 	firstListedAt     time.Time                 // when the first target was listed
 	liveEntries       int                       // number of live entries as of the last Tick
 	listChanged       bool                      // the table doesn't have the latest list yet
+	sharing           sharingEntries
+	departed          map[string]departed // limits of targets that left the register, by id
+	tickedAt          time.Time           // when Tick was last called
 }
 
 // registration is a target's entry in the register at one address.
@@ -231,6 +243,7 @@
 		registrations: make(map[string][]registration),
 		reporting:     make(map[string]bool),
 		evacuated:     make(map[string]bool),
+		departed:      make(map[string]departed),
 	}
 }
 
@@ -258,7 +271,7 @@
 func (r *Roster) applyListing(now time.Time, l Listing) (restarted bool) {
 	e, ok := r.engines[l.ID]
 	if !ok {
-		e = &engine{versions: make(map[string]int64)}
+		e = &engine{versions: make(map[string]int64), rateLimit: r.departed[l.ID].limit}
 		r.engines[l.ID] = e
 	}
 
@@ -323,6 +336,7 @@
 	}
 
 	r.removeRegistration(r.engines[id].listing.Address, id)
+	r.departed[id] = departed{r.engines[id].rateLimit, now}
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
 	r.listChanged = true
@@ -332,8 +346,20 @@
 // Call it every 250 ms (checkInterval).
 func (r *Roster) Tick(now time.Time) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	announce := r.tick(now)
+	r.mu.Unlock()
+
+	if r.cfg.RateLimitChanged == nil {
+		return
+	}
 
+	for _, l := range announce {
+		r.cfg.RateLimitChanged(l)
+	}
+}
+
+// tick carries out Tick and returns the rate limits to announce. The caller holds mu.
+func (r *Roster) tick(now time.Time) []RateLimit {
 	r.checkLiveness(now)
 	r.syncTable(now)
 
@@ -341,8 +367,10 @@
 		r.liveEntries = r.cfg.Entries.Size(now)
 	}
 
+	announce := r.tickRateLimits(now)
+
 	if r.logUnavailable {
-		return
+		return announce
 	}
 
 	for id, e := range r.engines {
@@ -350,6 +378,8 @@
 			r.remove(now, id, "still missing after an outage of the log")
 		}
 	}
+
+	return announce
 }
 
 // Reconfigured records that the set of configured services may have changed.
@@ -416,6 +446,8 @@
 		if e, ok := r.engines[t.VM]; ok && r.currentRegistration(e.listing.Address).id == t.VM && !r.evacuated[e.listing.DataCentre] {
 			view := e.view(now, t, model)
 			view.ColdFor, view.Throttled = r.throttle(now, e)
+			view.SlotIn = e.rateLimit.share.Wait(now)
+			view.Throttled = view.Throttled || view.SlotIn > 0
 			all = append(all, view)
 		}
 	}
@@ -433,7 +465,7 @@
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loadingUntil),
 		Report: e.report, ReportAge: age, Fresh: age < e.maxReportAge(), SentSince: e.sentSince,
-		HeartbeatMissing: e.suspected(), RateLimit: e.rateLimit.limit,
+		HeartbeatMissing: e.suspected(), RateLimit: e.rateLimit.share.Limit(), SlotInterval: e.rateLimit.share.Interval(),
 	}
 }
 
--- a/roster/slow_start.go
+++ b/roster/slow_start.go
@@ -193,8 +193,8 @@
 	return false
 }
 
-// Admit reports whether a request may be sent to a target now, and if so uses up a permit when
-// there is one. It returns false if other requests have used up the target's limit since
+// Admit reports whether a request may be sent to a target now, and if so uses up a permit and a slot
+// under the target's rate limit where there are such. It returns false if other requests have used up the target's limit since
 // Candidates was called, or if the target is unknown.
 func (r *Roster) Admit(now time.Time, id string) bool {
 	r.mu.Lock()
@@ -205,7 +205,7 @@
 		return false
 	}
 
-	if _, throttled := r.throttle(now, e); throttled {
+	if _, throttled := r.throttle(now, e); throttled || e.rateLimit.share.Wait(now) > 0 {
 		return false
 	}
 
@@ -213,6 +213,7 @@
 		e.slowStart.permitExpiries = e.slowStart.permitExpiries[1:]
 	}
 
+	e.rateLimit.share.Take(now)
 	e.lastSentAt = now
 
 	return true
--- a/slowstart/guard_test.go
+++ b/slowstart/guard_test.go
@@ -93,14 +93,31 @@
 // fakeHealth is a target that reports how long it stays cold.
 type fakeHealth struct {
 	cold     time.Duration
+	limit    float64
 	err      error
 	requests []string
 }
 
-func (h *fakeHealth) Health(_ context.Context, address, path string) (time.Duration, error) {
+func (h *fakeHealth) Health(_ context.Context, address, path string) (Status, error) {
 	h.requests = append(h.requests, address+path)
 
-	return h.cold, h.err
+	return Status{ColdFor: h.cold, RateLimit: h.limit}, h.err
+}
+
+// Guards against health checks that use up the rate limit of a target in need.
+func TestProbeSlowsDownUnderARateLimit(t *testing.T) {
+	tests := []struct {
+		limit float64
+		want  time.Duration
+	}{{0, probeInterval}, {100, probeInterval}, {5, 2 * time.Second}, {0.01, maxProbeInterval}}
+
+	for _, tt := range tests {
+		p := NewProbe(ProbeConfig{Guard: NewGuard(limit, 1), Health: &fakeHealth{limit: tt.limit}, Address: "a"})
+
+		if got := p.checkHealth(t.Context(), "/health"); got != tt.want {
+			t.Errorf("limit of %v a second: got a pause of %v, want %v", tt.limit, got, tt.want)
+		}
+	}
 }
 
 func TestProbeSkipsUnboundedAndSuspendedTargets(t *testing.T) {
--- a/slowstart/probe.go
+++ b/slowstart/probe.go
@@ -10,9 +10,16 @@
 
 // Health checks the health of a target.
 type Health interface {
-	// Health returns how much longer the target at an address stays cold; zero means that it
-	// is warm.
-	Health(ctx context.Context, address, path string) (cold time.Duration, err error)
+	// Health returns what the target at an address responds to a check.
+	Health(ctx context.Context, address, path string) (Status, error)
+}
+
+// Status is a target's response to a check.
+type Status struct {
+	// ColdFor is how much longer the target stays cold; zero means that it is warm.
+	ColdFor time.Duration
+	// RateLimit is the rate limit that it names, in requests a second; zero for none.
+	RateLimit float64
 }
 
 // ProbeConfig configures a Probe.
@@ -43,6 +50,10 @@
 	firstProbeInterval = 50 * time.Millisecond
 	// probeTimeout is the timeout of a check.
 	probeTimeout = 500 * time.Millisecond
+	// probeShare is the largest part of a target's rate limit that checks use.
+	probeShare = 0.1
+	// maxProbeInterval bounds the pause between two checks under a rate limit.
+	maxProbeInterval = 30 * time.Second
 )
 
 // NewProbe returns a Probe that Run starts.
@@ -82,19 +93,35 @@
 
 	for pause.For(ctx, every) {
 		if path := p.nextPath(); path != "" {
-			p.checkHealth(ctx, path)
-
-			every = probeInterval
+			every = p.checkHealth(ctx, path)
 		}
 	}
 }
 
-func (p *Probe) checkHealth(ctx context.Context, path string) {
+// checkHealth checks the target and returns the pause before the next check.
+func (p *Probe) checkHealth(ctx context.Context, path string) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 
-	// A target that does not respond is busy or dead; its load reports tell which.
-	if cold, err := p.cfg.Health.Health(ctx, p.cfg.Address, path); err == nil {
-		p.cfg.Guard.ReportRemaining(time.Now(), cold)
+	s, err := p.cfg.Health.Health(ctx, p.cfg.Address, path)
+	if err != nil {
+		// A target that does not respond is busy or dead; its load reports tell which.
+		return probeInterval
+	}
+
+	p.cfg.Guard.ReportRemaining(time.Now(), s.ColdFor)
+
+	return pauseUnder(s.RateLimit)
+}
+
+// pauseUnder returns the pause between two checks of a target that names a rate limit; zero means
+// that it names none.
+func pauseUnder(limit float64) time.Duration {
+	if limit <= 0 {
+		return probeInterval
 	}
+
+	seconds := min(1/(probeShare*limit), maxProbeInterval.Seconds())
+
+	return max(time.Duration(seconds*float64(time.Second)), probeInterval)
 }
