gateway, roster, pulse, platform: log targets that say they leave

Nothing that is decided changes. target_leaving (2322) is logged when a target says for the first time that it leaves, with where that was learned (a response, or the engine's report to its side process) and whether the register says so too. With it the hypotheses on DRAIN differ: no line (1), a line and attempts shortly after it (2), a line and attempts behind a later engine_listed (3).

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -30,6 +30,7 @@
 	EngineLoading       = register(2312, "engine_loading", "A target announced the load of a weight version; it gets no work until the load ends or its maximum duration has passed: `target`, `version`.")
 	EngineVersion       = register(2313, "engine_version", "The weight version of a target changed: `target`, `version`, `basis`.")
 	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned), `entries` that share it, `interval_ms` between two requests of this entry.")
+	TargetLeaving       = register(2322, "target_leaving", "A target says that it is about to leave: `target`, `basis` (where it was learned), `listed_draining` (whether the register says so too).")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -251,6 +251,10 @@
 	// A misdirected request may have been answered by another target at the same address.
 	if status != http.StatusMisdirectedRequest || a.Target == c.engine.ID {
 		t.g.cfg.Roster.ObserveRateLimit(now, c.engine.ID, a.RateLimit)
+
+		if a.Leaving {
+			t.g.cfg.Roster.ObserveLeaving(now, c.engine.ID)
+		}
 	}
 
 	if a.HasLoad {
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -106,6 +106,8 @@
 	// RateLimit is how many requests a second the target takes from all entries together; zero
 	// if it names no limit.
 	RateLimit float64
+	// Leaving is true if the target is about to leave and should get no new requests.
+	Leaving bool
 	// Encoded is true if the body has a content encoding, so that it is not as the target made it.
 	Encoded bool
 }
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -63,6 +63,8 @@
 	// RateLimit is the limit that the engine names in the responses to the side process, in
 	// requests a second from all entries together; zero for none.
 	RateLimit float64 `cbor:"19,keyasint,omitempty"`
+	// Leaving reports whether the engine says there that it is about to leave.
+	Leaving bool `cbor:"20,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
 	// Interval is the time between two load reports that the listener asked for.
--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -7,7 +7,7 @@
 	"boragehub/quota"
 )
 
-// Sources of a target's rate limit, as logged.
+// Sources of what a target asks for, as logged.
 const (
 	basisResponse     = "response"
 	basisLoadReport   = "load_report"
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -182,6 +182,7 @@
 	startedMs    int64 // start time in ms of its own clock; zero when not reported
 	slowStart    slowStart
 	rateLimit    rateLimit
+	saidLeaving  bool // in a response to a request
 }
 
 // Roster holds the known targets. Use New. Its methods are safe for concurrent use.
