--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -64,7 +64,7 @@
 
 	return ResponseHead{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Seal") != "", Target: h.Get("Target"), Version: v,
-		Encoded: h.Get("Content-Encoding") != "", RateLimit: limit,
+		Encoded: h.Get("Content-Encoding") != "", RateLimit: limit, Leaving: h.Get("Leaving") != "",
 	}
 }
 
@@ -307,9 +307,12 @@
 func (soleEntry) Size(time.Time) int         { return 1 }
 
 // list adds an engine to the roster.
-func (env *testEnv) list(e *fakeEngine) {
+func (env *testEnv) list(e *fakeEngine) { env.listIn(e, "east") }
+
+// listIn adds an engine in a data centre to the roster; gateway and other engines are in "east".
+func (env *testEnv) listIn(e *fakeEngine, dataCentre string) {
 	for service, address := range map[string]string{"s": e.address, "llm": e.llmAddress} {
-		env.roster.ObserveListing(time.Now(), roster.Listing{ID: service + e.id, Service: service, Address: address, DataCentre: "east", Slots: 8, Versions: map[string]int64{"m": 1}})
+		env.roster.ObserveListing(time.Now(), roster.Listing{ID: service + e.id, Service: service, Address: address, DataCentre: dataCentre, Slots: 8, Versions: map[string]int64{"m": 1}})
 	}
 }
 
