roster, gateway: send nothing new to targets that say they leave

While the log was disturbed, the register never showed it as draining, so callers would have been cut off at its end.

Cause: the register was the only source of a target's leaving. Class of fault: a statement of a target about itself is passed on to the caller and not used by those who route to it, as with rate limits.

Change: what a target says in a response holds until it is restarted, over a gap in the register and whatever is listed. Roster.Candidates leaves it out and Roster.Admit refuses it, so waiting prompts, retries and resumed streams don't reach it either. It is learned from the head of each response, from load reports (whose side process sees its engine's own reports) and from other entries, which the one that learns of it tells within 250 ms.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -78,6 +78,9 @@
 		RateLimitChanged: func(l roster.RateLimit) {
 			go e.client.AnnounceRateLimit(context.Background(), exchange.RateLimitAnnouncement{Target: l.ID, Limit: l.Limit})
 		},
+		TargetLeaving: func(l roster.Leaving) {
+			go e.client.AnnounceLeaving(context.Background(), exchange.LeavingAnnouncement{Target: l.ID, StartedMs: l.StartedMs})
+		},
 	})
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
@@ -116,7 +119,7 @@
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, Register: e.registration.Add,
+		Members: members, Vaults: directory, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, Register: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
@@ -243,6 +246,11 @@
 	e.roster.ObserveAnnouncedRateLimit(now, roster.RateLimit{ID: l.Target, Limit: l.Limit})
 }
 
+// onLeaving handles the announcement that a target is about to leave.
+func (e *gatewayProcess) onLeaving(now time.Time, l exchange.LeavingAnnouncement) {
+	e.roster.ObserveAnnouncedLeaving(now, roster.Leaving{ID: l.Target, StartedMs: l.StartedMs})
+}
+
 // AnnounceVersion announces to all entries, this one included, that a target which this entry
 // orders to load a version is about to load it or has loaded it.
 func (e *gatewayProcess) AnnounceVersion(ctx context.Context, address, model string, version int64, loaded bool) {
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -306,6 +306,12 @@
 	broadcast(ctx, c, limitPath, l)
 }
 
+// AnnounceLeaving announces to all entries that a target is about to leave. An entry that doesn't
+// receive the message learns of it from the target's responses to its own requests.
+func (c *Client) AnnounceLeaving(ctx context.Context, l LeavingAnnouncement) {
+	broadcast(ctx, c, leavingPath, l)
+}
+
 // broadcast sends a message to all live entries and seeds, and waits for their responses.
 func broadcast[T any](ctx context.Context, c *Client, path string, message T) {
 	body, err := cbor.Marshal(message)
@@ -317,7 +323,7 @@
 
 	for _, a := range c.members.LiveAndSeeds(time.Now()) {
 		wg.Go(func() {
-			//nolint:errcheck,gosec // see AnnounceVersion, ReportCrash and AnnounceRateLimit
+			//nolint:errcheck,gosec // an entry that gets no message learns of it later
 			c.call(ctx, http.MethodPost, a, path, body, 0)
 		})
 	}
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -29,6 +29,7 @@
 	crashPath   = "/crash"
 	entriesPath = "/entries"
 	limitPath   = "/limit"
+	leavingPath = "/leaving"
 )
 
 // Reply is the response to a request for records of a topic, or for members.
@@ -83,6 +84,14 @@
 	Limit float64 `cbor:"2,keyasint"`
 }
 
+// LeavingAnnouncement announces that a target is about to leave.
+type LeavingAnnouncement struct {
+	// Target is the id of the target.
+	Target string `cbor:"1,keyasint"`
+	// StartedMs is its start time in ms of its own clock; zero when not known.
+	StartedMs int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // maxMessage bounds the bytes read of one message, before and after decompression. It suffices for
 // a configuration with thousands of routes.
 const maxMessage = 16 << 20
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -27,6 +27,7 @@
 	announcements []VersionAnnouncement
 	crashes       chan quarantine.Crash
 	limits        chan RateLimitAnnouncement
+	leaving       chan LeavingAnnouncement
 }
 
 // received returns the announcements received so far.
@@ -40,7 +41,7 @@
 func newEntry(t *testing.T, seeds ...string) *testEntry {
 	t.Helper()
 
-	e := &testEntry{vaults: vault.NewDirectory(1), crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1)}
+	e := &testEntry{vaults: vault.NewDirectory(1), crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1)}
 	s := httptest.NewUnstartedServer(nil)
 	e.address = s.Listener.Addr().String()
 	e.members = NewMembers(e.address, seeds)
@@ -54,6 +55,7 @@
 		},
 		OnCrash:     func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
 		OnRateLimit: func(_ time.Time, l RateLimitAnnouncement) { e.limits <- l },
+		OnLeaving:   func(_ time.Time, l LeavingAnnouncement) { e.leaving <- l },
 	})
 	s.Start()
 	t.Cleanup(s.Close)
@@ -336,6 +338,17 @@
 	}
 }
 
+func TestLeavingTargetsAreAnnouncedToOtherEntries(t *testing.T) {
+	e := newEntry(t)
+	want := LeavingAnnouncement{Target: "i-1", StartedMs: 7}
+
+	NewClient(NewMembers("", []string{e.address, unresponsiveEntry(t)})).AnnounceLeaving(context.Background(), want)
+
+	if got := <-e.leaving; got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 func TestRateLimitsAreAnnouncedToOtherEntries(t *testing.T) {
 	a, b := newEntry(t), newEntry(t)
 	want := RateLimitAnnouncement{Target: "i-1", Limit: 4.6}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -23,6 +23,7 @@
 	onAnnouncement func(now time.Time, n VersionAnnouncement)
 	onCrash        func(now time.Time, c quarantine.Crash)
 	onRateLimit    func(now time.Time, l RateLimitAnnouncement)
+	onLeaving      func(now time.Time, l LeavingAnnouncement)
 	registerEntry  func(ctx context.Context, entry Registrant) error
 	vaults         *vault.Directory
 	compressor     recordCompressor
@@ -42,19 +43,22 @@
 	OnCrash func(now time.Time, c quarantine.Crash)
 	// OnRateLimit is called with the rate limits that other entries announce.
 	OnRateLimit func(now time.Time, l RateLimitAnnouncement)
+	// OnLeaving is called with the targets that other entries report as leaving.
+	OnLeaving func(now time.Time, l LeavingAnnouncement)
 	// Register registers another entry. If nil, requests to register entries are refused.
 	Register func(ctx context.Context, entry Registrant) error
 }
 
 // NewServer returns a Server with the given configuration.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, registerEntry: cfg.Register, vaults: cfg.Vaults}
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, registerEntry: cfg.Register, vaults: cfg.Vaults}
 	s.mux.HandleFunc("POST "+vaultsPath, s.storeUpdates)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
 	s.mux.HandleFunc("POST "+entriesPath, s.register)
 	s.mux.HandleFunc("POST "+noticePath, handleMessage(func(n VersionAnnouncement) { s.onAnnouncement(time.Now(), n) }))
 	s.mux.HandleFunc("POST "+crashPath, handleMessage(func(c quarantine.Crash) { s.onCrash(time.Now(), c) }))
 	s.mux.HandleFunc("POST "+limitPath, handleMessage(func(l RateLimitAnnouncement) { s.onRateLimit(time.Now(), l) }))
+	s.mux.HandleFunc("POST "+leavingPath, handleMessage(func(l LeavingAnnouncement) { s.onLeaving(time.Now(), l) }))
 
 	return s
 }
--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -26,8 +26,8 @@
 	// minEntries is the least number of entries assumed to share a limit while this process may
 	// not know the others yet.
 	minEntries = 8
-	// departedMemory is how long the limits of targets that left the register are remembered. A
-	// target that is alive is listed again within seconds after an outage of the log.
+	// departedMemory is how long it is remembered what targets that left the register had asked for.
+	// A target that is alive is listed again within seconds after an outage of the log.
 	departedMemory = time.Minute
 )
 
@@ -47,10 +47,17 @@
 	announced float64   // limit that all entries were last told
 }
 
-// departed is the limit of a target that left the register.
+// departed is what a target that left the register had asked for.
 type departed struct {
-	limit rateLimit
-	at    time.Time
+	limit       rateLimit
+	saidLeaving bool
+	startedMs   int64
+	at          time.Time
+}
+
+// depart returns what is remembered of a target that leaves the register.
+func (e *engine) depart(now time.Time) departed {
+	return departed{limit: e.rateLimit, saidLeaving: e.saidLeaving, startedMs: e.startedMs, at: now}
 }
 
 // sharingEntries is the number of entries that share a limit.
--- a/roster/report.go
+++ b/roster/report.go
@@ -44,11 +44,7 @@
 	e.observeReport(now)
 	r.lastSeen = now
 	r.applyReportedRateLimit(now, id, e, p.RateLimit)
-
-	if p.Leaving && !e.report.Leaving {
-		r.logLeaving(id, e, basisLoadReport)
-	}
-
+	r.applyReportedLeaving(id, e, p.Leaving)
 	e.report, e.sentSince = p, Sent{}
 	e.slowStart.observeReport(now, p)
 	r.raiseVersion(id, e, p.Model, p.Version, "pulse")
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -33,6 +33,11 @@
 	e.report, e.reportedAt, e.sentSince = e.report.AfterRestart(), time.Time{}, Sent{}
 	e.liveness = liveness{}
 	e.rateLimit = rateLimit{}
+
+	if e.saidLeaving {
+		e.saidLeaving, r.listChanged = false, true
+	}
+
 	e.slowStart.assumeCold(now, r.slowStartLimit(service))
 
 	event.Log(r.cfg.Log, event.EngineRestarted, "target", id, "born", startedMs)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -103,6 +103,9 @@
 	// RateLimitChanged is called when the other entries are to be told of a target's rate limit;
 	// may be nil.
 	RateLimitChanged func(l RateLimit)
+	// TargetLeaving is called when the other entries are to be told that a target is about to
+	// leave; may be nil.
+	TargetLeaving func(l Leaving)
 	// Restarted is called when a target has restarted under the same id, possibly from
 	// several goroutines; may be nil.
 	Restarted func(id string)
@@ -182,7 +185,7 @@
 	startedMs    int64 // start time in ms of its own clock; zero when not reported
 	slowStart    slowStart
 	rateLimit    rateLimit
-	saidLeaving  bool // in a response to a request
+	saidLeaving  bool // that it is about to leave, in a response to this entry or another one
 }
 
 // Roster holds the known targets. Use New. Its methods are safe for concurrent use.
@@ -203,8 +206,10 @@
 	liveEntries       int                       // number of live entries as of the last Tick
 	listChanged       bool                      // the table doesn't have the latest list yet
 	sharing           sharingEntries
-	departed          map[string]departed // limits of targets that left the register, by id
-	tickedAt          time.Time           // when Tick was last called
+	departed          map[string]departed // targets that left the register lately, by id
+	// leavingUnannounced are the targets whose leaving the other entries are yet to be told of.
+	leavingUnannounced []Leaving
+	tickedAt           time.Time // when Tick was last called
 }
 
 // registration is a target's entry in the register at one address.
@@ -272,7 +277,8 @@
 func (r *Roster) applyListing(now time.Time, l Listing) (restarted bool) {
 	e, ok := r.engines[l.ID]
 	if !ok {
-		e = &engine{versions: make(map[string]int64), rateLimit: r.departed[l.ID].limit}
+		d := r.departed[l.ID]
+		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, saidLeaving: d.saidLeaving, startedMs: d.startedMs}
 		r.engines[l.ID] = e
 	}
 
@@ -321,7 +327,7 @@
 		return
 	}
 
-	if (r.logUnavailable || now.Before(r.dropsDelayedUntil)) && !e.listing.Draining {
+	if (r.logUnavailable || now.Before(r.dropsDelayedUntil)) && !e.leaving() {
 		e.dropAfter = r.dropsDelayedUntil
 
 		return
@@ -337,7 +343,7 @@
 	}
 
 	r.removeRegistration(r.engines[id].listing.Address, id)
-	r.departed[id] = departed{r.engines[id].rateLimit, now}
+	r.departed[id] = r.engines[id].depart(now)
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
 	r.listChanged = true
@@ -347,15 +353,23 @@
 // Call it every 250 ms (checkInterval).
 func (r *Roster) Tick(now time.Time) {
 	r.mu.Lock()
-	announce := r.tick(now)
+	limits := r.tick(now)
+	leaving := r.leavingUnannounced
+	r.leavingUnannounced = nil
 	r.mu.Unlock()
 
-	if r.cfg.RateLimitChanged == nil {
+	announce(limits, r.cfg.RateLimitChanged)
+	announce(leaving, r.cfg.TargetLeaving)
+}
+
+// announce calls a function of Config, if it is set, for each of some announcements.
+func announce[T any](all []T, to func(T)) {
+	if to == nil {
 		return
 	}
 
-	for _, l := range announce {
-		r.cfg.RateLimitChanged(l)
+	for _, a := range all {
+		to(a)
 	}
 }
 
@@ -368,10 +382,10 @@
 		r.liveEntries = r.cfg.Entries.Size(now)
 	}
 
-	announce := r.tickRateLimits(now)
+	limits := r.tickRateLimits(now)
 
 	if r.logUnavailable {
-		return announce
+		return limits
 	}
 
 	for id, e := range r.engines {
@@ -380,7 +394,7 @@
 		}
 	}
 
-	return announce
+	return limits
 }
 
 // Reconfigured records that the set of configured services may have changed.
@@ -410,7 +424,7 @@
 		}
 
 		state := target.Live
-		if e.listing.Draining {
+		if e.leaving() {
 			state = target.Leaving
 		}
 
--- a/roster/slow_start.go
+++ b/roster/slow_start.go
@@ -195,7 +195,7 @@
 
 // Admit reports whether a request may be sent to a target now, and if so uses up a permit and a slot
 // under the target's rate limit where there are such. It returns false if other requests have used up the target's limit since
-// Candidates was called, or if the target is unknown.
+// Candidates was called, if the target is known to leave since then, or if it is unknown.
 func (r *Roster) Admit(now time.Time, id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -205,7 +205,7 @@
 		return false
 	}
 
-	if _, throttled := r.throttle(now, e); throttled || e.rateLimit.share.Wait(now) > 0 {
+	if _, throttled := r.throttle(now, e); throttled || e.leaving() || e.rateLimit.share.Wait(now) > 0 {
 		return false
 	}
 
