--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,6 +28,8 @@
 	response *fullResponse
 	// targetOutcome is how the attempt counts for the target.
 	targetOutcome target.Outcome
+	// retryAfter is the Retry-After time of a target that refused the request; zero for none.
+	retryAfter time.Duration
 }
 
 // refusedBackoff is how long an engine that refused a request gets no others: it is full
@@ -212,7 +214,7 @@
 	}
 
 	event.Log(t.g.cfg.Log, event.AttemptFailed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
-		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "cause", text, "after_ms", time.Since(t.began).Milliseconds())
+		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "retry_after_ms", o.retryAfter.Milliseconds(), "cause", text, "after_ms", time.Since(t.began).Milliseconds())
 
 	if t.g.cfg.Meter != nil {
 		t.g.cfg.Meter.Failed(o.kind.String())
@@ -331,7 +333,7 @@
 
 // refused returns the outcome of a request that the target says has not run.
 func (t *task) refused(c choice, x *upstream.Exchange, a ResponseHead) outcome {
-	o := outcome{kind: failure.QueueFull, cause: fmt.Errorf("%w with status %d", errRefused, x.Status()), targetOutcome: target.Neutral}
+	o := outcome{kind: failure.QueueFull, cause: fmt.Errorf("%w with status %d", errRefused, x.Status()), targetOutcome: target.Neutral, retryAfter: a.RetryAfter}
 
 	discardRest(x)
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -108,6 +108,8 @@
 	RateLimit float64
 	// Leaving is true if the target is about to leave and should get no new requests.
 	Leaving bool
+	// RetryAfter is the Retry-After time of a refusal, zero for none.
+	RetryAfter time.Duration
 	// Encoded is true if the body has a content encoding, so that it is not as the target made it.
 	Encoded bool
 }
