roster, gateway: keep away from targets that refuse with Retry-After

Cause: a refusing target got nothing for a fixed 60 or 300 ms, kept as a load of weights, which newer weights end. What the refusal asked for was passed on to the caller and not used.

Change: the Retry-After of a 503 or 429 is kept for the target as long as it says, over a gap in the register and whatever else is learned of it, until it is restarted. Roster.Candidates shows it as throttled and Roster.Admit refuses it, which all attempts pass. It concerns the refused entry alone, so nobody else is told. If all targets refuse, prompts wait for them if there is time, and others are refused at once with the time at which the first one returns, one caller after the other. The health checks of side processes keep to it too.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -31,6 +31,7 @@
 	EngineVersion       = register(2313, "engine_version", "The weight version of a target changed: `target`, `version`, `basis`.")
 	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned), `entries` that share it, `interval_ms` between two requests of this entry.")
 	TargetLeaving       = register(2322, "target_leaving", "A target says that it is about to leave: `target`, `basis` (where it was learned), `listed_draining` (whether the register says so too).")
+	TargetRetryAfter    = register(2323, "target_retry_after", "A target refused a request and wants no other one of this entry for a time: `target`, `retry_after_ms`, `until`.")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -257,6 +257,10 @@
 		if a.Leaving {
 			t.g.cfg.Roster.ObserveLeaving(now, c.engine.ID)
 		}
+
+		if a.RetryAfter > 0 && refuses(status) {
+			t.g.cfg.Roster.ObserveRetryAfter(now, c.engine.ID, a.RetryAfter)
+		}
 	}
 
 	if a.HasLoad {
@@ -268,6 +272,11 @@
 	}
 }
 
+// refuses reports whether a target states with a status that it is overloaded.
+func refuses(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // failedExchange returns the outcome of an exchange that failed before its response was complete.
 func (t *task) failedExchange(ctx context.Context, c choice, err error) outcome {
 	o := outcome{kind: failure.TargetLost, cause: err, targetOutcome: target.Failed}
@@ -344,6 +353,10 @@
 		return o
 	}
 
+	if a.RetryAfter > 0 && refuses(x.Status()) {
+		return o // recordHead has recorded it
+	}
+
 	// A target that refuses although it has free slots is loading weights.
 	pause := refusedBackoff
 	if a.HasLoad && a.Running < a.Slots && a.Waiting == 0 {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -105,8 +105,8 @@
 
 	d := route.DecideCall(now, route.Config{}, t.hash+uint64(t.attempts), calls)
 	if !d.Found() {
-		if l, ok := t.rateLimitOf(all); ok {
-			return choice{}, t.refuseRateLimited(now, l, 0)
+		if l, ok := t.throttledBy(all); ok {
+			return choice{}, t.refuseThrottled(now, l, 0)
 		}
 
 		return choice{}, failure.New(failure.Unavailable, "no untried target is available").WithRetryAfter(t.coldRetryAfter(all, loadingRetryAfter))
@@ -290,23 +290,23 @@
 
 // noEngineError returns why no engine can take the prompt.
 func (t *task) noEngineError(candidates []route.PrefixCandidate, all []roster.Engine) error {
-	var throttled []roster.Engine
+	var excluded []roster.Engine
 
 	for i, c := range candidates {
 		switch c.Excluded {
 		case route.NoRoom:
 			return errNoCapacity
 		case route.Throttled:
-			throttled = append(throttled, all[i])
+			excluded = append(excluded, all[i])
 		default:
 		}
 	}
 
-	if l, ok := t.rateLimitOf(throttled); ok {
-		return failure.Wrap(failure.QueueFull, l, "all available engines are at their rate limits").WithRetryAfter(l.slotIn)
+	if l, ok := t.throttledBy(excluded); ok {
+		return failure.Wrap(failure.QueueFull, l, "all available engines are throttled").WithRetryAfter(l.wait)
 	}
 
-	if len(throttled) > 0 {
+	if len(excluded) > 0 {
 		return failure.Wrap(failure.QueueFull, errSlowStart, "all available engines are in slow start").WithRetryAfter(t.coldRetryAfter(all, capacityRetryAfter))
 	}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,7 +112,7 @@
 	inFlight        attemptTracker
 	profiles        serviceProfiles
 
-	rateLimitRefusals rateLimitRefusals
+	throttledCallers throttledCallers
 }
 
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
--- a/gateway/rate_limit_test.go
+++ b/gateway/throttled_test.go
@@ -145,14 +145,14 @@
 	}
 }
 
-func TestRateLimitedWait(t *testing.T) {
-	l := rateLimited{slotIn: 100 * time.Millisecond, perSecond: 4}
+func TestThrottledWait(t *testing.T) {
+	l := throttled{wait: 100 * time.Millisecond, perSecond: 4}
 
-	if got, want := l.wait(2), 600*time.Millisecond; got != want {
+	if got, want := l.waitBehind(2), 600*time.Millisecond; got != want {
 		t.Errorf("got %v behind two requests, want %v", got, want)
 	}
 
-	if got, ok := asRateLimited(failure.Wrap(failure.QueueFull, l, "limited")); !ok || got != l {
+	if got, ok := asThrottled(failure.Wrap(failure.QueueFull, l, "limited")); !ok || got != l {
 		t.Errorf("got %v, %v from a wrapped limit, want %v", got, ok, l)
 	}
 }
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -101,8 +101,8 @@
 		return choice{}, lastErr
 	}
 
-	if l, ok := asRateLimited(lastErr); ok && l.wait(len(q.waiting)) > t.maxWait() {
-		return choice{}, t.refuseRateLimited(began, l, len(q.waiting))
+	if l, ok := asThrottled(lastErr); ok && l.waitBehind(len(q.waiting)) > t.maxWait() {
+		return choice{}, t.refuseThrottled(began, l, len(q.waiting))
 	}
 
 	select {
--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -50,6 +50,7 @@
 // departed is what a target that left the register had asked for.
 type departed struct {
 	limit       rateLimit
+	retryAt     time.Time
 	saidLeaving bool
 	startedMs   int64
 	at          time.Time
@@ -57,7 +58,7 @@
 
 // depart returns what is remembered of a target that leaves the register.
 func (e *engine) depart(now time.Time) departed {
-	return departed{limit: e.rateLimit, saidLeaving: e.saidLeaving, startedMs: e.startedMs, at: now}
+	return departed{limit: e.rateLimit, retryAt: e.retryAt, saidLeaving: e.saidLeaving, startedMs: e.startedMs, at: now}
 }
 
 // sharingEntries is the number of entries that share a limit.
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -32,7 +32,7 @@
 	e.loadingUntil = time.Time{}
 	e.report, e.reportedAt, e.sentSince = e.report.AfterRestart(), time.Time{}, Sent{}
 	e.liveness = liveness{}
-	e.rateLimit = rateLimit{}
+	e.rateLimit, e.retryAt = rateLimit{}, time.Time{}
 
 	if e.saidLeaving {
 		e.saidLeaving, r.listChanged = false, true
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -142,16 +142,16 @@
 	// ColdFor is the time until the target is warm; zero when it is warm or has no limit.
 	ColdFor time.Duration
 	// Throttled reports whether this process may send the target no request now because
-	// the target may be cold or names a rate limit.
+	// the target may be cold, names a rate limit or refused with Retry-After.
 	Throttled bool
 	// RateLimit is the number of requests a second that the target takes from all entries
 	// together; zero when it names no limit.
 	RateLimit float64
-	// SlotIn is the time until this process may send the target a request under that limit; zero
-	// when it may now. Throttled is set with it.
-	SlotIn time.Duration
-	// SlotInterval is the time between two such requests of this process.
+	// SlotInterval is the time between two requests of this process under that limit.
 	SlotInterval time.Duration
+	// Wait is the time until this process may send the target a request, because of its rate
+	// limit or as it refused with Retry-After; zero when it may now. Throttled is set with it.
+	Wait time.Duration
 }
 
 // Entries ranks the live entries.
@@ -185,7 +185,8 @@
 	startedMs    int64 // start time in ms of its own clock; zero when not reported
 	slowStart    slowStart
 	rateLimit    rateLimit
-	saidLeaving  bool // that it is about to leave, in a response to this entry or another one
+	retryAt      time.Time // when it takes requests of this process again, after a refusal
+	saidLeaving  bool      // that it is about to leave, in a response to this entry or another one
 }
 
 // Roster holds the known targets. Use New. Its methods are safe for concurrent use.
@@ -278,7 +279,7 @@
 	e, ok := r.engines[l.ID]
 	if !ok {
 		d := r.departed[l.ID]
-		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, saidLeaving: d.saidLeaving, startedMs: d.startedMs}
+		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, retryAt: d.retryAt, saidLeaving: d.saidLeaving, startedMs: d.startedMs}
 		r.engines[l.ID] = e
 	}
 
@@ -461,8 +462,8 @@
 		if e, ok := r.engines[t.VM]; ok && r.currentRegistration(e.listing.Address).id == t.VM && !r.evacuated[e.listing.DataCentre] {
 			view := e.view(now, t, model)
 			view.ColdFor, view.Throttled = r.throttle(now, e)
-			view.SlotIn = e.rateLimit.share.Wait(now)
-			view.Throttled = view.Throttled || view.SlotIn > 0
+			view.Wait = e.wait(now)
+			view.Throttled = view.Throttled || view.Wait > 0
 			all = append(all, view)
 		}
 	}
--- a/roster/slow_start.go
+++ b/roster/slow_start.go
@@ -205,7 +205,7 @@
 		return false
 	}
 
-	if _, throttled := r.throttle(now, e); throttled || e.leaving() || e.rateLimit.share.Wait(now) > 0 {
+	if _, throttled := r.throttle(now, e); throttled || e.leaving() || e.wait(now) > 0 {
 		return false
 	}
 
--- a/slowstart/guard_test.go
+++ b/slowstart/guard_test.go
@@ -92,16 +92,27 @@
 
 // fakeHealth is a target that reports how long it stays cold.
 type fakeHealth struct {
-	cold     time.Duration
-	limit    float64
-	err      error
-	requests []string
+	cold  time.Duration
+	limit float64
+
+	retryAfter time.Duration
+	err        error
+	requests   []string
 }
 
 func (h *fakeHealth) Health(_ context.Context, address, path string) (Status, error) {
 	h.requests = append(h.requests, address+path)
 
-	return Status{ColdFor: h.cold, RateLimit: h.limit}, h.err
+	return Status{ColdFor: h.cold, RateLimit: h.limit, RetryAfter: h.retryAfter}, h.err
+}
+
+// Guards against health checks of a target that refused one with Retry-After.
+func TestProbePausesAfterARefusal(t *testing.T) {
+	p := NewProbe(ProbeConfig{Guard: NewGuard(limit, 1), Health: &fakeHealth{err: errors.New("busy"), retryAfter: 3 * time.Second}, Address: "a"})
+
+	if got, want := p.checkHealth(t.Context(), "/health"), 3*time.Second; got != want {
+		t.Errorf("got a pause of %v, want %v", got, want)
+	}
 }
 
 // Guards against health checks that use up the rate limit of a target in need.
--- a/slowstart/probe.go
+++ b/slowstart/probe.go
@@ -20,6 +20,8 @@
 	ColdFor time.Duration
 	// RateLimit is the rate limit that it names, in requests a second; zero for none.
 	RateLimit float64
+	// RetryAfter is how long it wants no further check, set with an error; zero if it doesn't say.
+	RetryAfter time.Duration
 }
 
 // ProbeConfig configures a Probe.
@@ -106,7 +108,7 @@
 	s, err := p.cfg.Health.Health(ctx, p.cfg.Address, path)
 	if err != nil {
 		// A target that does not respond is busy or dead; its load reports tell which.
-		return probeInterval
+		return max(probeInterval, s.RetryAfter)
 	}
 
 	p.cfg.Guard.ReportRemaining(time.Now(), s.ColdFor)
