side, entry, target: keep to the rate limits that targets name

backpressure.Transport reads what a target asks for (X-Request-Rate-Limit, docs/PLATFORM.md) from the responses to all requests of an HTTP client: runs, calls, polls of the state, orders, refusals. Requests of all entries pass the side process of their target, which admits them by the limit (targetState. admit) and refuses the others as throttled, unrun, with the time of the next free slot; the entry leaves the target out until then, so that a refusal isn't repeated for each request. Targets without a side process are limited at each entry to its share. Callers for whom no target is left are told when the first throttled one returns.

wholepath.TestRateLimitedEngineGetsNoMoreThanItsLimit fails when the headers aren't used (shown on a copy with the observers taken out: about half of 60 requests reach an engine that takes one in 10 s) and passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,6 +28,7 @@
 	now := time.Now()
 	j.e.serviceTimes.end(j.service, r.target.VM, now.Sub(start), err == nil)
 	j.e.logChanges(j.e.targets.Done(now, attempt, targetOutcome(err, sent)))
+	j.e.observeThrottled(now, r.target, err)
 
 	kind := "done"
 	if err != nil {
--- a/entry/direct.go
+++ b/entry/direct.go
@@ -71,6 +71,10 @@
 
 // executeDirect runs j at an engine without a side process.
 func (j *job) executeDirect(ctx context.Context, r routeChoice) (d message.Done, sent bool, err error) {
+	if err := j.e.admitDirect(time.Now(), r.target); err != nil {
+		return d, false, err
+	}
+
 	m := j.runMessage(ctx, r)
 	c := engine.Client{Address: r.target.Address, HTTP: j.e.directClient}
 	reported := 0
@@ -122,6 +126,10 @@
 		return reply, false, failure.New(failure.Unavailable, "%s has no side process, which is needed to run the call at most once", t.VM).WithRetryAfter(c.e.retryAfter())
 	}
 
+	if err := c.e.admitDirect(time.Now(), t); err != nil {
+		return reply, false, err
+	}
+
 	req, err := http.NewRequestWithContext(ctx, c.message.Method, "http://"+t.Address+c.message.Path, bytes.NewReader(c.message.Body))
 	if err != nil {
 		return reply, false, failure.Wrap(failure.BadRequest, err, "invalid path %q", c.message.Path)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 
 	"github.com/go-logr/logr"
 
+	"boragehub/backpressure"
 	"boragehub/directory"
 	"boragehub/event"
 	"boragehub/message"
@@ -148,6 +149,7 @@
 		directClient: once.NewClient(),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
+	e.directClient.Transport = backpressure.Transport{Base: e.directClient.Transport, Observe: e.observeDirectSignals}
 	e.cfg.Views = append(e.ownViews(), cfg.Views...)
 
 	return e
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -21,6 +21,7 @@
 	now := time.Now()
 	c.e.serviceTimes.end(c.service.Name, t.VM, now.Sub(start), err == nil)
 	c.e.logChanges(c.e.targets.Done(now, attempt, targetOutcome(err, sent)))
+	c.e.observeThrottled(now, t, err)
 
 	kind := "done"
 	if err != nil {
--- a/entry/job.go
+++ b/entry/job.go
@@ -129,7 +129,7 @@
 		return lastErr
 	}
 
-	return failure.New(failure.Unavailable, "no engine of service %s can accept the request", j.service).WithRetryAfter(j.e.retryAfter())
+	return failure.New(failure.Unavailable, "no engine of service %s can accept the request", j.service).WithRetryAfter(j.e.targetRetryAfter(j.service))
 }
 
 // retryAfter returns a random delay between 1 s and 2 s, after which the cause of a
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -168,7 +168,7 @@
 		t, found := c.route(ctx, now)
 		if !found {
 			if lastErr == nil {
-				lastErr = failure.New(failure.Unavailable, "no target of service %s can accept the call", c.service.Name).WithRetryAfter(c.e.retryAfter())
+				lastErr = failure.New(failure.Unavailable, "no target of service %s can accept the call", c.service.Name).WithRetryAfter(c.e.targetRetryAfter(c.service.Name))
 			}
 
 			return message.Reply{}, lastErr
--- a/failure/kind.go
+++ b/failure/kind.go
@@ -89,6 +89,8 @@
 	TornCopy
 	// StoreFull means that a store VM has no free space.
 	StoreFull
+	// Throttled means that a target takes no request now, by a limit that it names itself.
+	Throttled
 
 	kinds int = iota
 )
--- a/failure/table.go
+++ b/failure/table.go
@@ -58,6 +58,7 @@
 	RateLimited:      {http.StatusTooManyRequests, typeRate, "rate_limited", NotRun, true},
 	ShareExceeded:    {http.StatusTooManyRequests, typeRate, "share_exceeded", NotRun, true},
 	QueueFull:        {http.StatusServiceUnavailable, typeServer, "queue_full", NotRun, true},
+	Throttled:        {http.StatusServiceUnavailable, typeServer, "throttled", NotRun, true},
 	DeadlineHopeless: {http.StatusServiceUnavailable, typeServer, "deadline_hopeless", NotRun, true},
 	Unavailable:      {http.StatusServiceUnavailable, typeServer, "unavailable", NotRun, true},
 	NotReady:         {http.StatusServiceUnavailable, typeServer, "not_ready", NotRun, true},
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -42,7 +42,7 @@
 // retryableElsewhere reports whether another target may succeed after a failure of kind k.
 func retryableElsewhere(k failure.Kind) bool {
 	switch k { //nolint:exhaustive // all other kinds concern the request, not the target
-	case failure.Internal, failure.QueueFull, failure.Unavailable, failure.NotReady, failure.Draining,
+	case failure.Internal, failure.QueueFull, failure.Throttled, failure.Unavailable, failure.NotReady, failure.Draining,
 		failure.WrongVersion, failure.TargetLost, failure.ProtocolMismatch, failure.BadMessage:
 		return true
 	default:
--- a/side/call.go
+++ b/side/call.go
@@ -31,7 +31,7 @@
 func (s *Side) handleCall(ctx context.Context, to *peer.Stream, m message.Call) error {
 	now := time.Now()
 
-	id, err := s.target.admit(m.Fingerprint, "")
+	id, err := s.target.admit(now, m.Fingerprint, "")
 	if err != nil {
 		event.Log(s.cfg.Log, event.RunRefused, "request_id", m.RequestID, "reason", err.Error())
 
--- a/side/crash_test.go
+++ b/side/crash_test.go
@@ -64,7 +64,7 @@
 			s := newTargetState(10)
 			s.observe(t0, engine.Info{State: "ready", BootID: "b"}, engine.Load{})
 
-			id, err := s.admit(lost, "")
+			id, err := s.admit(t0, lost, "")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -75,7 +75,7 @@
 			}
 
 			if tt.other != nil {
-				i, err := s.admit(other, "")
+				i, err := s.admit(t0, other, "")
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -135,7 +135,7 @@
 		s := newTargetState(10)
 		s.observe(t0, engine.Info{State: "ready", BootID: "b"}, engine.Load{})
 
-		id, err := s.admit(quarantine.FingerprintOf("desk", nil), "")
+		id, err := s.admit(time.Now(), quarantine.FingerprintOf("desk", nil), "")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/side/run.go
+++ b/side/run.go
@@ -43,7 +43,7 @@
 		return failure.New(failure.BadMessage, "the run has no weight version")
 	}
 
-	id, err := s.target.admit(m.Fingerprint, m.Version)
+	id, err := s.target.admit(now, m.Fingerprint, m.Version)
 	if err != nil {
 		event.Log(s.cfg.Log, event.RunRefused, "request_id", m.RequestID, "reason", err.Error())
 
--- a/side/side.go
+++ b/side/side.go
@@ -30,6 +30,7 @@
 
 	"github.com/go-logr/logr"
 
+	"boragehub/backpressure"
 	"boragehub/claim"
 	"boragehub/engine"
 	"boragehub/event"
@@ -162,7 +163,7 @@
 		cfg.TokenTimeout = DefaultTokenTimeout
 	}
 
-	return &Side{
+	s := &Side{
 		cfg:       cfg,
 		engine:    engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleEngineConns}}},
 		runEngine: engine.Client{Address: cfg.Address, HTTP: once.NewClient()},
@@ -175,6 +176,19 @@
 		reports:   ring.New[report](reportQueueSize),
 		parked:    newParkedContexts(),
 	}
+
+	for _, c := range []*http.Client{s.engine.HTTP, s.runEngine.HTTP, s.plainHTTP} {
+		c.Transport = backpressure.Transport{Base: c.Transport, Observe: s.observeSignals}
+	}
+
+	return s
+}
+
+// observeSignals records what the target asked for in a response to any request.
+func (s *Side) observeSignals(now time.Time, _ string, signals backpressure.Signals) {
+	if s.target.observeSignals(now, signals) {
+		event.Log(s.cfg.Log, event.TargetSignals, "rate_limit", signals.RateLimit)
+	}
 }
 
 // Run runs the background loops until ctx ends.
--- a/side/target.go
+++ b/side/target.go
@@ -8,10 +8,12 @@
 
 	"github.com/google/uuid"
 
+	"boragehub/backpressure"
 	"boragehub/engine"
 	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/quarantine"
+	"boragehub/quota"
 )
 
 // targetState is the state of the target, by which requests are admitted, and of
@@ -32,6 +34,8 @@
 	inFlight     map[uint64]*request
 	results      map[uint64]crashResult // of lost requests, until takeResult
 	idle         chan struct{}          // closed and replaced whenever no request is in flight
+	share        quota.Share            // of the target's rate limit, which all entries' requests pass here
+	throttled    int                    // requests refused because of it since the last one was admitted
 }
 
 func newTargetState(maxWaiting int) *targetState {
@@ -44,7 +48,7 @@
 
 // admit admits a request, or refuses it before anything was sent to the target.
 // version is the weight version that the request requires; empty for a plain call.
-func (t *targetState) admit(fingerprint quarantine.Fingerprint, version string) (uint64, error) {
+func (t *targetState) admit(now time.Time, fingerprint quarantine.Fingerprint, version string) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -57,8 +61,18 @@
 		return 0, failure.New(failure.WrongVersion, "the target has loaded version %s, not %s", t.info.WeightVersion, version).WithRetryAfter(time.Second)
 	case t.active() >= t.maxRunning()+t.maxWaiting:
 		return 0, failure.New(failure.QueueFull, "the target has %d requests in flight", t.active()).WithRetryAfter(t.queueDelay())
+	case t.share.Wait(now) > 0:
+		// Entries return one after the other: if all came back for the next slot, all but one
+		// would be refused again, and each refusal costs a retry.
+		after := t.share.Wait(now) + time.Duration(t.throttled)*t.share.Interval()
+		t.throttled++
+
+		return 0, failure.New(failure.Throttled, "the target takes %.2f requests a second", t.share.Limit()).WithRetryAfter(after)
 	}
 
+	t.share.Take(now)
+	t.throttled = 0
+
 	t.lastID++
 	t.inFlight[t.lastID] = &request{fingerprint: fingerprint, boot: t.bootID()}
 
@@ -183,6 +197,18 @@
 // that reported that it was draining.
 func (t *targetState) bootID() string { return t.info.BootID + "." + t.instanceID }
 
+// observeSignals records what the target asked for in a response. It reports whether its rate limit
+// changed.
+func (t *targetState) observeSignals(now time.Time, s backpressure.Signals) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	changed = t.share.Limit() != s.RateLimit
+	t.share.Set(now, s.RateLimit, 1, 0)
+
+	return changed
+}
+
 func (t *targetState) startDrain() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -34,6 +34,7 @@
 // Faults are the fault settings of an engine.
 type Faults struct {
 	standin.ConnectionFaults
+	standin.SignalFaults
 	// EventsDelayMS is the delay before cache events are visible, in ms.
 	EventsDelayMS int64 `json:"events_delay_ms"`
 	// EventsLost is the fraction of cache events that are never visible.
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -39,6 +39,7 @@
 // Faults are the fault settings of a plain service.
 type Faults struct {
 	standin.ConnectionFaults
+	standin.SignalFaults
 	// DelayMS is how long a request is delayed before it is executed, in ms.
 	DelayMS int64 `json:"delay_ms"`
 	// Held keeps requests from being executed while it is set.
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -89,6 +89,7 @@
 	ws.Route(ws.GET("/faults").To(b.getFaults))
 	ws.Route(ws.POST("/faults").To(b.postFaults))
 	cfg.AddRoutes(ws)
+	b.container.Filter(b.addSignals)
 	b.container.Add(ws)
 
 	return b
--- a/target/candidate.go
+++ b/target/candidate.go
@@ -4,7 +4,7 @@
 
 // excluded reports whether r gets no work, even when no other target is left.
 func (t *Table) excluded(now time.Time, r *row) bool {
-	if r.leaving() {
+	if r.leaving() || r.throttle.wait(now) > 0 {
 		return true
 	}
 
--- a/target/table.go
+++ b/target/table.go
@@ -120,6 +120,7 @@
 
 	operatorDrained bool
 	outlier         outlier
+	throttle        throttle
 }
 
 // leaving reports whether r is out for good or drained by an operator, rather than only suspected.
@@ -207,7 +208,7 @@
 		return nil
 	}
 
-	r.outlier = outlier{}
+	r.outlier, r.throttle = outlier{}, throttle{}
 	r.load, r.loadKnown = Load{}, false
 
 	return []Change{{VM: r.vm, Reason: NewBoot}}
--- /dev/null
+++ b/wholepath/backpressure_test.go
@@ -0,0 +1,79 @@
+package wholepath
+
+import (
+	"fmt"
+	"testing"
+
+	"boragehub/standin/engine"
+	"boragehub/vm"
+)
+
+// completeMany sends short completions through all entries in turn, each of which must succeed.
+func (e *testEnv) completeMany(name string, n int) {
+	e.t.Helper()
+
+	for i := range n {
+		e.checkCompletion(e.entries[i%len(e.entries)], fmt.Sprintf("%s %d", name, i))
+	}
+}
+
+// newEngineWithoutSide starts an engine that has no side process.
+func (e *testEnv) newEngineWithoutSide(name string) *target {
+	e.t.Helper()
+
+	t := &target{vm: name, engine: engine.New(engine.Config{
+		Model: model, WeightVersion: "v1", CacheBlocks: 1024, PrefillTokensPerSecond: 1e6, DecodeTokensPerSecond: 1e6,
+		Crash: func() { e.t.Errorf("%s crashed", name) },
+	})}
+	t.addr, t.stop = e.serveStandIn(name, t.engine)
+	e.registerVM(vm.Engine, name, llmService, t.addr, "")
+
+	return t
+}
+
+// An engine in need names a rate limit for all entries together. Entries that don't keep to it
+// overload the engine further, and requests beyond it must not fail while another engine can
+// take them.
+func TestRateLimitedEngineGetsNoMoreThanItsLimit(t *testing.T) {
+	tests := []struct {
+		name string
+		// limited returns the engine that is to name a limit.
+		limited func(env *testEnv) *target
+	}{
+		{"with a side process", func(env *testEnv) *target { return env.engines[0] }},
+		{"without a side process", func(env *testEnv) *target { return env.newEngineWithoutSide("engine-9") }},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := start(t, envConfig{engines: 2, entries: 2})
+			limited := tt.limited(env)
+			env.setFaults(limited.addr, map[string]any{"rate_limit": 0.1})
+			env.eventually("the limit is not known", func() bool {
+				env.completeMany("until it is known", 2)
+
+				return env.logs.count(`"rate_limit"=0.1`) > 0
+			})
+
+			before := len(limited.engine.Runs())
+
+			env.completeMany("while limited", 60)
+
+			// One slot comes each 11 s; each entry without a side process to ask learns of the limit
+			// by a response to its own request.
+			if got := len(limited.engine.Runs()) - before; got > 3 {
+				t.Errorf("got %d of 60 requests at an engine that takes one in 10 s, want 3 at most", got)
+			}
+
+			env.setFaults(limited.addr, map[string]any{"rate_limit": 0})
+
+			before = len(limited.engine.Runs())
+
+			env.eventually("the engine gets no requests after the limit", func() bool {
+				env.completeMany("after the limit", 4)
+
+				return len(limited.engine.Runs()) > before+1
+			})
+		})
+	}
+}
