side, entry, target: send nothing new to targets that say they leave

A side process whose target says X-Leaving (docs/PLATFORM.md) in any response, polls of its state included, refuses new work as draining and reports so to entries, which leave the target out; of a target without a side process the entry learns it from its own polls and requests. Runs that have begun go on.

wholepath.TestEngineThatSaysItLeavesGetsNoNewRequests fails when the statement isn't kept (shown on this tree with the two assignments taken out) and passes.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -21,8 +21,13 @@
 	"time"
 )
 
-// HeaderRateLimit names the requests a second that a target takes from all callers together.
-const HeaderRateLimit = "X-Request-Rate-Limit"
+// Headers of responses.
+const (
+	// HeaderRateLimit names the requests a second that a target takes from all callers together.
+	HeaderRateLimit = "X-Request-Rate-Limit"
+	// HeaderLeaving is 1 if a target is about to leave.
+	HeaderLeaving = "X-Leaving"
+)
 
 // minRateLimit stands for a named limit of zero, so that an occasional request finds out when the
 // limit ends.
@@ -33,11 +38,16 @@
 	// RateLimit is the number of requests a second that it takes from all callers together;
 	// zero for no limit.
 	RateLimit float64
+	// Leaving is true if it is about to leave and should get no new requests.
+	Leaving bool
 }
 
 // Parse returns the signals of a response.
 func Parse(resp *http.Response) Signals {
-	return Signals{RateLimit: rateLimit(resp.Header.Get(HeaderRateLimit))}
+	return Signals{
+		RateLimit: rateLimit(resp.Header.Get(HeaderRateLimit)),
+		Leaving:   strings.TrimSpace(resp.Header.Get(HeaderLeaving)) == "1",
+	}
 }
 
 // rateLimit parses a rate limit. A malformed one counts as none.
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -11,6 +11,7 @@
 func TestSignalsOfAllResponsesArePassedOn(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderRateLimit, r.Header.Get("Send"))
+		w.Header().Set(HeaderLeaving, r.Header.Get("Leaving"))
 
 		if r.URL.Path == "/refuse" {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -24,16 +25,19 @@
 	defer c.CloseIdleConnections()
 
 	tests := []struct {
-		path, limit string
-		want        Signals
+		path, limit, leaving string
+		want                 Signals
 	}{
-		{"/run", "4.6", Signals{RateLimit: 4.6}},
-		{"/refuse", "4.6", Signals{RateLimit: 4.6}},
-		{"/run", "", Signals{}},
-		{"/run", "0", Signals{RateLimit: minRateLimit}},
-		{"/run", "-1", Signals{}},
-		{"/run", "many", Signals{}},
-		{"/run", "Inf", Signals{}},
+		{"/run", "4.6", "", Signals{RateLimit: 4.6}},
+		{"/refuse", "4.6", "", Signals{RateLimit: 4.6}},
+		{"/run", "", "", Signals{}},
+		{"/run", "0", "", Signals{RateLimit: minRateLimit}},
+		{"/run", "-1", "", Signals{}},
+		{"/run", "many", "", Signals{}},
+		{"/run", "Inf", "", Signals{}},
+		{"/run", "", "1", Signals{Leaving: true}},
+		{"/refuse", "2", "1", Signals{RateLimit: 2, Leaving: true}},
+		{"/run", "", "0", Signals{}},
 	}
 
 	for _, tt := range tests {
@@ -43,6 +47,7 @@
 		}
 
 		r.Header.Set("Send", tt.limit)
+		r.Header.Set("Leaving", tt.leaving)
 
 		got = nil
 
@@ -54,7 +59,7 @@
 		_ = resp.Body.Close()
 
 		if len(got) != 1 || got[0] != tt.want {
-			t.Errorf("%s, limit %q: got %v, want %v", tt.path, tt.limit, got, tt.want)
+			t.Errorf("%s, limit %q, leaving %q: got %v, want %v", tt.path, tt.limit, tt.leaving, got, tt.want)
 		}
 	}
 }
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -36,8 +36,9 @@
 			continue
 		}
 
-		if e.targets.ObserveRateLimit(now, m.Name, s.RateLimit, entries) {
-			event.Log(e.cfg.Log, event.TargetSignals, "vm", m.Name, "rate_limit", s.RateLimit, "entries", entries)
+		limited := e.targets.ObserveRateLimit(now, m.Name, s.RateLimit, entries)
+		if left := e.targets.ObserveLeaving(now, m.Name, s.Leaving); limited || left {
+			event.Log(e.cfg.Log, event.TargetSignals, "vm", m.Name, "rate_limit", s.RateLimit, "entries", entries, "leaving", s.Leaving)
 		}
 	}
 }
@@ -49,6 +50,10 @@
 		return nil
 	}
 
+	if wait <= 0 {
+		return failure.New(failure.Draining, "the target is about to leave").WithRetryAfter(e.retryAfter())
+	}
+
 	return failure.New(failure.Throttled, "this entry has used its share of the target's limit").WithRetryAfter(wait)
 }
 
--- a/side/target.go
+++ b/side/target.go
@@ -35,6 +35,7 @@
 	results      map[uint64]crashResult // of lost requests, until takeResult
 	idle         chan struct{}          // closed and replaced whenever no request is in flight
 	share        quota.Share            // of the target's rate limit, which all entries' requests pass here
+	leaving      bool                   // the target says that it is about to leave
 	throttled    int                    // requests refused because of it since the last one was admitted
 }
 
@@ -53,7 +54,7 @@
 	defer t.mu.Unlock()
 
 	switch {
-	case t.draining:
+	case t.draining || t.leaving:
 		return 0, failure.New(failure.Draining, "the target is draining").WithRetryAfter(time.Second)
 	case !t.up:
 		return 0, failure.New(failure.NotReady, "the target is not ready").WithRetryAfter(time.Second)
@@ -197,14 +198,14 @@
 // that reported that it was draining.
 func (t *targetState) bootID() string { return t.info.BootID + "." + t.instanceID }
 
-// observeSignals records what the target asked for in a response. It reports whether its rate limit
-// changed.
+// observeSignals records what the target asked for in a response. It reports whether that changed.
 func (t *targetState) observeSignals(now time.Time, s backpressure.Signals) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	changed = t.share.Limit() != s.RateLimit
+	changed = t.share.Limit() != s.RateLimit || t.leaving != s.Leaving
 	t.share.Set(now, s.RateLimit, 1, 0)
+	t.leaving = s.Leaving
 
 	return changed
 }
@@ -220,7 +221,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.up && !t.draining
+	return t.up && !t.draining && !t.leaving
 }
 
 func (t *targetState) activeCount() int {
@@ -269,8 +270,8 @@
 		Model:         t.info.Model,
 		Version:       t.info.WeightVersion,
 		BlockTokens:   t.info.BlockTokens,
-		Ready:         t.up && !t.draining,
-		Draining:      t.draining,
+		Ready:         t.up && !t.draining && !t.leaving,
+		Draining:      t.draining || t.leaving,
 		TargetGone:    t.notListening,
 		Load:          t.loadAt(now),
 		PrefillRate:   t.info.PrefillRate,
--- a/standin/signals.go
+++ b/standin/signals.go
@@ -13,6 +13,8 @@
 	// RateLimit is the number of requests a second that it takes from all callers together; 0
 	// names no limit.
 	RateLimit float64 `json:"rate_limit"`
+	// Leaving says that it is about to leave.
+	Leaving bool `json:"leaving"`
 }
 
 func (f *SignalFaults) signals() SignalFaults { return *f }
@@ -22,6 +24,10 @@
 	if f.RateLimit > 0 {
 		h.Set("X-Request-Rate-Limit", strconv.FormatFloat(f.RateLimit, 'f', -1, 64))
 	}
+
+	if f.Leaving {
+		h.Set("X-Leaving", "1")
+	}
 }
 
 // addSignals adds the signals to a response.
--- a/target/table.go
+++ b/target/table.go
@@ -119,13 +119,14 @@
 	sent      sentCounter
 
 	operatorDrained bool
+	saidLeaving     bool // in a response to this entry, by a target without a side process
 	outlier         outlier
 	throttle        throttle
 }
 
 // leaving reports whether r is out for good or drained by an operator, rather than only suspected.
 func (r *row) leaving() bool {
-	return r.reportedDraining || r.listLeaving || r.operatorDrained
+	return r.reportedDraining || r.listLeaving || r.operatorDrained || r.saidLeaving
 }
 
 // NewTable returns an empty Table.
@@ -208,7 +209,7 @@
 		return nil
 	}
 
-	r.outlier, r.throttle = outlier{}, throttle{}
+	r.outlier, r.throttle, r.saidLeaving = outlier{}, throttle{}, false
 	r.load, r.loadKnown = Load{}, false
 
 	return []Change{{VM: r.vm, Reason: NewBoot}}
@@ -364,7 +365,7 @@
 		Probe: r.outlier.probation, Failures: r.outlier.failures, SinceLastSeen: -1,
 	}
 
-	if r.reportedDraining || r.listLeaving || r.operatorDrained {
+	if r.leaving() {
 		c.State = Draining
 	}
 
--- a/target/throttle.go
+++ b/target/throttle.go
@@ -48,6 +48,23 @@
 	return changed
 }
 
+// ObserveLeaving records whether a target without a side process says that it is about to leave.
+// Changed reports whether it said otherwise before.
+func (t *Table) ObserveLeaving(_ time.Time, vm string, leaving bool) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	r, ok := t.rows[vm]
+	if !ok || r.saidLeaving == leaving {
+		return false
+	}
+
+	r.saidLeaving = leaving
+	t.selectSubset(t.pools[r.service])
+
+	return true
+}
+
 // Admit reports whether a request may be sent to a target now, and if so uses a slot of this entry's
 // share of its rate limit. Otherwise wait is the time until it may.
 func (t *Table) Admit(now time.Time, vm string) (wait time.Duration, ok bool) {
@@ -59,6 +76,10 @@
 		return 0, true
 	}
 
+	if r.leaving() {
+		return 0, false
+	}
+
 	if wait = r.throttle.wait(now); wait > 0 {
 		return wait, false
 	}
--- a/wholepath/backpressure_test.go
+++ b/wholepath/backpressure_test.go
@@ -77,3 +77,36 @@
 		})
 	}
 }
+
+// An engine says in its responses that it leaves, which the platform's list shows late or never.
+// Requests that are sent to it until then are cut off when it ends.
+func TestEngineThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	tests := []struct {
+		name    string
+		leaving func(env *testEnv) *target
+	}{
+		{"with a side process", func(env *testEnv) *target { return env.engines[0] }},
+		{"without a side process", func(env *testEnv) *target { return env.newEngineWithoutSide("engine-9") }},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := start(t, envConfig{engines: 2})
+			leaving := tt.leaving(env)
+			env.setFaults(leaving.addr, map[string]any{"leaving": true})
+			env.eventually("its leaving is not known", func() bool {
+				env.completeMany("until it is known", 2)
+
+				return env.logs.count(`"leaving"=true`) > 0
+			})
+
+			before := len(leaving.engine.Runs())
+
+			env.completeMany("while it leaves", 40)
+
+			if got := len(leaving.engine.Runs()) - before; got != 0 {
+				t.Errorf("got %d of 40 requests at an engine that leaves, want none", got)
+			}
+		})
+	}
+}
