side, entry, target: keep away from targets that refuse with Retry-After

A side process keeps the Retry-After time of any refusal of its target and refuses work meanwhile as throttled, unrun; entries leave the target out for that time. For a target without a side process the entry itself keeps it.

wholepath.TestEngineThatRefusesWithRetryAfterIsLeftAlone fails when the time isn't kept (shown on this tree with the two assignments taken out: 503 to callers for whom another engine was free) and passes. wholepath, incident, cmd/boragehub, side and target pass under the race detector.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -40,6 +40,9 @@
 	RateLimit float64
 	// Leaving is true if it is about to leave and should get no new requests.
 	Leaving bool
+	// RetryAfter is the Retry-After time of a refusal, in which it wants no requests of the refused
+	// process; zero if the response is none.
+	RetryAfter time.Duration
 }
 
 // Parse returns the signals of a response.
@@ -47,7 +50,27 @@
 	return Signals{
 		RateLimit: rateLimit(resp.Header.Get(HeaderRateLimit)),
 		Leaving:   strings.TrimSpace(resp.Header.Get(HeaderLeaving)) == "1",
+
+		RetryAfter: retryAfter(resp),
+	}
+}
+
+// maxRetryAfter bounds what is taken for a Retry-After time.
+const maxRetryAfter = time.Hour
+
+// retryAfter returns the Retry-After time of a refusal in seconds, zero for none. A malformed one
+// counts as none.
+func retryAfter(resp *http.Response) time.Duration {
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		return 0
 	}
+
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(resp.Header.Get("Retry-After")), 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // rateLimit parses a rate limit. A malformed one counts as none.
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -12,6 +12,7 @@
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderRateLimit, r.Header.Get("Send"))
 		w.Header().Set(HeaderLeaving, r.Header.Get("Leaving"))
+		w.Header().Set("Retry-After", r.Header.Get("After"))
 
 		if r.URL.Path == "/refuse" {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -25,19 +26,24 @@
 	defer c.CloseIdleConnections()
 
 	tests := []struct {
-		path, limit, leaving string
-		want                 Signals
+		path, limit, leaving, after string
+		want                        Signals
 	}{
-		{"/run", "4.6", "", Signals{RateLimit: 4.6}},
-		{"/refuse", "4.6", "", Signals{RateLimit: 4.6}},
-		{"/run", "", "", Signals{}},
-		{"/run", "0", "", Signals{RateLimit: minRateLimit}},
-		{"/run", "-1", "", Signals{}},
-		{"/run", "many", "", Signals{}},
-		{"/run", "Inf", "", Signals{}},
-		{"/run", "", "1", Signals{Leaving: true}},
-		{"/refuse", "2", "1", Signals{RateLimit: 2, Leaving: true}},
-		{"/run", "", "0", Signals{}},
+		{"/run", "4.6", "", "", Signals{RateLimit: 4.6}},
+		{"/refuse", "4.6", "", "", Signals{RateLimit: 4.6}},
+		{"/run", "", "", "", Signals{}},
+		{"/run", "0", "", "", Signals{RateLimit: minRateLimit}},
+		{"/run", "-1", "", "", Signals{}},
+		{"/run", "many", "", "", Signals{}},
+		{"/run", "Inf", "", "", Signals{}},
+		{"/run", "", "1", "", Signals{Leaving: true}},
+		{"/refuse", "2", "1", "", Signals{RateLimit: 2, Leaving: true}},
+		{"/run", "", "0", "", Signals{}},
+		{"/refuse", "", "", "1.5", Signals{RetryAfter: 1500 * time.Millisecond}},
+		{"/run", "", "", "1.5", Signals{}},
+		{"/refuse", "", "", "soon", Signals{}},
+		{"/refuse", "", "", "-1", Signals{}},
+		{"/refuse", "", "", "1e300", Signals{RetryAfter: maxRetryAfter}},
 	}
 
 	for _, tt := range tests {
@@ -48,6 +54,7 @@
 
 		r.Header.Set("Send", tt.limit)
 		r.Header.Set("Leaving", tt.leaving)
+		r.Header.Set("After", tt.after)
 
 		got = nil
 
@@ -59,7 +66,7 @@
 		_ = resp.Body.Close()
 
 		if len(got) != 1 || got[0] != tt.want {
-			t.Errorf("%s, limit %q, leaving %q: got %v, want %v", tt.path, tt.limit, tt.leaving, got, tt.want)
+			t.Errorf("%s, limit %q, leaving %q, time %q: got %v, want %v", tt.path, tt.limit, tt.leaving, tt.after, got, tt.want)
 		}
 	}
 }
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -22,7 +22,7 @@
 	}
 
 	after := failure.As(err).RetryAfter()
-	e.targets.ObserveRetryAfter(now, t.VM, after)
+	e.targets.ObserveThrottled(now, t.VM, after)
 	event.Log(e.cfg.Log, event.TargetThrottled, "vm", t.VM, "retry_after_ms", after.Milliseconds())
 }
 
@@ -40,6 +40,11 @@
 		if left := e.targets.ObserveLeaving(now, m.Name, s.Leaving); limited || left {
 			event.Log(e.cfg.Log, event.TargetSignals, "vm", m.Name, "rate_limit", s.RateLimit, "entries", entries, "leaving", s.Leaving)
 		}
+
+		if s.RetryAfter > 0 {
+			e.targets.ObserveRetryAfter(now, m.Name, s.RetryAfter)
+			event.Log(e.cfg.Log, event.TargetThrottled, "vm", m.Name, "retry_after_ms", s.RetryAfter.Milliseconds())
+		}
 	}
 }
 
@@ -54,7 +59,7 @@
 		return failure.New(failure.Draining, "the target is about to leave").WithRetryAfter(e.retryAfter())
 	}
 
-	return failure.New(failure.Throttled, "this entry has used its share of the target's limit").WithRetryAfter(wait)
+	return failure.New(failure.Throttled, "this entry has used its share of the target's limit, or the target refuses requests").WithRetryAfter(wait)
 }
 
 // targetRetryAfter returns when to retry a request that no target of a service can accept: when the
--- a/side/side.go
+++ b/side/side.go
@@ -187,7 +187,7 @@
 // observeSignals records what the target asked for in a response to any request.
 func (s *Side) observeSignals(now time.Time, _ string, signals backpressure.Signals) {
 	if s.target.observeSignals(now, signals) {
-		event.Log(s.cfg.Log, event.TargetSignals, "rate_limit", signals.RateLimit, "leaving", signals.Leaving)
+		event.Log(s.cfg.Log, event.TargetSignals, "rate_limit", signals.RateLimit, "leaving", signals.Leaving, "retry_after_ms", signals.RetryAfter.Milliseconds())
 	}
 }
 
--- a/side/target.go
+++ b/side/target.go
@@ -36,6 +36,7 @@
 	idle         chan struct{}          // closed and replaced whenever no request is in flight
 	share        quota.Share            // of the target's rate limit, which all entries' requests pass here
 	leaving      bool                   // the target says that it is about to leave
+	retryAt      time.Time              // until then the target wants no requests, as it refused one
 	throttled    int                    // requests refused because of it since the last one was admitted
 }
 
@@ -62,6 +63,8 @@
 		return 0, failure.New(failure.WrongVersion, "the target has loaded version %s, not %s", t.info.WeightVersion, version).WithRetryAfter(time.Second)
 	case t.active() >= t.maxRunning()+t.maxWaiting:
 		return 0, failure.New(failure.QueueFull, "the target has %d requests in flight", t.active()).WithRetryAfter(t.queueDelay())
+	case now.Before(t.retryAt):
+		return 0, failure.New(failure.Throttled, "the target refuses requests").WithRetryAfter(t.retryAt.Sub(now))
 	case t.share.Wait(now) > 0:
 		// Entries return one after the other: if all came back for the next slot, all but one
 		// would be refused again, and each refusal costs a retry.
@@ -207,6 +210,11 @@
 	t.share.Set(now, s.RateLimit, 1, 0)
 	t.leaving = s.Leaving
 
+	if until := now.Add(s.RetryAfter); s.RetryAfter > 0 && until.After(t.retryAt) {
+		t.retryAt = until
+		changed = true
+	}
+
 	return changed
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -162,12 +162,14 @@
 	}
 	// NewLRU only fails for a size below 1; setDefaults has replaced zero.
 	s.blocks, _ = simplelru.NewLRU(cfg.CacheBlocks, func(h prompt.Hash, _ bool) { s.evicted = append(s.evicted, h) })
-	s.BaseServer = standin.New(standin.Config[Faults]{Faults: cfg.Faults, OnFaultsPosted: s.applyFaults, AddRoutes: s.routes})
+	s.BaseServer = standin.New(standin.Config[Faults]{Faults: cfg.Faults, OnFaultsPosted: s.applyFaults, AddRoutes: s.routes, IsWork: isCompletion})
 	s.recordLoad(time.Now())
 
 	return s
 }
 
+func isCompletion(r *http.Request) bool { return r.URL.Path == "/v1/completions" }
+
 func (s *Server) routes(ws *restful.WebService) {
 	ws.Route(ws.POST("/v1/completions").To(s.postCompletions))
 	ws.Route(ws.GET("/info").To(s.getInfo))
--- a/standin/signals.go
+++ b/standin/signals.go
@@ -15,6 +15,8 @@
 	RateLimit float64 `json:"rate_limit"`
 	// Leaving says that it is about to leave.
 	Leaving bool `json:"leaving"`
+	// RefuseForMS makes it refuse work with 503 and this Retry-After time, in ms; 0 refuses none.
+	RefuseForMS int64 `json:"refuse_for_ms"`
 }
 
 func (f *SignalFaults) signals() SignalFaults { return *f }
@@ -34,8 +36,20 @@
 func (b *BaseServer[F]) addSignals(q *restful.Request, w *restful.Response, chain *restful.FilterChain) {
 	faults := b.Faults()
 	if s, ok := any(&faults).(interface{ signals() SignalFaults }); ok {
-		s.signals().writeTo(w.Header())
+		f := s.signals()
+		f.writeTo(w.Header())
+
+		if f.RefuseForMS > 0 && b.cfg.IsWork != nil && b.cfg.IsWork(q.Request) {
+			b.refused.Add(1)
+			w.Header().Set("Retry-After", strconv.FormatFloat(Milliseconds(f.RefuseForMS).Seconds(), 'f', -1, 64))
+			WriteError(w, http.StatusServiceUnavailable, "overloaded", "the target wants no requests now")
+
+			return
+		}
 	}
 
 	chain.ProcessFilter(q, w)
 }
+
+// Refused returns the number of requests that RefuseForMS refused.
+func (b *BaseServer[F]) Refused() int64 { return b.refused.Load() }
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -58,6 +59,9 @@
 	OnFaultsPosted func(f F)
 	// AddRoutes adds the stand-in's own routes.
 	AddRoutes func(ws *restful.WebService)
+	// IsWork reports whether a request is one that SignalFaults.RefuseForMS refuses; nil means that
+	// none is.
+	IsWork func(r *http.Request) bool
 	// StopTimeout is the maximum wait for active requests at shutdown; zero is 30 s.
 	StopTimeout time.Duration
 }
@@ -69,6 +73,7 @@
 	connections connTracker
 	stopping    chan struct{}
 	stopOnce    sync.Once
+	refused     atomic.Int64
 
 	mu     sync.Mutex
 	faults F
--- a/target/throttle.go
+++ b/target/throttle.go
@@ -19,9 +19,10 @@
 	return max(h.share.Wait(now), h.retryAt.Sub(now), 0)
 }
 
-// ObserveRetryAfter records that a target refuses this entry's requests for a time, during which it
-// is no candidate. What it responds meanwhile to requests that were under way doesn't prolong it.
-func (t *Table) ObserveRetryAfter(now time.Time, vm string, d time.Duration) {
+// ObserveThrottled records that a target's side process refuses this entry's requests for a time,
+// during which the target is no candidate. What the side process responds meanwhile to requests that
+// were under way doesn't prolong it: each of them has got a later time.
+func (t *Table) ObserveThrottled(now time.Time, vm string, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -30,6 +31,17 @@
 	}
 }
 
+// ObserveRetryAfter records that a target without a side process refused a request of this entry and
+// wants no other one for a time.
+func (t *Table) ObserveRetryAfter(now time.Time, vm string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if r, ok := t.rows[vm]; ok && now.Add(d).After(r.throttle.retryAt) {
+		r.throttle.retryAt = now.Add(d)
+	}
+}
+
 // ObserveRateLimit records the limit that a target without a side process names, in requests a second
 // of the given number of entries together; zero for none. Changed reports whether it is new.
 func (t *Table) ObserveRateLimit(now time.Time, vm string, limit float64, entries int) (changed bool) {
--- a/target/throttle_test.go
+++ b/target/throttle_test.go
@@ -30,8 +30,8 @@
 func TestThrottledTargetIsNoCandidateBeforeItsTime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tab := newThrottleTable(now)
-	tab.ObserveRetryAfter(now, "a", 3*time.Second)
-	tab.ObserveRetryAfter(now.Add(time.Second), "a", 5*time.Second) // of a request that was under way
+	tab.ObserveThrottled(now, "a", 3*time.Second)
+	tab.ObserveThrottled(now.Add(time.Second), "a", 5*time.Second) // of a request that was under way
 
 	tests := []struct {
 		after time.Duration
@@ -92,3 +92,17 @@
 		t.Error("after a restart: got the limit kept, want none")
 	}
 }
+
+// Guards against a refusing target that gets a request before the latest time that it stated.
+func TestLatestRetryAfterHolds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tab := newThrottleTable(now)
+
+	for _, d := range []time.Duration{2 * time.Second, 3 * time.Second, time.Second} {
+		tab.ObserveRetryAfter(now, "a", d)
+	}
+
+	if wait, ok := tab.Admit(now, "a"); ok || wait != 3*time.Second {
+		t.Errorf("got a request admitted %v and a wait of %v, want false and 3s", ok, wait)
+	}
+}
--- a/wholepath/backpressure_test.go
+++ b/wholepath/backpressure_test.go
@@ -110,3 +110,36 @@
 		})
 	}
 }
+
+// An engine refuses work and states for how long it wants none. Work that is sent to it all the same
+// is refused again, at the cost of time and of a retry for each request.
+func TestEngineThatRefusesWithRetryAfterIsLeftAlone(t *testing.T) {
+	tests := []struct {
+		name     string
+		refusing func(env *testEnv) *target
+	}{
+		{"with a side process", func(env *testEnv) *target { return env.engines[0] }},
+		{"without a side process", func(env *testEnv) *target { return env.newEngineWithoutSide("engine-9") }},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := start(t, envConfig{engines: 2})
+			refusing := tt.refusing(env)
+			env.setFaults(refusing.addr, map[string]any{"refuse_for_ms": 60_000})
+			env.eventually("it never refuses", func() bool {
+				env.completeMany("until it refuses", 2)
+
+				return refusing.engine.Refused() > 0
+			})
+
+			before := refusing.engine.Refused()
+
+			env.completeMany("while it refuses", 40)
+
+			if got := refusing.engine.Refused() - before; got > 1 {
+				t.Errorf("got %d further requests at an engine that wants none for a minute, want one at most", got)
+			}
+		})
+	}
+}
