--- a/experiment/command.go
+++ b/experiment/command.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 
 	"boragehub/experiment/drawn"
+	"boragehub/experiment/limited"
 )
 
 // Command is the subcommand "experiment" of the program. Create it with Attach.
@@ -18,6 +19,7 @@
 	loads, policies, ablations, fault string
 	drawnSeeds                        int
 	asJSON                            bool
+	limitedSeeds                      int
 }
 
 // allValues selects every value in a flag that takes a list of names.
@@ -43,6 +45,7 @@
 	c.sub.String(&c.cfg.Plot, "", "plot", "file for a plot over the loads, .svg or .png")
 	c.sub.Int(&c.drawnSeeds, "", "drawn", "play where prompts go on so many deployments drawn from seeds, and nothing else")
 	c.sub.Bool(&c.asJSON, "", "json", "write what --drawn gives as JSON")
+	c.sub.Int(&c.limitedSeeds, "", "limited", "play how entries keep to rate limits of targets, with so many seeds, and nothing else")
 	flaggy.AttachSubcommand(c.sub, position)
 
 	return c
@@ -58,6 +61,10 @@
 		return drawn.Write(w, drawn.Compare(c.cfg.Seed, c.drawnSeeds), c.asJSON)
 	}
 
+	if c.limitedSeeds > 0 {
+		return limited.Write(w, c.cfg.Seed, c.limitedSeeds)
+	}
+
 	cfg := c.cfg
 
 	var err error
--- a/quota/share.go
+++ b/quota/share.go
@@ -24,7 +24,7 @@
 	// that don't know each other yet.
 	usedFraction = 0.9
 	// slotLife is how long a slot may be used.
-	slotLife = 250 * time.Millisecond
+	slotLife = time.Second
 	// maxInterval bounds the time between two slots, in which a share doesn't notice that its
 	// limit has ended.
 	maxInterval = time.Hour
