gateway: prompts that waited in vain for throttled engines return in order

Prompts that wait in the queue for a rate limited or refusing engine and don't get it were all told the time until the next slot, where one of them is served and the others are refused again. They get the slots to come one after the other now, as those do that are refused at once.

TestPromptsThatWaitedInVainReturnInOrder fails with the old error (0.294, 0.294 and 0.295 s) and passes.

--- a/gateway/throttled_test.go
+++ b/gateway/throttled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -156,3 +157,41 @@
 		t.Errorf("got %v, %v from a wrapped limit, want %v", got, ok, l)
 	}
 }
+
+// Guards against prompts that waited in vain for a throttled engine and are all told to return for
+// the same slot, where all but one are refused again.
+func TestPromptsThatWaitedInVainReturnInOrder(t *testing.T) {
+	e := newFakeEngine(t, "a", respond(withHeader(streamHead, "Limit", "30")+events(1, 2)+streamEnd))
+	env := newTestEnv(t, e)
+
+	for range 2 { // the second one takes the first slot
+		env.request(t, "POST", "/llm/1", "x", "Tokens", "100")
+	}
+
+	env.gateway.waitQueue.head <- struct{}{} // nobody gets to the head of the queue
+
+	const prompts = 3
+
+	times := make(chan float64, prompts)
+
+	for range prompts {
+		go func() {
+			r := env.request(t, "POST", "/llm/1", "x", "Tokens", "100")
+			s, _ := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			times <- s
+		}()
+	}
+
+	var all []float64
+	for range prompts {
+		all = append(all, <-times)
+	}
+
+	slices.Sort(all)
+
+	for i := range prompts - 1 {
+		if d := all[i+1] - all[i]; d < 0.25 {
+			t.Errorf("got Retry-After %v, want times that follow each other at the interval of 0.3 s", all)
+		}
+	}
+}
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -123,7 +123,7 @@
 	case q.head <- struct{}{}:
 		defer func() { <-q.head }()
 	case <-ctx.Done():
-		return choice{}, lastErr
+		return choice{}, t.queueError(time.Now(), lastErr)
 	case <-ended:
 		return choice{}, lastErr
 	}
@@ -145,13 +145,24 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return choice{}, lastErr
+			return choice{}, t.queueError(time.Now(), lastErr)
 		case <-ended:
 			return choice{}, lastErr
 		}
 	}
 }
 
+// queueError returns the error for a prompt that waited in vain, given the last one. Prompts that wait
+// for throttled engines have the time until the next request there, which all of them would return
+// for.
+func (t *task) queueError(now time.Time, err error) error {
+	if l, ok := asThrottled(err); ok {
+		return t.refuseThrottled(now, l, len(t.g.waitQueue.waiting))
+	}
+
+	return err
+}
+
 // maxMemoryShare is the share of an engine's memory up to which prompts are sent: the rest is
 // for tokens that running requests still generate.
 const maxMemoryShare = 0.95
