roster: use a target again that was restarted under its id

A target whose load reports said that it leaves, and that was restarted under the same id, stayed excluded until something else changed the list: the restart cleared the report, so that the next one was no change. The case added to TestTargetThatSaidItLeavesIsNoCandidate failed before.

--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -44,6 +44,7 @@
 		{"restarted under the same id", []func(*Roster){lists(1000), says, lists(2000)}, true},
 		{"said in a load report", []func(*Roster){reports(true, 0)}, false},
 		{"said in the load report of a target that is gone", []func(*Roster){reports(true, 0), reports(false, 0)}, true},
+		{"restarted after a load report that says so", []func(*Roster){reports(true, 1000), reports(false, 2000)}, true},
 		{"announced", []func(*Roster){announced(0)}, false},
 		{"announced of an earlier start", []func(*Roster){lists(2000), announced(1000)}, true},
 	}
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -33,10 +33,8 @@
 	e.report, e.reportedAt, e.sentSince = e.report.AfterRestart(), time.Time{}, Sent{}
 	e.liveness = liveness{}
 	e.rateLimit, e.retryAt = rateLimit{}, time.Time{}
-
-	if e.saidLeaving {
-		e.saidLeaving, r.listChanged = false, true
-	}
+	e.saidLeaving = false
+	r.listChanged = true // it may have been leaving
 
 	e.slowStart.assumeCold(now, r.slowStartLimit(service))
 
