roster: compute rollout slots from the register alone again

A target's rank there decides when its window to load weights begins, and loaders and entries have to agree on it without talking: they do as long as all go by the register. What a target says is known to some of them earlier than to others.

--- a/roster/holding.go
+++ b/roster/holding.go
@@ -28,7 +28,7 @@
 
 	for id, e := range r.engines {
 		l := &e.listing
-		if v := e.versions[model]; v > 0 && !e.leaving() && r.currentRegistration(l.Address).id == id {
+		if v := e.versions[model]; v > 0 && !l.Draining && r.currentRegistration(l.Address).id == id {
 			all = append(all, Holding{
 				ID: id, Address: l.Address, Version: v, Loading: now.Before(e.loadingUntil),
 				NoSideProcess: !r.reporting[l.Address] && !e.subscribedAt.IsZero() && now.Sub(e.subscribedAt) >= noSideProcessAfter,
