--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -53,6 +53,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			r := newTestRoster()
 			for _, step := range tt.steps {
+				candidatesByID(r, at(5)) // what is known so far is in use
 				step(r)
 			}
 
