roster: entries that don't know each other take different slots

An entry that knows fewer entries than share the limit now takes its place by a hash of its name and the target. TestEntriesThatDoNotKnowEachOtherDoNotShareASlot fails before (13 where 11.0 are allowed) and passes.

--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"boragehub/event"
 	"boragehub/quota"
 )
@@ -140,7 +142,7 @@
 }
 
 // shareOfLimit returns the number of entries that share a target's limit, and this process's
-// position among them as a fraction. The caller holds mu.
+// position among them as a fraction: evenly spaced by rank or, if it may not know them all, by hash. The caller holds mu.
 func (r *Roster) shareOfLimit(now time.Time, address string) (entries int, phase float64) {
 	if r.cfg.Entries == nil {
 		return 1, 0
@@ -151,9 +153,12 @@
 		entries = max(entries, minEntries)
 	}
 
-	rank := r.cfg.Entries.Rank(now, address)
+	if r.cfg.Entries.Size(now) < entries {
+		// Entries that don't know the others would all have the first rank.
+		return entries, float64(xxhash.Sum64String(r.cfg.Self+"|"+address)>>11) / (1 << 53)
+	}
 
-	return entries, float64(min(rank, entries-1)) / float64(entries)
+	return entries, float64(r.cfg.Entries.Rank(now, address)) / float64(entries)
 }
 
 // tickRateLimits updates the shares of the targets' limits and returns the limits to announce to
