--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -10,9 +10,9 @@
 	"boragehub/vm"
 )
 
-// A target with a side process is asked for less there: all entries' requests pass the side process,
-// which keeps to the target's limits and tells a refused entry when to return. Only targets without
-// one are limited here.
+// Requests of all entries to a target pass its side process, which keeps to the target's limits and
+// tells a refused entry when to return. Only for targets without one does the entry itself keep to
+// them.
 
 // observeThrottled records that a target's side process refused a request because of a limit of the
 // target.
--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -142,7 +142,8 @@
 }
 
 // shareOfLimit returns the number of entries that share a target's limit, and this process's
-// position among them as a fraction: evenly spaced by rank or, if it may not know them all, by hash. The caller holds mu.
+// position among them as a fraction: evenly spaced by rank or, if it may not know them all, by
+// hash. The caller holds mu.
 func (r *Roster) shareOfLimit(now time.Time, address string) (entries int, phase float64) {
 	if r.cfg.Entries == nil {
 		return 1, 0
