gateway: keep the queue for throttled engines short enough to be on time

Prompts waited for rate limited or refusing engines for as long as their latency target. The time to the first event comes on top, so when demand exceeds the limits, the queue is always full and every response is late, while the engines take no more requests than with a short queue. A prompt now waits only if it gets its slot within half of the target, and is refused at once otherwise, with the time at which its slot comes; a stream that has started waits as before.

--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -91,6 +91,21 @@
 	return defaultMaxWait
 }
 
+// throttledWaitShare is the part of its latency target that a prompt may wait for throttled engines.
+const throttledWaitShare = 0.5
+
+// mayQueueFor reports whether the prompt may wait for throttled engines behind others. These take the
+// same number of requests however many wait, so a long queue serves no more prompts and makes all
+// of them late: the time to their first event comes on top of the wait.
+func (t *task) mayQueueFor(l throttled, ahead int) bool {
+	most := t.maxWait()
+	if !t.stream.started {
+		most = time.Duration(throttledWaitShare * float64(most))
+	}
+
+	return l.waitBehind(ahead) <= most
+}
+
 // awaitCapacity waits until an engine has capacity and returns that choice. It returns the last
 // error that wraps errNoCapacity, lastErr at first, if the wait is too long or a planned stop ends.
 func (t *task) awaitCapacity(ctx context.Context, lastErr error) (choice, error) {
@@ -101,7 +116,7 @@
 		return choice{}, lastErr
 	}
 
-	if l, ok := asThrottled(lastErr); ok && l.waitBehind(len(q.waiting)) > t.maxWait() {
+	if l, ok := asThrottled(lastErr); ok && !t.mayQueueFor(l, len(q.waiting)) {
 		return choice{}, t.refuseThrottled(began, l, len(q.waiting))
 	}
 
