--- a/roster/rate_limit.go
+++ b/roster/rate_limit.go
@@ -28,9 +28,6 @@
 	// minEntries is the least number of entries assumed to share a limit while this process may
 	// not know the others yet.
 	minEntries = 8
-	// departedMemory is how long it is remembered what targets that left the register had asked for.
-	// A target that is alive is listed again within seconds after an outage of the log.
-	departedMemory = time.Minute
 )
 
 // RateLimit is a limit that a target names on the requests that it takes from all entries
@@ -49,20 +46,6 @@
 	announced float64   // limit that all entries were last told
 }
 
-// departed is what a target that left the register had asked for.
-type departed struct {
-	limit       rateLimit
-	retryAt     time.Time
-	saidLeaving bool
-	startedMs   int64
-	at          time.Time
-}
-
-// depart returns what is remembered of a target that leaves the register.
-func (e *engine) depart(now time.Time) departed {
-	return departed{limit: e.rateLimit, retryAt: e.retryAt, saidLeaving: e.saidLeaving, startedMs: e.startedMs, at: now}
-}
-
 // sharingEntries is the number of entries that share a limit.
 type sharingEntries struct {
 	most   int       // largest number of live entries
@@ -172,12 +155,6 @@
 		r.sharing.observe(now, r.liveEntries)
 	}
 
-	for id, d := range r.departed {
-		if now.Sub(d.at) > departedMemory {
-			delete(r.departed, id)
-		}
-	}
-
 	var announce []RateLimit
 
 	for id, e := range r.engines {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -383,6 +383,8 @@
 		r.liveEntries = r.cfg.Entries.Size(now)
 	}
 
+	r.forgetDeparted(now)
+
 	limits := r.tickRateLimits(now)
 
 	if r.logUnavailable {
