--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -75,6 +75,8 @@
 		Restarted:  func(id string) { e.gateway.TargetRestarted(id) },
 		SlowStart:  func(service string) slowstart.Limit { return e.gateway.SlowStart(service) },
 		Entries:    members,
+		Contention: cfg.Contention, MemoryPressure: cfg.MemoryPressure,
+		HasEngines: func(service string) bool { return e.gateway.HasEngines(service) },
 		RateLimitChanged: func(l roster.RateLimit) {
 			go e.client.AnnounceRateLimit(context.Background(), exchange.RateLimitAnnouncement{Target: l.ID, Limit: l.Limit})
 		},
--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -13,6 +13,7 @@
 
 	"boragehub/event/output"
 	"boragehub/platform"
+	"boragehub/roster"
 )
 
 // Times of the processes on the users' platform.
@@ -100,12 +101,14 @@
 		{"loader", "Runs the side process of an engine, which loads the published weight version.", runLoader},
 	} {
 		file := os.Getenv(platform.SettingsVariable)
+		contention := roster.ContentionAuto.String()
 		sub := flaggy.NewSubcommand(r.name)
 		sub.Description = r.description
 		sub.String(&file, "s", "settings", "the platform's settings file (JSON)")
+		sub.String(&contention, "c", "contention", "which services count as contended: auto, on or off")
 		flaggy.AttachSubcommand(sub, 1)
 		commands = append(commands, command{sub, func() int {
-			cfg, err := platform.LoadSettings(file)
+			cfg, err := loadPlatformSettings(file, contention)
 			if err != nil {
 				return exitStatus(err)
 			}
@@ -117,6 +120,19 @@
 	return commands
 }
 
+// loadPlatformSettings reads the settings file and applies the command line to it.
+func loadPlatformSettings(file, contention string) (platform.Settings, error) {
+	mode, err := roster.ParseContention(contention)
+	if err != nil {
+		return platform.Settings{}, err
+	}
+
+	cfg, err := platform.LoadSettings(file)
+	cfg.Contention = mode
+
+	return cfg, err
+}
+
 // newLogger returns a logger that writes to w, which drops lines rather than block.
 func newLogger(cfg platform.Settings, role string, w *output.Writer) logr.Logger {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -101,6 +101,9 @@
 	HasLoad bool
 	// Running, Waiting and Slots are the target's load.
 	Running, Waiting, Slots int
+	// Slowdown is the factor by which work on the target's host takes longer than usual at this
+	// moment; zero if not reported.
+	Slowdown float64
 	// Version is its weight version; zero if not reported.
 	Version int64
 	// RateLimit is how many requests a second the target takes from all entries together; zero
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"boragehub/resident"
+	"boragehub/room"
 )
 
 // Report is a load report of an engine.
@@ -65,6 +66,24 @@
 	RateLimit float64 `cbor:"19,keyasint,omitempty"`
 	// Leaving reports whether the engine says there that it is about to leave.
 	Leaving bool `cbor:"20,keyasint,omitempty"`
+	// Slowdown is how long work takes on the engine's host at this moment, in percent of the usual
+	// time, SlowdownAgeMs the age of that figure; zero when not reported.
+	Slowdown      int   `cbor:"21,keyasint,omitempty"`
+	SlowdownAgeMs int64 `cbor:"22,keyasint,omitempty"`
+	// Speed is the time that prefill takes on this engine in percent of the service's usual time, as
+	// learned by the entries; zero when unknown.
+	Speed int `cbor:"23,keyasint,omitempty"`
+	// Backlog is the number of tokens that the engine still has to prefill for leased prompts,
+	// Leased the number of memory tokens of all leases and Leases the number of leased prompts that
+	// have not started.
+	Backlog int `cbor:"24,keyasint,omitempty"`
+	Leased  int `cbor:"25,keyasint,omitempty"`
+	Leases  int `cbor:"26,keyasint,omitempty"`
+	// StateSequence increases by one each time the engine is queried. Two reports with the same
+	// number differ only in what the side process itself knows. Zero means a new query each time.
+	StateSequence uint64 `cbor:"27,keyasint,omitempty"`
+	// Grants are the replies to claims of the receiving entry.
+	Grants []room.Grant `cbor:"28,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
 	// Interval is the time between two load reports that the listener asked for.
@@ -81,6 +100,21 @@
 	IntervalMs int64 `cbor:"1,keyasint,omitempty"`
 	// Demand is the rate of prompts at the entry, per second.
 	Demand int `cbor:"2,keyasint,omitempty"`
+	// Slowdown is the slowdown of the engine's host that its last response reported, in percent;
+	// zero for none.
+	Slowdown int `cbor:"3,keyasint,omitempty"`
+	// Speed is the time that prefill takes on the engine in percent of the service's usual time, as
+	// learned by this entry from SpeedSamples prompts.
+	Speed        int `cbor:"4,keyasint,omitempty"`
+	SpeedSamples int `cbor:"5,keyasint,omitempty"`
+	// Utilisation is the part of the prefill capacity of the service's engines in use, in percent;
+	// zero when unknown.
+	Utilisation int `cbor:"6,keyasint,omitempty"`
+	// Claims are claims of room. Started are the claims whose prompt has been prefilled, Done those
+	// whose request has ended.
+	Claims  []room.Claim `cbor:"7,keyasint,omitempty"`
+	Started []uint64     `cbor:"8,keyasint,omitempty"`
+	Done    []uint64     `cbor:"9,keyasint,omitempty"`
 }
 
 // Has reports whether the engine's KV cache holds at least that many tokens of the part
--- /dev/null
+++ b/roster/contention.go
@@ -0,0 +1,57 @@
+package roster
+
+import "fmt"
+
+// Contention says which services are contended: requests compete there for the room at targets, or
+// for the hosts of targets, and further decisions apply.
+type Contention uint8
+
+// The values of Contention.
+const (
+	// ContentionAuto means that a service is contended if a target of it reports the slowdown of
+	// its host, or if it has engines under Config.MemoryPressure.
+	ContentionAuto Contention = iota
+	// ContentionOn means that all services are contended, ContentionOff that none is.
+	ContentionOn
+	ContentionOff
+)
+
+var contentionNames = [...]string{"auto", "on", "off"}
+
+// String returns the name of c: auto, on or off.
+func (c Contention) String() string { return contentionNames[min(int(c), len(contentionNames)-1)] }
+
+// ParseContention returns the value with a name. The empty name stands for auto.
+func ParseContention(name string) (Contention, error) {
+	if name == "" {
+		return ContentionAuto, nil
+	}
+
+	for i, n := range contentionNames {
+		if n == name {
+			return Contention(i), nil
+		}
+	}
+
+	return ContentionAuto, fmt.Errorf("contention %q is none of auto, on, off", name)
+}
+
+// Contended reports whether a service is contended.
+func (r *Roster) Contended(service string) bool {
+	switch r.cfg.Contention {
+	case ContentionOn:
+		return true
+	case ContentionOff:
+		return false
+	case ContentionAuto:
+	}
+
+	if r.cfg.MemoryPressure && r.cfg.HasEngines != nil && r.cfg.HasEngines(service) {
+		return true
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.contended[service]
+}
--- a/roster/report.go
+++ b/roster/report.go
@@ -46,6 +46,11 @@
 	r.applyReportedRateLimit(now, id, e, p.RateLimit)
 	r.applyReportedLeaving(id, e, p.Leaving)
 	e.report, e.sentSince = p, Sent{}
+
+	if p.Slowdown > 0 {
+		r.contended[e.listing.Service] = true
+	}
+
 	e.slowStart.observeReport(now, p)
 	r.raiseVersion(id, e, p.Model, p.Version, "pulse")
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -109,6 +109,13 @@
 	// Restarted is called when a target has restarted under the same id, possibly from
 	// several goroutines; may be nil.
 	Restarted func(id string)
+	// Contention says which services are contended, MemoryPressure that those are which
+	// HasEngines returns true for.
+	Contention     Contention
+	MemoryPressure bool
+	// HasEngines reports whether a service consists of model engines; required with
+	// MemoryPressure.
+	HasEngines func(service string) bool
 	// Log receives a line for each change.
 	Log logr.Logger
 }
@@ -152,6 +159,8 @@
 	// Wait is the time until this process may send the target a request, because of its rate
 	// limit or as it refused with Retry-After; zero when it may now. Throttled is set with it.
 	Wait time.Duration
+	// Slowdown is the factor by which work on the target takes longer than usual; 1 when unknown.
+	Slowdown float64
 }
 
 // Entries ranks the live entries.
@@ -210,7 +219,8 @@
 	departed          map[string]departed // targets that left the register lately, by id
 	// leavingUnannounced are the targets whose leaving the other entries are yet to be told of.
 	leavingUnannounced []Leaving
-	tickedAt           time.Time // when Tick was last called
+	tickedAt           time.Time       // when Tick was last called
+	contended          map[string]bool // services with a target that reported a slowdown
 }
 
 // registration is a target's entry in the register at one address.
@@ -251,6 +261,7 @@
 		reporting:     make(map[string]bool),
 		evacuated:     make(map[string]bool),
 		departed:      make(map[string]departed),
+		contended:     make(map[string]bool),
 	}
 }
 
@@ -479,6 +490,7 @@
 	loads := time.Duration(e.report.LoadInMs) * time.Millisecond
 
 	return Engine{
+		Slowdown:      1,
 		LoadScheduled: loads > 0, LoadIn: max(loads-age, 0),
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loadingUntil),
--- a/route/call.go
+++ b/route/call.go
@@ -25,6 +25,8 @@
 	CallTime time.Duration
 	// MaxConcurrent is the number of calls that the target runs concurrently; 1 when zero.
 	MaxConcurrent int
+	// Slowdown is the factor by which work on the target takes longer than usual; 1 when zero.
+	Slowdown float64
 }
 
 // DecideCall returns the target for a call of a plain service: the one with the
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -63,6 +63,12 @@
 	// Overrun is by how much the prompt is expected to run past the time at which the
 	// engine is to load new weights.
 	Overrun time.Duration
+	// Slowdown is the factor by which work on the engine takes longer than usual; 1 when zero.
+	Slowdown float64
+	// HasBacklog says that Backlog and Leases are known. Backlog is the number of tokens that the
+	// engine still has to prefill for the long prompts of all entries, and Leases is their number.
+	HasBacklog      bool
+	Backlog, Leases int
 }
 
 // PrefixConfig holds the measured properties of the engines and of recent prompts.
