pulse: send a subscription outside its interval

Cause: claims and figures from responses can't wait for the next subscription. Change: Listener.Notify, which the parts of docs/design/contention.md share. Measured: tests of the package pass.

--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -34,6 +34,7 @@
 	conn     *net.UDPConn
 	latest   map[string]Report
 	interval atomic.Int64 // requested report interval in ns
+	demand   atomic.Int64 // last reported demand per second
 }
 
 // Listen returns a Listener that is bound to cfg.Address.
@@ -107,16 +108,11 @@
 			}
 		}
 
+		l.demand.Store(int64(s.Demand))
 		body := encodeSubscription(s)
 
 		for _, engine := range engines {
-			host, _, err := net.SplitHostPort(engine)
-			if err != nil {
-				continue
-			}
-
-			//nolint:errcheck,gosec // a lost subscription is renewed
-			l.conn.WriteToUDP(body, &net.UDPAddr{IP: net.ParseIP(host), Port: l.cfg.Port})
+			l.send(engine, body)
 		}
 
 		if len(engines) == 0 {
@@ -130,6 +126,24 @@
 	}
 }
 
+// Notify sends a subscription with further fields to the side process of an engine at once. It sets
+// the interval and the demand.
+func (l *Listener) Notify(engine string, s Subscription) {
+	s.IntervalMs, s.Demand = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load())
+	l.send(engine, encodeSubscription(s))
+}
+
+// send sends a datagram to the side process of an engine.
+func (l *Listener) send(engine string, body []byte) {
+	host, _, err := net.SplitHostPort(engine)
+	if err != nil {
+		return
+	}
+
+	//nolint:errcheck,gosec // a lost subscription is renewed
+	l.conn.WriteToUDP(body, &net.UDPAddr{IP: net.ParseIP(host), Port: l.cfg.Port})
+}
+
 // encodeSubscription returns the CBOR encoding of a subscription.
 func encodeSubscription(s Subscription) []byte {
 	body, err := cbor.Marshal(s)
