pulse, roster: send the utilisation of a contended service's engines

Cause: loaders can't tell whether engines keep up with their prompts, and load new weights at a peak as fast as at any other time. Change: an entry counts the load reports of each service's engines in which a request is in prefill, over 3 s, and sends the share in percent with each subscription to an engine of a contended service, zero if it is unknown. The reporter offers the median of its live subscribers' figures, without zeros and invalid ones.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -313,7 +313,7 @@
 
 	reports, err := pulse.Listen(pulse.ListenerConfig{
 		Address: cfg.InternalAddress(reportPortOffset), Port: cfg.FirstInternalPort + reportPortOffset,
-		Engines: e.subscriptions, OnReport: e.onReport, Demand: e.demand(),
+		Engines: e.subscriptions, OnReport: e.onReport, Demand: e.demand(), Utilisation: e.roster.Utilisation,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "cannot bind address %q for load reports", cfg.InternalAddress(reportPortOffset))
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -23,6 +23,9 @@
 	// Demand returns the rate of prompts at this process, per second, and whether engines
 	// currently divide their permits by it; nil reports no demand.
 	Demand func(now time.Time) (perSecond int, shared bool)
+	// Utilisation returns the part of the prefill capacity in use in the service of the engine at
+	// an address, in percent, zero when unknown; nil reports none.
+	Utilisation func(now time.Time, engine string) int
 	// OnReport is called with each load report, per engine in the order of sending, from one
 	// goroutine.
 	OnReport func(now time.Time, p Report)
@@ -35,6 +38,8 @@
 	latest   map[string]Report
 	interval atomic.Int64 // requested report interval in ns
 	demand   atomic.Int64 // last reported demand per second
+
+	utilisations sentUtilisations
 }
 
 // Listen returns a Listener that is bound to cfg.Address.
@@ -109,9 +114,15 @@
 		}
 
 		l.demand.Store(int64(s.Demand))
+		utilisations := l.measureUtilisations(time.Now(), engines)
 		body := encodeSubscription(s)
 
 		for _, engine := range engines {
+			if u := utilisations[engine]; u != s.Utilisation {
+				s.Utilisation = u
+				body = encodeSubscription(s)
+			}
+
 			l.send(engine, body)
 		}
 
@@ -127,9 +138,10 @@
 }
 
 // Notify sends a subscription with further fields to the side process of an engine at once. It sets
-// the interval and the demand.
+// the interval, the demand and the utilisation.
 func (l *Listener) Notify(engine string, s Subscription) {
 	s.IntervalMs, s.Demand = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load())
+	s.Utilisation = l.utilisations.get(engine)
 	l.send(engine, encodeSubscription(s))
 }
 
--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -54,6 +54,8 @@
 	interval  time.Duration
 	demand    int       // rate of prompts at the entry, per second
 	dueAt     time.Time // when its next load report is due
+
+	utilisation reportedUtilisation
 }
 
 // NewReporter returns a Reporter that is bound to cfg.Address.
@@ -190,6 +192,7 @@
 	}
 
 	old.address, old.expiresAt, old.interval, old.demand = from, now.Add(subscriptionTTL), time.Duration(s.IntervalMs)*time.Millisecond, s.Demand
+	old.utilisation = newReportedUtilisation(now, s.Utilisation)
 	r.subscribers[from.String()] = old
 }
 
--- a/roster/report.go
+++ b/roster/report.go
@@ -45,6 +45,7 @@
 	r.lastSeen = now
 	r.applyReportedRateLimit(now, id, e, p.RateLimit)
 	r.applyReportedLeaving(id, e, p.Leaving)
+	r.observeUtilisation(now, e, p)
 	e.report, e.sentSince = p, Sent{}
 
 	if p.Slowdown > 0 {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -219,8 +219,9 @@
 	departed          map[string]departed // targets that left the register lately, by id
 	// leavingUnannounced are the targets whose leaving the other entries are yet to be told of.
 	leavingUnannounced []Leaving
-	tickedAt           time.Time       // when Tick was last called
-	contended          map[string]bool // services with a target that reported a slowdown
+	tickedAt           time.Time               // when Tick was last called
+	contended          map[string]bool         // services with a target that reported a slowdown
+	utilisations       map[string]*utilisation // by service
 }
 
 // registration is a target's entry in the register at one address.
@@ -262,6 +263,7 @@
 		evacuated:     make(map[string]bool),
 		departed:      make(map[string]departed),
 		contended:     make(map[string]bool),
+		utilisations:  make(map[string]*utilisation),
 	}
 }
 
