loader: load weights more slowly while engines are short of capacity

Cause: all contexts are prefilled again after a load. At a peak the engines fall behind, and prompts that share nothing with the rollout are late. Change: the interval between rollout slots grows from a utilisation of 0.5 to 0.9, where all engines have the version within 0.6 of the time allowed; it never falls below the usual one. Without a figure, for versions published before the start and in the standby, nothing changes: entries with different figures would have overlapping ordering windows for one engine. turn_planned names the figure, its age and the interval.

--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -15,6 +15,7 @@
 	"boragehub/platform"
 	"boragehub/pulse"
 	"boragehub/resident"
+	"boragehub/roster"
 	"boragehub/site"
 	"boragehub/slowstart"
 )
@@ -38,9 +39,18 @@
 	platformClient := platform.NewClient()
 	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
 
+	var reporter *pulse.Reporter // set before the loader runs
+
 	l := loader.New(loader.Config{
 		Address: cfg.EngineAddress, Holder: cfg.VM, Engine: platformClient, Rollout: loader.RolloutConfig{MaxDuration: cfg.Bounds.VersionDeadline},
 		Register: platform.Siblings{Log: source, Service: cfg.Service}, Entries: client, Log: log,
+		Utilisation: func(now time.Time) (float64, time.Duration) {
+			if cfg.Contention == roster.ContentionOff {
+				return 0, 0
+			}
+
+			return reporter.Utilisation(now)
+		},
 	})
 
 	guard := slowstart.NewGuard(slowstart.Limit{}, uint64(time.Now().UnixNano()))
@@ -73,7 +83,9 @@
 
 	partsFollower := resident.NewFollower(resident.Config{Address: cfg.EngineAddress, Source: platformClient})
 
-	reporter, err := pulse.NewReporter(pulse.ReporterConfig{
+	var err error
+
+	reporter, err = pulse.NewReporter(pulse.ReporterConfig{
 		Address: cfg.InternalAddress(reportPortOffset), Engine: platformClient, EngineAddress: cfg.EngineAddress, Resident: partsFollower.Parts, SlowStart: guard, Restarted: partsFollower.Reset, LoadIn: l.LoadIn,
 	})
 	if err != nil {
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -37,7 +37,7 @@
 
 // Events of a loader that loads a weight version into its engine.
 var (
-	TurnPlanned    = register(2400, "turn_planned", "This engine's rollout slot for a weight version: `model`, `version`, `rank`, `of`, `wait_ms`.")
+	TurnPlanned    = register(2400, "turn_planned", "This engine's rollout slot for a weight version: `model`, `version`, `rank`, `of`, `wait_ms`, `utilisation` (0 to 1, 0 when unknown or not used), `utilisation_age_ms`, `interval_ms`.")
 	VersionOrdered = register(2401, "version_ordered", "An order was sent to the engine: `version`, `fence`, `expected`, `status`.")
 	VersionLoaded  = register(2402, "version_loaded", "The engine has loaded a weight version: `version`, `after_ms`.")
 	EngineSilent   = register(2403, "engine_silent", "The engine of this side process is unresponsive.")
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -120,6 +120,9 @@
 	Engine   Engine
 	Register Register
 	Entries  Entries
+	// Utilisation returns the part of the engines' prefill capacity that is in use, from 0 to 1, and
+	// the age of that figure; zero when unknown. Nil means that it is never known.
+	Utilisation func(now time.Time) (share float64, age time.Duration)
 	// Log receives an event for each step.
 	Log logr.Logger
 }
@@ -251,16 +254,25 @@
 	cancel()
 
 	if err != nil {
-		event.Fail(l.cfg.Log, err, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", 0, "of", 0, "wait_ms", 0)
+		event.Fail(l.cfg.Log, err, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", 0, "of", 0, "wait_ms", 0,
+			"utilisation", 0, "utilisation_age_ms", 0, "interval_ms", 0)
 	}
 
 	cfg := l.cfg.Rollout
+
+	var utilisationAge time.Duration
+
+	if l.cfg.Utilisation != nil {
+		cfg.Utilisation, utilisationAge = l.cfg.Utilisation(time.Now())
+	}
+
 	if n.PublishedBeforeStart {
 		cfg = cfg.expedited()
 	}
 
 	slot := AssignSlot(cfg, self, n.Version, siblings)
-	event.Log(l.cfg.Log, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", slot.Rank, "of", slot.Of, "wait_ms", slot.Wait.Milliseconds())
+	event.Log(l.cfg.Log, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", slot.Rank, "of", slot.Of, "wait_ms", slot.Wait.Milliseconds(),
+		"utilisation", cfg.Utilisation, "utilisation_age_ms", utilisationAge.Milliseconds(), "interval_ms", slot.Interval.Milliseconds())
 
 	at := time.Now().Add(slot.Wait)
 	l.slotStart.Store(&at)
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -277,13 +277,13 @@
 }
 
 // All side processes were killed after new weights were published. The time left is
-// unknown, so the slots follow each other quickly.
+// unknown, so the slots follow each other quickly, at any load.
 func TestVersionPublishedBeforeStartIsExpedited(t *testing.T) {
 	all := siblings(55, 1)
 	last := time.Duration(0)
 
 	for _, s := range all {
-		last = max(last, AssignSlot(RolloutConfig{MaxDuration: 10 * time.Second}.expedited(), s.ID, 2, all).Wait)
+		last = max(last, AssignSlot(RolloutConfig{MaxDuration: 15 * time.Second, Utilisation: 1}.expedited(), s.ID, 2, all).Wait)
 	}
 
 	if want := expeditedDuration - expectedLoadTime + time.Millisecond; last > want {
--- a/loader/rollout.go
+++ b/loader/rollout.go
@@ -31,6 +31,9 @@
 	MaxInterval time.Duration
 	// MaxDuration is the time within which all engines must have the version: 8 s when zero.
 	MaxDuration time.Duration
+	// Utilisation is the part of the engines' prefill capacity that is in use, from 0 to 1; zero
+	// when unknown.
+	Utilisation float64
 }
 
 // expectedLoadTime is the usual upper bound of a load's duration, including the requests
@@ -66,17 +69,45 @@
 func (c RolloutConfig) expedited() RolloutConfig {
 	c.InitialDelay = time.Millisecond
 	c.MaxDuration = expeditedDuration
+	c.Utilisation = 0
 
 	return c
 }
 
+// Pace at high load. After a load all contexts are prefilled again, and engines whose capacity is
+// in use already fall behind. Callers lose less by responses on replaced weights than by late ones.
+const (
+	// slowFromUtilisation is the utilisation from which the interval grows, slowestUtilisation that
+	// at which it reaches its bound.
+	slowFromUtilisation = 0.5
+	slowestUtilisation  = 0.9
+	// slowedDurationShare is the part of MaxDuration within which all engines have the version at
+	// the slowest pace. The rest is left for lost orders and overdue loads.
+	slowedDurationShare = 0.6
+)
+
 // interval returns the time from the start of one slot to the next.
 func (c RolloutConfig) interval(slots int) time.Duration {
 	if slots < 2 {
 		return c.MaxInterval
 	}
 
-	return max(min(c.MaxInterval, (c.MaxDuration-c.InitialDelay-expectedLoadTime)/time.Duration(slots-1)), 0)
+	usual := max(min(c.MaxInterval, c.latestInterval(c.MaxDuration, slots)), 0)
+	// Where the usual interval is beyond the bound already, the pace stays the same at any load.
+	slowest := max(c.latestInterval(time.Duration(slowedDurationShare*float64(c.MaxDuration)), slots), usual)
+
+	slowed := 0.0
+	if c.Utilisation > slowFromUtilisation {
+		slowed = min((c.Utilisation-slowFromUtilisation)/(slowestUtilisation-slowFromUtilisation), 1)
+	}
+
+	return usual + time.Duration(slowed*float64(slowest-usual))
+}
+
+// latestInterval returns the longest interval at which all engines have the version within a
+// duration.
+func (c RolloutConfig) latestInterval(within time.Duration, slots int) time.Duration {
+	return (within - c.InitialDelay - expectedLoadTime) / time.Duration(slots-1)
 }
 
 // RolloutSlot is the time at which an engine loads a version. Several engines share a slot.
@@ -86,6 +117,8 @@
 	Rank, Of int
 	// Wait is the time until the slot starts.
 	Wait time.Duration
+	// Interval is the time from the start of one slot to the next.
+	Interval time.Duration
 }
 
 // AssignSlot returns the slot in which the engine self loads a version; an engine that
@@ -124,7 +157,8 @@
 	}
 
 	slots := (slot.Of + concurrent - 1) / concurrent
-	slot.Wait = cfg.InitialDelay + time.Duration(slot.Rank/concurrent)*cfg.interval(slots)
+	slot.Interval = cfg.interval(slots)
+	slot.Wait = cfg.InitialDelay + time.Duration(slot.Rank/concurrent)*slot.Interval
 
 	return slot
 }
--- a/loader/standby.go
+++ b/loader/standby.go
@@ -40,7 +40,9 @@
 type StandbyConfig struct {
 	// Holder is the VM of this process.
 	Holder string
-	// Rollout configures the rollout slots; it must equal that of the loaders.
+	// Rollout configures the rollout slots; it must equal that of the loaders. Utilisation is
+	// ignored: it differs from entry to entry, and entries with different slots for an engine
+	// would have overlapping ordering windows.
 	Rollout RolloutConfig
 	// Engine, Entries, Fleet and Ring are the interfaces to the other processes.
 	Engine  Engine
@@ -92,6 +94,8 @@
 
 // NewStandby returns a Standby; Run starts it.
 func NewStandby(cfg StandbyConfig) *Standby {
+	cfg.Rollout.Utilisation = 0
+
 	return &Standby{
 		cfg: cfg, updates: make(chan DesiredVersion, updateQueueSize), rollouts: make(map[string]*rollout), inProgress: make(map[string]struct{}),
 	}
--- a/loader/stateful_test.go
+++ b/loader/stateful_test.go
@@ -22,11 +22,12 @@
 	publications []publication
 }
 
-// engineScenario describes one engine: whether it has a loader, and how many of its first
-// orders get no reply and are carried out seconds late.
+// engineScenario describes one engine: whether it has a loader, how many of its first orders get no
+// reply and are carried out seconds late, and the utilisation in percent that its loader knows.
 type engineScenario struct {
-	loader  bool
-	delayed int
+	loader      bool
+	delayed     int
+	utilisation int
 }
 
 // publication is one version that operators publish.
@@ -44,7 +45,7 @@
 	s := scenario{entries: rapid.IntRange(1, 3).Draw(r, "entries")}
 
 	for range rapid.IntRange(1, 4).Draw(r, "engines") {
-		s.engines = append(s.engines, engineScenario{rapid.Bool().Draw(r, "loader"), rapid.IntRange(0, 2).Draw(r, "late")})
+		s.engines = append(s.engines, engineScenario{rapid.Bool().Draw(r, "loader"), rapid.IntRange(0, 2).Draw(r, "late"), rapid.IntRange(0, 100).Draw(r, "utilisation")})
 	}
 
 	for range rapid.IntRange(1, 3).Draw(r, "versions") {
@@ -61,7 +62,7 @@
 
 // Loaders order their engines, and entries those without one, while entries are cut off from
 // published versions, orders are delayed or get no reply, engines restart, and versions follow
-// each other quickly. No engine may ever load an older version than it had, two holders may
+// each other quickly, at any load. No engine may ever load an older version than it had, two holders may
 // not use the same fencing number, nor may a lower number follow a higher one, and each engine
 // must have the newest version in the end, if the process that may order it knows of it.
 func TestConcurrentHoldersNeverDowngrade(t *testing.T) {
@@ -94,7 +95,11 @@
 		if x.loader {
 			f.hasLoader[id] = true
 
-			l := New(Config{Address: id, Holder: "vm " + id, Engine: f, Register: engineRegister{f, id}, Entries: &fakeEntries{}, Log: logr.Discard()})
+			l := New(Config{
+				Address: id, Holder: "vm " + id, Engine: f, Register: engineRegister{f, id}, Entries: &fakeEntries{}, Log: logr.Discard(),
+				Rollout:     RolloutConfig{MaxDuration: 15 * time.Second},
+				Utilisation: func(time.Time) (float64, time.Duration) { return float64(x.utilisation) / 100, 0 },
+			})
 			go l.Run(ctx)
 
 			receivers = append(receivers, l.SetDesired)
