gateway: bound what is held for callers that read slowly

Cause: a test with callers that read nothing shows two faults. A response that isn't a stream was held, up to 16 MiB each, for as long as the caller kept its connection open. A stream was not read from its engine while its caller didn't read; when the engine cut it off, that counted as the engine's failure and as a suspected crash, and the request ran again at another engine. Change: a response is written in parts, each within 5 s; beyond 256 MiB of unread responses, the connection of the caller without progress for the longest time is broken. While a write to a stream's caller blocks, the stream is read ahead, up to 256 KiB, 32 MiB for all streams. A stream that breaks after it remained unread for 1 s or more counts as broken by its caller. caller_left names the cause.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -16,7 +16,7 @@
 	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`.")
 	RequestGivenUp      = register(2302, "request_given_up", "A request got an error from this entry: `request_id`, `route`, `kind`, `status`, `retry_after_ms`, `ran`, `attempts`.")
 	AttemptFailed       = register(2303, "attempt_failed", "An attempt did not yield a complete response: `request_id`, `target`, `attempt`, `outcome`, `ran`, `retry_after_ms` (for how long the target wants nothing from this entry).")
-	CallerLeft          = register(2304, "caller_left", "A caller closed its connection before the response was complete; the target's work was cancelled.")
+	CallerLeft          = register(2304, "caller_left", "A caller closed its connection before the response was complete, or did not read it in time (`cause`); the target's work was cancelled.")
 	StreamResumed       = register(2305, "stream_resumed", "A stream continues on another target: `request_id`, `target`, `after_id`.")
 	RoomAwaited         = register(2306, "room_awaited", "A long prompt waited for an engine with free capacity: `request_id`, `waited_ms`, `waiting`.")
 	TargetSilent        = register(2307, "target_silent", "A target sent nothing for over a second while others did; the attempts that wait for it are abandoned: `target`, `attempts`.")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,6 +74,8 @@
 	switch {
 	case t.r.Context().Err() != nil:
 		return failure.New(failure.Cancelled, "the caller closed its connection")
+	case errors.Is(o.cause, errSlowReader):
+		return failure.Wrap(failure.Cancelled, o.cause, "the caller did not read the stream")
 	case left <= 0:
 		return t.attemptError(o, failure.Timeout)
 	case t.g.drain.ended():
@@ -309,15 +311,15 @@
 	if t.r.Context().Err() != nil {
 		o.done = true
 
-		t.abortCallerLeft()
+		t.abortCallerLeft(t.r.Context().Err())
 	}
 
 	return o
 }
 
-// abortCallerLeft ends the request of a caller that closed its connection.
-func (t *task) abortCallerLeft() {
-	event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "after_ms", time.Since(t.began).Milliseconds())
+// abortCallerLeft ends the request of a caller that closed its connection or reads nothing.
+func (t *task) abortCallerLeft(cause error) {
+	event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "after_ms", time.Since(t.began).Milliseconds(), "cause", cause.Error())
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 	profiles        serviceProfiles
 
 	throttledCallers throttledCallers
+	slowReaders      slowReaders
 }
 
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -136,8 +136,8 @@
 	t.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	t.w.WriteHeader(a.status)
 
-	if _, err := t.w.Write(a.body); err != nil {
-		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts)
+	if err := t.g.slowReaders.write(t.w, a.body); err != nil {
+		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "cause", err.Error())
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,9 +33,6 @@
 // maxEventBytes limits the size of an incomplete event.
 const maxEventBytes = 1 << 20
 
-// writeTimeout is how long a caller may take to read what it is sent.
-const writeTimeout = 5 * time.Second
-
 var errEventTooLong = errors.New("an event exceeds the size limit")
 
 // streaming reports whether the response is a stream of events.
@@ -62,12 +59,15 @@
 		event.Log(t.g.cfg.Log, event.StreamResumed, "request_id", t.arrival.ID, "target", c.engine.ID, "after_id", t.resumeAfter())
 	}
 
+	reader := newStreamReader(x, &t.g.slowReaders)
+	defer reader.stop(func() { t.inFlight.cancel(errReadStopped) })
+
 	var pending []byte
 
 	buf := make([]byte, readBufferBytes)
 
 	for {
-		n, err := x.Read(buf)
+		n, err := reader.Read(buf)
 		if n > 0 {
 			t.g.cfg.Roster.ObserveAnswer(time.Now(), c.engine.ID)
 		}
@@ -81,8 +81,8 @@
 
 		begins := !t.stream.started
 
-		if werr := t.emit(x, pending[:end]); werr != nil {
-			t.abortCallerLeft()
+		if werr := t.emit(x, reader, pending[:end]); werr != nil {
+			t.abortCallerLeft(werr)
 		}
 
 		if begins && t.stream.started {
@@ -97,6 +97,8 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			return t.finish(c, x)
+		case reader.brokenByCaller(time.Now()):
+			return slowReader()
 		default:
 			return t.failedExchange(ctx, c, err)
 		}
@@ -139,7 +141,7 @@
 }
 
 // emit sends complete events to the caller, without those that it already has.
-func (t *task) emit(x *upstream.Exchange, events []byte) error {
+func (t *task) emit(x *upstream.Exchange, reader *streamReader, events []byte) error {
 	events = t.dropDuplicates(events)
 	if len(events) == 0 {
 		return nil
@@ -155,6 +157,9 @@
 		return err
 	}
 
+	reader.beginWrite()
+	defer reader.endWrite()
+
 	if _, err := t.w.Write(events); err != nil {
 		return err
 	}
