loader, gateway: pace by twice the usual interval, bounds by the VM's memory

The bounds for unread responses are a quarter of the VM's memory, and they hold only where the settings declare memory pressure.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -115,7 +115,7 @@
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
-		HoldUntil: time.Now().Add(startupWindow), Meter: meter, Log: log,
+		HoldUntil: time.Now().Add(startupWindow), UnreadBytes: unreadBytes(cfg), Meter: meter, Log: log,
 	}, operators.SyncedAt, e.registration.RegisteredAt)
 
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,9 @@
 	// the configuration and the targets are known, but not beyond it. If zero, requests are
 	// never held.
 	HoldUntil time.Time
+	// UnreadBytes bounds the memory that responses take which callers read slowly or not at all. If
+	// zero, there is no bound, and a stream whose caller doesn't read isn't read either.
+	UnreadBytes int
 	// Meter counts requests; nil counts nothing.
 	Meter Meter
 	// Log gets a line for each decision.
@@ -113,7 +116,7 @@
 	profiles        serviceProfiles
 
 	throttledCallers throttledCallers
-	slowReaders      slowReaders
+	slowReaders      *slowReaders
 }
 
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
@@ -130,6 +133,7 @@
 		registeredSince: registeredSince,
 		crashes:         newCrashDetector(cfg.Crashes, cfg.ReportCrash, cfg.Log),
 		waitQueue:       newWaitQueue(),
+		slowReaders:     newSlowReaders(cfg.UnreadBytes),
 		drain:           newDrainControl(),
 	}
 	g.startup = newStartupHold(cfg.HoldUntil, func() bool { return g.Ready() || g.stopping.Load() })
--- a/gateway/slow_reader.go
+++ b/gateway/slow_reader.go
@@ -30,12 +30,10 @@
 	// maxReadAhead limits what is read ahead of a stream: a few thousand events, more than most
 	// streams have.
 	maxReadAhead = 256 << 10
-	// maxAllReadAhead limits what is read ahead of all streams; the buffers take up to twice that.
-	// Beyond it, up to readBufferBytes of a stream are read when its caller has read all before.
-	maxAllReadAhead = 32 << 20
-	// maxUndelivered limits the size of all responses above writePart that callers have yet to read.
-	// Beyond it, the connection of the caller without progress for the longest time is broken.
-	maxUndelivered = 256 << 20
+	// readAheadDivisor is the part of Config.UnreadBytes that is read ahead of all streams; the
+	// buffers take up to twice that. Beyond it, up to readBufferBytes of a stream are read when its
+	// caller has read all before.
+	readAheadDivisor = 8
 	// minUnread is how long a stream remained unread because of its caller before a break counts as
 	// the caller's. Engines allow some seconds.
 	minUnread = time.Second
@@ -50,20 +48,34 @@
 // errReadStopped is the error of a readAhead that was stopped.
 var errReadStopped = errors.New("the stream is no longer read")
 
-// slowReaders bounds what an entry holds for callers that read slowly. The zero value holds nothing.
+// slowReaders bounds what an entry holds for callers that read slowly. The zero value reads nothing
+// ahead and sets no bounds.
 type slowReaders struct {
+	// maxReadAhead limits what is read ahead of all streams.
+	maxReadAhead int
+	// maxUndelivered limits the size of all responses above writePart that callers have yet to read.
+	// Beyond it, the connection of the caller without progress for the longest time is broken.
+	maxUndelivered int
+
 	mu          sync.Mutex
 	readAhead   int // bytes read ahead of all streams
 	undelivered int // bytes of all deliveries
 	deliveries  map[*delivery]struct{}
 }
 
+// newSlowReaders returns bounds that take up to unreadBytes of memory.
+func newSlowReaders(unreadBytes int) *slowReaders {
+	ahead := unreadBytes / readAheadDivisor
+
+	return &slowReaders{maxReadAhead: ahead, maxUndelivered: unreadBytes - 2*ahead}
+}
+
 // reserve takes n bytes of the buffer for all streams, if they are free.
 func (s *slowReaders) reserve(n int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if s.readAhead+n > maxAllReadAhead {
+	if s.readAhead+n > s.maxReadAhead {
 		return false
 	}
 
@@ -143,7 +155,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if r.ahead {
+	if r.ahead || r.shared.maxReadAhead == 0 {
 		return
 	}
 
@@ -163,7 +175,7 @@
 
 	r.writingSince = time.Time{}
 
-	if !r.ahead {
+	if !r.ahead && r.timer != nil {
 		r.timer.Stop()
 	}
 }
@@ -306,6 +318,12 @@
 // write writes a complete response to its caller in parts, each of which the caller has to read
 // within writeTimeout.
 func (s *slowReaders) write(w http.ResponseWriter, body []byte) error {
+	if s.maxUndelivered == 0 {
+		_, err := w.Write(body)
+
+		return err
+	}
+
 	d := &delivery{size: len(body), progress: time.Now(), limit: http.NewResponseController(w).SetWriteDeadline}
 	if len(body) > writePart {
 		s.add(d)
@@ -344,7 +362,7 @@
 }
 
 // add adds a delivery, and breaks the connections of callers without progress until all fit into
-// maxUndelivered.
+// s.maxUndelivered.
 func (s *slowReaders) add(d *delivery) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -353,7 +371,7 @@
 		s.deliveries = make(map[*delivery]struct{})
 	}
 
-	excess := s.undelivered + d.size - maxUndelivered
+	excess := s.undelivered + d.size - s.maxUndelivered
 	for o := range s.deliveries {
 		if o.cut {
 			excess -= o.size
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,7 +59,7 @@
 		event.Log(t.g.cfg.Log, event.StreamResumed, "request_id", t.arrival.ID, "target", c.engine.ID, "after_id", t.resumeAfter())
 	}
 
-	reader := newStreamReader(x, &t.g.slowReaders)
+	reader := newStreamReader(x, t.g.slowReaders)
 	defer reader.stop(func() { t.inFlight.cancel(errReadStopped) })
 
 	var pending []byte
--- a/loader/rollout.go
+++ b/loader/rollout.go
@@ -83,7 +83,10 @@
 	slowestUtilisation  = 0.9
 	// slowedDurationShare is the part of MaxDuration within which all engines have the version at
 	// the slowest pace. The rest is left for lost orders and overdue loads.
-	slowedDurationShare = 0.6
+	slowedDurationShare = 0.8
+	// maxSlowdown limits the interval to a multiple of MaxInterval: every engine on replaced weights
+	// loses some of the worth of its responses meanwhile.
+	maxSlowdown = 2
 )
 
 // interval returns the time from the start of one slot to the next.
@@ -94,7 +97,8 @@
 
 	usual := max(min(c.MaxInterval, c.latestInterval(c.MaxDuration, slots)), 0)
 	// Where the usual interval is beyond the bound already, the pace stays the same at any load.
-	slowest := max(c.latestInterval(time.Duration(slowedDurationShare*float64(c.MaxDuration)), slots), usual)
+	latest := c.latestInterval(time.Duration(slowedDurationShare*float64(c.MaxDuration)), slots)
+	slowest := max(min(latest, maxSlowdown*c.MaxInterval), usual)
 
 	slowed := 0.0
 	if c.Utilisation > slowFromUtilisation {
