room: ledger of the leases at an engine

Entries don't know what the others have just sent to an engine, so several of them send it long prompts at once. The process beside the engine can decide for all of them.

The ledger grants a claim if memory, slots and backlog allow it, and repeats its reply to a repeated claim. Prompts granted since the engine's last report count besides the memory that it reports: that report can't include them.

--- a/room/room.go
+++ b/room/room.go
@@ -6,6 +6,18 @@
 // other entries have just sent. The process beside an engine therefore keeps the leases of room at
 // that engine: an entry claims room before it sends a long prompt, and the claim is granted or
 // denied at once.
+//
+// A Ledger grants a claim if the engine has memory and slots for it besides all leases and the
+// requests that it reports, and if no more than the claim accepts is to be prefilled first. A lease
+// counts as backlog until the entry reports that its prompt was prefilled, and holds its memory until
+// the entry reports that its request ended. Entries may die, and messages may be lost, so each lease
+// also ends without a message: at the deadline of its request, or when the engine is idle.
+//
+// # Example
+//
+//	l := room.NewLedger()
+//	l.Observe(now, now, room.State{TotalTokens: 107_770})
+//	grant, ok := l.Claim(now, room.Key{Entry: from, Start: start, ID: c.ID}, c)
 package room
 
 import "time"
@@ -24,6 +36,9 @@
 	Rank int `cbor:"5,keyasint,omitempty"`
 	// TimeLeftMs is the time until the request's deadline, after which its lease ends.
 	TimeLeftMs int64 `cbor:"6,keyasint"`
+	// TokensPerMs is the prefill speed of the service's engines, as learned by the entry; zero while
+	// unknown. The process beside the engine does not learn it.
+	TokensPerMs float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // TimeLeft returns the time until the request's deadline.
