pulse: claims, grants and pushed reports

The messages of claims use the datagrams of load reports. A subscription carries the start of the entry's process, which tells builds that know of leases: only these get the fields about leases, reports that are pushed when leases change (at most every 20 ms) and datagrams of more than 512 bytes. A report that would be larger loses resident parts; before, old builds could not decode it.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -32,6 +32,11 @@
 	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned), `entries` that share it, `interval_ms` between two requests of this entry.")
 	TargetLeaving       = register(2322, "target_leaving", "A target says that it is about to leave: `target`, `basis` (where it was learned), `listed_draining` (whether the register says so too).")
 	TargetRetryAfter    = register(2323, "target_retry_after", "A target refused a request and wants no other one of this entry for a time: `target`, `retry_after_ms`, `until`.")
+	RoomGranted         = register(2330, "room_granted", "A long prompt has a lease on the capacity of an engine: `request_id`, `target`, `claim`, the claim's `prefill_tokens`, `memory_tokens` and `max_backlog`, the engine's `backlog`, `leased` and `leases` as known before, their age `backlog_age_ms`, that of the rest of the load report `pulse_age_ms`, and `wait_ms` until the reply.")
+	RoomRefused         = register(2331, "room_refused", "A claim was denied, and the prompt is decided again without that engine: as 2330, with `reason` (`memory`, `slots` or `backlog`).")
+	RoomUnanswered      = register(2332, "room_unanswered", "The process beside an engine did not reply to a claim, or is not asked after several claims without a reply: as 2330, with `sent` (whether the prompt is sent without a lease).")
+	RoomReturned        = register(2333, "room_returned", "A lease was given back without a request having been sent: `request_id`, `target`, `claim`.")
+	RoomExhausted       = register(2334, "room_exhausted", "Several engines in a row had no capacity for a prompt, which waits in the queue: `request_id`, `engines`.")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
@@ -43,6 +48,9 @@
 	EngineSilent   = register(2403, "engine_silent", "The engine of this side process is unresponsive.")
 	EngineAnswers  = register(2404, "engine_answers", "The engine of this side process responds again.")
 	StandbyOrders  = register(2405, "standby_orders", "This entry orders a target without a loader to load a weight version: `target`, `model`, `version`, `has`, `slot`.")
+	RoomDenied     = register(2410, "room_denied", "A claim of an entry on this engine's capacity was denied: `entry`, `claim`, `reason`, the claim's `prefill_tokens`, `memory_tokens`, `max_backlog` and `rank`, and the engine's `backlog`, `leased` and `leases`. At most 20 lines a second with 2411 and 2412.")
+	RoomExpired    = register(2411, "room_expired", "A lease ended without a message of its entry: `entry`, `claim`, `reason` (`deadline`, or `prefill_overdue` if only its share of the backlog ended), `age_ms`, `prefill_tokens`, `memory_tokens`.")
+	RoomReleased   = register(2412, "room_released", "A lease ended because the engine reported twice that nothing runs or waits: as 2411.")
 	StandbyUnheard = register(2406, "standby_unheard", "A target without a loader that is to load a weight version is unresponsive: `target`, `model`, `version`.")
 )
 
--- /dev/null
+++ b/pulse/lease.go
@@ -0,0 +1,258 @@
+package pulse
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"boragehub/event"
+	"boragehub/room"
+)
+
+const (
+	// pushInterval is the shortest time between two reports that are sent because leases changed.
+	pushInterval = 20 * time.Millisecond
+	// maxIDs bounds the claims, and the ids of a kind, that are used of one datagram.
+	maxIDs = 128
+	// leaseLinesPerSecond and leaseLinesBurst bound the log lines about leases.
+	leaseLinesPerSecond, leaseLinesBurst = 20, 40
+)
+
+// leaseReports is the state of a Reporter that concerns leases.
+type leaseReports struct {
+	changed chan struct{} // signals that leases changed
+	lines   *rate.Limiter
+
+	mu            sync.Mutex // held while a report is numbered and sent
+	sequence      uint64
+	stateSequence uint64
+	last          Report
+}
+
+func newLeaseReports() leaseReports {
+	return leaseReports{changed: make(chan struct{}, 1), lines: rate.NewLimiter(leaseLinesPerSecond, leaseLinesBurst)}
+}
+
+// signal records that leases changed.
+func (s *leaseReports) signal() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// publish sends a report of the state for which the engine was queried at a time.
+func (r *Reporter) publish(now, queriedAt time.Time, p Report, to []subscriber) {
+	s := &r.leases
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if l := r.cfg.Ledger; l != nil {
+		state := room.State{Running: p.Running, Waiting: p.Waiting, UsedTokens: p.UsedTokens, TotalTokens: p.TotalTokens, Slowdown: p.Slowdown}
+		if l.Observe(now, queriedAt, state) {
+			s.signal()
+		}
+
+		s.stateSequence++
+		p.StateSequence = s.stateSequence
+		p = r.withUsage(now, p)
+	}
+
+	s.sequence++
+	p.Sequence = s.sequence
+	s.last = p
+	r.send(now, p, to)
+}
+
+// withUsage returns a report with what the leases hold.
+func (r *Reporter) withUsage(now time.Time, p Report) Report {
+	u := r.cfg.Ledger.Usage(now)
+	p.Backlog, p.Leased, p.Leases = u.Backlog, u.Leased, u.Leases
+
+	return p
+}
+
+// pushChanges sends the last report again when leases have changed, until ctx ends.
+func (r *Reporter) pushChanges(ctx context.Context) {
+	if r.cfg.Ledger == nil {
+		return
+	}
+
+	check := time.NewTicker(MinInterval)
+	defer check.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-check.C:
+			if !r.logEnded(time.Now()) {
+				continue
+			}
+		case <-r.leases.changed:
+		}
+
+		r.push(time.Now())
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pushInterval):
+		}
+	}
+}
+
+// push sends the last report with the present leases to the subscribers that know of them.
+func (r *Reporter) push(now time.Time) {
+	s := &r.leases
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.stateSequence == 0 {
+		return // the engine has not been queried yet
+	}
+
+	s.sequence++
+	s.last = r.withUsage(now, s.last)
+	s.last.Sequence = s.sequence
+	body := encodeFor(subscriber{start: 1}, s.last)
+
+	for _, to := range r.leaseSubscribers(now) {
+		//nolint:errcheck,gosec // equivalent to a lost datagram
+		r.conn.WriteToUDP(body, to)
+	}
+}
+
+// leaseSubscribers returns the addresses of the subscribers that know of leases.
+func (r *Reporter) leaseSubscribers(now time.Time) []*net.UDPAddr {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var all []*net.UDPAddr
+
+	for _, s := range r.subscribers {
+		if s.start > 0 && !now.After(s.expiresAt) {
+			all = append(all, s.address)
+		}
+	}
+
+	return all
+}
+
+// applyClaims passes what a subscription says of leases to the ledger, and replies to its claims.
+func (r *Reporter) applyClaims(now time.Time, from *net.UDPAddr, s Subscription) {
+	if r.cfg.Ledger == nil || s.Start == 0 || len(s.Claims)+len(s.Started)+len(s.Done) == 0 {
+		return
+	}
+
+	key := room.Key{Entry: from.String(), Start: s.Start}
+	changed := false
+
+	// What has ended frees capacity for the claims beside it.
+	for _, key.ID = range s.Done[:min(len(s.Done), maxIDs)] {
+		changed = r.cfg.Ledger.Done(now, key) || changed
+	}
+
+	for _, key.ID = range s.Started[:min(len(s.Started), maxIDs)] {
+		changed = r.cfg.Ledger.Started(now, key) || changed
+	}
+
+	var grants []room.Grant
+
+	for _, c := range s.Claims[:min(len(s.Claims), maxIDs)] {
+		key.ID = c.ID
+
+		g, ok := r.cfg.Ledger.Claim(now, key, c)
+		if !ok {
+			continue
+		}
+
+		grants = append(grants, g)
+		changed = changed || g.Outcome == room.Granted
+
+		if g.Outcome != room.Granted {
+			r.logDenied(now, key, c, g)
+		}
+	}
+
+	if len(grants) > 0 {
+		r.reply(now, from, grants)
+	}
+
+	if changed {
+		r.leases.signal()
+	}
+}
+
+// reply sends grants to the entry that claimed, with the present leases.
+func (r *Reporter) reply(now time.Time, to *net.UDPAddr, grants []room.Grant) {
+	s := &r.leases
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.sequence++
+	p := r.withUsage(now, Report{Engine: r.cfg.EngineAddress, SourceStart: s.last.SourceStart, Sequence: s.sequence, StateSequence: s.stateSequence, Grants: grants})
+
+	//nolint:errcheck,gosec // the claim is repeated
+	r.conn.WriteToUDP(encode(p), to)
+}
+
+// logDenied logs a denied claim with its inputs.
+func (r *Reporter) logDenied(now time.Time, key room.Key, c room.Claim, g room.Grant) {
+	if !r.leases.lines.AllowN(now, 1) {
+		return
+	}
+
+	u := r.cfg.Ledger.Usage(now)
+	event.Log(r.cfg.Log, event.RoomDenied, "entry", key.Entry, "claim", key.ID, "reason", g.Outcome.String(), "prefill_tokens", c.PrefillTokens, "memory_tokens", c.MemoryTokens,
+		"max_backlog", c.MaxBacklog, "rank", c.Rank, "backlog", u.Backlog, "leased", u.Leased, "leases", u.Held)
+}
+
+// logEnded logs the leases that ended without a message, and reports whether there were any.
+func (r *Reporter) logEnded(now time.Time) bool {
+	all := r.cfg.Ledger.TakeEnded(now)
+
+	for _, e := range all {
+		if !r.leases.lines.AllowN(now, 1) {
+			break
+		}
+
+		line := event.RoomExpired
+		if e.Reason == room.EngineIdle {
+			line = event.RoomReleased
+		}
+
+		event.Log(r.cfg.Log, line, "entry", e.Key.Entry, "claim", e.Key.ID, "reason", e.Reason.String(), "age_ms", e.Age.Milliseconds(),
+			"prefill_tokens", e.PrefillTokens, "memory_tokens", e.MemoryTokens)
+	}
+
+	return len(all) > 0
+}
+
+// encodeFor returns the datagram of a load report for a subscriber. Builds without
+// Subscription.Start get none of the later fields. A report that is too large loses resident parts,
+// the last of the list first.
+func encodeFor(s subscriber, p Report) []byte {
+	limit := maxDatagram
+
+	if s.start == 0 {
+		limit = maxLegacyDatagram
+		p.Backlog, p.Leased, p.Leases, p.StateSequence = 0, 0, 0, 0
+		p.Slowdown, p.SlowdownAgeMs, p.Speed = 0, 0, 0
+	}
+
+	body := encode(p)
+
+	for len(body) > limit && len(p.Resident) > 0 {
+		p.Resident = p.Resident[:len(p.Resident)*3/4]
+		body = encode(p)
+	}
+
+	return body
+}
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -35,6 +35,7 @@
 	latest   map[string]Report
 	interval atomic.Int64 // requested report interval in ns
 	demand   atomic.Int64 // last reported demand per second
+	claims   claimTable
 }
 
 // Listen returns a Listener that is bound to cfg.Address.
@@ -44,7 +45,7 @@
 		return nil, err
 	}
 
-	return &Listener{cfg: cfg, conn: conn, latest: make(map[string]Report)}, nil
+	return &Listener{cfg: cfg, conn: conn, latest: make(map[string]Report), claims: newClaimTable(time.Now())}, nil
 }
 
 // Run renews the subscriptions and receives load reports until ctx ends.
@@ -54,7 +55,7 @@
 
 	go l.subscribe(ctx)
 
-	buf := make([]byte, maxDatagram)
+	buf := make([]byte, receiveBufferBytes)
 
 	for ctx.Err() == nil {
 		n, _, err := l.conn.ReadFromUDP(buf)
@@ -65,7 +66,17 @@
 		}
 
 		var p Report
-		if cbor.Unmarshal(buf[:n], &p) != nil || !l.newer(p) {
+		if cbor.Unmarshal(buf[:n], &p) != nil {
+			continue
+		}
+
+		if len(p.Grants) > 0 {
+			l.receiveGrants(time.Now(), p)
+
+			continue
+		}
+
+		if !l.newer(p) {
 			continue
 		}
 
@@ -98,7 +109,7 @@
 		engines, interval := l.cfg.Engines()
 		l.interval.Store(int64(interval))
 
-		s := Subscription{IntervalMs: interval.Milliseconds()}
+		s := Subscription{IntervalMs: interval.Milliseconds(), Start: l.claims.start}
 		renewInterval := subscribeInterval
 
 		if l.cfg.Demand != nil {
@@ -127,9 +138,9 @@
 }
 
 // Notify sends a subscription with further fields to the side process of an engine at once. It sets
-// the interval and the demand.
+// the interval, the demand and the start time.
 func (l *Listener) Notify(engine string, s Subscription) {
-	s.IntervalMs, s.Demand = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load())
+	s.IntervalMs, s.Demand, s.Start = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load()), l.claims.start
 	l.send(engine, encodeSubscription(s))
 }
 
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -10,6 +10,10 @@
 // expires. A lost datagram only makes the known load staler, and a side process needs no
 // list of entries.
 //
+// The side process also grants leases of the engine's capacity (package room): an entry sends
+// claims in a subscription datagram and gets a reply at once. When leases change, the last
+// report is sent again to all subscribers with the new figures (Report.StateSequence).
+//
 // A load report has about 60 bytes, and 12 more for each long part of a prompt in the
 // engine's KV cache. At the default interval one engine costs an entry about 1.5 kilobytes
 // a second, so an entry that may route to many engines subscribes to some of them only, at
@@ -115,6 +119,9 @@
 	Claims  []room.Claim `cbor:"7,keyasint,omitempty"`
 	Started []uint64     `cbor:"8,keyasint,omitempty"`
 	Done    []uint64     `cbor:"9,keyasint,omitempty"`
+	// Start is the start time of the entry's process, in ns of its clock. Zero means a build that
+	// sends no claims, and that gets neither the fields about leases nor pushed reports.
+	Start int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Has reports whether the engine's KV cache holds at least that many tokens of the part
@@ -145,8 +152,13 @@
 
 // Bounds.
 const (
-	// maxDatagram is the size of receive buffers in bytes; load reports are smaller.
-	maxDatagram = 512
+	// maxLegacyDatagram is the size of the receive buffers of builds without Subscription.Start, in
+	// bytes. Load reports to them, and subscriptions to any side process, are not larger.
+	maxLegacyDatagram = 512
+	// maxDatagram is the size of the largest load report to other builds; it fits into one packet.
+	maxDatagram = 1400
+	// receiveBufferBytes is the size of receive buffers.
+	receiveBufferBytes = 2048
 	// maxSubscribers bounds the number of entries that get reports of one engine.
 	maxSubscribers = 64
 )
--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
 
 	"boragehub/pause"
 	"boragehub/resident"
+	"boragehub/room"
 	"boragehub/slowstart"
 )
 
@@ -37,6 +39,10 @@
 	// Restarted is called when the engine has restarted, before its next load report is
 	// sent; may be nil.
 	Restarted func()
+	// Ledger keeps the leases of the engine's capacity; nil means that claims get no reply.
+	Ledger *room.Ledger
+	// Log receives a line for each denied claim and each expired lease, up to a bound.
+	Log logr.Logger
 }
 
 // Reporter sends an engine's load reports to its subscribers. Use NewReporter.
@@ -46,6 +52,8 @@
 
 	mu          sync.Mutex
 	subscribers map[string]subscriber
+
+	leases leaseReports
 }
 
 type subscriber struct {
@@ -54,6 +62,7 @@
 	interval  time.Duration
 	demand    int       // rate of prompts at the entry, per second
 	dueAt     time.Time // when its next load report is due
+	start     int64     // Subscription.Start
 }
 
 // NewReporter returns a Reporter that is bound to cfg.Address.
@@ -63,7 +72,7 @@
 		return nil, err
 	}
 
-	return &Reporter{cfg: cfg, conn: conn, subscribers: make(map[string]subscriber)}, nil
+	return &Reporter{cfg: cfg, conn: conn, subscribers: make(map[string]subscriber), leases: newLeaseReports()}, nil
 }
 
 func listen(address string) (*net.UDPConn, error) {
@@ -81,6 +90,7 @@
 	defer stop()
 
 	go r.subscriptions(ctx)
+	go r.pushChanges(ctx)
 
 	p := Report{SourceStart: time.Now().UnixNano()}
 	lost := true
@@ -91,6 +101,7 @@
 			continue
 		}
 
+		queriedAt := time.Now()
 		c, cancel := context.WithTimeout(ctx, MinInterval)
 		next, err := r.cfg.Engine.Report(c, r.cfg.EngineAddress)
 
@@ -113,11 +124,15 @@
 			r.cfg.Restarted()
 		}
 
+		if next.StartedMs > p.StartedMs && p.StartedMs > 0 && r.cfg.Ledger != nil {
+			r.cfg.Ledger.Reset()
+		}
+
 		if next.StartedMs > p.StartedMs {
 			r.noteEngineStart(time.Now(), next)
 		}
 
-		next.Engine, next.SourceStart, next.Sequence = r.cfg.EngineAddress, p.SourceStart, p.Sequence+1
+		next.Engine, next.SourceStart = r.cfg.EngineAddress, p.SourceStart
 		if r.cfg.Resident != nil {
 			next.Resident = r.cfg.Resident()
 		}
@@ -125,7 +140,7 @@
 		next.LoadInMs = r.loadIn(time.Now())
 
 		p = next
-		r.send(time.Now(), p, to)
+		r.publish(time.Now(), queriedAt, p, to)
 	}
 }
 
@@ -159,7 +174,7 @@
 // subscriptions receives subscriptions until ctx ends. A datagram that can't be decoded counts
 // as a subscription with default values.
 func (r *Reporter) subscriptions(ctx context.Context) {
-	buf := make([]byte, maxDatagram)
+	buf := make([]byte, receiveBufferBytes)
 
 	for ctx.Err() == nil {
 		n, from, err := r.conn.ReadFromUDP(buf)
@@ -177,6 +192,7 @@
 		}
 
 		r.subscribe(time.Now(), from, s)
+		r.applyClaims(time.Now(), from, s)
 	}
 }
 
@@ -190,6 +206,7 @@
 	}
 
 	old.address, old.expiresAt, old.interval, old.demand = from, now.Add(subscriptionTTL), time.Duration(s.IntervalMs)*time.Millisecond, s.Demand
+	old.start = s.Start
 	r.subscribers[from.String()] = old
 }
 
@@ -230,15 +247,18 @@
 		permits = g.Permits(now, demands(to))
 	}
 
-	plain := encode(p)
+	plain, legacy := encodeFor(subscriber{start: 1}, p), encodeFor(subscriber{}, p)
 
 	for _, s := range to {
 		body := plain
+		if s.start == 0 {
+			body = legacy
+		}
 
 		if n := permits[s.address.String()]; n > 0 {
 			q := p
 			q.Permits = n
-			body = encode(q)
+			body = encodeFor(s, q)
 		}
 
 		// A datagram that can't be sent is equivalent to a lost one.
