route, roster: backlog of leases in place of a mean length

A load report counts the prompts in prefill, and a long one takes ten times the mean. Where the backlog of leases is known, the queue of an engine is that backlog plus short prompts for the rest. A pushed report changes the backlog only: the engine was not queried again, so requests sent since the last query still count, and the engine is not seen by it.

Measured: tests of both packages pass with the race detector.

--- a/roster/report.go
+++ b/roster/report.go
@@ -41,6 +41,10 @@
 		return "", false
 	}
 
+	if e.applyBacklog(now, p) {
+		return id, restarted
+	}
+
 	e.observeReport(now)
 	r.lastSeen = now
 	r.applyReportedRateLimit(now, id, e, p.RateLimit)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -161,6 +161,8 @@
 	Wait time.Duration
 	// Slowdown is the factor by which work on the target takes longer than usual; 1 when unknown.
 	Slowdown float64
+	// Backlog is what leases hold at the target.
+	Backlog Backlog
 }
 
 // Entries ranks the live entries.
@@ -183,6 +185,7 @@
 type engine struct {
 	report       pulse.Report
 	reportedAt   time.Time
+	backlogAt    time.Time // when the report's figures of leases arrived
 	subscribedAt time.Time // since when this process subscribes to its load reports; zero while it doesn't
 	sentSince    Sent
 	lastSentAt   time.Time // when it was last sent a request
@@ -491,6 +494,7 @@
 
 	return Engine{
 		Slowdown:      1,
+		Backlog:       e.backlog(now),
 		LoadScheduled: loads > 0, LoadIn: max(loads-age, 0),
 		Target: t, ID: t.VM, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loadingUntil),
@@ -502,14 +506,21 @@
 // Sent records that a request is sent to a target. PrefillTokens is the number of tokens
 // that the target has to prefill, cacheTokens the number of KV cache tokens that the request takes.
 func (r *Roster) Sent(now time.Time, id string, prefillTokens, cacheTokens int) target.Attempt {
+	return r.sent(now, id, prefillTokens, cacheTokens, false)
+}
+
+func (r *Roster) sent(now time.Time, id string, prefillTokens, cacheTokens int, leased bool) target.Attempt {
 	r.mu.Lock()
 	r.syncTable(now)
 
 	if e, ok := r.engines[id]; ok {
 		e.lastSentAt = now
 		e.sentSince.Requests++
-		e.sentSince.PrefillTokens += prefillTokens
 		e.sentSince.CacheTokens += cacheTokens
+
+		if !leased {
+			e.sentSince.PrefillTokens += prefillTokens
+		}
 	}
 
 	r.mu.Unlock()
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -266,8 +266,7 @@
 		waiting = cfg.ShortPromptTokens
 	}
 
-	queuedTokens := float64(c.Prefilling)*cfg.PromptTokens + float64(c.Waiting)*waiting + float64(c.SentTokens)
-	ms := queuedTokens/cfg.TokensPerMs + float64(c.Running)*runningCostMs
+	ms := c.queuedTokens(cfg, waiting)/cfg.TokensPerMs + float64(c.Running)*runningCostMs
 
 	if c.Slots > 0 && c.Running >= c.Slots {
 		ms += float64(c.Running-c.Slots+1) * cfg.PromptTokens / cfg.TokensPerMs
