gateway, cmd: claim capacity for long prompts of contended services

A long prompt claims capacity at the chosen engine before it is sent. Denied, the decision is repeated without that engine, for three engines at most; then the prompt waits in the queue. Without a reply it is sent if this entry has no other long prompt there and the memory was free. Services that are not contended send no claim.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -51,10 +51,15 @@
 	registration *exchange.Registration
 	balancer     *drain.HealthCheck
 	registry     *prometheus.Registry
+	claims       engineClaims
 
 	followers []*mirror.Follower
 }
 
+// engineClaims claims capacity at engines through the listener for their load reports, which is bound
+// before the first caller is served.
+type engineClaims struct{ *pulse.Listener }
+
 func newGatewayProcess(cfg platform.Settings) *gatewayProcess {
 	lines := output.New(output.Config{To: os.Stdout})
 	log := newLogger(cfg, "gateway", lines)
@@ -107,6 +112,7 @@
 		VaultCapacity:  func() float64 { _, capacity, _ := directory.Usage(); return float64(capacity) },
 		LinesLeftOut:   func() float64 { return float64(lines.Dropped()) },
 		TokensPerMs:    func() float64 { return e.gateway.TokensPerMs() },
+		Backlog:        func() float64 { return float64(e.roster.Backlog(time.Now())) },
 	})
 
 	e.gateway = gateway.New(gateway.Config{
@@ -115,7 +121,7 @@
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
-		HoldUntil: time.Now().Add(startupWindow), Meter: meter, Log: log,
+		HoldUntil: time.Now().Add(startupWindow), Claims: &e.claims, Meter: meter, Log: log,
 	}, operators.SyncedAt, e.registration.RegisteredAt)
 
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
@@ -319,6 +325,8 @@
 		return failure.Wrap(failure.BadSettings, err, "cannot bind address %q for load reports", cfg.InternalAddress(reportPortOffset))
 	}
 
+	e.claims.Listener = reports
+
 	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration}
 
 	for _, f := range e.followers {
--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -15,6 +15,8 @@
 	"boragehub/platform"
 	"boragehub/pulse"
 	"boragehub/resident"
+	"boragehub/room"
+	"boragehub/roster"
 	"boragehub/site"
 	"boragehub/slowstart"
 )
@@ -46,12 +48,21 @@
 	guard := slowstart.NewGuard(slowstart.Limit{}, uint64(time.Now().UnixNano()))
 	probe := slowstart.NewProbe(slowstart.ProbeConfig{Guard: guard, Health: platformClient, Address: cfg.EngineAddress})
 
+	var ledger *room.Ledger // nil grants no leases
+	if cfg.Contention != roster.ContentionOff {
+		ledger = room.NewLedger()
+	}
+
 	operators := &mirror.Topic{}
 	publications := &platform.OperatorHandler{
 		ConfigurationPublished: func(_ time.Time, c *site.Configuration) {
 			s, _ := c.Service(cfg.Service)
 			guard.SetLimit(slowstart.NewLimit(s.SlowStart.Duration, s.SlowStart.RequestsPerSecond, cfg.Bounds.SlowStartOverage, cfg.Bounds.SlowStartSlack))
 			probe.SetPath(s.HealthPath)
+
+			if s.Engines != nil && ledger != nil {
+				ledger.SetCapacity(s.Engines.Slots, s.Engines.CacheTokens)
+			}
 		},
 		EvacuationChanged: func(now time.Time, dataCentre string, evacuated bool) {
 			if dataCentre != cfg.DataCentre {
@@ -75,6 +86,7 @@
 
 	reporter, err := pulse.NewReporter(pulse.ReporterConfig{
 		Address: cfg.InternalAddress(reportPortOffset), Engine: platformClient, EngineAddress: cfg.EngineAddress, Resident: partsFollower.Parts, SlowStart: guard, Restarted: partsFollower.Reset, LoadIn: l.LoadIn,
+		Ledger: ledger, Log: log,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "cannot bind address %q for load reports", cfg.InternalAddress(reportPortOffset))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,7 +43,7 @@
 	for {
 		now := time.Now()
 
-		c, err := t.choose(now)
+		c, err := t.choose(ctx, now)
 		if errors.Is(err, errNoCapacity) {
 			c, err = t.awaitCapacity(ctx, err)
 			now = time.Now()
@@ -148,6 +148,12 @@
 func (t *task) attempt(ctx context.Context, now time.Time, c choice) outcome {
 	t.attempts++
 
+	defer t.endRoom(c)
+
+	if c.long != nil {
+		now = time.Now() // the claim took a moment, which is no part of the time to the first event
+	}
+
 	if t.tried == nil {
 		t.tried = make(map[string]bool)
 	}
@@ -174,7 +180,12 @@
 	}
 
 	t.sentAt = now
-	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.prefillTokens, c.memoryTokens)
+	recordSent := t.g.cfg.Roster.Sent
+	if c.long != nil && c.long.leased {
+		recordSent = t.g.cfg.Roster.SentLeased
+	}
+
+	sent := recordSent(now, c.engine.ID, c.prefillTokens, c.memoryTokens)
 	o := t.exchange(ctx, c)
 
 	if t.r.Context().Err() != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -29,6 +30,8 @@
 	// idle is true if the target has no other prompt to prefill and fetches nothing, so
 	// that the time to the first event measures its prefill speed.
 	idle bool
+	// long is set for a long prompt of a contended service.
+	long *longPrompt
 }
 
 // Round-trip times for comparing targets.
@@ -59,18 +62,36 @@
 const maxDecisions = 3
 
 // choose returns the target of the next attempt and takes one of the requests that it may get.
-func (t *task) choose(now time.Time) (choice, error) {
-	for range maxDecisions {
+func (t *task) choose(ctx context.Context, now time.Time) (choice, error) {
+	clear(t.noRoom)
+
+	for decisions := 0; decisions < maxDecisions; {
 		c, err := t.decide(now)
 		if err != nil {
 			return choice{}, err
 		}
 
+		if !t.claimRoom(ctx, &c) {
+			if len(t.noRoom) >= maxDenials {
+				event.Log(t.g.cfg.Log, event.RoomExhausted, "request_id", t.arrival.ID, "engines", len(t.noRoom))
+
+				return choice{}, errNoCapacity
+			}
+
+			now = time.Now()
+
+			continue
+		}
+
+		decisions++
+
 		if t.g.cfg.Roster.Admit(now, c.engine.ID) {
 			t.logChoice(c)
 
 			return c, nil
 		}
+
+		t.returnRoom(c)
 	}
 
 	return choice{}, errNoCapacity
@@ -123,6 +144,7 @@
 // chooseEngine returns the engine with the shortest estimated time to a prompt's first event, the
 // cost of prefilling a shared prefix again included.
 func (t *task) chooseEngine(now time.Time, all []roster.Engine) (choice, error) {
+	t.contended = t.g.cfg.Roster.Contended(t.service.Name)
 	p := t.arrival.Prompt
 	newest := t.g.newest(p.Model)
 	due, required := t.g.versionPublishedFor(now, p.Model, oldVersionGrace), t.g.requiredVersion(now, p.Model)
@@ -137,6 +159,7 @@
 			OldWeights: e.Version > 0 && e.Version < due, Slots: e.Slots, RoundTrip: t.roundTrip(e),
 		}
 		fillLoad(&candidates[i], e)
+		t.fillBacklog(&candidates[i], e)
 
 		if e.LoadScheduled {
 			candidates[i].Overrun = max(run-e.LoadIn, 0)
@@ -167,7 +190,7 @@
 	}
 	t.setCacheParams(l, &c)
 	c.params.Priority = enginePriority(t.priority(), t.profile().IsShort(c.prefillTokens))
-	c.idle = e.Fresh && e.Report.Prefilling+e.Report.Waiting+e.SentSince.Requests == 0 && len(c.params.Fetch) == 0
+	c.idle = e.Fresh && e.Report.Prefilling+e.Report.Waiting+e.SentSince.Requests == 0 && len(c.params.Fetch) == 0 && candidates[d.Target()].Leases == 0
 
 	return c, nil
 }
@@ -277,6 +300,8 @@
 	switch {
 	case t.tried[e.ID]:
 		return route.AlreadyTried
+	case t.noRoom[e.ID]:
+		return route.NoRoom
 	case e.Loading, e.Version > 0 && e.Version < required:
 		return route.OtherVersion
 	case e.Throttled:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,9 @@
 	// the configuration and the targets are known, but not beyond it. If zero, requests are
 	// never held.
 	HoldUntil time.Time
+	// Claims claims capacity at the engines of contended services for long prompts; nil means that
+	// they are sent without claims.
+	Claims Claims
 	// Meter counts requests; nil counts nothing.
 	Meter Meter
 	// Log gets a line for each decision.
@@ -88,6 +91,8 @@
 	Refused(kind, reason string)
 	// Failed counts an attempt without a complete response.
 	Failed(outcome string)
+	// Claimed counts a claim of capacity at an engine, by outcome.
+	Claimed(outcome string)
 }
 
 // Gateway serves callers as an http.Handler. Use New.
@@ -111,6 +116,7 @@
 	startup         *startupHold
 	inFlight        attemptTracker
 	profiles        serviceProfiles
+	longPrompts     longPrompts
 
 	throttledCallers throttledCallers
 }
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -15,6 +15,7 @@
 	served     *prometheus.CounterVec
 	refused    *prometheus.CounterVec
 	failed     *prometheus.CounterVec
+	claims     *prometheus.CounterVec
 	attempts   prometheus.Counter
 	first      *prometheus.HistogramVec
 	total      *prometheus.HistogramVec
@@ -41,6 +42,8 @@
 	LinesLeftOut func() float64
 	// TokensPerMs returns the engines' prefill speed, zero while unknown.
 	TokensPerMs func() float64
+	// Backlog returns the tokens that engines have yet to prefill for leased prompts.
+	Backlog func() float64
 }
 
 // buckets are upper bounds in seconds, around the latency targets of 0.15, 0.4 and 0.8 s.
@@ -52,13 +55,14 @@
 		served:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehub_requests_served_total", Help: "Requests that got their whole answer."}, []string{"kind"}),
 		refused:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehub_requests_given_up_total", Help: "Requests that got an error of ours, by reason."}, []string{"kind", "reason"}),
 		failed:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehub_attempts_failed_total", Help: "Attempts without a whole answer, by outcome."}, []string{"outcome"}),
+		claims:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehub_claims_total", Help: "Claims of engines' capacity for long prompts, by outcome."}, []string{"outcome"}),
 		attempts:   prometheus.NewCounter(prometheus.CounterOpts{Name: "boragehub_repeats_total", Help: "Attempts beyond the first of a request that was served."}),
 		first:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "boragehub_first_event_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"kind"}),
 		total:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "boragehub_request_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"kind"}),
 		unreadable: prometheus.NewCounter(prometheus.CounterOpts{Name: "boragehub_records_unreadable_total", Help: "Records of the log that could not be understood."}),
 	}
 
-	r.MustRegister(m.served, m.refused, m.failed, m.attempts, m.first, m.total, m.unreadable)
+	r.MustRegister(m.served, m.refused, m.failed, m.claims, m.attempts, m.first, m.total, m.unreadable)
 
 	for _, x := range []struct {
 		name, help string
@@ -74,6 +78,7 @@
 		{"boragehub_vault_room_tokens", "Room of stores that answer.", g.VaultCapacity},
 		{"boragehub_log_lines_left_out", "Log lines left out since the start.", g.LinesLeftOut},
 		{"boragehub_engine_tokens_per_ms", "How fast engines read prompts as learned from answers, zero while not known.", g.TokensPerMs},
+		{"boragehub_engine_backlog_tokens", "Tokens that engines have yet to prefill for long prompts with a lease.", g.Backlog},
 	} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: x.name, Help: x.help}, x.value))
 	}
@@ -95,5 +100,8 @@
 // Failed counts an attempt without a complete response.
 func (m *Metrics) Failed(outcome string) { m.failed.WithLabelValues(outcome).Inc() }
 
+// Claimed counts a claim of an engine's capacity.
+func (m *Metrics) Claimed(outcome string) { m.claims.WithLabelValues(outcome).Inc() }
+
 // RecordUnreadable counts a log record that could not be decoded.
 func (m *Metrics) RecordUnreadable() { m.unreadable.Inc() }
--- /dev/null
+++ b/gateway/room_test.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"boragehub/pulse"
+	"boragehub/room"
+	"boragehub/roster"
+	"boragehub/site"
+)
+
+// fakeClaims replies to claims by the address of the engine and records all messages.
+type fakeClaims struct {
+	mu       sync.Mutex
+	replies  map[string]room.Outcome // engines without one don't reply
+	onClaim  func()
+	claims   []room.Claim
+	engines  []string // of claims
+	messages []string
+}
+
+func (f *fakeClaims) Claim(_ context.Context, engine string, c room.Claim) (room.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.claims, f.engines = append(f.claims, c), append(f.engines, engine)
+
+	if f.onClaim != nil {
+		f.onClaim()
+	}
+
+	o, ok := f.replies[engine]
+	if !ok {
+		return room.Grant{}, errors.New("no reply")
+	}
+
+	return room.Grant{ID: uint64(len(f.claims)), Outcome: o}, nil
+}
+
+func (f *fakeClaims) Started(_ string, _ uint64) { f.record("started") }
+func (f *fakeClaims) Done(_ string, _ uint64)    { f.record("done") }
+
+func (f *fakeClaims) record(message string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.messages = append(f.messages, message)
+}
+
+// newRoomEnv returns a gateway that claims capacity, with engines of a contended service whose mean
+// prompt has 1,000 tokens.
+func newRoomEnv(t *testing.T, contended bool, engines ...*fakeEngine) (*testEnv, *fakeClaims) {
+	t.Helper()
+
+	env := newTestEnv(t, engines...)
+	claims := &fakeClaims{replies: map[string]room.Outcome{}}
+	env.gateway.cfg.Claims = claims
+
+	if contended {
+		env.gateway.cfg.Roster = roster.New(roster.Config{Self: "entry-1", DataCentre: "east", Contention: roster.ContentionOn, Entries: firstEntry{}, SlowStart: env.gateway.SlowStart})
+		env.roster = env.gateway.cfg.Roster
+
+		for _, e := range engines {
+			env.list(e)
+		}
+	}
+
+	for range 200 {
+		env.gateway.profiles.forService("llm").ObservePrompt(1000, 1000, time.Second)
+	}
+
+	return env, claims
+}
+
+func answering(t *testing.T, id string) *fakeEngine {
+	t.Helper()
+
+	return newFakeEngine(t, id, respond(streamHead+events(1, 1)+streamEnd))
+}
+
+// Long prompts claim before they are sent, and their leases end with them. Guards against short
+// prompts that claim, against leases that stay, and against claims where load does not exceed
+// capacity.
+func TestLongPromptsClaimInContendedServices(t *testing.T) {
+	tests := []struct {
+		name         string
+		contended    bool
+		tokens       string
+		want         int
+		wantMessages []string
+	}{
+		{"long prompt", true, "5000", 1, []string{"started", "done"}},
+		{"short prompt", true, "500", 0, nil},
+		{"not contended", false, "5000", 0, nil},
+	}
+
+	for _, tt := range tests {
+		e := answering(t, "a")
+		env, claims := newRoomEnv(t, tt.contended, e)
+		claims.replies[e.llmAddress] = room.Granted
+
+		if got := env.request(t, "POST", "/llm/1", "x", "Tokens", tt.tokens); got.status != 200 {
+			t.Errorf("%s: got %d, want 200", tt.name, got.status)
+		}
+
+		env.server.Close() // waits for the request to end
+
+		if got := len(claims.claims); got != tt.want {
+			t.Errorf("%s: got %d claims, want %d", tt.name, got, tt.want)
+		}
+
+		if !slices.Equal(claims.messages, tt.wantMessages) {
+			t.Errorf("%s: got %v, want %v", tt.name, claims.messages, tt.wantMessages)
+		}
+
+		if tt.want > 0 {
+			if c := claims.claims[0]; c.PrefillTokens != 5000 || c.MemoryTokens != 5010 || c.TimeLeftMs <= 0 || c.TimeLeftMs > 2000 {
+				t.Errorf("%s: got %+v", tt.name, c)
+			}
+		}
+	}
+}
+
+// An engine denies a claim, as another entry's prompt was there first. Guards against sending the
+// prompt there all the same, against asking all engines of a fleet in turn, and against an error
+// instead of a wait.
+func TestDeniedPromptsGoToOtherEnginesOrWait(t *testing.T) {
+	engines := make([]*fakeEngine, 5)
+	for i := range engines {
+		engines[i] = answering(t, string(rune('a'+i)))
+	}
+
+	env, claims := newRoomEnv(t, true, engines...)
+	for _, e := range engines {
+		claims.replies[e.llmAddress] = room.NoMemory
+	}
+
+	// The fourth claim is the first of the queue's own round.
+	claims.onClaim = func() {
+		if len(claims.claims) == 4 {
+			claims.replies[claims.engines[3]] = room.Granted
+		}
+	}
+
+	if got := env.request(t, "POST", "/llm/1", "x", "Tokens", "5000"); got.status != 200 {
+		t.Errorf("got %d, want 200", got.status)
+	}
+
+	first := slices.Clone(claims.engines[:3])
+	slices.Sort(first)
+
+	if len(slices.Compact(first)) != 3 || len(claims.claims) != 4 {
+		t.Errorf("got claims at %v, want three engines and then one again", claims.engines)
+	}
+
+	for _, e := range engines {
+		if want := e.llmAddress == claims.engines[3]; (e.count() > 0) != want {
+			t.Errorf("got %d requests at %s, want some %v", e.count(), e.llmAddress, want)
+		}
+	}
+}
+
+// An engine that refuses, or whose request fails, holds no lease of it any more.
+func TestLeaseOfRefusedPromptIsGivenBack(t *testing.T) {
+	a := newFakeEngine(t, "a", respond(notRun503))
+	env, claims := newRoomEnv(t, true, a)
+	claims.replies[a.llmAddress] = room.Granted
+
+	if got := env.request(t, "POST", "/llm/1", "x", "Tokens", "5000"); got.status != 503 {
+		t.Errorf("got %d, want 503", got.status)
+	}
+
+	env.server.Close()
+
+	if len(claims.claims) == 0 || slices.Contains(claims.messages, "started") || len(claims.messages) != len(claims.claims) {
+		t.Errorf("got %v after %d claims, want each lease given back", claims.messages, len(claims.claims))
+	}
+}
+
+// The process beside an engine is dead or of an old build. Guards against prompts that are then never
+// sent, and against several long prompts of this process on an engine of which nothing is known.
+func TestPromptsWithoutReplyAreSentOneAtATime(t *testing.T) {
+	tests := []struct {
+		name   string
+		other  bool // whether another long prompt of this process is there
+		report *pulse.Report
+		want   bool
+	}{
+		{"no other prompt, no report", false, nil, true},
+		{"another prompt", true, nil, false},
+		{"memory free", false, &pulse.Report{Running: 1, UsedTokens: 1000}, true},
+		{"memory in use", false, &pulse.Report{Running: 1, UsedTokens: 66_000}, false},
+	}
+
+	for _, tt := range tests {
+		e := answering(t, "a")
+		env, _ := newRoomEnv(t, true, e)
+
+		if tt.other {
+			env.gateway.longPrompts.add("llma", false)
+		}
+
+		if tt.report != nil {
+			tt.report.Engine = e.llmAddress
+			env.roster.ObserveReport(time.Now(), *tt.report)
+		}
+
+		if got := env.request(t, "POST", "/soon/1", "x", "Tokens", "5000").status == 200; got != tt.want {
+			t.Errorf("%s: got sent %v, want %v", tt.name, got, tt.want)
+		}
+
+		env.server.Close()
+
+		want := map[bool]int{true: 1}[tt.other]
+		if got := env.gateway.longPrompts.byTarget["llma"]; got != want {
+			t.Errorf("%s: got %d long prompts counted, want %d", tt.name, got, want)
+		}
+	}
+}
+
+// newMemoryTask returns the task of a prompt for engines with 70,000 tokens of memory.
+func newMemoryTask(tokens int) *task {
+	return &task{g: &Gateway{}, service: site.Service{Engines: &site.Engines{CacheTokens: 70_000}}, arrival: CallerRequest{Prompt: &Prompt{Tokens: tokens}}}
+}
+
+// Leases of other entries take memory that the engine does not report yet.
+func TestLeasedMemoryCountsInContendedServicesOnly(t *testing.T) {
+	for _, contended := range []bool{true, false} {
+		task := newMemoryTask(20_000)
+		task.contended = contended
+		e := roster.Engine{Report: pulse.Report{Running: 1, UsedTokens: 1000}, Backlog: roster.Backlog{Known: true, MemoryTokens: 60_000}}
+
+		if got := task.fitsMemory(e); got == contended {
+			t.Errorf("contended %v: got room %v", contended, got)
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,6 +70,7 @@
 		n, err := x.Read(buf)
 		if n > 0 {
 			t.g.cfg.Roster.ObserveAnswer(time.Now(), c.engine.ID)
+			t.startRoom(c)
 		}
 
 		pending = append(pending, buf[:n]...)
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -37,6 +37,8 @@
 	attempts       int             // sent so far
 	possibleRuns   int             // attempts in which the request may have run
 	tried          map[string]bool // ids of the targets tried
+	contended      bool            // whether the service is contended, as of the last decision
+	noRoom         map[string]bool // ids of the targets that denied a claim in this round of decisions
 	stream         stream
 	inFlight       *inFlightAttempt // the present attempt
 	sentAt         time.Time        // when it was sent
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -147,7 +147,7 @@
 	defer ticker.Stop()
 
 	for {
-		c, err := t.choose(time.Now())
+		c, err := t.choose(ctx, time.Now())
 		if !errors.Is(err, errNoCapacity) {
 			q.recordAdmission(time.Now())
 			event.Log(t.g.cfg.Log, event.RoomAwaited, "request_id", t.arrival.ID, "waited_ms", time.Since(began).Milliseconds(), "waiting", len(q.waiting))
@@ -193,7 +193,7 @@
 	}
 
 	p := t.arrival.Prompt
-	used := e.Report.UsedTokens + e.SentSince.CacheTokens + t.profile().MeanKVTokens()*e.Report.Waiting
+	used := max(e.Report.UsedTokens+e.SentSince.CacheTokens, t.leasedTokens(e)) + t.profile().MeanKVTokens()*e.Report.Waiting
 
 	return float64(used+p.Tokens+p.Output) <= maxMemoryShare*float64(t.service.Engines.CacheTokens)
 }
