room, pulse, roster: memory and state as of the last query

A trial with a burst of long prompts denied claims at engines whose prompts had just ended, and entries chose engines that then denied: they compared with the memory of leases, the ledger with what the engine had reported. The ledger now subtracts leases that ended since the report, and reports carry the memory that it counts as taken. Pushed reports say how old their state is and leave out resident parts: an entry may see a query in them first, up to 100 ms later, and must not forget what it sent since.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -225,7 +225,7 @@
 	b := c.engine.Backlog
 	event.Log(t.g.cfg.Log, line, append([]any{
 		"request_id", t.arrival.ID, "target", c.engine.ID, "claim", c.long.claim, "prefill_tokens", claim.PrefillTokens, "memory_tokens", claim.MemoryTokens,
-		"max_backlog", claim.MaxBacklog, "backlog", b.Tokens, "leased", b.MemoryTokens, "leases", b.Leases, "backlog_age_ms", b.Age.Milliseconds(),
+		"max_backlog", claim.MaxBacklog, "backlog", b.Tokens, "occupied", b.MemoryTokens, "leases", b.Leases, "backlog_age_ms", b.Age.Milliseconds(),
 		"pulse_age_ms", loadReportAge(c.engine), "wait_ms", time.Since(began).Milliseconds(),
 	}, more...)...)
 }
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -52,6 +53,14 @@
 	f.messages = append(f.messages, message)
 }
 
+// recorded returns the messages.
+func (f *fakeClaims) recorded() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.Clone(f.messages)
+}
+
 // newRoomEnv returns a gateway that claims capacity, with engines of a contended service whose mean
 // prompt has 1,000 tokens.
 func newRoomEnv(t *testing.T, contended bool, engines ...*fakeEngine) (*testEnv, *fakeClaims) {
@@ -182,6 +191,53 @@
 	}
 }
 
+// A caller leaves while its long prompt is prefilled. Guards against a lease that holds the memory of an
+// engine until the deadline of a request that nobody waits for.
+func TestLeaseEndsWhenTheCallerLeaves(t *testing.T) {
+	e, arrived := newHangingEngine(t, "a", "")
+	env, claims := newRoomEnv(t, true, e)
+	claims.replies[e.llmAddress] = room.Granted
+
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+
+	env.requestCtx(ctx, t, "POST", "/llm/1", "x", "Tokens", "5000")
+	env.server.Close()
+
+	if got := claims.recorded(); !slices.Equal(got, []string{"done"}) {
+		t.Errorf("got %v, want the lease ended", got)
+	}
+}
+
+// An engine breaks off a stream, which continues on another one. Guards against a rest that waits for a
+// short queue, as a prompt does that could still be refused.
+func TestStartedStreamAcceptsAnyBacklog(t *testing.T) {
+	e := newFakeEngine(t, "a", respondAndClose(streamHead+events(1, 1)))
+	other := newFakeEngine(t, "b", respondAndClose(streamHead+events(1, 1)))
+	env, claims := newRoomEnv(t, true, e, other)
+	claims.replies[e.llmAddress], claims.replies[other.llmAddress] = room.Granted, room.Granted
+
+	for i := range 64 {
+		tokens := 500 + 1000*(i%8)
+		env.gateway.profiles.forService("llm").ObserveFirstEvent(tokens, time.Duration(tokens)*10*time.Microsecond)
+	}
+
+	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
+	env.server.Close()
+
+	if len(claims.claims) != 2 {
+		t.Fatalf("got %d claims, want 2", len(claims.claims))
+	}
+
+	// A quarter of the aim of short prompts, 1 s, at 100 tokens per ms.
+	if first, second := claims.claims[0].MaxBacklog, claims.claims[1].MaxBacklog; first < 24_000 || first > 26_000 || second != math.MaxInt32 {
+		t.Errorf("got a limit of %d, and of %d for the rest", first, second)
+	}
+}
+
 // The process beside an engine is dead or of an old build. Guards against prompts that are then never
 // sent, and against several long prompts of this process on an engine of which nothing is known.
 func TestPromptsWithoutReplyAreSentOneAtATime(t *testing.T) {
--- a/pulse/lease.go
+++ b/pulse/lease.go
@@ -29,6 +29,7 @@
 	mu            sync.Mutex // held while a report is numbered and sent
 	sequence      uint64
 	stateSequence uint64
+	queriedAt     time.Time // when the engine was last queried
 	last          Report
 }
 
@@ -64,14 +65,14 @@
 
 	s.sequence++
 	p.Sequence = s.sequence
-	s.last = p
+	s.last, s.queriedAt = p, queriedAt
 	r.send(now, p, to)
 }
 
 // withUsage returns a report with what the leases hold.
 func (r *Reporter) withUsage(now time.Time, p Report) Report {
 	u := r.cfg.Ledger.Usage(now)
-	p.Backlog, p.Leased, p.Leases = u.Backlog, u.Leased, u.Leases
+	p.Backlog, p.Leased, p.Leases = u.Backlog, u.Occupied, u.Leases
 
 	return p
 }
@@ -119,8 +120,10 @@
 
 	s.sequence++
 	s.last = r.withUsage(now, s.last)
-	s.last.Sequence = s.sequence
-	body := encodeFor(subscriber{start: 1}, s.last)
+	s.last.Sequence, s.last.StateAgeMs = s.sequence, max(now.Sub(s.queriedAt).Milliseconds(), 1)
+	p := s.last
+	p.Resident = nil
+	body := encodeFor(subscriber{start: 1}, p)
 
 	for _, to := range r.leaseSubscribers(now) {
 		//nolint:errcheck,gosec // equivalent to a lost datagram
@@ -211,7 +214,7 @@
 
 	u := r.cfg.Ledger.Usage(now)
 	event.Log(r.cfg.Log, event.RoomDenied, "entry", key.Entry, "claim", key.ID, "reason", g.Outcome.String(), "prefill_tokens", c.PrefillTokens, "memory_tokens", c.MemoryTokens,
-		"max_backlog", c.MaxBacklog, "rank", c.Rank, "backlog", u.Backlog, "leased", u.Leased, "leases", u.Held)
+		"max_backlog", c.MaxBacklog, "rank", c.Rank, "backlog", u.Backlog, "occupied", u.Occupied, "leased", u.Leased, "leases", u.Held)
 }
 
 // logEnded logs the leases that ended without a message, and reports whether there were any.
@@ -243,7 +246,7 @@
 
 	if s.start == 0 {
 		limit = maxLegacyDatagram
-		p.Backlog, p.Leased, p.Leases, p.StateSequence = 0, 0, 0, 0
+		p.Backlog, p.Leased, p.Leases, p.StateSequence, p.StateAgeMs = 0, 0, 0, 0, 0
 		p.Slowdown, p.SlowdownAgeMs, p.Speed = 0, 0, 0
 	}
 
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -78,14 +78,18 @@
 	// learned by the entries; zero when unknown.
 	Speed int `cbor:"23,keyasint,omitempty"`
 	// Backlog is the number of tokens that the engine still has to prefill for leased prompts,
-	// Leased the number of memory tokens of all leases and Leases the number of leased prompts that
-	// have not started.
+	// Leased the number of memory tokens that count as taken for further leases (those of all leases,
+	// or UsedTokens with what was granted and freed since, if that is more) and Leases the number of
+	// leased prompts that have not started.
 	Backlog int `cbor:"24,keyasint,omitempty"`
 	Leased  int `cbor:"25,keyasint,omitempty"`
 	Leases  int `cbor:"26,keyasint,omitempty"`
 	// StateSequence increases by one each time the engine is queried. Two reports with the same
 	// number differ only in what the side process itself knows. Zero means a new query each time.
 	StateSequence uint64 `cbor:"27,keyasint,omitempty"`
+	// StateAgeMs is the time since the engine was queried if the report is sent because leases changed,
+	// at least 1; zero in other reports. Such a report leaves out Resident, to save bytes.
+	StateAgeMs int64 `cbor:"29,keyasint,omitempty"`
 	// Grants are the replies to claims of the receiving entry.
 	Grants []room.Grant `cbor:"28,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -33,6 +33,9 @@
 	Backlog, Leases int
 	// Leased is the number of memory tokens of all leases, Held the number of all leases.
 	Leased, Held int
+	// Occupied is the memory that counts as taken when a claim is decided: that of the leases, or
+	// what the engine reported, brought up to date with them, if that is more.
+	Occupied int
 }
 
 // End is the reason why a lease ended without Done.
@@ -94,6 +97,9 @@
 	defaultTokensPerMs = 50
 	// maxTokensPerMs is the largest prefill speed that is believed.
 	maxTokensPerMs = 1e6
+	// doneDelay is how much later than the end of a request its Done may arrive. Memory counts as freed
+	// since the engine's report only if the request certainly ran when the engine was queried.
+	doneDelay = 20 * time.Millisecond
 	// idleReports is the number of consecutive reports of an idle engine that end its leases.
 	idleReports = 2
 )
@@ -107,7 +113,8 @@
 	prefillUntil time.Time
 	left         float64 // tokens that the engine has yet to prefill at the usual speed
 	started      bool    // or taken to have started
-	idle         int     // consecutive reports of an idle engine since it was granted
+	startedAt    time.Time
+	idle         int // consecutive reports of an idle engine since it was granted
 }
 
 // backlog returns the tokens of the lease that count as backlog.
@@ -127,7 +134,8 @@
 	tokensPerMs float64
 	state       State
 	stateAt     time.Time // when the engine was queried, zero for never
-	leases      []*lease  // in the order in which they were granted
+	freed       freed
+	leases      []*lease // in the order in which they were granted
 	byKey       map[Key]*lease
 	advancedAt  time.Time
 	answered    map[Key]answer
@@ -136,6 +144,9 @@
 	ended       []Ended
 }
 
+// freed is what leases that were part of the engine's last report held and that have ended since.
+type freed struct{ requests, tokens int }
+
 // answer is what is remembered of a claim without a lease.
 type answer struct {
 	outcome Outcome // why it was denied
@@ -167,7 +178,7 @@
 	held := len(l.leases)
 
 	l.advance(now)
-	l.state, l.stateAt = s, queriedAt
+	l.state, l.stateAt, l.freed = s, queriedAt, freed{}
 
 	if s.TotalTokens > 0 {
 		l.memory = s.TotalTokens
@@ -237,35 +248,17 @@
 
 // decide returns the outcome of a new claim. The caller holds mu.
 func (l *Ledger) decide(c Claim) Outcome {
-	leased, since, sinceTokens := 0, 0, 0
-
-	for _, x := range l.leases {
-		leased += x.claim.MemoryTokens
-
-		// A report can't include a prompt whose lease was granted after it.
-		if !x.grantedAt.Before(l.stateAt) {
-			since++
-			sinceTokens += x.claim.MemoryTokens
-		}
-	}
-
-	running := max(l.state.Running, 0) + max(l.state.Waiting, 0)
-	idle := len(l.leases) == 0 && running == 0
-
+	requests, tokens := l.occupied()
 	limit := int(memoryShare * float64(l.memory))
-	if idle {
-		limit = l.memory
-	}
 
-	used := max(leased, min(max(l.state.UsedTokens, 0), maxTokens)+sinceTokens)
-	if idle {
-		used = 0
+	if len(l.leases) == 0 && l.state.Running+l.state.Waiting <= 0 {
+		tokens, limit = 0, l.memory
 	}
 
 	switch {
-	case used+c.MemoryTokens > limit:
+	case tokens+c.MemoryTokens > limit:
 		return NoMemory
-	case len(l.leases) >= maxLeases, l.slots > 0 && max(len(l.leases), running+since) >= l.slots:
+	case len(l.leases) >= maxLeases, l.slots > 0 && requests >= l.slots:
 		return NoSlot
 	case l.backlog() > float64(c.MaxBacklog):
 		return Backlogged
@@ -274,6 +267,26 @@
 	}
 }
 
+// occupied returns the requests and the memory tokens that count as taken: those of the leases, or what
+// the engine reported, with what was granted and freed since, if that is more. The caller holds mu.
+func (l *Ledger) occupied() (requests, tokens int) {
+	requests = max(l.state.Running, 0) + max(l.state.Waiting, 0) - l.freed.requests
+	tokens = min(max(l.state.UsedTokens, 0), maxTokens) - l.freed.tokens
+	leased := 0
+
+	for _, x := range l.leases {
+		leased += x.claim.MemoryTokens
+
+		// A report can't include a prompt whose lease was granted after it.
+		if !x.grantedAt.Before(l.stateAt) {
+			requests++
+			tokens += x.claim.MemoryTokens
+		}
+	}
+
+	return max(requests, len(l.leases)), max(tokens, leased)
+}
+
 // add adds a lease. The caller holds mu.
 func (l *Ledger) add(now time.Time, key Key, c Claim) {
 	overdueMs := overdueFactor * (l.backlog() + float64(c.PrefillTokens)) / l.speed()
@@ -298,7 +311,7 @@
 		return false
 	}
 
-	x.started = true
+	x.started, x.startedAt = true, now
 
 	return true
 }
@@ -310,10 +323,16 @@
 
 	l.advance(now)
 
-	if l.byKey[key] == nil {
+	x := l.byKey[key]
+	if x == nil {
 		return false
 	}
 
+	if !x.startedAt.IsZero() && x.startedAt.Before(l.stateAt) && now.Sub(l.stateAt) > doneDelay {
+		l.freed.requests++
+		l.freed.tokens += x.claim.MemoryTokens
+	}
+
 	l.remove(func(x *lease) bool { return x.key == key })
 
 	return true
@@ -336,6 +355,7 @@
 	l.advance(now)
 
 	u := Usage{Backlog: int(l.backlog()), Held: len(l.leases)}
+	_, u.Occupied = l.occupied()
 
 	for _, x := range l.leases {
 		u.Leased += x.claim.MemoryTokens
--- a/roster/backlog.go
+++ b/roster/backlog.go
@@ -14,7 +14,7 @@
 	// Tokens is the number of tokens that the engine has yet to prefill for leased prompts, Leases
 	// the number of those prompts.
 	Tokens, Leases int
-	// MemoryTokens is the memory of all leases.
+	// MemoryTokens is the memory that counts as taken for further leases.
 	MemoryTokens int
 	// Age is the time since these figures arrived. They may be newer than the load report.
 	Age time.Duration
@@ -56,6 +56,29 @@
 	return sameState
 }
 
+// applyStateAge resets what was sent since the engine was queried. A report that was sent because leases
+// changed may be of a query that this process has no other report of, up to 100 ms ago. If a request
+// was sent after that, all that were sent since the report before still count: some of them twice, but
+// none is forgotten. The caller holds mu.
+func (e *engine) applyStateAge(now time.Time, p pulse.Report) {
+	age := time.Duration(min(max(p.StateAgeMs, 0), e.maxReportAge().Milliseconds())) * time.Millisecond
+	e.reportedAt = now.Add(-age)
+
+	if age == 0 || !e.lastSentAt.After(e.reportedAt) {
+		e.sentSince = Sent{}
+	}
+}
+
+// withResident returns a load report with the resident parts of the last one if it leaves them out. The
+// caller holds mu.
+func (e *engine) withResident(p pulse.Report) pulse.Report {
+	if p.StateAgeMs > 0 && p.SourceStart == e.report.SourceStart {
+		p.Resident = e.report.Resident
+	}
+
+	return p
+}
+
 // SentLeased records, as Sent does, that a request is sent to a target. Its tokens to prefill are leased
 // there, and so are part of the reported backlog already.
 func (r *Roster) SentLeased(now time.Time, id string, prefillTokens, cacheTokens int) target.Attempt {
--- a/roster/backlog_test.go
+++ b/roster/backlog_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"boragehub/pulse"
+	"boragehub/resident"
 )
 
 const reportingAddress = "10.0.0.1:80"
@@ -61,6 +62,30 @@
 	}
 }
 
+// A pushed report is the first one of a query that was made some time ago, as this process gets not
+// each report. Guards against forgetting what was sent after the query, and against a state that
+// seems newer than it is or holds no shared parts.
+func TestPushedStateIsAsOldAsItsQuery(t *testing.T) {
+	for _, tt := range []struct {
+		sentAt int
+		want   Sent
+	}{{30, Sent{}}, {50, Sent{Requests: 1, PrefillTokens: 500, CacheTokens: 600}}} {
+		r := newTestRoster()
+		first := stateReport(1, 1, 0, 0)
+		first.Resident = []resident.Part{{Key: 7, Tokens: 2048}}
+		r.ObserveReport(at(0), first)
+		r.Sent(at(tt.sentAt), "a", 500, 600)
+
+		pushed := stateReport(2, 2, 0, 0)
+		pushed.StateAgeMs = 60
+		r.ObserveReport(at(100), pushed)
+
+		if e := candidatesByID(r, at(110))["a"]; e.SentSince != tt.want || e.ReportAge != 70*time.Millisecond || !e.Report.Has(7, 2048) {
+			t.Errorf("sent at %d ms: got %+v with age %v, want %+v with 70 ms", tt.sentAt, e.SentSince, e.ReportAge, tt.want)
+		}
+	}
+}
+
 // Side processes of old builds, and restarted ones, count from the beginning or not at all. Guards
 // against taking their reports for repeated ones.
 func TestReportsOfOtherBuildsAndStartsAreNew(t *testing.T) {
