pulse, roster: push the figures of leases alone

A report that was sent again when leases changed looked newer than it was: the engine's clock in it would have set back that of the entry, which limits fetches by it, and an entry that had missed the poll would have forgotten what it sent since. Pushed reports and replies to claims now have the figures of leases alone, and say so.

--- a/pulse/claim.go
+++ b/pulse/claim.go
@@ -275,18 +275,9 @@
 	})
 }
 
-// receiveGrants handles a reply to claims: the engine's backlog becomes known before the claims are
-// answered, so that a denied claim is followed by a decision that uses it.
-func (l *Listener) receiveGrants(now time.Time, p Report) {
-	last, ok := l.latest[p.Engine]
-	if ok && last.SourceStart == p.SourceStart && p.Sequence > last.Sequence {
-		// StateSequence stays that of the last report, whose other figures are kept.
-		last.Sequence, last.Backlog, last.Leased, last.Leases = p.Sequence, p.Backlog, p.Leased, p.Leases
-		last.Interval = time.Duration(l.interval.Load())
-		l.latest[p.Engine] = last
-		l.cfg.OnReport(now, last)
-	}
-
+// receiveGrants delivers the grants of a report to the claims that wait for them. The report's backlog
+// is known before, so that a denied claim is followed by a decision that uses it.
+func (l *Listener) receiveGrants(p Report) {
 	for _, g := range p.Grants {
 		if !l.claims.resolve(g) {
 			l.Done(p.Engine, g.ID)
--- a/pulse/lease.go
+++ b/pulse/lease.go
@@ -29,8 +29,7 @@
 	mu            sync.Mutex // held while a report is numbered and sent
 	sequence      uint64
 	stateSequence uint64
-	queriedAt     time.Time // when the engine was last queried
-	last          Report
+	sourceStart   int64
 }
 
 func newLeaseReports() leaseReports {
@@ -65,7 +64,7 @@
 
 	s.sequence++
 	p.Sequence = s.sequence
-	s.last, s.queriedAt = p, queriedAt
+	s.sourceStart = p.SourceStart
 	r.send(now, p, to)
 }
 
@@ -77,7 +76,7 @@
 	return p
 }
 
-// pushChanges sends the last report again when leases have changed, until ctx ends.
+// pushChanges sends the figures of leases when they have changed, until ctx ends.
 func (r *Reporter) pushChanges(ctx context.Context) {
 	if r.cfg.Ledger == nil {
 		return
@@ -107,7 +106,7 @@
 	}
 }
 
-// push sends the last report with the present leases to the subscribers that know of them.
+// push sends the figures of leases to the subscribers that know of them.
 func (r *Reporter) push(now time.Time) {
 	s := &r.leases
 
@@ -118,12 +117,7 @@
 		return // the engine has not been queried yet
 	}
 
-	s.sequence++
-	s.last = r.withUsage(now, s.last)
-	s.last.Sequence, s.last.StateAgeMs = s.sequence, max(now.Sub(s.queriedAt).Milliseconds(), 1)
-	p := s.last
-	p.Resident = nil
-	body := encodeFor(subscriber{start: 1}, p)
+	body := encode(r.leasesOnly(now, nil))
 
 	for _, to := range r.leaseSubscribers(now) {
 		//nolint:errcheck,gosec // equivalent to a lost datagram
@@ -199,11 +193,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	//nolint:errcheck,gosec // the claim is repeated
+	r.conn.WriteToUDP(encode(r.leasesOnly(now, grants)), to)
+}
+
+// leasesOnly returns the next report with the figures of leases. The caller holds leases.mu.
+func (r *Reporter) leasesOnly(now time.Time, grants []room.Grant) Report {
+	s := &r.leases
 	s.sequence++
-	p := r.withUsage(now, Report{Engine: r.cfg.EngineAddress, SourceStart: s.last.SourceStart, Sequence: s.sequence, StateSequence: s.stateSequence, Grants: grants})
 
-	//nolint:errcheck,gosec // the claim is repeated
-	r.conn.WriteToUDP(encode(p), to)
+	return r.withUsage(now, Report{
+		Engine: r.cfg.EngineAddress, SourceStart: s.sourceStart, Sequence: s.sequence, StateSequence: s.stateSequence, LeasesOnly: true, Grants: grants,
+	})
 }
 
 // logDenied logs a denied claim with its inputs.
@@ -246,7 +247,7 @@
 
 	if s.start == 0 {
 		limit = maxLegacyDatagram
-		p.Backlog, p.Leased, p.Leases, p.StateSequence, p.StateAgeMs = 0, 0, 0, 0, 0
+		p.Backlog, p.Leased, p.Leases, p.StateSequence = 0, 0, 0, 0
 		p.Slowdown, p.SlowdownAgeMs, p.Speed = 0, 0, 0
 	}
 
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -70,18 +70,12 @@
 			continue
 		}
 
-		if len(p.Grants) > 0 {
-			l.receiveGrants(time.Now(), p)
-
-			continue
-		}
-
-		if !l.newer(p) {
-			continue
+		if l.newer(p) {
+			p.Interval = time.Duration(l.interval.Load())
+			l.cfg.OnReport(time.Now(), p)
 		}
 
-		p.Interval = time.Duration(l.interval.Load())
-		l.cfg.OnReport(time.Now(), p)
+		l.receiveGrants(p)
 	}
 }
 
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -11,8 +11,8 @@
 // list of entries.
 //
 // The side process also grants leases of the engine's capacity (package room): an entry sends
-// claims in a subscription datagram and gets a reply at once. When leases change, the last
-// report is sent again to all subscribers with the new figures (Report.StateSequence).
+// claims in a subscription datagram and gets a reply at once. When leases change, their
+// figures are sent to all subscribers in a report without the rest (Report.LeasesOnly).
 //
 // A load report has about 60 bytes, and 12 more for each long part of a prompt in the
 // engine's KV cache. At the default interval one engine costs an entry about 1.5 kilobytes
@@ -87,9 +87,10 @@
 	// StateSequence increases by one each time the engine is queried. Two reports with the same
 	// number differ only in what the side process itself knows. Zero means a new query each time.
 	StateSequence uint64 `cbor:"27,keyasint,omitempty"`
-	// StateAgeMs is the time since the engine was queried if the report is sent because leases changed,
-	// at least 1; zero in other reports. Such a report leaves out Resident, to save bytes.
-	StateAgeMs int64 `cbor:"29,keyasint,omitempty"`
+	// LeasesOnly reports whether the report is sent because leases changed or as a reply to claims.
+	// Of the engine's state it has Backlog, Leased and Leases only: the rest would be up to 100 ms
+	// older than it seems.
+	LeasesOnly bool `cbor:"29,keyasint,omitempty"`
 	// Grants are the replies to claims of the receiving entry.
 	Grants []room.Grant `cbor:"28,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
--- a/roster/backlog.go
+++ b/roster/backlog.go
@@ -39,44 +39,20 @@
 	return Backlog{Known: true, Tokens: e.report.Backlog, Leases: e.report.Leases, MemoryTokens: e.report.Leased, Age: now.Sub(e.backlogAt)}
 }
 
-// applyBacklog applies a load report if it differs from the last one in what the side process knows of
-// leases only, and reports whether it does. The engine was not queried again for it: it is no sign
-// that the engine responds, its other figures are as old as before, and requests sent since are still
-// not in them. The caller holds mu.
+// applyBacklog applies the figures of leases in a load report, and reports whether the report has no
+// other news: the engine was not queried again for it. It is then no sign that the engine responds, the
+// other figures known are as old as before, and requests sent since are still not in them. The
+// caller holds mu.
 func (e *engine) applyBacklog(now time.Time, p pulse.Report) bool {
-	sameState := p.StateSequence > 0 && p.StateSequence == e.report.StateSequence && p.SourceStart == e.report.SourceStart
-	if sameState || p.StateSequence > 0 {
-		e.backlogAt = now
-	}
-
-	if sameState {
-		e.report.Sequence, e.report.Backlog, e.report.Leased, e.report.Leases = p.Sequence, p.Backlog, p.Leased, p.Leases
-	}
-
-	return sameState
-}
+	known := p.SourceStart == e.report.SourceStart && e.report.StateSequence > 0
+	noNews := p.LeasesOnly || (known && p.StateSequence == e.report.StateSequence)
 
-// applyStateAge resets what was sent since the engine was queried. A report that was sent because leases
-// changed may be of a query that this process has no other report of, up to 100 ms ago. If a request
-// was sent after that, all that were sent since the report before still count: some of them twice, but
-// none is forgotten. The caller holds mu.
-func (e *engine) applyStateAge(now time.Time, p pulse.Report) {
-	age := time.Duration(min(max(p.StateAgeMs, 0), e.maxReportAge().Milliseconds())) * time.Millisecond
-	e.reportedAt = now.Add(-age)
-
-	if age == 0 || !e.lastSentAt.After(e.reportedAt) {
-		e.sentSince = Sent{}
-	}
-}
-
-// withResident returns a load report with the resident parts of the last one if it leaves them out. The
-// caller holds mu.
-func (e *engine) withResident(p pulse.Report) pulse.Report {
-	if p.StateAgeMs > 0 && p.SourceStart == e.report.SourceStart {
-		p.Resident = e.report.Resident
+	if known || !noNews {
+		e.backlogAt = now
+		e.report.Backlog, e.report.Leased, e.report.Leases = p.Backlog, p.Leased, p.Leases
 	}
 
-	return p
+	return noNews
 }
 
 // SentLeased records, as Sent does, that a request is sent to a target. Its tokens to prefill are leased
--- a/roster/report.go
+++ b/roster/report.go
@@ -49,8 +49,7 @@
 	r.lastSeen = now
 	r.applyReportedRateLimit(now, id, e, p.RateLimit)
 	r.applyReportedLeaving(id, e, p.Leaving)
-	e.report = e.withResident(p)
-	e.applyStateAge(now, p)
+	e.report, e.sentSince = p, Sent{}
 
 	if p.Slowdown > 0 {
 		r.contended[e.listing.Service] = true
