--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,9 @@
 	// UnreadBytes bounds the memory that responses take which callers read slowly or not at all. If
 	// zero, there is no bound, and a stream whose caller doesn't read isn't read either.
 	UnreadBytes int
+	// Claims claims capacity at the engines of contended services for long prompts; nil means that
+	// they are sent without claims.
+	Claims Claims
 	// Meter counts requests; nil counts nothing.
 	Meter Meter
 	// Log gets a line for each decision.
@@ -91,6 +94,8 @@
 	Refused(kind, reason string)
 	// Failed counts an attempt without a complete response.
 	Failed(outcome string)
+	// Claimed counts a claim of capacity at an engine, by outcome.
+	Claimed(outcome string)
 }
 
 // Gateway serves callers as an http.Handler. Use New.
@@ -114,6 +119,7 @@
 	startup         *startupHold
 	inFlight        attemptTracker
 	profiles        serviceProfiles
+	longPrompts     longPrompts
 
 	throttledCallers throttledCallers
 	slowReaders      *slowReaders
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -40,6 +40,7 @@
 	demand   atomic.Int64 // last reported demand per second
 
 	utilisations sentUtilisations
+	claims       claimTable
 }
 
 // Listen returns a Listener that is bound to cfg.Address.
@@ -49,7 +50,7 @@
 		return nil, err
 	}
 
-	return &Listener{cfg: cfg, conn: conn, latest: make(map[string]Report)}, nil
+	return &Listener{cfg: cfg, conn: conn, latest: make(map[string]Report), claims: newClaimTable(time.Now())}, nil
 }
 
 // Run renews the subscriptions and receives load reports until ctx ends.
@@ -59,7 +60,7 @@
 
 	go l.subscribe(ctx)
 
-	buf := make([]byte, maxDatagram)
+	buf := make([]byte, receiveBufferBytes)
 
 	for ctx.Err() == nil {
 		n, _, err := l.conn.ReadFromUDP(buf)
@@ -70,12 +71,16 @@
 		}
 
 		var p Report
-		if cbor.Unmarshal(buf[:n], &p) != nil || !l.newer(p) {
+		if cbor.Unmarshal(buf[:n], &p) != nil {
 			continue
 		}
 
-		p.Interval = time.Duration(l.interval.Load())
-		l.cfg.OnReport(time.Now(), p)
+		if l.newer(p) {
+			p.Interval = time.Duration(l.interval.Load())
+			l.cfg.OnReport(time.Now(), p)
+		}
+
+		l.receiveGrants(p)
 	}
 }
 
@@ -103,7 +108,7 @@
 		engines, interval := l.cfg.Engines()
 		l.interval.Store(int64(interval))
 
-		s := Subscription{IntervalMs: interval.Milliseconds()}
+		s := Subscription{IntervalMs: interval.Milliseconds(), Start: l.claims.start}
 		renewInterval := subscribeInterval
 
 		if l.cfg.Demand != nil {
@@ -138,9 +143,9 @@
 }
 
 // Notify sends a subscription with further fields to the side process of an engine at once. It sets
-// the interval, the demand and the utilisation.
+// the interval, the demand, the utilisation and the start time.
 func (l *Listener) Notify(engine string, s Subscription) {
-	s.IntervalMs, s.Demand = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load())
+	s.IntervalMs, s.Demand, s.Start = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load()), l.claims.start
 	s.Utilisation = l.utilisations.get(engine)
 	l.send(engine, encodeSubscription(s))
 }
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -10,6 +10,10 @@
 // expires. A lost datagram only makes the known load staler, and a side process needs no
 // list of entries.
 //
+// The side process also grants leases of the engine's capacity (package room): an entry sends
+// claims in a subscription datagram and gets a reply at once. When leases change, their
+// figures are sent to all subscribers in a report without the rest (Report.LeasesOnly).
+//
 // A load report has about 60 bytes, and 12 more for each long part of a prompt in the
 // engine's KV cache. At the default interval one engine costs an entry about 1.5 kilobytes
 // a second, so an entry that may route to many engines subscribes to some of them only, at
@@ -74,14 +78,19 @@
 	// learned by the entries; zero when unknown.
 	Speed int `cbor:"23,keyasint,omitempty"`
 	// Backlog is the number of tokens that the engine still has to prefill for leased prompts,
-	// Leased the number of memory tokens of all leases and Leases the number of leased prompts that
-	// have not started.
+	// Leased the number of memory tokens that count as taken for further leases (those of all leases,
+	// or UsedTokens with what was granted and freed since, if that is more) and Leases the number of
+	// leased prompts that have not started.
 	Backlog int `cbor:"24,keyasint,omitempty"`
 	Leased  int `cbor:"25,keyasint,omitempty"`
 	Leases  int `cbor:"26,keyasint,omitempty"`
 	// StateSequence increases by one each time the engine is queried. Two reports with the same
 	// number differ only in what the side process itself knows. Zero means a new query each time.
 	StateSequence uint64 `cbor:"27,keyasint,omitempty"`
+	// LeasesOnly reports whether the report is sent because leases changed or as a reply to claims.
+	// Of the engine's state it has Backlog, Leased and Leases only: the rest would be up to 100 ms
+	// older than it seems.
+	LeasesOnly bool `cbor:"29,keyasint,omitempty"`
 	// Grants are the replies to claims of the receiving entry.
 	Grants []room.Grant `cbor:"28,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
@@ -115,6 +124,9 @@
 	Claims  []room.Claim `cbor:"7,keyasint,omitempty"`
 	Started []uint64     `cbor:"8,keyasint,omitempty"`
 	Done    []uint64     `cbor:"9,keyasint,omitempty"`
+	// Start is the start time of the entry's process, in ns of its clock. Zero means a build that
+	// sends no claims, and that gets neither the fields about leases nor pushed reports.
+	Start int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Has reports whether the engine's KV cache holds at least that many tokens of the part
@@ -145,8 +157,13 @@
 
 // Bounds.
 const (
-	// maxDatagram is the size of receive buffers in bytes; load reports are smaller.
-	maxDatagram = 512
+	// maxLegacyDatagram is the size of the receive buffers of builds without Subscription.Start, in
+	// bytes. Load reports to them, and subscriptions to any side process, are not larger.
+	maxLegacyDatagram = 512
+	// maxDatagram is the size of the largest load report to other builds; it fits into one packet.
+	maxDatagram = 1400
+	// receiveBufferBytes is the size of receive buffers.
+	receiveBufferBytes = 2048
 	// maxSubscribers bounds the number of entries that get reports of one engine.
 	maxSubscribers = 64
 )
