--- a/slowstart/probe.go
+++ b/slowstart/probe.go
@@ -20,6 +20,8 @@
 	ColdFor time.Duration
 	// RateLimit is the rate limit that it names, in requests a second; zero for none.
 	RateLimit float64
+	// Slowdown is the slowdown of its host that it reports, in percent; zero for none.
+	Slowdown int
 	// RetryAfter is how long it wants no further check, set with an error; zero if it doesn't say.
 	RetryAfter time.Duration
 }
@@ -31,6 +33,8 @@
 	// Health checks the target at Address.
 	Health  Health
 	Address string
+	// OnSlowdown is called with the slowdown that the target reports, in percent; may be nil.
+	OnSlowdown func(now time.Time, percent int)
 }
 
 // Probe regularly checks whether the target beside a process is cold, since it may become cold
@@ -113,6 +117,10 @@
 
 	p.cfg.Guard.ReportRemaining(time.Now(), s.ColdFor)
 
+	if s.Slowdown > 0 && p.cfg.OnSlowdown != nil {
+		p.cfg.OnSlowdown(time.Now(), s.Slowdown)
+	}
+
 	return pauseUnder(s.RateLimit)
 }
 
