route: multiply times at a target by its slowdown

Cause: decisions assume that all targets are equally fast. Change: DecidePrefix and DecideCall multiply the times at a target by the factor of the candidate; round trips, fetches and the penalties stay. Measured: tests of the package pass with -race. A comparison with the code before, 20,000 random decisions of 12 candidates with factors 0 and 1, gave equal results to the last bit.

--- a/route/call.go
+++ b/route/call.go
@@ -96,6 +96,8 @@
 		callSeconds = defaultCallSeconds
 	}
 
+	callSeconds *= orDefault(c.Slowdown, 1)
+
 	age := max(seconds(now.Sub(c.LoadAt)), 0)
 	weight := math.Exp(-age / callSeconds)
 	calls := weight*float64(c.Running+c.Waiting+c.SentRequests) + (1-weight)*float64(c.InFlight)
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -204,7 +204,7 @@
 
 // totalCostMs returns the estimated cost of an engine in ms.
 func (c *PrefixCandidate) totalCostMs(cfg PrefixConfig, r PrefixRequest, home bool) float64 {
-	ms := c.queueWaitMs(cfg, r) + float64(c.RoundTrip)/float64(time.Millisecond) + cfg.prefillMs(r.OwnTokens)
+	ms := c.queueWaitMs(cfg, r) + float64(c.RoundTrip)/float64(time.Millisecond) + c.prefillMs(cfg, r.OwnTokens)
 
 	if !home {
 		ms += notHomeCostMs
@@ -215,7 +215,7 @@
 	}
 
 	if excess := c.UsedTokens + r.memoryTokens() - cfg.MemoryTokens; excess > 0 {
-		ms += (1 + recomputeFactor) * cfg.prefillMs(excess)
+		ms += (1 + recomputeFactor) * c.prefillMs(cfg, excess)
 	}
 
 	if c.OldWeights {
@@ -241,10 +241,10 @@
 	case c.NewPrefix && home:
 		return 0
 	case c.NewPrefix:
-		return newPrefixFactor * cfg.prefillMs(r.SharedTokens)
+		return newPrefixFactor * c.prefillMs(cfg, r.SharedTokens)
 	}
 
-	return (1 + recomputeFactor) * cfg.prefillMs(r.SharedTokens)
+	return (1 + recomputeFactor) * c.prefillMs(cfg, r.SharedTokens)
 }
 
 // hasShortPrefill reports whether the prompt has at most the usual number of tokens
@@ -273,5 +273,14 @@
 		ms += float64(c.Running-c.Slots+1) * cfg.PromptTokens / cfg.TokensPerMs
 	}
 
-	return ms
+	return ms * c.slowdown()
+}
+
+// prefillMs returns the time in ms in which the engine prefills the given number of tokens at its
+// present speed.
+func (c *PrefixCandidate) prefillMs(cfg PrefixConfig, tokens int) float64 {
+	return cfg.prefillMs(tokens) * c.slowdown()
 }
+
+// slowdown returns Slowdown, or 1 when it is zero.
+func (c *PrefixCandidate) slowdown() float64 { return orDefault(c.Slowdown, 1) }
