--- a/profile/profile.go
+++ b/profile/profile.go
@@ -53,6 +53,8 @@
 	next     int // index to overwrite next, once there are maxSamples
 	sinceFit int // observations since the last fit
 	rate     float64
+	// overheadMs is the usual time in ms to the first event beyond the prefill.
+	overheadMs float64
 }
 
 // sample is the observation of one prompt.
@@ -102,9 +104,20 @@
 
 	slices.Sort(slopes)
 
-	if m := slopes[len(slopes)/2]; m > 0 {
-		r.rate = 1 / m
+	m := slopes[len(slopes)/2]
+	if m <= 0 {
+		return
+	}
+
+	r.rate = 1 / m
+
+	rest := slopes[:0]
+	for _, s := range r.samples {
+		rest = append(rest, s.ms-m*float64(s.tokens))
 	}
+
+	slices.Sort(rest)
+	r.overheadMs = max(rest[len(rest)/2], 0)
 }
 
 // TokensPerMs returns the rate, and false if there are too few observations.
@@ -115,6 +128,27 @@
 	return r.rate, r.rate > 0
 }
 
+// minPrefillShare is the part of the usual time to the first event that prefill takes at least, for that
+// time to tell the speed of an engine. The rest depends on the engine only in part.
+const minPrefillShare = 1.0 / 3
+
+// UsualTime returns the usual time to the first event of a prompt with a number of tokens to prefill, on
+// an engine that has nothing else to prefill. It returns false if there are too few observations, or if
+// the prompt is so short that its time doesn't tell the speed of its engine.
+func (r *RateEstimator) UsualTime(tokens int) (usual time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.rate <= 0 {
+		return 0, false
+	}
+
+	prefillMs := float64(tokens) / r.rate
+	ms := prefillMs + r.overheadMs
+
+	return time.Duration(ms * float64(time.Millisecond)), prefillMs > 0 && prefillMs >= minPrefillShare*ms
+}
+
 // meanWeight is the weight of a new value. The mean follows about the last hundred values, a
 // few seconds of an entry's requests.
 const meanWeight = 0.01
--- a/profile/service.go
+++ b/profile/service.go
@@ -41,6 +41,12 @@
 	f.prefillRate.Observe(prefillTokens, first)
 }
 
+// UsualFirstEvent returns the usual time to the first event of a prompt whose engine has nothing else to
+// prefill; false if it isn't known or doesn't tell the speed of the engine.
+func (f *Service) UsualFirstEvent(prefillTokens int) (usual time.Duration, ok bool) {
+	return f.prefillRate.UsualTime(prefillTokens)
+}
+
 // ObserveAnswer records the time from the first event to the end of a complete answer with a
 // maximum length of output tokens.
 func (f *Service) ObserveAnswer(output int, after time.Duration) {
