pulse: report the slowdown and the speed of an engine

Cause: only the process that receives a response learns the slowdown from it, and one entry has few prompts to estimate a speed from. Change: the side process keeps the newest slowdown, from entries, its own polls and health checks, and reports it with its age. It reports the mean of the entries' speeds, weighted and shrunk by their samples. A restart of the engine clears both. Entries send their estimate with each subscription.

--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -44,7 +44,13 @@
 	})
 
 	guard := slowstart.NewGuard(slowstart.Limit{}, uint64(time.Now().UnixNano()))
-	probe := slowstart.NewProbe(slowstart.ProbeConfig{Guard: guard, Health: platformClient, Address: cfg.EngineAddress})
+
+	var reporter *pulse.Reporter // set before the probe runs
+
+	probe := slowstart.NewProbe(slowstart.ProbeConfig{
+		Guard: guard, Health: platformClient, Address: cfg.EngineAddress,
+		OnSlowdown: func(now time.Time, percent int) { reporter.ObserveSlowdown(now, percent) },
+	})
 
 	operators := &mirror.Topic{}
 	publications := &platform.OperatorHandler{
@@ -73,7 +79,9 @@
 
 	partsFollower := resident.NewFollower(resident.Config{Address: cfg.EngineAddress, Source: platformClient})
 
-	reporter, err := pulse.NewReporter(pulse.ReporterConfig{
+	var err error
+
+	reporter, err = pulse.NewReporter(pulse.ReporterConfig{
 		Address: cfg.InternalAddress(reportPortOffset), Engine: platformClient, EngineAddress: cfg.EngineAddress, Resident: partsFollower.Parts, SlowStart: guard, Restarted: partsFollower.Reset, LoadIn: l.LoadIn,
 	})
 	if err != nil {
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -23,6 +23,9 @@
 	// Demand returns the rate of prompts at this process, per second, and whether engines
 	// currently divide their permits by it; nil reports no demand.
 	Demand func(now time.Time) (perSecond int, shared bool)
+	// Speed returns the speed of an engine as this process has learned it, in percent, and the number
+	// of samples; nil or no samples tell the engines none.
+	Speed func(engine string) (percent, samples int)
 	// OnReport is called with each load report, per engine in the order of sending, from one
 	// goroutine.
 	OnReport func(now time.Time, p Report)
@@ -109,10 +112,9 @@
 		}
 
 		l.demand.Store(int64(s.Demand))
-		body := encodeSubscription(s)
 
 		for _, engine := range engines {
-			l.send(engine, body)
+			l.send(engine, l.encode(engine, s))
 		}
 
 		if len(engines) == 0 {
@@ -127,10 +129,10 @@
 }
 
 // Notify sends a subscription with further fields to the side process of an engine at once. It sets
-// the interval and the demand.
+// the interval, the demand and the speed.
 func (l *Listener) Notify(engine string, s Subscription) {
 	s.IntervalMs, s.Demand = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load())
-	l.send(engine, encodeSubscription(s))
+	l.send(engine, l.encode(engine, s))
 }
 
 // send sends a datagram to the side process of an engine.
--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"boragehub/capacity"
 	"boragehub/pause"
 	"boragehub/resident"
 	"boragehub/slowstart"
@@ -46,6 +47,7 @@
 
 	mu          sync.Mutex
 	subscribers map[string]subscriber
+	slowdown    latestSlowdown
 }
 
 type subscriber struct {
@@ -54,6 +56,7 @@
 	interval  time.Duration
 	demand    int       // rate of prompts at the entry, per second
 	dueAt     time.Time // when its next load report is due
+	speed     capacity.Speed
 }
 
 // NewReporter returns a Reporter that is bound to cfg.Address.
@@ -109,6 +112,10 @@
 
 		lost = false
 
+		if next.StartedMs > p.StartedMs && p.StartedMs > 0 {
+			r.forgetCapacity()
+		}
+
 		if next.StartedMs > p.StartedMs && p.StartedMs > 0 && r.cfg.Restarted != nil {
 			r.cfg.Restarted()
 		}
@@ -123,6 +130,7 @@
 		}
 
 		next.LoadInMs = r.loadIn(time.Now())
+		r.fillCapacity(time.Now(), &next)
 
 		p = next
 		r.send(time.Now(), p, to)
@@ -190,6 +198,7 @@
 	}
 
 	old.address, old.expiresAt, old.interval, old.demand = from, now.Add(subscriptionTTL), time.Duration(s.IntervalMs)*time.Millisecond, s.Demand
+	r.observeCapacity(now, &old, s)
 	r.subscribers[from.String()] = old
 }
 
