roster: slowdown of candidates in contended services

Cause: work is divided evenly among targets that are not equally fast. Change: ObserveSlowdown marks the service as contended, and calls SlowdownChanged if the figure differs by 10 points from the one that the side process has, or lasts. ObserveFirstEvent samples speeds. Candidates of contended services have the combined factor, others 1. Events 2324 to 2326. Measured: tests of the package pass with -race.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -32,6 +32,9 @@
 	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned), `entries` that share it, `interval_ms` between two requests of this entry.")
 	TargetLeaving       = register(2322, "target_leaving", "A target says that it is about to leave: `target`, `basis` (where it was learned), `listed_draining` (whether the register says so too).")
 	TargetRetryAfter    = register(2323, "target_retry_after", "A target refused a request and wants no other one of this entry for a time: `target`, `retry_after_ms`, `until`.")
+	ServiceContended    = register(2324, "service_contended", "A target of a service reported the slowdown of its host for the first time; from now on work is divided by the targets' slowdown and speed unless `setting` is off: `service`, `target`, `basis`, `setting` (of --contention).")
+	TargetSlowdown      = register(2325, "target_slowdown", "A response reported a slowdown of its target's host that differs from the last one known by 10 points or more, or that has lasted; it is passed on to the process beside the target: `target`, `percent` (100 is usual), `before` (zero for none), `before_age_ms`, `basis`.")
+	TargetSpeed         = register(2326, "target_speed", "The estimated time that prefill takes on a target changed by 10 points or more: `target`, `percent` of the service's usual time, `before`, `own_samples` (prompts of this entry behind it), `basis` (`load_report`: the estimate of all entries; `response`: of this one alone).")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/roster/contention.go
+++ b/roster/contention.go
@@ -1,6 +1,10 @@
 package roster
 
-import "fmt"
+import (
+	"fmt"
+
+	"boragehub/event"
+)
 
 // Contention says which services are contended: requests compete there for the room at targets, or
 // for the hosts of targets, and further decisions apply.
@@ -38,6 +42,14 @@
 
 // Contended reports whether a service is contended.
 func (r *Roster) Contended(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.isContended(service)
+}
+
+// AnyContended reports whether any service of the deployment may be contended.
+func (r *Roster) AnyContended() bool {
 	switch r.cfg.Contention {
 	case ContentionOn:
 		return true
@@ -46,12 +58,32 @@
 	case ContentionAuto:
 	}
 
-	if r.cfg.MemoryPressure && r.cfg.HasEngines != nil && r.cfg.HasEngines(service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.cfg.MemoryPressure || len(r.contended) > 0
+}
+
+// isContended is Contended for a caller that holds mu.
+func (r *Roster) isContended(service string) bool {
+	switch r.cfg.Contention {
+	case ContentionOn:
 		return true
+	case ContentionOff:
+		return false
+	case ContentionAuto:
 	}
 
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	return r.contended[service] || r.cfg.MemoryPressure && r.cfg.HasEngines != nil && r.cfg.HasEngines(service)
+}
+
+// markContended records that a target of a service has reported the slowdown of its host. The caller
+// holds mu.
+func (r *Roster) markContended(id, service, basis string) {
+	if r.contended[service] {
+		return
+	}
 
-	return r.contended[service]
+	r.contended[service] = true
+	event.Log(r.cfg.Log, event.ServiceContended, "service", service, "target", id, "basis", basis, "setting", r.cfg.Contention.String())
 }
--- a/roster/report.go
+++ b/roster/report.go
@@ -47,10 +47,7 @@
 	r.applyReportedLeaving(id, e, p.Leaving)
 	e.report, e.sentSince = p, Sent{}
 
-	if p.Slowdown > 0 {
-		r.contended[e.listing.Service] = true
-	}
-
+	r.applyReportedCapacity(now, id, e, p)
 	e.slowStart.observeReport(now, p)
 	r.raiseVersion(id, e, p.Model, p.Version, "pulse")
 
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -33,6 +33,7 @@
 	e.report, e.reportedAt, e.sentSince = e.report.AfterRestart(), time.Time{}, Sent{}
 	e.liveness = liveness{}
 	e.rateLimit, e.retryAt = rateLimit{}, time.Time{}
+	e.capacity = targetCapacity{}
 	e.saidLeaving = false
 	r.listChanged = true // it may have been leaving
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -106,6 +106,9 @@
 	// TargetLeaving is called when the other entries are to be told that a target is about to
 	// leave; may be nil.
 	TargetLeaving func(l Leaving)
+	// SlowdownChanged is called when the process beside the target at an address is to be told of the
+	// slowdown of its host, in percent; may be nil.
+	SlowdownChanged func(address string, percent int)
 	// Restarted is called when a target has restarted under the same id, possibly from
 	// several goroutines; may be nil.
 	Restarted func(id string)
@@ -159,7 +162,8 @@
 	// Wait is the time until this process may send the target a request, because of its rate
 	// limit or as it refused with Retry-After; zero when it may now. Throttled is set with it.
 	Wait time.Duration
-	// Slowdown is the factor by which work on the target takes longer than usual; 1 when unknown.
+	// Slowdown is the factor by which work on the target takes longer than usual: 1 when unknown, or
+	// when the service is not contended.
 	Slowdown float64
 }
 
@@ -195,7 +199,8 @@
 	slowStart    slowStart
 	rateLimit    rateLimit
 	retryAt      time.Time // when it takes requests of this process again, after a refusal
-	saidLeaving  bool      // that it is about to leave, in a response to this entry or another one
+	capacity     targetCapacity
+	saidLeaving  bool // that it is about to leave, in a response to this entry or another one
 }
 
 // Roster holds the known targets. Use New. Its methods are safe for concurrent use.
@@ -468,6 +473,7 @@
 
 	r.syncTable(now)
 	targets := r.table.Candidates(now, service)
+	contended := r.isContended(service)
 
 	all := make([]Engine, 0, len(targets))
 
@@ -477,6 +483,11 @@
 			view.ColdFor, view.Throttled = r.throttle(now, e)
 			view.Wait = e.wait(now)
 			view.Throttled = view.Throttled || view.Wait > 0
+
+			if contended {
+				view.Slowdown = e.slowdownFactor(now)
+			}
+
 			all = append(all, view)
 		}
 	}
