gateway: use the slowdown of targets, learn times of calls

Cause: the figures of responses and first events reach no decision. Change: the head of each response reports the slowdown, first events at idle engines of contended services sample speeds, and both kinds of decisions get the factor. Times of calls are used where any service of the deployment is contended, else 30 ms as before. Gauges of the least, median and largest factor. Measured: tests of gateway and cmd pass with -race.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -51,6 +51,7 @@
 	registration *exchange.Registration
 	balancer     *drain.HealthCheck
 	registry     *prometheus.Registry
+	reports      *pulse.Listener // set before callers are served
 
 	followers []*mirror.Follower
 }
@@ -77,6 +78,9 @@
 		Entries:    members,
 		Contention: cfg.Contention, MemoryPressure: cfg.MemoryPressure,
 		HasEngines: func(service string) bool { return e.gateway.HasEngines(service) },
+		SlowdownChanged: func(address string, percent int) {
+			e.reports.Notify(address, pulse.Subscription{Slowdown: percent})
+		},
 		RateLimitChanged: func(l roster.RateLimit) {
 			go e.client.AnnounceRateLimit(context.Background(), exchange.RateLimitAnnouncement{Target: l.ID, Limit: l.Limit})
 		},
@@ -99,6 +103,7 @@
 	meter := metrics.New(e.registry, metrics.Gauges{
 		Active:         func() float64 { return float64(e.gateway.Active()) },
 		LimitedTargets: func() float64 { return float64(e.roster.LimitedTargets()) },
+		Slowdowns:      func() (least, median, largest float64) { return e.roster.Slowdowns(time.Now()) },
 		Targets:        func() float64 { return float64(e.roster.Len()) },
 		ConfigVersion:  func() float64 { return float64(e.gateway.ConfigVersion()) },
 		LogAge:         func() float64 { return time.Since(operators.SyncedAt()).Seconds() },
@@ -313,12 +318,13 @@
 
 	reports, err := pulse.Listen(pulse.ListenerConfig{
 		Address: cfg.InternalAddress(reportPortOffset), Port: cfg.FirstInternalPort + reportPortOffset,
-		Engines: e.subscriptions, OnReport: e.onReport, Demand: e.demand(),
+		Engines: e.subscriptions, OnReport: e.onReport, Demand: e.demand(), Speed: e.roster.Speed,
 	})
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "cannot bind address %q for load reports", cfg.InternalAddress(reportPortOffset))
 	}
 
+	e.reports = reports
 	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration}
 
 	for _, f := range e.followers {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -254,6 +254,10 @@
 	if status != http.StatusMisdirectedRequest || a.Target == c.engine.ID {
 		t.g.cfg.Roster.ObserveRateLimit(now, c.engine.ID, a.RateLimit)
 
+		if a.Slowdown > 0 {
+			t.g.cfg.Roster.ObserveSlowdown(now, c.engine.ID, a.Slowdown)
+		}
+
 		if a.Leaving {
 			t.g.cfg.Roster.ObserveLeaving(now, c.engine.ID)
 		}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -29,6 +29,9 @@
 	// idle is true if the target has no other prompt to prefill and fetches nothing, so
 	// that the time to the first event measures its prefill speed.
 	idle bool
+	// freeSlots is true if the target of a plain service seems to have free slots, so that the
+	// duration of the call is not that of others.
+	freeSlots bool
 }
 
 // Round-trip times for comparing targets.
@@ -94,12 +97,13 @@
 // response.
 func (t *task) choosePlainTarget(now time.Time, all []roster.Engine) (choice, error) {
 	calls := make([]route.CallCandidate, len(all))
+	callTime := t.callTime()
 
 	for i, e := range all {
 		calls[i] = route.CallCandidate{
 			Name: e.ID, Draining: e.Loading || e.Throttled, Suspected: e.Suspected || e.Failures > 0, Tried: t.tried[e.ID],
 			RoundTrip: t.roundTrip(e), LoadAt: now.Add(-e.Load.Age), Running: e.Load.Running, Waiting: e.Load.Waiting,
-			InFlight: e.SentRequests, CallTime: plainCallTime, MaxConcurrent: e.Slots,
+			InFlight: e.SentRequests, CallTime: callTime, MaxConcurrent: e.Slots, Slowdown: e.Slowdown,
 		}
 	}
 
@@ -117,6 +121,7 @@
 	return choice{
 		engine: e, params: t.targetParams(now, e),
 		reason: "least_work", cost: float64(d.Cost(d.Target()).Seconds) * 1000, candidates: len(all),
+		freeSlots: e.Load.Running+e.Load.Waiting+e.SentRequests < max(e.Slots, 1),
 	}, nil
 }
 
@@ -134,7 +139,7 @@
 	for i, e := range all {
 		candidates[i] = route.PrefixCandidate{
 			Name: e.ID, Excluded: t.exclusion(e, required), Suspected: e.Suspected || e.Failures > 1 || e.HeartbeatMissing,
-			OldWeights: e.Version > 0 && e.Version < due, Slots: e.Slots, RoundTrip: t.roundTrip(e),
+			OldWeights: e.Version > 0 && e.Version < due, Slots: e.Slots, RoundTrip: t.roundTrip(e), Slowdown: e.Slowdown,
 		}
 		fillLoad(&candidates[i], e)
 
@@ -361,7 +366,7 @@
 	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
 		"target", e.ID, "reason", c.reason, "cost_ms", int(c.cost), "candidates", c.candidates, "cold_ms", e.ColdFor.Milliseconds(), "config", t.cfg.Version(),
 		"running", max(e.Report.Running, e.Load.Running), "reading", e.Report.Prefilling, "tokens_per_ms", int(t.profile().TokensPerMs()), "waiting", max(e.Report.Waiting, e.Load.Waiting),
-		"used_tokens", e.Report.UsedTokens, "pulse_age_ms", loadReportAge(e), "rate_limit", e.RateLimit, "sent_since", e.SentSince.Requests,
+		"used_tokens", e.Report.UsedTokens, "pulse_age_ms", loadReportAge(e), "rate_limit", e.RateLimit, "slowdown", e.Slowdown, "sent_since", e.SentSince.Requests,
 		"version", c.params.Version, "fetches", len(c.params.Fetch) > 0, "saves", len(c.params.Save) > 0, "unread", c.prefillTokens, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
 		"opening", t.prefixID(), "salt", c.params.Salt)
 }
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -62,10 +62,11 @@
 	v, _ := strconv.ParseInt(h.Get("Version"), 10, 64)
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 	seconds, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	slowdown, _ := strconv.ParseFloat(h.Get("Slowdown"), 64)
 
 	return ResponseHead{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Seal") != "", Target: h.Get("Target"), Version: v,
-		Encoded: h.Get("Content-Encoding") != "", RateLimit: limit, Leaving: h.Get("Leaving") != "",
+		Encoded: h.Get("Content-Encoding") != "", RateLimit: limit, Leaving: h.Get("Leaving") != "", Slowdown: slowdown,
 		RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}
 }
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -29,6 +29,9 @@
 	Targets func() float64
 	// LimitedTargets returns the number of targets that name a rate limit.
 	LimitedTargets func() float64
+	// Slowdowns returns the least, the median and the largest factor by which work currently takes
+	// longer on the targets of contended services.
+	Slowdowns func() (least, median, largest float64)
 	// ConfigVersion returns the version of the configuration in force, zero for none.
 	ConfigVersion func() float64
 	// LogAge returns how old, in seconds, the known state of the log may be.
@@ -67,6 +70,9 @@
 		{"boragehub_requests_active", "Requests being served.", g.Active},
 		{"boragehub_targets", "Targets that the register names.", g.Targets},
 		{"boragehub_limited_targets", "Targets that name a rate limit.", g.LimitedTargets},
+		{"boragehub_target_slowdown_min", "Least factor by which work takes longer than usual on a target; 1 while no service is contended.", func() float64 { v, _, _ := g.Slowdowns(); return v }},
+		{"boragehub_target_slowdown_median", "Median of these factors.", func() float64 { _, v, _ := g.Slowdowns(); return v }},
+		{"boragehub_target_slowdown_max", "Largest of these factors.", func() float64 { _, _, v := g.Slowdowns(); return v }},
 		{"boragehub_config_version", "Version of the configuration in force.", g.ConfigVersion},
 		{"boragehub_log_age_seconds", "How old what is known of the log may be.", g.LogAge},
 		{"boragehub_target_connections_opened", "Connections opened to targets since the start.", g.Dials},
--- a/gateway/profiles.go
+++ b/gateway/profiles.go
@@ -6,13 +6,14 @@
 	"boragehub/profile"
 )
 
-// serviceProfiles holds what was measured of each service's engines. The zero value is empty.
+// serviceProfiles holds what was measured of each service's engines and of the calls of each route. The zero value is empty.
 //
 // Services differ in the speed of their engines and the length of their prompts: measured
 // together, the figures would fit neither.
 type serviceProfiles struct {
 	mu        sync.Mutex
 	byService map[string]*profile.Service
+	callTimes profile.CallTimes
 }
 
 // forService returns the profile of a service's engines.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -59,6 +59,7 @@
 	case ok && (!a.Signed || a.Encoded):
 		return outcome{mayHaveRun: true, kind: failure.TargetLost, cause: errNotGenuine, targetOutcome: target.Failed}
 	case ok:
+		t.observeCallTime(time.Now(), c)
 		t.g.cfg.Crashes.RecordCompletion(time.Now(), t.fingerprint)
 		t.deliver(&fullResponse{x.Status(), x.Header(), body})
 		t.served(c, x.Status(), time.Now())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,9 +105,18 @@
 
 // recordFirstEvent measures the engines' prefill speed by the time to the first event.
 func (t *task) recordFirstEvent(c *choice) {
-	if c.idle {
-		t.profile().ObserveFirstEvent(c.prefillTokens, time.Since(t.sentAt))
+	if !c.idle {
+		return
 	}
+
+	now := time.Now()
+	took := now.Sub(t.sentAt)
+
+	if usual, ok := t.profile().UsualFirstEvent(c.prefillTokens); ok {
+		t.g.cfg.Roster.ObserveFirstEvent(now, c.engine.ID, took, usual)
+	}
+
+	t.profile().ObserveFirstEvent(c.prefillTokens, took)
 }
 
 // finish ends a complete stream.
