roster: weight speeds by the age of the load

Change: the weight of a speed falls to zero over 200 ms of age of the load report. Without a fresh report the own estimate counts in full, as before. Tests of roster that concern it pass with -race.

--- a/roster/capacity.go
+++ b/roster/capacity.go
@@ -16,6 +16,9 @@
 	// slowdownRepeat is the age from which a slowdown that lasts is passed on again, before it has no
 	// weight anywhere.
 	slowdownRepeat = 250 * time.Millisecond
+	// speedLoadAge is the age of a load report from which the speed of its target has no weight. It is
+	// about the time to prefill a long prompt, after which the load is another one.
+	speedLoadAge = 200 * time.Millisecond
 	// usualPercent is the slowdown of a host that is not slow.
 	usualPercent = 100
 	// maxSlowdownAge is the age up to which a reported slowdown is used at all, which bounds what a
@@ -169,13 +172,26 @@
 
 // slowdownFactor returns Engine.Slowdown of a target of a contended service. Without a fresh load
 // report, this process's own estimates alone are used.
+//
+// The weight of the speed falls with the age of the load report. Speeds concentrate the work of all
+// entries on fewer targets; where their load is known late, prompts then queue behind what other
+// entries have just sent, for longer than a slower target takes.
 func (e *engine) slowdownFactor(now time.Time) float64 {
-	speed := 0.0
-	if now.Sub(e.reportedAt) < e.maxReportAge() {
-		speed = capacity.FromPercent(e.report.Speed)
+	est := &e.capacity.estimator
+
+	age := now.Sub(e.reportedAt)
+	if age >= e.maxReportAge() {
+		return est.Factor(now, 0)
+	}
+
+	speed := capacity.FromPercent(e.report.Speed)
+	if speed == 0 {
+		speed = est.Speed().Factor()
 	}
 
-	return e.capacity.estimator.Factor(now, speed)
+	weight := max(1-float64(max(age, 0))/float64(speedLoadAge), 0)
+
+	return est.Factor(now, 1+(speed-1)*weight)
 }
 
 // Slowdowns returns the least, the median and the largest Engine.Slowdown of the targets of contended
