--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -40,7 +40,7 @@
 	platformClient := platform.NewClient()
 	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
 
-	var reporter *pulse.Reporter // set before the loader runs
+	var reporter *pulse.Reporter // set before the loader and the probe run
 
 	l := loader.New(loader.Config{
 		Address: cfg.EngineAddress, Holder: cfg.VM, Engine: platformClient, Rollout: loader.RolloutConfig{MaxDuration: cfg.Bounds.VersionDeadline},
@@ -55,7 +55,10 @@
 	})
 
 	guard := slowstart.NewGuard(slowstart.Limit{}, uint64(time.Now().UnixNano()))
-	probe := slowstart.NewProbe(slowstart.ProbeConfig{Guard: guard, Health: platformClient, Address: cfg.EngineAddress})
+	probe := slowstart.NewProbe(slowstart.ProbeConfig{
+		Guard: guard, Health: platformClient, Address: cfg.EngineAddress,
+		OnSlowdown: func(now time.Time, percent int) { reporter.ObserveSlowdown(now, percent) },
+	})
 
 	var ledger *room.Ledger // nil grants no leases
 	if cfg.Contention != roster.ContentionOff {
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -37,6 +37,9 @@
 	RoomUnanswered      = register(2332, "room_unanswered", "The process beside an engine did not reply to a claim, or is not asked after several claims without a reply: as 2330, with `sent` (whether the prompt is sent without a lease).")
 	RoomReturned        = register(2333, "room_returned", "A lease was given back without a request having been sent: `request_id`, `target`, `claim`.")
 	RoomExhausted       = register(2334, "room_exhausted", "Several engines in a row had no capacity for a prompt, which waits in the queue: `request_id`, `engines`.")
+	ServiceContended    = register(2324, "service_contended", "A target of a service reported the slowdown of its host for the first time; from now on work is divided by the targets' slowdown and speed unless `setting` is off: `service`, `target`, `basis`, `setting` (of --contention).")
+	TargetSlowdown      = register(2325, "target_slowdown", "A response reported a slowdown of its target's host that differs from the last one known by 10 points or more, or that has lasted; it is passed on to the process beside the target: `target`, `percent` (100 is usual), `before` (zero for none), `before_age_ms`, `basis`.")
+	TargetSpeed         = register(2326, "target_speed", "The estimated time that prefill takes on a target changed by 10 points or more: `target`, `percent` of the service's usual time, `before`, `own_samples` (prompts of this entry behind it), `basis` (`load_report`: the estimate of all entries; `response`: of this one alone).")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -26,6 +26,9 @@
 	// Utilisation returns the part of the prefill capacity in use in the service of the engine at
 	// an address, in percent, zero when unknown; nil reports none.
 	Utilisation func(now time.Time, engine string) int
+	// Speed returns the speed of an engine as this process has learned it, in percent, and the number
+	// of samples; nil or no samples tell the engines none.
+	Speed func(engine string) (percent, samples int)
 	// OnReport is called with each load report, per engine in the order of sending, from one
 	// goroutine.
 	OnReport func(now time.Time, p Report)
@@ -120,15 +123,10 @@
 
 		l.demand.Store(int64(s.Demand))
 		utilisations := l.measureUtilisations(time.Now(), engines)
-		body := encodeSubscription(s)
 
 		for _, engine := range engines {
-			if u := utilisations[engine]; u != s.Utilisation {
-				s.Utilisation = u
-				body = encodeSubscription(s)
-			}
-
-			l.send(engine, body)
+			s.Utilisation = utilisations[engine]
+			l.send(engine, l.encode(engine, s))
 		}
 
 		if len(engines) == 0 {
@@ -143,11 +141,11 @@
 }
 
 // Notify sends a subscription with further fields to the side process of an engine at once. It sets
-// the interval, the demand, the utilisation and the start time.
+// the interval, the demand, the utilisation, the speed and the start time.
 func (l *Listener) Notify(engine string, s Subscription) {
 	s.IntervalMs, s.Demand, s.Start = time.Duration(l.interval.Load()).Milliseconds(), int(l.demand.Load()), l.claims.start
 	s.Utilisation = l.utilisations.get(engine)
-	l.send(engine, encodeSubscription(s))
+	l.send(engine, l.encode(engine, s))
 }
 
 // send sends a datagram to the side process of an engine.
--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"boragehub/capacity"
 	"boragehub/pause"
 	"boragehub/resident"
 	"boragehub/room"
@@ -53,7 +54,8 @@
 	mu          sync.Mutex
 	subscribers map[string]subscriber
 
-	leases leaseReports
+	leases   leaseReports
+	slowdown latestSlowdown
 }
 
 type subscriber struct {
@@ -65,6 +67,7 @@
 
 	utilisation reportedUtilisation
 	start       int64 // Subscription.Start
+	speed       capacity.Speed
 }
 
 // NewReporter returns a Reporter that is bound to cfg.Address.
@@ -122,6 +125,10 @@
 
 		lost = false
 
+		if next.StartedMs > p.StartedMs && p.StartedMs > 0 {
+			r.forgetCapacity()
+		}
+
 		if next.StartedMs > p.StartedMs && p.StartedMs > 0 && r.cfg.Restarted != nil {
 			r.cfg.Restarted()
 		}
@@ -140,6 +147,7 @@
 		}
 
 		next.LoadInMs = r.loadIn(time.Now())
+		r.fillCapacity(time.Now(), &next)
 
 		p = next
 		r.publish(time.Now(), queriedAt, p, to)
@@ -210,6 +218,7 @@
 	old.address, old.expiresAt, old.interval, old.demand = from, now.Add(subscriptionTTL), time.Duration(s.IntervalMs)*time.Millisecond, s.Demand
 	old.utilisation = newReportedUtilisation(now, s.Utilisation)
 	old.start = s.Start
+	r.observeCapacity(now, &old, s)
 	r.subscribers[from.String()] = old
 }
 
