limit, retry: export the fair level, add slots within a time

FairLevel is the gate's water-filling over any weights and demands; the gate uses it. Schedule.NextSlotWithin leaves a slot free that is too late for its caller, so that the schedule doesn't run ahead.

--- a/limit/share.go
+++ b/limit/share.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"iter"
 	"math"
 	"time"
 )
@@ -41,9 +42,7 @@
 	return max(min(decayed, a.peakDemand), a.used)
 }
 
-// fairLevel returns the number of places per unit of weight at which the demands of all
-// accounts, each cut to weight × level, add up to the capacity (weighted max-min fairness, by
-// water-filling). It is infinite when all demands can be met.
+// fairLevel returns the FairLevel of the places for the demands of all accounts.
 func (g *Gate) fairLevel(now time.Time) float64 {
 	if !g.cachedLevelAt.IsZero() && now.Sub(g.cachedLevelAt) < fairLevelTTL {
 		return g.cachedLevel
@@ -55,36 +54,49 @@
 	return g.cachedLevel
 }
 
-// maxFillRounds bounds the iterations of computeFairLevel. Each one excludes the accounts whose
-// demand is met, and a few iterations are enough for nearly all.
-const maxFillRounds = 8
-
 func (g *Gate) computeFairLevel(now time.Time) float64 {
 	g.updateDemands(now)
 
+	return FairLevel(g.places, func(yield func(weight, demand float64) bool) {
+		for _, a := range g.active {
+			if !yield(a.weight, a.demand) {
+				return
+			}
+		}
+	})
+}
+
+// maxFillRounds bounds the iterations of FairLevel. Each one excludes the demands that are met, and
+// a few iterations are enough for nearly all.
+const maxFillRounds = 8
+
+// FairLevel returns the amount per unit of weight at which the given demands, each cut to weight ×
+// level, add up to the capacity (weighted max-min fairness, by water-filling). It is infinite when
+// all demands can be met.
+func FairLevel(capacity float64, demands iter.Seq2[float64, float64]) float64 {
 	level := 0.0
 
 	for range maxFillRounds {
-		satisfied, weight := 0.0, 0.0
+		satisfied, weights := 0.0, 0.0
 
-		for _, a := range g.active {
-			if a.demand <= a.weight*level {
-				satisfied += a.demand
+		for weight, demand := range demands {
+			if demand <= weight*level {
+				satisfied += demand
 			} else {
-				weight += a.weight
+				weights += weight
 			}
 		}
 
-		if weight == 0 {
+		if weights == 0 {
 			return math.Inf(1)
 		}
 
-		remaining := g.places - satisfied
-		if remaining/weight <= level {
+		remaining := capacity - satisfied
+		if remaining/weights <= level {
 			return level
 		}
 
-		level = remaining / weight
+		level = remaining / weights
 	}
 
 	return level
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -143,3 +143,23 @@
 		}
 	}
 }
+
+// Guards against a schedule that runs ahead of the time within which its callers have to return:
+// all later ones would be told to return at the end of that time.
+func TestSlotsBeyondTheLatestReturnStayFree(t *testing.T) {
+	var s Schedule
+
+	tests := []struct{ latest, want time.Duration }{
+		{time.Second, 100 * time.Millisecond},
+		{time.Second, 200 * time.Millisecond},
+		{250 * time.Millisecond, 250 * time.Millisecond},
+		{-time.Second, 0},
+		{time.Second, 300 * time.Millisecond},
+	}
+
+	for i, tt := range tests {
+		if got := s.NextSlotWithin(epoch, 100*time.Millisecond, 100*time.Millisecond, tt.latest); got != tt.want {
+			t.Errorf("caller %d: got %v, want %v", i, got, tt.want)
+		}
+	}
+}
--- a/retry/schedule.go
+++ b/retry/schedule.go
@@ -29,3 +29,18 @@
 
 	return at.Sub(now)
 }
+
+// NextSlotWithin is NextSlot for a caller that has to return within latest. If the next slot is
+// later than that, the caller is told latest and the slot remains free for another one.
+func (s *Schedule) NextSlotWithin(now time.Time, first, period, latest time.Duration) time.Duration {
+	before := s.lastSlot
+
+	after := s.NextSlot(now, first, period)
+	if after <= latest {
+		return after
+	}
+
+	s.lastSlot = before
+
+	return max(latest, 0)
+}
