story: name the decision for a refused or late request

The timeline of a request shows all lines, and an operator derives from them why it was refused or late.

The numbers of the queue's events, 2340 to 2344, are registered with it.

--- a/cmd/boragehub/explain.go
+++ b/cmd/boragehub/explain.go
@@ -26,7 +26,7 @@
 	)
 
 	sub := flaggy.NewSubcommand("explain")
-	sub.Description = "Shows what happened to a request, from the logs of any processes. Example: boragehub explain 9c41d07be2a35f68 --log edge-1.log --log edge-2.log"
+	sub.Description = "Shows what happened to a request, from the logs of any processes, and the decision due to which it was refused or late. Example: boragehub explain 9c41d07be2a35f68 --log edge-1.log --log edge-2.log"
 	sub.AddPositionalValue(&id, "request", 1, true, "the request's id")
 	sub.StringSlice(&files, "l", "log", "a log file; standard input by default")
 	sub.Bool(&json, "j", "json", "write JSON")
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -13,7 +13,7 @@
 // Events of the gateway: requests routed by host and path.
 var (
 	AttemptSent         = register(2300, "attempt_sent", "A request is sent to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age.")
-	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`.")
+	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`, `target_ms` (its latency target, 0 for none).")
 	RequestGivenUp      = register(2302, "request_given_up", "A request got an error from this entry: `request_id`, `route`, `kind`, `status`, `retry_after_ms`, `ran`, `attempts`.")
 	AttemptFailed       = register(2303, "attempt_failed", "An attempt did not yield a complete response: `request_id`, `target`, `attempt`, `outcome`, `ran`, `retry_after_ms` (for how long the target wants nothing from this entry).")
 	CallerLeft          = register(2304, "caller_left", "A caller closed its connection before the response was complete; the target's work was cancelled.")
@@ -32,6 +32,11 @@
 	TargetRateLimit     = register(2321, "target_rate_limit", "A target named, changed or ended a limit on the requests a second that it takes from all entries together: `target`, `limit` (zero for none), `before`, `before_age_ms`, `basis` (where it was learned), `entries` that share it, `interval_ms` between two requests of this entry.")
 	TargetLeaving       = register(2322, "target_leaving", "A target says that it is about to leave: `target`, `basis` (where it was learned), `listed_draining` (whether the register says so too).")
 	TargetRetryAfter    = register(2323, "target_retry_after", "A target refused a request and wants no other one of this entry for a time: `target`, `retry_after_ms`, `until`.")
+	PromptQueued        = register(2340, "prompt_queued", "A prompt of a contended service waits for an engine: `request_id`, `route`, `rank`, `organisation`, `in_use` (tokens of memory of that organisation's prompts in flight), `tokens` that it takes, `short`, `late` (its first event can't be on time), `started`, `cause`, `ahead` and `waiting` (prompts), `per_second` (admissions, 0 while unknown), `rate_age_ms`, `target_left_ms`, `due_ms` (time within which it has to be sent).")
+	PromptAdmitted      = register(2341, "prompt_admitted", "A prompt that waited is sent: `request_id`, `waited_ms`, `ahead` (prompts before it when it came), `overtaken` (prompts behind it that were sent before it), `reserved`, `late`, `waiting`, `per_second`, `rate_age_ms`.")
+	PromptRefused       = register(2342, "prompt_refused", "A prompt of a contended service is refused without having run: `request_id`, `reason` (full, expected_wait, half_time, expired, stopping), `waited_ms`, `ahead`, `waiting`, `expected_wait_ms`, `per_second`, `rate_age_ms`, `due_ms` (time left to send it), `deadline_ms`, `retry_after_ms`, `cause` (what kept it from being sent).")
+	PromptReserved      = register(2343, "prompt_reserved", "A prompt was overtaken for a quarter of its latency target; until it is sent, no other long prompt of its rank or a worse one is: `request_id`, `rank`, `waited_ms`, `overtaken`, `tokens`, `waiting`.")
+	PromptWithdrawn     = register(2344, "prompt_withdrawn", "A prompt left the queue without a decision about it: `request_id`, `waited_ms`, `ahead`, `overtaken`, `cause` (its caller left, or no engine is available at all).")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -151,5 +151,6 @@
 	}
 
 	event.Log(t.g.cfg.Log, event.RequestServed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
-		"status", status, "first_ms", first.Sub(t.began).Milliseconds(), "total_ms", total.Milliseconds(), "attempts", t.attempts)
+		"status", status, "first_ms", first.Sub(t.began).Milliseconds(), "total_ms", total.Milliseconds(), "attempts", t.attempts,
+		"target_ms", t.route.LatencyTarget.Milliseconds())
 }
--- a/story/story.go
+++ b/story/story.go
@@ -107,7 +107,8 @@
 	return s.lines
 }
 
-// WriteText writes the timeline as text, one line for each event, with times relative to the first.
+// WriteText writes the timeline as text, one line for each event, with times relative to the first,
+// and a last line with the Decision if there is one.
 func (s *Timeline) WriteText(w io.Writer) error {
 	lines := s.Lines()
 
@@ -117,6 +118,12 @@
 		}
 	}
 
+	if d := s.Decision(); d != "" {
+		if _, err := fmt.Fprintf(w, "\ndecision: %s\n", d); err != nil {
+			return err
+		}
+	}
+
 	return nil
 }
 
