admission: bound what a prompt counts for

A caller may state any number of tokens. Sums over such figures overflow, and an organisation's share would be computed from a negative number.

A prompt counts for 1 to 2^32 tokens. go test -race ./admission: ok

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -484,6 +485,39 @@
 	}
 }
 
+// Guards against figures of one caller that spoil the order of the others: sums that overflow or are
+// negative.
+func TestAbsurdFiguresCountWithinBounds(t *testing.T) {
+	q := New(Config{})
+
+	for i, tokens := range []int{math.MaxInt, math.MinInt, -1, 0} {
+		name := fmt.Sprint("odd", i)
+		p := review(name, math.MinInt+i, 0)
+		p.MemoryTokens = tokens
+		q.Enter(at(0), p)
+		q.Use(name, tokens)
+	}
+
+	if got := q.inUse; got <= 0 || got > 4*maxTokens {
+		t.Errorf("got %d tokens in use, want a positive number within the bound", got)
+	}
+
+	x, _ := q.Enter(at(0), review("quiet", 0, -10))
+	q.StartRound(at(1))
+
+	if got := q.Next(at(1)); got != x {
+		t.Errorf("got %v first, want the one below its share", got.prompt)
+	}
+
+	for i, tokens := range []int{math.MaxInt, math.MinInt, -1, 0} {
+		q.Release(fmt.Sprint("odd", i), tokens)
+	}
+
+	if q.inUse != 0 {
+		t.Errorf("got %d tokens in use, want none", q.inUse)
+	}
+}
+
 // BenchmarkRound measures a round of a full queue in which no prompt finds an engine: per try.
 func BenchmarkRound(b *testing.B) {
 	for _, n := range []int{64, DefaultSize} {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -142,7 +142,7 @@
 // Enter adds a prompt. It also returns the prompts that are refused because of it: the new one
 // itself, or the last one of a full queue if that has a worse rank.
 func (q *Queue) Enter(now time.Time, p Prompt) (*Ticket, []Refusal) {
-	p.Rank, p.MemoryTokens = max(p.Rank, 0), max(p.MemoryTokens, 1)
+	p.Rank, p.MemoryTokens = max(p.Rank, 0), countedTokens(p.MemoryTokens)
 	t := &Ticket{prompt: p, sequence: q.entered, enteredAt: now, due: p.due(now)}
 	q.entered++
 	q.add(now, t)
--- a/admission/share.go
+++ b/admission/share.go
@@ -17,14 +17,23 @@
 // Half a token is less than any prompt and more than the error of the computation.
 func (o *organisation) underShare() bool { return float64(o.inUse)+0.5 < o.fairShare }
 
+// maxTokens bounds what one prompt counts for. No engine has as much memory, and the sum over all
+// prompts fits into an int.
+const maxTokens = 1 << 32
+
+// countedTokens returns what a prompt that states a number of tokens counts for.
+func countedTokens(tokens int) int { return min(max(tokens, 1), maxTokens) }
+
 // Use records that a prompt of an organisation was sent and takes memory.
 func (q *Queue) Use(name string, tokens int) {
+	tokens = countedTokens(tokens)
 	q.organisation(name).inUse += tokens
 	q.inUse += tokens
 }
 
 // Release records that a prompt recorded by Use has ended.
 func (q *Queue) Release(name string, tokens int) {
+	tokens = countedTokens(tokens)
 	q.organisation(name).inUse -= tokens
 	q.inUse -= tokens
 	q.forget(name)
