gateway: admit prompts of contended services by an admission queue

For prompts of contended services, the wait queue is replaced by a queue for each service that follows package admission. A prompt that would be late waits while it can be sent within half of its time. Prompts in the wait queue move when their service becomes contended. Services without contention keep the wait queue.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -204,6 +204,7 @@
 func (e *gatewayProcess) onReport(now time.Time, p pulse.Report) {
 	e.directory.SetClock(now, p.Clock)
 	e.roster.ObserveReport(now, p)
+	e.gateway.CapacityChanged(now)
 }
 
 // subscriptions returns the addresses of the engines whose load reports this entry needs, and
--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,519 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"boragehub/admission"
+	"boragehub/event"
+	"boragehub/failure"
+)
+
+const (
+	// admissionTick is the interval between rounds of tries if nothing else starts one.
+	admissionTick = 25 * time.Millisecond
+	// minRoundInterval is the least time between the beginnings of two rounds. Load reports of 50
+	// engines arrive every 2 ms; a round at each would take a core, and an engine's load hardly
+	// changes in that time.
+	minRoundInterval = 5 * time.Millisecond
+)
+
+// errContended is returned by awaitCapacity if the service has become contended meanwhile.
+var errContended = errors.New("the prompt waits in the admission queue from now on")
+
+// tooLate is why a prompt is not sent if its first event can't be on time: engines have others to
+// prefill until then.
+type tooLate struct {
+	over time.Duration // by how much the wait for them exceeds the latency target
+}
+
+// Error returns why the prompt is not sent.
+func (tooLate) Error() string {
+	return "engines have other prompts to prefill for longer than the latency target"
+}
+
+// Unwrap returns errNoCapacity: a prompt waits for such engines as for capacity.
+func (tooLate) Unwrap() error { return errNoCapacity }
+
+// usesAdmission reports whether the prompt waits in an admission queue if no engine has capacity.
+func (t *task) usesAdmission() bool {
+	return t.service.Engines != nil && t.arrival.Prompt != nil && t.g.cfg.Roster.Contended(t.service.Name)
+}
+
+// findTarget returns the target of the next attempt. A prompt for which no engine has capacity
+// waits for it.
+func (t *task) findTarget(ctx context.Context) (choice, error) {
+	if t.usesAdmission() {
+		return t.admit(ctx)
+	}
+
+	c, err := t.choose(time.Now())
+	if errors.Is(err, errNoCapacity) {
+		c, err = t.awaitCapacity(ctx, err)
+	}
+
+	if errors.Is(err, errContended) {
+		return t.admit(ctx)
+	}
+
+	return c, err
+}
+
+// admit returns an engine for a prompt of a contended service, at once if one has capacity and no
+// other prompt is overtaken, and otherwise after it has waited in the admission queue.
+func (t *task) admit(ctx context.Context) (choice, error) {
+	now := time.Now()
+	q := t.g.admission.forService(t.g, t.service.Name)
+	p := t.admissionPrompt(now)
+
+	var lastErr error = errNoCapacity
+
+	if q.mayPass(p) {
+		c, err := t.choose(now)
+		if !errors.Is(err, errNoCapacity) {
+			return c, err
+		}
+
+		lastErr = err
+	}
+
+	return t.awaitAdmission(ctx, q, p, lastErr)
+}
+
+// admissionPrompt describes the prompt to the admission queue.
+func (t *task) admissionPrompt(now time.Time) admission.Prompt {
+	p := admission.Prompt{
+		Organisation: t.organisationName(), Rank: t.priority(), Started: t.stream.started,
+		Short: t.profile().IsShort(t.arrival.Prompt.Tokens), MemoryTokens: t.arrival.Prompt.Tokens + t.arrival.Prompt.Output,
+		LatencyTarget: t.route.LatencyTarget, Deadline: t.deadline,
+	}
+
+	if p.LatencyTarget <= 0 {
+		p.LatencyTarget = defaultMaxWait
+	}
+
+	p.Target = t.began.Add(p.LatencyTarget)
+
+	if t.streaming() && t.route.EventTimeout > 0 {
+		p.LeavesAt = now.Add(t.untilCallerTimeout(now))
+	}
+
+	return p
+}
+
+func (t *task) organisationName() string {
+	if t.organisation == nil {
+		return ""
+	}
+
+	return t.organisation.Name
+}
+
+// obstacle describes an error that wraps errNoCapacity to the admission queue, in which a number of
+// other prompts wait.
+func obstacle(now time.Time, err error, waiting int) admission.Obstacle {
+	var late tooLate
+
+	if errors.As(err, &late) {
+		return admission.Obstacle{Late: true, NotBefore: now.Add(late.over)}
+	}
+
+	if l, ok := asThrottled(err); ok {
+		return admission.Obstacle{NotBefore: now.Add(l.waitBehind(waiting))}
+	}
+
+	return admission.Obstacle{}
+}
+
+// awaitAdmission waits in the admission queue until the prompt is sent or refused. Each prompt is
+// tried by its own goroutine when it has the turn.
+func (t *task) awaitAdmission(ctx context.Context, q *admissionQueue, p admission.Prompt, lastErr error) (choice, error) {
+	w := q.enter(time.Now(), t, p, lastErr)
+	defer func() { q.withdraw(time.Now(), w, "the handling ended") }()
+
+	for {
+		select {
+		case r := <-w.refused:
+			return choice{}, t.refuseAdmission(time.Now(), r, lastErr)
+		case <-t.g.drain.endReached:
+			// The end of the process would cut the prompt off, although it has certainly not run.
+			q.refuse(time.Now(), w, admission.Stopping)
+		case <-ctx.Done():
+			if t.r.Context().Err() != nil {
+				q.withdraw(time.Now(), w, "the caller left")
+
+				return choice{}, failure.New(failure.Cancelled, "the caller closed its connection")
+			}
+
+			q.refuse(time.Now(), w, admission.Expired)
+		case <-w.turn:
+			c, err := t.choose(time.Now())
+
+			switch {
+			case err == nil:
+				q.admitted(time.Now(), w)
+				t.admission = &admissionTurn{q, w}
+
+				return c, nil
+			case !errors.Is(err, errNoCapacity):
+				q.withdraw(time.Now(), w, err.Error())
+
+				return choice{}, err
+			}
+
+			lastErr = err
+			q.failed(time.Now(), w, err)
+		}
+	}
+}
+
+// refuseAdmission logs a refusal and returns the error for the caller.
+func (t *task) refuseAdmission(now time.Time, r admission.Refusal, lastErr error) error {
+	kind, after := failure.QueueFull, r.RetryAfter
+
+	// What targets asked for holds for as long as they asked.
+	if l, ok := asThrottled(lastErr); ok {
+		after = max(after, t.g.throttledCallers.next(now, t.service.Name, l, r.Waiting))
+	} else if errors.Is(lastErr, errSlowStart) {
+		after = max(after, failure.As(lastErr).RetryAfter())
+	}
+
+	if r.Reason == admission.Stopping {
+		kind = failure.Draining
+	}
+
+	if t.g.cfg.Meter != nil {
+		t.g.cfg.Meter.NotAdmitted(r.Reason.String())
+	}
+
+	event.Log(t.g.cfg.Log, event.PromptRefused, "request_id", t.arrival.ID, "route", t.route.Name, "reason", r.Reason.String(),
+		"waited_ms", r.Ticket.Waited(now).Milliseconds(), "ahead", r.Ahead, "waiting", r.Waiting, "expected_wait_ms", r.ExpectedWait.Milliseconds(),
+		"per_second", r.Rate.PerSecond, "rate_age_ms", r.Rate.Age.Milliseconds(), "due_ms", r.Ticket.Due().Sub(now).Milliseconds(),
+		"deadline_ms", t.deadline.Sub(now).Milliseconds(), "retry_after_ms", after.Milliseconds(), "cause", lastErr.Error())
+
+	return failure.New(kind, "the prompt is not admitted (%s, %d ahead of it): %v", r.Reason, r.Ahead, lastErr).WithRetryAfter(after)
+}
+
+// admissionTurn is the turn of a prompt that has found an engine. It ends when the roster knows that
+// the prompt was sent there: others would be sent to the same memory otherwise.
+type admissionTurn struct {
+	queue  *admissionQueue
+	waiter *admissionWaiter
+}
+
+// endTurn passes the turn on, if the prompt has it.
+func (t *task) endTurn() {
+	if t.admission == nil {
+		return
+	}
+
+	q := t.admission.queue
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.endTurn(time.Now(), t.admission.waiter)
+	t.admission = nil
+}
+
+// occupy counts the prompt's memory as in use by its organisation until the returned function is
+// called, which then lets the waiting prompts try again. It is called when the roster knows that the
+// prompt is sent.
+func (t *task) occupy(tokens int) (release func()) {
+	t.endTurn()
+
+	if t.arrival.Prompt == nil {
+		return func() {}
+	}
+
+	q := t.g.admission.forService(t.g, t.service.Name)
+	name := t.organisationName()
+	q.use(name, tokens)
+
+	return func() { q.release(time.Now(), name, tokens) }
+}
+
+// CapacityChanged lets the prompts that wait for an engine try again, as when a load report has
+// arrived.
+func (g *Gateway) CapacityChanged(now time.Time) {
+	for _, q := range g.admission.all() {
+		q.wake(now)
+	}
+}
+
+// admissionQueues holds the admission queue of each service. The zero value is empty.
+type admissionQueues struct {
+	mu        sync.Mutex
+	byService map[string]*admissionQueue
+}
+
+// forService returns the queue of a service of a gateway.
+func (a *admissionQueues) forService(g *Gateway, service string) *admissionQueue {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	q, ok := a.byService[service]
+	if !ok {
+		if a.byService == nil {
+			a.byService = make(map[string]*admissionQueue)
+		}
+
+		q = &admissionQueue{g: g, queue: admission.New(admission.Config{}), waiters: make(map[*admission.Ticket]*admissionWaiter)}
+		a.byService[service] = q
+	}
+
+	return q
+}
+
+// all returns the queues of all services.
+func (a *admissionQueues) all() []*admissionQueue {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	all := make([]*admissionQueue, 0, len(a.byService))
+	for _, q := range a.byService {
+		all = append(all, q)
+	}
+
+	return all
+}
+
+// admissionQueue runs the admission queue of one service. Rounds of tries are started by wake and by
+// a timer. In a round, one waiter at a time has the turn to look for an engine: it may have to ask
+// the process beside the engine, so mu is not held meanwhile.
+type admissionQueue struct {
+	g *Gateway
+
+	mu         sync.Mutex
+	queue      *admission.Queue
+	waiters    map[*admission.Ticket]*admissionWaiter
+	turn       *admissionWaiter // who has the turn; nil between rounds
+	wanted     bool             // whether another round is wanted after the present one
+	roundBegan time.Time
+	timerAt    time.Time // when the timer starts the next round; zero if it isn't set
+	reserved   *admission.Ticket
+}
+
+// admissionWaiter is a prompt that waits.
+type admissionWaiter struct {
+	task    *task
+	ticket  *admission.Ticket
+	turn    chan struct{}          // receives one element when the prompt has the turn
+	refused chan admission.Refusal // receives one element if the prompt is refused
+}
+
+func (q *admissionQueue) mayPass(p admission.Prompt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.MayPass(p)
+}
+
+func (q *admissionQueue) use(organisation string, tokens int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.queue.Use(organisation, tokens)
+}
+
+func (q *admissionQueue) release(now time.Time, organisation string, tokens int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.queue.Release(organisation, tokens)
+	q.requestRound(now)
+}
+
+// wake lets the waiting prompts try again.
+func (q *admissionQueue) wake(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.requestRound(now)
+}
+
+// enter adds a prompt. If it is refused at once, its waiter receives the refusal.
+func (q *admissionQueue) enter(now time.Time, t *task, p admission.Prompt, cause error) *admissionWaiter {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	p.Obstacle = obstacle(now, cause, q.queue.Len())
+	ticket, refusals := q.queue.Enter(now, p)
+	w := &admissionWaiter{task: t, ticket: ticket, turn: make(chan struct{}, 1), refused: make(chan admission.Refusal, 1)}
+
+	q.waiters[ticket] = w
+	q.count(ticket, 1)
+	q.notifyRefused(refusals)
+
+	if _, ok := q.waiters[ticket]; ok {
+		rate := q.queue.Rate(now)
+		event.Log(q.g.cfg.Log, event.PromptQueued, "request_id", t.arrival.ID, "route", t.route.Name, "rank", p.Rank,
+			"organisation", p.Organisation, "in_use", q.queue.InUse(p.Organisation), "tokens", p.MemoryTokens, "short", p.Short, "late", ticket.Late(),
+			"started", p.Started, "cause", cause.Error(), "ahead", ticket.Ahead(), "waiting", q.queue.Len(), "per_second", rate.PerSecond, "rate_age_ms", rate.Age.Milliseconds(),
+			"target_left_ms", p.Target.Sub(now).Milliseconds(), "due_ms", ticket.Due().Sub(now).Milliseconds())
+	}
+
+	q.requestRound(now)
+
+	return w
+}
+
+// refuse refuses a waiting prompt for a reason that the queue doesn't know by itself.
+func (q *admissionQueue) refuse(now time.Time, w *admissionWaiter, reason admission.Reason) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if _, ok := q.waiters[w.ticket]; ok {
+		q.notifyRefused([]admission.Refusal{q.queue.Refuse(now, w.ticket, reason)})
+		q.endTurn(now, w)
+	}
+}
+
+// withdraw removes a prompt, unless it has left the queue already.
+func (q *admissionQueue) withdraw(now time.Time, w *admissionWaiter, cause string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if _, ok := q.waiters[w.ticket]; !ok {
+		return
+	}
+
+	event.Log(q.g.cfg.Log, event.PromptWithdrawn, "request_id", w.task.arrival.ID, "waited_ms", w.ticket.Waited(now).Milliseconds(),
+		"ahead", w.ticket.Ahead(), "overtaken", w.ticket.Overtaken(), "cause", cause)
+	q.queue.Leave(now, w.ticket)
+	q.removed(w.ticket)
+	q.endTurn(now, w)
+}
+
+// admitted removes a prompt that found an engine. It keeps the turn.
+func (q *admissionQueue) admitted(now time.Time, w *admissionWaiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	a := q.queue.Admit(now, w.ticket)
+	q.removed(w.ticket)
+
+	if q.g.cfg.Meter != nil {
+		q.g.cfg.Meter.Admitted(a.Waited)
+	}
+
+	event.Log(q.g.cfg.Log, event.PromptAdmitted, "request_id", w.task.arrival.ID, "waited_ms", a.Waited.Milliseconds(), "ahead", a.Ahead,
+		"overtaken", a.Overtaken, "reserved", a.Reserved, "late", w.ticket.Late(), "waiting", q.queue.Len(), "per_second", a.Rate.PerSecond, "rate_age_ms", a.Rate.Age.Milliseconds())
+}
+
+// failed records that a prompt found no engine in its turn.
+func (q *admissionQueue) failed(now time.Time, w *admissionWaiter, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.queue.Failed(w.ticket, obstacle(now, err, 0))
+	q.endTurn(now, w)
+}
+
+// notifyRefused passes refusals on to their waiters. The caller holds mu.
+func (q *admissionQueue) notifyRefused(refusals []admission.Refusal) {
+	for _, r := range refusals {
+		q.waiters[r.Ticket].refused <- r
+		q.removed(r.Ticket)
+	}
+}
+
+// removed records that a prompt has left the queue. The caller holds mu.
+func (q *admissionQueue) removed(t *admission.Ticket) {
+	delete(q.waiters, t)
+	q.count(t, -1)
+}
+
+func (q *admissionQueue) count(t *admission.Ticket, change int) {
+	if q.g.cfg.Meter != nil {
+		q.g.cfg.Meter.Waiting(t.Prompt().Rank, change)
+	}
+}
+
+// requestRound starts a round, or has one start when the present one has ended and minRoundInterval
+// has passed. The caller holds mu.
+func (q *admissionQueue) requestRound(now time.Time) {
+	wait := minRoundInterval - now.Sub(q.roundBegan)
+
+	switch {
+	case q.queue.Len() == 0:
+	case q.turn != nil:
+		q.wanted = true
+	case wait > 0:
+		q.startTimer(now, wait)
+	default:
+		q.roundBegan, q.wanted = now, false
+		q.notifyRefused(q.queue.Sweep(now))
+		q.queue.StartRound(now)
+		q.passTurn(now)
+	}
+}
+
+// endTurn passes the turn on if a waiter has it. The caller holds mu.
+func (q *admissionQueue) endTurn(now time.Time, w *admissionWaiter) {
+	if q.turn == w {
+		q.passTurn(now)
+	}
+}
+
+// passTurn gives the turn to the next prompt of the round, or ends the round. The caller holds mu.
+func (q *admissionQueue) passTurn(now time.Time) {
+	next := q.queue.Next(now)
+	q.logReservation(now)
+
+	if next != nil {
+		q.turn = q.waiters[next]
+		q.turn.turn <- struct{}{}
+
+		return
+	}
+
+	q.turn = nil
+
+	switch {
+	case q.queue.Len() == 0:
+	case q.wanted:
+		q.startTimer(now, max(minRoundInterval-now.Sub(q.roundBegan), 0))
+	default:
+		q.startTimer(now, admissionTick)
+	}
+}
+
+// logReservation logs that a prompt has got the reservation. The caller holds mu.
+func (q *admissionQueue) logReservation(now time.Time) {
+	holder := q.queue.Holder(now)
+	if holder == q.reserved {
+		return
+	}
+
+	q.reserved = holder
+
+	if holder != nil {
+		p := holder.Prompt()
+		event.Log(q.g.cfg.Log, event.PromptReserved, "request_id", q.waiters[holder].task.arrival.ID, "rank", p.Rank,
+			"waited_ms", holder.Waited(now).Milliseconds(), "overtaken", holder.Overtaken(), "tokens", p.MemoryTokens, "waiting", q.queue.Len())
+	}
+}
+
+// startTimer has a round start after a time, unless one starts earlier. The caller holds mu.
+func (q *admissionQueue) startTimer(now time.Time, wait time.Duration) {
+	at := now.Add(wait)
+	if !q.timerAt.IsZero() && !at.Before(q.timerAt) {
+		return
+	}
+
+	q.timerAt = at
+
+	time.AfterFunc(wait, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+
+		// The timer may have been replaced by an earlier one.
+		if q.timerAt.Equal(at) {
+			q.timerAt = time.Time{}
+			q.requestRound(time.Now())
+		}
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,19 +38,14 @@
 
 // run sends the request to targets until it is answered or given up.
 func (t *task) run(ctx context.Context) {
+	defer t.endTurn()
+
 	var last outcome
 
 	for {
-		now := time.Now()
-
-		c, err := t.choose(now)
-		if errors.Is(err, errNoCapacity) {
-			c, err = t.awaitCapacity(ctx, err)
-			now = time.Now()
-		}
-
+		c, err := t.findTarget(ctx)
 		if err == nil {
-			last = t.attempt(ctx, now, c)
+			last = t.attempt(ctx, time.Now(), c)
 			if last.done {
 				return
 			}
@@ -175,6 +170,9 @@
 
 	t.sentAt = now
 	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.prefillTokens, c.memoryTokens)
+
+	defer t.occupy(c.memoryTokens)()
+
 	o := t.exchange(ctx, c)
 
 	if t.r.Context().Err() != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -229,6 +229,9 @@
 		return errNoCapacity
 	case route.TooLate:
 		over := d.Wait() - t.route.LatencyTarget
+		if t.usesAdmission() {
+			return tooLate{over}
+		}
 
 		return failure.New(failure.QueueFull, "engines have other prompts to prefill for %v", d.Wait().Round(time.Millisecond)).WithRetryAfter(over)
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,12 @@
 	Refused(kind, reason string)
 	// Failed counts an attempt without a complete response.
 	Failed(outcome string)
+	// Waiting adds a change to the number of prompts of a rank that wait in an admission queue.
+	Waiting(rank, change int)
+	// Admitted counts a prompt that left an admission queue after some time to be sent.
+	Admitted(waited time.Duration)
+	// NotAdmitted counts a prompt that an admission queue refused.
+	NotAdmitted(reason string)
 }
 
 // Gateway serves callers as an http.Handler. Use New.
@@ -113,6 +119,7 @@
 	profiles        serviceProfiles
 
 	throttledCallers throttledCallers
+	admission        admissionQueues
 }
 
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -5,6 +5,7 @@
 package metrics
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +20,9 @@
 	first      *prometheus.HistogramVec
 	total      *prometheus.HistogramVec
 	unreadable prometheus.Counter
+	waiting    *prometheus.GaugeVec
+	admission  prometheus.Histogram
+	unadmitted *prometheus.CounterVec
 }
 
 // Gauges are functions that return present values; they are called on each scrape.
@@ -56,9 +60,12 @@
 		first:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "boragehub_first_event_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"kind"}),
 		total:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "boragehub_request_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"kind"}),
 		unreadable: prometheus.NewCounter(prometheus.CounterOpts{Name: "boragehub_records_unreadable_total", Help: "Records of the log that could not be understood."}),
+		waiting:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "boragehub_admission_waiting", Help: "Prompts that wait in admission queues, by rank."}, []string{"rank"}),
+		admission:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "boragehub_admission_wait_seconds", Help: "How long prompts that were then sent waited in admission queues.", Buckets: buckets}),
+		unadmitted: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehub_admission_refused_total", Help: "Prompts that admission queues refused, by reason."}, []string{"reason"}),
 	}
 
-	r.MustRegister(m.served, m.refused, m.failed, m.attempts, m.first, m.total, m.unreadable)
+	r.MustRegister(m.served, m.refused, m.failed, m.attempts, m.first, m.total, m.unreadable, m.waiting, m.admission, m.unadmitted)
 
 	for _, x := range []struct {
 		name, help string
@@ -95,5 +102,19 @@
 // Failed counts an attempt without a complete response.
 func (m *Metrics) Failed(outcome string) { m.failed.WithLabelValues(outcome).Inc() }
 
+// lastRank bounds the label values of ranks; worse ones are counted with it.
+const lastRank = 9
+
+// Waiting adds a change to the number of prompts of a rank that wait in an admission queue.
+func (m *Metrics) Waiting(rank, change int) {
+	m.waiting.WithLabelValues(strconv.Itoa(min(max(rank, 0), lastRank))).Add(float64(change))
+}
+
+// Admitted counts a prompt that left an admission queue after some time to be sent.
+func (m *Metrics) Admitted(waited time.Duration) { m.admission.Observe(waited.Seconds()) }
+
+// NotAdmitted counts a prompt that an admission queue refused.
+func (m *Metrics) NotAdmitted(reason string) { m.unadmitted.WithLabelValues(reason).Inc() }
+
 // RecordUnreadable counts a log record that could not be decoded.
 func (m *Metrics) RecordUnreadable() { m.unreadable.Inc() }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -40,6 +40,7 @@
 	stream         stream
 	inFlight       *inFlightAttempt // the present attempt
 	sentAt         time.Time        // when it was sent
+	admission      *admissionTurn   // while it has the turn in its admission queue; nil otherwise
 	lastEventAfter atomic.Int64     // when the last event was sent, in ns after began
 }
 
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -107,7 +107,8 @@
 }
 
 // awaitCapacity waits until an engine has capacity and returns that choice. It returns the last
-// error that wraps errNoCapacity, lastErr at first, if the wait is too long or a planned stop ends.
+// error that wraps errNoCapacity, lastErr at first, if the wait is too long or a planned stop ends, and
+// errContended if the prompt is to wait in the admission queue from now on.
 func (t *task) awaitCapacity(ctx context.Context, lastErr error) (choice, error) {
 	began := time.Now()
 	q := t.g.waitQueue
@@ -147,6 +148,10 @@
 	defer ticker.Stop()
 
 	for {
+		if t.usesAdmission() {
+			return choice{}, errContended
+		}
+
 		c, err := t.choose(time.Now())
 		if !errors.Is(err, errNoCapacity) {
 			q.recordAdmission(time.Now())
