gateway: keep the time to the first event free in the order of admission

By the earliest end of the latency target, an overloaded queue sends prompts just before that end, and their first event comes after it.

The order uses the time by which a prompt has to be sent to be on time: the end of its latency target less the mean time from sending to the first event at this entry, for short and long prompts each, at most half of the target. Prompts past it come after those that can be on time.

go test -race ./admission ./gateway ./limit ./retry ./cmd/... ./event ./docs ./story: ok

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -6,7 +6,8 @@
 // A Queue holds the prompts of one service for which no engine has capacity. Their order is, from
 // the first criterion to the last: streams that have started; the rank; prompts that can still meet
 // their latency target before those that can't; organisations below their fair share of the memory
-// in use before the others; the end of the latency target or, for late prompts, the deadline.
+// in use before the others; the time by which they have to be sent to be on time or, for late prompts,
+// the deadline.
 //
 // The order is not strict. A prompt that finds no engine doesn't block smaller ones behind it
 // (backfilling, Mu'alem and Feitelson 2001). One that was overtaken by long prompts for a quarter of
@@ -14,10 +15,9 @@
 // worse one is.
 //
 // Each prompt has to be sent within half of its time to the deadline or, if that is earlier, to when
-// its caller leaves. One for which the prompts
-// ahead of it, at the recent rate of admissions, take longer than that is refused at once, also
-// while it waits, starting with the last in order. Its Retry-After is a slot of a schedule at that
-// rate.
+// its caller leaves. One for which the prompts ahead of it, at the recent rate of admissions, take
+// longer than that is refused at once, also while it waits, starting with the last in order. Its
+// Retry-After is a slot of a schedule at that rate.
 //
 // A Queue does no I/O, starts no goroutine and has no clock. It tries prompts in rounds: StartRound,
 // then for each prompt that Next returns one call of Admit, Failed or Leave.
@@ -51,7 +51,8 @@
 	// MemoryTokens is the number of tokens of an engine's memory that the prompt takes,
 	// at least 1.
 	MemoryTokens int
-	// Target is the end of the latency target, LatencyTarget its length.
+	// Target is when the prompt has to be sent for its first event to be on time, LatencyTarget the
+	// length of its latency target.
 	Target        time.Time
 	LatencyTarget time.Duration
 	// Deadline is when the caller needs no response any more, LeavesAt when it leaves if nothing has
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -9,6 +9,7 @@
 	"boragehub/admission"
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/profile"
 )
 
 const (
@@ -66,7 +67,7 @@
 func (t *task) admit(ctx context.Context) (choice, error) {
 	now := time.Now()
 	q := t.g.admission.forService(t.g, t.service.Name)
-	p := t.admissionPrompt(now)
+	p := t.admissionPrompt(now, q)
 
 	var lastErr error = errNoCapacity
 
@@ -82,8 +83,8 @@
 	return t.awaitAdmission(ctx, q, p, lastErr)
 }
 
-// admissionPrompt describes the prompt to the admission queue.
-func (t *task) admissionPrompt(now time.Time) admission.Prompt {
+// admissionPrompt describes the prompt to its admission queue.
+func (t *task) admissionPrompt(now time.Time, q *admissionQueue) admission.Prompt {
 	p := admission.Prompt{
 		Organisation: t.organisationName(), Rank: t.priority(), Started: t.stream.started,
 		Short: t.profile().IsShort(t.arrival.Prompt.Tokens), MemoryTokens: t.arrival.Prompt.Tokens + t.arrival.Prompt.Output,
@@ -94,7 +95,7 @@
 		p.LatencyTarget = defaultMaxWait
 	}
 
-	p.Target = t.began.Add(p.LatencyTarget)
+	p.Target = t.began.Add(p.LatencyTarget - q.leadTime(p.Short, p.LatencyTarget))
 
 	if t.streaming() && t.route.EventTimeout > 0 {
 		p.LeavesAt = now.Add(t.untilCallerTimeout(now))
@@ -103,6 +104,36 @@
 	return p
 }
 
+// maxLeadShare bounds leadTime: with more, all prompts would count as late while engines are slow, and
+// their order would be that of their deadlines.
+const maxLeadShare = 0.5
+
+// leadTime returns how long before the end of its latency target a prompt has to be sent to be on
+// time: the usual time from then to the first event.
+func (q *admissionQueue) leadTime(short bool, target time.Duration) time.Duration {
+	ms, _ := q.firstEvents(short).Value()
+
+	return min(time.Duration(ms*float64(time.Millisecond)), time.Duration(maxLeadShare*float64(target)))
+}
+
+// firstEvents returns the mean of the times from sending to the first event, in ms. It differs by ten
+// times between short prompts and others.
+func (q *admissionQueue) firstEvents(short bool) *profile.Mean {
+	if short {
+		return &q.shortFirstEvents
+	}
+
+	return &q.longFirstEvents
+}
+
+// observeFirstEvent records when the first event of a complete response was sent to the caller.
+func (t *task) observeFirstEvent(first time.Time) {
+	if t.arrival.Prompt != nil && !first.Before(t.sentAt) {
+		short := t.profile().IsShort(t.arrival.Prompt.Tokens)
+		t.g.admission.forService(t.g, t.service.Name).firstEvents(short).Observe(millis(first.Sub(t.sentAt)))
+	}
+}
+
 func (t *task) organisationName() string {
 	if t.organisation == nil {
 		return ""
@@ -286,6 +317,8 @@
 type admissionQueue struct {
 	g *Gateway
 
+	shortFirstEvents, longFirstEvents profile.Mean
+
 	mu         sync.Mutex
 	queue      *admission.Queue
 	waiters    map[*admission.Ticket]*admissionWaiter
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -437,6 +437,50 @@
 	await(t, "tokens in use", inUse, 0)
 }
 
+// Guards against prompts that are sent just before the end of their latency target, before others that
+// could still be on time, and are late by the time to their first event.
+func TestTimeToTheFirstEventIsKeptFree(t *testing.T) {
+	q := &admissionQueue{}
+
+	for range 100 {
+		q.firstEvents(true).Observe(40)
+		q.firstEvents(false).Observe(400)
+	}
+
+	tests := []struct {
+		name   string
+		short  bool
+		target time.Duration
+		want   time.Duration
+	}{
+		{"short", true, time.Second, 40 * time.Millisecond},
+		{"long", false, time.Second, 400 * time.Millisecond},
+		{"more than half of the target", false, 600 * time.Millisecond, 300 * time.Millisecond},
+	}
+
+	for _, tt := range tests {
+		if got := q.leadTime(tt.short, tt.target).Round(time.Millisecond); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+
+	if got := (&admissionQueue{}).leadTime(true, time.Second); got != 0 {
+		t.Errorf("got %v before any response, want none", got)
+	}
+
+	env := newContendedEnv(t)
+	env.report(pulse.Report{})
+
+	if got := <-env.send(t.Context(), t, "r1", 30_000); got.status != http.StatusOK {
+		t.Fatalf("got %d, want 200", got.status)
+	}
+
+	// The only prompt so far is as long as the mean, and counts as short.
+	if ms, ok := env.queue().firstEvents(true).Value(); !ok || ms <= 0 {
+		t.Errorf("got a mean of %v ms, %v, want one from the response", ms, ok)
+	}
+}
+
 // Many prompts of all kinds come, some of their callers leave, and capacity comes and goes. Guards
 // against a turn that is lost, which would stop the queue, and against places, memory or timers that
 // are kept for ever.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -145,6 +145,7 @@
 func (t *task) served(c choice, status int, first time.Time) {
 	total := time.Since(t.began)
 	t.g.drain.observe(t.route.Name, total)
+	t.observeFirstEvent(first)
 
 	if t.g.cfg.Meter != nil {
 		t.g.cfg.Meter.Served(t.route.Kind.String(), first.Sub(t.began), total, t.attempts)
