admission, gateway: try eight prompts a round, 10 ms apart

A decision among 45 candidates takes 0.09 ms (a scratch benchmark, 0.07 MB allocated). With load reports of 45 engines, a round of sixteen tries each 5 ms takes a third of a core while all engines are full.

A round ends after eight failures and begins 10 ms after the one before.

go test -race ./admission ./gateway ./limit ./retry ./cmd/... ./event ./docs ./story: ok; the new tests of the gateway 20 times: ok; TestQueueAgainstOracle with -rapid.checks 5000: ok

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -32,8 +32,8 @@
 // long one, the process beside each engine may have to be asked, which takes up to 25 ms if it is
 // unresponsive, and short ones would wait for these tries.
 const (
-	orderedFailures = 8
-	maxFailures     = 16
+	orderedFailures = 4
+	maxFailures     = 8
 	maxRoundTime    = 25 * time.Millisecond
 )
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -15,10 +15,10 @@
 const (
 	// admissionTick is the interval between rounds of tries if nothing else starts one.
 	admissionTick = 25 * time.Millisecond
-	// minRoundInterval is the least time between the beginnings of two rounds. Load reports of 50
-	// engines arrive every 2 ms; a round at each would take a core, and an engine's load hardly
-	// changes in that time.
-	minRoundInterval = 5 * time.Millisecond
+	// minRoundInterval is the least time between the beginnings of two rounds. Load reports of 45
+	// engines arrive every 3 ms, and a decision among these takes 0.1 ms: a round of eight at each
+	// report would take a third of a core, and an engine's load hardly changes in that time.
+	minRoundInterval = 10 * time.Millisecond
 )
 
 // errContended is returned by awaitCapacity if the service has become contended meanwhile.
