admission, gateway: split the files by concept

Order, rounds and the queue itself were in one file, as were the handling of a request and the running of its queue. Code is moved only.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -17,26 +16,11 @@
 	// returnShare is the part of the caller's remaining time after which it returns at the latest,
 	// so that it can be served then, or return once more.
 	returnShare = 1.0 / 3
-	// overtakenShare is the part of its latency target for which a prompt is overtaken before it
-	// gets a reservation.
-	overtakenShare = 0.25
 	// usualPeriod is the time between callers that return while the rate is unknown: engines report
 	// their load at about this interval.
 	usualPeriod = 100 * time.Millisecond
 )
 
-// A round ends after maxFailures prompts have found no engine. Up to orderedFailures, prompts are
-// tried in order, since the first ones may want other engines than the rest. After that only those
-// are tried that take less memory than each one that failed, and at last the smallest one, so that
-// capacity which any prompt fits into is used. After maxRoundTime only short prompts are tried: for a
-// long one, the process beside each engine may have to be asked, which takes up to 25 ms if it is
-// unresponsive, and short ones would wait for these tries.
-const (
-	orderedFailures = 4
-	maxFailures     = 8
-	maxRoundTime    = 25 * time.Millisecond
-)
-
 // Config configures a Queue.
 type Config struct {
 	// Size is the number of prompts that may wait; DefaultSize when zero.
@@ -319,158 +303,3 @@
 		Waited: now.Sub(t.enteredAt), Ahead: t.ahead, Overtaken: t.overtaken, Reserved: !t.reservedAt.IsZero(), Rate: q.rate.rate(now),
 	}
 }
-
-// StartRound begins a round of tries.
-func (q *Queue) StartRound(now time.Time) {
-	q.round++
-	q.roundBegan, q.failures, q.smallestFailed = now, 0, math.MaxInt
-}
-
-// Next returns the prompt to try next, nil at the end of the round.
-func (q *Queue) Next(now time.Time) *Ticket {
-	if q.failures >= maxFailures {
-		return nil
-	}
-
-	q.order(now)
-
-	var (
-		next   *Ticket
-		holder = q.Holder(now)
-		last   = q.failures == maxFailures-1
-	)
-
-	for _, t := range q.waiting {
-		if t.round == q.round || !t.mayBeSent(holder) || !q.mayBeTried(now, t) {
-			continue
-		}
-
-		if next == nil || last && t.prompt.MemoryTokens < next.prompt.MemoryTokens {
-			next = t
-		}
-
-		if !last {
-			break
-		}
-	}
-
-	if next != nil {
-		next.round, next.trying = q.round, true
-	}
-
-	return next
-}
-
-// mayBeTried reports whether a prompt may be tried in this round after those that failed.
-func (q *Queue) mayBeTried(now time.Time, t *Ticket) bool {
-	if now.Sub(q.roundBegan) > maxRoundTime && !t.prompt.Short && !t.prompt.Started {
-		return false
-	}
-
-	return q.failures < orderedFailures || t.prompt.MemoryTokens < q.smallestFailed
-}
-
-// Failed records that a prompt returned by Next found no engine.
-func (q *Queue) Failed(t *Ticket, o Obstacle) {
-	t.trying = false
-	t.prompt.Obstacle = o
-	q.failures++
-	q.smallestFailed = min(q.smallestFailed, t.prompt.MemoryTokens)
-}
-
-// Holder returns the prompt that holds the reservation, nil for none: of those that were overtaken
-// for long enough, the one with the best rank and then the one that was overtaken first.
-func (q *Queue) Holder(now time.Time) *Ticket {
-	var holder *Ticket
-
-	for _, t := range q.waiting {
-		if t.mayReserve(now) && (holder == nil || t.reservesBefore(holder)) {
-			holder = t
-		}
-	}
-
-	if holder != nil && holder.reservedAt.IsZero() {
-		holder.reservedAt = now
-	}
-
-	return holder
-}
-
-// mayReserve reports whether the prompt was overtaken for long enough to get a reservation. A
-// reservation lasts for a latency target at most: a prompt that finds no engine in that time wants
-// one that is not available, and the others would wait for nothing.
-func (t *Ticket) mayReserve(now time.Time) bool {
-	if t.overtakenAt.IsZero() || now.Sub(t.overtakenAt) < time.Duration(overtakenShare*float64(t.prompt.LatencyTarget)) {
-		return false
-	}
-
-	return t.reservedAt.IsZero() || now.Sub(t.reservedAt) <= t.prompt.LatencyTarget
-}
-
-func (t *Ticket) reservesBefore(other *Ticket) bool {
-	switch {
-	case t.prompt.Rank != other.prompt.Rank:
-		return t.prompt.Rank < other.prompt.Rank
-	case !t.overtakenAt.Equal(other.overtakenAt):
-		return t.overtakenAt.Before(other.overtakenAt)
-	default:
-		return t.sequence < other.sequence
-	}
-}
-
-// mayBeSent reports whether a reservation allows the prompt to be sent.
-func (t *Ticket) mayBeSent(holder *Ticket) bool {
-	return holder == nil || t == holder || t.prompt.Short || t.prompt.Started || t.prompt.Rank < holder.prompt.Rank
-}
-
-// order sorts the prompts. They are nearly sorted from the time before, which makes it fast.
-func (q *Queue) order(now time.Time) {
-	q.share()
-
-	for _, t := range q.waiting {
-		t.late = t.prompt.Obstacle.Late || !now.Before(t.prompt.Target)
-		t.class = t.orderClass()
-	}
-
-	slices.SortFunc(q.waiting, compareTickets)
-}
-
-// orderClass returns the part of a prompt's order that doesn't depend on its times: started or not,
-// rank, late or not, and whether its organisation has its fair share.
-func (t *Ticket) orderClass() int {
-	if t.prompt.Started {
-		return -1
-	}
-
-	class := 4 * min(t.prompt.Rank, math.MaxInt32)
-	if t.late {
-		class += 2
-	}
-
-	if !t.organisation.underShare() {
-		class++
-	}
-
-	return class
-}
-
-func compareTickets(a, b *Ticket) int {
-	if a.class != b.class {
-		return a.class - b.class
-	}
-
-	aAt, bAt := a.prompt.Target, b.prompt.Target
-	if a.late || a.prompt.Started {
-		aAt, bAt = a.prompt.Deadline, b.prompt.Deadline
-	}
-
-	if c := aAt.Compare(bAt); c != 0 {
-		return c
-	}
-
-	if a.sequence < b.sequence {
-		return -1
-	}
-
-	return 1
-}
