--- a/event/gateway.go
+++ b/event/gateway.go
@@ -13,7 +13,7 @@
 // Events of the gateway: requests routed by host and path.
 var (
 	AttemptSent         = register(2300, "attempt_sent", "A request is sent to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age.")
-	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`.")
+	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`, `target_ms` (its latency target, 0 for none).")
 	RequestGivenUp      = register(2302, "request_given_up", "A request got an error from this entry: `request_id`, `route`, `kind`, `status`, `retry_after_ms`, `ran`, `attempts`.")
 	AttemptFailed       = register(2303, "attempt_failed", "An attempt did not yield a complete response: `request_id`, `target`, `attempt`, `outcome`, `ran`, `retry_after_ms` (for how long the target wants nothing from this entry).")
 	CallerLeft          = register(2304, "caller_left", "A caller closed its connection before the response was complete, or did not read it in time (`cause`); the target's work was cancelled.")
@@ -40,6 +40,11 @@
 	ServiceContended    = register(2324, "service_contended", "A target of a service reported the slowdown of its host for the first time; from now on work is divided by the targets' slowdown and speed unless `setting` is off: `service`, `target`, `basis`, `setting` (of --contention).")
 	TargetSlowdown      = register(2325, "target_slowdown", "A response reported a slowdown of its target's host that differs from the last one known by 10 points or more, or that has lasted; it is passed on to the process beside the target: `target`, `percent` (100 is usual), `before` (zero for none), `before_age_ms`, `basis`.")
 	TargetSpeed         = register(2326, "target_speed", "The estimated time that prefill takes on a target changed by 10 points or more: `target`, `percent` of the service's usual time, `before`, `own_samples` (prompts of this entry behind it), `basis` (`load_report`: the estimate of all entries; `response`: of this one alone).")
+	PromptQueued        = register(2340, "prompt_queued", "A prompt of a contended service waits for an engine: `request_id`, `route`, `rank`, `organisation`, `in_use` (tokens of memory of that organisation's prompts in flight), `tokens` that it takes, `short`, `late` (its first event can't be on time), `started`, `cause`, `ahead` and `waiting` (prompts), `per_second` (admissions, 0 while unknown), `rate_age_ms`, `target_left_ms` (time within which it has to be sent to be on time), `due_ms` (time within which it has to be sent).")
+	PromptAdmitted      = register(2341, "prompt_admitted", "A prompt that waited is sent: `request_id`, `waited_ms`, `ahead` (prompts before it when it came), `overtaken` (prompts behind it that were sent before it), `reserved`, `late`, `waiting`, `per_second`, `rate_age_ms`.")
+	PromptRefused       = register(2342, "prompt_refused", "A prompt of a contended service is refused without having run: `request_id`, `reason` (full, expected_wait, half_time, expired, stopping), `waited_ms`, `ahead`, `waiting`, `expected_wait_ms`, `per_second`, `rate_age_ms`, `due_ms` (time left to send it), `deadline_ms`, `retry_after_ms`, `cause` (what kept it from being sent).")
+	PromptReserved      = register(2343, "prompt_reserved", "A prompt was overtaken for a quarter of its latency target; until it is sent, no other long prompt of its rank or a worse one is: `request_id`, `rank`, `waited_ms`, `overtaken`, `tokens`, `waiting`.")
+	PromptWithdrawn     = register(2344, "prompt_withdrawn", "A prompt left the queue without a decision about it: `request_id`, `waited_ms`, `ahead`, `overtaken`, `cause` (its caller left, or no engine is available at all).")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,12 @@
 	Failed(outcome string)
 	// Claimed counts a claim of capacity at an engine, by outcome.
 	Claimed(outcome string)
+	// Waiting adds a change to the number of prompts of a rank that wait in an admission queue.
+	Waiting(rank, change int)
+	// Admitted counts a prompt that left an admission queue after some time to be sent.
+	Admitted(waited time.Duration)
+	// NotAdmitted counts a prompt that an admission queue refused.
+	NotAdmitted(reason string)
 }
 
 // Gateway serves callers as an http.Handler. Use New.
@@ -123,6 +129,7 @@
 
 	throttledCallers throttledCallers
 	slowReaders      *slowReaders
+	admission        admissionQueues
 }
 
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -146,11 +146,13 @@
 func (t *task) served(c choice, status int, first time.Time) {
 	total := time.Since(t.began)
 	t.g.drain.observe(t.route.Name, total)
+	t.observeFirstEvent(first)
 
 	if t.g.cfg.Meter != nil {
 		t.g.cfg.Meter.Served(t.route.Kind.String(), first.Sub(t.began), total, t.attempts)
 	}
 
 	event.Log(t.g.cfg.Log, event.RequestServed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
-		"status", status, "first_ms", first.Sub(t.began).Milliseconds(), "total_ms", total.Milliseconds(), "attempts", t.attempts)
+		"status", status, "first_ms", first.Sub(t.began).Milliseconds(), "total_ms", total.Milliseconds(), "attempts", t.attempts,
+		"target_ms", t.route.LatencyTarget.Milliseconds())
 }
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -250,7 +250,7 @@
 		{"no other prompt, no report", false, nil, true},
 		{"another prompt", true, nil, false},
 		{"memory free", false, &pulse.Report{Running: 1, UsedTokens: 1000}, true},
-		{"memory in use", false, &pulse.Report{Running: 1, UsedTokens: 66_000}, false},
+		{"memory in use", false, &pulse.Report{Running: 1, UsedTokens: 66_000, Interval: 10 * time.Second}, false},
 	}
 
 	for _, tt := range tests {
