--- a/gateway/room.go
+++ b/gateway/room.go
@@ -74,14 +74,17 @@
 	}
 }
 
-// needsRoom reports whether the choice needs a lease: a long prompt of a contended service. Which
-// prompts are long is known only after the first ones.
+// needsRoom reports whether the choice needs a lease: a prompt of a contended service that takes more
+// prefill or more memory than the mean. A prompt whose parts the engine fetches or has is prefilled
+// quickly and takes as much memory as any other. The means are known only after the first prompts.
 func (t *task) needsRoom(c *choice) bool {
 	if t.g.cfg.Claims == nil || !t.contended || t.arrival.Prompt == nil || c.memoryTokens <= 0 {
 		return false
 	}
 
-	return t.profile().MeanKVTokens() > 0 && !t.profile().IsShort(c.prefillTokens)
+	mean := t.profile().MeanKVTokens()
+
+	return mean > 0 && (c.memoryTokens > mean || !t.profile().IsShort(c.prefillTokens))
 }
 
 // claimRoom claims capacity for a choice that needs it, and reports whether the prompt may be sent
@@ -143,8 +146,8 @@
 		TimeLeftMs: max(t.deadline.Sub(now).Milliseconds(), 1), TokensPerMs: cfg.TokensPerMs,
 	}
 
-	if t.stream.started {
-		// The caller waits for the rest of the stream.
+	if t.stream.started || t.profile().IsShort(c.prefillTokens) {
+		// The caller waits for the rest of the stream, or the prompt delays others hardly at all.
 		claim.MaxBacklog = math.MaxInt32
 	}
 
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -296,3 +296,39 @@
 		}
 	}
 }
+
+// A prompt whose parts the engine fetches has little to prefill and takes as much memory as any other.
+// Guards against engines that get more of these than fit, and preempt them.
+func TestPromptsThatTakeMemoryClaimIt(t *testing.T) {
+	tests := []struct {
+		name                     string
+		prefill, memory          int
+		want, wantUnlimitedQueue bool
+	}{
+		{"little of both", 500, 600, false, false},
+		{"much memory", 500, 17_000, true, true},
+		{"much prefill", 4000, 4100, true, false},
+	}
+
+	env, _ := newRoomEnv(t, true, answering(t, "a"))
+
+	for _, tt := range tests {
+		x := &task{g: env.gateway, contended: true, route: &site.Route{LatencyTarget: time.Second}, deadline: time.Now().Add(time.Second)}
+		x.arrival.Prompt = &Prompt{Tokens: tt.memory}
+		x.service = site.Service{Name: "llm", Engines: &site.Engines{CacheTokens: 70_000}}
+		c := &choice{prefillTokens: tt.prefill, memoryTokens: tt.memory}
+
+		for range 8 {
+			x.profile().ObserveFirstEvent(500, 10*time.Millisecond)
+			x.profile().ObserveFirstEvent(10_000, 200*time.Millisecond)
+		}
+
+		if got := x.needsRoom(c); got != tt.want {
+			t.Errorf("%s: got claim %v, want %v", tt.name, got, tt.want)
+		}
+
+		if got := x.claimFor(time.Now(), c).MaxBacklog == math.MaxInt32; tt.want && got != tt.wantUnlimitedQueue {
+			t.Errorf("%s: got unlimited backlog %v, want %v", tt.name, got, tt.wantUnlimitedQueue)
+		}
+	}
+}
