gateway: know slow targets when an entry stops

Cause: whether a request is long was decided by the mean of its route. If a few engines are much slower than the others, the mean fits no response: requests at the slow engine count as short until they are old, and new ones are accepted and sent there during the stop, so that one after the other keeps the port open until the last two seconds, in which it closes whatever runs.

Change: drainControl learns how many times the usual duration of their routes the responses of each target take, with four usual responses added so that one that took somewhat longer decides nothing. A request counts as long from the moment it is sent to a target where it will be. Requests accepted in the last phase of a stop are refused as not run if such a target is chosen for them and they have not run elsewhere. Requests accepted earlier are served anywhere.

Measured: TestDrainKnowsSlowTargets and TestNewRequestsAreNotSentToSlowTargetsInDrain fail without the two rules.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -174,6 +174,7 @@
 	}
 
 	t.sentAt = now
+	t.g.drain.sent(now, t, c.engine.ID)
 	sent := t.g.cfg.Roster.Sent(now, c.engine.ID, c.prefillTokens, c.memoryTokens)
 	o := t.exchange(ctx, c)
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -66,6 +66,10 @@
 			return choice{}, err
 		}
 
+		if err := t.g.drain.mayUse(now, t, c.engine.ID); err != nil {
+			return choice{}, err
+		}
+
 		if t.g.cfg.Roster.Admit(now, c.engine.ID) {
 			t.logChoice(c)
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -16,8 +17,14 @@
 	// maxDurationFactor is how many times its usual duration a response may take, on overloaded
 	// engines too.
 	maxDurationFactor = 10
-	// longestRetention is how long the longest duration of a route is remembered.
+	// longestRetention is how long the longest duration of a route and what is known of a target
+	// are remembered.
 	longestRetention = time.Minute
+	// slownessPrior is how many usual responses are added to those of a target, so that a single
+	// one that took somewhat longer does not make the target slow.
+	slownessPrior = 4
+	// slownessMinWeight is the least weight of a target's last response.
+	slownessMinWeight = 0.1
 	// finalWindow is how long before its end an entry may close its port even if long requests
 	// run, so that calls that follow closely on each other end as well. It is also the lowest
 	// limit that maxDuration derives from a route's longest duration.
@@ -34,9 +41,13 @@
 // accepted them all, it would run until the end of its grace period and cut responses off; if it
 // closed its port at once, callers would find no entry while long responses still run. So long
 // requests are refused first, and short ones are accepted until the long ones are done.
+//
+// Whether a request is long depends on its route and, once its target is chosen, on the target: a
+// route's mean fits no response if a few targets are much slower than the others.
 type drainControl struct {
 	mu        sync.Mutex
 	routes    map[string]*routeDurations // durations by route
+	targets   map[string]*targetSlowness // by the id of the target
 	allRoutes profile.Mean               // of all routes, in ms
 	inFlight  map[*task]inFlightRequest  // requests being served
 
@@ -76,16 +87,41 @@
 	return max(limit, takes, longest)
 }
 
+// targetSlowness is how many times the usual duration of their routes a target's responses take.
+type targetSlowness struct {
+	count int
+	ratio float64 // moving mean
+	last  time.Time
+}
+
+func (s *targetSlowness) observe(now time.Time, ratio float64) {
+	s.count++
+	s.ratio += (ratio - s.ratio) * max(slownessMinWeight, 1/float64(s.count))
+	s.last = now
+}
+
+// estimate returns the ratio, which is nearer to one the fewer responses there were.
+func (s *targetSlowness) estimate() float64 {
+	n := float64(s.count)
+
+	return (n*s.ratio + slownessPrior) / (n + slownessPrior)
+}
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // inFlightRequest is a request being served.
 type inFlightRequest struct {
 	began time.Time
-	long  bool // by the usual duration of its route
+	long  bool // by the usual duration of its route, or at its present target
+	// acceptedDraining is true if it was accepted in the last phase of a stop.
+	acceptedDraining bool
 }
 
 func newDrainControl() *drainControl {
-	return &drainControl{routes: make(map[string]*routeDurations), inFlight: make(map[*task]inFlightRequest), endReached: make(chan struct{})}
+	return &drainControl{
+		routes: make(map[string]*routeDurations), targets: make(map[string]*targetSlowness), inFlight: make(map[*task]inFlightRequest),
+		endReached: make(chan struct{}),
+	}
 }
 
 // start begins the last phase of a stop. At end the last responses are sent.
@@ -128,14 +164,58 @@
 	if d.draining && (long || !d.finishesInTime(now, t.deadline, u.maxDuration(takes, d.oldestInFlight(now, t.route.Name)))) {
 		d.refusedForTime = d.refusedForTime || !long
 
-		return failure.New(failure.Draining, "this entry is stopping").WithRetryAfter(drainRetryAfter)
+		return errDraining()
 	}
 
-	d.inFlight[t] = inFlightRequest{began: now, long: long}
+	d.inFlight[t] = inFlightRequest{began: now, long: long, acceptedDraining: d.draining}
 
 	return nil
 }
 
+// errDraining is the refusal of a request that has not run.
+func errDraining() error {
+	return failure.New(failure.Draining, "this entry is stopping").WithRetryAfter(drainRetryAfter)
+}
+
+// mayUse returns nil if a request may be sent to a target, or why it isn't served. In the last phase
+// of a stop, new requests that would be long at the target chosen for them are refused like those
+// of long routes, unless they may have run: each would keep the port open for as long as it runs.
+func (d *drainControl) mayUse(now time.Time, t *task, target string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.inFlight[t].acceptedDraining && t.possibleRuns == 0 && d.isLongAt(now, t.route.Name, target) {
+		return errDraining()
+	}
+
+	return nil
+}
+
+// sent records that a request is sent to a target.
+func (d *drainControl) sent(now time.Time, t *task, target string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if u, ok := d.inFlight[t]; ok && d.isLongAt(now, t.route.Name, target) {
+		u.long = true
+		d.inFlight[t] = u
+	}
+}
+
+// isLongAt reports whether a route's responses are long at a target that is clearly slower than
+// others. The caller holds mu.
+func (d *drainControl) isLongAt(now time.Time, route, target string) bool {
+	s, ok := d.targets[target]
+	if !ok || now.Sub(s.last) > longestRetention {
+		return false
+	}
+
+	ms, ok := d.route(route).mean.Value()
+	slowness := s.estimate()
+
+	return ok && slowness > longFactor && d.isLong(time.Duration(ms*slowness*float64(time.Millisecond)))
+}
+
 // isLong reports whether a duration is clearly longer than the mean of all responses, or
 // that mean is unknown. The caller holds mu.
 func (d *drainControl) isLong(takes time.Duration) bool {
@@ -203,6 +283,32 @@
 	d.allRoutes.Observe(millis(total))
 }
 
+// observeTarget records how long a target took for a complete response. The duration is compared
+// with the mean of the route before it.
+func (d *drainControl) observeTarget(now time.Time, route, target string, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	ms, ok := d.route(route).mean.Value()
+	if !ok || ms <= 0 {
+		return
+	}
+
+	s, ok := d.targets[target]
+	if !ok {
+		maps.DeleteFunc(d.targets, func(_ string, s *targetSlowness) bool { return now.Sub(s.last) > longestRetention })
+
+		s = &targetSlowness{}
+		d.targets[target] = s
+	}
+
+	if now.Sub(s.last) > longestRetention {
+		*s = targetSlowness{}
+	}
+
+	s.observe(now, millis(took)/ms)
+}
+
 // route returns the durations of a route. The caller holds mu.
 func (d *drainControl) route(route string) *routeDurations {
 	u, ok := d.routes[route]
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -263,3 +264,112 @@
 		})
 	}
 }
+
+// One of several engines takes fifteen times as long as the others, so the mean of a route fits no
+// response. Guards against taking a request just sent there for short: the port would be closed for
+// as long as it runs, while callers find no entry. Requests accepted during the stop must not be sent
+// there either: one after the other, they would keep the port open until the grace period ends.
+func TestDrainKnowsSlowTargets(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	end := t0.Add(5 * time.Second)
+	tests := []struct {
+		name             string
+		target           string
+		took             []time.Duration // earlier responses of the target
+		ranBefore        bool            // the request may have run at another target
+		observed         time.Time
+		closes, accepted bool
+	}{
+		{"fast", "fast", []time.Duration{100 * time.Millisecond}, false, t0, true, true},
+		{"unknown", "new", nil, false, t0, true, true},
+		{"slow", "slow", []time.Duration{1500 * time.Millisecond}, false, t0, false, false},
+		{"slow, a repeat that may have run", "slow", []time.Duration{1500 * time.Millisecond}, true, t0, false, true},
+		{"slow long ago", "slow", []time.Duration{1500 * time.Millisecond}, false, t0.Add(-longestRetention - 1), true, true},
+		{"one response took twice as long", "fast", []time.Duration{200 * time.Millisecond}, false, t0, true, true},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newTrainedDrainControl()
+			for _, took := range tt.took {
+				d.observeTarget(tt.observed, "seat", tt.target, took)
+			}
+
+			before := &task{route: &site.Route{Name: "seat"}, deadline: t0.Add(10 * time.Second)}
+			if err := d.admit(t0, before); err != nil {
+				t.Fatal(err)
+			}
+
+			d.start(t0, end)
+
+			if err := d.mayUse(t0, before, tt.target); err != nil {
+				t.Errorf("accepted before the last phase: got %v, want it sent", err)
+			}
+
+			d.sent(t0, before, tt.target)
+
+			if got := d.mayClosePort(t0); got != tt.closes {
+				t.Errorf("just sent: got port may close %v, want %v", got, tt.closes)
+			}
+
+			x := &task{route: before.route, deadline: before.deadline}
+			if tt.ranBefore {
+				x.possibleRuns = 1
+			}
+
+			if err := d.admit(t0, x); err != nil {
+				t.Fatal(err)
+			}
+
+			err := d.mayUse(t0, x, tt.target)
+			if got := err == nil; got != tt.accepted {
+				t.Errorf("got sent %v (%v), want %v", got, err, tt.accepted)
+			}
+
+			if err != nil && failure.KindOf(err).Response().Ran != failure.NotRun {
+				t.Errorf("got %v, want a refusal that says not run", err)
+			}
+		})
+	}
+}
+
+// Targets come and go for as long as an entry lives. Guards against keeping all of them.
+func TestDrainForgetsTargets(t *testing.T) {
+	d := newTrainedDrainControl()
+
+	for i := range 10 {
+		d.observeTarget(time.Unix(1000+int64(i)*100, 0), "seat", strconv.Itoa(i), time.Second)
+	}
+
+	if got := len(d.targets); got != 1 {
+		t.Errorf("got %d targets, want the one of the last minute", got)
+	}
+}
+
+// Guards against not asking: the request would be sent to the slow target, and the stop would wait for
+// it.
+func TestNewRequestsAreNotSentToSlowTargetsInDrain(t *testing.T) {
+	e := newFakeEngine(t, "a", respond(ok200))
+	env := newTestEnv(t, e)
+
+	for range 10 {
+		if r := env.request(t, "POST", "/once/1", "x"); r.status != http.StatusOK {
+			t.Fatalf("got %d, want 200", r.status)
+		}
+	}
+
+	if got := len(env.gateway.drain.targets); got != 1 {
+		t.Fatalf("got %d targets with durations, want 1", got)
+	}
+
+	now := time.Now()
+	for range 10 {
+		env.gateway.drain.observeTarget(now, "once", "sa", time.Minute)
+	}
+
+	env.gateway.StartDrain(now, now.Add(time.Minute))
+
+	if r := env.request(t, "POST", "/once/1", "x"); r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" || e.count() != 10 {
+		t.Errorf("got %d after %d requests at the target, want a refusal with a Retry-After time after 10", r.status, e.count())
+	}
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -143,7 +143,9 @@
 
 // served logs and counts a request that got its complete response.
 func (t *task) served(c choice, status int, first time.Time) {
-	total := time.Since(t.began)
+	now := time.Now()
+	total := now.Sub(t.began)
+	t.g.drain.observeTarget(now, t.route.Name, c.engine.ID, now.Sub(t.sentAt))
 	t.g.drain.observe(t.route.Name, total)
 
 	if t.g.cfg.Meter != nil {
