drain: keep the port open for connections without a request

Cause: some callers open connections in advance. A connection without a request is closed once its first request can't arrive any more, a second after it was opened; the port was closed before that wait.

Change: the port stays open while there are such connections, for a second at most from when it could close otherwise. The end of the drain moves only if the callers that come meanwhile need it.

Measured: TestPortStaysOpenForConnectionWithoutRequest fails without the change. go test -race ./drain ./gateway ./cmd/boragehub passes.

--- a/drain/conn_tracker.go
+++ b/drain/conn_tracker.go
@@ -84,6 +84,22 @@
 	return n
 }
 
+// opened returns the number of connections that have not received a request.
+func (t *connTracker) opened() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	n := 0
+
+	for c := range t.conns {
+		if phase(c.phase.Load()) == phaseOpened {
+			n++
+		}
+	}
+
+	return n
+}
+
 // mayReceive reports whether a caller may still send a request on an idle connection whose
 // keep-alive time has not expired.
 func (t *connTracker) mayReceive(now time.Time, keepAlive time.Duration) bool {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -134,8 +134,11 @@
 
 	// A response whose header was sent before the drain has announced that its connection may
 	// be used again. The port stays open as long as there are such connections.
+	// It also stays open for a while if there are connections without a request.
+	var opened openedWait
+
 	s.waitUntil(ctx, 1, func(now time.Time) bool {
-		return isMet(options.MayClosePort, now) && !s.conns.mayReceive(now, s.keepAlive()) && s.refuseConns()
+		return isMet(options.MayClosePort, now) && !s.conns.mayReceive(now, s.keepAlive()) && opened.over(now, s.conns.opened()) && s.refuseConns()
 	})
 	s.closePort()
 
@@ -150,6 +153,22 @@
 	}
 }
 
+// openedWait decides whether the port may close in view of connections without a request. Some
+// callers open connections in advance and send no request on them. All connections are closed only
+// when their first requests can't arrive any more; with the port closed meanwhile, callers would be
+// refused for that time. The wait is bounded, as new connections may be opened all the time.
+type openedWait struct{ since time.Time }
+
+// over reports whether the wait is over, given the present number of such connections. The wait
+// begins with the first call.
+func (w *openedWait) over(now time.Time, opened int) bool {
+	if w.since.IsZero() {
+		w.since = now
+	}
+
+	return opened == 0 || now.Sub(w.since) >= firstRequestTimeout
+}
+
 // isMet reports whether a condition holds; a nil condition always does.
 func isMet(condition func(now time.Time) bool, now time.Time) bool {
 	return condition == nil || condition(now)
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -328,6 +328,60 @@
 	}
 }
 
+// A caller has opened a connection in advance and sends no request on it. Guards against closing the
+// port a second before that connection: callers would be refused although the process is idle.
+func TestPortStaysOpenForConnectionWithoutRequest(t *testing.T) {
+	s := startServer(t, okHandler, 0)
+	spare := s.connect(t)
+
+	eventually(t, "the connection was accepted", func() bool { return s.Count().Opened == 1 })
+
+	checks := make(chan struct{}, 1000)
+	drained := make(chan Count, 1)
+
+	go func() {
+		drained <- s.Drain(t.Context(), Options{MayClosePort: func(time.Time) bool {
+			checks <- struct{}{}
+
+			return true
+		}})
+	}()
+
+	eventually(t, "the port stays open at the first check", func() bool { return len(checks) > 1 })
+	spare.send(t, request)
+
+	if resp, body, err := spare.response(); err != nil || body != "ok" || !resp.Close {
+		t.Errorf("got %q, %v, want ok and an announced close", body, err)
+	}
+
+	if got, want := <-drained, (Count{}); got != want {
+		t.Errorf("got %+v closed, want %+v", got, want)
+	}
+}
+
+// Guards against a port that never closes because connections are opened all the time.
+func TestWaitForConnectionsWithoutRequestIsBounded(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	tests := []struct {
+		after  time.Duration
+		opened int
+		want   bool
+	}{
+		{0, 2, false},
+		{firstRequestTimeout - 1, 1, false},
+		{firstRequestTimeout - 1, 0, true},
+		{firstRequestTimeout, 1, true},
+	}
+
+	var w openedWait
+
+	for _, tt := range tests {
+		if got := w.over(t0.Add(tt.after), tt.opened); got != tt.want {
+			t.Errorf("after %v with %d opened: got over %v, want %v", tt.after, tt.opened, got, tt.want)
+		}
+	}
+}
+
 // A response that does not end before the drain's context ends is aborted, and the returned
 // count reports it.
 func TestDrainEndsWithContext(t *testing.T) {
