drain: close no connection just after a pause of the process

Cause, as far as the log shows: what was read of a request counts as abandoned if nothing more was read for a second, and a connection without a request may close a second after it was opened. Both times passed in the pause, and the first checks after it ran before the requests were handled.

Change: if half a second passes between two checks, nothing is closed for 0.3 s.

Measured: TestDrainGivesTimeAfterPause covers the decision; the pause itself was not reproduced. go test -race ./drain passes.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -64,6 +64,12 @@
 	// stableChecks is the number of consecutive checks that have to succeed before connections
 	// are closed: a request that arrives during the first check is seen by the second.
 	stableChecks = 2
+	// maxCheckGap is the time between two checks from which on the process was paused. What it has
+	// read of a request counts as incomplete for nextPartTimeout, which may pass in a pause.
+	maxCheckGap = nextPartTimeout / 2
+	// resumeTime is how long after a pause no connection is closed, so that what was read before it
+	// is handled. A process with a small share of a processor gets some turns in it.
+	resumeTime = 300 * time.Millisecond
 )
 
 // Server is an HTTP server. Create it with NewServer.
@@ -142,8 +148,10 @@
 	})
 	s.closePort()
 
+	pauses := pauseDetector{lastCheck: time.Now()}
+
 	for {
-		s.waitUntil(ctx, stableChecks, func(now time.Time) bool { return s.conns.canClose(now, s.keepAlive()) })
+		s.waitUntil(ctx, stableChecks, func(now time.Time) bool { return pauses.running(now) && s.conns.canClose(now, s.keepAlive()) })
 
 		if n := s.Count(); n.Busy+n.Pending == 0 || ctx.Err() != nil {
 			s.Close()
@@ -169,6 +177,23 @@
 	return opened == 0 || now.Sub(w.since) >= firstRequestTimeout
 }
 
+// pauseDetector detects pauses of the process by the time between two checks.
+type pauseDetector struct {
+	lastCheck time.Time
+	resumedAt time.Time // the end of the last pause
+}
+
+// running reports whether the process has not been paused for resumeTime. It is called at each check.
+func (p *pauseDetector) running(now time.Time) bool {
+	if now.Sub(p.lastCheck) >= maxCheckGap {
+		p.resumedAt = now
+	}
+
+	p.lastCheck = now
+
+	return p.resumedAt.IsZero() || now.Sub(p.resumedAt) >= resumeTime
+}
+
 // isMet reports whether a condition holds; a nil condition always does.
 func isMet(condition func(now time.Time) bool, now time.Time) bool {
 	return condition == nil || condition(now)
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -382,6 +382,29 @@
 	}
 }
 
+// The process is paused for more than a second just after it has read a request. Guards against closing
+// the connection because the request seems incomplete for so long: its caller would get no response.
+func TestDrainGivesTimeAfterPause(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	p := pauseDetector{lastCheck: t0}
+	tests := []struct {
+		after time.Duration
+		want  bool
+	}{
+		{checkInterval, true},
+		{checkInterval + maxCheckGap - 1, true},
+		{1200 * time.Millisecond, false},
+		{1200*time.Millisecond + resumeTime - 1, false},
+		{1200*time.Millisecond + resumeTime, true},
+	}
+
+	for _, tt := range tests {
+		if got := p.running(t0.Add(tt.after)); got != tt.want {
+			t.Errorf("after %v: got running %v, want %v", tt.after, got, tt.want)
+		}
+	}
+}
+
 // A response that does not end before the drain's context ends is aborted, and the returned
 // count reports it.
 func TestDrainEndsWithContext(t *testing.T) {
