--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -177,6 +177,8 @@
 	}
 
 	t.sentAt = now
+	t.g.drain.sent(now, t, c.engine.ID)
+
 	recordSent := t.g.cfg.Roster.Sent
 	if c.long != nil && c.long.leased {
 		recordSent = t.g.cfg.Roster.SentLeased
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -74,6 +74,10 @@
 			return choice{}, err
 		}
 
+		if err := t.g.drain.mayUse(now, t, c.engine.ID); err != nil {
+			return choice{}, err
+		}
+
 		if !t.claimRoom(ctx, &c) {
 			if len(t.noRoom) >= maxDenials {
 				event.Log(t.g.cfg.Log, event.RoomExhausted, "request_id", t.arrival.ID, "engines", len(t.noRoom))
