--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -125,20 +125,8 @@
 
 		lost = false
 
-		if next.StartedMs > p.StartedMs && p.StartedMs > 0 {
-			r.forgetCapacity()
-		}
-
-		if next.StartedMs > p.StartedMs && p.StartedMs > 0 && r.cfg.Restarted != nil {
-			r.cfg.Restarted()
-		}
-
-		if next.StartedMs > p.StartedMs && p.StartedMs > 0 && r.cfg.Ledger != nil {
-			r.cfg.Ledger.Reset()
-		}
-
 		if next.StartedMs > p.StartedMs {
-			r.noteEngineStart(time.Now(), next)
+			r.noteEngineStart(time.Now(), next, p.StartedMs > 0)
 		}
 
 		next.Engine, next.SourceStart = r.cfg.EngineAddress, p.SourceStart
@@ -154,13 +142,31 @@
 	}
 }
 
-// noteEngineStart passes the start of the engine on to the slow-start guard.
-func (r *Reporter) noteEngineStart(now time.Time, p Report) {
+// noteEngineStart passes the start of the engine on to the slow-start guard. If it has restarted, what
+// was known of its earlier start is dropped.
+func (r *Reporter) noteEngineStart(now time.Time, p Report, restarted bool) {
+	if restarted {
+		r.forgetEngine()
+	}
+
 	if r.cfg.SlowStart != nil && p.Clock > 0 {
 		r.cfg.SlowStart.Started(now, time.Duration(p.Clock-p.StartedMs)*time.Millisecond)
 	}
 }
 
+// forgetEngine drops what is known of the engine's earlier start.
+func (r *Reporter) forgetEngine() {
+	r.forgetCapacity()
+
+	if r.cfg.Restarted != nil {
+		r.cfg.Restarted()
+	}
+
+	if r.cfg.Ledger != nil {
+		r.cfg.Ledger.Reset()
+	}
+}
+
 // loadIn returns Report.LoadInMs of the next load report.
 func (r *Reporter) loadIn(now time.Time) int64 {
 	if r.cfg.LoadIn == nil {
