--- a/gateway/room.go
+++ b/gateway/room.go
@@ -76,15 +76,15 @@
 
 // needsRoom reports whether the choice needs a lease: a prompt of a contended service that takes more
 // prefill or more memory than the mean. A prompt whose parts the engine fetches or has is prefilled
-// quickly and takes as much memory as any other. The means are known only after the first prompts.
+// quickly and takes as much memory as any other. Until the means are known, every prompt claims.
 func (t *task) needsRoom(c *choice) bool {
 	if t.g.cfg.Claims == nil || !t.contended || t.arrival.Prompt == nil || c.memoryTokens <= 0 {
 		return false
 	}
 
-	mean := t.profile().MeanKVTokens()
+	p := t.profile()
 
-	return mean > 0 && (c.memoryTokens > mean || !t.profile().IsShort(c.prefillTokens))
+	return !p.KnowsPrompts() || c.memoryTokens > p.MeanKVTokens() || !p.IsShort(c.prefillTokens)
 }
 
 // slotsTaken reports whether an engine would deny the prompt for lack of a slot, as known. A claim costs
--- a/profile/profile.go
+++ b/profile/profile.go
@@ -178,3 +178,11 @@
 
 	return m.value, m.count > 0
 }
+
+// Count returns the number of observations.
+func (m *Mean) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.count
+}
--- a/profile/service.go
+++ b/profile/service.go
@@ -70,6 +70,12 @@
 	return time.Duration(ms * float64(output) * float64(time.Millisecond))
 }
 
+// minPrompts is the number of prompts from which on their means tell short prompts from long ones.
+const minPrompts = 16
+
+// KnowsPrompts reports whether enough prompts were sent to tell short ones from long ones.
+func (f *Service) KnowsPrompts() bool { return f.kvTokens.Count() >= minPrompts }
+
 // MeanKVTokens returns the mean number of tokens of memory per prompt; zero if none was sent yet.
 func (f *Service) MeanKVTokens() int {
 	mean, _ := f.kvTokens.Value()
--- a/pulse/claim.go
+++ b/pulse/claim.go
@@ -70,8 +70,8 @@
 func (t *claimTable) engine(address string) *claimEngine {
 	e := t.engines[address]
 	if e == nil {
-		if len(t.engines) >= maxClaimEngines {
-			clear(t.engines)
+		if len(t.engines) >= maxClaimEngines || t.engines == nil {
+			t.engines = make(map[string]*claimEngine)
 		}
 
 		e = &claimEngine{}
@@ -114,6 +114,16 @@
 	}
 }
 
+// resume allows claims at an engine again, since its side process has sent its first report after a
+// start: before that it replies to none.
+func (t *claimTable) resume(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	e := t.engine(address)
+	e.unanswered, e.pausedUntil = 0, time.Time{}
+}
+
 // abandon ends the wait for a reply and gives back a lease that may have been granted. Timed-out
 // claims count as unanswered.
 func (t *claimTable) abandon(now time.Time, address string, id uint64, timedOut bool) (flush bool) {
--- a/pulse/claim_test.go
+++ b/pulse/claim_test.go
@@ -380,3 +380,34 @@
 
 	p.await(t, "no lease", func(Report) bool { return ledger.Usage(time.Now()).Held == 0 })
 }
+
+// The side process of an engine replies to no claim before it has queried the engine, as after a start of
+// all processes. Guards against entries that then claim nothing at that engine for seconds: each of
+// them would send long prompts there unseen by the others.
+func TestClaimsResumeWithTheFirstReportOfASideProcess(t *testing.T) {
+	tests := []struct {
+		name   string
+		report Report
+		want   bool // whether the next claim is sent
+	}{
+		{"first report", Report{Engine: "a", SourceStart: 1, Sequence: 1}, true},
+		{"next report of the same start", Report{Engine: "a", SourceStart: 1, Sequence: 2}, false},
+		{"side process restarted", Report{Engine: "a", SourceStart: 2, Sequence: 1}, true},
+		{"late report of the earlier start", Report{Engine: "a", SourceStart: 1, Sequence: 3}, false},
+	}
+
+	now := time.Unix(100, 0)
+	l := &Listener{latest: map[string]Report{}, claims: newClaimTable(now)}
+
+	for _, tt := range tests {
+		for range unansweredLimit {
+			l.claims.abandon(now, "a", 0, true)
+		}
+
+		l.newer(tt.report)
+
+		if _, _, _, got := l.claims.begin(now, "a"); got != tt.want {
+			t.Errorf("%s: got claim sent %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -102,6 +102,10 @@
 
 	l.latest[p.Engine] = p
 
+	if !ok || p.SourceStart != old.SourceStart {
+		l.claims.resume(p.Engine)
+	}
+
 	return true
 }
 
