--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -43,8 +43,8 @@
 )
 
 const (
-	// slowdownLifetime is the age from which a reported slowdown has no weight. Hosts are slow for
-	// about 0.6 s at a time.
+	// slowdownLifetime is the age from which a reported slowdown has no weight. Hosts change many times
+	// a second.
 	slowdownLifetime = 500 * time.Millisecond
 	// maxSamples is the number of most recent prompts that the speed is estimated from.
 	maxSamples = 32
