gateway, quarantine: log what the end of a target counts for which request

Operators could not tell why a request that crashes its targets was accepted again: 2309 said how many requests were running, not which, and an end that was left uncounted left no line.

2316 crash_counted and 2317 crash_not_counted name fingerprint, target, basis and the number of crashes that count; 2302 and 2303 name the fingerprint. No decision changes. The tests of event, quarantine, gateway and docs pass.

--- a/entry/poll.go
+++ b/entry/poll.go
@@ -214,11 +214,11 @@
 // AddCrash records a crash report: the requests that were running when a target crashed.
 func (e *Entry) AddCrash(now time.Time, c quarantine.Crash) {
 	for _, f := range c.Running {
-		event.Log(e.cfg.Log, event.RequestSuspect, "fingerprint", fingerprintText(f), "vm", c.Target)
+		event.Log(e.cfg.Log, event.RequestSuspect, "fingerprint", f.String(), "vm", c.Target)
 	}
 
 	for _, f := range e.crashes.RecordCrash(now, c) {
-		event.Log(e.cfg.Log, event.RequestQuarantined, "fingerprint", fingerprintText(f), "vm", c.Target)
+		event.Log(e.cfg.Log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
 	}
 }
 
--- a/entry/router.go
+++ b/entry/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -309,5 +308,3 @@
 
 	return remoteRoundTrip
 }
-
-func fingerprintText(f quarantine.Fingerprint) string { return fmt.Sprintf("%x", f[:]) }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -227,7 +227,7 @@
 	}
 
 	event.Log(t.g.cfg.Log, event.AttemptFailed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
-		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "retry_after_ms", o.retryAfter.Milliseconds(), "cause", text, "after_ms", time.Since(t.began).Milliseconds())
+		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "fingerprint", t.fingerprint.String(), "retry_after_ms", o.retryAfter.Milliseconds(), "cause", text, "after_ms", time.Since(t.began).Milliseconds())
 
 	if t.g.cfg.Meter != nil {
 		t.g.cfg.Meter.Failed(o.kind.String())
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -70,9 +70,14 @@
 
 	d.broken[id] = append(d.broken[id], brokenRequest{now, f})
 
-	if running := d.recent(now, id, crashWindow); len(running) >= minCrashRequests {
+	running := d.recent(now, id, crashWindow)
+	if len(running) >= minCrashRequests {
 		d.recordCrash(now, id, running, "connections")
+
+		return
 	}
+
+	event.Log(d.log, event.CrashNotCounted, "fingerprint", f.String(), "target", id, "broken", len(running), "basis", "single connection")
 }
 
 // recent returns the requests that broke on a target within the last maxAge, and drops those that
@@ -102,6 +107,7 @@
 // other entries. The caller holds mu.
 func (d *crashDetector) recordCrash(now time.Time, id string, running []quarantine.Fingerprint, basis string) {
 	d.tracker.RecordCrash(now, quarantine.Crash{Target: id, Boot: id, At: now, Running: running})
+	d.logCounted(now, id, running, basis)
 
 	if d.reportPending[id] || d.report == nil {
 		return
@@ -113,6 +119,14 @@
 	time.AfterFunc(reportDelay, func() { d.reportToEntries(id) })
 }
 
+// logCounted logs for each request what a crash counts against it.
+func (d *crashDetector) logCounted(now time.Time, id string, running []quarantine.Fingerprint, basis string) {
+	for _, f := range running {
+		status, _ := d.tracker.Check(now, f)
+		event.Log(d.log, event.CrashCounted, "fingerprint", f.String(), "target", id, "basis", basis, "crashes", d.tracker.CrashCount(now, f), "status", status.String())
+	}
+}
+
 // reportToEntries reports to the other entries what was on a target when it crashed.
 func (d *crashDetector) reportToEntries(id string) {
 	now := time.Now()
@@ -130,6 +144,7 @@
 func (d *crashDetector) addReported(now time.Time, c quarantine.Crash) {
 	c.At = now // by this process's clock
 	d.tracker.RecordCrash(now, c)
+	d.logCounted(now, c.Target, c.Running, "report")
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -251,7 +251,7 @@
 	}
 
 	event.Log(t.g.cfg.Log, event.RequestGivenUp, "request_id", t.arrival.ID, "route", t.routeName(), "kind", kind.String(),
-		"status", a.Status, "ran", a.Ran.String(), "retry_after_ms", after.Milliseconds(), "attempts", t.attempts,
+		"status", a.Status, "fingerprint", t.fingerprint.String(), "ran", a.Ran.String(), "retry_after_ms", after.Milliseconds(), "attempts", t.attempts,
 		"cause", causeText(e), "after_ms", time.Since(t.began).Milliseconds())
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -26,6 +26,7 @@
 package quarantine
 
 import (
+	"encoding/hex"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 // Fingerprint identifies a request by its organisation and content.
 type Fingerprint [16]byte
 
+// String returns f in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // FingerprintOf returns the fingerprint of an organisation's content. It is not a
 // cryptographic hash: a caller that produces a collision harms only its own organisation,
 // whose name is part of the hashed data.
@@ -258,6 +262,16 @@
 	return s, nil
 }
 
+// CrashCount returns the number of crashes that count against f.
+func (t *Tracker) CrashCount(now time.Time, f Fingerprint) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.expire(now)
+
+	return t.crashCount(f)
+}
+
 // status derives the status of f from the reports. The caller holds mu.
 func (t *Tracker) status(f Fingerprint) Status {
 	total := t.crashCount(f)
