--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -84,9 +84,38 @@
 	// address serves the plain service, llmAddress the model engine.
 	address, llmAddress string
 
-	mu       sync.Mutex
-	arrivals []*http.Request
-	bodies   []string
+	mu        sync.Mutex
+	arrivals  []*http.Request
+	bodies    []string
+	listeners []net.Listener
+	conns     []net.Conn
+	ended     bool
+}
+
+// end ends the target as a crash does: its port refuses connections, and those that are open are
+// reset.
+func (e *fakeEngine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.ended = true
+
+	for _, l := range e.listeners {
+		_ = l.Close()
+	}
+
+	for _, c := range e.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// hasEnded reports whether end was called.
+func (e *fakeEngine) hasEnded() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.ended
 }
 
 // behaviour responds to one request on its connection; it returns false to close it.
@@ -99,6 +128,14 @@
 	return len(e.arrivals)
 }
 
+// lastBody returns the body of the last request.
+func (e *fakeEngine) lastBody() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.bodies[len(e.bodies)-1]
+}
+
 func (e *fakeEngine) arrival(i int) *http.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -118,6 +155,7 @@
 		}
 
 		*address = l.Addr().String()
+		e.listeners = append(e.listeners, l)
 
 		t.Cleanup(func() { _ = l.Close() })
 
@@ -128,6 +166,10 @@
 					return
 				}
 
+				e.mu.Lock()
+				e.conns = append(e.conns, c)
+				e.mu.Unlock()
+
 				go e.serve(c, behaviours)
 			}
 		}()
