gateway, roster, upstream: any evidence of a target's end counts, for every request that broke there

Cause: an entry took a broken connection for a target's end only if two requests broke there within 300 ms at that entry, and one that lost a single request told nobody. A target that runs one or two requests at a time, of different entries, ended without counting anywhere. Class: a threshold that is applied by each process to its part of the evidence.

Change: a broken request is kept until it is known whether its target has ended. Evidence is a refused connection (checked at once, the new connection is kept), requests that break together, another start at the address or under the id, the register, or another entry's report; a response to a later request ends the suspicion. Requests that the entry gave up count too, unless the register alone dropped the target. Reports leave at once, a second one covers what broke after it. Ends are told apart by start, where an id is used again. Quarantine is checked before each send, and ends the wait of a request that is queued.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -89,6 +89,7 @@
 		RateLimitChanged: func(l roster.RateLimit) {
 			go e.client.AnnounceRateLimit(context.Background(), exchange.RateLimitAnnouncement{Target: l.ID, Limit: l.Limit})
 		},
+		TargetEnded: func(x roster.Ended) { e.gateway.TargetEnded(time.Now(), x) },
 		TargetLeaving: func(l roster.Leaving) {
 			go e.client.AnnounceLeaving(context.Background(), exchange.LeavingAnnouncement{Target: l.ID, StartedMs: l.StartedMs})
 		},
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -41,7 +41,7 @@
 
 	c, err := t.choose(ctx, time.Now())
 	if errors.Is(err, errNoCapacity) {
-		c, err = t.awaitCapacity(ctx, err)
+		c, err = t.awaitUnlessQuarantined(ctx, func(ctx context.Context) (choice, error) { return t.awaitCapacity(ctx, err) })
 	}
 
 	if errors.Is(err, errContended) {
@@ -69,7 +69,21 @@
 		lastErr = err
 	}
 
-	return t.awaitAdmission(ctx, q, p, lastErr)
+	return t.awaitUnlessQuarantined(ctx, func(ctx context.Context) (choice, error) { return t.awaitAdmission(ctx, q, p, lastErr) })
+}
+
+// awaitUnlessQuarantined calls a function that waits for a target. It ends the wait when the request is
+// quarantined.
+func (t *task) awaitUnlessQuarantined(ctx context.Context, await func(ctx context.Context) (choice, error)) (choice, error) {
+	ctx, stop := t.g.crashes.watch(ctx, t.fingerprint)
+	defer stop()
+
+	c, err := await(ctx)
+	if err != nil && errors.Is(context.Cause(ctx), errQuarantined) {
+		err = t.checkQuarantine(time.Now())
+	}
+
+	return c, err
 }
 
 // admissionPrompt describes the prompt to its admission queue.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -80,6 +80,10 @@
 		// targets retry by themselves: with retries by the gateway as well, the other targets
 		// are overloaded.
 		return t.attemptError(o, failure.Timeout)
+	case t.checkQuarantine(now) != nil:
+		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "quarantined")
+
+		return t.attemptError(o, o.kind)
 	case !retry.MayRetry(retry.Attempt{
 		Idempotent: t.route.Retryable(), Sent: o.mayHaveRun, Kind: o.kind, Number: t.possibleRuns, MaxAttempts: max(t.route.MaxAttempts, 1),
 	}):
@@ -261,6 +265,7 @@
 func (t *task) recordHead(c choice, status int, a ResponseHead) {
 	now := time.Now()
 	t.inFlight.answered.Store(true)
+	t.g.crashes.observeResponse(c.start(), t.sentAt)
 	t.g.cfg.Roster.ObserveAnswer(now, c.engine.ID)
 
 	// A misdirected request may have been answered by another target at the same address.
@@ -306,10 +311,6 @@
 		// Failures of the previous process don't count against the restarted target. The request
 		// may have caused the crash.
 		o.cause, o.targetOutcome = why, target.Neutral
-
-		if o.mayHaveRun {
-			t.g.crashes.add(time.Now(), c.engine.ID, t.fingerprint)
-		}
 	case errors.Is(why, errUnresponsive), errors.Is(why, errVersionOverdue), errors.Is(why, errCallerTimeout):
 		// Not counted as a failure of the target: an unresponsive one is suspected until it reports
 		// again, and then still has its requests and its memory.
@@ -319,10 +320,10 @@
 		if !time.Now().Before(t.deadline) {
 			o.kind = failure.Timeout
 		}
-	case o.mayHaveRun:
-		t.g.crashes.add(time.Now(), c.engine.ID, t.fingerprint)
 	}
 
+	t.recordBroken(ctx, c, o.mayHaveRun, err)
+
 	if t.r.Context().Err() != nil {
 		o.done = true
 
@@ -332,6 +333,31 @@
 	return o
 }
 
+// recordBroken records the request of a failed exchange as one that may have been running when its
+// target ended, and finds out whether it has.
+func (t *task) recordBroken(ctx context.Context, c choice, mayHaveRun bool, err error) {
+	now, s, d := time.Now(), c.start(), t.g.crashes
+
+	switch {
+	case !mayHaveRun:
+		if upstream.Refused(err) {
+			d.observeEnd(now, s, basisRefused)
+		}
+	case errors.Is(context.Cause(ctx), errRestarted):
+		d.addAbandoned(now, s, t.fingerprint)
+		d.observeEnd(now, s, basisRestarted)
+	case ctx.Err() != nil:
+		d.addAbandoned(now, s, t.fingerprint)
+	case !d.add(now, s, t.fingerprint):
+		ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+		defer cancel()
+
+		if upstream.Refused(t.g.cfg.Pool.Connect(ctx, c.engine.Address)) {
+			d.observeEnd(time.Now(), s, basisRefused)
+		}
+	}
+}
+
 // abortCallerLeft ends the request of a caller that closed its connection or reads nothing.
 func (t *task) abortCallerLeft(cause error) {
 	event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "after_ms", time.Since(t.began).Milliseconds(), "cause", cause.Error())
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -37,6 +37,9 @@
 	freeSlots bool
 }
 
+// start returns the start of the chosen target.
+func (c *choice) start() targetStart { return startOf(c.engine.ID, c.engine.StartedMs) }
+
 // Round-trip times for comparing targets.
 const (
 	// sameDataCentreRoundTrip is the round trip within a data centre.
@@ -68,6 +71,11 @@
 func (t *task) choose(ctx context.Context, now time.Time) (choice, error) {
 	clear(t.noRoom)
 
+	// The request may have been quarantined since it arrived.
+	if err := t.checkQuarantine(now); err != nil {
+		return choice{}, err
+	}
+
 	for decisions := 0; decisions < maxDecisions; {
 		c, err := t.decide(now)
 		if err != nil {
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -1,156 +1,342 @@
 package gateway
 
 import (
+	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"boragehub/event"
 	"boragehub/quarantine"
+	"boragehub/roster"
 )
 
-// crashDetector collects the requests whose connections a target broke, to find requests that
-// crash every target that runs them.
+// crashDetector finds out which requests were running on a target when it ended, to find requests
+// that crash every target that runs them.
 //
-// A request that crashes a target breaks all requests that run there. Its caller retries it, and
-// it crashes the next target: several targets crash one after the other while the same request
-// runs on each. A single broken connection is weak evidence, so only a request that was on
-// several targets when they broke is quarantined. A request that merely ran beside it is
-// unlikely to have been on all of them.
+// A request that crashes a target breaks all requests that run there, each at the entry that sent
+// it. Its caller retries it at any entry, and it crashes the next target. No entry sees all of that:
+// one may have had a single request on the target, and a single broken connection is more often the
+// connection's fault. Therefore a broken request is kept until it is known whether its target has
+// ended. Any evidence of that counts for all broken requests of that start, whoever found it: several
+// requests that break at once, a refused connection, the register, or another entry's report. A
+// response to a request that was sent later shows that the target has not ended.
 //
-// The caller may retry at any entry. Entries therefore report to each other what was on a target
-// when it crashed. An entry that lost a single connection there then knows that this was a
-// crash too.
+// Entries report to each other what was running on a target when it ended. Only a request that was
+// on several targets when they ended is quarantined. One that merely ran beside it is unlikely to
+// have been on all of them.
 type crashDetector struct {
 	tracker *quarantine.Tracker
 	report  func(quarantine.Crash) // reports to the other entries; nil reports nothing
 	log     logr.Logger
 
-	mu            sync.Mutex
-	broken        map[string][]brokenRequest // by target
-	reportPending map[string]bool            // targets whose crash is about to be reported
+	mu       sync.Mutex
+	starts   *simplelru.LRU[targetStart, *observedStart]
+	watchers map[quarantine.Fingerprint]map[*context.CancelCauseFunc]struct{}
 }
 
-// brokenRequest is one request whose connection broke.
+// targetStart identifies one start of a target.
+type targetStart struct {
+	id, boot string
+}
+
+// startOf returns the start of a target with an id that started at a time, in ms of its own clock,
+// zero when not reported.
+func startOf(id string, startedMs int64) targetStart {
+	if startedMs == 0 {
+		return targetStart{id, id}
+	}
+
+	return targetStart{id, strconv.FormatInt(startedMs, 10)}
+}
+
+// observedStart is what is known of one start of a target.
+type observedStart struct {
+	broken        []brokenRequest          // not counted, oldest first
+	endedAt       time.Time                // when this entry last had evidence of its end; zero for never
+	counted       []quarantine.Fingerprint // requests of this entry that were running at its end
+	reportedAt    time.Time                // when they were last reported
+	reportPending bool                     // whether a report is about to be sent
+}
+
+// brokenRequest is a request that got no complete response.
 type brokenRequest struct {
 	at          time.Time
 	fingerprint quarantine.Fingerprint
+	// abandoned is true if this entry closed the connection, so that the break itself says nothing
+	// of the target.
+	abandoned bool
 }
 
 // Limits of crash detection.
 const (
 	// crashWindow is the time within which broken connections count as one crash.
 	crashWindow = 300 * time.Millisecond
-	// minCrashRequests is how many requests have to break together: a single broken request
-	// is more often the connection's fault.
+	// minCrashRequests is how many requests have to break together to show that the target ended.
 	minCrashRequests = 2
-	// reportDelay is the time between noticing and reporting a crash, so that one message
-	// covers all connections that it broke.
+	// reportDelay is the time between two reports of one crash, so that the second one covers all
+	// connections that broke after the first.
 	reportDelay = 150 * time.Millisecond
-	// reportedCrashWindow is how long before another entry's report of a crash a connection
-	// may have been broken by it.
-	reportedCrashWindow = time.Second
-	// maxTrackedTargets limits the number of targets with recorded broken requests.
-	maxTrackedTargets = 256
+	// endedWindow is how long after evidence of a target's end a broken connection is put down to it.
+	endedWindow = time.Second
+	// brokenMemory is how long a broken request is kept without evidence. The register drops a target
+	// that ended within about four seconds.
+	brokenMemory = 10 * time.Second
+	// maxBrokenRequests limits the broken requests kept for one start.
+	maxBrokenRequests = 512
+	// maxTrackedStarts limits the starts with broken requests.
+	maxTrackedStarts = 1024
+	// endCheckTimeout bounds the check whether a target accepts connections.
+	endCheckTimeout = 100 * time.Millisecond
+)
+
+// Evidence that a target has ended, as logged.
+const (
+	basisConnections = "connections"
+	basisRefused     = "connection refused"
+	basisRestarted   = "restarted"
+	basisReplaced    = "another start at its address"
+	basisDropped     = "register"
+	basisReport      = "another entry"
 )
 
 func newCrashDetector(t *quarantine.Tracker, report func(quarantine.Crash), log logr.Logger) *crashDetector {
-	return &crashDetector{tracker: t, report: report, log: log, broken: make(map[string][]brokenRequest), reportPending: make(map[string]bool)}
+	starts, err := simplelru.NewLRU[targetStart, *observedStart](maxTrackedStarts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+
+	return &crashDetector{tracker: t, report: report, log: log, starts: starts, watchers: make(map[quarantine.Fingerprint]map[*context.CancelCauseFunc]struct{})}
+}
+
+// state returns the state of a start, a new one if there is none. The caller holds mu.
+func (d *crashDetector) state(s targetStart) *observedStart {
+	x, ok := d.starts.Get(s)
+	if !ok {
+		x = &observedStart{}
+		d.starts.Add(s, x)
+	}
+
+	return x
 }
 
-// add records a request whose connection a target broke.
-func (d *crashDetector) add(now time.Time, id string, f quarantine.Fingerprint) {
+// add records a request whose connection a target broke, and reports whether the target is known to
+// have ended.
+func (d *crashDetector) add(now time.Time, s targetStart, f quarantine.Fingerprint) (ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if len(d.broken) >= maxTrackedTargets {
-		clear(d.broken)
+	x := d.state(s)
+	x.record(now, brokenRequest{now, f, false})
+
+	if !x.endedAt.IsZero() && now.Sub(x.endedAt) < endedWindow {
+		d.count(now, s, x, basisConnections)
+
+		return true
 	}
 
-	d.broken[id] = append(d.broken[id], brokenRequest{now, f})
+	if n := x.brokenSince(now.Add(-crashWindow)); n < minCrashRequests {
+		event.Log(d.log, event.CrashNotCounted, "fingerprint", f.String(), "target", s.id, "broken", n, "basis", "single connection")
 
-	running := d.recent(now, id, crashWindow)
-	if len(running) >= minCrashRequests {
-		d.recordCrash(now, id, running, "connections")
+		return false
+	}
 
-		return
+	x.endedAt = now
+	d.count(now, s, x, basisConnections)
+
+	return true
+}
+
+// addAbandoned records a request that may be running on a target although this entry closed its
+// connection.
+func (d *crashDetector) addAbandoned(now time.Time, s targetStart, f quarantine.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.state(s).record(now, brokenRequest{now, f, true})
+}
+
+// record adds a broken request and drops those that are too old or too many.
+func (x *observedStart) record(now time.Time, b brokenRequest) {
+	x.dropBefore(now.Add(-brokenMemory))
+
+	if len(x.broken) < maxBrokenRequests {
+		x.broken = append(x.broken, b)
 	}
+}
 
-	event.Log(d.log, event.CrashNotCounted, "fingerprint", f.String(), "target", id, "broken", len(running), "basis", "single connection")
+// dropBefore drops the requests that broke before a time.
+func (x *observedStart) dropBefore(t time.Time) {
+	n := 0
+	for n < len(x.broken) && x.broken[n].at.Before(t) {
+		n++
+	}
+
+	x.broken = x.broken[n:]
 }
 
-// recent returns the requests that broke on a target within the last maxAge, and drops those that
-// are older than reportedCrashWindow. The caller holds mu.
-func (d *crashDetector) recent(now time.Time, id string, maxAge time.Duration) []quarantine.Fingerprint {
-	var (
-		kept    []brokenRequest
-		running []quarantine.Fingerprint
-	)
+// brokenSince returns the number of requests that the target broke after a time.
+func (x *observedStart) brokenSince(t time.Time) int {
+	n := 0
 
-	for _, b := range d.broken[id] {
-		if now.Sub(b.at) < reportedCrashWindow {
-			kept = append(kept, b)
+	for _, b := range x.broken {
+		if !b.abandoned && b.at.After(t) {
+			n++
 		}
+	}
+
+	return n
+}
+
+// observeResponse records that a target responded to a request that was sent at a time, so that it
+// has outlived the connections that broke before.
+func (d *crashDetector) observeResponse(s targetStart, sentAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	x, ok := d.starts.Peek(s)
+	if !ok {
+		return
+	}
 
-		if now.Sub(b.at) < maxAge {
+	x.dropBefore(sentAt)
+
+	if x.endedAt.Before(sentAt) {
+		x.endedAt = time.Time{}
+	}
+}
+
+// observeEnd records evidence that a target has ended.
+func (d *crashDetector) observeEnd(now time.Time, s targetStart, basis string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	x := d.state(s)
+	x.endedAt = now
+	d.count(now, s, x, basis)
+}
+
+// count counts the end of a target against the requests that broke there, and schedules the report to
+// the other entries. The register also drops targets that are only cut off, so its evidence doesn't
+// count against abandoned requests. The caller holds mu.
+func (d *crashDetector) count(now time.Time, s targetStart, x *observedStart, basis string) {
+	x.dropBefore(now.Add(-brokenMemory))
+
+	var running []quarantine.Fingerprint
+
+	for _, b := range x.broken {
+		if !b.abandoned || basis != basisDropped {
 			running = append(running, b.fingerprint)
 		}
 	}
 
-	d.broken[id] = kept
+	x.broken = nil
 
-	return running
-}
+	if len(running) == 0 {
+		return
+	}
 
-// recordCrash counts a crash against the requests that ran there, and schedules the report to the
-// other entries. The caller holds mu.
-func (d *crashDetector) recordCrash(now time.Time, id string, running []quarantine.Fingerprint, basis string) {
-	d.tracker.RecordCrash(now, quarantine.Crash{Target: id, Boot: id, At: now, Running: running})
-	d.logCounted(now, id, running, basis)
+	x.counted = append(x.counted, running...)
+	d.recordCrash(now, quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: running})
+
+	for _, f := range running {
+		status, _ := d.tracker.Check(now, f)
+		event.Log(d.log, event.CrashCounted, "fingerprint", f.String(), "target", s.id, "basis", basis, "crashes", d.tracker.CrashCount(now, f), "status", status.String())
+	}
 
-	if d.reportPending[id] || d.report == nil {
+	if x.reportPending || d.report == nil {
 		return
 	}
 
-	d.reportPending[id] = true
+	x.reportPending = true
 
-	event.Log(d.log, event.CrashSuspected, "target", id, "requests", len(running), "basis", basis)
-	time.AfterFunc(reportDelay, func() { d.reportToEntries(id) })
+	event.Log(d.log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
+	time.AfterFunc(max(x.reportedAt.Add(reportDelay).Sub(now), 0), func() { d.reportToEntries(s, x) })
 }
 
-// logCounted logs for each request what a crash counts against it.
-func (d *crashDetector) logCounted(now time.Time, id string, running []quarantine.Fingerprint, basis string) {
-	for _, f := range running {
-		status, _ := d.tracker.Check(now, f)
-		event.Log(d.log, event.CrashCounted, "fingerprint", f.String(), "target", id, "basis", basis, "crashes", d.tracker.CrashCount(now, f), "status", status.String())
+// recordCrash records a crash and ends the wait of the requests that are quarantined as a result. The
+// caller holds mu.
+func (d *crashDetector) recordCrash(now time.Time, c quarantine.Crash) {
+	for _, f := range d.tracker.RecordCrash(now, c) {
+		event.Log(d.log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
+
+		for cancel := range d.watchers[f] {
+			(*cancel)(errQuarantined)
+		}
 	}
 }
 
-// reportToEntries reports to the other entries what was on a target when it crashed.
-func (d *crashDetector) reportToEntries(id string) {
+// reportToEntries reports to the other entries which requests of this one were running on a target
+// when it ended.
+func (d *crashDetector) reportToEntries(s targetStart, x *observedStart) {
 	now := time.Now()
 
 	d.mu.Lock()
-	c := quarantine.Crash{Target: id, Boot: id, At: now, Running: d.recent(now, id, reportedCrashWindow)}
-	delete(d.reportPending, id)
+	c := quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: append([]quarantine.Fingerprint(nil), x.counted...)}
+	x.reportPending, x.reportedAt = false, now
 	d.mu.Unlock()
 
 	d.report(c)
 }
 
-// addReported adds a crash that another entry reported. Requests that broke here at that time were
-// on the target as well.
+// addReported adds a crash that another entry reported. Requests that broke here were on the target
+// as well.
 func (d *crashDetector) addReported(now time.Time, c quarantine.Crash) {
 	c.At = now // by this process's clock
-	d.tracker.RecordCrash(now, c)
-	d.logCounted(now, c.Target, c.Running, "report")
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	running := d.recent(now, c.Target, reportedCrashWindow)
-	if len(running) > 0 && len(running) < minCrashRequests {
-		d.recordCrash(now, c.Target, running, "another entry")
+	event.Log(d.log, event.CrashReported, "target", c.Target, "requests", len(c.Running))
+	d.recordCrash(now, c)
+
+	s := targetStart{c.Target, c.Boot}
+	x := d.state(s)
+	x.endedAt = now
+	d.count(now, s, x, basisReport)
+}
+
+// watch returns a context that ends with the cause errQuarantined when a request is quarantined. The
+// caller must call stop.
+func (d *crashDetector) watch(ctx context.Context, f quarantine.Fingerprint) (watched context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	key := &cancel
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.watchers[f] == nil {
+		d.watchers[f] = make(map[*context.CancelCauseFunc]struct{})
+	}
+
+	d.watchers[f][key] = struct{}{}
+
+	return ctx, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+
+		delete(d.watchers[f], key)
+
+		if len(d.watchers[f]) == 0 {
+			delete(d.watchers, f)
+		}
+
+		cancel(nil)
 	}
 }
+
+// AddReportedCrash adds a target's crash that another entry reported.
+func (g *Gateway) AddReportedCrash(now time.Time, c quarantine.Crash) { g.crashes.addReported(now, c) }
+
+// TargetEnded records that a start of a target has ended.
+func (g *Gateway) TargetEnded(now time.Time, e roster.Ended) {
+	basis := basisDropped
+	if e.Replaced {
+		basis = basisReplaced
+	}
+
+	g.crashes.observeEnd(now, startOf(e.ID, e.StartedMs), basis)
+}
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"boragehub/pulse"
 	"boragehub/quarantine"
 )
 
@@ -118,3 +119,174 @@
 		})
 	}
 }
+
+// Guards against ends that count against nobody because the evidence comes late or from elsewhere,
+// and against connections that count as ends although their target lives on.
+func TestEvidenceOfATargetsEnd(t *testing.T) {
+	const (
+		single = iota // the target broke the request's connection
+		abandoned
+	)
+
+	s := startOf("t", 0)
+	f := quarantine.FingerprintOf("ferry", []byte("f"))
+	epoch := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+	ends := func(ms int, basis string) func(d *crashDetector) {
+		return func(d *crashDetector) { d.observeEnd(at(ms), s, basis) }
+	}
+	responds := func(sentMs int) func(d *crashDetector) {
+		return func(d *crashDetector) { d.observeResponse(s, at(sentMs)) }
+	}
+	reported := func(ms int, boot string) func(d *crashDetector) {
+		return func(d *crashDetector) { d.addReported(at(ms), quarantine.Crash{Target: "t", Boot: boot}) }
+	}
+	breaks := func(ms int) func(d *crashDetector) {
+		return func(d *crashDetector) { d.add(at(ms), s, quarantine.Fingerprint{byte(ms), byte(ms >> 8)}) }
+	}
+
+	tests := []struct {
+		name   string
+		broken int
+		steps  []func(d *crashDetector)
+		want   int
+	}{
+		{"no evidence", single, nil, 0},
+		{"connection refused", single, []func(*crashDetector){ends(1, basisRefused)}, 1},
+		{"dropped from the register", single, []func(*crashDetector){ends(4000, basisDropped)}, 1},
+		{"replaced at its address", single, []func(*crashDetector){ends(4000, basisReplaced)}, 1},
+		{"reported by another entry", single, []func(*crashDetector){reported(200, "t")}, 1},
+		{"another start reported by another entry", single, []func(*crashDetector){reported(200, "7")}, 0},
+		{"another request breaks at once", single, []func(*crashDetector){breaks(100)}, 1},
+		{"another request breaks later", single, []func(*crashDetector){breaks(400)}, 0},
+		{"response to a later request", single, []func(*crashDetector){responds(10), ends(4000, basisDropped)}, 0},
+		{"response to an earlier request", single, []func(*crashDetector){responds(-10), ends(4000, basisDropped)}, 1},
+		{"end long after", single, []func(*crashDetector){ends(11_000, basisDropped)}, 0},
+		{"abandoned, connection refused", abandoned, []func(*crashDetector){ends(1, basisRefused)}, 1},
+		{"abandoned, replaced at its address", abandoned, []func(*crashDetector){ends(4000, basisReplaced)}, 1},
+		{"abandoned, dropped from the register as targets are that are cut off", abandoned, []func(*crashDetector){ends(4000, basisDropped)}, 0},
+		{"abandoned, another request breaks at once", abandoned, []func(*crashDetector){breaks(100)}, 0},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker := quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3})
+			d := newCrashDetector(tracker, nil, logr.Discard())
+
+			if tt.broken == single {
+				d.add(at(0), s, f)
+			} else {
+				d.addAbandoned(at(0), s, f)
+			}
+
+			for _, step := range tt.steps {
+				step(d)
+			}
+
+			if got := tracker.CrashCount(at(12_000), f); got != tt.want {
+				t.Errorf("got %d ends counted, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a target that restarts under its id, and whose second end is taken for the first.
+func TestEachStartOfATargetCounts(t *testing.T) {
+	tracker := quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3})
+	d := newCrashDetector(tracker, nil, logr.Discard())
+	f := quarantine.FingerprintOf("ferry", []byte("f"))
+	now := time.Unix(1000, 0)
+
+	for i := range 3 {
+		if _, err := tracker.Check(now, f); err != nil {
+			t.Fatalf("after %d ends: got the request quarantined", i)
+		}
+
+		s := startOf("t", int64(1000+i))
+		d.add(now, s, f)
+		d.observeEnd(now, s, basisRefused)
+	}
+
+	if _, err := tracker.Check(now, f); err == nil {
+		t.Error("got the request accepted after three starts have ended under it, want it quarantined")
+	}
+}
+
+// Guards against a request that is quarantined because connections break, while its targets live.
+func TestBrokenConnectionsOfLiveTargetsDoNotCount(t *testing.T) {
+	reset := func(c net.Conn, _ *http.Request) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+
+		return false
+	}
+
+	engines := make([]*fakeEngine, 5)
+	for i := range engines {
+		engines[i] = newFakeEngine(t, strconv.Itoa(i), reset)
+	}
+
+	fleet := newEntryFleet(t, 2, engines...)
+
+	for i := range 10 {
+		if got := fleet[i%2].request(t, http.MethodPost, "/once/1", "x", "Id", strconv.Itoa(i)); got.status == http.StatusUnprocessableEntity {
+			t.Fatalf("request %d: got it quarantined, want it sent", i)
+		}
+	}
+}
+
+// Guards against a prompt that goes on waiting for an engine after it was quarantined, and is then sent.
+func TestWaitingPromptIsRefusedOnceQuarantined(t *testing.T) {
+	tests := []struct {
+		name     string
+		slowdown int
+		waiting  func(env *contendedEnv) int
+	}{
+		{"in the admission queue", 150, (*contendedEnv).waiting},
+		{"in the queue of a service without contention", 0, func(env *contendedEnv) int { return len(env.gateway.waitQueue.waiting) }},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newContendedEnv(t)
+			if tt.slowdown == 0 {
+				e := newFakeEngine(t, "a", respond(streamHead+events(1, 2)+streamEnd))
+				env = &contendedEnv{newTestEnv(t, e), e}
+				env.report(pulse.Report{UsedTokens: allTokens})
+			}
+
+			path := "/review/1"
+			if tt.slowdown == 0 {
+				path = "/llm/1"
+			}
+
+			replies := make(chan reply, 2)
+
+			for _, body := range []string{"other", crashingBody} {
+				go func() { replies <- env.request(t, http.MethodPost, path, body, "Tokens", "30000", "Id", body) }()
+			}
+
+			await(t, "waiting", func() int { return tt.waiting(env) }, 2)
+
+			f := quarantine.FingerprintOf("ferry", []byte(path+"\n"+crashingBody))
+			for _, id := range []string{"t1", "t2", "t3"} {
+				env.gateway.AddReportedCrash(time.Now(), quarantine.Crash{Target: id, Boot: id, Running: []quarantine.Fingerprint{f}})
+			}
+
+			if got := <-replies; got.status != http.StatusUnprocessableEntity {
+				t.Errorf("got status %d first, want 422", got.status)
+			}
+
+			await(t, "waiting", func() int { return tt.waiting(env) }, 1)
+
+			if got := env.engine.count(); got != 0 {
+				t.Errorf("got %d requests at the engine, want none", got)
+			}
+
+			env.report(pulse.Report{UsedTokens: someTokens, Slowdown: tt.slowdown})
+
+			if got := <-replies; got.status != http.StatusOK {
+				t.Errorf("got status %d for the other prompt, want 200", got.status)
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -252,9 +252,6 @@
 	}
 }
 
-// AddReportedCrash adds a target's crash that another entry reported.
-func (g *Gateway) AddReportedCrash(now time.Time, c quarantine.Crash) { g.crashes.addReported(now, c) }
-
 // TokensPerMs returns how fast the fastest service's engines prefill prompts, zero while unknown.
 func (g *Gateway) TokensPerMs() float64 { return g.profiles.tokensPerMs() }
 
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -104,7 +104,7 @@
 		t.Errorf("got %d requests at engines, want %d", got, callers)
 	}
 
-	if got := len(env.gateway.crashes.broken); got != 0 {
+	if got := env.gateway.crashes.starts.Len(); got != 0 {
 		t.Errorf("got broken requests at %d engines, want none", got)
 	}
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -182,14 +182,16 @@
 	t.deadline = now.Add(timeout)
 }
 
+// errQuarantined is why the wait of a request ends that is quarantined meanwhile.
+var errQuarantined = errors.New("the request is quarantined")
+
+// checkQuarantine returns an error if the request is quarantined because targets ended while they ran
+// it.
 func (t *task) checkQuarantine(now time.Time) error {
-	name := ""
-	if t.organisation != nil {
-		name = t.organisation.Name
+	if t.fingerprint == (quarantine.Fingerprint{}) {
+		t.fingerprint = quarantine.FingerprintOf(t.organisationName(), append([]byte(t.r.URL.Path+"\n"), t.body...))
 	}
 
-	t.fingerprint = quarantine.FingerprintOf(name, append([]byte(t.r.URL.Path+"\n"), t.body...))
-
 	_, err := t.g.cfg.Crashes.Check(now, t.fingerprint)
 
 	return err
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -22,6 +22,10 @@
 	}
 
 	first := e.startedMs == 0
+	if !first {
+		r.markEnded(id, true)
+	}
+
 	e.startedMs = startedMs
 
 	if first {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -106,6 +106,9 @@
 	// TargetLeaving is called when the other entries are to be told that a target is about to
 	// leave; may be nil.
 	TargetLeaving func(l Leaving)
+	// TargetEnded is called when a start of a target has ended that was not about to leave; may be
+	// nil.
+	TargetEnded func(e Ended)
 	// SlowdownChanged is called when the process beside the target at an address is to be told of the
 	// slowdown of its host, in percent; may be nil.
 	SlowdownChanged func(address string, percent int)
@@ -128,6 +131,8 @@
 	target.Target
 	// ID is the id of the target's current start.
 	ID string
+	// StartedMs is the time of that start in ms of the target's clock; zero when not reported.
+	StartedMs int64
 	// Slots is the number of requests that the target runs concurrently.
 	Slots int
 	// Version is its weight version of the requested model; zero when unknown.
@@ -227,6 +232,7 @@
 	departed          map[string]departed // targets that left the register lately, by id
 	// leavingUnannounced are the targets whose leaving the other entries are yet to be told of.
 	leavingUnannounced []Leaving
+	endedUnannounced   []Ended                 // starts that TargetEnded is yet to be called with
 	tickedAt           time.Time               // when Tick was last called
 	contended          map[string]bool         // services with a target that reported a slowdown
 	utilisations       map[string]*utilisation // by service
@@ -331,6 +337,10 @@
 		return restarted
 	}
 
+	if before != "" && before != l.ID && r.currentRegistration(l.Address).id == l.ID && r.engines[before].listing.Service == l.Service {
+		r.markEnded(before, true)
+	}
+
 	e.listing = l
 	event.Log(r.cfg.Log, event.EngineListed, "target", l.ID, "address", l.Address, "service", l.Service, "draining", l.Draining, "versions", l.Versions)
 	r.listChanged = true
@@ -364,6 +374,7 @@
 		r.markPaused(now, pausedAfterDrop)
 	}
 
+	r.markEnded(id, false)
 	r.removeRegistration(r.engines[id].listing.Address, id)
 	r.departed[id] = r.engines[id].depart(now)
 	delete(r.engines, id)
@@ -377,11 +388,13 @@
 	r.mu.Lock()
 	limits := r.tick(now)
 	leaving := r.leavingUnannounced
-	r.leavingUnannounced = nil
+	ended := r.endedUnannounced
+	r.leavingUnannounced, r.endedUnannounced = nil, nil
 	r.mu.Unlock()
 
 	announce(limits, r.cfg.RateLimitChanged)
 	announce(leaving, r.cfg.TargetLeaving)
+	announce(ended, r.cfg.TargetEnded)
 }
 
 // announce calls a function of Config, if it is set, for each of some announcements.
@@ -509,7 +522,7 @@
 		Slowdown:      1,
 		Backlog:       e.backlog(now),
 		LoadScheduled: loads > 0, LoadIn: max(loads-age, 0),
-		Target: t, ID: t.VM, Slots: e.listing.Slots,
+		Target: t, ID: t.VM, StartedMs: e.startedMs, Slots: e.listing.Slots,
 		Version: e.versions[model], Loading: now.Before(e.loadingUntil),
 		Report: e.report, ReportAge: age, Fresh: age < e.maxReportAge(), SentSince: e.sentSince,
 		HeartbeatMissing: e.suspected(), RateLimit: e.rateLimit.share.Limit(), SlotInterval: e.rateLimit.share.Interval(),
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -30,6 +30,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -250,6 +251,22 @@
 	}
 }
 
+// Connect opens a connection to a target and keeps it idle. Its error is one for which Refused returns
+// true if nothing accepts connections at the address.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+
+	p.put(time.Now(), c, 0)
+
+	return nil
+}
+
+// Refused reports whether an error says that nothing accepts connections at the target's address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.mu.Lock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -344,3 +344,35 @@
 		t.Errorf("got %d addresses with connections, want 0", got)
 	}
 }
+
+// Guards against a check of a target that can't tell whether it has ended, or whose connection is lost.
+func TestConnectTellsWhetherATargetAcceptsConnections(t *testing.T) {
+	p := NewPool(Config{})
+	address := newTarget(t, respondEach(okResponse))
+
+	if err := p.Connect(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+
+	x, err := p.Send(t.Context(), getRequest(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	x.Close()
+
+	if got := p.Dials(); got != 1 {
+		t.Errorf("got %d connections, want the first one used", got)
+	}
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	_ = l.Close()
+
+	if err := p.Connect(t.Context(), l.Addr().String()); !Refused(err) {
+		t.Errorf("got %v, want a refused connection", err)
+	}
+}
