quarantine, mirror/exchange: entries that start or missed a report learn what crashed before

Callers: a request that three targets had ended under was accepted by an entry that had restarted since, or that a report did not reach, and ended up to three more.

Cause: reports of crashes are sent once, to the entries that live and can be reached then; the set of crashes is kept in memory.

exchange.TestStartingEntryLearnsOfEarlierCrashes did not compile before, as there was no such call; with the call removed from it, the starting entry accepts the request. Tests of quarantine and mirror/exchange pass with the race detector.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -53,6 +53,7 @@
 	registry     *prometheus.Registry
 	claims       engineClaims
 	reports      *pulse.Listener // set before callers are served
+	crashes      *quarantine.Tracker
 
 	followers []*mirror.Follower
 }
@@ -73,6 +74,7 @@
 	directory := vault.NewDirectory(time.Now().UnixNano())
 
 	e.directory, e.members = directory, members
+	e.crashes = quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: quarantineCrashes})
 	e.client = exchange.NewClient(members)
 	e.registration = exchange.NewRegistration(exchange.RegistrationConfig{Log: source, Topic: platform.EntriesTopic, Peers: e.client, Logger: log})
 	e.roster = roster.New(roster.Config{
@@ -123,7 +125,7 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: quarantineCrashes}), ReportCrash: e.client.ReportCrash,
+		Crashes: e.crashes, ReportCrash: e.client.ReportCrash,
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
@@ -133,7 +135,7 @@
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, Register: e.registration.Add,
+		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, Register: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
@@ -280,6 +282,12 @@
 	e.registration.Run(ctx, e.cfg.VM, e.cfg.PeerAddress)
 }
 
+// syncCrashes learns from other entries of crashes that were not reported to this one.
+func (e *gatewayProcess) syncCrashes(ctx context.Context) {
+	e.waitForPeers(ctx)
+	e.client.SyncCrashes(ctx, e.crashes, e.gateway.AddKnownCrash)
+}
+
 // storePeers gives the store watcher access to the other entries.
 type storePeers struct {
 	*exchange.Client
@@ -335,7 +343,7 @@
 	e.claims.Listener = reports
 	e.reports = reports
 
-	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration}
+	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration, e.syncCrashes}
 
 	for _, f := range e.followers {
 		tasks = append(tasks, func(ctx context.Context) {
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -331,6 +331,14 @@
 // AddReportedCrash adds a target's crash that another entry reported.
 func (g *Gateway) AddReportedCrash(now time.Time, c quarantine.Crash) { g.crashes.addReported(now, c) }
 
+// AddKnownCrash adds a target's crash that another entry knew before.
+func (g *Gateway) AddKnownCrash(now time.Time, c quarantine.Crash) {
+	g.crashes.mu.Lock()
+	defer g.crashes.mu.Unlock()
+
+	g.crashes.recordCrash(now, c)
+}
+
 // TargetEnded records that a start of a target has ended.
 func (g *Gateway) TargetEnded(now time.Time, e roster.Ended) {
 	basis := basisDropped
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -294,8 +294,7 @@
 }
 
 // ReportCrash reports to all entries which requests were running on a target when it crashed. An
-// entry that doesn't receive the report learns of a request that crashes targets only when it sends
-// that request to a target itself.
+// entry that doesn't receive the report learns of it by SyncCrashes.
 func (c *Client) ReportCrash(crash quarantine.Crash) {
 	broadcast(context.Background(), c, crashPath, crash)
 }
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -21,6 +21,7 @@
 	topic   mirror.Topic
 	members *Members
 	vaults  *vault.Directory
+	known   *quarantine.Tracker
 	address string
 
 	mu            sync.Mutex
@@ -41,12 +42,12 @@
 func newEntry(t *testing.T, seeds ...string) *testEntry {
 	t.Helper()
 
-	e := &testEntry{vaults: vault.NewDirectory(1), crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1)}
+	e := &testEntry{vaults: vault.NewDirectory(1), known: quarantine.NewTracker(quarantine.TrackerConfig{}), crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1)}
 	s := httptest.NewUnstartedServer(nil)
 	e.address = s.Listener.Addr().String()
 	e.members = NewMembers(e.address, seeds)
 	s.Config.Handler = NewServer(ServerConfig{
-		Members: e.members, Topics: map[string]*mirror.Topic{"t": &e.topic}, Vaults: e.vaults,
+		Members: e.members, Topics: map[string]*mirror.Topic{"t": &e.topic}, Vaults: e.vaults, Crashes: e.known,
 		OnAnnouncement: func(_ time.Time, n VersionAnnouncement) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -361,3 +362,38 @@
 		}
 	}
 }
+
+// Guards against an entry that has just started, or missed a report, and sends a request on that others
+// know to crash its targets.
+func TestStartingEntryLearnsOfEarlierCrashes(t *testing.T) {
+	old := newEntry(t)
+	before := time.Now().Add(-time.Hour)
+	f := quarantine.FingerprintOf("ferry", []byte("f"))
+
+	for _, id := range []string{"t1", "t2"} {
+		old.known.RecordCrash(before, quarantine.Crash{Target: id, Boot: id, At: before, Running: []quarantine.Fingerprint{f}})
+	}
+
+	started := quarantine.NewTracker(quarantine.TrackerConfig{})
+	c := NewClient(NewMembers("", []string{old.address}))
+	added := 0
+	add := func(now time.Time, k quarantine.Crash) {
+		added++
+
+		started.RecordCrash(now, k)
+	}
+
+	for range 2 {
+		if err := c.syncCrashes(t.Context(), started, add); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	if status, _ := started.Check(time.Now(), f); status != quarantine.Quarantined || added != 2 {
+		t.Errorf("got the request %v after %d crashes, want it quarantined after two, sent once", status, added)
+	}
+
+	if got := started.Crashes(time.Now())[0].At; got.Sub(before).Abs() > time.Minute {
+		t.Errorf("got a crash at %v, want %v", got, before)
+	}
+}
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -26,6 +26,7 @@
 	onLeaving      func(now time.Time, l LeavingAnnouncement)
 	registerEntry  func(ctx context.Context, entry Registrant) error
 	vaults         *vault.Directory
+	crashes        CrashSet
 	compressor     recordCompressor
 }
 
@@ -37,6 +38,8 @@
 	Topics map[string]*mirror.Topic
 	// Vaults holds the known contents of the stores.
 	Vaults *vault.Directory
+	// Crashes are the crashes known to this process; required if it accepts calls of Client.SyncCrashes.
+	Crashes CrashSet
 	// OnAnnouncement is called with the announcements of changes of engines' weights.
 	OnAnnouncement func(now time.Time, n VersionAnnouncement)
 	// OnCrash is called with the crash reports of other entries.
@@ -51,12 +54,13 @@
 
 // NewServer returns a Server with the given configuration.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, registerEntry: cfg.Register, vaults: cfg.Vaults}
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, registerEntry: cfg.Register, vaults: cfg.Vaults, crashes: cfg.Crashes}
 	s.mux.HandleFunc("POST "+vaultsPath, s.storeUpdates)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
 	s.mux.HandleFunc("POST "+entriesPath, s.register)
 	s.mux.HandleFunc("POST "+noticePath, handleMessage(func(n VersionAnnouncement) { s.onAnnouncement(time.Now(), n) }))
 	s.mux.HandleFunc("POST "+crashPath, handleMessage(func(c quarantine.Crash) { s.onCrash(time.Now(), c) }))
+	s.mux.HandleFunc("GET "+crashPath, s.knownCrashes)
 	s.mux.HandleFunc("POST "+limitPath, handleMessage(func(l RateLimitAnnouncement) { s.onRateLimit(time.Now(), l) }))
 	s.mux.HandleFunc("POST "+leavingPath, handleMessage(func(l LeavingAnnouncement) { s.onLeaving(time.Now(), l) }))
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -117,6 +117,9 @@
 	byTime    []*crash // oldest first
 	suspects  map[Fingerprint][]*crash
 	completed map[Fingerprint]time.Time
+
+	digest      uint64 // see Digest
+	digestValid bool
 }
 
 // crashKey identifies a crash.
@@ -216,6 +219,7 @@
 		}
 
 		k.running = append(k.running, f)
+		t.digestValid = false
 		t.suspects[f] = append(t.suspects[f], k)
 		added = append(added, f)
 	}
@@ -232,6 +236,7 @@
 
 	if k, ok := t.crashes[crashKey{target, boot}]; ok {
 		k.survived = true
+		t.digestValid = false
 	}
 }
 
@@ -384,6 +389,7 @@
 
 // dropOldest drops the oldest crash.
 func (t *Tracker) dropOldest() {
+	t.digestValid = false
 	k := t.byTime[0]
 	t.byTime = t.byTime[1:]
 	delete(t.crashes, k.crashKey)
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -426,3 +426,35 @@
 		t.Errorf("two crashes of two: got %v, want %v", got, Quarantined)
 	}
 }
+
+func TestDigestDependsOnTheCrashesOnly(t *testing.T) {
+	fill := func(order ...int) *Tracker {
+		tr := NewTracker(TrackerConfig{})
+		for _, i := range order {
+			tr.RecordCrash(epoch.Add(time.Duration(i)*time.Second), crashOf(i, epoch, fingerprint(i), fingerprint(i+1)))
+		}
+
+		return tr
+	}
+
+	a, b, c := fill(1, 2, 3), fill(3, 1, 2, 2), fill(1, 2)
+	if got, want := a.Digest(epoch), b.Digest(epoch); got != want {
+		t.Errorf("same crashes: got %x and %x, want equal digests", got, want)
+	}
+
+	if got := c.Digest(epoch); got == a.Digest(epoch) {
+		t.Error("one crash less: got equal digests")
+	}
+
+	c.RecordCrash(epoch, crashOf(3, epoch, fingerprint(3)))
+
+	if got := c.Digest(epoch); got == a.Digest(epoch) {
+		t.Error("one request less: got equal digests")
+	}
+
+	c.RecordCrash(epoch, crashOf(3, epoch, fingerprint(4)))
+
+	if got, want := c.Digest(epoch), a.Digest(epoch); got != want {
+		t.Errorf("after the last request: got %x, want %x", got, want)
+	}
+}
