mirror, platform, vault: log the log's era, and what freed parts were based on

Operators could not tell that the log had returned from a copy: entries read records at offsets that they had known before and left no line.

No decision changes.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -5,9 +5,10 @@
 	TopicLost        = register(2200, "topic_lost", "A topic of the log is unreachable; its last known records stay in force and other processes are polled.")
 	TopicRegained    = register(2201, "topic_regained", "A topic of the log is reachable again; `after_ms` is the duration of the outage.")
 	RecordUnreadable = register(2202, "record_unreadable", "A record of the log could not be decoded; the previous one stays in force: `topic`, `key`, `offset`.")
-	ConfigInForce    = register(2203, "config_in_force", "A configuration is in force in this process: `version`, `offset`, `bytes`.")
+	ConfigInForce    = register(2203, "config_in_force", "A configuration is in force in this process: `version`, `era`, `offset`, `bytes`.")
+	LogReset         = register(2206, "log_reset", "The log has returned from an older copy and lost what was written since; its offsets are given out again: `topic`, `era`, `before`, `end`, `end_before` (as known here).")
 	EntryRegistered  = register(2205, "entry_registered", "The log holds the address of this entry; the entry may fetch contexts for longer during an outage: `name`, `address`.")
-	VersionNamed     = register(2204, "version_named", "A weight version was published: `model`, `version`, `offset`.")
+	VersionNamed     = register(2204, "version_named", "A weight version was published: `model`, `version`, `era`, `offset`.")
 )
 
 // Events of the gateway: requests routed by host and path.
@@ -69,6 +70,6 @@
 var (
 	VaultLost     = register(2500, "vault_lost", "A context store is unreachable; nothing is fetched from it.")
 	VaultRegained = register(2501, "vault_regained", "A context store is reachable: `vault`, `held`, `room`, `parts`.")
-	VaultFreed    = register(2502, "vault_freed", "Stored parts of an old weight version were released: `vault`, `parts`, `tokens`, `model`, `before`.")
+	VaultFreed    = register(2502, "vault_freed", "Stored parts of an old weight version were released: `vault`, `parts`, `tokens`, `model`, `before`, `confirmed` (whether all registered processes said that they know the new one), `known_ms` (since when this process knows it).")
 	VaultGap      = register(2503, "vault_gap", "A store's events have a gap or a new epoch; its list of parts is read again.")
 )
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -152,6 +152,7 @@
 type Follower struct {
 	cfg       FollowerConfig
 	lostSince time.Time // start of the outage, see OnOutage; zero outside an outage
+	era       int64     // the highest one that the log has responded with
 
 	mu sync.Mutex // serialises merges and calls of OnChanges, which keeps the changes in order
 
@@ -183,6 +184,8 @@
 		b, err := f.readLog(ctx)
 		now := time.Now()
 
+		f.observeEra(b)
+
 		if err == nil {
 			f.markRecovered(now)
 			f.merge(now, b)
@@ -313,6 +316,19 @@
 	return b, err
 }
 
+// observeEra logs that the log has returned from a copy.
+func (f *Follower) observeEra(b Batch) {
+	if b.Era <= f.era {
+		return
+	}
+
+	if f.era > 0 || f.cfg.Topic.Loaded() {
+		event.Log(f.cfg.Log, event.LogReset, "topic", f.cfg.Name, "era", b.Era, "before", f.era, "end", b.End, "end_before", f.cfg.Topic.End())
+	}
+
+	f.era = b.Era
+}
+
 // fetchFromPeers merges the records that the peers have beyond those of this process.
 func (f *Follower) fetchFromPeers(ctx context.Context) {
 	if f.cfg.Peers == nil {
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -34,6 +34,8 @@
 	Value []byte `cbor:"2,keyasint"`
 	// Offset is its position in the log, which orders all records of the topic.
 	Offset int64 `cbor:"3,keyasint"`
+	// Era is the era of the log in which it was written, see Batch.
+	Era int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Deleted reports whether the record deletes its key.
@@ -47,6 +49,9 @@
 	End int64
 	// Snapshot is set if the batch is a snapshot: Records contains every key that exists at End.
 	Snapshot bool
+	// Era is the era of the log. It rises when the log has returned from an older copy: it lost what was
+	// written since the copy, and gives out the offsets of that again.
+	Era int64
 	// AsOf is a time at which the batch is known to have been up to date; zero if there is none.
 	AsOf time.Time
 }
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -535,5 +535,6 @@
 	}
 
 	w.cfg.Directory.MarkFreed(parts)
-	event.Log(w.cfg.Log, event.VaultFreed, "vault", parts.Address, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version)
+	event.Log(w.cfg.Log, event.VaultFreed, "vault", parts.Address, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version,
+		"confirmed", newer.confirmed, "known_ms", now.Sub(newer.learnedAt).Milliseconds())
 }
