mirror, platform: a log that returns from a copy, tests that fail

The stand-in of the log returns to earlier ends in a new era. A follower drops the records that it gives out offsets for again, and reads without a pause until the log's end has passed its own; entries rely on a registration that is lost.

--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,16 +19,20 @@
 	records []Record
 	down    bool  // calls block until their context ends
 	first   int64 // offset of the first record that is kept
+	era     int64
 	reads   int
 }
 
+// readTime is how long a read takes.
+const readTime = 4 * time.Millisecond
+
 var errDown = errors.New("down")
 
 func (l *fakeLog) append(key, value string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.records = append(l.records, Record{Key: key, Value: []byte(value), Offset: int64(len(l.records))})
+	l.records = append(l.records, Record{Key: key, Value: []byte(value), Offset: int64(len(l.records)), Era: l.era})
 }
 
 func (l *fakeLog) setDown(down bool) {
@@ -36,6 +42,27 @@
 	l.down = down
 }
 
+// count returns the number of reads.
+func (l *fakeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.reads
+}
+
+// restore returns the log to an earlier end, in a new era.
+func (l *fakeLog) restore(end int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.records = l.records[:end:end]
+	l.era++
+
+	for i := range l.records {
+		l.records[i].Era = l.era
+	}
+}
+
 func (l *fakeLog) Newest(ctx context.Context, _ string) (Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,7 +77,7 @@
 		return Batch{}, errDown
 	}
 
-	b := Batch{Snapshot: true, End: int64(len(l.records))}
+	b := Batch{Snapshot: true, End: int64(len(l.records)), Era: l.era}
 	newest := map[string]Record{}
 
 	for _, r := range l.records {
@@ -67,11 +94,18 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Batch, error) {
+	time.Sleep(readTime)
+
+	l.mu.Lock()
+	l.reads++
+	l.mu.Unlock()
+
 	until := time.Now().Add(wait)
 
 	for {
 		l.mu.Lock()
-		down, first, records := l.down, l.first, l.records
+		down, first, era := l.down, l.first, l.era
+		records := slices.Clone(l.records)
 		l.mu.Unlock()
 
 		switch {
@@ -79,14 +113,14 @@
 			<-ctx.Done()
 
 			return Batch{}, errDown
-		case from < first:
-			return Batch{}, ErrTrimmed
+		case from < first || from > int64(len(records)):
+			return Batch{Era: era}, ErrTrimmed
 		case from < int64(len(records)):
-			return Batch{Records: records[from:], End: int64(len(records))}, nil
+			return Batch{Records: records[from:], End: int64(len(records)), Era: era}, nil
 		case ctx.Err() != nil:
 			return Batch{}, ctx.Err()
 		case !time.Now().Before(until):
-			return Batch{End: from}, nil
+			return Batch{End: from, Era: era}, nil
 		}
 
 		time.Sleep(5 * time.Millisecond)
@@ -263,3 +297,51 @@
 		}
 	})
 }
+
+// Guards against records that are taken for old ones because the log has returned from a copy and gives
+// their offsets out again, and against reads that follow each other without a pause meanwhile.
+func TestFollowerFollowsALogThatReturnsFromACopy(t *testing.T) {
+	const maxReads = 30 // in two seconds; a read waits half a second or returns records
+
+	for _, written := range []int{0, 1, 3, 5, 8} { // records after the return; four were lost
+		t.Run(fmt.Sprintf("%d records later", written), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &fakeLog{era: 1}
+				for i := range 6 {
+					log.append("config", fmt.Sprint(i))
+				}
+
+				var topic Topic
+
+				ctx, cancel := context.WithCancel(t.Context())
+				f := NewFollower(FollowerConfig{Name: "t", Topic: &topic, Source: log, Wait: 500 * time.Millisecond, OnChanges: func(time.Time, []Record) {}, Log: logr.Discard()})
+
+				var running sync.WaitGroup
+
+				running.Go(func() { f.Run(ctx) })
+
+				defer running.Wait()
+				defer cancel()
+
+				time.Sleep(time.Second)
+				log.restore(2)
+
+				before := log.count()
+
+				for i := range written {
+					log.append("config", fmt.Sprint(10+i))
+				}
+
+				time.Sleep(2 * time.Second)
+
+				if got := log.count() - before; got > maxReads {
+					t.Errorf("got %d reads, want at most %d", got, maxReads)
+				}
+
+				if got, _ := topic.Get("config"); written > 0 && string(got.Value) != fmt.Sprint(9+written) {
+					t.Errorf("got %s, want %d", got.Value, 9+written)
+				}
+			})
+		})
+	}
+}
