gateway: the other entries know of a target's end before the caller is answered

Callers: a request was sent to a fourth target by an entry that its caller tried at once, before the report of the third end had arrived there.

Cause: reports were sent beside the response, and a second one up to 150 ms later. Seen once in TestTargetThatEndsUnderASingleRequestCounts, case resumable stream: four targets ended, want three.

Change: a request that broke is answered or repeated when all entries have the report, after 50 ms at the latest. What breaks while a report is on its way goes with the next one, which follows at once.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -345,16 +345,41 @@
 		}
 	case errors.Is(context.Cause(ctx), errRestarted):
 		d.addAbandoned(now, s, t.fingerprint)
-		d.observeEnd(now, s, basisRestarted)
+		awaitReport(t.r.Context(), d.observeEnd(now, s, basisRestarted))
 	case ctx.Err() != nil:
 		d.addAbandoned(now, s, t.fingerprint)
-	case !d.add(now, s, t.fingerprint):
-		ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-		defer cancel()
-
-		if upstream.Refused(t.g.cfg.Pool.Connect(ctx, c.engine.Address)) {
-			d.observeEnd(time.Now(), s, basisRefused)
+	default:
+		reported, ended := d.add(now, s, t.fingerprint)
+		if !ended && t.refusesConnections(ctx, c) {
+			reported = d.observeEnd(time.Now(), s, basisRefused)
 		}
+
+		awaitReport(t.r.Context(), reported)
+	}
+}
+
+// refusesConnections reports whether nothing accepts connections at a target's address any more.
+func (t *task) refusesConnections(ctx context.Context, c choice) bool {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+
+	return upstream.Refused(t.g.cfg.Pool.Connect(ctx, c.engine.Address))
+}
+
+// awaitReport waits until the other entries know that the target of a request has ended, for at most
+// reportWait.
+func awaitReport(ctx context.Context, reported <-chan struct{}) {
+	if reported == nil {
+		return
+	}
+
+	timer := time.NewTimer(reportWait)
+	defer timer.Stop()
+
+	select {
+	case <-reported:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -55,11 +56,11 @@
 
 // observedStart is what is known of one start of a target.
 type observedStart struct {
-	broken        []brokenRequest          // not counted, oldest first
-	endedAt       time.Time                // when this entry last had evidence of its end; zero for never
-	counted       []quarantine.Fingerprint // requests of this entry that were running at its end
-	reportedAt    time.Time                // when they were last reported
-	reportPending bool                     // whether a report is about to be sent
+	broken     []brokenRequest          // not counted, oldest first
+	endedAt    time.Time                // when this entry last had evidence of its end; zero for never
+	counted    []quarantine.Fingerprint // requests of this entry that were running at its end
+	unreported chan struct{}            // closed when all of them are reported; nil if they are
+	reporting  bool                     // whether a report is being sent
 }
 
 // brokenRequest is a request that got no complete response.
@@ -77,9 +78,9 @@
 	crashWindow = 300 * time.Millisecond
 	// minCrashRequests is how many requests have to break together to show that the target ended.
 	minCrashRequests = 2
-	// reportDelay is the time between two reports of one crash, so that the second one covers all
-	// connections that broke after the first.
-	reportDelay = 150 * time.Millisecond
+	// reportWait bounds how long the response to a request that broke waits until the other entries know
+	// that it was running when its target ended. Its caller may retry at once, at any of them.
+	reportWait = 50 * time.Millisecond
 	// endedWindow is how long after evidence of a target's end a broken connection is put down to it.
 	endedWindow = time.Second
 	// brokenMemory is how long a broken request is kept without evidence. The register drops a target
@@ -124,8 +125,8 @@
 }
 
 // add records a request whose connection a target broke, and reports whether the target is known to
-// have ended.
-func (d *crashDetector) add(now time.Time, s targetStart, f quarantine.Fingerprint) (ended bool) {
+// have ended. The channel, if not nil, is closed when the other entries know.
+func (d *crashDetector) add(now time.Time, s targetStart, f quarantine.Fingerprint) (reported <-chan struct{}, ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -133,21 +134,18 @@
 	x.record(now, brokenRequest{now, f, false})
 
 	if !x.endedAt.IsZero() && now.Sub(x.endedAt) < endedWindow {
-		d.count(now, s, x, basisConnections)
-
-		return true
+		return d.count(now, s, x, basisConnections), true
 	}
 
 	if n := x.brokenSince(now.Add(-crashWindow)); n < minCrashRequests {
 		event.Log(d.log, event.CrashNotCounted, "fingerprint", f.String(), "target", s.id, "broken", n, "basis", "single connection")
 
-		return false
+		return nil, false
 	}
 
 	x.endedAt = now
-	d.count(now, s, x, basisConnections)
 
-	return true
+	return d.count(now, s, x, basisConnections), true
 }
 
 // addAbandoned records a request that may be running on a target although this entry closed its
@@ -209,20 +207,22 @@
 	}
 }
 
-// observeEnd records evidence that a target has ended.
-func (d *crashDetector) observeEnd(now time.Time, s targetStart, basis string) {
+// observeEnd records evidence that a target has ended. The channel, if not nil, is closed when the other
+// entries know which requests were running there.
+func (d *crashDetector) observeEnd(now time.Time, s targetStart, basis string) (reported <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
 	x := d.state(s)
 	x.endedAt = now
-	d.count(now, s, x, basis)
+
+	return d.count(now, s, x, basis)
 }
 
-// count counts the end of a target against the requests that broke there, and schedules the report to
-// the other entries. The register also drops targets that are only cut off, so its evidence doesn't
+// count counts the end of a target against the requests that broke there, and has them reported to the
+// other entries, see observeEnd. The register also drops targets that are only cut off, so its evidence doesn't
 // count against abandoned requests. The caller holds mu.
-func (d *crashDetector) count(now time.Time, s targetStart, x *observedStart, basis string) {
+func (d *crashDetector) count(now time.Time, s targetStart, x *observedStart, basis string) (reported <-chan struct{}) {
 	x.dropBefore(now.Add(-brokenMemory))
 
 	var running []quarantine.Fingerprint
@@ -236,7 +236,7 @@
 	x.broken = nil
 
 	if len(running) == 0 {
-		return
+		return nil
 	}
 
 	x.counted = append(x.counted, running...)
@@ -247,14 +247,28 @@
 		event.Log(d.log, event.CrashCounted, "fingerprint", f.String(), "target", s.id, "basis", basis, "crashes", d.tracker.CrashCount(now, f), "status", status.String())
 	}
 
-	if x.reportPending || d.report == nil {
-		return
+	event.Log(d.log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
+
+	return d.startReport(s, x)
+}
+
+// startReport has the requests counted for a start reported to the other entries. The caller holds mu.
+func (d *crashDetector) startReport(s targetStart, x *observedStart) (reported <-chan struct{}) {
+	if d.report == nil {
+		return nil
 	}
 
-	x.reportPending = true
+	if x.unreported == nil {
+		x.unreported = make(chan struct{})
+	}
 
-	event.Log(d.log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
-	time.AfterFunc(max(x.reportedAt.Add(reportDelay).Sub(now), 0), func() { d.reportToEntries(s, x) })
+	if !x.reporting {
+		x.reporting = true
+
+		go d.reportToEntries(s, x)
+	}
+
+	return x.unreported
 }
 
 // recordCrash records a crash and ends the wait of the requests that are quarantined as a result. The
@@ -269,17 +283,24 @@
 	}
 }
 
-// reportToEntries reports to the other entries which requests of this one were running on a target
-// when it ended.
+// reportToEntries reports to the other entries which requests of this one were running on a target when it
+// ended. Requests that break meanwhile are reported together.
 func (d *crashDetector) reportToEntries(s targetStart, x *observedStart) {
-	now := time.Now()
-
 	d.mu.Lock()
-	c := quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: append([]quarantine.Fingerprint(nil), x.counted...)}
-	x.reportPending, x.reportedAt = false, now
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+
+	for x.unreported != nil {
+		c := quarantine.Crash{Target: s.id, Boot: s.boot, At: time.Now(), Running: slices.Clone(x.counted)}
+		done := x.unreported
+		x.unreported = nil
+
+		d.mu.Unlock()
+		d.report(c)
+		d.mu.Lock()
+		close(done)
+	}
 
-	d.report(c)
+	x.reporting = false
 }
 
 // addReported adds a crash that another entry reported. Requests that broke here were on the target
