--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -195,7 +195,7 @@
 		return mirror.Batch{}, err
 	}
 
-	b := mirror.Batch{Records: records, End: r.End, Snapshot: false}
+	b := mirror.Batch{Records: records, End: r.End, Snapshot: r.Snapshot}
 	if r.AgeMs >= 0 {
 		// The response was created at least HeldMs after the request was sent, and its records
 		// were AgeMs old then.
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -54,6 +54,8 @@
 	// each entry of the view was last known to be alive, in order of address, in units of 0.1 s
 	// and capped at 25.5 s.
 	Ages []byte `cbor:"8,keyasint,omitempty"`
+	// Snapshot is as in mirror.Batch.
+	Snapshot bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Member is an entry known to another one.
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -100,7 +100,7 @@
 		b := waitForRecords(r.Context(), now, t, from, wait)
 		reply.HeldMs = time.Since(now).Milliseconds()
 		now = now.Add(time.Duration(reply.HeldMs) * time.Millisecond)
-		reply.End, reply.Loaded = b.End, t.Loaded()
+		reply.End, reply.Snapshot, reply.Loaded = b.End, b.Snapshot, t.Loaded()
 		reply.Records, reply.Compressed = s.compressor.encode(topic, from, b)
 
 		if !b.AsOf.IsZero() {
--- a/mirror/stateful_test.go
+++ b/mirror/stateful_test.go
@@ -138,3 +138,45 @@
 		t.Errorf("got %d tombstones, want at most %d", got, maxTombstones)
 	}
 }
+
+// Guards against a key that is kept although it was dropped, because the process that is polled read a
+// snapshot without it, or has forgotten that it was dropped.
+func TestDroppedKeysArePassedOnByLateReaders(t *testing.T) {
+	kept := Record{Key: "kept", Value: []byte("k"), Offset: 0}
+
+	tests := []struct {
+		name   string
+		reader func(r *Topic)
+		end    int64
+	}{
+		{"the reader started after it was dropped", func(r *Topic) { r.Merge(Batch{Records: []Record{kept}, Snapshot: true, End: 3}) }, 3},
+		{"the reader forgot that it was dropped", func(r *Topic) {
+			r.Merge(Batch{Records: []Record{kept, {Key: "dropped", Value: []byte("d"), Offset: 1}}, Snapshot: true, End: 2})
+			r.Merge(Batch{Records: []Record{{Key: "dropped", Offset: 2}}, End: 3})
+
+			for i := range int64(2 * maxTombstones) {
+				r.Merge(Batch{Records: []Record{{Key: fmt.Sprint(i), Offset: 3 + i}}, End: 4 + i})
+			}
+		}, 3 + 2*maxTombstones},
+	}
+
+	for _, tt := range tests {
+		var reader, follower Topic
+
+		tt.reader(&reader)
+		follower.Merge(Batch{Records: []Record{kept, {Key: "dropped", Value: []byte("d"), Offset: 1}}, Snapshot: true, End: 2})
+		follower.Merge(reader.Since(follower.End()))
+
+		if _, ok := follower.Get("dropped"); ok || follower.End() != tt.end {
+			t.Errorf("%s: got the key kept at end %d, want it dropped at %d", tt.name, follower.End(), tt.end)
+		}
+
+		if _, ok := follower.Get("kept"); !ok {
+			t.Errorf("%s: got the other key dropped", tt.name)
+		}
+
+		if got := reader.Since(reader.End()); got.Snapshot || len(got.Records) > 0 {
+			t.Errorf("%s: got %d records at the end, want none", tt.name, len(got.Records))
+		}
+	}
+}
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -65,6 +65,7 @@
 	changed           chan struct{} // closed at the next change; nil while there are no waiters
 	tombstones        int
 	end               int64
+	completeFrom      int64 // offset from which no deletion is missing
 	loaded            bool
 	syncedAt          time.Time
 	latestUpdateAfter time.Time // syncedAt before the latest batch with changes
@@ -106,6 +107,10 @@
 	t.end = max(t.end, b.End)
 	t.loaded = t.loaded || b.Snapshot
 
+	if b.Snapshot {
+		t.completeFrom = max(t.completeFrom, b.End)
+	}
+
 	if len(changes) > 0 {
 		t.latestUpdateAfter = t.syncedAt
 
@@ -197,18 +202,21 @@
 	for _, r := range tombstones[:len(tombstones)-maxTombstones/2] {
 		delete(t.records, r.Key)
 		t.tombstones--
+		t.completeFrom = max(t.completeFrom, r.Offset+1)
 	}
 }
 
-// Since returns the records whose content changed at offset from or later, including tombstones.
+// Since returns the records whose content changed at offset from or later, including tombstones. It
+// returns a snapshot if the topic doesn't know all deletions since that offset.
 func (t *Topic) Since(from int64) Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	b := Batch{End: t.end, AsOf: t.syncedAt}
+	all := from < t.completeFrom
+	b := Batch{End: t.end, AsOf: t.syncedAt, Snapshot: all && t.loaded}
 
 	for _, r := range t.records {
-		if r.changedOffset >= from {
+		if all || r.changedOffset >= from {
 			b.Records = append(b.Records, r.Record)
 		}
 	}
