--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -67,7 +67,8 @@
 	log := newLogger(cfg, "gateway", lines)
 	e := &gatewayProcess{cfg: cfg, log: log, lines: lines, registry: prometheus.NewRegistry()}
 
-	operators, register := &mirror.Topic{}, mirror.NewTopic(platform.SameListing)
+	operators := mirror.NewTopic(mirror.TopicConfig{Revision: platform.OperatorRevision, KeepLost: true})
+	register := mirror.NewTopic(mirror.TopicConfig{Equivalent: platform.SameListing, Revision: platform.ListingRevision})
 	members := exchange.NewMembers(cfg.PeerAddress, cfg.Seeds)
 	platformClient := platform.NewClient()
 	source := platform.NewLogClient(cfg.LogAddress)
@@ -150,7 +151,7 @@
 			before := operators.LatestUpdateAfter()
 			e.gateway.VersionNamed(now, v.Model, v.Version, before)
 			e.standby.SetDesired(loader.DesiredVersion{Model: v.Model, Version: v.Version, PublishedBeforeStart: before.IsZero()})
-			e.watcher.SetNewestVersion(now, v.Model, v.Version, v.Offset)
+			e.watcher.SetNewestVersion(now, v.Model, v.Version, v.At)
 		},
 		EvacuationChanged: e.roster.Evacuate,
 		RecordUnreadable:  meter.RecordUnreadable, Log: e.log,
@@ -164,7 +165,7 @@
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client, Relay: e.client,
-			LoadWait: e.loadWait(), ReadPause: registerReadPause(e.cfg.Bounds.DrainDeadline), OnChanges: listings.Handle, OnOutage: e.roster.SetLogUnavailable, Log: e.log,
+			LoadWait: e.loadWait(), ReadPause: registerReadPause(e.cfg.Bounds.DrainDeadline), OnChanges: listings.Handle, OnOutage: e.roster.SetLogUnavailable, OnReset: e.roster.LogReset, Log: e.log,
 		}),
 	}
 }
@@ -199,7 +200,10 @@
 }
 
 func (e *gatewayProcess) applyConfiguration(_ time.Time, c *site.Configuration) {
-	e.gateway.Configure(c)
+	if !e.gateway.Configure(c) {
+		return
+	}
+
 	e.roster.Reconfigured()
 
 	var stores []vault.Store
@@ -300,9 +304,9 @@
 	return p.registration.Addresses(ctx, p.self)
 }
 
-// Knows reports whether an entry has read the operators' topic up to an offset.
-func (p storePeers) Knows(ctx context.Context, peer string, offset int64) bool {
-	return p.Client.Knows(ctx, peer, platform.OperatorTopic, offset)
+// Knows reports whether an entry has read the operators' topic up to a position.
+func (p storePeers) Knows(ctx context.Context, peer string, at mirror.Position) bool {
+	return p.Client.Knows(ctx, peer, platform.OperatorTopic, at)
 }
 
 // tick runs periodic work until ctx ends.
--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -65,7 +65,7 @@
 		ledger = room.NewLedger()
 	}
 
-	operators := &mirror.Topic{}
+	operators := mirror.NewTopic(mirror.TopicConfig{Revision: platform.OperatorRevision, KeepLost: true})
 	publications := &platform.OperatorHandler{
 		ConfigurationPublished: func(_ time.Time, c *site.Configuration) {
 			s, _ := c.Service(cfg.Service)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -345,7 +345,7 @@
 		}
 	case errors.Is(context.Cause(ctx), errRestarted):
 		d.addAbandoned(now, s, t.fingerprint)
-		awaitReport(t.r.Context(), d.observeEnd(now, s, basisRestarted))
+		awaitReport(context.WithoutCancel(ctx), d.observeEnd(now, s, basisRestarted))
 	case ctx.Err() != nil:
 		d.addAbandoned(now, s, t.fingerprint)
 	default:
@@ -354,7 +354,7 @@
 			reported = d.observeEnd(time.Now(), s, basisRefused)
 		}
 
-		awaitReport(t.r.Context(), reported)
+		awaitReport(ctx, reported)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,16 +154,17 @@
 	return g
 }
 
-// Configure puts a configuration in force, unless its version is not newer than the present one's.
-func (g *Gateway) Configure(c *site.Configuration) {
+// Configure puts a configuration in force, unless its version is not newer than the present one's. It
+// reports whether it did.
+func (g *Gateway) Configure(c *site.Configuration) bool {
 	for {
 		old := g.current.Load()
 		if old != nil && old.Version() >= c.Version() {
-			return
+			return false
 		}
 
 		if g.current.CompareAndSwap(old, c) {
-			return
+			return true
 		}
 	}
 }
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -78,9 +78,9 @@
 	}}}
 }
 
-// Fetch requests the records of a topic from an offset on from fetchFanout entries, and returns
+// Fetch requests the records of a topic from a position on from fetchFanout entries, and returns
 // the newest response. It returns an error if none of them responds.
-func (c *Client) Fetch(ctx context.Context, topic string, from int64) (mirror.Batch, error) {
+func (c *Client) Fetch(ctx context.Context, topic string, from mirror.Position) (mirror.Batch, error) {
 	all := c.randomPeers(fetchFanout)
 	if len(all) == 0 {
 		return mirror.Batch{}, errNoEntries
@@ -107,7 +107,8 @@
 				return
 			}
 
-			if !found || b.End > best.End || (b.End == best.End && b.AsOf.After(best.AsOf)) {
+			c := mirror.Position{Era: b.Era, Offset: b.End}.Compare(mirror.Position{Era: best.Era, Offset: best.End})
+			if !found || c > 0 || (c == 0 && b.AsOf.After(best.AsOf)) {
 				best, found = b, true
 			}
 		})
@@ -158,17 +159,17 @@
 	return mirror.Assignment{Addresses: s.members.Preferred(time.Now(), s.name), Wait: subscriberWait}
 }
 
-// Poll requests the records of a topic from an offset on from an entry, which waits for the first
+// Poll requests the records of a topic from a position on from an entry, which waits for the first
 // one, up to the given time. It returns an error if the entry has not loaded the topic.
-func (c *Client) Poll(ctx context.Context, reader, topic string, from int64, wait time.Duration) (mirror.Batch, error) {
+func (c *Client) Poll(ctx context.Context, reader, topic string, from mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	return c.fetchRecords(ctx, reader, topic, from, wait)
 }
 
 // fetchRecords requests records from one entry. If wait is positive, it returns an error unless the
 // entry has loaded the topic.
-func (c *Client) fetchRecords(ctx context.Context, address, topic string, from int64, wait time.Duration) (mirror.Batch, error) {
+func (c *Client) fetchRecords(ctx context.Context, address, topic string, from mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	sentAt := time.Now()
-	q := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "self": {c.members.Self()}}
+	q := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from.Offset, 10)}, "era": {strconv.FormatInt(from.Era, 10)}, "self": {c.members.Self()}}
 
 	if wait > 0 {
 		q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
@@ -195,7 +196,7 @@
 		return mirror.Batch{}, err
 	}
 
-	b := mirror.Batch{Records: records, End: r.End, Snapshot: r.Snapshot}
+	b := mirror.Batch{Records: records, End: r.End, Era: r.Era, Snapshot: r.Snapshot, Settled: r.Settled}
 	if r.AgeMs >= 0 {
 		// The response was created at least HeldMs after the request was sent, and its records
 		// were AgeMs old then.
@@ -374,12 +375,12 @@
 	return err
 }
 
-// Knows reports whether an entry has read a topic up to and including an offset. It returns false
-// if the entry doesn't respond.
-func (c *Client) Knows(ctx context.Context, peer, topic string, offset int64) bool {
-	b, err := c.fetchRecords(ctx, peer, topic, offset, 0)
+// Knows reports whether an entry has read a topic up to and including a position. It returns false if
+// the entry doesn't respond, or if it has read another era, in which the offset is that of another record.
+func (c *Client) Knows(ctx context.Context, peer, topic string, at mirror.Position) bool {
+	b, err := c.fetchRecords(ctx, peer, topic, at, 0)
 
-	return err == nil && b.End > offset
+	return err == nil && b.Era == at.Era && b.End > at.Offset
 }
 
 // GossipRound asks a few entries for the entries that they know. It reports whether at least one of
--- a/mirror/exchange/compress.go
+++ b/mirror/exchange/compress.go
@@ -24,15 +24,15 @@
 	last map[string]compressedBatch
 }
 
-// compressedBatch is the result for a batch of records that starts at offset from.
+// compressedBatch is the result for a batch of records that starts at position from.
 type compressedBatch struct {
-	from, end int64
+	from, end mirror.Position
 	body      []byte
 }
 
 // encode returns the records of a batch or, if they have at least compressRecordsAbove bytes, their
 // compressed form.
-func (c *recordCompressor) encode(topic string, from int64, b mirror.Batch) (records []mirror.Record, body []byte) {
+func (c *recordCompressor) encode(topic string, from mirror.Position, b mirror.Batch) (records []mirror.Record, body []byte) {
 	size := 0
 	for _, r := range b.Records {
 		size += len(r.Value)
@@ -45,7 +45,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if x, ok := c.last[topic]; ok && x.from == from && x.end == b.End {
+	end := mirror.Position{Era: b.Era, Offset: b.End}
+	if x, ok := c.last[topic]; ok && x.from == from && x.end == end {
 		return nil, x.body
 	}
 
@@ -58,7 +59,7 @@
 		c.last = make(map[string]compressedBatch)
 	}
 
-	c.last[topic] = compressedBatch{from, b.End, body}
+	c.last[topic] = compressedBatch{from, end, body}
 
 	return nil, body
 }
--- a/mirror/exchange/compress_test.go
+++ b/mirror/exchange/compress_test.go
@@ -33,12 +33,12 @@
 
 	b := mirror.Batch{Records: []mirror.Record{{Key: "config", Value: value, Offset: 9}}, End: 10}
 
-	records, body := c.encode("t", 9, b)
+	records, body := c.encode("t", mirror.Position{Offset: 9}, b)
 	if len(records) != 0 || len(body) == 0 || len(body) > len(value)/6 {
 		t.Fatalf("got %d records and %d bytes for %d, want at most a sixth", len(records), len(body), len(value))
 	}
 
-	if _, again := c.encode("t", 9, b); &again[0] != &body[0] {
+	if _, again := c.encode("t", mirror.Position{Offset: 9}, b); &again[0] != &body[0] {
 		t.Error("second call: got the records compressed again")
 	}
 
@@ -51,7 +51,7 @@
 func TestShortRecordsAreNotCompressed(t *testing.T) {
 	var c recordCompressor
 
-	records, body := c.encode("t", 0, mirror.Batch{Records: []mirror.Record{{Key: "a", Value: []byte("b")}}})
+	records, body := c.encode("t", mirror.Position{}, mirror.Batch{Records: []mirror.Record{{Key: "a", Value: []byte("b")}}})
 	if len(records) != 1 || body != nil {
 		t.Errorf("got %v and %d bytes, want the record", records, len(body))
 	}
@@ -70,7 +70,7 @@
 	value := routes(2200)
 	e.topic.Merge(mirror.Batch{Records: []mirror.Record{{Key: "config", Value: value, Offset: 0}}, End: 1, Snapshot: true, AsOf: time.Now()})
 
-	b, err := NewClient(NewMembers("", nil)).Poll(context.Background(), e.address, "t", 0, time.Second)
+	b, err := NewClient(NewMembers("", nil)).Poll(context.Background(), e.address, "t", mirror.Position{}, time.Second)
 	if err != nil || len(b.Records) != 1 || !bytes.Equal(b.Records[0].Value, value) {
 		t.Errorf("got %d records, %v, want the configuration", len(b.Records), err)
 	}
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -5,7 +5,7 @@
 // # Model
 //
 // The log may be down, or refuse single processes while it serves others. A process that can't read
-// it fetches newer records from the entries. Offsets determine which records are newer, so a key
+// it fetches newer records from the entries. Positions determine which records are newer, so a key
 // never reverts to an older record.
 //
 // Entries discover each other by gossip: each entry calls the seeds from its settings and sends its
@@ -34,7 +34,7 @@
 
 // Reply is the response to a request for records of a topic, or for members.
 type Reply struct {
-	// Records are the records from the requested offset on.
+	// Records are the records from the requested position on, all records if Era is another one.
 	Records []mirror.Record `cbor:"1,keyasint"`
 	// End is the offset after the last record covered.
 	End int64 `cbor:"2,keyasint"`
@@ -54,7 +54,10 @@
 	// each entry of the view was last known to be alive, in order of address, in units of 0.1 s
 	// and capped at 25.5 s.
 	Ages []byte `cbor:"8,keyasint,omitempty"`
-	// Snapshot is as in mirror.Batch.
+	// Era is the era of the log that End belongs to.
+	Era int64 `cbor:"9,keyasint,omitempty"`
+	// Settled and Snapshot are as in mirror.Batch.
+	Settled  bool `cbor:"10,keyasint,omitempty"`
 	Snapshot bool `cbor:"11,keyasint,omitempty"`
 }
 
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -86,18 +86,18 @@
 
 	c := NewClient(NewMembers("", []string{old.address, current.address, unresponsiveEntry(t)}))
 
-	b, err := c.Fetch(context.Background(), "t", 0)
+	b, err := c.Fetch(context.Background(), "t", mirror.Position{})
 	if err != nil || b.End != 2 || len(b.Records) != 1 || string(b.Records[0].Value) != "2" || b.AsOf.IsZero() {
 		t.Errorf("got %+v %v, want the newer record", b, err)
 	}
 }
 
 func TestFetchFailsWithoutResponsiveEntries(t *testing.T) {
-	if _, err := NewClient(NewMembers("", nil)).Fetch(context.Background(), "t", 0); err == nil {
+	if _, err := NewClient(NewMembers("", nil)).Fetch(context.Background(), "t", mirror.Position{}); err == nil {
 		t.Error("got no error")
 	}
 
-	if _, err := NewClient(NewMembers("", []string{unresponsiveEntry(t)})).Fetch(context.Background(), "t", 0); err == nil {
+	if _, err := NewClient(NewMembers("", []string{unresponsiveEntry(t)})).Fetch(context.Background(), "t", mirror.Position{}); err == nil {
 		t.Error("unresponsive entry: got no error")
 	}
 }
@@ -248,7 +248,7 @@
 			e.topic.Merge(mirror.Batch{End: 7, Snapshot: true, AsOf: time.Now().Add(-tt.age)})
 			time.AfterFunc(20*time.Millisecond, func() { e.topic.Merge(tt.later) })
 
-			b, err := NewClient(NewMembers("", nil)).Poll(context.Background(), e.address, "t", 7, 200*time.Millisecond)
+			b, err := NewClient(NewMembers("", nil)).Poll(context.Background(), e.address, "t", mirror.Position{Offset: 7}, 200*time.Millisecond)
 			if err != nil || len(b.Records) != tt.want {
 				t.Errorf("got %d records %v, want %d", len(b.Records), err, tt.want)
 			}
@@ -263,7 +263,7 @@
 func TestPollNeedsLoadedTopic(t *testing.T) {
 	e := newEntry(t)
 
-	if _, err := NewClient(NewMembers("", nil)).Poll(context.Background(), e.address, "t", 0, time.Millisecond); err == nil {
+	if _, err := NewClient(NewMembers("", nil)).Poll(context.Background(), e.address, "t", mirror.Position{}, time.Millisecond); err == nil {
 		t.Error("got no error from an entry that has not loaded the topic")
 	}
 }
@@ -331,7 +331,7 @@
 		topic, now := &mirror.Topic{}, time.Now()
 		topic.Merge(mirror.Batch{End: 1, Snapshot: true, AsOf: now.Add(-tt.age)})
 
-		waitForRecords(context.Background(), now, topic, 1, wait)
+		waitForRecords(context.Background(), now, topic, mirror.Position{Offset: 1}, wait)
 
 		if got := time.Since(now) >= wait/4; got != tt.held {
 			t.Errorf("records %v old: got the request held %v, want %v", tt.age, got, tt.held)
@@ -397,3 +397,52 @@
 		t.Errorf("got a crash at %v, want %v", got, before)
 	}
 }
+
+// Guards against an entry that is taken to know a record, because it has read another one at that offset in
+// an earlier or a later era of the log.
+func TestEntryKnowsPositionsOfItsEraOnly(t *testing.T) {
+	e := newEntry(t)
+	e.topic.Merge(mirror.Batch{Snapshot: true, Era: 2, End: 5, AsOf: time.Now()})
+
+	c := NewClient(NewMembers("", nil))
+
+	for _, tt := range []struct {
+		at   mirror.Position
+		want bool
+	}{
+		{mirror.Position{Era: 2, Offset: 4}, true},
+		{mirror.Position{Era: 2, Offset: 5}, false},
+		{mirror.Position{Era: 1, Offset: 4}, false},
+		{mirror.Position{Era: 3, Offset: 4}, false},
+	} {
+		if got := c.Knows(t.Context(), e.address, "t", tt.at); got != tt.want {
+			t.Errorf("%v: got %v, want %v", tt.at, got, tt.want)
+		}
+	}
+}
+
+// Guards against an entry that polls another one across a reset of the log and misses records, waits for
+// them, or takes part of the new era for all of it.
+func TestPollAcrossEras(t *testing.T) {
+	record := mirror.Record{Key: "config", Value: []byte("2"), Offset: 3, Era: 2}
+	e := newEntry(t)
+	e.topic.Merge(mirror.Batch{Snapshot: true, Records: []mirror.Record{record}, Era: 2, End: 4, AsOf: time.Now()})
+
+	c := NewClient(NewMembers("", nil))
+
+	for _, tt := range []struct {
+		name     string
+		from     mirror.Position
+		records  int
+		snapshot bool
+	}{
+		{"earlier era, higher offset", mirror.Position{Era: 1, Offset: 9}, 1, true},
+		{"later era", mirror.Position{Era: 3, Offset: 1}, 1, true},
+		{"same era", mirror.Position{Era: 2, Offset: 4}, 0, false},
+	} {
+		b, err := c.Poll(t.Context(), e.address, "t", tt.from, 20*time.Millisecond)
+		if err != nil || b.Era != 2 || len(b.Records) != tt.records || b.Snapshot != tt.snapshot {
+			t.Errorf("%s: got %+v %v, want %d records, snapshot %v", tt.name, b, err, tt.records, tt.snapshot)
+		}
+	}
+}
--- a/mirror/exchange/relay_test.go
+++ b/mirror/exchange/relay_test.go
@@ -107,7 +107,7 @@
 	return p.members.Assignment(time.Now(), topic)
 }
 
-func (p *process) Poll(ctx context.Context, address, _ string, from int64, wait time.Duration) (mirror.Batch, error) {
+func (p *process) Poll(ctx context.Context, address, _ string, from mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	other := p.fleet[address]
 	if other.isPaused() {
 		<-ctx.Done()
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -85,9 +85,9 @@
 	}
 
 	if t, ok := s.topics[topic]; ok {
-		from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+		from, err := parsePosition(q, t.End().Era)
 		if err != nil {
-			http.Error(w, "the query parameter from is not an offset", http.StatusBadRequest)
+			http.Error(w, "the query parameters from and era are not a position", http.StatusBadRequest)
 
 			return
 		}
@@ -100,7 +100,7 @@
 		b := waitForRecords(r.Context(), now, t, from, wait)
 		reply.HeldMs = time.Since(now).Milliseconds()
 		now = now.Add(time.Duration(reply.HeldMs) * time.Millisecond)
-		reply.End, reply.Snapshot, reply.Loaded = b.End, b.Snapshot, t.Loaded()
+		reply.End, reply.Era, reply.Settled, reply.Snapshot, reply.Loaded = b.End, b.Era, b.Settled, b.Snapshot, t.Loaded()
 		reply.Records, reply.Compressed = s.compressor.encode(topic, from, b)
 
 		if !b.AsOf.IsZero() {
@@ -134,6 +134,22 @@
 	return nil, s.members.Sample(now)
 }
 
+// parsePosition returns the position in a query. Builds that know no eras send none; era is that of the
+// topic, which is returned then.
+func parsePosition(q url.Values, era int64) (p mirror.Position, err error) {
+	p.Era = era
+
+	if text := q.Get("era"); text != "" {
+		if p.Era, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return p, err
+		}
+	}
+
+	p.Offset, err = strconv.ParseInt(q.Get("from"), 10, 64)
+
+	return p, err
+}
+
 // maxWait bounds how long a request is held.
 const maxWait = 2 * time.Second
 
@@ -147,12 +163,12 @@
 	return min(max(time.Duration(ms)*time.Millisecond, 0), maxWait)
 }
 
-// waitForRecords returns the records of a topic from an offset on, as soon as there are any or the
+// waitForRecords returns the records of a topic from a position on, as soon as there are any or the
 // wait has passed. A client must detect in time that this process can't read the log. Therefore the
 // wait is shortened so that the records are at most twice the wait old at its end, and is omitted
 // if they are older already. The records of a process that reads the log by long polls are up to
 // two of its own waits old.
-func waitForRecords(ctx context.Context, now time.Time, t *mirror.Topic, from int64, wait time.Duration) mirror.Batch {
+func waitForRecords(ctx context.Context, now time.Time, t *mirror.Topic, from mirror.Position, wait time.Duration) mirror.Batch {
 	wait = min(wait, 2*wait-now.Sub(t.SyncedAt()))
 
 	timer := time.NewTimer(wait)
@@ -162,7 +178,7 @@
 		changed := t.Changed()
 
 		b := t.Since(from)
-		if len(b.Records) > 0 || wait <= 0 {
+		if len(b.Records) > 0 || b.Snapshot || wait <= 0 {
 			return b
 		}
 
--- a/mirror/exchange/start_test.go
+++ b/mirror/exchange/start_test.go
@@ -55,7 +55,7 @@
 	rng       *rand.Rand
 }
 
-func (p *startingProcess) Poll(ctx context.Context, address, topic string, from int64, wait time.Duration) (mirror.Batch, error) {
+func (p *startingProcess) Poll(ctx context.Context, address, topic string, from mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	if !p.fleet[address].listening.Load() {
 		return mirror.Batch{}, errUnreachable
 	}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -26,17 +26,18 @@
 
 // Peers are other processes that follow the same topic.
 type Peers interface {
-	// Fetch returns another process's records from an offset on, without waiting.
-	Fetch(ctx context.Context, topic string, from int64) (Batch, error)
+	// Fetch returns another process's records from a position on, without waiting. It returns a snapshot
+	// if the era there is a later one.
+	Fetch(ctx context.Context, topic string, from Position) (Batch, error)
 }
 
 // Relay assigns the processes that read a topic from the log, and polls them.
 type Relay interface {
 	// Assignment returns how this process gets a topic.
 	Assignment(topic string) Assignment
-	// Poll requests the records from an offset on from another process, which waits for the
-	// first one, up to the given time.
-	Poll(ctx context.Context, address, topic string, from int64, wait time.Duration) (Batch, error)
+	// Poll requests the records from a position on from another process, which waits for the
+	// first one, up to the given time. It returns a snapshot at once if the era there is a later one.
+	Poll(ctx context.Context, address, topic string, from Position, wait time.Duration) (Batch, error)
 }
 
 // Assignment is how a process gets a topic: from the log or from another process.
@@ -94,6 +95,8 @@
 	// with false at its end, when the log or an assigned process returns current records. If
 	// nil, it isn't called.
 	OnOutage func(now time.Time, unavailable bool)
+	// OnReset is called when the log has returned from a copy, see Topic; it may be nil.
+	OnReset func(now time.Time)
 	// Log receives an event at the start and at the end of an outage.
 	Log logr.Logger
 }
@@ -152,7 +155,6 @@
 type Follower struct {
 	cfg       FollowerConfig
 	lostSince time.Time // start of the outage, see OnOutage; zero outside an outage
-	era       int64     // the highest one that the log has responded with
 
 	mu sync.Mutex // serialises merges and calls of OnChanges, which keeps the changes in order
 
@@ -177,6 +179,8 @@
 	f.load(ctx)
 
 	for ctx.Err() == nil {
+		f.settle(time.Now())
+
 		if f.pollRelays(ctx) {
 			continue
 		}
@@ -184,11 +188,9 @@
 		b, err := f.readLog(ctx)
 		now := time.Now()
 
-		f.observeEra(b)
-
 		if err == nil {
 			f.markRecovered(now)
-			f.merge(now, b)
+			f.merge(ctx, now, b)
 			pause.For(ctx, f.cfg.ReadPause)
 
 			continue
@@ -226,13 +228,13 @@
 			polls++
 
 			c, done := pause.WithIdleTimeout(ctx, peerTimeout, maxTransfer)
-			b, err := f.cfg.Relay.Poll(c, address, f.cfg.Name, 0, loadPollWait)
+			b, err := f.cfg.Relay.Poll(c, address, f.cfg.Name, Position{}, loadPollWait)
 
 			done()
 
 			if now := time.Now(); err == nil && now.Sub(b.AsOf) < a.staleAfter() {
 				b.Snapshot = true
-				f.merge(now, b)
+				f.merge(ctx, now, b)
 
 				return
 			}
@@ -269,9 +271,9 @@
 		cancel()
 
 		now = time.Now()
-		if err == nil && now.Sub(b.AsOf) < a.staleAfter() {
+		if err == nil && b.Era >= f.cfg.Topic.End().Era && now.Sub(b.AsOf) < a.staleAfter() {
 			f.markRecovered(now)
-			f.merge(now, b)
+			f.merge(ctx, now, b)
 			pause.For(ctx, pollPause)
 
 			return true
@@ -288,20 +290,30 @@
 	return false
 }
 
-// readLog makes one read of the log. It reads a snapshot if the topic isn't loaded or the log no
-// longer keeps the records from the topic's end on.
+// errEarlierEra is returned for a response that the log made before it returned from a copy.
+var errEarlierEra = errors.New("the response is of an earlier era of the log")
+
+// readLog makes one read of the log. It reads a snapshot if the topic isn't loaded, the log no longer
+// keeps the records from the topic's end on, or it has returned from a copy.
 func (f *Follower) readLog(ctx context.Context) (Batch, error) {
+	end := f.cfg.Topic.End()
+
 	if f.cfg.Topic.Loaded() {
 		sentAt := time.Now()
 		c, cancel := pause.WithIdleTimeout(ctx, f.cfg.Wait+readSlack, f.cfg.Wait+maxTransfer)
-		b, err := f.cfg.Source.Read(c, f.cfg.Name, f.cfg.Topic.End(), f.cfg.Wait)
+		b, err := f.cfg.Source.Read(c, f.cfg.Name, end.Offset, f.cfg.Wait)
 
 		cancel()
 
 		b.AsOf = sentAt
 
-		if !errors.Is(err, ErrTrimmed) {
+		switch {
+		case err != nil && !errors.Is(err, ErrTrimmed):
 			return b, err
+		case b.Era < end.Era:
+			return b, errEarlierEra
+		case err == nil && b.Era == end.Era:
+			return b, nil
 		}
 	}
 
@@ -311,22 +323,13 @@
 	defer cancel()
 
 	b, err := f.cfg.Source.Newest(c, f.cfg.Name)
-	b.AsOf = sentAt
-
-	return b, err
-}
-
-// observeEra logs that the log has returned from a copy.
-func (f *Follower) observeEra(b Batch) {
-	if b.Era <= f.era {
-		return
+	if err == nil && b.Era < end.Era {
+		err = errEarlierEra
 	}
 
-	if f.era > 0 || f.cfg.Topic.Loaded() {
-		event.Log(f.cfg.Log, event.LogReset, "topic", f.cfg.Name, "era", b.Era, "before", f.era, "end", b.End, "end_before", f.cfg.Topic.End())
-	}
+	b.AsOf = sentAt
 
-	f.era = b.Era
+	return b, err
 }
 
 // fetchFromPeers merges the records that the peers have beyond those of this process.
@@ -345,7 +348,7 @@
 		return
 	}
 
-	f.merge(time.Now(), b)
+	f.merge(ctx, time.Now(), b)
 }
 
 // fetchPeriodically fetches from the peers while reads of the log wait, since an unresponsive
@@ -358,16 +361,54 @@
 	}
 }
 
-func (f *Follower) merge(now time.Time, b Batch) {
+func (f *Follower) merge(ctx context.Context, now time.Time, b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	before, loaded := f.cfg.Topic.End(), f.cfg.Topic.Loaded()
 	changes := f.cfg.Topic.Merge(b)
+
+	if f.cfg.Topic.End().Era > before.Era && loaded {
+		event.Log(f.cfg.Log, event.LogReset, "topic", f.cfg.Name, "era", b.Era, "before", before.Era, "end", b.End, "end_before", before.Offset, "changes", len(changes))
+
+		if f.cfg.OnReset != nil {
+			f.cfg.OnReset(now)
+		}
+
+		// Others may have read what the log has lost.
+		go f.fetchAll(ctx)
+	}
+
 	if len(changes) > 0 {
 		f.cfg.OnChanges(now, changes)
 	}
 }
 
+// fetchAll merges all records of the peers.
+func (f *Follower) fetchAll(ctx context.Context) {
+	if f.cfg.Peers == nil {
+		return
+	}
+
+	c, cancel := pause.WithIdleTimeout(ctx, peerTimeout, maxTransfer)
+	defer cancel()
+
+	if b, err := f.cfg.Peers.Fetch(c, f.cfg.Name, Position{}); err == nil {
+		f.merge(ctx, time.Now(), b)
+	}
+}
+
+// settle passes on the changes of Topic.Settle.
+func (f *Follower) settle(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if changes := f.cfg.Topic.Settle(now); len(changes) > 0 {
+		event.Log(f.cfg.Log, event.LogSettled, "topic", f.cfg.Name, "changes", len(changes))
+		f.cfg.OnChanges(now, changes)
+	}
+}
+
 // markLost records that a read of the log failed.
 func (f *Follower) markLost(now time.Time, err error) {
 	if !f.lostSince.IsZero() {
@@ -380,7 +421,7 @@
 		f.cfg.OnOutage(now, true)
 	}
 
-	event.Fail(f.cfg.Log, err, event.TopicLost, "topic", f.cfg.Name, "offset", f.cfg.Topic.End())
+	event.Fail(f.cfg.Log, err, event.TopicLost, "topic", f.cfg.Name, "era", f.cfg.Topic.End().Era, "offset", f.cfg.Topic.End().Offset)
 }
 
 // markRecovered records that the log or an assigned process returned current records.
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -133,7 +133,7 @@
 	batch Batch
 }
 
-func (p *fakePeers) Fetch(context.Context, string, int64) (Batch, error) {
+func (p *fakePeers) Fetch(context.Context, string, Position) (Batch, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -75,7 +75,7 @@
 	return Assignment{Direct: r.direct, Addresses: []string{"reader"}}
 }
 
-func (r *fakeRelay) Poll(ctx context.Context, _, _ string, from int64, wait time.Duration) (Batch, error) {
+func (r *fakeRelay) Poll(ctx context.Context, _, _ string, from Position, wait time.Duration) (Batch, error) {
 	r.mu.Lock()
 	fails, unresponsive, age, value := r.fails, r.unresponsive, r.age, r.value
 	r.polls++
@@ -96,7 +96,7 @@
 		return Batch{}, ctx.Err()
 	}
 
-	return Batch{Records: []Record{{Key: "config", Value: []byte(value), Offset: 100}}, End: max(from, 101), AsOf: time.Now().Add(-age)}, nil
+	return Batch{Records: []Record{{Key: "config", Value: []byte(value), Offset: 100}}, End: max(from.Offset, 101), AsOf: time.Now().Add(-age)}, nil
 }
 
 // Guards against stale records when the polled reader fails, is paused or is cut off from the log.
@@ -155,7 +155,7 @@
 // Guards against heartbeats that are served as changes. Targets write one about once per second,
 // and they would be most of the traffic of an entry.
 func TestHeartbeatsAreNotChanges(t *testing.T) {
-	topic := NewTopic(func(old, value []byte) bool { return old[0] == value[0] })
+	topic := NewTopic(TopicConfig{Equivalent: func(old, value []byte) bool { return old[0] == value[0] }})
 	topic.Merge(Batch{Records: []Record{{Key: "a", Value: []byte("x1"), Offset: 0}}, End: 1, Snapshot: true})
 
 	tests := []struct {
@@ -177,7 +177,7 @@
 			t.Errorf("%s: got %d changes, want %d", tt.name, len(changes), tt.changes)
 		}
 
-		if got := len(topic.Since(tt.record.Offset).Records); got != tt.since {
+		if got := len(topic.Since(tt.record.Position()).Records); got != tt.since {
 			t.Errorf("%s: got %d records from its offset on, want %d", tt.name, got, tt.since)
 		}
 	}
@@ -190,7 +190,7 @@
 // delayedPeers fail until a time and return a record from then on.
 type delayedPeers struct{ from time.Time }
 
-func (p *delayedPeers) Fetch(context.Context, string, int64) (Batch, error) {
+func (p *delayedPeers) Fetch(context.Context, string, Position) (Batch, error) {
 	if time.Now().Before(p.from) {
 		return Batch{}, errReaderDown
 	}
@@ -251,7 +251,7 @@
 	return Assignment{Addresses: append(slices.Repeat([]string{"failing"}, r.failing), "loaded")}
 }
 
-func (r *startupRelay) Poll(ctx context.Context, address, _ string, _ int64, wait time.Duration) (Batch, error) {
+func (r *startupRelay) Poll(ctx context.Context, address, _ string, _ Position, wait time.Duration) (Batch, error) {
 	if address == "failing" || !r.loaded {
 		return Batch{}, errReaderDown
 	}
--- a/mirror/slow_test.go
+++ b/mirror/slow_test.go
@@ -105,7 +105,7 @@
 		l.put(bytes.Repeat([]byte("a route; "), 320_000/9))
 		time.Sleep(3100 * time.Millisecond)
 
-		if got := len(topic.Since(0).Records); got != 1 {
+		if got := len(topic.Since(Position{}).Records); got != 1 {
 			t.Errorf("got %d records after 3.1 s, want the configuration", got)
 		}
 
--- a/mirror/stateful_test.go
+++ b/mirror/stateful_test.go
@@ -66,7 +66,7 @@
 				log.records = append(log.records, r)
 			},
 			"read records": func(t *rapid.T) {
-				from := topic.End()
+				from := topic.End().Offset
 				end := rapid.Int64Range(from, max(from, int64(len(log.records)))).Draw(t, "end")
 				topic.Merge(Batch{Records: log.records[from:end], End: end})
 			},
@@ -167,8 +167,8 @@
 		follower.Merge(Batch{Records: []Record{kept, {Key: "dropped", Value: []byte("d"), Offset: 1}}, Snapshot: true, End: 2})
 		follower.Merge(reader.Since(follower.End()))
 
-		if _, ok := follower.Get("dropped"); ok || follower.End() != tt.end {
-			t.Errorf("%s: got the key kept at end %d, want it dropped at %d", tt.name, follower.End(), tt.end)
+		if _, ok := follower.Get("dropped"); ok || follower.End().Offset != tt.end {
+			t.Errorf("%s: got the key kept at end %d, want it dropped at %d", tt.name, follower.End().Offset, tt.end)
 		}
 
 		if _, ok := follower.Get("kept"); !ok {
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -4,10 +4,14 @@
 // # Model
 //
 // A Topic merges batches of records from the log or from other processes that follow the same
-// topic. Offsets determine which record of a key is newer, so batches may arrive in any order
+// topic. Positions determine which record of a key is newer, so batches may arrive in any order
 // and a key never reverts to an older record. A record without a value deletes its key. It is
 // kept as a tombstone so that an older batch doesn't restore the key.
 //
+// The log may return from a copy that is some seconds old. What was written since is lost until it is
+// written again, and offsets are given out again; the era tells them apart. A Topic resets to a snapshot
+// of the new era without forgetting what the log has lost: see reset.go.
+//
 // Follower reads the log by long polls. While the log doesn't respond, it fetches records from
 // other processes. In a fleet, only a few processes, the readers, read a topic from the log. If
 // every process read it, the load on the log would grow with the square of the fleet size, since
@@ -17,7 +21,9 @@
 package mirror
 
 import (
-	"sort"
+	"bytes"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,15 +38,31 @@
 	Key string `cbor:"1,keyasint"`
 	// Value is the content; empty if the record deletes the key.
 	Value []byte `cbor:"2,keyasint"`
-	// Offset is its position in the log, which orders all records of the topic.
+	// Offset is its offset in the log, which orders the records that were written in an era.
 	Offset int64 `cbor:"3,keyasint"`
-	// Era is the era of the log in which it was written, see Batch.
+	// Era is the era of the log in which it was written.
 	Era int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Deleted reports whether the record deletes its key.
 func (r Record) Deleted() bool { return len(r.Value) == 0 }
 
+// Position is a position in the log.
+type Position struct {
+	// Era rises by one when the log returns from a copy, and gives out offsets again.
+	Era int64
+	// Offset is an offset in that era.
+	Offset int64
+}
+
+// Position returns the position of the record.
+func (r Record) Position() Position { return Position{r.Era, r.Offset} }
+
+// Compare returns -1, 0 or 1 as p is before, equal to or after o.
+func (p Position) Compare(o Position) int {
+	return cmp.Or(cmp.Compare(p.Era, o.Era), cmp.Compare(p.Offset, o.Offset))
+}
+
 // Batch is the result of one read of the log or one poll of another process.
 type Batch struct {
 	// Records are in no particular order.
@@ -49,9 +71,11 @@
 	End int64
 	// Snapshot is set if the batch is a snapshot: Records contains every key that exists at End.
 	Snapshot bool
-	// Era is the era of the log. It rises when the log has returned from an older copy: it lost what was
-	// written since the copy, and gives out the offsets of that again.
+	// Era is the era of the log that End belongs to.
 	Era int64
+	// Settled is set if the batch is that of a process which knows that nothing is missing because the log
+	// has returned from a copy, see Topic.CertainAt.
+	Settled bool
 	// AsOf is a time at which the batch is known to have been up to date; zero if there is none.
 	AsOf time.Time
 }
@@ -59,16 +83,18 @@
 // Topic holds the newest record of each key. The zero Topic is empty and ready for use. Its
 // methods may be called from multiple goroutines.
 type Topic struct {
-	equivalent        func(old, value []byte) bool
+	cfg               TopicConfig
 	mu                sync.Mutex
 	records           map[string]trackedRecord
 	changed           chan struct{} // closed at the next change; nil while there are no waiters
 	tombstones        int
+	era               int64
 	end               int64
-	completeFrom      int64 // offset from which no deletion is missing
+	completeFrom      int64 // offset in the era from which no deletion is missing
 	loaded            bool
 	syncedAt          time.Time
-	latestUpdateAfter time.Time // syncedAt before the latest batch with changes
+	latestUpdateAfter time.Time // CertainAt before the latest batch with changes
+	reset             resetState
 }
 
 // trackedRecord is the newest record of a key with the offset of the key's latest change, which
@@ -76,21 +102,51 @@
 type trackedRecord struct {
 	Record
 	changedOffset int64
+	// latest is the latest record with content, which differs if the key is deleted.
+	latest Record
 }
 
-// NewTopic returns an empty Topic. Equivalent reports whether a new value of a key contains no
-// change from the old one, as in heartbeats. Such a record replaces the old one without counting
-// as a change: Merge doesn't return it, and Since ignores its offset. If equivalent is nil, every
-// record is a change.
-func NewTopic(equivalent func(old, value []byte) bool) *Topic { return &Topic{equivalent: equivalent} }
+// TopicConfig configures a Topic. The zero TopicConfig is valid.
+type TopicConfig struct {
+	// Equivalent reports whether a new value of a key contains no change from the old one, as in
+	// heartbeats. Such a record replaces the old one without counting as a change: Merge doesn't return
+	// it, and Since ignores its offset. If nil, every record is a change.
+	Equivalent func(old, value []byte) bool
+	// Revision returns the revision of a record's content, if it has one. Between eras it determines which
+	// record of a key is newer. If nil, no record has one.
+	Revision func(r Record) (Revision, bool)
+	// KeepLost is set if a key that is missing after the log has returned from a copy still exists. If it
+	// is not set, the key is deleted unless it is written again soon.
+	KeepLost bool
+}
+
+// Revision is a number that rises with the content of a key, whatever the log keeps.
+type Revision struct {
+	// Start is when the writer of the record started, in any unit; zero if there is one writer only.
+	Start int64
+	// Number rises with each record of a start.
+	Number int64
+}
+
+// Compare returns -1, 0 or 1 as r is before, equal to or after o.
+func (r Revision) Compare(o Revision) int {
+	return cmp.Or(cmp.Compare(r.Start, o.Start), cmp.Compare(r.Number, o.Number))
+}
+
+// NewTopic returns an empty Topic with the given configuration.
+func NewTopic(cfg TopicConfig) *Topic { return &Topic{cfg: cfg} }
 
 // unchanged reports whether the content of record r is equivalent to that of the old record.
 func (t *Topic) unchanged(old, r Record) bool {
-	return t.equivalent != nil && !old.Deleted() && !r.Deleted() && t.equivalent(old.Value, r.Value)
+	if old.Era != r.Era && bytes.Equal(old.Value, r.Value) {
+		return true // written again after a reset, or read from a snapshot
+	}
+
+	return t.cfg.Equivalent != nil && !old.Deleted() && !r.Deleted() && t.cfg.Equivalent(old.Value, r.Value)
 }
 
 // Merge adds a batch and returns the records that changed the content of a key, in order of
-// offset.
+// position.
 func (t *Topic) Merge(b Batch) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -99,67 +155,111 @@
 		t.records = make(map[string]trackedRecord)
 	}
 
-	changes := t.apply(b.Records)
-	if b.Snapshot {
-		changes = append(changes, t.deleteMissing(b)...)
+	if !t.loaded && b.Era > t.era {
+		t.era, t.end, t.completeFrom = b.Era, 0, 0 // nothing is known of another era
 	}
 
-	t.end = max(t.end, b.End)
-	t.loaded = t.loaded || b.Snapshot
+	var changes []Record
 
-	if b.Snapshot {
-		t.completeFrom = max(t.completeFrom, b.End)
-	}
+	switch {
+	case b.Era == t.era:
+		if b.Snapshot && !t.loaded {
+			t.awaitLost(b)
+		}
 
-	if len(changes) > 0 {
-		t.latestUpdateAfter = t.syncedAt
+		changes = t.apply(b.Records)
+		if b.Snapshot {
+			changes = append(changes, t.deleteMissing(b)...)
+		}
+
+		t.end = max(t.end, b.End)
+		t.loaded = t.loaded || b.Snapshot
 
-		if t.changed != nil {
-			close(t.changed)
-			t.changed = nil
+		if b.Snapshot {
+			t.completeFrom = max(t.completeFrom, b.End)
+		}
+	case b.Era > t.era && b.Snapshot:
+		changes = t.beginEra(b)
+	default:
+		for _, r := range b.Records {
+			changes = append(changes, t.applyEarlier(r)...)
 		}
 	}
 
-	if b.AsOf.After(t.syncedAt) {
+	t.notify(changes)
+
+	if b.Era == t.era && b.AsOf.After(t.syncedAt) {
 		t.syncedAt = b.AsOf
 	}
 
 	t.pruneTombstones()
-	sort.Slice(changes, func(i, j int) bool { return changes[i].Offset < changes[j].Offset })
 
 	return changes
 }
 
-// apply stores the records that are newer than the stored ones and returns those that are
-// changes. The caller holds mu.
+// notify wakes those that wait for changes, and sorts the changes by position. The caller holds mu.
+func (t *Topic) notify(changes []Record) {
+	if len(changes) == 0 {
+		return
+	}
+
+	t.latestUpdateAfter = t.certainAt()
+
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+
+	slices.SortFunc(changes, func(a, b Record) int { return a.Position().Compare(b.Position()) })
+}
+
+// apply stores the records that are newer than the stored ones, and returns those that are changes. The
+// caller holds mu.
 func (t *Topic) apply(records []Record) []Record {
 	var changes []Record
 
 	for _, r := range records {
-		old, known := t.records[r.Key]
-		if known && old.Offset >= r.Offset {
-			continue
+		if r.Era < t.era {
+			changes = append(changes, t.applyEarlier(r)...)
+		} else if t.supersedes(r) && t.store(r) {
+			changes = append(changes, r)
 		}
+	}
 
-		if known && t.unchanged(old.Record, r) {
-			t.records[r.Key] = trackedRecord{r, old.changedOffset}
+	return changes
+}
 
-			continue
-		}
+// store stores a record in place of the key's present one, and reports whether it is a change. The caller
+// holds mu.
+func (t *Topic) store(r Record) (changed bool) {
+	old, known := t.records[r.Key]
+	x := trackedRecord{Record: r, changedOffset: r.Offset, latest: r}
 
-		if known && old.Deleted() {
-			t.tombstones--
-		}
+	if r.Deleted() {
+		x.latest = old.latest
+	}
 
-		if r.Deleted() {
-			t.tombstones++
+	if known && t.unchanged(old.Record, r) {
+		if old.Era == r.Era {
+			x.changedOffset = old.changedOffset
 		}
 
-		t.records[r.Key] = trackedRecord{r, r.Offset}
-		changes = append(changes, r)
+		t.records[r.Key] = x
+
+		return false
 	}
 
-	return changes
+	if known && old.Deleted() {
+		t.tombstones--
+	}
+
+	if r.Deleted() {
+		t.tombstones++
+	}
+
+	t.records[r.Key] = x
+
+	return true
 }
 
 // deleteMissing deletes the keys that are missing from a snapshot that is newer than their
@@ -168,20 +268,33 @@
 func (t *Topic) deleteMissing(b Batch) []Record {
 	present := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
-		present[r.Key] = true
+		present[r.Key] = !r.Deleted()
 	}
 
 	var deleted []Record
 
 	for key, r := range t.records {
-		if !present[key] && !r.Deleted() && r.Offset < b.End {
-			deleted = append(deleted, Record{Key: key, Offset: b.End - 1})
+		switch {
+		case present[key] || r.Deleted():
+		case t.mayDelete(r.Record, b):
+			deleted = append(deleted, Record{Key: key, Offset: b.End - 1, Era: b.Era})
+		case r.Era < b.Era && t.reset.unsettled:
+			t.expectAgain(r.Record)
 		}
 	}
 
 	return t.apply(deleted)
 }
 
+// mayDelete reports whether a record that is missing from a snapshot no longer exists. The caller holds mu.
+func (t *Topic) mayDelete(r Record, b Batch) bool {
+	if r.Era == b.Era {
+		return r.Offset < b.End
+	}
+
+	return r.Era < b.Era && !t.cfg.KeepLost && !t.reset.unsettled
+}
+
 // pruneTombstones removes the oldest tombstones once there are more than maxTombstones. The
 // caller holds mu.
 func (t *Topic) pruneTombstones() {
@@ -197,31 +310,39 @@
 		}
 	}
 
-	sort.Slice(tombstones, func(i, j int) bool { return tombstones[i].Offset < tombstones[j].Offset })
+	slices.SortFunc(tombstones, func(a, b Record) int { return a.Position().Compare(b.Position()) })
 
 	for _, r := range tombstones[:len(tombstones)-maxTombstones/2] {
 		delete(t.records, r.Key)
 		t.tombstones--
-		t.completeFrom = max(t.completeFrom, r.Offset+1)
+
+		if r.Era == t.era {
+			t.completeFrom = max(t.completeFrom, r.Offset+1)
+		}
 	}
 }
 
-// Since returns the records whose content changed at offset from or later, including tombstones. It
-// returns a snapshot if the topic doesn't know all deletions since that offset.
-func (t *Topic) Since(from int64) Batch {
+// Since returns the records whose content changed at a position or later in its era, including
+// tombstones. It returns a snapshot if the present era is another one, or if it doesn't know all
+// deletions since that position.
+func (t *Topic) Since(from Position) Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	all := from < t.completeFrom
-	b := Batch{End: t.end, AsOf: t.syncedAt, Snapshot: all && t.loaded}
+	all := from.Era != t.era || from.Offset < t.completeFrom || (from.Offset == 0 && t.end > 0)
+	b := Batch{End: t.end, Era: t.era, AsOf: t.syncedAt, Snapshot: all && t.loaded, Settled: !t.reset.unsettled}
 
-	for _, r := range t.records {
-		if all || r.changedOffset >= from {
+	for key, r := range t.records {
+		if _, missing := t.reset.pending[key]; missing {
+			continue // the log doesn't have it, as far as is known
+		}
+
+		if all || (r.Era == t.era && r.changedOffset >= from.Offset) {
 			b.Records = append(b.Records, r.Record)
 		}
 	}
 
-	sort.Slice(b.Records, func(i, j int) bool { return b.Records[i].Offset < b.Records[j].Offset })
+	slices.SortFunc(b.Records, func(a, b Record) int { return a.Position().Compare(b.Position()) })
 
 	return b
 }
@@ -248,12 +369,12 @@
 	return t.changed
 }
 
-// End returns the offset from which to continue reading.
-func (t *Topic) End() int64 {
+// End returns the position from which to continue reading.
+func (t *Topic) End() Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.end
+	return Position{t.era, t.end}
 }
 
 // Loaded reports whether a snapshot has been merged, so that continuing to read from End misses
@@ -275,7 +396,7 @@
 }
 
 // LatestUpdateAfter returns a time at which the records of the latest merged change were not yet
-// in the log: the value of SyncedAt before they were merged. It is zero if the topic had never
+// in the log: the value of CertainAt before they were merged. It is zero if the topic had never
 // been up to date before.
 func (t *Topic) LatestUpdateAfter() time.Time {
 	t.mu.Lock()
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -69,7 +69,7 @@
 func (r *Roster) addRegistration(l Listing) {
 	all := r.registrations[l.Address]
 	at, ok := slices.BinarySearchFunc(all, l.ID, func(reg registration, id string) int { return cmp.Compare(reg.id, id) })
-	reg := registration{l.ID, l.Service, l.Offset}
+	reg := registration{l.ID, l.Service, l.Era, l.Offset}
 
 	if ok {
 		all[at] = reg
@@ -103,7 +103,7 @@
 			continue
 		}
 
-		if best.id == "" || reg.offset >= best.offset {
+		if best.id == "" || !best.writtenAfter(reg) {
 			best = reg
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,6 +24,7 @@
 package roster
 
 import (
+	"cmp"
 	"sort"
 	"sync"
 	"time"
@@ -56,12 +57,13 @@
 	StartedMs int64
 	// ColdFor is the time until the target is warm after its start; zero when it is warm.
 	ColdFor time.Duration
-	// Offset is the entry's position in the register. Targets rewrite their entries
-	// regularly, so the entry with the highest offset is the latest.
-	Offset int64
+	// Era and Offset are the entry's position in the register. Targets rewrite their entries
+	// regularly, so the entry with the highest position is the latest. Offsets are comparable within an
+	// era, and a higher era is later.
+	Era, Offset int64
 }
 
-// equal reports whether l and o agree in everything but ID, DataCentre, ColdFor and Offset.
+// equal reports whether l and o agree in everything but ID, DataCentre, ColdFor and the position.
 func (l Listing) equal(o Listing) bool {
 	if l.Service != o.Service || l.Address != o.Address || l.Draining != o.Draining || l.Slots != o.Slots || l.StartedMs != o.StartedMs || len(l.Versions) != len(o.Versions) {
 		return false
@@ -247,7 +249,12 @@
 // are not configured come from other writers and are ignored.
 type registration struct {
 	id, service string
-	offset      int64
+	era, offset int64
+}
+
+// writtenAfter reports whether r was written after o.
+func (r registration) writtenAfter(o registration) bool {
+	return cmp.Or(cmp.Compare(r.era, o.era), cmp.Compare(r.offset, o.offset)) > 0
 }
 
 // maxTargets is the size of the table and of its candidate subset. It is large enough for
@@ -291,6 +298,14 @@
 	r.dropsDelayedUntil = now.Add(r.cfg.DropDelay)
 }
 
+// LogReset records that the log has returned from a copy. Drops are delayed as after an outage.
+func (r *Roster) LogReset(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.dropsDelayedUntil = now.Add(r.cfg.DropDelay)
+}
+
 // ObserveListing applies the register's entry for one target.
 func (r *Roster) ObserveListing(now time.Time, l Listing) {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -220,3 +220,34 @@
 		t.Error("got a ejected for good, want it tried again")
 	}
 }
+
+// Guards against the earlier of two targets at an address that goes on as the current one, because the log has
+// returned from a copy and gives out offsets again.
+func TestTargetListedInALaterEraTakesOverAddress(t *testing.T) {
+	r := newTestRoster()
+	older, newer := testListing("a", "10.0.0.1:80", 1), testListing("a2", "10.0.0.1:80", 1)
+	older.Era, older.Offset = 1, 90
+	newer.Era, newer.Offset = 2, 14
+	r.ObserveListing(at(0), older)
+	r.ObserveListing(at(0), newer)
+
+	if id, _ := r.ByAddress("10.0.0.1:80"); id != "a2" {
+		t.Errorf("got %q, want a2", id)
+	}
+}
+
+func TestDropAfterAResetOfTheLogIsDelayed(t *testing.T) {
+	r := newTestRoster()
+	r.LogReset(at(0))
+	r.ObserveRemoval(at(10), "a")
+
+	if _, ok := candidatesByID(r, at(20))["a"]; !ok {
+		t.Error("got a removed at once, want its removal delayed")
+	}
+
+	r.Tick(at(2300))
+
+	if _, ok := candidatesByID(r, at(2310))["a"]; ok {
+		t.Error("got a kept, want it removed after the delay")
+	}
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"boragehub/event"
+	"boragehub/mirror"
 	"boragehub/pause"
 )
 
@@ -74,9 +75,9 @@
 	StoreUpdates(ctx context.Context, peer string, positions []Position) ([]Update, error)
 	// Registered reads from the log which processes may use RegisteredGrace.
 	Registered(ctx context.Context) ([]string, error)
-	// Knows reports whether a process has read the operators' topic up to and including an
-	// offset.
-	Knows(ctx context.Context, peer string, offset int64) bool
+	// Knows reports whether a process has read the operators' topic up to and including a
+	// position.
+	Knows(ctx context.Context, peer string, at mirror.Position) bool
 }
 
 // WatcherConfig configures a Watcher.
@@ -195,9 +196,9 @@
 	}
 }
 
-// SetNewestVersion records that a version of a model is the newest, according to the record at an
-// offset of the operators' topic.
-func (w *Watcher) SetNewestVersion(now time.Time, model string, version, offset int64) {
+// SetNewestVersion records that a version of a model is the newest, according to the record at a
+// position of the operators' topic.
+func (w *Watcher) SetNewestVersion(now time.Time, model string, version int64, at mirror.Position) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -210,7 +211,7 @@
 	w.replaced[model] = all[max(0, len(all)-maxReplacements):]
 
 	if w.ctx != nil {
-		go w.confirmVersion(w.ctx, model, version, offset)
+		go w.confirmVersion(w.ctx, model, version, at)
 	}
 }
 
@@ -455,7 +456,7 @@
 
 // confirmVersion asks all registered processes until each knows a version, and then marks the
 // version as confirmed. It gives up after RegisteredGrace, when parts are freed regardless.
-func (w *Watcher) confirmVersion(ctx context.Context, model string, version, offset int64) {
+func (w *Watcher) confirmVersion(ctx context.Context, model string, version int64, at mirror.Position) {
 	ctx, cancel := context.WithTimeout(ctx, RegisteredGrace)
 	defer cancel()
 
@@ -469,7 +470,7 @@
 	}
 
 	for len(remaining) > 0 {
-		remaining = slices.DeleteFunc(remaining, func(peer string) bool { return w.cfg.Peers.Knows(ctx, peer, offset) })
+		remaining = slices.DeleteFunc(remaining, func(peer string) bool { return w.cfg.Peers.Knows(ctx, peer, at) })
 
 		if len(remaining) > 0 && !pause.For(ctx, versionPollInterval) {
 			return
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"boragehub/mirror"
 )
 
 // fakePeers are registered processes, each of which knows the newer version or does not.
@@ -49,7 +51,7 @@
 	return all, nil
 }
 
-func (p *fakePeers) Knows(_ context.Context, peer string, _ int64) bool {
+func (p *fakePeers) Knows(_ context.Context, peer string, _ mirror.Position) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -118,7 +120,7 @@
 
 // freedAfter runs a Watcher for 30 s and returns how long after the publication of a newer
 // version the old part was freed.
-func freedAfter(t *testing.T, peers *fakePeers, meanwhile func(), paused ...func(time.Time) bool) time.Duration {
+func freedAfter(t *testing.T, peers *fakePeers, meanwhile func(w *Watcher), paused ...func(time.Time) bool) time.Duration {
 	t.Helper()
 
 	var after time.Duration
@@ -141,10 +143,10 @@
 		time.Sleep(time.Second)
 
 		replacedAt := time.Now()
-		w.SetNewestVersion(replacedAt, "m", 2, 7)
+		w.SetNewestVersion(replacedAt, "m", 2, mirror.Position{Offset: 7})
 
 		if meanwhile != nil {
-			meanwhile()
+			meanwhile(w)
 		}
 
 		time.Sleep(30 * time.Second)
@@ -215,7 +217,7 @@
 
 func TestProcessThatAnswersLateIsAskedAgain(t *testing.T) {
 	peers := &fakePeers{knows: map[string]bool{"a": false}}
-	got := freedAfter(t, peers, func() {
+	got := freedAfter(t, peers, func(*Watcher) {
 		time.Sleep(10 * time.Second)
 		peers.set("a")
 	})
