exchange, vault, cmd: nothing that the log has lost counts as acknowledged

A log that returns from a copy has lost the registration; the entry isn't asked and goes on fetching. It may also have lost new weights that others know: the entry reads the log, finds none and takes itself to be up to date. Class: an acknowledged write is trusted for as long as the process lives.

Change: an entry registers again when the era rises and counts as unregistered until the log has accepted it. For 15 s after the rise no answers of registered entries free contexts earlier, and a list of a later era than the process knows isn't used. Until what was lost is written again, entries don't count as knowing the newest weights; nor does one that has just started, unless it is told by an entry that does.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -99,14 +99,14 @@
 	})
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
-		Directory: directory, Source: platformClient, Peers: storePeers{e.client, e.registration, cfg.PeerAddress}, Log: log,
+		Directory: directory, Source: platformClient, Peers: storePeers{e.client, e.registration, operators, cfg.PeerAddress}, Log: log,
 		Rank:         func(address string) int { return members.Rank(time.Now(), address) },
 		EnginePaused: e.roster.AnyPaused,
 	})
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
 		Holder: cfg.VM, Rollout: loader.RolloutConfig{MaxDuration: cfg.Bounds.VersionDeadline}, Engine: platformClient, Entries: e, Fleet: e.roster,
-		Ring: members, VersionsSyncedAt: operators.SyncedAt, Log: log,
+		Ring: members, VersionsSyncedAt: operators.CertainAt, Log: log,
 	})
 
 	meter := metrics.New(e.registry, metrics.Gauges{
@@ -131,7 +131,7 @@
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
 		HoldUntil: time.Now().Add(startupWindow), UnreadBytes: unreadBytes(cfg), Claims: &e.claims, Meter: meter, Log: log,
-	}, operators.SyncedAt, e.registration.RegisteredAt)
+	}, operators.CertainAt, e.registration.RegisteredAt)
 
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
@@ -161,7 +161,7 @@
 	e.followers = []*mirror.Follower{
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client, Relay: e.client,
-			LoadWait: e.loadWait(), Wait: operatorReadWait, OnChanges: publications.Handle, Log: e.log,
+			LoadWait: e.loadWait(), Wait: operatorReadWait, OnChanges: publications.Handle, OnReset: e.onOperatorReset, Log: e.log,
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client, Relay: e.client,
@@ -218,6 +218,13 @@
 	e.watcher.Configure(stores)
 }
 
+// onOperatorReset handles that the log has returned from a copy: it may have lost this entry's registration
+// and those of others.
+func (e *gatewayProcess) onOperatorReset(now time.Time) {
+	e.watcher.LogReset(now)
+	e.registration.Renew()
+}
+
 // onReport handles a side process's load report.
 func (e *gatewayProcess) onReport(now time.Time, p pulse.Report) {
 	e.directory.SetClock(now, p.Clock)
@@ -296,12 +303,21 @@
 type storePeers struct {
 	*exchange.Client
 	registration *exchange.Registration
+	operators    *mirror.Topic
 	self         string
 }
 
+// errResetUnknown is returned while this process doesn't know that the log has returned from a copy.
+var errResetUnknown = errors.New("the log has returned from a copy")
+
 // Registered reads from the log the addresses of all other registered entries.
 func (p storePeers) Registered(ctx context.Context) ([]string, error) {
-	return p.registration.Addresses(ctx, p.self)
+	all, era, err := p.registration.Addresses(ctx, p.self)
+	if err == nil && era != p.operators.End().Era {
+		return nil, errResetUnknown
+	}
+
+	return all, err
 }
 
 // Knows reports whether an entry has read the operators' topic up to a position.
--- a/mirror/exchange/registration.go
+++ b/mirror/exchange/registration.go
@@ -65,6 +65,7 @@
 type Registration struct {
 	cfg   RegistrationConfig
 	since atomic.Pointer[time.Time]
+	renew chan struct{} // holds a value after Renew
 
 	mu    sync.Mutex
 	batch *registrationBatch // collects registrations; nil if there are none
@@ -78,18 +79,31 @@
 }
 
 // NewRegistration returns a Registration with the given configuration.
-func NewRegistration(cfg RegistrationConfig) *Registration { return &Registration{cfg: cfg} }
+func NewRegistration(cfg RegistrationConfig) *Registration {
+	return &Registration{cfg: cfg, renew: make(chan struct{}, 1)}
+}
 
-// Run writes the entry's address under its name, and retries until the log has accepted it. The
-// first attempt goes through a registrar, which keeps the number of calls to the log from growing
-// with the fleet. Retries call the log directly.
+// Run writes the entry's address under its name, again after each Renew, until ctx ends. It retries until
+// the log has accepted it. The first attempt goes through a registrar, which keeps the number of calls to
+// the log from growing with the fleet. Retries call the log directly.
 func (r *Registration) Run(ctx context.Context, name, address string) {
+	for ctx.Err() == nil {
+		r.run(ctx, name, address)
+
+		select {
+		case <-r.renew:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// run registers the entry once.
+func (r *Registration) run(ctx context.Context, name, address string) {
 	entry := Registrant{Name: name, Address: address}
 
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		if err := r.register(ctx, entry, attempt == 0); err == nil {
-			now := time.Now()
-			r.since.Store(&now)
+			r.accept(time.Now())
 			event.Log(r.cfg.Logger, event.EntryRegistered, "name", name, "address", address)
 
 			return
@@ -101,6 +115,30 @@
 	}
 }
 
+// accept records that the log has accepted the entry's address, unless Renew was called meanwhile.
+func (r *Registration) accept(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if len(r.renew) == 0 {
+		r.since.Store(&now)
+	}
+}
+
+// Renew has the entry registered again, because the log may have lost its address. Until the log has
+// accepted it, the entry counts as not registered.
+func (r *Registration) Renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.since.Store(nil)
+
+	select {
+	case r.renew <- struct{}{}:
+	default:
+	}
+}
+
 // register makes one attempt, through a registrar if delegate is set and peers are configured.
 func (r *Registration) register(ctx context.Context, entry Registrant, delegate bool) error {
 	if !delegate || r.cfg.Peers == nil {
@@ -175,23 +213,21 @@
 }
 
 // Addresses reads the addresses of all entries ever registered from the log, without self. For
-// each name it returns the latest address.
-func (r *Registration) Addresses(ctx context.Context, self string) ([]string, error) {
+// each name it returns the latest address. Era is the era of the log that it was read in.
+func (r *Registration) Addresses(ctx context.Context, self string) (all []string, era int64, err error) {
 	c, cancel := context.WithTimeout(ctx, registrationTimeout)
 	defer cancel()
 
 	b, err := r.cfg.Log.Newest(c, r.cfg.Topic)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 
-	var all []string
-
 	for _, x := range b.Records {
 		if a := string(x.Value); a != self {
 			all = append(all, a)
 		}
 	}
 
-	return all, nil
+	return all, b.Era, nil
 }
--- a/mirror/exchange/registration_test.go
+++ b/mirror/exchange/registration_test.go
@@ -119,7 +119,7 @@
 				for i, a := range addresses {
 					wg.Go(func() {
 						time.Sleep(startWindow * time.Duration(i) / time.Duration(tt.entries))
-						fleet[a].Run(t.Context(), a, a)
+						fleet[a].run(t.Context(), a, a)
 					})
 				}
 
@@ -172,3 +172,43 @@
 		wg.Wait()
 	})
 }
+
+// Guards against an entry that relies on its registration after the log has lost it: others would free
+// contexts without asking it.
+func TestEntryRegistersAgainAfterAReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := &registrationLog{keys: make(map[string]bool)}
+		r := NewRegistration(RegistrationConfig{Log: log, Topic: "entries", Logger: logr.Discard()})
+
+		var running sync.WaitGroup
+
+		running.Go(func() { r.Run(ctx, "a", "a") })
+
+		defer running.Wait()
+		defer cancel()
+
+		synctest.Wait()
+
+		if !log.keys["a"] || r.RegisteredAt().IsZero() {
+			t.Fatalf("got the entry registered %v, want it registered", log.keys["a"])
+		}
+
+		clear(log.keys)
+		log.down = true
+		r.Renew()
+		synctest.Wait()
+
+		if got := r.RegisteredAt(); !got.IsZero() {
+			t.Errorf("after the loss: got the entry registered at %v, want not yet", got)
+		}
+
+		log.down = false
+
+		time.Sleep(2 * registrationTimeout)
+
+		if !log.keys["a"] || r.RegisteredAt().IsZero() {
+			t.Error("got the entry not registered again")
+		}
+	})
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -73,7 +73,8 @@
 	Watchers() (others []string, self bool)
 	// StoreUpdates requests a process's updates since the positions.
 	StoreUpdates(ctx context.Context, peer string, positions []Position) ([]Update, error)
-	// Registered reads from the log which processes may use RegisteredGrace.
+	// Registered reads from the log which processes may use RegisteredGrace. Its error is not nil if
+	// this process doesn't know yet that the log has returned from a copy, see Watcher.LogReset.
 	Registered(ctx context.Context) ([]string, error)
 	// Knows reports whether a process has read the operators' topic up to and including a
 	// position.
@@ -124,6 +125,7 @@
 	replaced map[string][]replacement      // by model, oldest version first
 	reported map[string]bool               // addresses of the stores that another process reported
 	changed  chan struct{}                 // signals that Configure was called
+	resetAt  time.Time                     // when LogReset was last called; zero for never
 
 	// Only the pollPeers goroutine may use these.
 	peerFailedAt    map[string]time.Time // last failures to respond, by process
@@ -196,6 +198,16 @@
 	}
 }
 
+// LogReset records that the log has returned from a copy, and may have lost which processes are
+// registered. One that has not learned of it may fetch for RegisteredGrace, so until then no answer of the
+// registered processes frees parts earlier.
+func (w *Watcher) LogReset(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.resetAt = now
+}
+
 // SetNewestVersion records that a version of a model is the newest, according to the record at a
 // position of the operators' topic.
 func (w *Watcher) SetNewestVersion(now time.Time, model string, version int64, at mirror.Position) {
@@ -477,14 +489,19 @@
 		}
 	}
 
-	w.markConfirmed(model, version)
+	w.markConfirmed(time.Now(), model, version)
 }
 
-// markConfirmed records that all registered processes know a version.
-func (w *Watcher) markConfirmed(model string, version int64) {
+// markConfirmed records that all registered processes know a version, unless the log may have lost some of
+// them.
+func (w *Watcher) markConfirmed(now time.Time, model string, version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	if !w.resetAt.IsZero() && now.Sub(w.resetAt) < RegisteredGrace {
+		return
+	}
+
 	for i := range w.replaced[model] {
 		if w.replaced[model][i].version == version {
 			w.replaced[model][i].confirmed = true
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -234,3 +234,27 @@
 		t.Errorf("got the part freed after %v, want %v", got, want)
 	}
 }
+
+// Guards against freeing a part that an entry still fetches, which isn't asked because the log has lost its
+// registration.
+func TestLostRegistrationsConfirmNothing(t *testing.T) {
+	tests := []struct {
+		name  string
+		reset time.Duration // how long ago the log returned from a copy
+		want  bool          // whether the responses of the registered processes count
+	}{
+		{"just before", 0, false},
+		{"a while ago", RegisteredGrace - time.Second, false},
+		{"long ago", RegisteredGrace + time.Second, true},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true}}, func(w *Watcher) { w.LogReset(time.Now().Add(-tt.reset)) })
+
+			if want := oldPart.FreeAfter(tt.want); got < want || got > want+2*sweepInterval {
+				t.Errorf("got the part freed after %v, want %v", got, want)
+			}
+		})
+	}
+}
