--- a/journal/client.go
+++ b/journal/client.go
@@ -52,6 +52,8 @@
 type Client struct {
 	cfg      ClientConfig
 	timeouts atomic.Int32
+	era      atomic.Int64 // of the first response that bore one; zero before
+	eraRose  atomic.Bool
 }
 
 // NewClient returns a Client for cfg.
@@ -132,6 +134,8 @@
 	}
 
 	switch {
+	case err == nil && status == http.StatusOK && response.Next < from:
+		return Batch{}, failure.New(failure.LogUnavailable, "stream %s ends at %d and was read up to %d: the log has lost records", stream, response.Next, from)
 	case err != nil:
 		return Batch{}, failure.Wrap(failure.LogUnavailable, err, "the log's response to a read is incomplete")
 	case status == http.StatusGone:
@@ -171,7 +175,7 @@
 	if err == nil {
 		c.timeouts.Store(0)
 
-		return status, b, nil
+		return status, b, c.checkEra()
 	}
 
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -200,11 +204,40 @@
 
 	defer func() { _ = response.Body.Close() }()
 
+	c.observeEra(response.Header)
+
 	b, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 
 	return response.StatusCode, b, err
 }
 
+// eraHeader is the header of the log's responses that bears its era, which rises when the log returns from
+// an older copy.
+const eraHeader = "Log-Era"
+
+var errEraRose = errors.New("the log has returned from a copy and lost acknowledged records")
+
+// observeEra records the log's era, if a response bears it.
+func (c *Client) observeEra(h http.Header) {
+	era, err := strconv.ParseInt(h.Get(eraHeader), 10, 64)
+	if err != nil || era <= 0 || c.era.CompareAndSwap(0, era) || c.era.Load() == era {
+		return
+	}
+
+	c.eraRose.Store(true)
+}
+
+// checkEra returns an error once the log has returned from a copy since the Client's first call. What was
+// read before may be lost, and its offsets name other records: no read is up to date from then on, and the
+// outcome of an append is unknown, until the process is started again.
+func (c *Client) checkEra() error {
+	if c.eraRose.Load() {
+		return errEraRose
+	}
+
+	return nil
+}
+
 // timeout returns the timeout of the next call: it doubles with each call that
 // timed out since the last response.
 func (c *Client) timeout() time.Duration {
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -91,6 +92,7 @@
 	limiter *rate.Limiter
 	rng     *rand.Rand
 	streams map[string]*stream
+	era     int64
 }
 
 // New returns a Server with no streams.
@@ -99,6 +101,7 @@
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 		streams: map[string]*stream{},
+		era:     1,
 	}
 	s.BaseServer = standin.New(standin.Config[Faults]{Faults: cfg.Faults, OnFaultsPosted: s.applyFaults, AddRoutes: s.routes})
 	s.applyFaults(cfg.Faults)
@@ -140,9 +143,34 @@
 	return s.limiter.Allow()
 }
 
+// Restore returns all streams to the given next offsets, as a log that returns from a copy does, and begins a
+// new era.
+func (s *Server) Restore(next map[string]uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for name, st := range s.streams {
+		kept := max(next[name], st.first) - st.first
+		st.records = st.records[:min(kept, uint64(len(st.records)))]
+		close(st.appended)
+		st.appended = make(chan struct{})
+	}
+
+	s.era++
+}
+
+// setEra sets the era on a response.
+func (s *Server) setEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	w.Header().Set("Log-Era", strconv.FormatInt(s.era, 10))
+}
+
 // checkAvailable delays the request, and writes a 503 and returns false if the service is down.
 func (s *Server) checkAvailable(w http.ResponseWriter) bool {
 	time.Sleep(standin.Milliseconds(s.Faults().DelayMS))
+	s.setEra(w)
 
 	if s.Faults().Down {
 		standin.WriteError(w, http.StatusServiceUnavailable, "down", "the log service is unavailable")
@@ -257,7 +285,9 @@
 		}
 
 		if len(p.Records) > 0 || ctx.Err() != nil || s.Faults().Down {
+			s.setEra(w)
 			standin.WriteJSON(w, http.StatusOK, p)
+
 			return
 		}
 
