--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -72,20 +72,6 @@
 	return t.awaitUnlessQuarantined(ctx, func(ctx context.Context) (choice, error) { return t.awaitAdmission(ctx, q, p, lastErr) })
 }
 
-// awaitUnlessQuarantined calls a function that waits for a target. It ends the wait when the request is
-// quarantined.
-func (t *task) awaitUnlessQuarantined(ctx context.Context, await func(ctx context.Context) (choice, error)) (choice, error) {
-	ctx, stop := t.g.crashes.watch(ctx, t.fingerprint)
-	defer stop()
-
-	c, err := await(ctx)
-	if err != nil && errors.Is(context.Cause(ctx), errQuarantined) {
-		err = t.checkQuarantine(time.Now())
-	}
-
-	return c, err
-}
-
 // admissionPrompt describes the prompt to its admission queue.
 func (t *task) admissionPrompt(now time.Time, q *admissionQueue) admission.Prompt {
 	p := admission.Prompt{
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -366,23 +366,6 @@
 	return upstream.Refused(t.g.cfg.Pool.Connect(ctx, c.engine.Address))
 }
 
-// awaitReport waits until the other entries know that the target of a request has ended, for at most
-// reportWait.
-func awaitReport(ctx context.Context, reported <-chan struct{}) {
-	if reported == nil {
-		return
-	}
-
-	timer := time.NewTimer(reportWait)
-	defer timer.Stop()
-
-	select {
-	case <-reported:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // abortCallerLeft ends the request of a caller that closed its connection or reads nothing.
 func (t *task) abortCallerLeft(cause error) {
 	event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "after_ms", time.Since(t.began).Milliseconds(), "cause", cause.Error())
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -252,114 +251,6 @@
 	return d.startReport(s, x)
 }
 
-// startReport has the requests counted for a start reported to the other entries. The caller holds mu.
-func (d *crashDetector) startReport(s targetStart, x *observedStart) (reported <-chan struct{}) {
-	if d.report == nil {
-		return nil
-	}
-
-	if x.unreported == nil {
-		x.unreported = make(chan struct{})
-	}
-
-	if !x.reporting {
-		x.reporting = true
-
-		go d.reportToEntries(s, x)
-	}
-
-	return x.unreported
-}
-
-// recordCrash records a crash and ends the wait of the requests that are quarantined as a result. The
-// caller holds mu.
-func (d *crashDetector) recordCrash(now time.Time, c quarantine.Crash) {
-	for _, f := range d.tracker.RecordCrash(now, c) {
-		event.Log(d.log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
-
-		for cancel := range d.watchers[f] {
-			(*cancel)(errQuarantined)
-		}
-	}
-}
-
-// reportToEntries reports to the other entries which requests of this one were running on a target when it
-// ended. Requests that break meanwhile are reported together.
-func (d *crashDetector) reportToEntries(s targetStart, x *observedStart) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	for x.unreported != nil {
-		c := quarantine.Crash{Target: s.id, Boot: s.boot, At: time.Now(), Running: slices.Clone(x.counted)}
-		done := x.unreported
-		x.unreported = nil
-
-		d.mu.Unlock()
-		d.report(c)
-		d.mu.Lock()
-		close(done)
-	}
-
-	x.reporting = false
-}
-
-// addReported adds a crash that another entry reported. Requests that broke here were on the target
-// as well.
-func (d *crashDetector) addReported(now time.Time, c quarantine.Crash) {
-	c.At = now // by this process's clock
-
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	event.Log(d.log, event.CrashReported, "target", c.Target, "requests", len(c.Running))
-	d.recordCrash(now, c)
-
-	s := targetStart{c.Target, c.Boot}
-	x := d.state(s)
-	x.endedAt = now
-	d.count(now, s, x, basisReport)
-}
-
-// watch returns a context that ends with the cause errQuarantined when a request is quarantined. The
-// caller must call stop.
-func (d *crashDetector) watch(ctx context.Context, f quarantine.Fingerprint) (watched context.Context, stop func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	key := &cancel
-
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	if d.watchers[f] == nil {
-		d.watchers[f] = make(map[*context.CancelCauseFunc]struct{})
-	}
-
-	d.watchers[f][key] = struct{}{}
-
-	return ctx, func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-
-		delete(d.watchers[f], key)
-
-		if len(d.watchers[f]) == 0 {
-			delete(d.watchers, f)
-		}
-
-		cancel(nil)
-	}
-}
-
-// AddReportedCrash adds a target's crash that another entry reported.
-func (g *Gateway) AddReportedCrash(now time.Time, c quarantine.Crash) { g.crashes.addReported(now, c) }
-
-// AddKnownCrash adds a target's crash that another entry knew before.
-func (g *Gateway) AddKnownCrash(now time.Time, c quarantine.Crash) {
-	g.crashes.mu.Lock()
-	defer g.crashes.mu.Unlock()
-
-	g.crashes.recordCrash(now, c)
-}
-
 // TargetEnded records that a start of a target has ended.
 func (g *Gateway) TargetEnded(now time.Time, e roster.Ended) {
 	basis := basisDropped
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -182,21 +182,6 @@
 	t.deadline = now.Add(timeout)
 }
 
-// errQuarantined is why the wait of a request ends that is quarantined meanwhile.
-var errQuarantined = errors.New("the request is quarantined")
-
-// checkQuarantine returns an error if the request is quarantined because targets ended while they ran
-// it.
-func (t *task) checkQuarantine(now time.Time) error {
-	if t.fingerprint == (quarantine.Fingerprint{}) {
-		t.fingerprint = quarantine.FingerprintOf(t.organisationName(), append([]byte(t.r.URL.Path+"\n"), t.body...))
-	}
-
-	_, err := t.g.cfg.Crashes.Check(now, t.fingerprint)
-
-	return err
-}
-
 // profile returns the profile of the engines of the request's service.
 func (t *task) profile() *profile.Service { return t.g.profiles.forService(t.service.Name) }
 
