--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -77,20 +77,7 @@
 		return Batch{}, errDown
 	}
 
-	b := Batch{Snapshot: true, End: int64(len(l.records)), Era: l.era}
-	newest := map[string]Record{}
-
-	for _, r := range l.records {
-		newest[r.Key] = r
-	}
-
-	for _, r := range newest {
-		if !r.Deleted() {
-			b.Records = append(b.Records, r)
-		}
-	}
-
-	return b, nil
+	return Batch{Records: existing(l.records), Snapshot: true, End: int64(len(l.records)), Era: l.era}, nil
 }
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Batch, error) {
--- a/mirror/reset_test.go
+++ b/mirror/reset_test.go
@@ -84,20 +84,25 @@
 }
 
 func (l *resettingLog) snapshot() Batch {
-	b := Batch{Snapshot: true, Era: l.era, End: int64(len(l.records)), AsOf: l.now}
-	newest := map[string]Record{}
+	return Batch{Records: existing(l.records), Snapshot: true, Era: l.era, End: int64(len(l.records)), AsOf: l.now}
+}
 
-	for _, r := range l.records {
+// existing returns the newest record of each key that exists after some records.
+func existing(records []Record) []Record {
+	newest := map[string]Record{}
+	for _, r := range records {
 		newest[r.Key] = r
 	}
 
+	var all []Record
+
 	for _, r := range newest {
 		if !r.Deleted() {
-			b.Records = append(b.Records, r)
+			all = append(all, r)
 		}
 	}
 
-	return b
+	return all
 }
 
 // read makes one read of the log, as a Follower does.
