--- a/mirror/exchange/registration_test.go
+++ b/mirror/exchange/registration_test.go
@@ -43,6 +43,29 @@
 	return nil
 }
 
+// has reports whether an entry is registered.
+func (l *registrationLog) has(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.keys[name]
+}
+
+// lose makes the log lose all registrations.
+func (l *registrationLog) lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	clear(l.keys)
+}
+
+func (l *registrationLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.down = down
+}
+
 // fakeRegistrationPeers calls the Registration of other entries without a network.
 type fakeRegistrationPeers struct {
 	members *Members
@@ -190,12 +213,12 @@
 
 		synctest.Wait()
 
-		if !log.keys["a"] || r.RegisteredAt().IsZero() {
-			t.Fatalf("got the entry registered %v, want it registered", log.keys["a"])
+		if !log.has("a") || r.RegisteredAt().IsZero() {
+			t.Fatal("got the entry not registered, want it registered")
 		}
 
-		clear(log.keys)
-		log.down = true
+		log.lose()
+		log.setDown(true)
 		r.Renew()
 		synctest.Wait()
 
@@ -203,11 +226,11 @@
 			t.Errorf("after the loss: got the entry registered at %v, want not yet", got)
 		}
 
-		log.down = false
+		log.setDown(false)
 
 		time.Sleep(2 * registrationTimeout)
 
-		if !log.keys["a"] || r.RegisteredAt().IsZero() {
+		if !log.has("a") || r.RegisteredAt().IsZero() {
 			t.Error("got the entry not registered again")
 		}
 	})
