gateway: 2301 and 2303 tell the framing of a target's response and where it ended

Callers got streams that were cut off as complete ones, and the lines of these requests say only that they were served. 2301 request_served and 2303 attempt_failed now have `framing` (length, chunked, close, none), `bytes`, and `unfinished_bytes`: how many bytes came after the last complete event.

No logic has changed.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -15,9 +15,9 @@
 // Events of the gateway: requests routed by host and path.
 var (
 	AttemptSent         = register(2300, "attempt_sent", "A request is sent to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age.")
-	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`, `target_ms` (its latency target, 0 for none).")
+	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`, `target_ms` (its latency target, 0 for none), `framing` (how the target told the end of its body: `length`, `chunked`, `close` for the end of its connection, `none` without a response), `bytes` of that body, `unfinished_bytes` (how many of them came after the last complete event of a stream).")
 	RequestGivenUp      = register(2302, "request_given_up", "A request got an error from this entry: `request_id`, `route`, `kind`, `status`, `fingerprint`, `retry_after_ms`, `ran`, `attempts`.")
-	AttemptFailed       = register(2303, "attempt_failed", "An attempt did not yield a complete response: `request_id`, `target`, `attempt`, `outcome`, `ran`, `fingerprint`, `retry_after_ms` (for how long the target wants nothing from this entry).")
+	AttemptFailed       = register(2303, "attempt_failed", "An attempt did not yield a complete response: `request_id`, `target`, `attempt`, `outcome`, `ran`, `fingerprint`, `retry_after_ms` (for how long the target wants nothing from this entry), `framing`, `bytes` and `unfinished_bytes` (as in `request_served`), `cause`.")
 	CallerLeft          = register(2304, "caller_left", "A caller closed its connection before the response was complete, or did not read it in time (`cause`); the target's work was cancelled.")
 	StreamResumed       = register(2305, "stream_resumed", "A stream continues on another target: `request_id`, `target`, `after_id`.")
 	RoomAwaited         = register(2306, "room_awaited", "A long prompt waited for an engine with free capacity: `request_id`, `waited_ms`, `waiting`.")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -180,7 +180,7 @@
 		t.profile().ObservePrompt(c.prefillTokens, c.memoryTokens, t.route.LatencyTarget)
 	}
 
-	t.sentAt = now
+	t.sentAt, t.received = now, receivedBody{}
 	t.g.drain.sent(now, t, c.engine.ID)
 
 	recordSent := t.g.cfg.Roster.Sent
@@ -231,7 +231,8 @@
 	}
 
 	event.Log(t.g.cfg.Log, event.AttemptFailed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
-		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "fingerprint", t.fingerprint.String(), "retry_after_ms", o.retryAfter.Milliseconds(), "cause", text, "after_ms", time.Since(t.began).Milliseconds())
+		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "fingerprint", t.fingerprint.String(), "retry_after_ms", o.retryAfter.Milliseconds(),
+		"framing", t.received.framing.String(), "bytes", t.received.bytes, "unfinished_bytes", t.received.unfinished, "cause", text, "after_ms", time.Since(t.began).Milliseconds())
 
 	if t.g.cfg.Meter != nil {
 		t.g.cfg.Meter.Failed(o.kind.String())
@@ -249,6 +250,7 @@
 	defer x.Close()
 
 	a := d.ParseResponse(x.Header())
+	t.received.framing = x.Framing()
 	t.recordHead(c, x.Status(), a)
 
 	switch {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -45,6 +45,8 @@
 // readResponse reads a response to its end before any of it goes to the caller.
 func (t *task) readResponse(ctx context.Context, c choice, x *upstream.Exchange, a ResponseHead) outcome {
 	body, err := io.ReadAll(io.LimitReader(x, maxResponseBytes+1))
+	t.received.bytes = len(body)
+
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLong
 	}
@@ -156,5 +158,5 @@
 
 	event.Log(t.g.cfg.Log, event.RequestServed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
 		"status", status, "first_ms", first.Sub(t.began).Milliseconds(), "total_ms", total.Milliseconds(), "attempts", t.attempts,
-		"target_ms", t.route.LatencyTarget.Milliseconds())
+		"target_ms", t.route.LatencyTarget.Milliseconds(), "framing", t.received.framing.String(), "bytes", t.received.bytes, "unfinished_bytes", t.received.unfinished)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,6 +68,8 @@
 
 	for {
 		n, err := reader.Read(buf)
+		t.received.bytes += n
+
 		if n > 0 {
 			t.g.cfg.Roster.ObserveAnswer(time.Now(), c.engine.ID)
 			t.startRoom(c)
@@ -76,6 +78,8 @@
 		pending = append(pending, buf[:n]...)
 
 		end := eventsEnd(pending)
+		t.received.unfinished = len(pending) - end
+
 		if errors.Is(err, io.EOF) {
 			end = len(pending)
 		}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -15,6 +15,7 @@
 	"boragehub/profile"
 	"boragehub/quarantine"
 	"boragehub/site"
+	"boragehub/upstream"
 )
 
 // task is the handling of one request.
@@ -41,11 +42,20 @@
 	noRoom         map[string]bool // ids of the targets that denied a claim in this round of decisions
 	stream         stream
 	inFlight       *inFlightAttempt // the present attempt
+	received       receivedBody     // what it has received
 	sentAt         time.Time        // when it was sent
 	admission      *admissionTurn   // while it has the turn in its admission queue; nil otherwise
 	lastEventAfter atomic.Int64     // when the last event was sent, in ns after began
 }
 
+// receivedBody is what was received of the body of a target's response, for the log.
+type receivedBody struct {
+	framing upstream.Framing
+	bytes   int
+	// unfinished is the number of bytes behind the last complete event of a stream.
+	unfinished int
+}
+
 // Limits on reading requests.
 const (
 	// defaultMaxBodyBytes applies if the configuration sets no limit.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -140,7 +140,7 @@
 // discard reads the body of a response to another request. After a close-delimited body
 // no further response can follow.
 func discard(resp *http.Response) error {
-	if closeDelimited(resp) {
+	if framingOf(resp) == CloseFraming {
 		return errMismatched
 	}
 
@@ -149,14 +149,12 @@
 	return err
 }
 
-// closeDelimited reports whether the body ends only when the connection is closed.
-func closeDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // Status returns the response's status code.
 func (x *Exchange) Status() int { return x.resp.StatusCode }
 
+// Framing returns how the response tells where its body ends.
+func (x *Exchange) Framing() Framing { return framingOf(x.resp) }
+
 // Header returns the response's header.
 func (x *Exchange) Header() http.Header { return x.resp.Header }
 
@@ -197,7 +195,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if !x.complete || x.failed || x.resp.Close || closeDelimited(x.resp) || x.conn.br.Buffered() > 0 {
+	if !x.complete || x.failed || x.resp.Close || x.Framing() == CloseFraming || x.conn.br.Buffered() > 0 {
 		return false
 	}
 
