gateway: failing tests of streams that are broken off inside an event

These tests break streams off in all three framings, with each end of line that the SSE specification allows, on routes that may be resumed and others; they check what the caller sees, what is logged and measured, and what counts for the target.

--- /dev/null
+++ b/gateway/broken_stream_test.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+)
+
+// closeHead is the head of a stream that ends with its connection.
+const closeHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// lengthHead returns the head of a stream with a length.
+func lengthHead(length int) string {
+	return "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Type: text/event-stream\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+}
+
+// framings are the ways in which a target tells that a body has ended.
+var framings = []struct {
+	name  string
+	frame func(body string) string
+}{
+	{"close", func(body string) string { return closeHead + body }},
+	{"chunked", func(body string) string { return streamHead + chunk(body) + streamEnd }},
+	{"length", func(body string) string { return lengthHead(len(body)) + body }},
+}
+
+// lineEnds are the ends of lines that the SSE specification allows.
+var lineEnds = []struct{ name, text string }{{"LF", "\n"}, {"CRLF", "\r\n"}, {"CR", "\r"}}
+
+// respondAndReset writes a text and resets the connection.
+func respondAndReset(text string) behaviour {
+	return func(c net.Conn, r *http.Request) bool {
+		respond(text)(c, r)
+
+		_ = c.(*net.TCPConn).SetLinger(0)
+
+		return false
+	}
+}
+
+// firstThen returns the behaviour of both targets of an env: the first request gets the first response
+// of the two, all others get the second one.
+func firstThen(first, others behaviour) behaviour {
+	pending := make(chan struct{}, 1)
+	pending <- struct{}{}
+
+	return func(c net.Conn, r *http.Request) bool {
+		select {
+		case <-pending:
+			return first(c, r)
+		default:
+			return others(c, r)
+		}
+	}
+}
+
+// Guards against a stream that its target broke off inside an event and that looks complete, because the
+// connection was closed in order or the framing was completed.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	cuts := []struct{ name, third string }{
+		{"in the id", "id: 3"},
+		{"in the data", "id: 3\ndata: tok"},
+		{"behind a line", "id: 3\n"},
+		{"before the empty line", "id: 3\ndata: token3\n"},
+	}
+
+	for _, f := range framings {
+		for _, e := range lineEnds {
+			for _, cut := range cuts {
+				t.Run(f.name+" "+e.name+" "+cut.name, func(t *testing.T) {
+					lines := func(text string) string { return strings.ReplaceAll(text, "\n", e.text) }
+					whole := lines(eventText(1) + eventText(2))
+					broken := respondAndClose(f.frame(whole + lines(cut.third)))
+
+					env := newTestEnv(t, newFakeEngine(t, "a", broken), newFakeEngine(t, "b", broken))
+
+					got := env.request(t, http.MethodGet, "/stream/1", "")
+					if got.err == nil || got.body != whole {
+						t.Errorf("got %q, %v, want a broken connection behind %q", got.body, got.err, whole)
+					}
+
+					either := firstThen(broken, func(c net.Conn, r *http.Request) bool {
+						if got := r.Header.Get("After"); got != "2" {
+							t.Errorf("got stream resumed after %q, want 2", got)
+						}
+
+						return respondAndClose(f.frame(lines(eventText(3) + eventText(4))))(c, r)
+					})
+					env = newTestEnv(t, newFakeEngine(t, "a", either), newFakeEngine(t, "b", either))
+
+					got = env.request(t, http.MethodGet, "/resume/1", "")
+					if want := whole + lines(eventText(3)+eventText(4)); got.err != nil || got.body != want {
+						t.Errorf("got %q, %v, want %q", got.body, got.err, want)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a whole stream that counts as broken, or loses bytes, because of its framing, the ends of
+// its lines or what stands behind its last event.
+func TestWholeStreamStaysWhole(t *testing.T) {
+	bodies := []struct{ name, text string }{
+		{"events", eventText(1) + eventText(2)},
+		{"one event", eventText(1)},
+		{"several lines of data", "id: 1\ndata: a\ndata: b\n\n" + "event: end\nid: 2\ndata\n\n"},
+		{"event without an id", "data: a\n\n" + eventText(2)},
+		{"comment at the end", eventText(1) + ": kept alive\n"},
+		{"empty lines at the end", eventText(1) + "\n\n"},
+	}
+
+	for _, f := range framings {
+		for _, e := range lineEnds {
+			for _, b := range bodies {
+				t.Run(f.name+" "+e.name+" "+b.name, func(t *testing.T) {
+					want := strings.ReplaceAll(b.text, "\n", e.text)
+					engine := newFakeEngine(t, "a", respondAndClose(f.frame(want)))
+					env := newTestEnv(t, engine, newFakeEngine(t, "b", respondAndClose(f.frame(want))))
+
+					got := env.request(t, http.MethodGet, "/resume/1", "")
+					if got.err != nil || got.body != want || got.status != http.StatusOK {
+						t.Errorf("got %d %q, %v, want %q", got.status, got.body, got.err, want)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A target breaks off before its first event. Guards against an empty stream that looks complete.
+func TestStreamWithoutAnEventThatEndsWithItsConnectionIsBroken(t *testing.T) {
+	broken := respondAndClose(closeHead)
+	env := newTestEnv(t, newFakeEngine(t, "a", broken), newFakeEngine(t, "b", broken))
+
+	if got := env.request(t, http.MethodGet, "/stream/1", ""); got.status != http.StatusBadGateway {
+		t.Errorf("got %d %q, want %d", got.status, got.body, http.StatusBadGateway)
+	}
+
+	either := firstThen(broken, respondAndClose(closeHead+eventText(1)))
+	env = newTestEnv(t, newFakeEngine(t, "a", either), newFakeEngine(t, "b", either))
+
+	if got := env.request(t, http.MethodGet, "/resume/1", ""); got.body != eventText(1) || got.err != nil {
+		t.Errorf("got %q, %v, want %q", got.body, got.err, eventText(1))
+	}
+}
+
+// A stream breaks behind its last event, so that nothing is left for the target that resumes it. Guards
+// against an empty rest that counts as broken.
+func TestResumedStreamMayBeEmpty(t *testing.T) {
+	either := firstThen(respondAndReset(streamHead+events(1, 2)), respondAndClose(closeHead))
+	env := newTestEnv(t, newFakeEngine(t, "a", either), newFakeEngine(t, "b", either))
+
+	got := env.request(t, http.MethodGet, "/resume/1", "")
+	if want := eventText(1) + eventText(2); got.err != nil || !strings.HasPrefix(want, got.body) {
+		t.Errorf("got %q, %v, want %q or its beginning", got.body, got.err, want)
+	}
+
+	env = newTestEnv(t, newFakeEngine(t, "a", respondAndClose(closeHead)))
+	if got := env.request(t, http.MethodGet, "/resume/1", "", "After", "2"); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("got %d, %v, want an empty stream for a caller that has all events", got.status, got.err)
+	}
+}
+
+// countingMeter counts results.
+type countingMeter struct {
+	Meter
+
+	served, failed int
+}
+
+func (m *countingMeter) Served(string, time.Duration, time.Duration, int) { m.served++ }
+func (m *countingMeter) Failed(string)                                    { m.failed++ }
+
+// Guards against a stream that its target broke off and that counts as served: in the logs, the metrics,
+// the target's health and as evidence of the target's end.
+func TestBrokenStreamCountsAsBrokenEverywhere(t *testing.T) {
+	env := newTestEnv(t, newFakeEngine(t, "a", respondAndClose(closeHead+eventText(1)+"id: 2\nda")))
+	log, meter := &lineLog{}, &countingMeter{}
+	env.gateway.cfg.Log, env.gateway.cfg.Meter = funcr.New(log.add, funcr.Options{}), meter
+	env.gateway.crashes.log = env.gateway.cfg.Log
+
+	const requests = 2
+	for range requests {
+		env.request(t, http.MethodGet, "/stream/1", "")
+	}
+
+	if got := log.count("attempt_failed", `"framing"="close"`, `"unfinished_bytes"=8`); got != requests {
+		t.Errorf("got %d lines of failed attempts, want %d", got, requests)
+	}
+
+	if got := log.count("request_served"); got != 0 {
+		t.Errorf("got %d lines of served requests, want none", got)
+	}
+
+	if meter.served != 0 || meter.failed != requests {
+		t.Errorf("got %d served and %d failed in the metrics, want 0 and %d", meter.served, meter.failed, requests)
+	}
+
+	if got := log.count("crash_counted"); got != requests {
+		t.Errorf("got %d requests counted as running when the target ended, want %d", got, requests)
+	}
+}
+
+// Guards against a target whose streams all break off and that goes on getting work.
+func TestTargetThatBreaksStreamsOffIsEjected(t *testing.T) {
+	env := newTestEnv(t, newFakeEngine(t, "a", respondAndClose(closeHead+eventText(1)+"id: 2\nda")), newFakeEngine(t, "b", respondAndClose(closeHead+eventText(1))))
+
+	const requests = 40
+	for range requests {
+		env.request(t, http.MethodGet, "/stream/1", "")
+	}
+
+	for _, e := range env.roster.Candidates(time.Now(), "s", "") {
+		if e.ID == "sa" {
+			t.Errorf("got %s as a candidate after its streams have broken off", e.ID)
+		}
+	}
+}
