gateway: a stream that ends inside an event has been broken off

Cause: forwardStream took the end of the body for the end of the stream. A body without a length or chunks ends when its connection is closed, also by an engine that breaks off; a body whose framing was completed inside an event was taken too. What was left of the event was forwarded and the caller's own framing completed.

Change: the content decides. A stream is complete only if its body has ended and no bytes of an event follow its last complete one (package eventstream, which ends lines as the SSE specification does). One that ends with its connection before its first event has been broken off as well, unless it goes on behind an event that the caller has. A broken one takes the same path as a reset: it is resumed where the route allows it, and else the caller's connection breaks. Its connection isn't kept.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,15 +1,16 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
 
 	"boragehub/event"
+	"boragehub/eventstream"
 	"boragehub/failure"
 	"boragehub/site"
 	"boragehub/target"
@@ -33,7 +34,11 @@
 // maxEventBytes limits the size of an incomplete event.
 const maxEventBytes = 1 << 20
 
-var errEventTooLong = errors.New("an event exceeds the size limit")
+var (
+	errEventTooLong = errors.New("an event exceeds the size limit")
+	errInsideEvent  = errors.New("the stream ended inside an event")
+	errNoEvent      = errors.New("the connection ended before the first event")
+)
 
 // streaming reports whether the response is a stream of events.
 func (t *task) streaming() bool { return t.route.Kind == site.Stream }
@@ -48,8 +53,7 @@
 }
 
 // forwardStream forwards a stream, complete events only. If an engine breaks off within an event,
-// the next engine continues after the last complete one. At the regular end of the stream the rest
-// is forwarded as it is.
+// the next engine continues after the last complete one.
 func (t *task) forwardStream(ctx context.Context, c choice, x *upstream.Exchange, a ResponseHead) outcome {
 	if !a.Signed || a.Encoded {
 		return outcome{mayHaveRun: true, kind: failure.TargetLost, cause: errNotGenuine, targetOutcome: target.Failed}
@@ -77,11 +81,18 @@
 
 		pending = append(pending, buf[:n]...)
 
-		end := eventsEnd(pending)
+		end := eventstream.Complete(pending)
 		t.received.unfinished = len(pending) - end
+		t.received.hasEvents = t.received.hasEvents || end > 0
 
 		if errors.Is(err, io.EOF) {
-			end = len(pending)
+			if broken := t.brokenOff(x, pending[end:]); broken != nil {
+				x.MarkBroken()
+
+				err = broken
+			} else {
+				end = len(pending)
+			}
 		}
 
 		begins := !t.stream.started
@@ -110,6 +121,34 @@
 	}
 }
 
+// brokenOff returns why a stream is incomplete although its body has ended; nil if it is complete. Rest is
+// what follows its last complete event.
+func (t *task) brokenOff(x *upstream.Exchange, rest []byte) error {
+	switch {
+	case !isEventStream(x.Header()):
+		return nil
+	case !eventstream.MayEnd(rest):
+		return errInsideEvent
+	case x.Framing() == upstream.CloseFraming && !t.received.hasEvents && t.resumeAfter() == "":
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
+// isEventStream reports whether a body on a streaming route consists of events, which it does unless the
+// header names another media type.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+
+	mediaType, _, err := mime.ParseMediaType(contentType)
+
+	return err != nil || mediaType == "text/event-stream"
+}
+
 // recordFirstEvent measures the engines' prefill speed by the time to the first event.
 func (t *task) recordFirstEvent(c *choice) {
 	if !c.idle {
@@ -192,9 +231,12 @@
 	skip := 0
 
 	for rest := events; len(rest) > 0; {
-		end := nextEvent(rest)
+		end := eventstream.First(rest)
+		if end == 0 {
+			end = len(rest) // comments behind the last event
+		}
 
-		id, ok := eventID(rest[:end])
+		id, ok := eventstream.ID(rest[:end])
 		if ok && t.stream.hasLastID && id <= t.stream.lastID {
 			skip += end
 		} else if ok {
@@ -206,39 +248,3 @@
 
 	return events[skip:]
 }
-
-// eventsEnd returns the length of the complete events at the beginning of b.
-func eventsEnd(b []byte) int {
-	i := bytes.LastIndex(b, []byte("\n\n"))
-	if i < 0 {
-		return 0
-	}
-
-	return i + len("\n\n")
-}
-
-// nextEvent returns the length of the first event of b.
-func nextEvent(b []byte) int {
-	i := bytes.Index(b, []byte("\n\n"))
-	if i < 0 {
-		return len(b)
-	}
-
-	return i + len("\n\n")
-}
-
-// eventID returns the number in the id field of an event.
-func eventID(e []byte) (int64, bool) {
-	for line := range bytes.SplitSeq(e, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-
-		return id, err == nil
-	}
-
-	return 0, false
-}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -52,7 +52,8 @@
 type receivedBody struct {
 	framing upstream.Framing
 	bytes   int
-	// unfinished is the number of bytes behind the last complete event of a stream.
+	// hasEvents is true if a stream has a complete event, unfinished the number of bytes behind the last one.
+	hasEvents  bool
 	unfinished int
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -160,7 +160,7 @@
 
 // Read reads the response body. It returns io.EOF only at the end of a complete body, and
 // an *Error if the body is truncated. A close-delimited body counts as complete when the
-// connection is closed.
+// connection is closed; only its content can tell whether the target has broken off.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
 
@@ -176,6 +176,10 @@
 	return n, err
 }
 
+// MarkBroken marks the response as incomplete although its body has ended, so that Close doesn't keep the
+// connection.
+func (x *Exchange) MarkBroken() { x.failed = true }
+
 // Close ends the exchange. The connection is kept if the response was read to its end and
 // no bytes follow it; otherwise it is closed, which tells the target to stop.
 func (x *Exchange) Close() {
--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -37,7 +37,7 @@
 	switch {
 	case len(resp.TransferEncoding) > 0:
 		return ChunkedFraming
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return LengthFraming
 	default:
 		return CloseFraming
