gateway: only repeated events of a resumed stream are dropped

Callers of a resumed stream got parts of it cut: where the target repeats an event that the caller has behind a comment, as many bytes were dropped from the beginning as the repeated event has. A stream whose ids don't increase lost events though nothing had been resumed.

Cause: dropDuplicates added up the lengths of repeated events and dropped that many bytes from the front, for each part that is forwarded, and compared ids on first attempts as well.

Change: events are dropped one by one, and only until a target that resumes the stream has sent a new one. An event without an id belongs to the one before it.

--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -113,6 +113,7 @@
 		{"one event", eventText(1)},
 		{"several lines of data", "id: 1\ndata: a\ndata: b\n\n" + "event: end\nid: 2\ndata\n\n"},
 		{"event without an id", "data: a\n\n" + eventText(2)},
+		{"ids that don't increase", eventText(2) + eventText(2) + eventText(1)},
 		{"comment at the end", eventText(1) + ": kept alive\n"},
 		{"empty lines at the end", eventText(1) + "\n\n"},
 	}
@@ -169,6 +170,45 @@
 	}
 }
 
+// A target repeats events of a stream that it resumes, with other blocks beside them. Guards against dropping
+// a part of the stream that is as long as the repeated events instead of these.
+func TestRepeatedEventsAreDroppedFromAResumedStream(t *testing.T) {
+	tests := []struct{ name, rest, want string }{
+		{"comment before it", ": resumed\n\n" + eventText(2) + eventText(3), ": resumed\n\n" + eventText(3)},
+		{"event without an id behind it", eventText(2) + "data: part of 2\n\n" + eventText(3), eventText(3)},
+		{"nothing new", eventText(1) + eventText(2), ""},
+		{"no repeated event", ": resumed\n\n" + eventText(3), ": resumed\n\n" + eventText(3)},
+	}
+
+	for _, tt := range tests {
+		for _, parts := range []struct {
+			name  string
+			frame func(text string) string
+		}{
+			{"at once", func(text string) string { return closeHead + text }},
+			{"a byte a chunk", func(text string) string {
+				chunks := streamHead
+				for i := range len(text) {
+					chunks += chunk(text[i : i+1])
+				}
+
+				return chunks + streamEnd
+			}},
+		} {
+			t.Run(tt.name+" "+parts.name, func(t *testing.T) {
+				whole := eventText(1) + eventText(2)
+				either := firstThen(respondAndClose(closeHead+whole+"id: 3"), respondAndClose(parts.frame(tt.rest)))
+				env := newTestEnv(t, newFakeEngine(t, "a", either), newFakeEngine(t, "b", either))
+
+				got := env.request(t, http.MethodGet, "/resume/1", "")
+				if want := whole + tt.want; got.err != nil || got.body != want {
+					t.Errorf("got %q, %v, want %q", got.body, got.err, want)
+				}
+			})
+		}
+	}
+}
+
 // countingMeter counts results.
 type countingMeter struct {
 	Meter
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,6 +26,9 @@
 	// lastID is the number of the last event that was sent, hasLastID whether there is one.
 	lastID    int64
 	hasLastID bool
+	// mayRepeat is true until a target that resumes the stream has sent an event that the caller doesn't
+	// have, inRepeat while its last event was one that the caller has.
+	mayRepeat, inRepeat bool
 }
 
 // readBufferBytes is how much of a stream is read at once. Events have about 50 bytes.
@@ -63,6 +66,8 @@
 		event.Log(t.g.cfg.Log, event.StreamResumed, "request_id", t.arrival.ID, "target", c.engine.ID, "after_id", t.resumeAfter())
 	}
 
+	t.stream.mayRepeat, t.stream.inRepeat = t.stream.hasLastID, false
+
 	reader := newStreamReader(x, t.g.slowReaders)
 	defer reader.stop(func() { t.inFlight.cancel(errReadStopped) })
 
@@ -195,7 +200,7 @@
 
 // emit sends complete events to the caller, without those that it already has.
 func (t *task) emit(x *upstream.Exchange, reader *streamReader, events []byte) error {
-	events = t.dropDuplicates(events)
+	events = t.withoutRepeats(events)
 	if len(events) == 0 {
 		return nil
 	}
@@ -226,25 +231,40 @@
 	return nil
 }
 
-// dropDuplicates drops the events that the caller already has and records the last event's id.
-func (t *task) dropDuplicates(events []byte) []byte {
-	skip := 0
+// withoutRepeats returns complete events without those that the caller already has, which a target that
+// resumes the stream may send first, and records the last event's id. It overwrites events.
+func (t *task) withoutRepeats(events []byte) []byte {
+	kept := events[:0]
 
 	for rest := events; len(rest) > 0; {
-		end := eventstream.First(rest)
-		if end == 0 {
-			end = len(rest) // comments behind the last event
+		n := eventstream.First(rest)
+		if n == 0 {
+			n = len(rest) // comments behind the last event
 		}
 
-		id, ok := eventstream.ID(rest[:end])
-		if ok && t.stream.hasLastID && id <= t.stream.lastID {
-			skip += end
-		} else if ok {
-			t.stream.lastID, t.stream.hasLastID = id, true
+		if !t.stream.isRepeat(rest[:n]) {
+			kept = append(kept, rest[:n]...)
 		}
 
-		rest = rest[end:]
+		rest = rest[n:]
+	}
+
+	return kept
+}
+
+// isRepeat reports whether the caller already has an event. An event without an id belongs to the one before it.
+func (s *stream) isRepeat(e []byte) bool {
+	id, ok := eventstream.ID(e)
+
+	switch {
+	case !ok:
+		return s.inRepeat
+	case s.mayRepeat && id <= s.lastID:
+		s.inRepeat = true
+	default:
+		s.lastID, s.hasLastID = id, true
+		s.mayRepeat, s.inRepeat = false, false
 	}
 
-	return events[skip:]
+	return s.inRepeat
 }
