drain: an incomplete response to HTTP/1.0 ends with a reset

Callers that speak HTTP/1.0 get a stream without chunks, so the end of the connection is the end of the stream. An entry that gave a stream up, or that was stopped or killed, closed the connection in order: the stream looked complete, and as entries forward complete events only, its content didn't tell either.

Cause: the same as of streams from targets, in the other direction. The end of the connection was taken for a sign of incompleteness, which it is for chunks (HTTP/1.1) only.

Change: from the begin of such a response to the end of its handler, and for good after a failed write, the connection is set to be reset when it is closed (SO_LINGER 0), whoever closes it, the operating system after a kill included. A complete response restores the usual close when its connection is closed or becomes idle.

HTTP/1.1 is as before. Entries serve no other version to callers.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -31,6 +31,7 @@
 	phase      atomic.Uint32
 	phaseStart atomic.Int64 // when the phase began
 	lastRead   atomic.Int64 // when bytes were last read in this phase, plus one; zero for never
+	completion completion
 }
 
 // Read reads from the connection and records the time.
--- a/drain/conn_tracker.go
+++ b/drain/conn_tracker.go
@@ -49,6 +49,7 @@
 	case http.StateActive:
 		c.setPhase(now, phaseBusy)
 	case http.StateIdle:
+		c.endResponse()
 		c.setPhase(now, phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -88,7 +88,8 @@
 	s := &Server{cfg: cfg, conns: newConnTracker()}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
-		ConnState: func(nc net.Conn, state http.ConnState) { s.conns.setState(time.Now(), nc, state) },
+		ConnContext: connContext,
+		ConnState:   func(nc net.Conn, state http.ConnState) { s.conns.setState(time.Now(), nc, state) },
 	}
 
 	return s
--- a/drain/keep_alive.go
+++ b/drain/keep_alive.go
@@ -7,9 +7,11 @@
 
 // serveHTTP serves one request; its response announces how long the connection may be reused.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	complete := beginResponse(r)
 	kw := &keepAliveWriter{ResponseWriter: w, server: s}
 	s.cfg.Handler.ServeHTTP(kw, r)
 	kw.setHeaders()
+	complete()
 }
 
 // keepAliveWriter adds the header that announces how long the connection may be reused. It
