entry: a stream that is given up breaks its connection

Callers whose stream had begun and could not be completed got an error as its last event, and then a regular end: a client that doesn't know such events takes the part for the whole response. A handler that panicked had its stack trace added to the response, which then ended regularly too.

The error event was meant to be sufficient; the framing said the opposite.

Change: behind the error event the connection breaks (HTTP/1.1: no last chunk; HTTP/1.0: a reset). Panics aren't recovered by the router but by net/http, which breaks the connection. A response whose end could not be written breaks it as well.

--- a/entry/http.go
+++ b/entry/http.go
@@ -50,7 +50,8 @@
 // Handler returns the handler of the callers' API.
 func (e *Entry) Handler() http.Handler {
 	c := restful.NewContainer()
-	c.DoNotRecover(false)
+	// Recovering would complete the framing of a response that was broken off.
+	c.DoNotRecover(true)
 	c.ServiceErrorHandler(func(_ restful.ServiceError, r *restful.Request, w *restful.Response) {
 		e.notFound(w.ResponseWriter, r.Request)
 	})
@@ -277,24 +278,36 @@
 			"prompt_tokens", d.PromptTokens, "cached_tokens", d.CachedTokens, "imported_tokens", d.ImportedTokens, "tokens", d.Tokens,
 			"first_token_ms", j.firstTokenTime.Milliseconds(), "attempts", j.attempt, "anchor", j.lookups[0].anchor.String(), "took_ms", time.Since(j.arrived).Milliseconds())
 
-		return j.sink.finish(d)
+		if err := j.sink.finish(d); err != nil {
+			e.logFailure(j.id, failure.Wrap(failure.Cancelled, err, "the caller disconnected"))
+			panic(http.ErrAbortHandler)
+		}
+
+		return nil
 	}
 
 	if !j.sink.hasWritten() {
 		return err
 	}
 
-	// The caller already has part of the response, with status 200. The error is sent
-	// as an event of the stream without the end mark, so that client libraries
-	// recognise the response as incomplete.
 	e.logFailure(j.id, err)
-
-	b, _ := json.Marshal(errorBody(err))
-	_, _ = w.Write([]byte("data: " + string(b) + "\n\n"))
+	breakOff(w, err)
 
 	return nil
 }
 
+// breakOff ends a stream of which the caller already has a part, with status 200. The error is sent as an
+// event, which client libraries recognise. The connection breaks behind it: to others, a stream whose
+// framing is completed is complete.
+func breakOff(w http.ResponseWriter, err error) {
+	if b, jsonErr := json.Marshal(errorBody(err)); jsonErr == nil {
+		_, _ = w.Write([]byte("data: " + string(b) + "\n\n"))
+		_ = http.NewResponseController(w).Flush()
+	}
+
+	panic(http.ErrAbortHandler)
+}
+
 // serviceOf returns the name of the service that serves a model.
 func serviceOf(t *setting.Tree, model string) (string, bool) {
 	for _, s := range t.Services() {
