engine: events of a completion end as the SSE specification says

Callers of an engine whose lines end with CR, or whose fields have no space behind the colon, got an error instead of its completion. A response that was broken off behind the first line of an event was taken up to that line, and one that was broken off inside its end marker was complete.

Cause: readStream took each line for an event, ended lines with LF alone, and took what was left at the end of the body for a line.

Change: it reads events with package eventstream, as the gateway does; one that the body ends in is an error.

--- a/engine/complete.go
+++ b/engine/complete.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 
+	"boragehub/eventstream"
 	"boragehub/failure"
 )
 
@@ -108,13 +109,10 @@
 	Usage *Usage `json:"usage"`
 }
 
-var (
-	dataPrefix = []byte("data: ")
-	doneMark   = []byte("[DONE]")
-)
+var doneMark = []byte("[DONE]")
 
-// maxLineBytes is the maximum length of one line in the event stream.
-const maxLineBytes = 1 << 20
+// maxEventBytes is the maximum length of one event of a stream.
+const maxEventBytes = 1 << 20
 
 // Complete runs q and passes each piece to handle, in order. It returns nil only after
 // the engine's end marker: a response that ends earlier is an error, so that a truncated
@@ -162,14 +160,15 @@
 }
 
 func readStream(r io.Reader, requestID string, handle func(Piece) error) error {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
+	events := bufio.NewScanner(r)
+	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	events.Split(eventstream.Split)
 
 	finished := false
 
-	for lines.Scan() {
-		data, ok := bytes.CutPrefix(lines.Bytes(), dataPrefix)
-		if !ok {
+	for events.Scan() {
+		data := eventstream.Data(events.Bytes())
+		if len(data) == 0 {
 			continue
 		}
 
@@ -193,7 +192,7 @@
 		}
 	}
 
-	return failure.Wrap(failure.TargetLost, streamError(lines.Err()), "the engine's response was incomplete")
+	return failure.Wrap(failure.TargetLost, streamError(events.Err()), "the engine's response was incomplete")
 }
 
 func streamError(err error) error {
