engine: an export that ends with its connection isn't stored

Callers might have been served from a context whose export its engine had broken off: nothing is known to have happened, and a seal over the part would have made it look whole to every reader.

The blocks are in the engine's own format, so their content can't tell.

Change: an export without a length or chunks is refused; the context isn't parked and will be computed again.

--- a/engine/client.go
+++ b/engine/client.go
@@ -166,6 +166,11 @@
 		return nil, 0, "", resp.statusError()
 	}
 
+	// The format is the engine's own, so that the blocks don't tell whether they are whole.
+	if !resp.framed {
+		return nil, 0, "", failure.New(failure.TargetLost, "the engine's export has neither a length nor chunks")
+	}
+
 	blocks, err = strconv.Atoi(resp.header.Get("X-Block-Count"))
 	if err != nil || blocks < 1 || blocks > len(chain) {
 		return nil, 0, "", failure.New(failure.TargetLost, "the engine exported %q blocks of %d", resp.header.Get("X-Block-Count"), len(chain))
@@ -226,6 +231,9 @@
 	status int
 	header http.Header
 	body   []byte
+	// framed is true if the header or the last chunk told where the body ends, rather than the end of the
+	// connection.
+	framed bool
 }
 
 func (r response) statusError() error {
@@ -268,7 +276,9 @@
 		return response{}, failure.Wrap(failure.TargetLost, err, "the engine's response to %s was incomplete", path)
 	}
 
-	return response{status: resp.StatusCode, header: resp.Header, body: data}, nil
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+
+	return response{status: resp.StatusCode, header: resp.Header, body: data, framed: framed}, nil
 }
 
 func (c Client) send(ctx context.Context, method, path, contentType string, body []byte) (*http.Response, error) {
