--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -305,7 +305,9 @@
 
 		cancel()
 
-		b.AsOf = sentAt
+		if !b.Partial {
+			b.AsOf = sentAt
+		}
 
 		switch {
 		case err != nil && !errors.Is(err, ErrTrimmed):
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -332,3 +332,47 @@
 		})
 	}
 }
+
+// partialLog is a log that returns one record a read.
+type partialLog struct{ fakeLog }
+
+func (l *partialLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error) {
+	b, err := l.fakeLog.Read(ctx, topic, from, wait)
+	if err == nil && len(b.Records) > 1 {
+		b.Records, b.End, b.Partial = b.Records[:1], from+1, true
+	}
+
+	return b, err
+}
+
+// Guards against a replica that counts as up to date while the log holds records that a read left out: stores
+// are asked to free, and weights are required, by what is known at that time.
+func TestPartialReadIsNotUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &partialLog{}
+		topic := NewTopic(TopicConfig{})
+		f := NewFollower(FollowerConfig{Name: "t", Topic: topic, Source: log, Wait: time.Second, OnChanges: func(time.Time, []Record) {}, Log: logr.Discard()})
+
+		topic.Merge(Batch{Snapshot: true, AsOf: time.Now()})
+
+		for i := range 3 {
+			log.append(fmt.Sprint("k", i), "v")
+		}
+
+		for i, partial := range []bool{true, true, false} {
+			before := time.Now()
+			time.Sleep(time.Second)
+
+			b, err := f.readLog(t.Context())
+			if err != nil || len(b.Records) != 1 {
+				t.Fatalf("read %d: got %d records, %v, want 1", i, len(b.Records), err)
+			}
+
+			topic.Merge(b)
+
+			if got := topic.SyncedAt().After(before); got == partial {
+				t.Errorf("read %d: got up to date %v, want %v", i, got, !partial)
+			}
+		}
+	})
+}
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -69,6 +69,8 @@
 	Records []Record
 	// End is the offset after the last record that the read covers.
 	End int64
+	// Partial is set if the log holds records from End on that the read did not return.
+	Partial bool
 	// Snapshot is set if the batch is a snapshot: Records contains every key that exists at End.
 	Snapshot bool
 	// Era is the era of the log that End belongs to.
