--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,19 +86,7 @@
 
 		pending = append(pending, buf[:n]...)
 
-		end := eventstream.Complete(pending)
-		t.received.unfinished = len(pending) - end
-		t.received.hasEvents = t.received.hasEvents || end > 0
-
-		if errors.Is(err, io.EOF) {
-			if broken := t.brokenOff(x, pending[end:]); broken != nil {
-				x.MarkBroken()
-
-				err = broken
-			} else {
-				end = len(pending)
-			}
-		}
+		end, err := t.forwardable(x, pending, err)
 
 		begins := !t.stream.started
 
@@ -126,6 +114,27 @@
 	}
 }
 
+// forwardable returns the length of what may be forwarded of the bytes received, given the error of the last
+// read: complete events, and all of it at the end of a complete stream. For io.EOF it returns another error if the
+// target has broken off.
+func (t *task) forwardable(x *upstream.Exchange, pending []byte, err error) (end int, _ error) {
+	end = eventstream.Complete(pending)
+	t.received.unfinished = len(pending) - end
+	t.received.hasEvents = t.received.hasEvents || end > 0
+
+	if !errors.Is(err, io.EOF) {
+		return end, err
+	}
+
+	if broken := t.brokenOff(x, pending[end:]); broken != nil {
+		x.MarkBroken()
+
+		return end, broken
+	}
+
+	return len(pending), err
+}
+
 // brokenOff returns why a stream is incomplete although its body has ended; nil if it is complete. Rest is
 // what follows its last complete event.
 func (t *task) brokenOff(x *upstream.Exchange, rest []byte) error {
