upstream: the rest of a long response to another request isn't read as a response

Callers could have got a part of the body of another response: of a late response to another request, over a megabyte long, one megabyte was skipped and the rest read as the next response.

Change: a body beyond that limit ends the connection.

Result: TestLongResponseToAnotherRequestEndsTheConnection failed before (got a response out of that body) and passes.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -144,7 +144,11 @@
 		return errMismatched
 	}
 
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody+1))
+	if err == nil && n > maxDiscardedBody {
+		// The rest of the body would be read as the next response.
+		return errMismatched
+	}
 
 	return err
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -145,6 +146,17 @@
 	}
 }
 
+// Guards against a part of a long response to another request that is read as the response to this one.
+func TestLongResponseToAnotherRequestEndsTheConnection(t *testing.T) {
+	forged := strings.Repeat(" ", maxDiscardedBody) + okResponse
+	a := newTarget(t, respondEach("HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: "+strconv.Itoa(len(forged))+"\r\n\r\n"+forged))
+
+	got, err := roundTrip(NewPool(Config{}), getRequest(a, "1"))
+	if !errors.Is(err, errMismatched) {
+		t.Errorf("got %q, %v, want %v", got, err, errMismatched)
+	}
+}
+
 func TestOnlyResponsesToOtherRequestsIsAnError(t *testing.T) {
 	mismatched := "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nother"
 	a := newTarget(t, respondEach(mismatched+mismatched+mismatched))
