wholebody: a body that is cut off at a limit is an error

Callers of a plain service with a response over 4 MiB got its first 4 MiB as the whole one, and a call that may run once had them recorded as its outcome.

A call whose response is too long counts as one that may have run.

--- a/entry/direct.go
+++ b/entry/direct.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"boragehub/message"
 	"boragehub/target"
 	"boragehub/vm"
+	"boragehub/wholebody"
 )
 
 // This file serves targets that have no side process. Without one, the following is
@@ -26,8 +26,7 @@
 //   - calls that must run at most once: they are refused because no process owns the
 //     shards of their idempotency keys.
 
-// maxDirectResponseBytes is the maximum size of a plain service's response body; the
-// rest is cut off.
+// maxDirectResponseBytes is the maximum size of a plain service's response body.
 const maxDirectResponseBytes = 4 << 20
 
 // queryDirectState requests the state from the target itself.
@@ -146,7 +145,7 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxDirectResponseBytes))
+	body, err := wholebody.ReadAll(resp.Body, maxDirectResponseBytes)
 	if err != nil {
 		return reply, true, failure.Wrap(failure.TargetLost, err, "the service's response was interrupted")
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -12,6 +12,7 @@
 	"boragehub/failure"
 	"boragehub/target"
 	"boragehub/upstream"
+	"boragehub/wholebody"
 )
 
 // Limits on responses that are read completely.
@@ -30,10 +31,7 @@
 	body   []byte
 }
 
-var (
-	errNotGenuine      = errors.New("the response is unsigned or encoded")
-	errResponseTooLong = errors.New("the response exceeds the size limit")
-)
+var errNotGenuine = errors.New("the response is unsigned or encoded")
 
 // discardRest reads the rest of a refusal so that the connection can be reused. If reading fails,
 // only the connection is lost.
@@ -44,13 +42,9 @@
 
 // readResponse reads a response to its end before any of it goes to the caller.
 func (t *task) readResponse(ctx context.Context, c choice, x *upstream.Exchange, a ResponseHead) outcome {
-	body, err := io.ReadAll(io.LimitReader(x, maxResponseBytes+1))
+	body, err := wholebody.ReadAll(x, maxResponseBytes)
 	t.received.bytes = len(body)
 
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLong
-	}
-
 	if err != nil {
 		return t.failedExchange(ctx, c, err)
 	}
--- a/journal/client.go
+++ b/journal/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +13,7 @@
 	"time"
 
 	"boragehub/failure"
+	"boragehub/wholebody"
 )
 
 const (
@@ -206,7 +206,7 @@
 
 	c.observeEra(response.Header)
 
-	b, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	b, err := wholebody.ReadAll(response.Body, maxResponseBytes)
 
 	return response.StatusCode, b, err
 }
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +20,7 @@
 	"boragehub/pause"
 	"boragehub/quarantine"
 	"boragehub/vault"
+	"boragehub/wholebody"
 )
 
 var errNoEntries = errors.New("no known entries")
@@ -222,7 +222,7 @@
 		return nil, err
 	}
 
-	respBody, err := io.ReadAll(pause.ProgressReader(ctx, io.LimitReader(resp.Body, maxMessage)))
+	respBody, err := wholebody.ReadAll(pause.ProgressReader(ctx, resp.Body), maxMessage)
 	err = errs.Combine(err, resp.Body.Close())
 
 	if err == nil && resp.StatusCode/100 != 2 {
--- a/mirror/exchange/compress.go
+++ b/mirror/exchange/compress.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"boragehub/mirror"
+	"boragehub/wholebody"
 )
 
 // compressRecordsAbove is the size in bytes from which records are compressed. Heartbeats and small
@@ -113,9 +113,9 @@
 	return out.Bytes(), nil
 }
 
-// decompress returns the decompressed body, truncated to maxMessage bytes.
+// decompress returns the decompressed body, of at most maxMessage bytes.
 func decompress(body []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxMessage))
+	return wholebody.ReadAll(flate.NewReader(bytes.NewReader(body)), maxMessage)
 }
 
 // decodeRecords returns the records of a reply, decompressed if necessary.
--- a/side/call.go
+++ b/side/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -14,6 +13,7 @@
 	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/peer"
+	"boragehub/wholebody"
 )
 
 // Request headers sent to a plain service besides the caller's content type.
@@ -148,7 +148,7 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := wholebody.ReadAll(resp.Body, maxReplyBytes)
 	if err != nil {
 		return message.Reply{}, failure.Wrap(failure.TargetLost, err, "the service's response ended early")
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"boragehub/failure"
+	"boragehub/wholebody"
 )
 
 // Client calls the HTTP interface of one store VM, which docs/PLATFORM.md describes.
@@ -168,7 +169,7 @@
 		limit = DefaultMaxBytes
 	}
 
-	body, err := io.ReadAll(countingReader{io.LimitReader(resp.Body, limit), c.Progress})
+	body, err := wholebody.ReadAll(countingReader{resp.Body, c.Progress}, limit)
 	if ctx.Err() != nil {
 		return response{}, failure.Wrap(failure.Cancelled, err, "the transfer from store %s was cancelled", c.Address)
 	}
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/pause"
+	"boragehub/wholebody"
 )
 
 // Bounds of the long polls.
@@ -88,7 +88,7 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	body, err := wholebody.ReadAll(resp.Body, maxListBytes)
 	if err != nil {
 		return failure.Wrap(failure.Unavailable, err, "the response of the VM list was cut off")
 	}
