experiment: engines that break off answers

The experiment had no answers that break off, so its figures said nothing about resuming. Fault answers_broken has engines break off a tenth of their answers half-way for a minute; the rest is routed again with what the caller has. Results count answers broken off, resumed and incomplete.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -32,6 +32,7 @@
 	prefillLeft    int
 	ended          bool
 	attempts       int
+	resumed        bool // continues an answer of which the caller has a part
 	seq            uint64
 	releasePermit  func() // releases the permit of the entry's gate
 }
@@ -219,10 +220,16 @@
 
 	step := e.spec.Step + time.Duration(e.running)*e.spec.StepPerRequest
 	generation := e.generation
+	tokens, end := j.v.answerTokens, e.finish
 
-	e.sim.clock.after(time.Duration(j.v.answerTokens)*step, func() {
+	if e.sim.breaksOff(j) {
+		tokens /= 2
+		end = func(j *job) { e.breakOff(j, tokens) }
+	}
+
+	e.sim.clock.after(time.Duration(tokens)*step, func() {
 		if e.generation == generation {
-			e.finish(j)
+			end(j)
 		}
 	})
 }
@@ -245,16 +252,20 @@
 }
 
 func (e *engine) finish(j *job) {
-	need := j.v.promptTokens + j.v.answerTokens
+	e.cachePrefix(j, j.v.promptTokens+j.v.answerTokens)
+	e.release(j)
+	e.sim.finish(j, e)
+	e.admit()
+	e.startChunk()
+}
+
+// release ends a job and gives back its slot and memory.
+func (e *engine) release(j *job) {
 	j.ended = true
 	e.running--
-	e.pinnedTokens -= need
-	e.cachePrefix(j, need)
+	e.pinnedTokens -= j.v.promptTokens + j.v.answerTokens
 	e.cache.unpin(j.v.c)
 	e.cache.evict()
-	e.sim.finish(j, e)
-	e.admit()
-	e.startChunk()
 }
 
 // recordReport stores a load report of the current state.
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// Guards against answers that engines broke off and that count as complete, or as nothing.
+func TestBrokenAnswersAreResumedOrIncomplete(t *testing.T) {
+	for _, p := range []Policy{Boragehub, LeastLoaded} {
+		r := run{d: Coastal(), policy: p, load: 0.5, seed: 3, fault: AnswersBroken, warmup: time.Minute, measured: 3 * time.Minute}
+
+		got := r.execute()
+		if got.BrokenOff == 0 || got.BrokenOff != got.Resumed+got.Incomplete {
+			t.Errorf("%v: got %d answers broken off, %d resumed and %d incomplete, want as many as were broken off", p, got.BrokenOff, got.Resumed, got.Incomplete)
+		}
+
+		t.Logf("%v: %d broken off, %d incomplete", p, got.BrokenOff, got.Incomplete)
+	}
+}
+
 func TestUnknownNamesAreRefused(t *testing.T) {
 	cases := []struct {
 		name string
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -130,6 +130,8 @@
 	OrganisationBurst
 	// WeightSwap loads a new weight version into all engines.
 	WeightSwap
+	// AnswersBroken has engines break off a tenth of their answers half-way for FaultDuration.
+	AnswersBroken
 	faultCount int = iota
 )
 
@@ -139,7 +141,7 @@
 // String returns the name of f in flags and output.
 func (f Fault) String() string {
 	return [...]string{
-		"none", "store_lost", "link_tenth", "data_centre_cut", "events_lost", "load_old", "tenfold", "weight_swap",
+		"none", "store_lost", "link_tenth", "data_centre_cut", "events_lost", "load_old", "tenfold", "weight_swap", "answers_broken",
 	}[f]
 }
 
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -44,6 +44,9 @@
 	StoreEvictions int
 	// Retries counts the failed attempts, after which a request is routed again.
 	Retries int
+	// BrokenOff counts the answers that engines broke off, Resumed those of them that were completed elsewhere,
+	// and Incomplete those that no engine completed.
+	BrokenOff, Resumed, Incomplete int
 }
 
 // The phases of a run with a temporary fault.
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -92,6 +92,9 @@
 		s.clock.after(FaultDuration, s.resync)
 	case WeightSwap:
 		s.reloadFrom(0)
+	case AnswersBroken:
+		s.breaking = true
+		s.clock.after(FaultDuration, func() { s.breaking = false })
 	default:
 	}
 }
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -61,6 +61,7 @@
 	seq           uint64
 	cutDataCentre string // the partitioned data centre, empty for none
 	eventsLost    bool   // engines' cache events are dropped
+	breaking      bool   // engines break off some of their answers
 
 	candidates []route.Candidate
 	holdings   []directory.Holding
@@ -341,14 +342,18 @@
 	e.suspectedUntil[x.index] = s.clock.now + suspicionTime
 	s.rec.r.Retries++
 
-	retried := &job{v: j.v, class: j.class, deadline: j.deadline, computedBefore: j.computedBefore, attempts: j.attempts, releasePermit: j.releasePermit}
-	j.releasePermit = nil
-	s.route(retried)
+	s.route(&job{v: j.v, class: j.class, deadline: j.deadline, computedBefore: j.computedBefore, attempts: j.attempts, resumed: j.resumed, releasePermit: j.takePermit()})
 }
 
 // refuse ends a request without a first token; it counts with its deadline.
 func (s *simulation) refuse(j *job) {
 	j.releaseGate()
+
+	if j.resumed {
+		s.rec.r.Incomplete++
+		return
+	}
+
 	s.rec.refuse(j.v, s.d.Workloads[j.v.c.workload].Deadline)
 }
 
@@ -367,6 +372,10 @@
 		return
 	}
 
+	if j.resumed {
+		return
+	}
+
 	returnDelay := s.delay(entry.dataCentre, e.dataCentre) + s.d.ClientDelay
 	s.rec.firstToken(j.v, s.clock.now+returnDelay-j.v.at)
 }
@@ -376,6 +385,10 @@
 func (s *simulation) finish(j *job, e *engine) {
 	j.releaseGate()
 
+	if j.resumed {
+		s.rec.r.Resumed++
+	}
+
 	c := j.v.c
 	tokens := j.v.promptTokens + j.v.answerTokens
 	c.computedTokens = max(c.computedTokens, tokens)
