pulse: the log has the course of each lease at an engine

Lines 2413 to 2416 now tell when a lease was granted and with what knowledge (the engine's report, its age, what was freed since), when its prompt started and ended as the entry says, and which leases a restart of the engine ended. They are bounded at 60 lines a second, apart from those of denials.

No logic has changed. The tests of pulse, room and event pass.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -64,6 +64,10 @@
 	RoomDenied     = register(2410, "room_denied", "A claim of an entry on this engine's capacity was denied: `entry`, `claim`, `reason`, the claim's `prefill_tokens`, `memory_tokens`, `max_backlog` and `rank`, and the engine's `backlog`, memory `occupied` and of that `leased`, and `leases`. At most 20 lines a second with 2411 and 2412.")
 	RoomExpired    = register(2411, "room_expired", "A lease ended without a message of its entry: `entry`, `claim`, `reason` (`deadline`, or `prefill_overdue` if only its share of the backlog ended), `age_ms`, `prefill_tokens`, `memory_tokens`.")
 	RoomReleased   = register(2412, "room_released", "A lease ended because the engine reported twice that nothing runs or waits: as 2411.")
+	RoomLeased     = register(2413, "room_leased", "A claim of an entry on this engine's capacity was granted: as 2410 without `reason`, and what the engine reported last: `running`, `waiting`, `used_tokens`, `report_age_ms`, and `freed_tokens` (of leases that have ended since). `occupied`, `leased` and `leases` include the claim. At most 60 lines a second with 2414 to 2416.")
+	RoomStarted    = register(2414, "room_started", "The prompt of a lease was prefilled, as its entry says: `entry`, `claim`, `known` (false if the lease had ended or started before).")
+	RoomDone       = register(2415, "room_done", "The request of a lease has ended, as its entry says: as 2414.")
+	RoomReset      = register(2416, "room_reset", "The engine has restarted, and all leases at it ended: `leases`, `leased`.")
 	StandbyUnheard = register(2406, "standby_unheard", "A target without a loader that is to load a weight version is unresponsive: `target`, `model`, `version`.")
 )
 
--- a/pulse/lease.go
+++ b/pulse/lease.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"boragehub/event"
 	"boragehub/room"
 )
@@ -17,14 +15,12 @@
 	pushInterval = 40 * time.Millisecond
 	// maxIDs bounds the claims, and the ids of a kind, that are used of one datagram.
 	maxIDs = 128
-	// leaseLinesPerSecond and leaseLinesBurst bound the log lines about leases.
-	leaseLinesPerSecond, leaseLinesBurst = 20, 40
 )
 
 // leaseReports is the state of a Reporter that concerns leases.
 type leaseReports struct {
 	changed chan struct{} // signals that leases changed
-	lines   *rate.Limiter
+	lines   leaseLines
 
 	mu            sync.Mutex // held while a report is numbered and sent
 	sequence      uint64
@@ -33,7 +29,7 @@
 }
 
 func newLeaseReports() leaseReports {
-	return leaseReports{changed: make(chan struct{}, 1), lines: rate.NewLimiter(leaseLinesPerSecond, leaseLinesBurst)}
+	return leaseReports{changed: make(chan struct{}, 1), lines: newLeaseLines()}
 }
 
 // signal records that leases changed.
@@ -152,11 +148,17 @@
 
 	// What has ended frees capacity for the claims beside it.
 	for _, key.ID = range s.Done[:min(len(s.Done), maxIDs)] {
-		changed = r.cfg.Ledger.Done(now, key) || changed
+		known := r.cfg.Ledger.Done(now, key)
+		changed = known || changed
+
+		r.logLease(now, event.RoomDone, key, known)
 	}
 
 	for _, key.ID = range s.Started[:min(len(s.Started), maxIDs)] {
-		changed = r.cfg.Ledger.Started(now, key) || changed
+		known := r.cfg.Ledger.Started(now, key)
+		changed = known || changed
+
+		r.logLease(now, event.RoomStarted, key, known)
 	}
 
 	var grants []room.Grant
@@ -172,7 +174,9 @@
 		grants = append(grants, g)
 		changed = changed || g.Outcome == room.Granted
 
-		if g.Outcome != room.Granted {
+		if g.Outcome == room.Granted {
+			r.logGranted(now, key, c)
+		} else {
 			r.logDenied(now, key, c, g)
 		}
 	}
@@ -207,38 +211,6 @@
 	})
 }
 
-// logDenied logs a denied claim with its inputs.
-func (r *Reporter) logDenied(now time.Time, key room.Key, c room.Claim, g room.Grant) {
-	if !r.leases.lines.AllowN(now, 1) {
-		return
-	}
-
-	u := r.cfg.Ledger.Usage(now)
-	event.Log(r.cfg.Log, event.RoomDenied, "entry", key.Entry, "claim", key.ID, "reason", g.Outcome.String(), "prefill_tokens", c.PrefillTokens, "memory_tokens", c.MemoryTokens,
-		"max_backlog", c.MaxBacklog, "rank", c.Rank, "backlog", u.Backlog, "occupied", u.Occupied, "leased", u.Leased, "leases", u.Held)
-}
-
-// logEnded logs the leases that ended without a message, and reports whether there were any.
-func (r *Reporter) logEnded(now time.Time) bool {
-	all := r.cfg.Ledger.TakeEnded(now)
-
-	for _, e := range all {
-		if !r.leases.lines.AllowN(now, 1) {
-			break
-		}
-
-		line := event.RoomExpired
-		if e.Reason == room.EngineIdle {
-			line = event.RoomReleased
-		}
-
-		event.Log(r.cfg.Log, line, "entry", e.Key.Entry, "claim", e.Key.ID, "reason", e.Reason.String(), "age_ms", e.Age.Milliseconds(),
-			"prefill_tokens", e.PrefillTokens, "memory_tokens", e.MemoryTokens)
-	}
-
-	return len(all) > 0
-}
-
 // encodeFor returns the datagram of a load report for a subscriber. Builds without
 // Subscription.Start get none of the later fields. A report that is too large loses resident parts,
 // the last of the list first.
--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -42,7 +42,7 @@
 	Restarted func()
 	// Ledger keeps the leases of the engine's capacity; nil means that claims get no reply.
 	Ledger *room.Ledger
-	// Log receives a line for each denied claim and each expired lease, up to a bound.
+	// Log receives a line for each claim and each change of a lease, up to a bound.
 	Log logr.Logger
 }
 
@@ -146,7 +146,7 @@
 // was known of its earlier start is dropped.
 func (r *Reporter) noteEngineStart(now time.Time, p Report, restarted bool) {
 	if restarted {
-		r.forgetEngine()
+		r.forgetEngine(now)
 	}
 
 	if r.cfg.SlowStart != nil && p.Clock > 0 {
@@ -155,7 +155,7 @@
 }
 
 // forgetEngine drops what is known of the engine's earlier start.
-func (r *Reporter) forgetEngine() {
+func (r *Reporter) forgetEngine(now time.Time) {
 	r.forgetCapacity()
 
 	if r.cfg.Restarted != nil {
@@ -163,6 +163,7 @@
 	}
 
 	if r.cfg.Ledger != nil {
+		r.logReset(now)
 		r.cfg.Ledger.Reset()
 	}
 }
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -370,6 +370,24 @@
 	return u
 }
 
+// Observed is what an engine reported last, and what has changed since.
+type Observed struct {
+	State
+
+	// Age is the time since the engine was queried.
+	Age time.Duration
+	// FreedTokens is the memory of leases that the report included and that have ended since.
+	FreedTokens int
+}
+
+// Observed returns what the engine reported last.
+func (l *Ledger) Observed(now time.Time) Observed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return Observed{State: l.state, Age: now.Sub(l.stateAt), FreedTokens: l.freed.tokens}
+}
+
 // TakeEnded returns the leases that ended without a message since the last call, up to a bound.
 func (l *Ledger) TakeEnded(now time.Time) []Ended {
 	l.mu.Lock()
