--- a/pulse/claim_test.go
+++ b/pulse/claim_test.go
@@ -208,6 +208,52 @@
 	}
 }
 
+// A side process replies to no claim before it has queried its engine. Guards against an entry that claims nothing
+// for a while because claims of that time got no reply, though the process has sent a report meanwhile and replies:
+// it would send prompts that no lease counts.
+func TestClaimsSentBeforeTheFirstReportDoNotPauseClaims(t *testing.T) {
+	now := time.Unix(1000, 0)
+
+	for _, tt := range []struct {
+		name   string
+		before int // claims sent before the first report; all end without a reply after it
+		after  int
+		want   bool
+	}{
+		{"all before it", unansweredLimit, 0, true},
+		{"one behind it", unansweredLimit - 1, 1, true},
+		{"all behind it", 0, unansweredLimit, false},
+		{"enough behind it", unansweredLimit, unansweredLimit, false},
+	} {
+		l := &Listener{latest: map[string]Report{}, claims: newClaimTable(now)}
+
+		var ids []uint64
+
+		send := func(n int) {
+			for range n {
+				id, _, _, ok := l.claims.begin(now, "e")
+				if !ok {
+					t.Fatalf("%s: got no claim", tt.name)
+				}
+
+				ids = append(ids, id)
+			}
+		}
+
+		send(tt.before)
+		l.newer(Report{Engine: "e", SourceStart: 1, Sequence: 1})
+		send(tt.after)
+
+		for _, id := range ids {
+			l.claims.abandon(now, "e", id, true)
+		}
+
+		if _, _, _, got := l.claims.begin(now, "e"); got != tt.want {
+			t.Errorf("%s: got claim sent %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // A grant arrives after its claim was given up, or a second time for the repeated claim. Guards
 // against a lease that nobody uses until its deadline, and against the end of one that is in use.
 func TestLateGrantsAreGivenBack(t *testing.T) {
