pulse: claims that were sent before the first report don't pause claims

An engine that holds two long prompts got a third: an entry that claimed nothing there sent it without a lease, and the ledger beside the engine, which knew of one other and had an engine's report from before, granted another.

Cause: after three claims without a reply an entry stops claiming at an engine for five seconds. The process beside an engine replies to no claim before it has queried it, which is meant not to count: its first report allows claims again. But claims that were in flight then ended a few ms later, were counted after that, and paused them all the same.

Change: only claims that were sent after the first report of a start count.

TestClaimsResumeWithTheFirstReport used an id that no claim had and now sends the claims that it abandons.

--- a/pulse/claim.go
+++ b/pulse/claim.go
@@ -58,6 +58,7 @@
 type claimEngine struct {
 	replyTime     time.Duration // mean, zero while unknown
 	unanswered    int           // consecutive claims without a reply
+	countedFrom   uint64        // id of the first claim that counts in unanswered
 	pausedUntil   time.Time     // until when no claims are sent
 	started, done []uint64
 }
@@ -115,13 +116,14 @@
 }
 
 // resume allows claims at an engine again, since its side process has sent its first report after a
-// start: before that it replies to none.
+// start: before that it replies to none, so that those in flight don't count if they get no reply.
 func (t *claimTable) resume(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	e := t.engine(address)
 	e.unanswered, e.pausedUntil = 0, time.Time{}
+	e.countedFrom = t.lastID + 1
 }
 
 // abandon ends the wait for a reply and gives back a lease that may have been granted. Timed-out
@@ -134,7 +136,7 @@
 	delete(t.held, id)
 
 	e := t.engine(address)
-	if timedOut {
+	if timedOut && id >= e.countedFrom {
 		e.unanswered++
 		if e.unanswered >= unansweredLimit {
 			e.pausedUntil = now.Add(claimPause)
--- a/pulse/claim_test.go
+++ b/pulse/claim_test.go
@@ -447,7 +447,8 @@
 
 	for _, tt := range tests {
 		for range unansweredLimit {
-			l.claims.abandon(now, "a", 0, true)
+			id, _, _, _ := l.claims.begin(now, "a")
+			l.claims.abandon(now, "a", id, true)
 		}
 
 		l.newer(tt.report)
