--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -161,10 +161,16 @@
 
 	long := d.isLong(takes)
 
-	if d.draining && (long || !d.finishesInTime(now, t.deadline, u.maxDuration(takes, d.oldestInFlight(now, t.route.Name)))) {
-		d.refusedForTime = d.refusedForTime || !long
+	if d.draining {
+		if long {
+			return errDraining("its route's responses take %v, which is long", takes)
+		}
 
-		return errDraining()
+		if longest := u.maxDuration(takes, d.oldestInFlight(now, t.route.Name)); !d.finishesInTime(now, t.deadline, longest) {
+			d.refusedForTime = true
+
+			return errDraining("its response may take %v, and %v are left", longest, d.end.Sub(now))
+		}
 	}
 
 	d.inFlight[t] = inFlightRequest{began: now, long: long, acceptedDraining: d.draining}
@@ -172,9 +178,9 @@
 	return nil
 }
 
-// errDraining is the refusal of a request that has not run.
-func errDraining() error {
-	return failure.New(failure.Draining, "this entry is stopping").WithRetryAfter(drainRetryAfter)
+// errDraining returns the refusal of a request that has not run, with the reason as in fmt.Sprintf.
+func errDraining(format string, args ...any) error {
+	return failure.New(failure.Draining, "this entry is stopping: "+format, args...).WithRetryAfter(drainRetryAfter)
 }
 
 // mayUse returns nil if a request may be sent to a target, or why it isn't served. In the last phase
@@ -185,7 +191,7 @@
 	defer d.mu.Unlock()
 
 	if d.inFlight[t].acceptedDraining && t.possibleRuns == 0 && d.isLongAt(now, t.route.Name, target) {
-		return errDraining()
+		return errDraining("responses of its target %s take %.1f times as long as usual", target, d.targets[target].estimate())
 	}
 
 	return nil
