--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -209,6 +212,39 @@
 	}
 }
 
+// brokenSource is a stream whose error comes with its last bytes.
+type brokenSource struct{ parts []string }
+
+func (s *brokenSource) Read(b []byte) (int, error) {
+	n := copy(b, s.parts[0])
+	if s.parts = s.parts[1:]; len(s.parts) == 0 {
+		return n, syscall.ECONNRESET
+	}
+
+	return n, nil
+}
+
+// Guards against a reset that is lost, and a stream that looks complete, because the stream was read ahead.
+func TestResetOfAStreamThatIsReadAheadIsKept(t *testing.T) {
+	for _, ahead := range []bool{false, true} {
+		shared := &slowReaders{maxReadAhead: 1 << 20}
+		r := newStreamReader(&brokenSource{parts: []string{eventText(1), eventText(2)}}, shared)
+
+		if ahead {
+			r.beginWrite()
+			r.startAhead()
+			<-r.finished
+		}
+
+		got, err := io.ReadAll(r)
+		if want := eventText(1) + eventText(2); string(got) != want || !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("read ahead %v: got %q, %v, want %q, %v", ahead, got, err, want, syscall.ECONNRESET)
+		}
+
+		r.stop(func() {})
+	}
+}
+
 // countingMeter counts results.
 type countingMeter struct {
 	Meter
