--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -35,6 +35,7 @@
 type Faults struct {
 	standin.ConnectionFaults
 	standin.SignalFaults
+	standin.FramingFaults
 	// EventsDelayMS is the delay before cache events are visible, in ms.
 	EventsDelayMS int64 `json:"events_delay_ms"`
 	// EventsLost is the fraction of cache events that are never visible.
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -195,6 +195,9 @@
 	usage         usage
 	writer        http.ResponseWriter
 	flush         func()
+	framing       standin.FramingFaults
+	sentEvents    int
+	brokenOff     bool
 }
 
 // rejectUnservable writes an error and returns true if weights are loading, or if r needs a
@@ -357,7 +360,7 @@
 	skip := len(r.ResumeText) % prompt.TokenBytes
 
 	if r.Stream {
-		r.writer.Header().Set("Content-Type", "text/event-stream")
+		r.beginStream(s.Faults().FramingFaults)
 	}
 
 	for i := len(r.ResumeText) / prompt.TokenBytes; i < r.MaxTokens; i++ {
@@ -371,7 +374,7 @@
 
 		text.WriteString(t)
 
-		if r.Stream && i < r.MaxTokens-1 && !r.sendEvent(t, false) {
+		if r.Stream && i < r.MaxTokens-1 && !r.sendEvent(ctx, t, false) {
 			break
 		}
 	}
@@ -379,7 +382,7 @@
 	completed := text.String()
 	s.cacheRun(time.Now(), r, r.scope.Chain(r.Prompt+r.ResumeText+completed, s.cfg.BlockTokens))
 
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.brokenOff {
 		return
 	}
 
@@ -388,12 +391,22 @@
 		return
 	}
 
-	if r.sendEvent(completed[max(len(completed)-prompt.TokenBytes, 0):], true) {
-		_, _ = r.writer.Write([]byte("data: [DONE]\n\n"))
+	if r.sendEvent(ctx, completed[max(len(completed)-prompt.TokenBytes, 0):], true) {
+		_, _ = r.writer.Write([]byte(r.framing.Lines("data: [DONE]\n\n")))
 		r.flush()
 	}
 }
 
+// beginStream prepares the stream's header.
+func (r *run) beginStream(f standin.FramingFaults) {
+	r.framing = f
+	r.writer.Header().Set("Content-Type", "text/event-stream")
+
+	if f.Unframed {
+		r.writer.Header().Set("Transfer-Encoding", "identity") // net/http then sends no chunks
+	}
+}
+
 // chunk returns a part of the completion; the last one carries finish reason and usage.
 func (r *run) chunk(text string, last bool) completion {
 	c := completion{ID: r.completionID, Object: objectName, Created: time.Now().Unix(), Model: r.Model}
@@ -409,11 +422,20 @@
 }
 
 // sendEvent writes one server-sent event and reports whether that succeeded.
-func (r *run) sendEvent(text string, last bool) bool {
+func (r *run) sendEvent(ctx context.Context, text string, last bool) bool {
 	// A completion can always be encoded.
 	b, _ := json.Marshal(r.chunk(text, last))
+	event := r.framing.Lines("data: " + string(b) + "\n\n")
+
+	if r.framing.BreakAfter > 0 && r.sentEvents >= r.framing.BreakAfter {
+		r.breakOff(ctx, event)
+
+		return false
+	}
+
+	r.sentEvents++
 
-	if _, err := r.writer.Write([]byte("data: " + string(b) + "\n\n")); err != nil {
+	if _, err := r.writer.Write([]byte(event)); err != nil {
 		return false
 	}
 
@@ -422,6 +444,21 @@
 	return true
 }
 
+// breakOff writes half of an event and ends the stream.
+func (r *run) breakOff(ctx context.Context, event string) {
+	r.brokenOff = true
+	_, _ = r.writer.Write([]byte(event[:len(event)/2]))
+	r.flush()
+
+	if r.framing.Resets {
+		standin.ResetOnClose(ctx)
+	}
+
+	if r.framing.Resets || !r.framing.Unframed {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // Runs returns the started runs, in order.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
