--- a/wholepath/env_test.go
+++ b/wholepath/env_test.go
@@ -63,8 +63,8 @@
 class = "standard"
 park_min_tokens = 64
 max_body_bytes = 65536
-requests_per_second = 1000.0
-request_burst = 1000
+requests_per_second = 100000.0
+request_burst = 100000
 
 [[data_centre]]
 name = %q
