gateway: test that events of a stream arrive one by one

Callers of engines whose lines end with CRLF or CR got all events at the end of the stream, as their ends were not recognised; the fix of streams that are cut off mended that too, and no test showed it. The tests of that fix read whole bodies only.

TestEventsArriveOneByOne sends each event once the caller has the one before, in three framings, with three ends of lines, to HTTP/1.1 and HTTP/1.0. No logic has changed.

--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -139,6 +140,81 @@
 	}
 }
 
+// Guards against events that reach the caller only with the next one, or at the end, because their end was not
+// recognised: the target sends each event when the caller has the one before.
+func TestEventsArriveOneByOne(t *testing.T) {
+	const n = 4
+
+	heads := []struct {
+		name, head, end string
+		part            func(text string) string
+	}{
+		{"close", closeHead, "", func(text string) string { return text }},
+		{"chunked", streamHead, streamEnd, chunk},
+		{"length", "", "", func(text string) string { return text }},
+	}
+
+	for _, h := range heads {
+		for _, e := range lineEnds {
+			for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				t.Run(h.name+" "+e.name+" "+proto, func(t *testing.T) {
+					event := func(i int) string { return strings.ReplaceAll(eventText(i), "\n", e.text) }
+
+					head := h.head
+					if head == "" {
+						head = lengthHead(n * len(event(1)))
+					}
+
+					has := make(chan struct{})
+					env := newTestEnv(t, newFakeEngine(t, "a", func(c net.Conn, r *http.Request) bool {
+						respond(head)(c, r)
+
+						for i := 1; i <= n; i++ {
+							respond(h.part(event(i)))(c, r)
+							<-has
+						}
+
+						respond(h.end)(c, r)
+
+						return false
+					}))
+
+					nc, err := net.Dial("tcp", env.server.Listener.Addr().String())
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer func() { _ = nc.Close() }()
+
+					_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+
+					if _, err := io.WriteString(nc, "GET /stream/1 "+proto+"\r\nHost: desk\r\nId: r1\r\nKey: k1\r\n\r\n"); err != nil {
+						t.Fatal(err)
+					}
+
+					resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer func() { _ = resp.Body.Close() }()
+
+					for i := 1; i <= n; i++ {
+						got := make([]byte, len(event(i)))
+						if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != event(i) {
+							t.Fatalf("event %d: got %q, %v, want %q before the next one is sent", i, got, err, event(i))
+						}
+
+						has <- struct{}{}
+					}
+
+					if rest, err := io.ReadAll(resp.Body); len(rest) > 0 || err != nil {
+						t.Errorf("got %q, %v behind the last event, want the end", rest, err)
+					}
+				})
+			}
+		}
+	}
+}
+
 // A target breaks off before its first event. Guards against an empty stream that looks complete.
 func TestStreamWithoutAnEventThatEndsWithItsConnectionIsBroken(t *testing.T) {
 	broken := respondAndClose(closeHead)
