gateway, entry: the log has how much of its retry budget an entry has used

1703 and 1704 said neither how many repeats an entry counts in its window nor how many it allows, so that a floor used again after a start and a window that has moved on looked the same. Both now have budget_used and budget. No decision changes.

--- a/entry/job.go
+++ b/entry/job.go
@@ -159,8 +159,11 @@
 		return false
 	}
 
-	if !j.budget.Allow(time.Now()) {
-		event.Log(j.e.cfg.Log, event.RepeatRefused, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "reason", "budget")
+	budgetAllows := j.budget.Allow(time.Now())
+	used, limit := j.budget.Usage(time.Now())
+
+	if !budgetAllows {
+		event.Log(j.e.cfg.Log, event.RepeatRefused, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "reason", "budget", "budget_used", used, "budget", limit)
 
 		return false
 	}
@@ -170,7 +173,7 @@
 		wait = max(wait, crashReportDelay)
 	}
 
-	event.Log(j.e.cfg.Log, event.RequestRepeated, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "wait_ms", wait.Milliseconds())
+	event.Log(j.e.cfg.Log, event.RequestRepeated, "request_id", j.id, "attempt", j.attempt, "kind", kind.String(), "wait_ms", wait.Milliseconds(), "budget_used", used, "budget", limit)
 	j.e.metrics.retries.Inc()
 
 	return pause.For(ctx, wait)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -218,13 +218,16 @@
 		MaxAttempts: c.values.MaxAttempts,
 	})
 
-	if !allowed || !c.budget.Allow(time.Now()) {
-		event.Log(c.e.cfg.Log, event.RepeatRefused, "request_id", c.request.id, "attempt", c.attempt, "kind", kind.String(), "reason", refusalReason(allowed))
+	repeat := allowed && c.budget.Allow(time.Now())
+	used, limit := c.budget.Usage(time.Now())
+
+	if !repeat {
+		event.Log(c.e.cfg.Log, event.RepeatRefused, "request_id", c.request.id, "attempt", c.attempt, "kind", kind.String(), "reason", refusalReason(allowed), "budget_used", used, "budget", limit)
 
 		return false
 	}
 
-	event.Log(c.e.cfg.Log, event.RequestRepeated, "request_id", c.request.id, "attempt", c.attempt, "kind", kind.String(), "wait_ms", 0)
+	event.Log(c.e.cfg.Log, event.RequestRepeated, "request_id", c.request.id, "attempt", c.attempt, "kind", kind.String(), "wait_ms", 0, "budget_used", used, "budget", limit)
 	c.e.metrics.retries.Inc()
 
 	return true
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,13 +88,27 @@
 		Idempotent: t.route.Retryable(), Sent: o.mayHaveRun, Kind: o.kind, Number: t.possibleRuns, MaxAttempts: max(t.route.MaxAttempts, 1),
 	}):
 		return t.attemptError(o, o.kind)
-	case !t.g.retryBudget(t.service.Name).Allow(now):
-		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "budget")
+	}
+
+	return t.drawOnBudget(now, o)
+}
+
+// drawOnBudget returns nil if the service's retry budget allows one more attempt, and otherwise the error for
+// the caller.
+func (t *task) drawOnBudget(now time.Time, o outcome) error {
+	b := t.g.retryBudget(t.service.Name)
+	allowed := b.Allow(now)
+	used, limit := b.Usage(now)
+
+	if !allowed {
+		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "budget",
+			"service", t.service.Name, "budget_used", used, "budget", limit)
 
 		return t.attemptError(o, o.kind)
 	}
 
-	event.Log(t.g.cfg.Log, event.RequestRepeated, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "left_ms", left.Milliseconds())
+	event.Log(t.g.cfg.Log, event.RequestRepeated, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "left_ms", t.deadline.Sub(now).Milliseconds(),
+		"service", t.service.Name, "budget_used", used, "budget", limit)
 
 	return nil
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -97,6 +97,16 @@
 	return true
 }
 
+// Usage returns the retries counted in the window and how many are allowed there.
+func (b *Budget) Usage(now time.Time) (used int, limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.advance(now)
+
+	return sum(b.retries), b.cfg.Ratio*float64(sum(b.firstAttempts)) + float64(max(b.cfg.Floor, 0))
+}
+
 // advance clears the slots that have expired and returns the index of the current one. When
 // the clock goes back, the newest slot remains the current one.
 func (b *Budget) advance(now time.Time) int {
