retry: the budget's window slides, and counts what any window may

Callers saw nothing; engines got more repeats than a fifth of the requests around a window.

A retry is now allowed only if each window that may still hold it has room: its retries in whole slots, and the mean of the requests of that window, the one before it and the one half a window before it, in slots that lie in them wherever the window begins. This is linear in the requests, so the limits of many processes add up. Slots go by the monotonic clock. Requests count when they arrive, not when they are first sent, which may be seconds later.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"boragehub/retry"
 )
@@ -31,7 +32,7 @@
 
 	known, ok := b.byService[service]
 	if !ok || known.ratio != ratio {
-		known = serviceBudget{ratio: ratio, budget: retry.NewBudget(retry.BudgetConfig{Ratio: ratio})}
+		known = serviceBudget{ratio: ratio, budget: retry.NewBudget(time.Now(), retry.BudgetConfig{Ratio: ratio})}
 		b.byService[service] = known
 	}
 
--- a/entry/job.go
+++ b/entry/job.go
@@ -56,7 +56,7 @@
 	defer cancel()
 
 	j.budget = j.e.budgets.forService(j.service, j.values.RetryRatio)
-	j.budget.CountFirstAttempt(time.Now())
+	j.budget.CountRequest(time.Now())
 
 	var lastErr error
 
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -1,17 +1,19 @@
 package gateway
 
 import (
+	"time"
+
 	"boragehub/retry"
 )
 
 // retryBudget returns the retry budget of a service.
-func (g *Gateway) retryBudget(service string) *retry.Budget {
+func (g *Gateway) retryBudget(now time.Time, service string) *retry.Budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	b, ok := g.retryBudgets[service]
 	if !ok {
-		b = retry.NewBudget(retry.BudgetConfig{Ratio: g.cfg.RetryRatio, Window: g.cfg.RetryWindow, Floor: g.retryFloor()})
+		b = retry.NewBudget(now, retry.BudgetConfig{Ratio: g.cfg.RetryRatio, Window: g.cfg.RetryWindow, Floor: g.retryFloor()})
 		g.retryBudgets[service] = b
 	}
 
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -96,14 +96,14 @@
 func (f *retryFleet) request(e *retryEntry, n int) {
 	for range n {
 		f.requests = append(f.requests, f.now)
-		e.gateway.retryBudget(modelService).CountFirstAttempt(f.now)
+		e.gateway.retryBudget(f.now, modelService).CountRequest(f.now)
 	}
 }
 
 // repeat lets an entry send as many repeats as it may, n at most.
 func (f *retryFleet) repeat(e *retryEntry, n int) {
 	for range n {
-		if !e.gateway.retryBudget(modelService).Allow(f.now) {
+		if !e.gateway.retryBudget(f.now, modelService).Allow(f.now) {
 			return
 		}
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -114,7 +114,13 @@
 	}
 
 	// Reading the body may have taken long.
-	return t.g.drain.admit(time.Now(), t)
+	if err := t.g.drain.admit(time.Now(), t); err != nil {
+		return err
+	}
+
+	t.g.retryBudget(now, t.service.Name).CountRequest(now)
+
+	return nil
 }
 
 func (t *task) authenticate() error {
--- a/retry/bench_test.go
+++ b/retry/bench_test.go
@@ -8,12 +8,12 @@
 func BenchmarkBudget(b *testing.B) {
 	b.ReportAllocs()
 
-	budget := NewBudget(BudgetConfig{})
 	now := epoch
+	budget := NewBudget(now, BudgetConfig{})
 
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
-		budget.CountFirstAttempt(now)
+		budget.CountRequest(now)
 		budget.Allow(now)
 	}
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -3,15 +3,20 @@
 // # Model
 //
 // A retry helps one request, but in a fault that affects many it doubles the load on the
-// remaining targets. So a Budget limits retries and hedges to a ratio of the first attempts
-// in a window, plus a small floor: an outage adds no more load than that, however many
-// requests fail. MayRetry reports whether the rules allow a retry at all: an idempotent
-// request may be retried on another target; any other only when it is certain that nothing
-// ran.
+// remaining targets. So a Budget limits retries and hedges to a ratio of the requests
+// around a window, plus a small floor: an outage adds no more load than that, however
+// many requests fail. MayRetry reports whether the rules allow a retry at all: an
+// idempotent request may be retried on another target; any other only when it is certain
+// that nothing ran.
+//
+// Many processes may share a limit of retries. The limits of their Budgets add up: in any
+// window, all of them together allow at most Ratio times the mean number of requests in
+// that window, the one before it and the one half a window before it, plus the sum of
+// their floors.
 //
 // # Example
 //
-//	b.CountFirstAttempt(now)
+//	b.CountRequest(now)
 //	…
 //	if retry.MayRetry(attempt) && b.Allow(now) {
 //		wait := cfg.Backoff(attempt.Number, rng)
@@ -25,7 +30,7 @@
 
 // BudgetConfig configures a Budget. Zero values get a default.
 type BudgetConfig struct {
-	// Ratio is the maximum ratio of retries to first attempts. 0.2 when zero.
+	// Ratio is the maximum ratio of retries to requests. 0.2 when zero.
 	Ratio float64
 	// Window is the period over which both are counted. 10 s when zero.
 	Window time.Duration
@@ -34,22 +39,29 @@
 	Floor int
 }
 
-// windowSlots is the number of slots into which the window is divided.
-const windowSlots = 10
+const (
+	// windowSlots is the number of slots into which a window is divided.
+	windowSlots = 20
+	// keptSlots is the number of slots kept: any window that may still get a retry, and the
+	// one before it.
+	keptSlots = 2*windowSlots + 1
+)
 
-// Budget limits retries to a ratio of first attempts. Use NewBudget. Its methods are safe
-// for concurrent use.
+// Budget limits retries to a ratio of requests. Use NewBudget. Its methods are safe for
+// concurrent use.
 type Budget struct {
-	cfg BudgetConfig
-
-	mu            sync.Mutex
-	slot          int64 // number of the newest slot
-	firstAttempts [windowSlots]int
-	retries       [windowSlots]int
+	cfg   BudgetConfig
+	start time.Time
+
+	mu   sync.Mutex
+	slot int // number of the newest slot, counted from start
+	// requests and retries hold the counts of slot n at index n % keptSlots.
+	requests [keptSlots]int
+	retries  [keptSlots]int
 }
 
-// NewBudget returns a Budget with no attempts counted.
-func NewBudget(cfg BudgetConfig) *Budget {
+// NewBudget returns a Budget with nothing counted.
+func NewBudget(now time.Time, cfg BudgetConfig) *Budget {
 	if cfg.Ratio == 0 {
 		cfg.Ratio = 0.2
 	}
@@ -62,7 +74,7 @@
 		cfg.Floor = 3
 	}
 
-	return &Budget{cfg: cfg}
+	return &Budget{cfg: cfg, start: now}
 }
 
 // SetFloor changes the number of retries allowed per window in addition to Ratio, as when
@@ -74,12 +86,19 @@
 	b.cfg.Floor = n
 }
 
-// CountFirstAttempt counts a first attempt.
-func (b *Budget) CountFirstAttempt(now time.Time) {
+// CountRequest counts a request that arrived at a time, which may be a little in the past.
+func (b *Budget) CountRequest(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.firstAttempts[b.advance(now)]++
+	n := b.slotAt(at)
+	if n > b.slot {
+		b.advance(n)
+	}
+
+	if n >= 0 && n > b.slot-keptSlots {
+		b.requests[n%keptSlots]++
+	}
 }
 
 // Allow reports whether the budget allows one more retry, and counts it if so.
@@ -87,49 +106,93 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	i := b.advance(now)
-	if float64(sum(b.retries)+1) > b.cfg.Ratio*float64(sum(b.firstAttempts))+float64(max(b.cfg.Floor, 0)) {
+	b.advance(b.slotAt(now))
+
+	if used, limit := b.tightest(1); float64(used+1) > limit {
 		return false
 	}
 
-	b.retries[i]++
+	b.retries[b.slot%keptSlots]++
 
 	return true
 }
 
-// Usage returns the retries counted in the window and how many are allowed there.
+// Usage returns the retries counted in the window that leaves least room for others, and how many
+// are allowed there.
 func (b *Budget) Usage(now time.Time) (used int, limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.advance(now)
+	b.advance(b.slotAt(now))
 
-	return sum(b.retries), b.cfg.Ratio*float64(sum(b.firstAttempts)) + float64(max(b.cfg.Floor, 0))
+	return b.tightest(0)
 }
 
-// advance clears the slots that have expired and returns the index of the current one. When
-// the clock goes back, the newest slot remains the current one.
-func (b *Budget) advance(now time.Time) int {
-	n := now.UnixNano() / int64(b.cfg.Window/windowSlots)
-	if n-b.slot >= windowSlots {
-		b.firstAttempts, b.retries = [windowSlots]int{}, [windowSlots]int{}
-		b.slot = n
+// tightest returns the retries of the window that leaves least room for another n, and how many are
+// allowed there. It considers each window that may end at or after the present, wherever in its first
+// slot it begins: retries of that slot count, and requests only where any such window has them. The
+// caller holds mu.
+func (b *Budget) tightest(n int) (used int, limit float64) {
+	var before [keptSlots + 1]int // requests of the kept slots before one
+
+	oldest := b.slot - keptSlots + 1
+	for i := range keptSlots {
+		before[i+1] = before[i] + b.count(&b.requests, oldest+i)
 	}
 
-	for b.slot < n {
-		b.slot++
-		b.firstAttempts[b.slot%windowSlots] = 0
-		b.retries[b.slot%windowSlots] = 0
+	// requestsIn returns the requests of the slots from first to last.
+	requestsIn := func(first, last int) int {
+		first, last = max(first, oldest), min(last, b.slot)
+		if first > last {
+			return 0
+		}
+
+		return before[last-oldest+1] - before[first-oldest]
 	}
 
-	return int(b.slot % windowSlots)
+	retries, least := 0, 0.0
+
+	for first := b.slot; first >= b.slot-windowSlots; first-- {
+		retries += b.count(&b.retries, first)
+
+		// The windows half a window and a whole one earlier, and this one.
+		sum := requestsIn(first-windowSlots+1, first-1) + requestsIn(first-windowSlots/2+1, first+windowSlots/2-1) + requestsIn(first+1, first+windowSlots-1)
+		allowed := b.cfg.Ratio*float64(sum)/3 + float64(max(b.cfg.Floor, 0))
+
+		if room := allowed - float64(retries+n); first == b.slot || room < least {
+			used, limit, least = retries, allowed, room
+		}
+	}
+
+	return used, limit
 }
 
-func sum(counts [windowSlots]int) int {
-	n := 0
-	for _, c := range counts {
-		n += c
+// count returns the count of slot n, zero before the start.
+func (b *Budget) count(counts *[keptSlots]int, n int) int {
+	if n < 0 {
+		return 0
 	}
 
-	return n
+	return counts[n%keptSlots]
+}
+
+// slotAt returns the number of the slot of a time. Times are compared by the monotonic clock, so that the
+// budget doesn't change when the time of day does.
+func (b *Budget) slotAt(at time.Time) int {
+	return int(at.Sub(b.start) / (b.cfg.Window / windowSlots))
+}
+
+// advance makes slot n the newest one and clears those that have expired. When the clock goes
+// back, the newest slot remains so.
+func (b *Budget) advance(n int) {
+	if n-b.slot >= keptSlots {
+		b.requests, b.retries = [keptSlots]int{}, [keptSlots]int{}
+		b.slot = n
+	}
+
+	for b.slot < n {
+		b.slot++
+		b.requests[b.slot%keptSlots] = 0
+		b.retries[b.slot%keptSlots] = 0
+	}
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -12,56 +12,127 @@
 
 var epoch = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
 
+// times are when something was counted, oldest first.
+type times []time.Time
+
+// within returns how many of them are behind from, and not behind to.
+func (ts times) within(from, to time.Time) int {
+	n := 0
+
+	for _, at := range ts {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Guards against a retry storm: when targets fail and every request is to be retried, an
 // unlimited number of retries would double the load on the remaining targets.
 func TestBudgetAgainstOracle(t *testing.T) {
+	const window, slot = 10 * time.Second, 500 * time.Millisecond
+
 	rapid.Check(t, func(rt *rapid.T) {
 		cfg := BudgetConfig{Ratio: rapid.SampledFrom([]float64{0.1, 0.2, 0.5}).Draw(rt, "ratio"), Floor: 2}
-		b := NewBudget(cfg)
 		now := epoch
+		b := NewBudget(now, cfg)
 
-		var firstAttempts, retries []time.Time
+		var requests, retries times
 
-		within := func(times []time.Time, span time.Duration) int {
-			n := 0
+		// limit returns how many retries a window may have, in which requests count that are at least
+		// margin away from its ends.
+		limit := func(from time.Time, margin time.Duration) float64 {
+			sum := 0
 
-			for _, at := range times {
-				if now.Sub(at) < span {
-					n++
-				}
+			for _, back := range []time.Duration{0, window / 2, window} {
+				sum += requests.within(from.Add(margin-back), from.Add(window-margin-back))
 			}
 
-			return n
+			return cfg.Ratio*float64(sum)/3 + 2
 		}
 
 		rt.Repeat(map[string]func(*rapid.T){
 			"pass": func(rt *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
 			},
-			"first": func(*rapid.T) {
-				b.CountFirstAttempt(now)
-				firstAttempts = append(firstAttempts, now)
+			"request": func(rt *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(rt, "n") {
+					b.CountRequest(now)
+
+					requests = append(requests, now)
+				}
 			},
-			"repeat": func(rt *rapid.T) {
+			"retry": func(rt *rapid.T) {
 				allowed := b.Allow(now)
 				if allowed {
 					retries = append(retries, now)
 				}
 
-				// The budget's window advances by a tenth of its length at a time.
-				short, long := 9*time.Second, 10*time.Second
-				if got, limit := within(retries, short), cfg.Ratio*float64(within(firstAttempts, long))+2; allowed && float64(got) > limit {
-					rt.Fatalf("retries: got %d in the window, want at most %.1f", got, limit)
+				exhausted := false
+
+				for back := time.Duration(0); back <= window+slot; back += 50 * time.Millisecond {
+					from := now.Add(-back - time.Nanosecond)
+
+					if got, most := retries.within(from, from.Add(window)), limit(from, 0); allowed && !from.Add(window).Before(now) && float64(got) > most {
+						rt.Fatalf("got %d retries in the window that began %v ago, want at most %.1f", got, back, most)
+					}
+
+					exhausted = exhausted || float64(retries.within(from.Add(-slot), now)+1) > limit(from, slot)
 				}
 
-				if got, limit := within(retries, long)+1, cfg.Ratio*float64(within(firstAttempts, short))+2; !allowed && float64(got) <= limit {
-					rt.Fatalf("got refused with %d retries in the window, want up to %.1f allowed", got, limit)
+				if !allowed && !exhausted {
+					rt.Fatal("got refused, want the retry allowed: no window is exhausted")
 				}
 			},
 		})
 	})
 }
 
+// Guards against processes that keep to their budgets each, and exceed the limit together when the load moves
+// from one to another, and stops.
+func TestBudgetsOfManyProcessesAddUp(t *testing.T) {
+	const (
+		window, step = 10 * time.Second, 100 * time.Millisecond
+		processes    = 5
+	)
+
+	budgets := make([]*Budget, processes)
+	for i := range budgets {
+		budgets[i] = NewBudget(epoch.Add(time.Duration(i)*130*time.Millisecond), BudgetConfig{Window: window, Floor: 1})
+	}
+
+	var requests, retries times
+
+	rng := rand.New(rand.NewPCG(1, 1))
+
+	for now := epoch.Add(time.Second); now.Before(epoch.Add(time.Minute)); now = now.Add(step) {
+		for _, b := range budgets {
+			// The load moves from process to process, and stops now and then.
+			for range rng.IntN(8) * rng.IntN(3) * rng.IntN(2) {
+				b.CountRequest(now)
+
+				requests = append(requests, now)
+			}
+
+			for rng.IntN(20) > 0 && b.Allow(now) {
+				retries = append(retries, now)
+			}
+		}
+
+		from := now.Add(-window)
+		most := max(requests.within(from, now), requests.within(from.Add(-window/2), now.Add(-window/2)), requests.within(from.Add(-window), from))
+
+		if got, limit := retries.within(from, now), 0.2*float64(most)+processes; float64(got) > limit {
+			t.Fatalf("got %d retries in the window that ends at %v, want at most %.1f", got, now.Sub(epoch), limit)
+		}
+	}
+
+	if len(retries) < len(requests)/20 {
+		t.Errorf("got %d retries for %d requests, want more of them", len(retries), len(requests))
+	}
+}
+
 func TestMay(t *testing.T) {
 	cases := []struct {
 		name string
--- a/target/attempts_test.go
+++ b/target/attempts_test.go
@@ -32,7 +32,7 @@
 	}
 
 	t := target.NewTable(cfg)
-	b := retry.NewBudget(retry.BudgetConfig{})
+	b := retry.NewBudget(epoch, retry.BudgetConfig{})
 
 	var rows []target.Listed
 	for i := range 12 {
@@ -45,7 +45,7 @@
 
 	for i := range 3000 {
 		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
-		b.CountFirstAttempt(now)
+		b.CountRequest(now)
 
 		n, ok := sendWithRetries(now, t, b, rng)
 		r.requests++
