gateway: a start has no floor of repeats of its own

Beside it, an entry that others are cut off from counted fewer entries and took a larger share, and more than 52 entries took one each.

A process uses its share of the slack only once a window has passed since its start, and the time in which entries hear of a new one, unless the whole system starts for the first time; only while it hears of others; counted among the most entries that it knew in ten minutes; in fractions; and half of the slack is left for entries that join where others can't hear of them. What processes of the same VM used one after the other then lies in different windows, and all that use a share in a window count each other.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -126,7 +126,7 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: e.crashes, ReportCrash: e.client.ReportCrash,
+		Crashes: e.crashes, ReportCrash: e.client.ReportCrash, Start: time.Now(), FirstStart: cfg.Bootstrap,
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
@@ -331,7 +331,7 @@
 		now := time.Now()
 		entries := e.members.Size(now)
 		e.directory.SetProcessCount(entries)
-		e.gateway.SetEntryCount(entries)
+		e.gateway.SetEntryCount(now, entries, e.members.InTouch(now))
 		e.roster.Tick(now)
 		e.gateway.Tick(now)
 		e.pool.Sweep(now)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,7 +96,7 @@
 // drawOnBudget returns nil if the service's retry budget allows one more attempt, and otherwise the error for
 // the caller.
 func (t *task) drawOnBudget(now time.Time, o outcome) error {
-	b := t.g.retryBudget(now, t.service.Name)
+	b := t.g.retryBudget(t.service.Name)
 	allowed := b.Allow(now)
 	used, limit := b.Usage(now)
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,12 @@
 	// ReportCrash reports to the other entries what was on a target when it crashed; nil
 	// reports nothing.
 	ReportCrash func(quarantine.Crash)
-	// RetryRatio and RetryWindow limit retries to a fraction of the first attempts in a
+	// Start is when the process started; zero means now.
+	Start time.Time
+	// FirstStart is true if the whole system starts for the first time, so that no earlier process
+	// has used this one's share of RetrySlack.
+	FirstStart bool
+	// RetryRatio and RetryWindow limit retries to a fraction of the requests around a
 	// window; RetrySlack is the number that all entries together may make beyond it.
 	RetryRatio  float64
 	RetryWindow time.Duration
@@ -116,7 +121,7 @@
 
 	mu              sync.Mutex
 	retryBudgets    map[string]*retry.Budget
-	entries         int // number of entries that share the retry slack
+	slackShare      slackShare
 	versions        map[string][]publishedVersion
 	versionsKnownAt func() time.Time // when the newest versions were last known for certain
 	registeredSince func() time.Time // since when this process is asked before cached parts are freed
@@ -137,10 +142,13 @@
 // process has been registered, so that it is asked before cached parts are freed. Both return
 // the zero time if that isn't so yet.
 func New(cfg Config, versionsKnownAt, registeredSince func() time.Time) *Gateway {
+	if cfg.Start.IsZero() {
+		cfg.Start = time.Now()
+	}
+
 	g := &Gateway{
 		cfg:             cfg,
 		retryBudgets:    make(map[string]*retry.Budget),
-		entries:         minEntries,
 		versions:        make(map[string][]publishedVersion),
 		versionsKnownAt: versionsKnownAt,
 		registeredSince: registeredSince,
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -118,7 +118,7 @@
 		return err
 	}
 
-	t.g.retryBudget(now, t.service.Name).CountRequest(now)
+	t.g.retryBudget(t.service.Name).CountRequest(now)
 
 	return nil
 }
--- a/mirror/exchange/members.go
+++ b/mirror/exchange/members.go
@@ -27,6 +27,7 @@
 	seeds []string
 
 	mu         sync.Mutex
+	heardAt    time.Time // when an entry last sent a request or a response
 	seen       map[string]memberState
 	live       liveSet
 	mismatches int // consecutive rounds without an equal view, see EndRound
@@ -68,9 +69,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	m.heardAt = now
 	m.update(now, address, now)
 }
 
+// contactTTL is how long after hearing from an entry this process counts as in touch with the others. It
+// covers a lost round of gossip.
+const contactTTL = 4 * time.Second
+
+// InTouch reports whether an entry has sent a request or a response lately, or this process was told of none at
+// its start.
+func (m *Members) InTouch(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if !m.heardAt.IsZero() {
+		return now.Sub(m.heardAt) <= contactTTL
+	}
+
+	return !slices.ContainsFunc(m.seeds, func(s string) bool { return s != m.self })
+}
+
 // update adds an entry if it is unknown and there is capacity, or advances the time at which it was
 // last alive. The caller holds mu.
 func (m *Members) update(now time.Time, address string, lastAlive time.Time) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -36,7 +36,10 @@
 	Window time.Duration
 	// Floor is the number of retries allowed per window in addition to Ratio, so that an
 	// entry with few requests can retry at all. 3 when zero, none when negative.
-	Floor int
+	Floor float64
+	// FloorDelay is how long after the start the floor is not used yet. Where an earlier
+	// process may have used the same floor, it is Window or longer.
+	FloorDelay time.Duration
 }
 
 const (
@@ -60,8 +63,8 @@
 	retries  [keptSlots]int
 }
 
-// NewBudget returns a Budget with nothing counted.
-func NewBudget(now time.Time, cfg BudgetConfig) *Budget {
+// NewBudget returns the Budget of a process that started at a time, with nothing counted.
+func NewBudget(start time.Time, cfg BudgetConfig) *Budget {
 	if cfg.Ratio == 0 {
 		cfg.Ratio = 0.2
 	}
@@ -74,12 +77,12 @@
 		cfg.Floor = 3
 	}
 
-	return &Budget{cfg: cfg, start: now}
+	return &Budget{cfg: cfg, start: start}
 }
 
 // SetFloor changes the number of retries allowed per window in addition to Ratio, as when
 // the number of entries that share it changes. Zero or less allows none.
-func (b *Budget) SetFloor(n int) {
+func (b *Budget) SetFloor(n float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -108,7 +111,7 @@
 
 	b.advance(b.slotAt(now))
 
-	if used, limit := b.tightest(1); float64(used+1) > limit {
+	if used, limit := b.tightest(now, 1); float64(used+1) > limit {
 		return false
 	}
 
@@ -125,14 +128,14 @@
 
 	b.advance(b.slotAt(now))
 
-	return b.tightest(0)
+	return b.tightest(now, 0)
 }
 
 // tightest returns the retries of the window that leaves least room for another n, and how many are
 // allowed there. It considers each window that may end at or after the present, wherever in its first
 // slot it begins: retries of that slot count, and requests only where any such window has them. The
 // caller holds mu.
-func (b *Budget) tightest(n int) (used int, limit float64) {
+func (b *Budget) tightest(now time.Time, n int) (used int, limit float64) {
 	var before [keptSlots + 1]int // requests of the kept slots before one
 
 	oldest := b.slot - keptSlots + 1
@@ -150,6 +153,11 @@
 		return before[last-oldest+1] - before[first-oldest]
 	}
 
+	floor := max(b.cfg.Floor, 0)
+	if now.Sub(b.start) < b.cfg.FloorDelay {
+		floor = 0
+	}
+
 	retries, least := 0, 0.0
 
 	for first := b.slot; first >= b.slot-windowSlots; first-- {
@@ -157,7 +165,7 @@
 
 		// The windows half a window and a whole one earlier, and this one.
 		sum := requestsIn(first-windowSlots+1, first-1) + requestsIn(first-windowSlots/2+1, first+windowSlots/2-1) + requestsIn(first+1, first+windowSlots-1)
-		allowed := b.cfg.Ratio*float64(sum)/3 + float64(max(b.cfg.Floor, 0))
+		allowed := b.cfg.Ratio*float64(sum)/3 + floor
 
 		if room := allowed - float64(retries+n); first == b.slot || room < least {
 			used, limit, least = retries, allowed, room
