retry: repeats count from their reservation until they have arrived

A repeat is now reserved, counts in every window while it may still arrive, and counts as arrived when its response begins or its attempt has failed. TestRetriesOnTheWayCountUntilTheyArrive, and TestRepeatCountsUntilItHasArrived: 0 counted before, want 1. That callers' engines ever broke BUDGET by this wasn't seen.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,6 +39,7 @@
 // run sends the request to targets until it is answered or given up.
 func (t *task) run(ctx context.Context) {
 	defer t.endTurn()
+	defer t.settleRepeat()
 
 	var last outcome
 
@@ -97,7 +98,7 @@
 // the caller.
 func (t *task) drawOnBudget(now time.Time, o outcome) error {
 	b := t.g.retryBudget(t.service.Name)
-	allowed := b.Allow(now)
+	allowed := b.Reserve(now)
 	used, limit := b.Usage(now)
 
 	if !allowed {
@@ -107,12 +108,22 @@
 		return t.attemptError(o, o.kind)
 	}
 
+	t.repeat = b
+
 	event.Log(t.g.cfg.Log, event.RequestRepeated, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "left_ms", t.deadline.Sub(now).Milliseconds(),
 		"service", t.service.Name, "budget_used", used, "budget", limit)
 
 	return nil
 }
 
+// settleRepeat records that the present attempt, if it is a repeat, has arrived at its target or never will.
+func (t *task) settleRepeat() {
+	if t.repeat != nil {
+		t.repeat.Settle(time.Now())
+		t.repeat = nil
+	}
+}
+
 // attemptError returns the error for the caller. It says that the request has not run only
 // if no target may have run it.
 func (t *task) attemptError(o outcome, kind failure.Kind) error {
@@ -254,6 +265,8 @@
 	d := t.g.cfg.Dialect
 
 	x, err := t.g.cfg.Pool.Send(ctx, upstreamRequest(d, t.r, &t.arrival, &c.params, t.body))
+	t.settleRepeat()
+
 	if err != nil {
 		return t.failedExchange(ctx, c, err)
 	}
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -266,3 +268,53 @@
 		}
 	}
 }
+
+// Guards against repeats that aren't counted any more once the budget's window has passed although they are still on
+// their way, and against ones that count forever.
+func TestRepeatCountsUntilItHasArrived(t *testing.T) {
+	const window = 50 * time.Millisecond
+
+	failing, held, release := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	failing <- struct{}{}
+
+	either := func(c net.Conn, r *http.Request) bool {
+		select {
+		case <-failing:
+			return respond(error500)(c, r)
+		default:
+		}
+
+		close(held)
+		<-release
+
+		return respond(ok200)(c, r)
+	}
+	env := newTestEnv(t, newFakeEngine(t, "a", either), newFakeEngine(t, "b", either))
+	env.gateway.cfg.RetryWindow = window
+
+	done := make(chan int)
+
+	go func() { done <- env.request(t, "GET", "/idem/1", "").status }()
+
+	<-held
+
+	used := func(after time.Duration) int {
+		n, _ := env.gateway.retryBudget(modelService).Usage(time.Now().Add(after))
+
+		return n
+	}
+
+	if got, want := used(10*window), 1; got != want {
+		t.Errorf("ten windows after a repeat that has not arrived: got %d counted, want %d", got, want)
+	}
+
+	close(release)
+
+	if got, want := <-done, http.StatusOK; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+
+	if got, want := used(20*window), 0; got != want {
+		t.Errorf("windows after that: got %d counted, want %d", got, want)
+	}
+}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -14,6 +14,7 @@
 	"boragehub/failure"
 	"boragehub/profile"
 	"boragehub/quarantine"
+	"boragehub/retry"
 	"boragehub/site"
 	"boragehub/upstream"
 )
@@ -44,6 +45,7 @@
 	inFlight       *inFlightAttempt // the present attempt
 	received       receivedBody     // what it has received
 	sentAt         time.Time        // when it was sent
+	repeat         *retry.Budget    // holds a reservation for it; nil if it isn't a repeat, or has arrived
 	admission      *admissionTurn   // while it has the turn in its admission queue; nil otherwise
 	lastEventAfter atomic.Int64     // when the last event was sent, in ns after began
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -18,8 +18,10 @@
 //
 //	b.CountRequest(now)
 //	…
-//	if retry.MayRetry(attempt) && b.Allow(now) {
+//	if retry.MayRetry(attempt) && b.Reserve(now) {
 //		wait := cfg.Backoff(attempt.Number, rng)
+//		…
+//		b.Settle(now) // the response has begun, or the attempt has failed
 //	}
 package retry
 
@@ -61,6 +63,7 @@
 	// requests and retries hold the counts of slot n at index n % keptSlots.
 	requests [keptSlots]int
 	retries  [keptSlots]int
+	reserved int // retries that may not have arrived yet
 }
 
 // NewBudget returns the Budget of a process that started at a time, with nothing counted.
@@ -106,6 +109,18 @@
 
 // Allow reports whether the budget allows one more retry, and counts it if so.
 func (b *Budget) Allow(now time.Time) bool {
+	if !b.Reserve(now) {
+		return false
+	}
+
+	b.Settle(now)
+
+	return true
+}
+
+// Reserve reports whether the budget allows one more retry. If so, it counts in every window until Settle is
+// called, since it may arrive at any time.
+func (b *Budget) Reserve(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -115,11 +130,21 @@
 		return false
 	}
 
-	b.retries[b.slot%keptSlots]++
+	b.reserved++
 
 	return true
 }
 
+// Settle records that a reserved retry has arrived, or never will.
+func (b *Budget) Settle(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.advance(b.slotAt(now))
+	b.reserved--
+	b.retries[b.slot%keptSlots]++
+}
+
 // Usage returns the retries counted in the window that leaves least room for others, and how many
 // are allowed there.
 func (b *Budget) Usage(now time.Time) (used int, limit float64) {
@@ -158,7 +183,7 @@
 		floor = 0
 	}
 
-	retries, least := 0, 0.0
+	retries, least := b.reserved, 0.0
 
 	for first := b.slot; first >= b.slot-windowSlots; first-- {
 		retries += b.count(&b.retries, first)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -133,6 +133,43 @@
 	}
 }
 
+// Guards against retries that a link holds up and that arrive together with those of a later window.
+func TestRetriesOnTheWayCountUntilTheyArrive(t *testing.T) {
+	const window = 10 * time.Second
+
+	b := NewBudget(epoch, BudgetConfig{Window: window, Floor: 2})
+	tests := []struct {
+		after         time.Duration
+		settled, want int
+	}{
+		{after: 0, want: 2},
+		{after: 2 * window, want: 0},
+		{after: 0, settled: 1, want: 0},
+		{after: window + window/windowSlots, want: 1},
+		{after: 0, settled: 2, want: 0},
+		{after: window + window/windowSlots, want: 2},
+	}
+
+	now := epoch
+
+	for i, tt := range tests {
+		now = now.Add(tt.after)
+
+		for range tt.settled {
+			b.Settle(now)
+		}
+
+		got := 0
+		for b.Reserve(now) {
+			got++
+		}
+
+		if got != tt.want {
+			t.Errorf("step %d: got %d retries allowed, want %d", i, got, tt.want)
+		}
+	}
+}
+
 func TestMay(t *testing.T) {
 	cases := []struct {
 		name string
