--- a/experiment/command.go
+++ b/experiment/command.go
@@ -10,6 +10,7 @@
 
 	"boragehub/experiment/drawn"
 	"boragehub/experiment/limited"
+	"boragehub/experiment/repeated"
 )
 
 // Command is the subcommand "experiment" of the program. Create it with Attach.
@@ -19,7 +20,7 @@
 	loads, policies, ablations, fault string
 	drawnSeeds                        int
 	asJSON                            bool
-	limitedSeeds                      int
+	limitedSeeds, repeatedSeeds       int
 }
 
 // allValues selects every value in a flag that takes a list of names.
@@ -46,6 +47,7 @@
 	c.sub.Int(&c.drawnSeeds, "", "drawn", "play where prompts go on so many deployments drawn from seeds, and nothing else")
 	c.sub.Bool(&c.asJSON, "", "json", "write what --drawn gives as JSON")
 	c.sub.Int(&c.limitedSeeds, "", "limited", "play how entries keep to rate limits of targets, with so many seeds, and nothing else")
+	c.sub.Int(&c.repeatedSeeds, "", "repeated", "play how entries divide what they may repeat, with so many seeds, and nothing else")
 	flaggy.AttachSubcommand(c.sub, position)
 
 	return c
@@ -65,6 +67,10 @@
 		return limited.Write(w, c.cfg.Seed, c.limitedSeeds)
 	}
 
+	if c.repeatedSeeds > 0 {
+		return repeated.Write(w, c.cfg.Seed, c.repeatedSeeds)
+	}
+
 	cfg := c.cfg
 
 	var err error
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,7 +121,7 @@
 
 	mu              sync.Mutex
 	retryBudgets    map[string]*retry.Budget
-	slackShare      slackShare
+	slackShare      retry.Share
 	versions        map[string][]publishedVersion
 	versionsKnownAt func() time.Time // when the newest versions were last known for certain
 	registeredSince func() time.Time // since when this process is asked before cached parts are freed
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -195,37 +195,6 @@
 	}
 }
 
-// Guards against an excess of retries: thirty entries that each took an eighth of the slack would
-// retry four times as often as all may together.
-func TestEntriesShareRetrySlack(t *testing.T) {
-	env := newTestEnv(t)
-	now := time.Now()
-	tests := []struct {
-		name    string
-		after   time.Duration
-		entries int
-		inTouch bool
-		want    float64
-	}{
-		{"alone", 0, 1, true, 6.25},
-		{"few", time.Second, 8, true, 6.25},
-		{"many", time.Second, 50, true, 1},
-		{"others not heard of any more", time.Minute, 2, true, 1},
-		{"cut off", time.Second, 2, false, 0},
-		{"fewer for long", time.Hour, 8, true, 6.25},
-		{"all of a large fleet", time.Second, 400, true, 0.125},
-	}
-
-	for _, tt := range tests {
-		now = now.Add(tt.after)
-		env.gateway.SetEntryCount(now, tt.entries, tt.inTouch)
-
-		if got := env.gateway.slackShare.of(100); got != tt.want {
-			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
-		}
-	}
-}
-
 func TestStreamsArePassedOnWhole(t *testing.T) {
 	e := newFakeEngine(t, "a", respond(streamHead+chunk("id: 1\nda")+chunk("ta: token1\n\nid: 2\ndata: token2\n\n")+streamEnd))
 	env := newTestEnv(t, e)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -170,6 +170,38 @@
 	}
 }
 
+// Guards against an excess of retries: many processes that each took an eighth of the slack, or
+// one retry at least, would retry more often than all may together.
+func TestProcessesShareTheSlack(t *testing.T) {
+	var s Share
+
+	now := epoch
+	tests := []struct {
+		name      string
+		after     time.Duration
+		processes int
+		inTouch   bool
+		want      float64
+	}{
+		{"alone", 0, 1, true, 6.25},
+		{"few", time.Second, 8, true, 6.25},
+		{"many", time.Second, 50, true, 1},
+		{"others not heard of any more", time.Minute, 2, true, 1},
+		{"cut off", time.Second, 2, false, 0},
+		{"fewer for long", time.Hour, 8, true, 6.25},
+		{"all of a large fleet", time.Second, 400, true, 0.125},
+	}
+
+	for _, tt := range tests {
+		now = now.Add(tt.after)
+		s.Set(now, tt.processes, tt.inTouch)
+
+		if got := s.Of(100); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 func TestMay(t *testing.T) {
 	cases := []struct {
 		name string
