entry: a retry budget outlives a change of its ratio

The same class as repeats beyond the budget: a service's budget was made anew, unused, whenever a request came whose settings gave another ratio, and settings may differ by workload and organisation, so that two workloads of a service had no limit at all. The ratio now changes and what was counted stays. That callers ever met it wasn't seen.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -11,30 +11,26 @@
 // targets does not use up the retries of another.
 type retryBudgets struct {
 	mu        sync.Mutex
-	byService map[string]serviceBudget
-}
-
-// serviceBudget is the budget of one service with its configured ratio.
-type serviceBudget struct {
-	ratio  float64
-	budget *retry.Budget
+	byService map[string]*retry.Budget
 }
 
 func newRetryBudgets() *retryBudgets {
-	return &retryBudgets{byService: map[string]serviceBudget{}}
+	return &retryBudgets{byService: make(map[string]*retry.Budget)}
 }
 
-// forService returns a service's budget. When ratio has changed, it returns a new,
-// unused one.
-func (b *retryBudgets) forService(service string, ratio float64) *retry.Budget {
+// forService returns a service's budget, with the ratio that the settings give now. They may
+// differ between the workloads of a service.
+func (b *retryBudgets) forService(now time.Time, service string, ratio float64) *retry.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	known, ok := b.byService[service]
-	if !ok || known.ratio != ratio {
-		known = serviceBudget{ratio: ratio, budget: retry.NewBudget(time.Now(), retry.BudgetConfig{Ratio: ratio})}
+	if !ok {
+		known = retry.NewBudget(now, retry.BudgetConfig{Ratio: ratio})
 		b.byService[service] = known
 	}
 
-	return known.budget
+	known.SetRatio(ratio)
+
+	return known
 }
--- a/entry/job.go
+++ b/entry/job.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, j.values.Timeout)
 	defer cancel()
 
-	j.budget = j.e.budgets.forService(j.service, j.values.RetryRatio)
+	j.budget = j.e.budgets.forService(time.Now(), j.service, j.values.RetryRatio)
 	j.budget.CountRequest(time.Now())
 
 	var lastErr error
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -153,7 +153,7 @@
 
 // run serves c until it gets a response or fails.
 func (c *call) run(ctx context.Context) (message.Reply, error) {
-	c.budget = c.e.budgets.forService(c.service.Name, c.values.RetryRatio)
+	c.budget = c.e.budgets.forService(time.Now(), c.service.Name, c.values.RetryRatio)
 	c.budget.CountRequest(time.Now())
 
 	var lastErr error
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -92,6 +92,14 @@
 	b.cfg.Floor = n
 }
 
+// SetRatio changes the maximum ratio of retries to requests. What was counted still counts.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.cfg.Ratio = ratio
+}
+
 // CountRequest counts a request that arrived at a time, which may be a little in the past.
 func (b *Budget) CountRequest(at time.Time) {
 	b.mu.Lock()
