retry: a budget without a floor delay has its floor at once

A budget that was asked with a time before its start, as between two readings of the clock, had no floor even without a delay.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -187,7 +187,7 @@
 	}
 
 	floor := max(b.cfg.Floor, 0)
-	if now.Sub(b.start) < b.cfg.FloorDelay {
+	if b.cfg.FloorDelay > 0 && now.Sub(b.start) < b.cfg.FloorDelay {
 		floor = 0
 	}
 
