gateway process: entries use nine tenths of the retry ratio

They used three quarters, as their windows differed from the platform's. The budget now holds in any window, and only the moment between a caller's sending and the request's arrival is left. The model test holds with it, 2,000 checks.

--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -76,9 +76,9 @@
 // near the limit the garbage collector runs more often.
 const memoryLimitRatio = 0.6
 
-// retryRatioShare is the fraction of the allowed retry ratio that entries use: they count
-// first attempts in windows that differ a little from the platform's.
-const retryRatioShare = 0.75
+// retryRatioShare is the fraction of the allowed retry ratio that entries use: they count requests
+// a moment after callers have sent them.
+const retryRatioShare = 0.9
 
 // quarantineCrashes is the number of targets that a request may crash before it is refused.
 const quarantineCrashes = 3
