--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -123,6 +123,29 @@
 	}
 }
 
+// Guards against an entry that is cut off and takes a share of what all entries may do, as if it counted them all.
+func TestEntryThatHearsOfNobodyIsNotInTouch(t *testing.T) {
+	now := time.Now()
+	alone, started, cut := NewMembers("a", []string{"a"}), NewMembers("a", []string{"a", "b"}), NewMembers("a", []string{"a", "b"})
+	cut.MarkAlive(now.Add(-contactTTL-time.Millisecond), "b")
+	cut.Merge(now, []Member{{Address: "c"}})
+
+	heard := NewMembers("a", []string{"a", "b"})
+	heard.MarkAlive(now.Add(-contactTTL), "b")
+
+	tests := []struct {
+		name string
+		m    *Members
+		want bool
+	}{{"the only one", alone, true}, {"just started", started, false}, {"cut off", cut, false}, {"heard lately", heard, true}}
+
+	for _, tt := range tests {
+		if got := tt.m.InTouch(now); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // Guards against a wait that returns before the other entries are known, or never returns if
 // there are none.
 func TestWaitConverged(t *testing.T) {
