gateway: the log names the parts of prompts whose requests were running when targets ended

2316 and 2317 had a request's fingerprint only. Both now have the ids of the parts but the last. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -369,12 +369,12 @@
 			d.observeEnd(now, s, basisRefused)
 		}
 	case errors.Is(context.Cause(ctx), errRestarted):
-		d.addAbandoned(now, s, t.fingerprint)
+		d.addAbandoned(now, s, t.crashCandidate())
 		awaitReport(context.WithoutCancel(ctx), d.observeEnd(now, s, basisRestarted))
 	case ctx.Err() != nil:
-		d.addAbandoned(now, s, t.fingerprint)
+		d.addAbandoned(now, s, t.crashCandidate())
 	default:
-		reported, ended := d.add(now, s, t.fingerprint)
+		reported, ended := d.add(now, s, t.crashCandidate())
 		if !ended && t.refusesConnections(ctx, c) {
 			reported = d.observeEnd(time.Now(), s, basisRefused)
 		}
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +54,9 @@
 	return targetStart{id, strconv.FormatInt(startedMs, 10)}
 }
 
+// partList returns the parts as one text, for the log.
+func (c crashCandidate) partList() string { return strings.Join(c.parts, ",") }
+
 // observedStart is what is known of one start of a target.
 type observedStart struct {
 	broken     []brokenRequest          // not counted, oldest first
@@ -62,10 +66,18 @@
 	reporting  bool                     // whether a report is being sent
 }
 
+// crashCandidate is what may have ended a target: a request, or a part of its prompt.
+type crashCandidate struct {
+	fingerprint quarantine.Fingerprint
+	// parts are the ids of the parts of its prompt that other requests may have too.
+	parts []string
+}
+
 // brokenRequest is a request that got no complete response.
 type brokenRequest struct {
-	at          time.Time
-	fingerprint quarantine.Fingerprint
+	crashCandidate
+
+	at time.Time
 	// abandoned is true if this entry closed the connection, so that the break itself says nothing
 	// of the target.
 	abandoned bool
@@ -125,19 +137,19 @@
 
 // add records a request whose connection a target broke, and reports whether the target is known to
 // have ended. The channel, if not nil, is closed when the other entries know.
-func (d *crashDetector) add(now time.Time, s targetStart, f quarantine.Fingerprint) (reported <-chan struct{}, ended bool) {
+func (d *crashDetector) add(now time.Time, s targetStart, c crashCandidate) (reported <-chan struct{}, ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
 	x := d.state(s)
-	x.record(now, brokenRequest{now, f, false})
+	x.record(now, brokenRequest{crashCandidate: c, at: now})
 
 	if !x.endedAt.IsZero() && now.Sub(x.endedAt) < endedWindow {
 		return d.count(now, s, x, basisConnections), true
 	}
 
 	if n := x.brokenSince(now.Add(-crashWindow)); n < minCrashRequests {
-		event.Log(d.log, event.CrashNotCounted, "fingerprint", f.String(), "target", s.id, "broken", n, "basis", "single connection")
+		event.Log(d.log, event.CrashNotCounted, "fingerprint", c.fingerprint.String(), "parts", c.partList(), "target", s.id, "broken", n, "basis", "single connection")
 
 		return nil, false
 	}
@@ -149,11 +161,11 @@
 
 // addAbandoned records a request that may be running on a target although this entry closed its
 // connection.
-func (d *crashDetector) addAbandoned(now time.Time, s targetStart, f quarantine.Fingerprint) {
+func (d *crashDetector) addAbandoned(now time.Time, s targetStart, c crashCandidate) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.state(s).record(now, brokenRequest{now, f, true})
+	d.state(s).record(now, brokenRequest{crashCandidate: c, at: now, abandoned: true})
 }
 
 // record adds a broken request and drops those that are too old or too many.
@@ -224,11 +236,14 @@
 func (d *crashDetector) count(now time.Time, s targetStart, x *observedStart, basis string) (reported <-chan struct{}) {
 	x.dropBefore(now.Add(-brokenMemory))
 
-	var running []quarantine.Fingerprint
+	var (
+		candidates []crashCandidate
+		running    []quarantine.Fingerprint
+	)
 
 	for _, b := range x.broken {
 		if !b.abandoned || basis != basisDropped {
-			running = append(running, b.fingerprint)
+			candidates, running = append(candidates, b.crashCandidate), append(running, b.fingerprint)
 		}
 	}
 
@@ -241,9 +256,10 @@
 	x.counted = append(x.counted, running...)
 	d.recordCrash(now, quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: running})
 
-	for _, f := range running {
-		status, _ := d.tracker.Check(now, f)
-		event.Log(d.log, event.CrashCounted, "fingerprint", f.String(), "target", s.id, "basis", basis, "crashes", d.tracker.CrashCount(now, f), "status", status.String())
+	for _, c := range candidates {
+		status, _ := d.tracker.Check(now, c.fingerprint)
+		event.Log(d.log, event.CrashCounted, "fingerprint", c.fingerprint.String(), "parts", c.partList(), "target", s.id, "basis", basis,
+			"crashes", d.tracker.CrashCount(now, c.fingerprint), "status", status.String())
 	}
 
 	event.Log(d.log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
--- a/gateway/crash_detector_test.go
+++ b/gateway/crash_detector_test.go
@@ -39,11 +39,11 @@
 				t.Fatalf("after %d crashes: got request quarantined", crash)
 			}
 
-			all[crash].add(time.Now(), startOf(target, 0), poison)
+			all[crash].add(time.Now(), startOf(target, 0), crashCandidate{fingerprint: poison})
 
 			beside := all[(crash+1)%entries]
-			beside.add(time.Now(), startOf(target, 0), quarantine.FingerprintOf("ferry", []byte{1, byte(crash)}))
-			beside.add(time.Now(), startOf(target, 0), quarantine.FingerprintOf("ferry", []byte{2, byte(crash)}))
+			beside.add(time.Now(), startOf(target, 0), crashCandidate{fingerprint: quarantine.FingerprintOf("ferry", []byte{1, byte(crash)})})
+			beside.add(time.Now(), startOf(target, 0), crashCandidate{fingerprint: quarantine.FingerprintOf("ferry", []byte{2, byte(crash)})})
 
 			time.Sleep(2 * time.Second)
 			synctest.Wait()
@@ -68,7 +68,7 @@
 		d := newCrashDetector(quarantine.NewTracker(quarantine.TrackerConfig{}), func(quarantine.Crash) { reports++ }, logr.Discard())
 
 		for i := range 5 {
-			d.add(time.Now(), startOf("t1", 0), quarantine.FingerprintOf("ferry", []byte{byte(i)}))
+			d.add(time.Now(), startOf("t1", 0), crashCandidate{fingerprint: quarantine.FingerprintOf("ferry", []byte{byte(i)})})
 			time.Sleep(crashWindow)
 		}
 
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -142,7 +142,9 @@
 		return func(d *crashDetector) { d.addReported(at(ms), quarantine.Crash{Target: "t", Boot: boot}) }
 	}
 	breaks := func(ms int) func(d *crashDetector) {
-		return func(d *crashDetector) { d.add(at(ms), s, quarantine.Fingerprint{byte(ms), byte(ms >> 8)}) }
+		return func(d *crashDetector) {
+			d.add(at(ms), s, crashCandidate{fingerprint: quarantine.Fingerprint{byte(ms), byte(ms >> 8)}})
+		}
 	}
 
 	tests := []struct {
@@ -174,9 +176,9 @@
 			d := newCrashDetector(tracker, nil, logr.Discard())
 
 			if tt.broken == single {
-				d.add(at(0), s, f)
+				d.add(at(0), s, crashCandidate{fingerprint: f})
 			} else {
-				d.addAbandoned(at(0), s, f)
+				d.addAbandoned(at(0), s, crashCandidate{fingerprint: f})
 			}
 
 			for _, step := range tt.steps {
@@ -203,7 +205,7 @@
 		}
 
 		s := startOf("t", int64(1000+i))
-		d.add(now, s, f)
+		d.add(now, s, crashCandidate{fingerprint: f})
 		d.observeEnd(now, s, basisRefused)
 	}
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -26,6 +26,20 @@
 	Parts []Part
 }
 
+// SharedPartIDs returns the ids of the parts that other requests may have too.
+func (p *Prompt) SharedPartIDs() []string {
+	if p == nil || len(p.Parts) < 2 {
+		return nil
+	}
+
+	ids := make([]string, len(p.Parts)-1)
+	for i := range ids {
+		ids[i] = p.Parts[i].ID
+	}
+
+	return ids
+}
+
 // SharedTokens returns the number of tokens in the parts that other requests may have too.
 func (p *Prompt) SharedTokens() int {
 	n := 0
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -332,8 +332,8 @@
 			t.Fatalf("crash %d: got request quarantined: %v", i, err)
 		}
 
-		env.gateway.crashes.add(time.Now(), startOf(target, 0), k.fingerprint)
-		env.gateway.crashes.add(time.Now(), startOf(target, 0), [16]byte{byte(i)}) // ran beside it
+		env.gateway.crashes.add(time.Now(), startOf(target, 0), crashCandidate{fingerprint: k.fingerprint})
+		env.gateway.crashes.add(time.Now(), startOf(target, 0), crashCandidate{fingerprint: [16]byte{byte(i)}}) // ran beside it
 	}
 
 	if f("poison") == nil {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -24,6 +24,11 @@
 	return err
 }
 
+// crashCandidate returns what may have ended a target under the request.
+func (t *task) crashCandidate() crashCandidate {
+	return crashCandidate{fingerprint: t.fingerprint, parts: t.arrival.Prompt.SharedPartIDs()}
+}
+
 // awaitUnlessQuarantined calls a function that waits for a target. It ends the wait when the request is
 // quarantined.
 func (t *task) awaitUnlessQuarantined(ctx context.Context, await func(ctx context.Context) (choice, error)) (choice, error) {
