quarantine, gateway: a part of prompts that crashes engines is quarantined

Callers of second1 got 502 for a fifth of a route's requests at times, and 33 and 35 engines ended, each with all that ran there. Each end counted once against each of a dozen requests, none of which came again; 2316 has crashes 1 throughout.

A crash now counts also against all parts of the prompts that were running but the last ones. Complete responses clear the parts of their prompts, at all entries, so that what sound prompts share with the bad ones is clear again before the next crash. A part that is left with three separate crashes is quarantined, unless another one explains them; crashes within 250 ms count once, as all targets may lose power at once. With two, one prompt at a time gets its first event at each entry, and none that may have run is repeated. A quarantined part is tried again by one entry after a minute, then ever later, and a response frees it. Entries that start learn what others suspect.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -53,7 +53,7 @@
 	registry     *prometheus.Registry
 	claims       engineClaims
 	reports      *pulse.Listener // set before callers are served
-	crashes      *quarantine.Tracker
+	crashes      quarantine.Evidence
 
 	followers []*mirror.Follower
 }
@@ -75,7 +75,10 @@
 	directory := vault.NewDirectory(time.Now().UnixNano())
 
 	e.directory, e.members = directory, members
-	e.crashes = quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: quarantineCrashes})
+	e.crashes = quarantine.Evidence{
+		Requests: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: quarantineCrashes}),
+		Parts:    quarantine.NewPartTracker(quarantine.PartTrackerConfig{CrashLimit: quarantineCrashes}),
+	}
 	e.client = exchange.NewClient(members)
 	e.registration = exchange.NewRegistration(exchange.RegistrationConfig{Log: source, Topic: platform.EntriesTopic, Peers: e.client, Logger: log})
 	e.roster = roster.New(roster.Config{
@@ -126,7 +129,9 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: e.crashes, ReportCrash: e.client.ReportCrash, Start: time.Now(), FirstStart: cfg.Bootstrap,
+		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, ReportCleared: e.client.ReportClearedParts,
+		ProbesPart: func(part string) bool { return members.Rank(time.Now(), part) == 0 },
+		Start:      time.Now(), FirstStart: cfg.Bootstrap,
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
@@ -136,7 +141,7 @@
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, Register: e.registration.Add,
+		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, OnClearedParts: e.gateway.AddClearedParts, Register: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -80,7 +80,8 @@
 // a moment after callers have sent them.
 const retryRatioShare = 0.9
 
-// quarantineCrashes is the number of targets that a request may crash before it is refused.
+// quarantineCrashes is the number of targets that a request, or prompts with one part, may crash before they
+// are refused.
 const quarantineCrashes = 3
 
 // Offsets from the first of the ports for internal use.
--- a/event/fleet.go
+++ b/event/fleet.go
@@ -8,5 +8,5 @@
 	RequestSuspect     = register(1701, "request_suspect", "A target crashed while this request was running on it; the request runs isolated from other suspects until it completes: `fingerprint`, `vm`.")
 	RequestQuarantined = register(1702, "request_quarantined", "A request was running on as many crashing targets as the settings allow and is refused from now on: `fingerprint`, `vm`.")
 	RequestRepeated    = register(1703, "request_repeated", "An attempt failed and another one is made: `request_id`, `attempt`, `kind`, and `wait_ms` (backoff) or `left_ms` (time to the deadline); `budget_used` and `budget`: the repeats that this entry counts in the window of the service's retry budget, this one included, and how many are allowed there.")
-	RepeatRefused      = register(1704, "repeat_refused", "An attempt failed and no other is made: `request_id`, `attempt`, `kind`, `reason` (not_allowed, budget, quarantined); `budget_used` and `budget` as in `request_repeated`.")
+	RepeatRefused      = register(1704, "repeat_refused", "An attempt failed and no other is made: `request_id`, `attempt`, `kind`, `reason` (not_allowed, budget, quarantined, suspect); `budget_used` and `budget` as in `request_repeated`.")
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,10 @@
 	case t.checkQuarantine(now) != nil:
 		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "quarantined")
 
+		return t.attemptError(o, o.kind)
+	case !t.mayRepeatSuspect(now, o):
+		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "suspect")
+
 		return t.attemptError(o, o.kind)
 	case !retry.MayRetry(retry.Attempt{
 		Idempotent: t.route.Retryable(), Sent: o.mayHaveRun, Kind: o.kind, Number: t.possibleRuns, MaxAttempts: max(t.route.MaxAttempts, 1),
@@ -175,6 +179,7 @@
 	t.attempts++
 
 	defer t.endRoom(c)
+	defer t.endParts()
 
 	if c.long != nil {
 		now = time.Now() // the claim took a moment, which is no part of the time to the first event
--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -348,7 +348,7 @@
 	}))
 	log, meter := &lineLog{}, &countingMeter{}
 	env.gateway.cfg.Log, env.gateway.cfg.Meter = funcr.New(log.add, funcr.Options{}), meter
-	env.gateway.crashes.log = env.gateway.cfg.Log
+	env.gateway.crashes.cfg.Log = env.gateway.cfg.Log
 
 	// Both break off at once, as when their target ends.
 	var calling sync.WaitGroup
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -69,13 +69,27 @@
 
 // choose returns the target of the next attempt and takes one of the requests that it may get.
 func (t *task) choose(ctx context.Context, now time.Time) (choice, error) {
-	clear(t.noRoom)
-
 	// The request may have been quarantined since it arrived.
 	if err := t.checkQuarantine(now); err != nil {
 		return choice{}, err
 	}
 
+	if err := t.beginParts(now); err != nil {
+		return choice{}, err
+	}
+
+	c, err := t.chooseAdmitted(ctx, now)
+	if err != nil {
+		t.endParts()
+	}
+
+	return c, err
+}
+
+// chooseAdmitted returns the target of the next attempt, at which it has taken one of the requests that it may get.
+func (t *task) chooseAdmitted(ctx context.Context, now time.Time) (choice, error) {
+	clear(t.noRoom)
+
 	for decisions := 0; decisions < maxDecisions; {
 		c, err := t.decide(now)
 		if err != nil {
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,14 +31,32 @@
 // Entries report to each other what was running on a target when it ended. Only a request that was
 // on several targets when they ended is quarantined. One that merely ran beside it is unlikely to
 // have been on all of them.
+//
+// The same evidence counts against the parts of their prompts, see quarantine.PartTracker.
 type crashDetector struct {
-	tracker *quarantine.Tracker
-	report  func(quarantine.Crash) // reports to the other entries; nil reports nothing
-	log     logr.Logger
+	cfg crashDetectorConfig
 
 	mu       sync.Mutex
 	starts   *simplelru.LRU[targetStart, *observedStart]
-	watchers map[quarantine.Fingerprint]map[*context.CancelCauseFunc]struct{}
+	watchers map[watchKey]map[*context.CancelCauseFunc]struct{}
+	// beginning holds, for each part, the number of prompts sent that have no response yet.
+	beginning map[string]int
+	// cleared holds parts that responses have cleared, which are being reported to the other entries.
+	cleared   map[string]struct{}
+	reporting bool
+}
+
+// crashDetectorConfig configures a crashDetector.
+type crashDetectorConfig struct {
+	// Requests and Parts hold the crashes.
+	Requests *quarantine.Tracker
+	Parts    *quarantine.PartTracker
+	// Report reports a crash to the other entries, ReportCleared the parts that responses have cleared;
+	// nil reports nothing.
+	Report        func(quarantine.Crash)
+	ReportCleared func(parts []string)
+	// Log gets a line for each decision.
+	Log logr.Logger
 }
 
 // targetStart identifies one start of a target.
@@ -62,6 +82,7 @@
 	broken     []brokenRequest          // not counted, oldest first
 	endedAt    time.Time                // when this entry last had evidence of its end; zero for never
 	counted    []quarantine.Fingerprint // requests of this entry that were running at its end
+	parts      []string                 // parts of their prompts
 	unreported chan struct{}            // closed when all of them are reported; nil if they are
 	reporting  bool                     // whether a report is being sent
 }
@@ -115,13 +136,16 @@
 	basisReport      = "another entry"
 )
 
-func newCrashDetector(t *quarantine.Tracker, report func(quarantine.Crash), log logr.Logger) *crashDetector {
+func newCrashDetector(cfg crashDetectorConfig) *crashDetector {
 	starts, err := simplelru.NewLRU[targetStart, *observedStart](maxTrackedStarts, nil)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
 
-	return &crashDetector{tracker: t, report: report, log: log, starts: starts, watchers: make(map[quarantine.Fingerprint]map[*context.CancelCauseFunc]struct{})}
+	return &crashDetector{
+		cfg: cfg, starts: starts, watchers: make(map[watchKey]map[*context.CancelCauseFunc]struct{}),
+		beginning: make(map[string]int), cleared: make(map[string]struct{}),
+	}
 }
 
 // state returns the state of a start, a new one if there is none. The caller holds mu.
@@ -149,7 +173,7 @@
 	}
 
 	if n := x.brokenSince(now.Add(-crashWindow)); n < minCrashRequests {
-		event.Log(d.log, event.CrashNotCounted, "fingerprint", c.fingerprint.String(), "parts", c.partList(), "target", s.id, "broken", n, "basis", "single connection")
+		event.Log(d.cfg.Log, event.CrashNotCounted, "fingerprint", c.fingerprint.String(), "parts", c.partList(), "target", s.id, "broken", n, "basis", "single connection")
 
 		return nil, false
 	}
@@ -241,9 +265,23 @@
 		running    []quarantine.Fingerprint
 	)
 
+	parts := make(map[string]struct{})
+	for _, p := range x.parts {
+		parts[p] = struct{}{}
+	}
+
 	for _, b := range x.broken {
-		if !b.abandoned || basis != basisDropped {
-			candidates, running = append(candidates, b.crashCandidate), append(running, b.fingerprint)
+		if b.abandoned && basis == basisDropped {
+			continue
+		}
+
+		candidates, running = append(candidates, b.crashCandidate), append(running, b.fingerprint)
+
+		// What this entry gave up may have ended long before, or not have begun.
+		if !b.abandoned {
+			for _, p := range b.parts {
+				parts[p] = struct{}{}
+			}
 		}
 	}
 
@@ -254,15 +292,16 @@
 	}
 
 	x.counted = append(x.counted, running...)
-	d.recordCrash(now, quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: running})
+	x.parts = slices.Sorted(maps.Keys(parts))
+	d.recordCrash(now, quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: running, Parts: x.parts})
 
 	for _, c := range candidates {
-		status, _ := d.tracker.Check(now, c.fingerprint)
-		event.Log(d.log, event.CrashCounted, "fingerprint", c.fingerprint.String(), "parts", c.partList(), "target", s.id, "basis", basis,
-			"crashes", d.tracker.CrashCount(now, c.fingerprint), "status", status.String())
+		status, _ := d.cfg.Requests.Check(now, c.fingerprint)
+		event.Log(d.cfg.Log, event.CrashCounted, "fingerprint", c.fingerprint.String(), "parts", c.partList(), "target", s.id, "basis", basis,
+			"crashes", d.cfg.Requests.CrashCount(now, c.fingerprint), "status", status.String())
 	}
 
-	event.Log(d.log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
+	event.Log(d.cfg.Log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
 
 	return d.startReport(s, x)
 }
--- a/gateway/crash_detector_test.go
+++ b/gateway/crash_detector_test.go
@@ -23,13 +23,13 @@
 
 		for i := range all {
 			trackers[i] = quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3})
-			all[i] = newCrashDetector(trackers[i], func(c quarantine.Crash) {
+			all[i] = newCrashDetector(crashDetectorConfig{Requests: trackers[i], Parts: newParts(), Log: logr.Discard(), Report: func(c quarantine.Crash) {
 				for j, other := range all {
 					if j != i {
 						other.addReported(time.Now(), c)
 					}
 				}
-			}, logr.Discard())
+			}})
 		}
 
 		poison := quarantine.FingerprintOf("ferry", []byte("poison"))
@@ -65,7 +65,7 @@
 func TestSingleBrokenConnectionIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reports := 0
-		d := newCrashDetector(quarantine.NewTracker(quarantine.TrackerConfig{}), func(quarantine.Crash) { reports++ }, logr.Discard())
+		d := newCrashDetector(crashDetectorConfig{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: newParts(), Log: logr.Discard(), Report: func(quarantine.Crash) { reports++ }})
 
 		for i := range 5 {
 			d.add(time.Now(), startOf("t1", 0), crashCandidate{fingerprint: quarantine.FingerprintOf("ferry", []byte{byte(i)})})
--- a/gateway/crash_report.go
+++ b/gateway/crash_report.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"boragehub/event"
@@ -11,7 +13,7 @@
 
 // startReport has the requests counted for a start reported to the other entries. The caller holds mu.
 func (d *crashDetector) startReport(s targetStart, x *observedStart) (reported <-chan struct{}) {
-	if d.report == nil {
+	if d.cfg.Report == nil {
 		return nil
 	}
 
@@ -35,12 +37,12 @@
 	defer d.mu.Unlock()
 
 	for x.unreported != nil {
-		c := quarantine.Crash{Target: s.id, Boot: s.boot, At: time.Now(), Running: slices.Clone(x.counted)}
+		c := quarantine.Crash{Target: s.id, Boot: s.boot, At: time.Now(), Running: slices.Clone(x.counted), Parts: x.parts}
 		done := x.unreported
 		x.unreported = nil
 
 		d.mu.Unlock()
-		d.report(c)
+		d.cfg.Report(c)
 		d.mu.Lock()
 		close(done)
 	}
@@ -73,7 +75,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	event.Log(d.log, event.CrashReported, "target", c.Target, "requests", len(c.Running))
+	event.Log(d.cfg.Log, event.CrashReported, "target", c.Target, "requests", len(c.Running), "parts", strings.Join(c.Parts, ","))
 	d.recordCrash(now, c)
 
 	s := targetStart{c.Target, c.Boot}
@@ -92,3 +94,45 @@
 
 	g.crashes.recordCrash(now, c)
 }
+
+// startClearedReport has cleared parts reported to the other entries. The caller holds mu.
+func (d *crashDetector) startClearedReport(parts []string) {
+	if d.cfg.ReportCleared == nil {
+		return
+	}
+
+	for _, p := range parts {
+		d.cleared[p] = struct{}{}
+	}
+
+	if !d.reporting && len(d.cleared) > 0 {
+		d.reporting = true
+
+		go d.reportClearedToEntries()
+	}
+}
+
+// reportClearedToEntries reports cleared parts to the other entries. Those that are cleared meanwhile are
+// reported together.
+func (d *crashDetector) reportClearedToEntries() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for len(d.cleared) > 0 {
+		parts := slices.Collect(maps.Keys(d.cleared))
+		clear(d.cleared)
+
+		d.mu.Unlock()
+		d.cfg.ReportCleared(parts)
+		d.mu.Lock()
+	}
+
+	d.reporting = false
+}
+
+// AddClearedParts adds parts of prompts that responses at another entry have cleared.
+func (g *Gateway) AddClearedParts(now time.Time, parts []string) {
+	for _, p := range g.cfg.CrashParts.RecordCompletion(now, parts) {
+		event.Log(g.cfg.Log, event.PartCleared, "part", p, "basis", basisReport)
+	}
+}
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -7,8 +7,15 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"boragehub/quarantine"
 )
 
+// newParts returns a tracker that takes each crash for a separate one.
+func newParts() *quarantine.PartTracker {
+	return quarantine.NewPartTracker(quarantine.PartTrackerConfig{Separation: 1})
+}
+
 // newEngineCrashedByParts returns a target that ends when it gets a prompt with one of some parts, unless it
 // is the last one, and serves others.
 func newEngineCrashedByParts(t *testing.T, id string, parts ...string) *fakeEngine {
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -47,13 +47,23 @@
 	}
 
 	for i, env := range all {
-		env.gateway.crashes = newCrashDetector(env.gateway.cfg.Crashes, func(c quarantine.Crash) {
-			for j, other := range all {
-				if j != i {
-					other.gateway.AddReportedCrash(time.Now(), c)
+		env.gateway.crashes = newCrashDetector(crashDetectorConfig{
+			Requests: env.gateway.cfg.Crashes, Parts: env.gateway.cfg.CrashParts, Log: logr.Discard(),
+			Report: func(c quarantine.Crash) {
+				for j, other := range all {
+					if j != i {
+						other.gateway.AddReportedCrash(time.Now(), c)
+					}
 				}
-			}
-		}, logr.Discard())
+			},
+			ReportCleared: func(parts []string) {
+				for j, other := range all {
+					if j != i {
+						other.gateway.AddClearedParts(time.Now(), parts)
+					}
+				}
+			},
+		})
 	}
 
 	return all
@@ -173,7 +183,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			tracker := quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3})
-			d := newCrashDetector(tracker, nil, logr.Discard())
+			d := newCrashDetector(crashDetectorConfig{Requests: tracker, Parts: newParts(), Log: logr.Discard()})
 
 			if tt.broken == single {
 				d.add(at(0), s, crashCandidate{fingerprint: f})
@@ -195,7 +205,7 @@
 // Guards against a target that restarts under its id, and whose second end is taken for the first.
 func TestEachStartOfATargetCounts(t *testing.T) {
 	tracker := quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3})
-	d := newCrashDetector(tracker, nil, logr.Discard())
+	d := newCrashDetector(crashDetectorConfig{Requests: tracker, Parts: newParts(), Log: logr.Discard()})
 	f := quarantine.FingerprintOf("ferry", []byte("f"))
 	now := time.Unix(1000, 0)
 
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -341,8 +341,8 @@
 
 	env.gateway = New(Config{
 		DataCentre: "east", Dialect: testDialect{}, Roster: env.roster, Pool: upstream.NewPool(upstream.Config{}), Vaults: env.vaults,
-		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3}),
-		Start:   time.Now().Add(-time.Hour), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 800, VersionDeadline: 8 * time.Second, Log: logr.Discard(),
+		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3}), CrashParts: newParts(),
+		Start: time.Now().Add(-time.Hour), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 800, VersionDeadline: 8 * time.Second, Log: logr.Discard(),
 	}, func() time.Time { return env.versionsKnownAt }, func() time.Time { return env.registeredSince })
 	env.gateway.SetEntryCount(now, 1, true)
 	env.gateway.Configure(site.New(published))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,9 +55,15 @@
 	Vaults *vault.Directory
 	// Crashes tracks requests that crash targets.
 	Crashes *quarantine.Tracker
-	// ReportCrash reports to the other entries what was on a target when it crashed; nil
-	// reports nothing.
-	ReportCrash func(quarantine.Crash)
+	// CrashParts tracks parts of prompts that crash targets. Nil means a new one.
+	CrashParts *quarantine.PartTracker
+	// ReportCrash reports to the other entries what was on a target when it crashed, ReportCleared the
+	// parts of prompts that got a response after crashes; nil reports nothing.
+	ReportCrash   func(quarantine.Crash)
+	ReportCleared func(parts []string)
+	// ProbesPart reports whether this entry is the one that tries a quarantined part again; nil means
+	// that it never is.
+	ProbesPart func(part string) bool
 	// Start is when the process started; zero means now.
 	Start time.Time
 	// FirstStart is true if the whole system starts for the first time, so that no earlier process
@@ -146,13 +152,17 @@
 		cfg.Start = time.Now()
 	}
 
+	if cfg.CrashParts == nil {
+		cfg.CrashParts = quarantine.NewPartTracker(quarantine.PartTrackerConfig{})
+	}
+
 	g := &Gateway{
 		cfg:             cfg,
 		retryBudgets:    make(map[string]*retry.Budget),
 		versions:        make(map[string][]publishedVersion),
 		versionsKnownAt: versionsKnownAt,
 		registeredSince: registeredSince,
-		crashes:         newCrashDetector(cfg.Crashes, cfg.ReportCrash, cfg.Log),
+		crashes:         newCrashDetector(crashDetectorConfig{Requests: cfg.Crashes, Parts: cfg.CrashParts, Report: cfg.ReportCrash, ReportCleared: cfg.ReportCleared, Log: cfg.Log}),
 		waitQueue:       newWaitQueue(),
 		slowReaders:     newSlowReaders(cfg.UnreadBytes),
 		drain:           newDrainControl(),
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -6,33 +6,147 @@
 	"time"
 
 	"boragehub/event"
+	"boragehub/failure"
 	"boragehub/quarantine"
 )
 
 // errQuarantined is why the wait of a request ends that is quarantined meanwhile.
 var errQuarantined = errors.New("the request is quarantined")
 
+// suspectRetryAfter is the Retry-After time of a prompt with a suspect part. Another one with the same part
+// has got its first event by then, or has ended its target.
+const suspectRetryAfter = 500 * time.Millisecond
+
 // checkQuarantine returns an error if the request is quarantined because targets ended while they ran
-// it.
+// it, or prompts with one of its parts.
 func (t *task) checkQuarantine(now time.Time) error {
 	if t.fingerprint == (quarantine.Fingerprint{}) {
 		t.fingerprint = quarantine.FingerprintOf(t.organisationName(), append([]byte(t.r.URL.Path+"\n"), t.body...))
 	}
 
-	_, err := t.g.cfg.Crashes.Check(now, t.fingerprint)
+	if _, err := t.g.cfg.Crashes.Check(now, t.fingerprint); err != nil {
+		return err
+	}
 
-	return err
+	v := t.g.cfg.CrashParts.Check(now, t.sharedParts())
+	if t.probes(now, v) {
+		return nil
+	}
+
+	return v.Err()
 }
 
+// sharedParts returns the ids of the parts of the prompt that other prompts may have too.
+func (t *task) sharedParts() []string { return t.arrival.Prompt.SharedPartIDs() }
+
 // crashCandidate returns what may have ended a target under the request.
 func (t *task) crashCandidate() crashCandidate {
-	return crashCandidate{fingerprint: t.fingerprint, parts: t.arrival.Prompt.SharedPartIDs()}
+	return crashCandidate{fingerprint: t.fingerprint, parts: t.sharedParts()}
+}
+
+// probes reports whether the request tries whether a quarantined part still ends its target: one request of
+// one entry does from time to time.
+func (t *task) probes(now time.Time, v quarantine.PartVerdict) bool {
+	switch {
+	case t.probedPart != "":
+		// It is sent once, whatever becomes of it.
+		return t.attempts == 0 && v.Quarantined == 1 && v.Part == t.probedPart
+	case v.Quarantined != 1 || t.g.cfg.ProbesPart == nil || !t.g.cfg.ProbesPart(v.Part) || !t.g.cfg.CrashParts.BeginProbe(now, v.Part):
+		return false
+	}
+
+	t.probedPart = v.Part
+	event.Log(t.g.cfg.Log, event.PartProbed, "request_id", t.arrival.ID, "part", v.Part, "crashes", v.Crashes)
+
+	return true
+}
+
+// mayRepeatSuspect reports whether the request may be sent to another target after an attempt in which it may
+// have run: not if one of its parts may have ended the target.
+func (t *task) mayRepeatSuspect(now time.Time, o outcome) bool {
+	return !o.mayHaveRun || t.g.cfg.CrashParts.Check(now, t.sharedParts()).Status == quarantine.Clear
+}
+
+// beginParts records that the prompt is about to be sent. It returns an error if one of its parts is suspect and
+// another prompt with that part has no response yet: if the part ends targets, one at a time has to suffice.
+func (t *task) beginParts(now time.Time) error {
+	parts := t.sharedParts()
+	if len(parts) == 0 || t.beginning {
+		return nil
+	}
+
+	v := t.g.cfg.CrashParts.Check(now, parts)
+
+	if !t.g.crashes.begin(parts, v) {
+		return failure.New(failure.Unavailable, "another prompt with the part %s, under which targets ended, has no response yet", v.Part).WithRetryAfter(suspectRetryAfter)
+	}
+
+	t.beginning = true
+
+	return nil
+}
+
+// endParts records that the prompt has got its first event, or isn't sent.
+func (t *task) endParts() {
+	if t.beginning {
+		t.g.crashes.end(t.sharedParts())
+		t.beginning = false
+	}
+}
+
+// begin counts a prompt as sent and without a response. It reports false if its suspect part has one already.
+func (d *crashDetector) begin(parts []string, v quarantine.PartVerdict) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if v.Status == quarantine.Suspect && d.beginning[v.Part] > 0 {
+		return false
+	}
+
+	for _, p := range parts {
+		d.beginning[p]++
+	}
+
+	return true
+}
+
+// end ends what begin began.
+func (d *crashDetector) end(parts []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for _, p := range parts {
+		if d.beginning[p]--; d.beginning[p] <= 0 {
+			delete(d.beginning, p)
+		}
+	}
+}
+
+// recordCompletion records that the request got a complete response.
+func (t *task) recordCompletion(now time.Time) {
+	t.g.cfg.Crashes.RecordCompletion(now, t.fingerprint)
+
+	cleared := t.g.cfg.CrashParts.RecordCompletion(now, t.sharedParts())
+	if len(cleared) == 0 {
+		return
+	}
+
+	for _, p := range cleared {
+		event.Log(t.g.cfg.Log, event.PartCleared, "request_id", t.arrival.ID, "part", p, "basis", "response")
+	}
+
+	d := t.g.crashes
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.startClearedReport(cleared)
 }
 
 // awaitUnlessQuarantined calls a function that waits for a target. It ends the wait when the request is
 // quarantined.
 func (t *task) awaitUnlessQuarantined(ctx context.Context, await func(ctx context.Context) (choice, error)) (choice, error) {
-	ctx, stop := t.g.crashes.watch(ctx, t.fingerprint)
+	ctx, stop := t.g.crashes.watch(ctx, t.crashCandidate())
 	defer stop()
 
 	c, err := await(ctx)
@@ -46,38 +160,69 @@
 // recordCrash records a crash and ends the wait of the requests that are quarantined as a result. The
 // caller holds mu.
 func (d *crashDetector) recordCrash(now time.Time, c quarantine.Crash) {
-	for _, f := range d.tracker.RecordCrash(now, c) {
-		event.Log(d.log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
-
-		for cancel := range d.watchers[f] {
-			(*cancel)(errQuarantined)
+	if len(c.Running) > 0 {
+		for _, f := range d.cfg.Requests.RecordCrash(now, c) {
+			event.Log(d.cfg.Log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
+			d.endWaits(watchKey{fingerprint: f})
 		}
 	}
+
+	for _, p := range d.cfg.Parts.RecordCrash(now, c) {
+		event.Log(d.cfg.Log, event.PartQuarantined, "part", p, "target", c.Target, "crashes", d.cfg.Parts.Check(now, []string{p}).Crashes)
+		d.endWaits(watchKey{part: p})
+	}
+}
+
+// watchKey identifies what the requests have in common whose wait ends when it is quarantined.
+type watchKey struct {
+	fingerprint quarantine.Fingerprint // set if part is empty
+	part        string
+}
+
+// watchKeys returns what a request is watched for.
+func (c crashCandidate) watchKeys() []watchKey {
+	keys := []watchKey{{fingerprint: c.fingerprint}}
+	for _, p := range c.parts {
+		keys = append(keys, watchKey{part: p})
+	}
+
+	return keys
+}
+
+// endWaits ends the waits of the requests that have something in common. The caller holds mu.
+func (d *crashDetector) endWaits(k watchKey) {
+	for cancel := range d.watchers[k] {
+		(*cancel)(errQuarantined)
+	}
 }
 
 // watch returns a context that ends with the cause errQuarantined when a request is quarantined. The
 // caller must call stop.
-func (d *crashDetector) watch(ctx context.Context, f quarantine.Fingerprint) (watched context.Context, stop func()) {
+func (d *crashDetector) watch(ctx context.Context, c crashCandidate) (watched context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	key := &cancel
+	cancelKey, keys := &cancel, c.watchKeys()
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.watchers[f] == nil {
-		d.watchers[f] = make(map[*context.CancelCauseFunc]struct{})
-	}
+	for _, k := range keys {
+		if d.watchers[k] == nil {
+			d.watchers[k] = make(map[*context.CancelCauseFunc]struct{})
+		}
 
-	d.watchers[f][key] = struct{}{}
+		d.watchers[k][cancelKey] = struct{}{}
+	}
 
 	return ctx, func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 
-		delete(d.watchers[f], key)
+		for _, k := range keys {
+			delete(d.watchers[k], cancelKey)
 
-		if len(d.watchers[f]) == 0 {
-			delete(d.watchers, f)
+			if len(d.watchers[k]) == 0 {
+				delete(d.watchers, k)
+			}
 		}
 
 		cancel(nil)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -56,7 +56,7 @@
 		return outcome{mayHaveRun: true, kind: failure.TargetLost, cause: errNotGenuine, targetOutcome: target.Failed}
 	case ok:
 		t.observeCallTime(time.Now(), c)
-		t.g.cfg.Crashes.RecordCompletion(time.Now(), t.fingerprint)
+		t.recordCompletion(time.Now())
 		t.deliver(&fullResponse{x.Status(), x.Header(), body})
 		t.served(c, x.Status(), time.Now())
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,6 +94,10 @@
 			t.abortCallerLeft(werr)
 		}
 
+		if t.stream.started {
+			t.endParts()
+		}
+
 		if begins && t.stream.started {
 			t.recordFirstEvent(&c)
 		}
@@ -186,7 +190,7 @@
 	}
 
 	now := time.Now()
-	t.g.cfg.Crashes.RecordCompletion(now, t.fingerprint)
+	t.recordCompletion(now)
 
 	if t.arrival.Prompt != nil {
 		t.profile().ObserveAnswer(t.arrival.Prompt.Output, now.Sub(t.stream.first))
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -300,6 +300,12 @@
 	broadcast(context.Background(), c, crashPath, crash)
 }
 
+// ReportClearedParts reports to all entries that prompts with some parts got a complete response, so that
+// crashes until now don't count against them.
+func (c *Client) ReportClearedParts(parts []string) {
+	broadcast(context.Background(), c, clearedPath, ClearedParts{Parts: parts})
+}
+
 // AnnounceRateLimit announces to all entries the rate limit that a target names. An entry that
 // doesn't receive the message learns of the limit from the target's responses to its own requests.
 func (c *Client) AnnounceRateLimit(ctx context.Context, l RateLimitAnnouncement) {
--- a/mirror/exchange/crashes.go
+++ b/mirror/exchange/crashes.go
@@ -10,7 +10,7 @@
 	"boragehub/quarantine"
 )
 
-// CrashSet holds the crashes that a process knows. *quarantine.Tracker implements it.
+// CrashSet holds the crashes that a process knows. quarantine.Evidence implements it.
 type CrashSet interface {
 	// Digest returns a hash of the crashes, which is equal for equal sets.
 	Digest(now time.Time) uint64
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -30,6 +30,7 @@
 	entriesPath = "/entries"
 	limitPath   = "/limit"
 	leavingPath = "/leaving"
+	clearedPath = "/cleared"
 )
 
 // Reply is the response to a request for records of a topic, or for members.
@@ -97,6 +98,12 @@
 	StartedMs int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// ClearedParts announces parts of prompts that got a complete response after crashes counted against them.
+type ClearedParts struct {
+	// Parts are their ids.
+	Parts []string `cbor:"1,keyasint"`
+}
+
 // maxMessage bounds the bytes read of one message, before and after decompression. It suffices for
 // a configuration with thousands of routes.
 const maxMessage = 16 << 20
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,7 +22,7 @@
 	topic   mirror.Topic
 	members *Members
 	vaults  *vault.Directory
-	known   *quarantine.Tracker
+	known   quarantine.Evidence
 	address string
 
 	mu            sync.Mutex
@@ -29,6 +30,7 @@
 	crashes       chan quarantine.Crash
 	limits        chan RateLimitAnnouncement
 	leaving       chan LeavingAnnouncement
+	cleared       chan []string
 }
 
 // received returns the announcements received so far.
@@ -42,7 +44,7 @@
 func newEntry(t *testing.T, seeds ...string) *testEntry {
 	t.Helper()
 
-	e := &testEntry{vaults: vault.NewDirectory(1), known: quarantine.NewTracker(quarantine.TrackerConfig{}), crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1)}
+	e := &testEntry{vaults: vault.NewDirectory(1), known: quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{Separation: 1})}, crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1), cleared: make(chan []string, 1)}
 	s := httptest.NewUnstartedServer(nil)
 	e.address = s.Listener.Addr().String()
 	e.members = NewMembers(e.address, seeds)
@@ -54,9 +56,10 @@
 
 			e.announcements = append(e.announcements, n)
 		},
-		OnCrash:     func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
-		OnRateLimit: func(_ time.Time, l RateLimitAnnouncement) { e.limits <- l },
-		OnLeaving:   func(_ time.Time, l LeavingAnnouncement) { e.leaving <- l },
+		OnCrash:        func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
+		OnRateLimit:    func(_ time.Time, l RateLimitAnnouncement) { e.limits <- l },
+		OnLeaving:      func(_ time.Time, l LeavingAnnouncement) { e.leaving <- l },
+		OnClearedParts: func(_ time.Time, parts []string) { e.cleared <- parts },
 	})
 	s.Start()
 	t.Cleanup(s.Close)
@@ -394,16 +397,25 @@
 	f := quarantine.FingerprintOf("ferry", []byte("f"))
 
 	for _, id := range []string{"t1", "t2"} {
-		old.known.RecordCrash(before, quarantine.Crash{Target: id, Boot: id, At: before, Running: []quarantine.Fingerprint{f}})
+		old.known.Requests.RecordCrash(before, quarantine.Crash{Target: id, Boot: id, At: before, Running: []quarantine.Fingerprint{f}})
 	}
 
-	started := quarantine.NewTracker(quarantine.TrackerConfig{})
+	for i, id := range []string{"t3", "t4", "t5"} {
+		at := before.Add(time.Duration(i) * time.Second)
+		old.known.Parts.RecordCrash(at, quarantine.Crash{Target: id, Boot: id, At: at, Parts: []string{"p"}})
+	}
+
+	started := quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
 	c := NewClient(NewMembers("", []string{old.address}))
 	added := 0
 	add := func(now time.Time, k quarantine.Crash) {
 		added++
 
-		started.RecordCrash(now, k)
+		if len(k.Running) > 0 {
+			started.Requests.RecordCrash(now, k)
+		}
+
+		started.Parts.RecordCrash(now, k)
 	}
 
 	for range 2 {
@@ -412,8 +424,12 @@
 		}
 	}
 
-	if status, _ := started.Check(time.Now(), f); status != quarantine.Quarantined || added != 2 {
-		t.Errorf("got the request %v after %d crashes, want it quarantined after two, sent once", status, added)
+	if status, _ := started.Requests.Check(time.Now(), f); status != quarantine.Quarantined || added != 5 {
+		t.Errorf("got the request %v, and %d crashes, want it quarantined, and five crashes sent once", status, added)
+	}
+
+	if got, want := started.Parts.Check(time.Now(), []string{"p"}).Status, quarantine.Quarantined; got != want {
+		t.Errorf("got the part %v after three crashes, want %v", got, want)
 	}
 
 	if got := started.Crashes(time.Now())[0].At; got.Sub(before).Abs() > time.Minute {
@@ -421,6 +437,17 @@
 	}
 }
 
+// Guards against entries that go on refusing prompts with a part that got a response at another one.
+func TestClearedPartsAreReportedToOtherEntries(t *testing.T) {
+	e := newEntry(t)
+
+	NewClient(NewMembers("", []string{e.address})).ReportClearedParts([]string{"a", "b"})
+
+	if got, want := <-e.cleared, []string{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // Guards against an entry that is taken to know a record, because it has read another one at that offset in
 // an earlier or a later era of the log.
 func TestEntryKnowsPositionsOfItsEraOnly(t *testing.T) {
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -24,6 +24,7 @@
 	onCrash        func(now time.Time, c quarantine.Crash)
 	onRateLimit    func(now time.Time, l RateLimitAnnouncement)
 	onLeaving      func(now time.Time, l LeavingAnnouncement)
+	onCleared      func(now time.Time, parts []string)
 	registerEntry  func(ctx context.Context, entry Registrant) error
 	vaults         *vault.Directory
 	crashes        CrashSet
@@ -48,13 +49,15 @@
 	OnRateLimit func(now time.Time, l RateLimitAnnouncement)
 	// OnLeaving is called with the targets that other entries report as leaving.
 	OnLeaving func(now time.Time, l LeavingAnnouncement)
+	// OnClearedParts is called with the parts of prompts that responses at other entries have cleared.
+	OnClearedParts func(now time.Time, parts []string)
 	// Register registers another entry. If nil, requests to register entries are refused.
 	Register func(ctx context.Context, entry Registrant) error
 }
 
 // NewServer returns a Server with the given configuration.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, registerEntry: cfg.Register, vaults: cfg.Vaults, crashes: cfg.Crashes}
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, onCleared: cfg.OnClearedParts, registerEntry: cfg.Register, vaults: cfg.Vaults, crashes: cfg.Crashes}
 	s.mux.HandleFunc("POST "+vaultsPath, s.storeUpdates)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
 	s.mux.HandleFunc("POST "+entriesPath, s.register)
@@ -62,6 +65,7 @@
 	s.mux.HandleFunc("POST "+crashPath, handleMessage(func(c quarantine.Crash) { s.onCrash(time.Now(), c) }))
 	s.mux.HandleFunc("GET "+crashPath, s.knownCrashes)
 	s.mux.HandleFunc("POST "+limitPath, handleMessage(func(l RateLimitAnnouncement) { s.onRateLimit(time.Now(), l) }))
+	s.mux.HandleFunc("POST "+clearedPath, handleMessage(func(p ClearedParts) { s.onCleared(time.Now(), p.Parts) }))
 	s.mux.HandleFunc("POST "+leavingPath, handleMessage(func(l LeavingAnnouncement) { s.onLeaving(time.Now(), l) }))
 
 	return s
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -65,6 +65,8 @@
 	At time.Time `cbor:"3,keyasint" json:"at"`
 	// Running are the requests that were running.
 	Running []Fingerprint `cbor:"4,keyasint" json:"running"`
+	// Parts are the ids of the parts of their prompts that other prompts may have too.
+	Parts []string `cbor:"5,keyasint,omitempty" json:"parts,omitempty"`
 }
 
 // Status is the status of a fingerprint. The zero Status is Clear.
