quarantine/archive: quarantined parts outlive all entries

Found while looking at what a start of all entries at once does: the evidence lay in entries' memory only, so that a part would crash five engines again. Each entry now reads quarantined parts from a topic of the log at its start; two entries write a part when it is quarantined, and the one at which a response clears it drops the record. TestQuarantinedPartsOutliveAllEntries failed to compile before: there was nothing to restart from; without the read of the log it fails with both parts clear.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -27,6 +27,7 @@
 	"boragehub/platform"
 	"boragehub/pulse"
 	"boragehub/quarantine"
+	"boragehub/quarantine/archive"
 	"boragehub/roster"
 	"boragehub/site"
 	"boragehub/slowstart"
@@ -54,6 +55,7 @@
 	claims       engineClaims
 	reports      *pulse.Listener // set before callers are served
 	crashes      quarantine.Evidence
+	archive      *archive.Archive
 
 	followers []*mirror.Follower
 }
@@ -80,6 +82,11 @@
 		Parts:    quarantine.NewPartTracker(quarantine.PartTrackerConfig{CrashLimit: quarantineCrashes}),
 	}
 	e.client = exchange.NewClient(members)
+	e.archive = archive.New(archive.Config{
+		Log: source, Topic: platform.CrashesTopic, Parts: e.crashes.Parts, Logger: log,
+		Add:    func(now time.Time, c quarantine.Crash) { e.gateway.AddKnownCrash(now, c) },
+		Writes: func(part string) bool { return members.Rank(time.Now(), part) < archiveWriters },
+	})
 	e.registration = exchange.NewRegistration(exchange.RegistrationConfig{Log: source, Topic: platform.EntriesTopic, Peers: e.client, Logger: log})
 	e.roster = roster.New(roster.Config{
 		Self: cfg.VM, DataCentre: cfg.DataCentre, Regions: cfg.Regions, Log: log,
@@ -129,7 +136,11 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, ReportCleared: e.client.ReportClearedParts,
+		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, PartQuarantined: e.archive.PartQuarantined,
+		ReportCleared: func(parts []string) {
+			e.archive.PartsCleared(parts)
+			e.client.ReportClearedParts(parts)
+		},
 		ProbesPart: func(part string) bool { return members.Rank(time.Now(), part) == 0 },
 		Start:      time.Now(), FirstStart: cfg.Bootstrap,
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
@@ -368,7 +379,7 @@
 	e.claims.Listener = reports
 	e.reports = reports
 
-	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration, e.syncCrashes}
+	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration, e.syncCrashes, e.archive.Run}
 
 	for _, f := range e.followers {
 		tasks = append(tasks, func(ctx context.Context) {
--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -84,6 +84,9 @@
 // are refused.
 const quarantineCrashes = 3
 
+// archiveWriters is the number of entries that write a quarantined part to the log.
+const archiveWriters = 2
+
 // Offsets from the first of the ports for internal use.
 const (
 	metricsPortOffset = 10
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -55,6 +55,8 @@
 	// nil reports nothing.
 	Report        func(quarantine.Crash)
 	ReportCleared func(parts []string)
+	// PartQuarantined is called when a part is quarantined, and must not block; nil skips the call.
+	PartQuarantined func(part string)
 	// Log gets a line for each decision.
 	Log logr.Logger
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	// parts of prompts that got a response after crashes; nil reports nothing.
 	ReportCrash   func(quarantine.Crash)
 	ReportCleared func(parts []string)
+	// PartQuarantined is called when a part is quarantined, and must not block; nil skips the call.
+	PartQuarantined func(part string)
 	// ProbesPart reports whether this entry is the one that tries a quarantined part again; nil means
 	// that it never is.
 	ProbesPart func(part string) bool
@@ -162,7 +164,7 @@
 		versions:        make(map[string][]publishedVersion),
 		versionsKnownAt: versionsKnownAt,
 		registeredSince: registeredSince,
-		crashes:         newCrashDetector(crashDetectorConfig{Requests: cfg.Crashes, Parts: cfg.CrashParts, Report: cfg.ReportCrash, ReportCleared: cfg.ReportCleared, Log: cfg.Log}),
+		crashes:         newCrashDetector(crashDetectorConfig{Requests: cfg.Crashes, Parts: cfg.CrashParts, Report: cfg.ReportCrash, ReportCleared: cfg.ReportCleared, PartQuarantined: cfg.PartQuarantined, Log: cfg.Log}),
 		waitQueue:       newWaitQueue(),
 		slowReaders:     newSlowReaders(cfg.UnreadBytes),
 		drain:           newDrainControl(),
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -170,6 +170,10 @@
 	for _, p := range d.cfg.Parts.RecordCrash(now, c) {
 		event.Log(d.cfg.Log, event.PartQuarantined, "part", p, "target", c.Target, "crashes", d.cfg.Parts.Check(now, []string{p}).Crashes)
 		d.endWaits(watchKey{part: p})
+
+		if d.cfg.PartQuarantined != nil {
+			d.cfg.PartQuarantined(p)
+		}
 	}
 }
 
--- /dev/null
+++ b/quarantine/archive/archive_test.go
@@ -0,0 +1,149 @@
+package archive
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/mirror"
+	"boragehub/quarantine"
+)
+
+var errDown = errors.New("the log is down")
+
+// testLog is a log with one topic.
+type testLog struct {
+	mu      sync.Mutex
+	down    bool
+	records map[string][]byte
+	appends int
+}
+
+func (l *testLog) Newest(context.Context, string) (mirror.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.down {
+		return mirror.Batch{}, errDown
+	}
+
+	var b mirror.Batch
+	for k, v := range l.records {
+		b.Records = append(b.Records, mirror.Record{Key: k, Value: v})
+	}
+
+	return b, nil
+}
+
+func (l *testLog) Append(_ context.Context, _ string, records ...mirror.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.down {
+		return errDown
+	}
+
+	l.appends++
+
+	for _, r := range records {
+		if r.Deleted() {
+			delete(l.records, r.Key)
+		} else {
+			l.records[r.Key] = r.Value
+		}
+	}
+
+	return nil
+}
+
+func (l *testLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.down = down
+}
+
+// testEntry is an entry with an archive.
+type testEntry struct {
+	parts   *quarantine.PartTracker
+	archive *Archive
+}
+
+func (e *testEntry) crash(now time.Time, c quarantine.Crash) {
+	for _, p := range e.parts.RecordCrash(now, c) {
+		e.archive.PartQuarantined(p)
+	}
+}
+
+func startEntry(ctx context.Context, l *testLog, writes bool) *testEntry {
+	e := &testEntry{parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
+	e.archive = New(Config{Log: l, Topic: "t", Parts: e.parts, Add: e.crash, Writes: func(string) bool { return writes }, Logger: logr.Discard()})
+
+	go e.archive.Run(ctx)
+
+	return e
+}
+
+// Guards against a part that crashes engines again after all entries have lost power at once, and against one that
+// is refused again although a response has cleared it. The log is down at times.
+func TestQuarantinedPartsOutliveAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &testLog{records: make(map[string][]byte)}
+		ctx, kill := context.WithCancel(t.Context())
+		writer, other := startEntry(ctx, l, true), startEntry(ctx, l, false)
+
+		synctest.Wait()
+		l.setDown(true)
+
+		for i, id := range []string{"t1", "t2", "t3"} {
+			at := time.Now().Add(time.Duration(i-3) * 300 * time.Millisecond)
+			c := quarantine.Crash{Target: id, Boot: id, At: at, Parts: []string{"bad", "sound"}}
+			writer.crash(time.Now(), c)
+			other.crash(time.Now(), c)
+		}
+
+		time.Sleep(10 * time.Second)
+		l.setDown(false)
+		time.Sleep(2 * retryPause)
+		kill()
+		synctest.Wait()
+
+		if got, want := l.appends, 1; got != want {
+			t.Errorf("got %d appends, want %d", got, want)
+		}
+
+		ctx, kill = context.WithCancel(t.Context())
+		started := startEntry(ctx, l, true)
+
+		synctest.Wait()
+
+		for _, p := range []string{"bad", "sound"} {
+			if got, want := started.parts.Check(time.Now(), []string{p}).Status, quarantine.Quarantined; got != want {
+				t.Errorf("%s: got %v after all entries have started again, want %v", p, got, want)
+			}
+		}
+
+		l.setDown(true)
+		started.archive.PartsCleared(started.parts.RecordCompletion(time.Now(), []string{"sound"}))
+		time.Sleep(10 * time.Second)
+		l.setDown(false)
+		time.Sleep(2 * retryPause)
+		kill()
+		synctest.Wait()
+
+		started = startEntry(t.Context(), l, true)
+
+		synctest.Wait()
+
+		for p, want := range map[string]quarantine.Status{"bad": quarantine.Quarantined, "sound": quarantine.Clear} {
+			if got := started.parts.Check(time.Now(), []string{p}).Status; got != want {
+				t.Errorf("%s: got %v once a response has cleared the sound part, want %v", p, got, want)
+			}
+		}
+	})
+}
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -307,6 +307,21 @@
 	return true
 }
 
+// CrashesOf returns the crashes that count against a part, oldest first.
+func (t *PartTracker) CrashesOf(now time.Time, part string) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.expire(now)
+
+	var all []Crash
+	for _, k := range t.byPart[part] {
+		all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Parts: []string{part}})
+	}
+
+	return all
+}
+
 // Crashes returns the crashes with their parts that are suspect or quarantined, oldest first. A process
 // that doesn't know which parts got responses would suspect the others wrongly.
 func (t *PartTracker) Crashes(now time.Time) []Crash {
