--- a/experiment/command.go
+++ b/experiment/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"boragehub/experiment/crashed"
 	"boragehub/experiment/drawn"
 	"boragehub/experiment/limited"
 	"boragehub/experiment/repeated"
@@ -21,6 +22,7 @@
 	drawnSeeds                        int
 	asJSON                            bool
 	limitedSeeds, repeatedSeeds       int
+	crashedSeeds                      int
 }
 
 // allValues selects every value in a flag that takes a list of names.
@@ -48,6 +50,7 @@
 	c.sub.Bool(&c.asJSON, "", "json", "write what --drawn gives as JSON")
 	c.sub.Int(&c.limitedSeeds, "", "limited", "play how entries keep to rate limits of targets, with so many seeds, and nothing else")
 	c.sub.Int(&c.repeatedSeeds, "", "repeated", "play how entries divide what they may repeat, with so many seeds, and nothing else")
+	c.sub.Int(&c.crashedSeeds, "", "crashed", "play how entries find parts of prompts that crash engines, with so many seeds, and nothing else")
 	flaggy.AttachSubcommand(c.sub, position)
 
 	return c
@@ -71,6 +74,10 @@
 		return repeated.Write(w, c.cfg.Seed, c.repeatedSeeds)
 	}
 
+	if c.crashedSeeds > 0 {
+		return crashed.Write(w, c.cfg.Seed, c.crashedSeeds)
+	}
+
 	cfg := c.cfg
 
 	var err error
--- /dev/null
+++ b/experiment/crashed/crashed_test.go
@@ -0,0 +1,38 @@
+package crashed
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a way that lets a part crash engines on, or that refuses sound prompts for it or for crashes with
+// other causes.
+func TestPartsThatCrashEnginesAreFound(t *testing.T) {
+	for _, d := range Deployments() {
+		for seed := range uint64(5) {
+			r := Simulate(d, ByPart, seed)
+
+			if r.Late > 3 {
+				t.Errorf("%+v, seed %d: got %d prompts with one part late, want 3 at most", d, seed, r.Late)
+			}
+
+			if r.Refused > 0.01 {
+				t.Errorf("%+v, seed %d: got %.3f of the sound prompts refused, want 0.01 at most", d, seed, r.Refused)
+			}
+		}
+	}
+}
+
+func TestTableHasAllWays(t *testing.T) {
+	var b strings.Builder
+
+	if err := Write(&b, 1, 1); err != nil {
+		t.Fatal(err)
+	}
+
+	for _, w := range Ways() {
+		if got, want := strings.Count(b.String(), "  "+w.String()+" "), len(Deployments()); got != want {
+			t.Errorf("%s: got %d lines, want %d", w, got, want)
+		}
+	}
+}
