quarantine/archive: a part that another entry freed is kept when it is quarantined again

An entry that heard from another one that a response has cleared a part went on taking it for kept in the log, and didn't write it when engines crashed under it again. TestPartThatIsQuarantinedAgainIsKept: no record before.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -152,7 +152,7 @@
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, OnClearedParts: e.gateway.AddClearedParts, Register: e.registration.Add,
+		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, OnClearedParts: e.onClearedParts, Register: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
@@ -295,6 +295,12 @@
 	e.roster.ObserveAnnouncedLeaving(now, roster.Leaving{ID: l.Target, StartedMs: l.StartedMs})
 }
 
+// onClearedParts handles parts of prompts that a response at another entry has cleared.
+func (e *gatewayProcess) onClearedParts(now time.Time, parts []string) {
+	e.archive.PartsDropped(parts)
+	e.gateway.AddClearedParts(now, parts)
+}
+
 // AnnounceVersion announces to all entries, this one included, that a target which this entry
 // orders to load a version is about to load it or has loaded it.
 func (e *gatewayProcess) AnnounceVersion(ctx context.Context, address, model string, version int64, loaded bool) {
--- a/quarantine/archive/archive.go
+++ b/quarantine/archive/archive.go
@@ -52,7 +52,7 @@
 	wake chan struct{} // holds a value while there is something to write
 
 	mu      sync.Mutex
-	known   map[string]struct{} // parts that are in the log, or that another process writes
+	known   map[string]struct{} // quarantined parts: they are in the log, or one of the entries writes them
 	pending map[string]struct{} // parts to write, or to drop if no crash counts against them
 }
 
@@ -107,6 +107,16 @@
 	}
 }
 
+// PartsDropped records that another entry drops the records of parts, as a response there has cleared them.
+func (a *Archive) PartsDropped(parts []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	for _, p := range parts {
+		delete(a.known, p)
+	}
+}
+
 // write has a part written. The caller holds mu.
 func (a *Archive) write(part string) {
 	a.pending[part] = struct{}{}
--- a/quarantine/archive/archive_test.go
+++ b/quarantine/archive/archive_test.go
@@ -147,3 +147,32 @@
 		}
 	})
 }
+
+// Guards against a part that was freed by a response at another entry, crashes engines again, and isn't kept.
+func TestPartThatIsQuarantinedAgainIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &testLog{records: make(map[string][]byte)}
+		e := startEntry(t.Context(), l, true)
+		quarantinePart := func(targets ...string) {
+			for _, id := range targets {
+				time.Sleep(time.Second)
+				e.crash(time.Now(), quarantine.Crash{Target: id, Boot: id, At: time.Now(), Parts: []string{"p"}})
+			}
+
+			synctest.Wait()
+		}
+
+		quarantinePart("t1", "t2", "t3")
+
+		e.parts.RecordCompletion(time.Now(), []string{"p"})
+		e.archive.PartsDropped([]string{"p"})
+		delete(l.records, "p") // by the other entry
+		time.Sleep(10 * time.Second)
+
+		quarantinePart("t4", "t5", "t6")
+
+		if _, ok := l.records["p"]; !ok {
+			t.Error("got no record of a part that is quarantined again")
+		}
+	})
+}
