--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -39,9 +39,10 @@
 	mu       sync.Mutex
 	starts   *simplelru.LRU[targetStart, *observedStart]
 	watchers map[watchKey]map[*context.CancelCauseFunc]struct{}
-	// beginning holds, for each part, the number of prompts sent that have no response yet.
+	// beginning holds, for each part, the number of prompts sent that have no event yet.
 	beginning map[string]int
-	// cleared holds parts that responses have cleared, which are being reported to the other entries.
+	// cleared holds the parts that responses have cleared and that are still to be reported to the other
+	// entries; reporting is true while some are being reported.
 	cleared   map[string]struct{}
 	reporting bool
 }
@@ -76,9 +77,6 @@
 	return targetStart{id, strconv.FormatInt(startedMs, 10)}
 }
 
-// partList returns the parts as one text, for the log.
-func (c crashCandidate) partList() string { return strings.Join(c.parts, ",") }
-
 // observedStart is what is known of one start of a target.
 type observedStart struct {
 	broken     []brokenRequest          // not counted, oldest first
@@ -89,13 +87,16 @@
 	reporting  bool                     // whether a report is being sent
 }
 
-// crashCandidate is what may have ended a target: a request, or a part of its prompt.
+// crashCandidate is a request that may have ended a target, by itself or by a part of its prompt.
 type crashCandidate struct {
 	fingerprint quarantine.Fingerprint
 	// parts are the ids of the parts of its prompt that other requests may have too.
 	parts []string
 }
 
+// partList returns the parts as one text, for the log.
+func (c crashCandidate) partList() string { return strings.Join(c.parts, ",") }
+
 // brokenRequest is a request that got no complete response.
 type brokenRequest struct {
 	crashCandidate
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -16,6 +16,9 @@
 // a target turns out to be running with the same boot id, its report is withdrawn
 // (WithdrawCrash): only a connection was broken.
 //
+// Some crashes are not caused by a whole request but by one part of a prompt, which other
+// requests have too, no two of them alike. A PartTracker finds these.
+//
 // The result depends only on the set of reports and completions and not on their order,
 // so entries that merged the same set agree.
 //
