--- a/retry/budget.go
+++ b/retry/budget.go
@@ -196,7 +196,7 @@
 	for first := b.slot; first >= b.slot-windowSlots; first-- {
 		retries += b.count(&b.retries, first)
 
-		// The windows half a window and a whole one earlier, and this one.
+		// The window before this one, the one half a window before it, and this one.
 		sum := requestsIn(first-windowSlots+1, first-1) + requestsIn(first-windowSlots/2+1, first+windowSlots/2-1) + requestsIn(first+1, first+windowSlots-1)
 		allowed := b.cfg.Ratio*float64(sum)/3 + floor
 
