retry, entry: a budget that is shared with nobody counts the window that ends now

Callers of a process that had just started got 503 not_ready where the request could have gone to another engine. Cause: counts the mean of three windows, so that limits of many processes add up; in the first seconds two of them are empty. entry shares no limit. Its budgets now count the requests of the last window in full, and their retries in whole slots. Gateways are not affected.

TestUnsharedBudgetCountsRequestsAtOnce: four retries for nine requests, of which the code before allows three.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -26,7 +26,7 @@
 
 	known, ok := b.byService[service]
 	if !ok {
-		known = retry.NewBudget(now, retry.BudgetConfig{Ratio: ratio})
+		known = retry.NewBudget(now, retry.BudgetConfig{Ratio: ratio, Unshared: true})
 		b.byService[service] = known
 	}
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -42,6 +42,9 @@
 	// FloorDelay is how long after the start the floor is not used yet. Where an earlier
 	// process may have used the same floor, it is Window or longer.
 	FloorDelay time.Duration
+	// Unshared is true if no limit covers this Budget and others together. The requests of the
+	// window that ends at present then count in full.
+	Unshared bool
 }
 
 const (
@@ -191,6 +194,15 @@
 		floor = 0
 	}
 
+	if b.cfg.Unshared {
+		used = b.reserved
+		for n := b.slot - windowSlots; n <= b.slot; n++ {
+			used += b.count(&b.retries, n)
+		}
+
+		return used, b.cfg.Ratio*float64(requestsIn(b.slot-windowSlots+1, b.slot)) + floor
+	}
+
 	retries, least := b.reserved, 0.0
 
 	for first := b.slot; first >= b.slot-windowSlots; first-- {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -133,6 +133,28 @@
 	}
 }
 
+// Guards against a process that has just started and refuses retries that a fifth of its requests allow.
+func TestUnsharedBudgetCountsRequestsAtOnce(t *testing.T) {
+	b := NewBudget(epoch, BudgetConfig{Unshared: true})
+
+	for range 9 {
+		b.CountRequest(epoch)
+	}
+
+	got := 0
+	for b.Allow(epoch.Add(time.Second)) {
+		got++
+	}
+
+	if want := 4; got != want {
+		t.Errorf("got %d retries for nine requests, want %d", got, want)
+	}
+
+	if b.Allow(epoch.Add(10 * time.Second)) {
+		t.Error("got a retry within the window of those before")
+	}
+}
+
 // Guards against retries that a link holds up and that arrive together with those of a later window.
 func TestRetriesOnTheWayCountUntilTheyArrive(t *testing.T) {
 	const window = 10 * time.Second
