--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -349,8 +349,11 @@
 
 // tick runs periodic work until ctx ends.
 func (e *gatewayProcess) tick(ctx context.Context) {
+	stalls := stallDetector{interval: tickInterval}
+
 	for pause.For(ctx, tickInterval) {
 		now := time.Now()
+		stalls.observe(now, e.log)
 		entries := e.members.Size(now)
 		e.directory.SetProcessCount(entries)
 		e.gateway.SetEntryCount(now, entries, e.members.InTouch(now))
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -14,7 +14,7 @@
 
 // Events of the gateway: requests routed by host and path.
 var (
-	AttemptSent         = register(2300, "attempt_sent", "A request is sent to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age.")
+	AttemptSent         = register(2300, "attempt_sent", "A request is sent to a target: `request_id`, `route`, `attempt`, `target`, `reason`, the candidates' figures and their age. If parts of its prompt are fetched: `fetch` (id@address of each), `fetch_until` (the deadline on the engines' clock), `clock` and `clock_age_ms` (that clock as known here), `newest` (whether no newer weights are known here), `newest_age_ms` (since when that was last certain, -1 for never), `registered` (whether this entry is asked before parts are freed).")
 	RequestServed       = register(2301, "request_served", "A request got its complete response: `request_id`, `route`, `target`, `status`, `first_ms`, `total_ms`, `attempts`, `target_ms` (its latency target, 0 for none), `framing` (how the target told the end of its body: `length`, `chunked`, `close` for the end of its connection, `none` without a response), `bytes` of that body, `unfinished_bytes` (how many of them came after the last complete event of a stream).")
 	RequestGivenUp      = register(2302, "request_given_up", "A request got an error from this entry: `request_id`, `route`, `kind`, `status`, `fingerprint`, `retry_after_ms`, `ran`, `attempts`.")
 	AttemptFailed       = register(2303, "attempt_failed", "An attempt did not yield a complete response: `request_id`, `target`, `attempt`, `outcome`, `ran`, `fingerprint`, `retry_after_ms` (for how long the target wants nothing from this entry), `framing`, `bytes` and `unfinished_bytes` (as in `request_served`), `cause`.")
@@ -80,6 +80,7 @@
 var (
 	VaultLost     = register(2500, "vault_lost", "A context store is unreachable; nothing is fetched from it.")
 	VaultRegained = register(2501, "vault_regained", "A context store is reachable: `vault`, `held`, `room`, `parts`.")
-	VaultFreed    = register(2502, "vault_freed", "Stored parts of an old weight version were released: `vault`, `parts`, `tokens`, `model`, `before`, `confirmed` (whether all registered processes said that they know the new one), `known_ms` (since when this process knows it).")
+	VaultFreed    = register(2502, "vault_freed", "Stored parts of an old weight version were released: `vault`, `parts`, `tokens`, `model`, `before`, `confirmed` (whether all registered processes said that they know the new one), `known_ms` (since when this process knows it), `rank` of this process at the store, `clock` and `clock_age_ms` (the engines' clock as known here), `until` (when the store ignores the call, on that clock), `part` (the ids).")
+	FreeUnknown   = register(2504, "free_unknown", "A store did not confirm that it released parts; it may have, or refused: as 2502.")
 	VaultGap      = register(2503, "vault_gap", "A store's events have a gap or a new epoch; its list of parts is read again.")
 )
--- a/gateway/cache.go
+++ b/gateway/cache.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"strings"
+	"time"
+
 	"boragehub/vault"
 )
 
@@ -32,6 +35,34 @@
 	t.fetchAndSave(l, c)
 }
 
+// fetchGrant is what the fetches of a prompt's parts rest on.
+type fetchGrant struct {
+	decidedAt time.Time
+	right     fetchRight
+	// clock is the engines' clock in ms as this process knew it, clockAge the age of its last report.
+	clock    int64
+	clockAge time.Duration
+	// parts are the fetched parts as id@address.
+	parts []string
+}
+
+// logFields returns the grant as fields of a log line; none if nothing is fetched.
+func (f *fetchGrant) logFields(until int64) []any {
+	if len(f.parts) == 0 {
+		return nil
+	}
+
+	newestAge := int64(-1)
+	if !f.right.newestAt.IsZero() {
+		newestAge = f.decidedAt.Sub(f.right.newestAt).Milliseconds()
+	}
+
+	return []any{
+		"fetch", strings.Join(f.parts, ","), "fetch_until", until, "clock", f.clock, "clock_age_ms", f.clockAge.Milliseconds(),
+		"newest", f.right.newest, "newest_age_ms", newestAge, "registered", f.right.registered,
+	}
+}
+
 // minStoredTokens is the length of the shortest part that is fetched and saved: one block of an
 // engine's memory. Short parts at the start of a prompt have to be in stores too, since a part
 // can only be used together with all parts before it.
@@ -50,6 +81,7 @@
 		return
 	}
 
+	c.fetch = fetchGrant{decidedAt: l.now, right: l.right(s.Version), clock: clock, clockAge: t.g.cfg.Vaults.ClockAge(l.now)}
 	fetch, save := make([]string, len(parts)), make([]string, len(parts))
 
 	for i := range len(parts) - 1 {
@@ -78,6 +110,7 @@
 			// nothing that it has.
 			fetch[i] = found.Address
 			s.Fetch = fetch
+			c.fetch.parts = append(c.fetch.parts, x.part.ID+"@"+found.Address)
 
 			until := clock + vault.MaxFetch.Milliseconds()
 			if found.FetchUntil > 0 {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -23,6 +23,8 @@
 	// fetchWait and fetchTime are how long the longest fetch is expected to wait for its
 	// source's link and to take.
 	fetchWait, fetchTime time.Duration
+	// fetch is what the fetches of the prompt's parts rest on, for the log.
+	fetch fetchGrant
 	// reason, cost (in ms) and candidates describe the decision in the log.
 	reason     string
 	cost       float64
@@ -417,12 +419,16 @@
 func (t *task) logChoice(c choice) {
 	e := c.engine
 
-	event.Log(t.g.cfg.Log, event.AttemptSent, "request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts+1,
+	fields := []any{
+		"request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts + 1,
 		"target", e.ID, "reason", c.reason, "cost_ms", int(c.cost), "candidates", c.candidates, "cold_ms", e.ColdFor.Milliseconds(), "config", t.cfg.Version(),
 		"running", max(e.Report.Running, e.Load.Running), "reading", e.Report.Prefilling, "tokens_per_ms", int(t.profile().TokensPerMs()), "waiting", max(e.Report.Waiting, e.Load.Waiting),
 		"used_tokens", e.Report.UsedTokens, "pulse_age_ms", loadReportAge(e), "rate_limit", e.RateLimit, "slowdown", e.Slowdown, "sent_since", e.SentSince.Requests,
 		"version", c.params.Version, "fetches", len(c.params.Fetch) > 0, "saves", len(c.params.Save) > 0, "unread", c.prefillTokens, "fetch_wait_ms", c.fetchWait.Milliseconds(), "fetch_ms", c.fetchTime.Milliseconds(),
-		"opening", t.prefixID(), "salt", c.params.Salt)
+		"opening", t.prefixID(), "salt", c.params.Salt,
+	}
+
+	event.Log(t.g.cfg.Log, event.AttemptSent, append(fields, c.fetch.logFields(c.params.FetchUntil)...)...)
 }
 
 // prefixID returns the id of the prompt's shared prefix, empty for none.
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -22,6 +22,7 @@
 	linkTokensPerMs float64
 	longestPart     int // index of the longest shared part; -1 for none
 	parts           map[partKey]*partLocation
+	rights          map[int64]fetchRight // by weight version
 }
 
 // partKey identifies a part under a weight version.
@@ -48,11 +49,22 @@
 	e := t.service.Engines
 
 	return &lookup{
-		t: t, now: now, engines: all, longestPart: t.longestSharedPart(), parts: make(map[partKey]*partLocation),
+		t: t, now: now, engines: all, longestPart: t.longestSharedPart(), parts: make(map[partKey]*partLocation), rights: make(map[int64]fetchRight),
 		linkTokensPerMs: site.TokensPerMs(e.LinkMbps, e.TokenBytes),
 	}
 }
 
+// right returns the right to fetch parts of a weight version.
+func (l *lookup) right(version int64) fetchRight {
+	r, ok := l.rights[version]
+	if !ok {
+		r = l.t.g.fetchRight(l.t.arrival.Prompt.Model, version)
+		l.rights[version] = r
+	}
+
+	return r
+}
+
 // part returns the location of part i of the prompt under a weight version.
 func (l *lookup) part(i int, version int64) *partLocation {
 	k := partKey{i, version}
@@ -62,7 +74,7 @@
 
 	g, p := l.t.g, l.t.arrival.Prompt
 	x := &partLocation{part: vault.Part{Salt: l.t.scope(version).Salt(), ID: p.Parts[i].ID}, tokens: p.Parts[i].Tokens}
-	x.mayFetch = g.mayFetch(l.now, x.part, p.Model, version)
+	x.mayFetch = l.right(version).allows(l.now, x.part)
 	_, x.stored = g.cfg.Vaults.Find(l.now, x.part, g.cfg.DataCentre)
 	x.long = x.tokens >= resident.LongPart
 
--- a/gateway/prompt_test.go
+++ b/gateway/prompt_test.go
@@ -3,10 +3,13 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
 	"boragehub/roster"
 	"boragehub/vault"
 )
@@ -166,3 +169,26 @@
 		}
 	}
 }
+
+// Guards against logs that don't tell why a part was fetched that its store freed meanwhile.
+func TestGrantOfAFetchIsLogged(t *testing.T) {
+	var lines []string
+
+	e := newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd))
+	env := newTestEnv(t, e)
+	env.gateway.cfg.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{Verbosity: 10})
+	part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 5000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
+	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
+
+	sent := slices.IndexFunc(lines, func(line string) bool { return strings.Contains(line, `"fetches"=true`) })
+	if sent < 0 {
+		t.Fatalf("got %q, want a fetch", lines)
+	}
+
+	for _, want := range []string{`"fetch"="shared@vault:1"`, `"fetch_until"=7`, `"clock"=5`, `"clock_age_ms"=`, `"newest"=true`, `"newest_age_ms"=`, `"registered"=`} {
+		if !strings.Contains(lines[sent], want) {
+			t.Errorf("got %q, want %s in it", lines[sent], want)
+		}
+	}
+}
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -107,17 +107,31 @@
 	return g.versionPublishedFor(now, model, g.cfg.VersionDeadline-sendMargin)
 }
 
-// mayFetch reports whether a part that was computed with a version of a model may be fetched from
-// a store.
-func (g *Gateway) mayFetch(now time.Time, p vault.Part, model string, version int64) bool {
+// fetchRight is what the right to fetch the parts of a weight version from stores rests on.
+type fetchRight struct {
+	// newestAt is when the version was last known for certain to be the newest of its model; zero for
+	// never.
+	newestAt time.Time
+	// newest is true if this process knows of no newer version.
+	newest bool
+	// registered is true if this process is certain to be asked before the parts are freed.
+	registered bool
+}
+
+// fetchRight returns the right to fetch the parts of a version of a model.
+func (g *Gateway) fetchRight(model string, version int64) fetchRight {
 	current, newest := g.lastKnownNewest(model, version)
 
 	// A process that reads the register after a newer version was published is certain to find this
 	// process there only if it was registered when it last knew of no newer version.
 	since := g.registeredSince()
-	registered := newest && !since.IsZero() && current.After(since)
 
-	return p.MayFetch(now, current, registered)
+	return fetchRight{newestAt: current, newest: newest, registered: newest && !since.IsZero() && current.After(since)}
+}
+
+// allows reports whether a part may be fetched from a store.
+func (r fetchRight) allows(now time.Time, p vault.Part) bool {
+	return p.MayFetch(now, r.newestAt, r.registered)
 }
 
 // lastKnownNewest returns when a version was last known for certain to be the newest of its
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -266,6 +266,18 @@
 	return d.clockNow(now), d.clock > 0
 }
 
+// ClockAge returns how long ago the engines' clock was last reported, zero if it never was.
+func (d *Directory) ClockAge(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.clock == 0 {
+		return 0
+	}
+
+	return now.Sub(d.clockAt)
+}
+
 // clockNow extrapolates the engines' clock, in ms, from the last report. The caller holds
 // mu.
 func (d *Directory) clockNow(now time.Time) int64 {
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -546,13 +547,29 @@
 	c, cancel := context.WithTimeout(ctx, freeTimeout)
 	defer cancel()
 
-	if err := w.cfg.Source.Free(c, parts.Address, parts.Epoch, parts.Parts, clock+freeTimeout.Milliseconds()); err != nil {
-		event.Fail(w.cfg.Log, err, event.VaultLost, "vault", parts.Address, "step", "free")
+	until := clock + freeTimeout.Milliseconds()
+	fields := []any{
+		"vault", parts.Address, "epoch", parts.Epoch, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version,
+		"confirmed", newer.confirmed, "known_ms", now.Sub(newer.learnedAt).Milliseconds(), "rank", w.cfg.Rank(parts.Address),
+		"clock", clock, "clock_age_ms", w.cfg.Directory.ClockAge(now).Milliseconds(), "until", until, "part", partIDs(parts.Parts),
+	}
+
+	if err := w.cfg.Source.Free(c, parts.Address, parts.Epoch, parts.Parts, until); err != nil {
+		event.Fail(w.cfg.Log, err, event.FreeUnknown, fields...)
 
 		return
 	}
 
 	w.cfg.Directory.MarkFreed(parts)
-	event.Log(w.cfg.Log, event.VaultFreed, "vault", parts.Address, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version,
-		"confirmed", newer.confirmed, "known_ms", now.Sub(newer.learnedAt).Milliseconds())
+	event.Log(w.cfg.Log, event.VaultFreed, fields...)
+}
+
+// partIDs returns the ids of parts, separated by commas.
+func partIDs(parts []Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+
+	return strings.Join(ids, ",")
 }
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"boragehub/mirror"
 )
@@ -258,3 +260,48 @@
 		})
 	}
 }
+
+// Guards against logs that don't tell who freed a part that an engine was fetching, and by what.
+func TestFreeIsLogged(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		err  error
+		want string
+	}{
+		{"released", nil, `"event"=2502`},
+		{"no response", errors.New("no response"), `"event"=2504`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var lines []string
+
+			now, d := time.Now(), NewDirectory(1)
+			log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{Verbosity: 10})
+			w := NewWatcher(WatcherConfig{Directory: d, Source: silentFreeStore{tt.err}, Rank: func(string) int { return 1 }, Log: log})
+			d.SetClock(now.Add(-time.Second), 5000)
+
+			parts := FreeableParts{Address: "s", Epoch: 3, Parts: []Part{{ID: "a"}, {ID: "b"}}, Tokens: 200}
+			w.free(t.Context(), now, "m", replacement{version: 2, learnedAt: now.Add(-8 * time.Second), confirmed: true}, parts)
+
+			if len(lines) != 1 {
+				t.Fatalf("got %q, want one line", lines)
+			}
+
+			for _, want := range []string{tt.want, `"part"="a,b"`, `"clock"=6000`, `"clock_age_ms"=1000`, `"until"=7000`, `"known_ms"=8000`, `"rank"=1`, `"confirmed"=true`, `"epoch"=3`} {
+				if !strings.Contains(lines[0], want) {
+					t.Errorf("got %q, want %s in it", lines[0], want)
+				}
+			}
+		})
+	}
+}
+
+// silentFreeStore responds to calls to free parts with an error, or with success if err is nil.
+type silentFreeStore struct{ err error }
+
+func (silentFreeStore) Events(context.Context, string, int64, time.Duration) (Events, error) {
+	return Events{}, nil
+}
+
+func (silentFreeStore) List(context.Context, string) (Listing, error) { return Listing{}, nil }
+
+func (s silentFreeStore) Free(context.Context, string, int64, []Part, int64) error { return s.err }
