gateway, roster: failing tests of a fetch that meets a free

Two hypotheses of docs/incidents/store_freed_during_fetch.md, each as a test that fails on the present code and is listed in KNOWN-RED.txt:

- the right to fetch is measured on a clock that stops while a VM is suspended: with the engines' clock 20 s further and the entry's own where it was, the fetch is granted;
- a free rests on not having noticed a pause: an entry that stood still itself, that has not heard of an engine, or that reads a report from before the pause after it, says that no engine is paused.

--- a/gateway/prompt_test.go
+++ b/gateway/prompt_test.go
@@ -192,3 +192,38 @@
 		}
 	}
 }
+
+// Guards against a fetch that is granted after its entry's VM was suspended, by what the entry knew before:
+// others have freed the part by then. The local clock of a suspended VM stands still, the engines' goes on.
+func TestRightToFetchEndsWhileItsEntryIsSuspended(t *testing.T) {
+	tests := []struct {
+		name      string
+		suspended time.Duration
+		want      string // where the part is fetched from
+	}{
+		{"short", time.Second, "vault:1,"},
+		{"beyond the right", 20 * time.Second, ""},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd))
+			env := newTestEnv(t, e)
+			now := time.Now()
+			part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+			added := []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}
+
+			env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 5000, Events: added})
+			env.versionsKnownAt = now
+			env.registeredSince = now.Add(-time.Minute)
+
+			resumed := 5000 + tt.suspended.Milliseconds()
+			env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: resumed})
+			env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
+
+			if got := e.arrival(0).Header.Get("Fetch"); got != tt.want {
+				t.Errorf("got fetch from %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/roster/liveness_test.go
+++ b/roster/liveness_test.go
@@ -135,3 +135,41 @@
 		t.Errorf("after the drop: got paused %v and %v, want it for six seconds", r.AnyPaused(at(9000)), r.AnyPaused(at(10_100)))
 	}
 }
+
+// Guards against freeing what a paused engine is fetching. The entry that frees stood still together with the
+// engine's VM, has just started, or follows other engines only, so it noticed no pause.
+func TestEngineNotHeardLatelyCountsAsPaused(t *testing.T) {
+	const a, b = "10.0.0.1:80", "10.0.0.2:80"
+
+	tests := []struct {
+		name  string
+		heard func(r *Roster)
+		want  bool
+	}{
+		{"all heard", func(r *Roster) {
+			r.ObserveReport(at(9900), pulse.Report{Engine: a, Clock: 9900})
+			r.ObserveReport(at(9900), pulse.Report{Engine: b, Clock: 9900})
+		}, false},
+		{"this process stood still with one", func(r *Roster) {
+			r.ObserveReport(at(1000), pulse.Report{Engine: a, Clock: 1000})
+			r.ObserveReport(at(9900), pulse.Report{Engine: b, Clock: 9900})
+		}, true},
+		{"this process has not heard of one", func(r *Roster) { r.ObserveReport(at(9900), pulse.Report{Engine: b, Clock: 9900}) }, true},
+		{"one was sent before the pause and arrives after it", func(r *Roster) {
+			r.ObserveReport(at(9900), pulse.Report{Engine: a, Clock: 1000})
+			r.ObserveReport(at(9900), pulse.Report{Engine: b, Clock: 9900})
+		}, true},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTestRoster()
+			tt.heard(r)
+			r.Tick(at(9950))
+
+			if got := r.AnyPaused(at(9960)); got != tt.want {
+				t.Errorf("got paused %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
