vault, mirror, gateway: the right to fetch ends on the engines' clock

Cause: a process grants fetches of a weight version for a time after it was last certain that no newer one was published, and measured that time on its own monotonic clock, which stands still while its VM is suspended. It resumed with a right that others took for expired, got the engines' true clock from the first load report, and gave fetches 2 s from then. An age that it passed on to another entry was too low by the same time. The class: a limit that another machine enforces or relies on, measured on a clock that it doesn't share.

Change: what a process knows is as of a moment on two clocks (mirror.Moment), of which the shared one is read before the request is sent and passed on unchanged between entries. vault.FetchRight has the deadline from it: that moment, the grace period and the longest fetch, whatever the process did meanwhile. The engine enforces it. An entry that doesn't know the engines' clock grants nothing, as before; one of an earlier build reports no shared time, and what came from it gives no right.

Measured: unit and model tests only, so far.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -147,7 +147,7 @@
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
 		HoldUntil: time.Now().Add(startupWindow), UnreadBytes: unreadBytes(cfg), Claims: &e.claims, Meter: meter, Log: log,
-	}, operators.CertainAt, e.registration.RegisteredAt)
+	}, operators.Certain, e.registration.RegisteredAt)
 
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
@@ -166,7 +166,7 @@
 		VersionPublished: func(now time.Time, v platform.WeightVersion) {
 			before := operators.LatestUpdateAfter()
 			e.gateway.VersionNamed(now, v.Model, v.Version, before)
-			e.standby.SetDesired(loader.DesiredVersion{Model: v.Model, Version: v.Version, PublishedBeforeStart: before.IsZero()})
+			e.standby.SetDesired(loader.DesiredVersion{Model: v.Model, Version: v.Version, PublishedBeforeStart: before.Local.IsZero()})
 			e.watcher.SetNewestVersion(now, v.Model, v.Version, v.At)
 		},
 		EvacuationChanged: e.roster.Evacuate,
@@ -177,7 +177,7 @@
 	e.followers = []*mirror.Follower{
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client, Relay: e.client,
-			LoadWait: e.loadWait(), Wait: operatorReadWait, OnChanges: publications.Handle, OnReset: e.onOperatorReset, Log: e.log,
+			LoadWait: e.loadWait(), Wait: operatorReadWait, SharedClock: e.engineClock, OnChanges: publications.Handle, OnReset: e.onOperatorReset, Log: e.log,
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
 			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client, Relay: e.client,
@@ -241,6 +241,16 @@
 	e.registration.Renew()
 }
 
+// engineClock returns the engines' clock in ms, zero while it isn't known.
+func (e *gatewayProcess) engineClock(now time.Time) int64 {
+	clock, ok := e.directory.Clock(now)
+	if !ok {
+		return 0
+	}
+
+	return clock
+}
+
 // onReport handles a side process's load report.
 func (e *gatewayProcess) onReport(now time.Time, p pulse.Report) {
 	e.directory.SetClock(now, p.Clock)
--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -85,7 +85,7 @@
 			guard.AssumeCold(now)
 		},
 		VersionPublished: func(_ time.Time, v platform.WeightVersion) {
-			l.SetDesired(loader.DesiredVersion{Model: v.Model, Version: v.Version, PublishedBeforeStart: operators.LatestUpdateAfter().IsZero()})
+			l.SetDesired(loader.DesiredVersion{Model: v.Model, Version: v.Version, PublishedBeforeStart: operators.LatestUpdateAfter().Local.IsZero()})
 		},
 		Log: log,
 	}
--- a/gateway/cache.go
+++ b/gateway/cache.go
@@ -38,7 +38,7 @@
 // fetchGrant is what the fetches of a prompt's parts rest on.
 type fetchGrant struct {
 	decidedAt time.Time
-	right     fetchRight
+	right     versionRight
 	// clock is the engines' clock in ms as this process knew it, clockAge the age of its last report.
 	clock    int64
 	clockAge time.Duration
@@ -52,14 +52,14 @@
 		return nil
 	}
 
-	newestAge := int64(-1)
-	if !f.right.newestAt.IsZero() {
-		newestAge = f.decidedAt.Sub(f.right.newestAt).Milliseconds()
+	newestAt, newestAge := f.right.right.NewestAt, int64(-1)
+	if !newestAt.Local.IsZero() {
+		newestAge = f.decidedAt.Sub(newestAt.Local).Milliseconds()
 	}
 
 	return []any{
 		"fetch", strings.Join(f.parts, ","), "fetch_until", until, "clock", f.clock, "clock_age_ms", f.clockAge.Milliseconds(),
-		"newest", f.right.newest, "newest_age_ms", newestAge, "registered", f.right.registered,
+		"newest", f.right.newest, "newest_age_ms", newestAge, "newest_clock", newestAt.Shared, "registered", f.right.right.Registered,
 	}
 }
 
--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -43,7 +43,7 @@
 
 		env := newTestEnv(t, engines["a"], engines["b"])
 		part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
-		env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 5000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 71_990}, Added: true}}})
+		env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 71_990}, Added: true}}})
 		env.roster.ObserveSlowdown(time.Now(), "llm"+slow, 1)
 
 		for range 32 {
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"boragehub/failure"
+	"boragehub/mirror"
 	"boragehub/quarantine"
 	"boragehub/roster"
 	"boragehub/site"
@@ -295,10 +296,16 @@
 	server          *httptest.Server
 	roster          *roster.Roster
 	vaults          *vault.Directory
-	versionsKnownAt time.Time
+	versionsKnownAt mirror.Moment
 	registeredSince time.Time
 }
 
+// moment returns a time as a moment at which the engines' clock was known. Tests that let it stand still or
+// jump set both clocks.
+func moment(at time.Time) mirror.Moment {
+	return mirror.Moment{Local: at, Shared: 105_000 + time.Until(at).Milliseconds()}
+}
+
 // shortCallerTimeout is the event timeout of the route "patient".
 const shortCallerTimeout = 300 * time.Millisecond
 
@@ -328,7 +335,7 @@
 	t.Helper()
 
 	now := time.Now()
-	env := &testEnv{versionsKnownAt: now}
+	env := &testEnv{versionsKnownAt: moment(now)}
 	env.roster = roster.New(roster.Config{
 		Self: "entry-1", DataCentre: "east", Regions: map[string]string{"east": "r"}, Log: logr.Discard(),
 		SlowStart: func(service string) slowstart.Limit { return env.gateway.SlowStart(service) }, Entries: firstEntry{},
@@ -336,14 +343,14 @@
 	env.vaults = vault.NewDirectory(1)
 	env.vaults.Configure([]vault.Store{{Address: "vault:1", DataCentre: "east", CapacityTokens: 100_000}})
 	// Nothing is saved to stores whose epoch has only just become known.
-	env.vaults.ApplyListing(now.Add(-4*time.Second), "vault:1", vault.Listing{Epoch: 1, Clock: 1000})
-	env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Clock: 5000})
+	env.vaults.ApplyListing(now.Add(-4*time.Second), "vault:1", vault.Listing{Epoch: 1, Clock: 101_000})
+	env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Clock: 105_000})
 
 	env.gateway = New(Config{
 		DataCentre: "east", Dialect: testDialect{}, Roster: env.roster, Pool: upstream.NewPool(upstream.Config{}), Vaults: env.vaults,
 		Crashes: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3}), CrashParts: newParts(),
 		Start: time.Now().Add(-time.Hour), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 800, VersionDeadline: 8 * time.Second, Log: logr.Discard(),
-	}, func() time.Time { return env.versionsKnownAt }, func() time.Time { return env.registeredSince })
+	}, func() mirror.Moment { return env.versionsKnownAt }, func() time.Time { return env.registeredSince })
 	env.gateway.SetEntryCount(now, 1, true)
 	env.gateway.Configure(site.New(published))
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/mirror"
 	"boragehub/quarantine"
 	"boragehub/retry"
 	"boragehub/roster"
@@ -131,8 +132,8 @@
 	retryBudgets    map[string]*retry.Budget
 	slackShare      retry.Share
 	versions        map[string][]publishedVersion
-	versionsKnownAt func() time.Time // when the newest versions were last known for certain
-	registeredSince func() time.Time // since when this process is asked before cached parts are freed
+	versionsKnownAt func() mirror.Moment // when the newest versions were last known for certain
+	registeredSince func() time.Time     // since when this process is asked before cached parts are freed
 	crashes         *crashDetector
 	waitQueue       *waitQueue
 	startup         *startupHold
@@ -148,8 +149,8 @@
 // New returns a Gateway without a configuration. The function versionsKnownAt returns when the
 // newest weight versions were last known for certain; registeredSince returns since when this
 // process has been registered, so that it is asked before cached parts are freed. Both return
-// the zero time if that isn't so yet.
-func New(cfg Config, versionsKnownAt, registeredSince func() time.Time) *Gateway {
+// a zero time if that isn't so yet.
+func New(cfg Config, versionsKnownAt func() mirror.Moment, registeredSince func() time.Time) *Gateway {
 	if cfg.Start.IsZero() {
 		cfg.Start = time.Now()
 	}
--- a/gateway/in_flight_test.go
+++ b/gateway/in_flight_test.go
@@ -99,7 +99,7 @@
 	now := time.Now()
 	env.list(changed)
 	env.roster.ObserveVersion("llmb", "m", 2, "test")
-	env.gateway.VersionNamed(now, "m", 2, now)
+	env.gateway.VersionNamed(now, "m", 2, moment(now))
 	env.gateway.Tick(now.Add(7 * time.Second))
 
 	select {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -22,7 +22,7 @@
 	linkTokensPerMs float64
 	longestPart     int // index of the longest shared part; -1 for none
 	parts           map[partKey]*partLocation
-	rights          map[int64]fetchRight // by weight version
+	rights          map[int64]versionRight // by weight version
 }
 
 // partKey identifies a part under a weight version.
@@ -33,13 +33,14 @@
 
 // partLocation is where a part is cached.
 type partLocation struct {
-	part   vault.Part
-	tokens int
-	key    uint64
+	part    vault.Part
+	version int64
+	tokens  int
+	key     uint64
 	// long parts are reported by the engines that have them.
 	long bool
-	// mayFetch is true if it may be fetched from stores, stored if a store has it.
-	mayFetch, stored bool
+	// stored is true if a store has it.
+	stored bool
 	// engines have the part in their memory, and it may be fetched from them.
 	engines []roster.Engine
 }
@@ -49,16 +50,23 @@
 	e := t.service.Engines
 
 	return &lookup{
-		t: t, now: now, engines: all, longestPart: t.longestSharedPart(), parts: make(map[partKey]*partLocation), rights: make(map[int64]fetchRight),
+		t: t, now: now, engines: all, longestPart: t.longestSharedPart(), parts: make(map[partKey]*partLocation), rights: make(map[int64]versionRight),
 		linkTokensPerMs: site.TokensPerMs(e.LinkMbps, e.TokenBytes),
 	}
 }
 
+// versionRight is the right to fetch the parts of a weight version, as of one decision.
+type versionRight struct {
+	right vault.FetchRight
+	// newest is true if this process knows of no newer version.
+	newest bool
+}
+
 // right returns the right to fetch parts of a weight version.
-func (l *lookup) right(version int64) fetchRight {
+func (l *lookup) right(version int64) versionRight {
 	r, ok := l.rights[version]
 	if !ok {
-		r = l.t.g.fetchRight(l.t.arrival.Prompt.Model, version)
+		r.right, r.newest = l.t.g.fetchRight(l.t.arrival.Prompt.Model, version)
 		l.rights[version] = r
 	}
 
@@ -73,8 +81,7 @@
 	}
 
 	g, p := l.t.g, l.t.arrival.Prompt
-	x := &partLocation{part: vault.Part{Salt: l.t.scope(version).Salt(), ID: p.Parts[i].ID}, tokens: p.Parts[i].Tokens}
-	x.mayFetch = l.right(version).allows(l.now, x.part)
+	x := &partLocation{part: vault.Part{Salt: l.t.scope(version).Salt(), ID: p.Parts[i].ID}, version: version, tokens: p.Parts[i].Tokens}
 	_, x.stored = g.cfg.Vaults.Find(l.now, x.part, g.cfg.DataCentre)
 	x.long = x.tokens >= resident.LongPart
 
@@ -100,12 +107,7 @@
 
 // fastestCopy returns the copy of a part that reaches an engine soonest.
 func (l *lookup) fastestCopy(x *partLocation, e roster.Engine) (vault.Copy, bool) {
-	var best vault.Copy
-
-	ok := false
-	if x.mayFetch {
-		best, ok = l.t.g.cfg.Vaults.Find(l.now, x.part, e.DataCentre)
-	}
+	best, ok := l.t.g.cfg.Vaults.FindFetchable(l.now, x.part, l.right(x.version).right, e.DataCentre)
 
 	for _, h := range x.engines {
 		if h.ID == e.ID || l.linkTokensPerMs <= 0 {
--- a/gateway/prompt_test.go
+++ b/gateway/prompt_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"boragehub/mirror"
 	"boragehub/roster"
 	"boragehub/vault"
 )
@@ -35,14 +36,14 @@
 	e := newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd))
 	env := newTestEnv(t, e)
 	part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
-	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 5000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
+	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
 
 	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
-	env.versionsKnownAt = time.Now().Add(-time.Minute) // this process is cut off from the log
+	env.versionsKnownAt = moment(time.Now().Add(-time.Minute)) // this process is cut off from the log
 	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
-	env.versionsKnownAt, env.registeredSince = time.Now().Add(-10*time.Second), time.Now().Add(-5*time.Second) // registered too late
+	env.versionsKnownAt, env.registeredSince = moment(time.Now().Add(-10*time.Second)), time.Now().Add(-5*time.Second) // registered too late
 	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
 	env.registeredSince = time.Now().Add(-20 * time.Second) // a short outage of the log
@@ -102,14 +103,14 @@
 	a := newFakeEngine(t, "a", hasVersion("1"))
 	env := newTestEnv(t, a)
 	now := time.Now()
-	env.gateway.VersionNamed(now.Add(-6*time.Second), "m", 2, now.Add(-8*time.Second))
+	env.gateway.VersionNamed(now.Add(-6*time.Second), "m", 2, moment(now.Add(-8*time.Second)))
 
 	if got := env.request(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 200 {
 		t.Errorf("after 6 s: got %d, want 200", got.status)
 	}
 
 	before := a.count()
-	env.gateway.VersionNamed(now.Add(-6600*time.Millisecond), "m", 3, now.Add(-9*time.Second))
+	env.gateway.VersionNamed(now.Add(-6600*time.Millisecond), "m", 3, moment(now.Add(-9*time.Second)))
 
 	if got := env.request(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 503 {
 		t.Errorf("after 6.6 s: got %d, want 503", got.status)
@@ -136,7 +137,7 @@
 	a := newFakeEngine(t, "a", hasVersion("2"))
 	env := newTestEnv(t, a) // the roster has it with version 1
 	now := time.Now()
-	env.gateway.VersionNamed(now.Add(-time.Minute), "m", 2, now.Add(-time.Minute))
+	env.gateway.VersionNamed(now.Add(-time.Minute), "m", 2, moment(now.Add(-time.Minute)))
 
 	if got := env.request(t, "POST", "/llm/1", "x", "Tokens", "500"); got.status != 200 {
 		t.Errorf("got %d, want 200", got.status)
@@ -154,7 +155,7 @@
 func TestWeightsNamedBeforeTheStartAreRequiredSoon(t *testing.T) {
 	env := newTestEnv(t, newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd)))
 	start := time.Now()
-	env.gateway.VersionNamed(start, "m", 2, time.Time{})
+	env.gateway.VersionNamed(start, "m", 2, mirror.Moment{})
 
 	tests := []struct {
 		after time.Duration
@@ -178,7 +179,7 @@
 	env := newTestEnv(t, e)
 	env.gateway.cfg.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{Verbosity: 10})
 	part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
-	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 5000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
+	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
 	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
 	sent := slices.IndexFunc(lines, func(line string) bool { return strings.Contains(line, `"fetches"=true`) })
@@ -186,7 +187,7 @@
 		t.Fatalf("got %q, want a fetch", lines)
 	}
 
-	for _, want := range []string{`"fetch"="shared@vault:1"`, `"fetch_until"=7`, `"clock"=5`, `"clock_age_ms"=`, `"newest"=true`, `"newest_age_ms"=`, `"registered"=`} {
+	for _, want := range []string{`"fetch"="shared@vault:1"`, `"fetch_until"=107`, `"clock"=105`, `"clock_age_ms"=`, `"newest"=true`, `"newest_age_ms"=`, `"registered"=`} {
 		if !strings.Contains(lines[sent], want) {
 			t.Errorf("got %q, want %s in it", lines[sent], want)
 		}
@@ -213,11 +214,11 @@
 			part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
 			added := []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}
 
-			env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 5000, Events: added})
-			env.versionsKnownAt = now
+			env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: added})
+			env.versionsKnownAt = mirror.Moment{Local: now, Shared: 105_000}
 			env.registeredSince = now.Add(-time.Minute)
 
-			resumed := 5000 + tt.suspended.Milliseconds()
+			resumed := 105_000 + tt.suspended.Milliseconds()
 			env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: resumed})
 			env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"boragehub/mirror"
 	"boragehub/vault"
 )
 
@@ -13,7 +14,7 @@
 	// before the process started.
 	learnedAt time.Time
 	// previousNewestAt is when the previous version was last known for certain to be the newest.
-	previousNewestAt time.Time
+	previousNewestAt mirror.Moment
 }
 
 // oldVersionGrace is how long after a weight version was published responses from the previous one
@@ -42,8 +43,8 @@
 // VersionNamed records that operators published a weight version. Before is when the previous
 // version was last known for certain to be the newest, zero for a version that was published before
 // this process started.
-func (g *Gateway) VersionNamed(now time.Time, model string, version int64, before time.Time) {
-	if before.IsZero() {
+func (g *Gateway) VersionNamed(now time.Time, model string, version int64, before mirror.Moment) {
+	if before.Local.IsZero() {
 		now = now.Add(min(startupGrace-g.cfg.VersionDeadline, 0))
 	}
 
@@ -107,36 +108,22 @@
 	return g.versionPublishedFor(now, model, g.cfg.VersionDeadline-sendMargin)
 }
 
-// fetchRight is what the right to fetch the parts of a weight version from stores rests on.
-type fetchRight struct {
-	// newestAt is when the version was last known for certain to be the newest of its model; zero for
-	// never.
-	newestAt time.Time
-	// newest is true if this process knows of no newer version.
-	newest bool
-	// registered is true if this process is certain to be asked before the parts are freed.
-	registered bool
-}
-
-// fetchRight returns the right to fetch the parts of a version of a model.
-func (g *Gateway) fetchRight(model string, version int64) fetchRight {
-	current, newest := g.lastKnownNewest(model, version)
+// fetchRight returns the right to fetch parts of a version of a model from stores, and whether this process
+// knows of no newer version.
+func (g *Gateway) fetchRight(model string, version int64) (r vault.FetchRight, newest bool) {
+	r.NewestAt, newest = g.lastKnownNewest(model, version)
 
 	// A process that reads the register after a newer version was published is certain to find this
 	// process there only if it was registered when it last knew of no newer version.
 	since := g.registeredSince()
+	r.Registered = newest && !since.IsZero() && r.NewestAt.Local.After(since)
 
-	return fetchRight{newestAt: current, newest: newest, registered: newest && !since.IsZero() && current.After(since)}
-}
-
-// allows reports whether a part may be fetched from a store.
-func (r fetchRight) allows(now time.Time, p vault.Part) bool {
-	return p.MayFetch(now, r.newestAt, r.registered)
+	return r, newest
 }
 
 // lastKnownNewest returns when a version was last known for certain to be the newest of its
 // model, and whether it still is as far as this process knows.
-func (g *Gateway) lastKnownNewest(model string, version int64) (current time.Time, newest bool) {
+func (g *Gateway) lastKnownNewest(model string, version int64) (current mirror.Moment, newest bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -196,7 +196,7 @@
 		return mirror.Batch{}, err
 	}
 
-	b := mirror.Batch{Records: records, End: r.End, Era: r.Era, Snapshot: r.Snapshot, Settled: r.Settled}
+	b := mirror.Batch{Records: records, End: r.End, Era: r.Era, Snapshot: r.Snapshot, Settled: r.Settled, AsOfShared: r.AsOfShared}
 	if r.AgeMs >= 0 {
 		// The response was created at least HeldMs after the request was sent, and its records
 		// were AgeMs old then.
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -60,6 +60,9 @@
 	// Settled and Snapshot are as in mirror.Batch.
 	Settled  bool `cbor:"10,keyasint,omitempty"`
 	Snapshot bool `cbor:"11,keyasint,omitempty"`
+	// AsOfShared is as in mirror.Batch. Unlike AgeMs it doesn't pass as more recent if the responding
+	// process's VM was suspended.
+	AsOfShared int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Member is an entry known to another one.
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -496,3 +496,21 @@
 		}
 	}
 }
+
+// Guards against records that pass for more recent than they are: the process that passes them on measures
+// their age on a clock that stands still while its VM is suspended.
+func TestRecordsKeepTheSharedTimeOfTheirRead(t *testing.T) {
+	e := newEntry(t)
+	e.topic.Merge(mirror.Batch{Snapshot: true, Era: 1, End: 5, AsOf: time.Now(), AsOfShared: 700})
+
+	c := NewClient(NewMembers("", []string{e.address}))
+
+	b, err := c.Fetch(t.Context(), "t", mirror.Position{Era: 1, Offset: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if got, want := b.AsOfShared, int64(700); got != want {
+		t.Errorf("got records as of %d ms, want %d", got, want)
+	}
+}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -97,6 +97,9 @@
 	OnOutage func(now time.Time, unavailable bool)
 	// OnReset is called when the log has returned from a copy, see Topic; it may be nil.
 	OnReset func(now time.Time)
+	// SharedClock returns the clock that the processes share, in ms, never ahead of it, and zero while it
+	// isn't known; nil if there is none. See Moment.
+	SharedClock func(now time.Time) int64
 	// Log receives an event at the start and at the end of an outage.
 	Log logr.Logger
 }
@@ -299,14 +302,14 @@
 	end := f.cfg.Topic.End()
 
 	if f.cfg.Topic.Loaded() {
-		sentAt := time.Now()
+		sentAt := f.moment(time.Now())
 		c, cancel := pause.WithIdleTimeout(ctx, f.cfg.Wait+readSlack, f.cfg.Wait+maxTransfer)
 		b, err := f.cfg.Source.Read(c, f.cfg.Name, end.Offset, f.cfg.Wait)
 
 		cancel()
 
 		if !b.Partial {
-			b.AsOf = sentAt
+			b.AsOf, b.AsOfShared = sentAt.Local, sentAt.Shared
 		}
 
 		switch {
@@ -319,7 +322,7 @@
 		}
 	}
 
-	sentAt := time.Now()
+	sentAt := f.moment(time.Now())
 
 	c, cancel := pause.WithIdleTimeout(ctx, newestTimeout, newestTimeout+maxTransfer)
 	defer cancel()
@@ -329,11 +332,20 @@
 		err = errEarlierEra
 	}
 
-	b.AsOf = sentAt
+	b.AsOf, b.AsOfShared = sentAt.Local, sentAt.Shared
 
 	return b, err
 }
 
+// moment returns a time of this process as a moment on both clocks.
+func (f *Follower) moment(now time.Time) Moment {
+	if f.cfg.SharedClock == nil {
+		return Moment{Local: now}
+	}
+
+	return Moment{now, f.cfg.SharedClock(now)}
+}
+
 // fetchFromPeers merges the records that the peers have beyond those of this process.
 func (f *Follower) fetchFromPeers(ctx context.Context) {
 	if f.cfg.Peers == nil {
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -376,3 +376,33 @@
 		}
 	})
 }
+
+// Guards against records that pass for more recent than they are: the read was sent before the process's VM was
+// suspended, and its response arrives afterwards.
+func TestReadIsUpToDateAsOfItsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, clock := &fakeLog{}, int64(0)
+		topic := NewTopic(TopicConfig{})
+		f := NewFollower(FollowerConfig{
+			Name: "t", Topic: topic, Source: log, Wait: time.Second, OnChanges: func(time.Time, []Record) {}, Log: logr.Discard(),
+			SharedClock: func(time.Time) int64 {
+				clock += 1000 // as much passes during each read
+
+				return clock
+			},
+		})
+
+		for _, want := range []int64{1000, 2000} { // a snapshot, then a read from its end on
+			b, err := f.readLog(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			if got := b.AsOfShared; got != want {
+				t.Errorf("got up to date as of %d, want %d", got, want)
+			}
+
+			topic.Merge(b)
+		}
+	})
+}
--- a/mirror/reset.go
+++ b/mirror/reset.go
@@ -20,7 +20,7 @@
 type resetState struct {
 	unsettled bool              // it was less than resetGrace ago
 	settleAt  time.Time         // when it ends; zero until Settle was called
-	certainAt time.Time         // syncedAt before the reset
+	certain   Moment            // Topic.Certain before the reset
 	pending   map[string]Record // by key, tombstones that take effect then
 }
 
@@ -58,7 +58,7 @@
 
 // beginEra resets the topic to a snapshot of a later era and returns the changes. The caller holds mu.
 func (t *Topic) beginEra(b Batch) []Record {
-	t.reset = resetState{unsettled: true, certainAt: t.certainAt(), pending: make(map[string]Record)}
+	t.reset = resetState{unsettled: true, certain: t.certain(), pending: make(map[string]Record)}
 	t.era, t.end, t.completeFrom = b.Era, b.End, b.End
 
 	for _, r := range t.records {
@@ -132,7 +132,7 @@
 		t.reset.settleAt = now.Add(resetGrace)
 
 		return nil
-	case t.syncedAt.Before(t.reset.settleAt):
+	case t.synced.Local.Before(t.reset.settleAt):
 		return nil // what was written again may not have been read
 	}
 
@@ -153,17 +153,20 @@
 
 // CertainAt returns the latest time at which the topic is known to have held the newest records; zero if
 // there is none. After a reset, it doesn't advance until the records that were lost are written again.
-func (t *Topic) CertainAt() time.Time {
+func (t *Topic) CertainAt() time.Time { return t.Certain().Local }
+
+// Certain returns the moment of CertainAt on both clocks.
+func (t *Topic) Certain() Moment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.certainAt()
+	return t.certain()
 }
 
-func (t *Topic) certainAt() time.Time {
+func (t *Topic) certain() Moment {
 	if t.reset.unsettled {
-		return t.reset.certainAt
+		return t.reset.certain
 	}
 
-	return t.syncedAt
+	return t.synced
 }
--- a/mirror/stateful_test.go
+++ b/mirror/stateful_test.go
@@ -113,16 +113,17 @@
 
 	var topic Topic
 
-	topic.Merge(Batch{AsOf: at.Add(time.Second)})
-	topic.Merge(Batch{AsOf: at})
+	topic.Merge(Batch{AsOf: at.Add(time.Second), AsOfShared: 400})
+	topic.Merge(Batch{AsOf: at, AsOfShared: 700}) // by way of a process whose VM is not suspended
+	topic.Merge(Batch{AsOf: at, AsOfShared: 600})
 
 	if got, want := topic.SyncedAt(), at.Add(time.Second); !got.Equal(want) {
 		t.Errorf("got %v, want %v", got, want)
 	}
 
-	topic.Merge(Batch{Records: []Record{{Key: "version/a", Value: []byte("2"), Offset: 4}}, End: 5, AsOf: at.Add(3 * time.Second)})
+	topic.Merge(Batch{Records: []Record{{Key: "version/a", Value: []byte("2"), Offset: 4}}, End: 5, AsOf: at.Add(3 * time.Second), AsOfShared: 900})
 
-	if got, want := topic.LatestUpdateAfter(), at.Add(time.Second); !got.Equal(want) {
+	if got, want := topic.LatestUpdateAfter(), (Moment{at.Add(time.Second), 700}); got != want {
 		t.Errorf("before the change: got %v, want %v", got, want)
 	}
 }
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -80,6 +80,26 @@
 	Settled bool
 	// AsOf is a time at which the batch is known to have been up to date; zero if there is none.
 	AsOf time.Time
+	// AsOfShared is such a time on the clock that the processes share, see Moment; zero if there is none.
+	AsOfShared int64
+}
+
+// Moment is a moment on two clocks. The local one stands still while the process's VM is suspended, so an age on
+// it says how old something is at least, not at most. What must not outlast a limit is measured on the shared one.
+type Moment struct {
+	// Local is the moment on this process's clock; zero if there is none.
+	Local time.Time
+	// Shared is the moment, or an earlier one, on the clock that the processes share, in ms; zero if unknown.
+	Shared int64
+}
+
+// advance moves m on, on each clock by itself: two times at which something was up to date are both true.
+func (m *Moment) advance(o Moment) {
+	if o.Local.After(m.Local) {
+		m.Local = o.Local
+	}
+
+	m.Shared = max(m.Shared, o.Shared)
 }
 
 // Topic holds the newest record of each key. The zero Topic is empty and ready for use. Its
@@ -94,8 +114,8 @@
 	end               int64
 	completeFrom      int64 // offset in the era from which no deletion is missing
 	loaded            bool
-	syncedAt          time.Time
-	latestUpdateAfter time.Time // CertainAt before the latest batch with changes
+	synced            Moment
+	latestUpdateAfter Moment // Certain before the latest batch with changes
 	reset             resetState
 }
 
@@ -190,8 +210,8 @@
 
 	t.notify(changes)
 
-	if b.Era == t.era && b.AsOf.After(t.syncedAt) {
-		t.syncedAt = b.AsOf
+	if b.Era == t.era {
+		t.synced.advance(Moment{b.AsOf, b.AsOfShared})
 	}
 
 	t.pruneTombstones()
@@ -205,7 +225,7 @@
 		return
 	}
 
-	t.latestUpdateAfter = t.certainAt()
+	t.latestUpdateAfter = t.certain()
 
 	if t.changed != nil {
 		close(t.changed)
@@ -332,7 +352,7 @@
 	defer t.mu.Unlock()
 
 	all := from.Era != t.era || from.Offset < t.completeFrom || (from.Offset == 0 && t.end > 0)
-	b := Batch{End: t.end, Era: t.era, AsOf: t.syncedAt, Snapshot: all && t.loaded, Settled: !t.reset.unsettled}
+	b := Batch{End: t.end, Era: t.era, AsOf: t.synced.Local, AsOfShared: t.synced.Shared, Snapshot: all && t.loaded, Settled: !t.reset.unsettled}
 
 	for key, r := range t.records {
 		if _, missing := t.reset.pending[key]; missing {
@@ -394,13 +414,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.syncedAt
+	return t.synced.Local
 }
 
-// LatestUpdateAfter returns a time at which the records of the latest merged change were not yet
-// in the log: the value of CertainAt before they were merged. It is zero if the topic had never
+// LatestUpdateAfter returns a moment at which the records of the latest merged change were not yet
+// in the log: the value of Certain before they were merged. It is zero if the topic had never
 // been up to date before.
-func (t *Topic) LatestUpdateAfter() time.Time {
+func (t *Topic) LatestUpdateAfter() Moment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -293,8 +293,8 @@
 	return s.epochFirstSeen > 0 && clock >= s.epochFirstSeen+(epochGrace+freeMargin).Milliseconds()
 }
 
-// Find returns the copy of a part that an engine in a data centre can fetch soonest, and
-// false if there is none.
+// Find returns the copy of a part that an engine in a data centre could fetch soonest, and
+// false if there is none. Whether it may fetch it is another matter, see FindFetchable.
 func (d *Directory) Find(now time.Time, p Part, dataCentre string) (Copy, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -320,6 +320,20 @@
 	return best, found
 }
 
+// FindFetchable returns the copy of a part that an engine in a data centre can fetch soonest within the
+// right to do so, and false if there is none.
+func (d *Directory) FindFetchable(now time.Time, p Part, r FetchRight, dataCentre string) (Copy, bool) {
+	if !r.Allows(now, p) {
+		return Copy{}, false
+	}
+
+	c, ok := d.Find(now, p, dataCentre)
+	c.FetchUntil = min(c.FetchUntil, r.Until(p))
+	clock, _ := d.Clock(now)
+
+	return c, ok && clock+minFetchTime.Milliseconds() <= c.FetchUntil
+}
+
 // Place selects a store for a part and records the part as being saved there. It returns
 // false if a store holds the part, the part is being saved, or no store accepts it. Long
 // parts go to low-latency stores only if the other stores are full; short parts go only to
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -10,8 +10,10 @@
 //   - A part belongs to a Scope: model, weight version and, for isolated organisations,
 //     the organisation. Only parts of replaced weight versions are freed.
 //   - A process allows fetches of a version's parts only until a grace period after the
-//     last time at which it was certain that no newer version was published (Part.MayFetch).
-//     Each granted fetch carries a deadline, at which the engine discards it.
+//     last time at which it was certain that no newer version was published (FetchRight).
+//     Each granted fetch carries a deadline, at which the engine discards it. The deadline is
+//     never later than that time, the grace period and the longest fetch, all on the clock
+//     that the engines share: the clock of a process stands still while its VM is suspended.
 //   - A process frees a part only when its grace period and the longest fetch have passed
 //     since the process learned of a newer version (Part.FreeAfter). By then, processes
 //     that do not know of the newer version may no longer fetch the part.
@@ -35,7 +37,7 @@
 //
 //	d := vault.NewDirectory(time.Now().UnixNano())
 //	d.ApplyListing(now, address, listing)
-//	if c, ok := d.Find(now, part, "yvr-east"); ok { … }
+//	if c, ok := d.FindFetchable(now, part, right, "yvr-east"); ok { … }
 package vault
 
 import (
@@ -44,6 +46,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"boragehub/mirror"
 )
 
 // Scope limits which requests may use a cached part: only those with the same model,
@@ -173,18 +177,34 @@
 // seconds and during which all prompts would otherwise be recomputed.
 const RegisteredGrace = 15 * time.Second
 
-// MayFetch reports whether the part may be fetched at now. NewestAt is the last time at which
-// the process was certain that no newer version was published; zero means never.
-// Registered is set if the process is registered and knows of no newer version: nothing
-// is then freed before the process has confirmed the newer version or RegisteredGrace has
-// passed.
-func (p Part) MayFetch(now, newestAt time.Time, registered bool) bool {
-	g := p.grace()
-	if registered {
-		g = RegisteredGrace
+// FetchRight is what a process's right to fetch the parts of a weight version rests on.
+type FetchRight struct {
+	// NewestAt is the last moment at which the process was certain that no newer version was
+	// published; zero means never. The shared clock is that of the engines.
+	NewestAt mirror.Moment
+	// Registered is set if the process is registered and knows of no newer version: nothing is
+	// then freed before the process has confirmed the newer version or RegisteredGrace has passed.
+	Registered bool
+}
+
+// grace returns how long after NewestAt the part may be fetched.
+func (r FetchRight) grace(p Part) time.Duration {
+	if r.Registered {
+		return RegisteredGrace
 	}
 
-	return !newestAt.IsZero() && now.Before(newestAt.Add(g))
+	return p.grace()
+}
+
+// Allows reports whether a fetch of the part may begin at now.
+func (r FetchRight) Allows(now time.Time, p Part) bool {
+	return r.NewestAt.Shared > 0 && now.Before(r.NewestAt.Local.Add(r.grace(p)))
+}
+
+// Until returns when a fetch of the part has to end, on the engines' clock in ms. Whatever time the
+// process takes to use the right, the engine discards a fetch that outlasts it.
+func (r FetchRight) Until(p Part) int64 {
+	return r.NewestAt.Shared + (r.grace(p) + MaxFetch).Milliseconds()
 }
 
 // FreeAfter returns how long after learning of a newer version a process frees the part.
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"boragehub/mirror"
 )
 
 // splitReads returns the last read, up to a time, that shows no newer version, and the first
@@ -28,7 +31,8 @@
 
 // Guards against freeing a part while an engine fetches it: the engine would get corrupt KV
 // cache, and the caller an answer computed from the KV cache of another prompt. The processes
-// learn of new weight versions early, late or not at all.
+// learn of new weight versions early, late or not at all, and their VMs may be suspended, so that their
+// clocks stand still while the engines' goes on.
 func TestNothingIsFreedThatMayStillBeFetched(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		start := time.Unix(1000, 0)
@@ -38,18 +42,36 @@
 
 		// A process reads the log at some times. What it reads is current at that time.
 		reads := rapid.SliceOfN(rapid.Int64Range(0, 40_000), 0, 8).Draw(t, "reads at ms")
-		fetch := rapid.Int64Range(0, 60_000).Draw(t, "fetches at ms")
+		near := rapid.Int64Range(max(0, replacedAt-2000), replacedAt+10_000)
+		reads = append(reads, rapid.Int64Range(max(0, replacedAt-2000), replacedAt).Draw(t, "last read at ms"))
+		fetch := rapid.OneOf(near, rapid.Int64Range(0, 60_000)).Draw(t, "fetches at ms")
+
+		// It is suspended for a while. What it knows of the engines' clock is up to a second old.
+		suspendedAt := rapid.OneOf(near, rapid.Int64Range(0, 60_000)).Draw(t, "suspended at ms")
+		suspendedFor := rapid.Int64Range(0, 20_000).Draw(t, "suspended for ms")
+		clockAge := rapid.Int64Range(0, 1000).Draw(t, "age of the clock in ms")
+		running := func(ms int64) bool { return ms < suspendedAt || ms >= suspendedAt+suspendedFor }
+		local := func(ms int64) time.Time {
+			if ms >= suspendedAt {
+				ms = max(suspendedAt, ms-suspendedFor)
+			}
+
+			return at(ms)
+		}
+
+		const clockStart = 100_000
 
+		reads = slices.DeleteFunc(reads, func(ms int64) bool { return !running(ms) })
 		lastOld, firstNew := splitReads(reads, replacedAt, fetch)
 
-		newestAt := time.Time{}
+		right := FetchRight{}
 		if lastOld >= 0 {
-			newestAt = at(lastOld)
+			right.NewestAt = mirror.Moment{Local: local(lastOld), Shared: clockStart + lastOld - clockAge}
 		}
 
 		// The process registers at some time. The process that frees parts reads the register
 		// when the version is published, and asks the registered processes until they know it.
-		registeredAt := rapid.Int64Range(0, 60_000).Draw(t, "registers at ms")
+		registeredAt := rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(0, 60_000)).Draw(t, "registers at ms")
 		reached := rapid.Bool().Draw(t, "reached")
 		registered := registeredAt <= replacedAt
 
@@ -57,17 +79,17 @@
 			firstNew = replacedAt
 		}
 
-		longGrace := lastOld >= registeredAt && (firstNew < 0 || firstNew > fetch)
-		if !part.MayFetch(at(fetch), newestAt, longGrace) {
+		right.Registered = lastOld >= registeredAt && (firstNew < 0 || firstNew > fetch)
+		if !running(fetch) || !right.Allows(local(fetch), part) {
 			return
 		}
 
 		// Another process learned of the version immediately, and frees the part as early as it
 		// may: without a response only if no process is registered.
 		freedAt := at(replacedAt).Add(part.FreeAfter(reached || !registered))
-		fetchEnd := at(fetch).Add(MaxFetch)
+		fetchEnd := at(min(clockStart+fetch+MaxFetch.Milliseconds(), right.Until(part)) - clockStart)
 
-		if fetchEnd.After(freedAt) {
+		if fetchEnd.After(at(fetch)) && fetchEnd.After(freedAt) {
 			t.Fatalf("a fetch granted at %d ms lasts until %v, freed at %v (version replaced at %d ms, last read before at %d ms)", fetch, fetchEnd, freedAt, replacedAt, lastOld)
 		}
 	})
