vault, roster, pulse: a free needs proof that all engines have run past the deadlines

Cause: a fetch in flight is paused with its engine's VM and goes on past its deadline when the VM resumes. A free therefore waited while any target was taken to be paused: a belief of the entry that frees, from missing load reports. The same holds for an entry that has just started, is cut off from all engines, or follows only some. The class: absence of evidence (no pause was noticed) taken for evidence.

Change: a part is freed only when each model engine is known, by the engines' clock in its load reports, to have run past the time at which the last fetch of the part has ended, with a second to end what was overdue (roster/running.go); without that, ten seconds later, as before. Reports that were made before a pause and read after it prove nothing. That time is on the engines' clock too, from the best of all estimates since the new weights were learned. AnyPaused and its test go: the new one has its cases and those that it missed.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -110,8 +110,8 @@
 	e.pool = upstream.NewPool(upstream.Config{})
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
 		Directory: directory, Source: platformClient, Peers: storePeers{e.client, e.registration, operators, cfg.PeerAddress}, Log: log,
-		Rank:         func(address string) int { return members.Rank(time.Now(), address) },
-		EnginePaused: e.roster.AnyPaused,
+		Rank:    func(address string) int { return members.Rank(time.Now(), address) },
+		Engines: fetchingEngines{e}, Start: time.Now(),
 	})
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
@@ -331,6 +331,23 @@
 	e.client.SyncCrashes(ctx, e.crashes, e.gateway.AddKnownCrash)
 }
 
+// fetchingEngines gives the store watcher access to the engines.
+type fetchingEngines struct{ *gatewayProcess }
+
+// RanUntil implements vault.Engines.
+func (e fetchingEngines) RanUntil(now time.Time) int64 { return e.roster.RanUntil(now) }
+
+// Probe implements vault.Engines. The engines to whose load reports this process subscribes are asked anyway.
+func (e fetchingEngines) Probe(now time.Time, clock int64) []string {
+	all, unsubscribed := e.roster.Unproven(now, clock)
+
+	for _, address := range unsubscribed {
+		e.reports.Probe(address)
+	}
+
+	return all
+}
+
 // storePeers gives the store watcher access to the other entries.
 type storePeers struct {
 	*exchange.Client
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -152,6 +152,12 @@
 	l.send(engine, l.encode(engine, s))
 }
 
+// Probe asks the side process of an engine to which this process doesn't subscribe for load reports at a long
+// interval, until subscriptionTTL has passed.
+func (l *Listener) Probe(engine string) {
+	l.send(engine, l.encode(engine, Subscription{IntervalMs: probeInterval.Milliseconds(), Start: l.claims.start}))
+}
+
 // send sends a datagram to the side process of an engine.
 func (l *Listener) send(engine string, body []byte) {
 	host, _, err := net.SplitHostPort(engine)
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -150,6 +150,8 @@
 	subscribeInterval = time.Second
 	// demandInterval replaces subscribeInterval while engines divide their permits by the reported demand.
 	demandInterval = 250 * time.Millisecond
+	// probeInterval is the time between two load reports of an engine that is probed.
+	probeInterval = 1200 * time.Millisecond
 	// subscriptionTTL is the lifetime of a subscription; up to two datagrams in a row may be
 	// lost.
 	subscriptionTTL = 3500 * time.Millisecond
--- a/roster/departed.go
+++ b/roster/departed.go
@@ -13,11 +13,15 @@
 	saidLeaving bool
 	startedMs   int64
 	at          time.Time
+	address     string
+	// silent is true of a model engine whose load reports were missing; run is what they proved before.
+	silent bool
+	run    runState
 }
 
 // depart returns what is remembered of a target that leaves the register.
 func (e *engine) depart(now time.Time) departed {
-	return departed{limit: e.rateLimit, retryAt: e.retryAt, saidLeaving: e.saidLeaving, startedMs: e.startedMs, at: now}
+	return departed{limit: e.rateLimit, retryAt: e.retryAt, saidLeaving: e.saidLeaving, startedMs: e.startedMs, at: now, address: e.listing.Address, run: e.run}
 }
 
 // forgetDeparted forgets the targets that left the register long ago. The caller holds mu.
--- a/roster/liveness.go
+++ b/roster/liveness.go
@@ -103,37 +103,10 @@
 	return all
 }
 
-// How long a target counts as paused.
-const (
-	// pausedAfterSeen is the time after the target is seen again, in which the operations
-	// that were in flight there end.
-	pausedAfterSeen = time.Second
-	// pausedAfterDrop is the time after the register dropped a suspected target. The
-	// register drops a paused target after about 4 s, and the target may resume some
-	// seconds later.
-	pausedAfterDrop = 6 * time.Second
-)
-
-// AnyPaused reports whether any target is taken to be paused, or was until recently.
-func (r *Roster) AnyPaused(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	return now.Before(r.pausedUntil)
-}
-
-// markPaused records that a target counts as paused for at least the time d. The caller
-// holds mu.
-func (r *Roster) markPaused(now time.Time, d time.Duration) {
-	if until := now.Add(d); until.After(r.pausedUntil) {
-		r.pausedUntil = until
-	}
-}
-
 // checkLiveness counts a missed check for each target that was not seen since the last one.
 // When none was seen, this process itself was paused or is disconnected, and nothing is
 // counted. The caller holds mu.
-func (r *Roster) checkLiveness(now time.Time) {
+func (r *Roster) checkLiveness() {
 	anySeen := false
 
 	for _, e := range r.engines {
@@ -150,10 +123,6 @@
 		}
 
 		e.liveness.seen = false
-
-		if e.suspected() {
-			r.markPaused(now, pausedAfterSeen)
-		}
 	}
 }
 
--- a/roster/report.go
+++ b/roster/report.go
@@ -46,6 +46,8 @@
 	}
 
 	e.observeReport(now)
+	e.run.observe(p.Clock, p.Interval)
+
 	r.lastSeen = now
 	r.applyReportedRateLimit(now, id, e, p.RateLimit)
 	r.applyReportedLeaving(id, e, p.Leaving)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -205,6 +205,7 @@
 	loadingUntil time.Time // until when it is taken to be loading weights
 	dropAfter    time.Time // when a delayed drop takes effect; zero for none
 	liveness     liveness
+	run          runState
 	startedMs    int64 // start time in ms of its own clock; zero when not reported
 	slowStart    slowStart
 	rateLimit    rateLimit
@@ -224,7 +225,6 @@
 	reporting         map[string]bool           // addresses from which a load report was ever received
 	dropsDelayedUntil time.Time                 // until when drops are delayed
 	logUnavailable    bool                      // as last set by SetLogUnavailable
-	pausedUntil       time.Time                 // until when some target is taken to be paused
 	lastSeen          time.Time                 // when any target was last seen
 	evacuated         map[string]bool           // data centres whose targets get no work
 	firstListedAt     time.Time                 // when the first target was listed
@@ -385,13 +385,12 @@
 
 // remove deletes a target. The caller holds mu.
 func (r *Roster) remove(now time.Time, id, reason string) {
-	if r.engines[id].suspected() {
-		r.markPaused(now, pausedAfterDrop)
-	}
-
 	r.markEnded(id, false)
 	r.removeRegistration(r.engines[id].listing.Address, id)
-	r.departed[id] = r.engines[id].depart(now)
+
+	d := r.engines[id].depart(now)
+	d.silent = r.isModelEngine(r.engines[id].listing.Service) && r.engines[id].silent(now)
+	r.departed[id] = d
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
 	r.listChanged = true
@@ -425,7 +424,7 @@
 
 // tick carries out Tick and returns the rate limits to announce. The caller holds mu.
 func (r *Roster) tick(now time.Time) []RateLimit {
-	r.checkLiveness(now)
+	r.checkLiveness()
 	r.syncTable(now)
 
 	if r.cfg.Entries != nil {
--- /dev/null
+++ b/roster/running_test.go
@@ -0,0 +1,128 @@
+package roster
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"boragehub/pulse"
+)
+
+// reportRange has an engine's load reports made and arrive from one time to another, in ms.
+func reportRange(r *Roster, engine string, from, to int) {
+	for ms := from; ms <= to; ms += 200 {
+		r.ObserveReport(at(ms), pulse.Report{Engine: engine, Clock: int64(ms), Interval: 200 * time.Millisecond})
+	}
+}
+
+// Guards against freeing what a paused engine is fetching. The entry that frees stood still together with the
+// engine's VM, has just started, or follows other engines only, so it noticed no pause.
+func TestEngineNotHeardLatelyCountsAsPaused(t *testing.T) {
+	const a, b = "10.0.0.1:80", "10.0.0.2:80"
+
+	tests := []struct {
+		name  string
+		heard func(r *Roster)
+		want  int64
+	}{
+		{"heard all along", func(r *Roster) { reportRange(r, a, 1000, 10_000) }, 10_000},
+		{"this process stood still with it", func(r *Roster) { reportRange(r, a, 1000, 4000) }, 4000},
+		{"not heard of", func(*Roster) {}, 0},
+		{"heard of once", func(r *Roster) { reportRange(r, a, 10_000, 10_000) }, 0},
+		{"sent before the pause and read after it", func(r *Roster) {
+			reportRange(r, a, 1000, 3000)
+			r.ObserveReport(at(10_000), pulse.Report{Engine: a, Clock: 3100})
+		}, 3100},
+		{"has just resumed", func(r *Roster) {
+			reportRange(r, a, 1000, 4000)
+			reportRange(r, a, 9400, 10_000)
+		}, 4000},
+		{"resumed a while ago", func(r *Roster) {
+			reportRange(r, a, 1000, 4000)
+			reportRange(r, a, 8000, 10_000)
+		}, 10_000},
+		{"two of three reports lost", func(r *Roster) {
+			for _, ms := range []int{7600, 8200, 8800, 9400, 10_000} {
+				reportRange(r, a, ms, ms)
+			}
+		}, 8800},
+		{"asked every 1.2 s", func(r *Roster) {
+			for _, ms := range []int{6400, 7600, 8800, 10_000} {
+				reportRange(r, a, ms, ms)
+			}
+		}, 8800},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTestRoster()
+			reportRange(r, b, 1000, 10_000)
+			tt.heard(r)
+			r.Tick(at(10_000))
+
+			if got := r.RanUntil(at(10_000)); got != tt.want {
+				t.Errorf("got all engines run until %d, want %d", got, tt.want)
+			}
+
+			wantUnproven := []string{}
+			if tt.want < 10_000 {
+				wantUnproven = []string{a}
+			}
+
+			if got, _ := r.Unproven(at(10_000), 10_000); !slices.Equal(got, wantUnproven) {
+				t.Errorf("got %v unproven, want %v", got, wantUnproven)
+			}
+		})
+	}
+}
+
+// Guards against freeing what a paused engine is fetching that the register has dropped meanwhile, and against
+// keeping parts for targets that have ended or leave in order.
+func TestDroppedEngineCountsWhileItMayResume(t *testing.T) {
+	const a, b = "10.0.0.1:80", "10.0.0.2:80"
+
+	tests := []struct {
+		name string
+		drop func(r *Roster)
+		now  int
+		want int64
+	}{
+		{"silent", func(r *Roster) { r.ObserveRemoval(at(8000), "a") }, 13_900, 4000},
+		{"silent, long ago", func(r *Roster) { r.ObserveRemoval(at(8000), "a") }, 14_100, 14_000},
+		{"heard until it was dropped", func(r *Roster) {
+			reportRange(r, a, 4200, 8000)
+			r.ObserveRemoval(at(8000), "a")
+		}, 10_000, 10_000},
+		{"another start at its address", func(r *Roster) {
+			r.ObserveListing(at(7000), Listing{ID: "a2", Service: "llm", Address: a, Offset: 9})
+			reportRange(r, a, 7000, 10_000)
+			r.ObserveRemoval(at(8000), "a")
+		}, 10_000, 10_000},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTestRoster()
+			reportRange(r, a, 1000, 4000)
+			reportRange(r, b, 1000, tt.now)
+			tt.drop(r)
+
+			if got := r.RanUntil(at(tt.now)); got != tt.want {
+				t.Errorf("got all engines run until %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against freeing nothing any more where a service's targets are no engines.
+func TestOnlyModelEnginesHaveToBeHeard(t *testing.T) {
+	r := New(Config{Self: "entry-1", HasEngines: func(service string) bool { return service == "other" }, Log: logr.Discard()})
+	r.ObserveListing(at(0), testListing("a", "10.0.0.1:80", 1))
+
+	if got, want := r.RanUntil(at(1000)), int64(math.MaxInt64); got != want {
+		t.Errorf("got %d, want %d", got, want)
+	}
+}
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -440,9 +440,8 @@
 
 // Freeable returns the parts that are due to be freed because version newer of the model
 // has replaced theirs: at most maxParts per store, the stores in order of address.
-// SinceReplaced returns, for the address of a store, the time since the process learned of
-// the newer version, less any additional delay. Confirmed is as in Part.FreeAfter.
-func (d *Directory) Freeable(model string, newer int64, sinceReplaced func(address string) time.Duration, confirmed bool, maxParts int) []FreeableParts {
+// Due reports whether a part in the store at an address is due.
+func (d *Directory) Freeable(model string, newer int64, due func(address string, p Part) bool, maxParts int) []FreeableParts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -454,11 +453,10 @@
 		}
 
 		r := FreeableParts{Address: address, Epoch: st.epoch}
-		elapsed := sinceReplaced(address)
 
 		for p, tokens := range st.parts {
 			scope, ok := ParseSalt(p.Salt)
-			if ok && scope.Model == model && scope.Version < newer && elapsed >= p.FreeAfter(confirmed) && len(r.Parts) < maxParts {
+			if ok && scope.Model == model && scope.Version < newer && len(r.Parts) < maxParts && due(address, p) {
 				r.Parts = append(r.Parts, p)
 				r.Tokens += tokens
 			}
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -257,19 +258,23 @@
 		d.ApplyEvents(now, "large", Events{Epoch: 1, Next: int64(i), Events: []Event{{Held: p, Added: true}}})
 	}
 
-	long := func(string) time.Duration { return time.Hour }
-	got := d.Freeable("m", 2, long, true, 10)
+	due := func(known time.Duration, confirmed bool) func(string, Part) bool {
+		d := &dueParts{now: now.Add(known), newer: replacement{learnedAt: now, confirmed: confirmed}, ranUntil: math.MaxInt64, rank: func(string) int { return 0 }}
+
+		return d.allows
+	}
+
+	got := d.Freeable("m", 2, due(time.Hour, true), 10)
 
 	if len(got) != 1 || len(got[0].Parts) != 1 || got[0].Parts[0].ID != "a" {
 		t.Errorf("got %v, want part a only", got)
 	}
 
-	soon := func(string) time.Duration { return minGrace }
-	if got := d.Freeable("m", 2, soon, true, 10); len(got) != 0 {
+	if got := d.Freeable("m", 2, due(minGrace, true), 10); len(got) != 0 {
 		t.Errorf("before the grace period has passed: got %v, want none", got)
 	}
 
-	if got := d.Freeable("m", 2, func(string) time.Duration { return RegisteredGrace }, false, 10); len(got) != 0 {
+	if got := d.Freeable("m", 2, due(RegisteredGrace, false), 10); len(got) != 0 {
 		t.Errorf("not confirmed by all processes: got %v, want none", got)
 	}
 }
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -94,20 +95,33 @@
 	// Rank returns this process's rank among the processes that free parts of a store,
 	// zero for the first. Each waits its rank times RankDelay.
 	Rank func(address string) int
-	// EnginePaused reports whether a VM with an engine is paused, or was until recently; nil means
-	// that none ever is.
-	EnginePaused func(now time.Time) bool
+	// Engines are those that may be fetching; nil means that there are none.
+	Engines Engines
+	// Start is when this process started.
+	Start time.Time
 	// Log receives a line whenever a store is lost, is reachable again, misses events or
 	// has parts freed.
 	Log logr.Logger
 }
 
-// pausedGrace is how much longer parts are kept while a VM with an engine is paused.
+// Engines says what is known of the engines that fetch from the stores.
 //
-// A fetch in flight is paused with its engine and continues with it, past the deadline at
-// which the engine should have discarded it. The part that it then reads must not have been
-// freed. VMs are paused for some seconds. One that is paused for longer is taken for dead,
-// since the space of replaced parts would otherwise never be freed.
+// A fetch in flight is paused with its engine's VM and continues with it, past the deadline at which the engine should
+// have discarded it. The part that it then reads must not have been freed. So a part is freed only
+// when all engines are known to have run past the deadlines of its fetches.
+type Engines interface {
+	// RanUntil returns the latest time, in ms on the engines' clock, until which each engine is known to have
+	// run, with time to end what was overdue then.
+	RanUntil(now time.Time) int64
+	// Probe asks the engines that are not known to have run until a time on their clock, in ms, for a sign of it,
+	// and returns their addresses.
+	Probe(now time.Time, clock int64) []string
+}
+
+// pausedGrace is how much longer parts are kept if an engine is not known to have run past the deadlines. VMs are
+// paused for some seconds. One that is paused for longer is taken for dead, since the space of
+// replaced parts would otherwise never be freed. A process that has just started doesn't know which engines
+// there were, and keeps parts for as long.
 const pausedGrace = 10 * time.Second
 
 // RankDelay is the delay per rank before a process frees parts, so that usually only one
@@ -140,6 +154,8 @@
 type replacement struct {
 	version   int64
 	learnedAt time.Time
+	// learnedClock is the engines' clock at learnedAt, in ms; zero while it isn't known.
+	learnedClock int64
 	// confirmed is set once all registered processes know of the version.
 	confirmed bool
 }
@@ -512,33 +528,127 @@
 
 // sweep frees the parts that are due to be freed.
 func (w *Watcher) sweep(ctx context.Context, now time.Time) {
+	ranUntil := w.ranUntil(now)
+
+	for model, all := range w.replacements(now) {
+		for _, newer := range all {
+			due := dueParts{now: now, newer: newer, ranUntil: ranUntil, rank: w.cfg.Rank}
+
+			for _, parts := range w.cfg.Directory.Freeable(model, newer.version, due.allows, maxFreedParts) {
+				w.free(ctx, now, model, newer, ranUntil, parts)
+			}
+
+			w.probeEngines(now, model, newer, ranUntil, due)
+		}
+	}
+}
+
+// ranUntil returns until when all engines that may be fetching are known to have run, in ms on their clock; zero if
+// this process doesn't know which engines these are.
+func (w *Watcher) ranUntil(now time.Time) int64 {
+	switch {
+	case w.cfg.Engines == nil:
+		return math.MaxInt64
+	case now.Sub(w.cfg.Start) < pausedGrace:
+		return 0
+	default:
+		return w.cfg.Engines.RanUntil(now)
+	}
+}
+
+// replacements returns the replacements by model, with what is known now of when they were learned.
+func (w *Watcher) replacements(now time.Time) map[string][]replacement {
+	clock, known := w.cfg.Directory.Clock(now)
+
 	w.mu.Lock()
+	defer w.mu.Unlock()
+
 	replaced := make(map[string][]replacement, len(w.replaced))
 
 	for model, all := range w.replaced {
+		for i := range all {
+			// The clock is never known to be later than it is, so of several estimates the latest is the best.
+			if known {
+				all[i].learnedClock = max(all[i].learnedClock, clock-now.Sub(all[i].learnedAt).Milliseconds())
+			}
+		}
+
 		replaced[model] = slices.Clone(all)
 	}
-	w.mu.Unlock()
 
-	extra := time.Duration(0)
-	if w.cfg.EnginePaused != nil && w.cfg.EnginePaused(now) {
-		extra = pausedGrace
+	return replaced
+}
+
+// dueParts decides which parts of versions before a newer one are due to be freed.
+type dueParts struct {
+	now      time.Time
+	newer    replacement
+	ranUntil int64
+	rank     func(address string) int
+
+	// kept counts the parts that are kept because engines may be paused, keptUntil is the time that all
+	// engines have to be known to have run until for the first of them.
+	kept      int
+	keptUntil int64
+	overdue   time.Duration // of the one kept longest
+}
+
+// allows reports whether a part in the store at address is due.
+func (d *dueParts) allows(address string, p Part) bool {
+	after := p.FreeAfter(d.newer.confirmed)
+
+	late := d.now.Sub(d.newer.learnedAt) - time.Duration(d.rank(address))*RankDelay - after
+	if late < 0 {
+		return false
 	}
 
-	for model, all := range replaced {
-		for _, newer := range all {
-			sinceReplaced := func(address string) time.Duration {
-				return now.Sub(newer.learnedAt) - time.Duration(w.cfg.Rank(address))*RankDelay - extra
-			}
+	ended := d.newer.fetchesEnded(p)
+	if d.ranUntil >= ended || late >= pausedGrace {
+		return true
+	}
 
-			for _, parts := range w.cfg.Directory.Freeable(model, newer.version, sinceReplaced, newer.confirmed, maxFreedParts) {
-				w.free(ctx, now, model, newer, parts)
-			}
-		}
+	d.kept++
+	d.overdue = max(d.overdue, late)
+
+	if d.keptUntil == 0 || ended < d.keptUntil {
+		d.keptUntil = ended
+	}
+
+	return false
+}
+
+// fetchesEnded returns the time, in ms on the engines' clock, by which all fetches of a replaced part have ended at
+// engines that ran until then; math.MaxInt64 if it isn't known.
+func (r replacement) fetchesEnded(p Part) int64 {
+	if r.learnedClock == 0 {
+		return math.MaxInt64
+	}
+
+	return r.learnedClock + p.FreeAfter(r.confirmed).Milliseconds()
+}
+
+// probeEngines asks the engines because of which parts are kept for a sign that they run.
+func (w *Watcher) probeEngines(now time.Time, model string, newer replacement, ranUntil int64, due dueParts) {
+	if due.kept == 0 || w.cfg.Engines == nil {
+		return
 	}
+
+	unproven := w.cfg.Engines.Probe(now, due.keptUntil)
+	if due.overdue < minLoggedOverdue {
+		return
+	}
+
+	event.Log(w.cfg.Log, event.VaultKept, "model", model, "before", newer.version, "parts", due.kept, "needed", due.keptUntil, "ran_until", ranUntil,
+		"unproven", len(unproven), "engines", strings.Join(unproven[:min(len(unproven), maxLoggedEngines)], ","), "known_ms", now.Sub(newer.learnedAt).Milliseconds(), "overdue_ms", due.overdue.Milliseconds())
 }
 
-func (w *Watcher) free(ctx context.Context, now time.Time, model string, newer replacement, parts FreeableParts) {
+// minLoggedOverdue is how long parts have to be kept beyond the usual time before that is logged.
+const minLoggedOverdue = 1500 * time.Millisecond
+
+// maxLoggedEngines is the maximum number of engines that one log line names.
+const maxLoggedEngines = 8
+
+func (w *Watcher) free(ctx context.Context, now time.Time, model string, newer replacement, ranUntil int64, parts FreeableParts) {
 	clock, ok := w.cfg.Directory.Clock(now)
 	if !ok {
 		return
@@ -551,7 +661,8 @@
 	fields := []any{
 		"vault", parts.Address, "epoch", parts.Epoch, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version,
 		"confirmed", newer.confirmed, "known_ms", now.Sub(newer.learnedAt).Milliseconds(), "rank", w.cfg.Rank(parts.Address),
-		"clock", clock, "clock_age_ms", w.cfg.Directory.ClockAge(now).Milliseconds(), "until", until, "part", partIDs(parts.Parts),
+		"clock", clock, "clock_age_ms", w.cfg.Directory.ClockAge(now).Milliseconds(), "until", until,
+		"ended", lastEnd(newer, parts.Parts), "ran_until", ranUntil, "part", partIDs(parts.Parts),
 	}
 
 	if err := w.cfg.Source.Free(c, parts.Address, parts.Epoch, parts.Parts, until); err != nil {
@@ -564,6 +675,16 @@
 	event.Log(w.cfg.Log, event.VaultFreed, fields...)
 }
 
+// lastEnd returns the time, in ms on the engines' clock, by which all fetches of replaced parts have ended.
+func lastEnd(newer replacement, parts []Part) int64 {
+	last := int64(0)
+	for _, p := range parts {
+		last = max(last, newer.fetchesEnded(p))
+	}
+
+	return last
+}
+
 // partIDs returns the ids of parts, separated by commas.
 func partIDs(parts []Part) string {
 	ids := make([]string, len(parts))
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -122,7 +123,7 @@
 
 // freedAfter runs a Watcher for 30 s and returns how long after the publication of a newer
 // version the old part was freed.
-func freedAfter(t *testing.T, peers *fakePeers, meanwhile func(w *Watcher), paused ...func(time.Time) bool) time.Duration {
+func freedAfter(t *testing.T, peers *fakePeers, meanwhile func(w *Watcher), engines ...Engines) time.Duration {
 	t.Helper()
 
 	var after time.Duration
@@ -132,8 +133,8 @@
 		store := &fakeStore{}
 		cfg := WatcherConfig{Directory: NewDirectory(1), Source: store, Peers: peers, Rank: func(string) int { return 0 }, Log: logr.Discard()}
 
-		for _, f := range paused {
-			cfg.EnginePaused = f
+		for _, e := range engines {
+			cfg.Engines, cfg.Start = e, time.Now().Add(-time.Hour)
 		}
 
 		w := NewWatcher(cfg)
@@ -172,40 +173,93 @@
 	}
 }
 
+// fakeEngines ran until some time after the creation, were paused then, and run again after resumedAfter.
+type fakeEngines struct {
+	pausedAfter, resumeAfter time.Duration
+
+	mu      sync.Mutex
+	created time.Time
+	probes  int
+}
+
+// create sets the time of the creation.
+func (e *fakeEngines) create(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.created = at
+}
+
+func (e *fakeEngines) RanUntil(now time.Time) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if ran := now.Sub(e.created); ran >= e.pausedAfter && ran < e.resumeAfter {
+		now = e.created.Add(e.pausedAfter)
+	}
+
+	return now.UnixMilli()
+}
+
+func (e *fakeEngines) Probe(time.Time, int64) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.probes++
+
+	return []string{"e"}
+}
+
 // Guards against freeing a part that a paused VM is fetching. The fetch continues when the VM
-// does, 5 s later in the first case, and the engine would get corrupt KV cache. A VM that never
-// continues must not prevent the freeing for good.
+// does, and the engine would get corrupt KV cache, whether or not this process noticed the pause. A VM that
+// never continues must not prevent the freeing for good.
 func TestReplacedPartsAreKeptWhileAVMIsPaused(t *testing.T) {
 	usual := oldPart.FreeAfter(true)
 
+	// Versions are replaced a second after the creation.
 	tests := []struct {
-		name  string
-		until time.Duration // how long the VM is paused from the start
-		want  time.Duration
+		name            string
+		paused, resumed time.Duration
+		want            time.Duration
 	}{
-		{"the VM continues", usual + 5*time.Second, usual + 4*time.Second},
-		{"the VM never continues", time.Hour, usual + pausedGrace},
+		{"no VM is paused", time.Hour, time.Hour, usual},
+		{"paused and resumed before the fetches end", 2 * time.Second, 3 * time.Second, usual},
+		{"paused before the fetches end", usual, usual + 5*time.Second, usual + 4*time.Second},
+		{"paused when the fetches have ended", usual + 1100*time.Millisecond, time.Hour, usual},
+		{"the VM never continues", usual, time.Hour, usual + pausedGrace},
 	}
 
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var start time.Time
+			e := &fakeEngines{pausedAfter: tt.paused, resumeAfter: tt.resumed}
 
-			got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": true}}, nil, func(now time.Time) bool {
-				if start.IsZero() {
-					start = now
-				}
+			got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": true}}, func(*Watcher) { e.create(time.Now().Add(-time.Second)) }, e)
 
-				return now.Sub(start) < tt.until
-			})
+			if got < tt.want || got > tt.want+2*sweepInterval {
+				t.Errorf("got the part freed after %v, want %v", got, tt.want)
+			}
 
-			if got < tt.want-2*sweepInterval || got > tt.want+2*sweepInterval {
-				t.Errorf("got the part freed after %v, want about %v", got, tt.want)
+			if got, want := e.probes > 0, tt.want > usual; got != want {
+				t.Errorf("got engines probed %v, want %v", got, want)
 			}
 		})
 	}
 }
 
+// Guards against freeing a part that an engine is fetching whose VM was paused before this process started.
+func TestStartingProcessKeepsReplacedParts(t *testing.T) {
+	now := time.Now()
+	w := NewWatcher(WatcherConfig{Start: now.Add(-pausedGrace + time.Second), Engines: &fakeEngines{created: now}})
+
+	if got := w.ranUntil(now); got != 0 {
+		t.Errorf("got engines known to have run until %d, want 0", got)
+	}
+
+	if got, want := w.ranUntil(now.Add(time.Second)), now.Add(time.Second).UnixMilli(); got != want {
+		t.Errorf("got engines known to have run until %d, want %d", got, want)
+	}
+}
+
 // Guards against freeing a part that an unresponsive process is fetching. A registered process
 // that does not respond may be partitioned and still fetching, and its engine would get corrupt KV
 // cache.
@@ -280,7 +334,7 @@
 			d.SetClock(now.Add(-time.Second), 5000)
 
 			parts := FreeableParts{Address: "s", Epoch: 3, Parts: []Part{{ID: "a"}, {ID: "b"}}, Tokens: 200}
-			w.free(t.Context(), now, "m", replacement{version: 2, learnedAt: now.Add(-8 * time.Second), confirmed: true}, parts)
+			w.free(t.Context(), now, "m", replacement{version: 2, learnedAt: now.Add(-8 * time.Second), confirmed: true}, math.MaxInt64, parts)
 
 			if len(lines) != 1 {
 				t.Fatalf("got %q, want one line", lines)
