--- a/cmd/boragehub/explain.go
+++ b/cmd/boragehub/explain.go
@@ -8,13 +8,14 @@
 	"github.com/integrii/flaggy"
 
 	"boragehub/failure"
+	"boragehub/overlap"
 	"boragehub/platform"
 	"boragehub/story"
 )
 
 // fileCommands adds the subcommands that only read files.
 func fileCommands() []command {
-	return []command{explainCommand(), checkCommand()}
+	return []command{explainCommand(), overlapCommand(), checkCommand()}
 }
 
 // explainCommand shows the log lines about one request.
@@ -38,16 +39,8 @@
 func writeExplanation(w io.Writer, id string, files []string, json bool) error {
 	s := story.New(id)
 
-	if len(files) == 0 {
-		if err := s.Read(os.Stdin); err != nil {
-			return failure.Wrap(failure.BadRequest, err, "cannot read standard input")
-		}
-	}
-
-	for _, name := range files {
-		if err := readLog(s, name); err != nil {
-			return err
-		}
+	if err := readLogs(s, files); err != nil {
+		return err
 	}
 
 	if len(s.Lines()) == 0 {
@@ -61,14 +54,59 @@
 	return s.WriteText(w)
 }
 
-func readLog(s *story.Timeline, name string) error {
+// overlapCommand compares the deadlines of fetches with the releases of the fetched parts.
+func overlapCommand() command {
+	var (
+		limit = 10
+		files []string
+	)
+
+	sub := flaggy.NewSubcommand("overlap")
+	sub.Description = "Shows how close the deadlines of fetches came to the release of the fetched parts, from the logs of all entries. Example: boragehub overlap --log edge-1.log --log edge-2.log"
+	sub.StringSlice(&files, "l", "log", "a log file; standard input by default")
+	sub.Int(&limit, "n", "limit", "how many pairs to show")
+	flaggy.AttachSubcommand(sub, 1)
+
+	return command{sub, func() int {
+		var l overlap.Log
+		if err := readLogs(&l, files); err != nil {
+			return exitStatus(err)
+		}
+
+		return exitStatus(l.WriteText(os.Stdout, limit))
+	}}
+}
+
+// logReader is what logs are read into.
+type logReader interface {
+	Read(r io.Reader) error
+}
+
+// readLogs reads log files, or standard input if there are none.
+func readLogs(l logReader, files []string) error {
+	if len(files) == 0 {
+		if err := l.Read(os.Stdin); err != nil {
+			return failure.Wrap(failure.BadRequest, err, "cannot read standard input")
+		}
+	}
+
+	for _, name := range files {
+		if err := readLog(l, name); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func readLog(l logReader, name string) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return failure.Wrap(failure.BadRequest, err, "cannot read log %s", name)
 	}
 	defer f.Close() //nolint:errcheck // only read
 
-	if err := s.Read(f); err != nil {
+	if err := l.Read(f); err != nil {
 		return failure.Wrap(failure.BadRequest, err, "cannot read log %s", name)
 	}
 
