vault: a fetch that is granted until its entry confirms new weights ends before the free

Cause: a registered entry that doesn't know of new weights grants fetches for 15 s, until it learns of them and confirms them. Parts were freed at the part's own grace period, 2 s and 0.3 s after the entry that frees learned of the weights, if all had confirmed by then: an entry that confirmed later than that, as it was paused, had granted a fetch 30 ms before, which lasts 2 s. The class: a response is taken to hold for the past, too; it holds from the moment at which it was given.

TestProcessThatAnswersLateIsAskedAgain asked for the free at once after a late response, which was the fault; it now asks for it after the longest fetch, with the same tolerance.

--- a/vault/vault.go
+++ b/vault/vault.go
@@ -17,12 +17,16 @@
 //   - A process frees a part only when its grace period and the longest fetch have passed
 //     since the process learned of a newer version (Part.FreeAfter). By then, processes
 //     that do not know of the newer version may no longer fetch the part.
+//   - A VM may be paused with a fetch in flight, which continues past its deadline when the VM
+//     does. A part is therefore freed only when all engines are known to have run past the
+//     deadlines (Engines), or after pausedGrace.
 //   - Grace periods are short, so that space is freed soon, and would expire during an
 //     outage of the log service. A process therefore registers in the log before it uses
 //     a longer grace period, and a process that frees parts first asks all registered
 //     processes whether they know the newer version. The register, read after the
 //     publication, lists every process that may use the longer period, since each
-//     registered before it last read the log without the newer version.
+//     registered before it last read the log without the newer version. A process may grant
+//     a fetch until the moment at which it responds, so the longest fetch counts from there.
 //   - A store may restart and lose everything. A process fetches from it only until a
 //     grace period after the store was last known to be in its epoch. It saves nothing in
 //     a new epoch until all processes that do not know of that epoch may no longer fetch.
@@ -41,6 +45,7 @@
 package vault
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -207,15 +212,14 @@
 	return r.NewestAt.Shared + (r.grace(p) + MaxFetch).Milliseconds()
 }
 
-// FreeAfter returns how long after learning of a newer version a process frees the part.
-// Confirmed is set if every registered process has responded that it knows the newer
-// version. For processes that have not registered or could not be reached, the right to
-// fetch expires by time.
-func (p Part) FreeAfter(confirmed bool) time.Duration {
-	g := p.grace()
-	if !confirmed {
-		g = RegisteredGrace
-	}
+// Unconfirmed is how long it takes until every registered process knows a newer version while one of them has
+// not confirmed it.
+const Unconfirmed = time.Duration(math.MaxInt64)
 
-	return g + MaxFetch + freeMargin
+// FreeAfter returns how long after learning of a newer version a process frees the part.
+// ConfirmedAfter is how long after that every registered process had responded that it knows the newer
+// version: until then, each may fetch by the longer grace period. For processes that have not registered or could
+// not be reached, the right to fetch expires by time.
+func (p Part) FreeAfter(confirmedAfter time.Duration) time.Duration {
+	return min(max(p.grace(), confirmedAfter), RegisteredGrace) + MaxFetch + freeMargin
 }
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -73,11 +73,19 @@
 		// The process registers at some time. The process that frees parts reads the register
 		// when the version is published, and asks the registered processes until they know it.
 		registeredAt := rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(0, 60_000)).Draw(t, "registers at ms")
-		reached := rapid.Bool().Draw(t, "reached")
 		registered := registeredAt <= replacedAt
+		confirmedAfter := time.Duration(0)
 
-		if registered && reached && (firstNew < 0 || firstNew > replacedAt) {
-			firstNew = replacedAt
+		if registered {
+			confirmedAfter = Unconfirmed
+
+			// It may respond late, for example as it was paused.
+			if ms := rapid.OneOf(rapid.Int64Range(0, 1000), rapid.Int64Range(0, 20_000)).Draw(t, "responds after ms"); running(replacedAt+ms) && rapid.Bool().Draw(t, "reached") {
+				confirmedAfter = time.Duration(ms) * time.Millisecond
+				if firstNew < 0 || firstNew > replacedAt+ms {
+					firstNew = replacedAt + ms
+				}
+			}
 		}
 
 		right.Registered = lastOld >= registeredAt && (firstNew < 0 || firstNew > fetch)
@@ -87,7 +95,7 @@
 
 		// Another process learned of the version immediately, and frees the part as early as it
 		// may: without a response only if no process is registered.
-		freedAt := at(replacedAt).Add(part.FreeAfter(reached || !registered))
+		freedAt := at(replacedAt).Add(part.FreeAfter(confirmedAfter))
 		fetchEnd := at(min(clockStart+fetch+MaxFetch.Milliseconds(), right.Until(part)) - clockStart)
 
 		if fetchEnd.After(at(fetch)) && fetchEnd.After(freedAt) {
@@ -258,25 +266,29 @@
 		d.ApplyEvents(now, "large", Events{Epoch: 1, Next: int64(i), Events: []Event{{Held: p, Added: true}}})
 	}
 
-	due := func(known time.Duration, confirmed bool) func(string, Part) bool {
-		d := &dueParts{now: now.Add(known), newer: replacement{learnedAt: now, confirmed: confirmed}, ranUntil: math.MaxInt64, rank: func(string) int { return 0 }}
+	due := func(known, confirmedAfter time.Duration) func(string, Part) bool {
+		d := &dueParts{now: now.Add(known), newer: replacement{learnedAt: now, confirmedAfter: confirmedAfter}, ranUntil: math.MaxInt64, rank: func(string) int { return 0 }}
 
 		return d.allows
 	}
 
-	got := d.Freeable("m", 2, due(time.Hour, true), 10)
+	got := d.Freeable("m", 2, due(time.Hour, 0), 10)
 
 	if len(got) != 1 || len(got[0].Parts) != 1 || got[0].Parts[0].ID != "a" {
 		t.Errorf("got %v, want part a only", got)
 	}
 
-	if got := d.Freeable("m", 2, due(minGrace, true), 10); len(got) != 0 {
+	if got := d.Freeable("m", 2, due(minGrace, 0), 10); len(got) != 0 {
 		t.Errorf("before the grace period has passed: got %v, want none", got)
 	}
 
-	if got := d.Freeable("m", 2, due(RegisteredGrace, false), 10); len(got) != 0 {
+	if got := d.Freeable("m", 2, due(RegisteredGrace, Unconfirmed), 10); len(got) != 0 {
 		t.Errorf("not confirmed by all processes: got %v, want none", got)
 	}
+
+	if got := d.Freeable("m", 2, due(maxGrace+MaxFetch+freeMargin, maxGrace+time.Second), 10); len(got) != 0 {
+		t.Errorf("confirmed by all processes only just before: got %v, want none", got)
+	}
 }
 
 // Guards against updates that leave the receiver's parts different from the reporter's, in any
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -156,8 +156,9 @@
 	learnedAt time.Time
 	// learnedClock is the engines' clock at learnedAt, in ms; zero while it isn't known.
 	learnedClock int64
-	// confirmed is set once all registered processes know of the version.
-	confirmed bool
+	// confirmedAfter is how long after learnedAt all registered processes had responded that they know
+	// the version; Unconfirmed until then.
+	confirmedAfter time.Duration
 }
 
 // NewWatcher returns a Watcher that Run starts.
@@ -236,7 +237,7 @@
 		return
 	}
 
-	all = append(all, replacement{version: version, learnedAt: now})
+	all = append(all, replacement{version: version, learnedAt: now, confirmedAfter: Unconfirmed})
 	w.replaced[model] = all[max(0, len(all)-maxReplacements):]
 
 	if w.ctx != nil {
@@ -521,7 +522,7 @@
 
 	for i := range w.replaced[model] {
 		if w.replaced[model][i].version == version {
-			w.replaced[model][i].confirmed = true
+			w.replaced[model][i].confirmedAfter = now.Sub(w.replaced[model][i].learnedAt)
 		}
 	}
 }
@@ -595,7 +596,7 @@
 
 // allows reports whether a part in the store at address is due.
 func (d *dueParts) allows(address string, p Part) bool {
-	after := p.FreeAfter(d.newer.confirmed)
+	after := p.FreeAfter(d.newer.confirmedAfter)
 
 	late := d.now.Sub(d.newer.learnedAt) - time.Duration(d.rank(address))*RankDelay - after
 	if late < 0 {
@@ -617,6 +618,15 @@
 	return false
 }
 
+// confirmedAfterMs returns confirmedAfter in ms, -1 for Unconfirmed.
+func (r replacement) confirmedAfterMs() int64 {
+	if r.confirmedAfter == Unconfirmed {
+		return -1
+	}
+
+	return r.confirmedAfter.Milliseconds()
+}
+
 // fetchesEnded returns the time, in ms on the engines' clock, by which all fetches of a replaced part have ended at
 // engines that ran until then; math.MaxInt64 if it isn't known.
 func (r replacement) fetchesEnded(p Part) int64 {
@@ -624,7 +634,7 @@
 		return math.MaxInt64
 	}
 
-	return r.learnedClock + p.FreeAfter(r.confirmed).Milliseconds()
+	return r.learnedClock + p.FreeAfter(r.confirmedAfter).Milliseconds()
 }
 
 // probeEngines asks the engines because of which parts are kept for a sign that they run.
@@ -660,7 +670,7 @@
 	until := clock + freeTimeout.Milliseconds()
 	fields := []any{
 		"vault", parts.Address, "epoch", parts.Epoch, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version,
-		"confirmed", newer.confirmed, "known_ms", now.Sub(newer.learnedAt).Milliseconds(), "rank", w.cfg.Rank(parts.Address),
+		"confirmed", newer.confirmedAfter != Unconfirmed, "confirmed_after_ms", newer.confirmedAfterMs(), "known_ms", now.Sub(newer.learnedAt).Milliseconds(), "rank", w.cfg.Rank(parts.Address),
 		"clock", clock, "clock_age_ms", w.cfg.Directory.ClockAge(now).Milliseconds(), "until", until,
 		"ended", lastEnd(newer, parts.Parts), "ran_until", ranUntil, "part", partIDs(parts.Parts),
 	}
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -168,7 +168,7 @@
 func TestReplacedPartsAreFreedOnceAllProcessesConfirm(t *testing.T) {
 	got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": true}}, nil)
 
-	if want := oldPart.FreeAfter(true); got < want || got > want+2*sweepInterval {
+	if want := oldPart.FreeAfter(0); got < want || got > want+2*sweepInterval {
 		t.Errorf("got the part freed after %v, want %v", got, want)
 	}
 }
@@ -214,7 +214,7 @@
 // does, and the engine would get corrupt KV cache, whether or not this process noticed the pause. A VM that
 // never continues must not prevent the freeing for good.
 func TestReplacedPartsAreKeptWhileAVMIsPaused(t *testing.T) {
-	usual := oldPart.FreeAfter(true)
+	usual := oldPart.FreeAfter(0)
 
 	// Versions are replaced a second after the creation.
 	tests := []struct {
@@ -266,11 +266,13 @@
 func TestReplacedPartsAreKeptWhileARegisteredProcessIsUnresponsive(t *testing.T) {
 	got := freedAfter(t, &fakePeers{knows: map[string]bool{"a": true, "b": false}}, nil)
 
-	if want := oldPart.FreeAfter(false); got < want || got > want+2*sweepInterval {
+	if want := oldPart.FreeAfter(Unconfirmed); got < want || got > want+2*sweepInterval {
 		t.Errorf("got the part freed after %v, want %v", got, want)
 	}
 }
 
+// Guards against freeing a part that a process has let an engine fetch just before it responded that it knows the
+// newer weights: until then it grants fetches by the longer grace period.
 func TestProcessThatAnswersLateIsAskedAgain(t *testing.T) {
 	peers := &fakePeers{knows: map[string]bool{"a": false}}
 	got := freedAfter(t, peers, func(*Watcher) {
@@ -278,15 +280,16 @@
 		peers.set("a")
 	})
 
-	if got < 10*time.Second || got > 10*time.Second+versionPollInterval+2*sweepInterval {
-		t.Errorf("got the part freed after %v, want just after 10 s", got)
+	want := oldPart.FreeAfter(10 * time.Second)
+	if got < want || got > want+versionPollInterval+2*sweepInterval {
+		t.Errorf("got the part freed after %v, want %v", got, want)
 	}
 }
 
 func TestReplacedPartsAreKeptWhileTheRegisterIsUnreadable(t *testing.T) {
 	got := freedAfter(t, &fakePeers{logDown: true}, nil)
 
-	if want := oldPart.FreeAfter(false); got < want {
+	if want := oldPart.FreeAfter(Unconfirmed); got < want {
 		t.Errorf("got the part freed after %v, want %v", got, want)
 	}
 }
@@ -297,11 +300,11 @@
 	tests := []struct {
 		name  string
 		reset time.Duration // how long ago the log returned from a copy
-		want  bool          // whether the responses of the registered processes count
+		want  time.Duration // how long after the version all processes count as knowing it
 	}{
-		{"just before", 0, false},
-		{"a while ago", RegisteredGrace - time.Second, false},
-		{"long ago", RegisteredGrace + time.Second, true},
+		{"just before", 0, Unconfirmed},
+		{"a while ago", RegisteredGrace - time.Second, Unconfirmed},
+		{"long ago", RegisteredGrace + time.Second, 0},
 	}
 
 	for _, tt := range tests {
@@ -334,7 +337,7 @@
 			d.SetClock(now.Add(-time.Second), 5000)
 
 			parts := FreeableParts{Address: "s", Epoch: 3, Parts: []Part{{ID: "a"}, {ID: "b"}}, Tokens: 200}
-			w.free(t.Context(), now, "m", replacement{version: 2, learnedAt: now.Add(-8 * time.Second), confirmed: true}, math.MaxInt64, parts)
+			w.free(t.Context(), now, "m", replacement{version: 2, learnedAt: now.Add(-8 * time.Second), confirmedAfter: time.Second}, math.MaxInt64, parts)
 
 			if len(lines) != 1 {
 				t.Fatalf("got %q, want one line", lines)
