mirror, exchange: an entry knows a change once it has acted on it

What could be seen: a part freed while an engine fetches it. An entry is asked whether it knows new weights, and said so from the moment at which the record was merged, before its handler had told the gateway: one that is paused right there grants a fetch when it resumes, by the longer grace period, seconds after it confirmed.

Change: Topic has the position up to which changes are handled, set after OnChanges, and Knows asks for it.

Evidence: TestEntryKnowsPositionsOfItsEraOnly asks between the two, and fails without the change, as does TestChangesAreHandledAfterOnChanges.

--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -196,7 +196,7 @@
 		return mirror.Batch{}, err
 	}
 
-	b := mirror.Batch{Records: records, End: r.End, Era: r.Era, Snapshot: r.Snapshot, Settled: r.Settled, AsOfShared: r.AsOfShared}
+	b := mirror.Batch{Records: records, End: r.End, Era: r.Era, Snapshot: r.Snapshot, Settled: r.Settled, AsOfShared: r.AsOfShared, Handled: r.Handled}
 	if r.AgeMs >= 0 {
 		// The response was created at least HeldMs after the request was sent, and its records
 		// were AgeMs old then.
@@ -381,12 +381,12 @@
 	return err
 }
 
-// Knows reports whether an entry has read a topic up to and including a position. It returns false if
+// Knows reports whether an entry has read a topic up to and including a position, and has acted on it. It returns false if
 // the entry doesn't respond, or if it has read another era, in which the offset is that of another record.
 func (c *Client) Knows(ctx context.Context, peer, topic string, at mirror.Position) bool {
 	b, err := c.fetchRecords(ctx, peer, topic, at, 0)
 
-	return err == nil && b.Era == at.Era && b.End > at.Offset
+	return err == nil && b.Era == at.Era && b.Handled > at.Offset
 }
 
 // GossipRound asks a few entries for the entries that they know. It reports whether at least one of
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -63,6 +63,8 @@
 	// AsOfShared is as in mirror.Batch. Unlike AgeMs it doesn't pass as more recent if the responding
 	// process's VM was suspended.
 	AsOfShared int64 `cbor:"12,keyasint,omitempty"`
+	// Handled is as in mirror.Batch.
+	Handled int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Member is an entry known to another one.
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -456,6 +456,13 @@
 
 	c := NewClient(NewMembers("", nil))
 
+	// Guards against an entry that counts as knowing new weights while it still grants fetches of the old ones.
+	if c.Knows(t.Context(), e.address, "t", mirror.Position{Era: 2, Offset: 4}) {
+		t.Error("got a position known that the entry has merged and not acted on yet, want it unknown")
+	}
+
+	e.topic.SetHandled(mirror.Position{Era: 2, Offset: 5})
+
 	for _, tt := range []struct {
 		at   mirror.Position
 		want bool
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -105,7 +105,7 @@
 		reply.HeldMs = time.Since(now).Milliseconds()
 		now = now.Add(time.Duration(reply.HeldMs) * time.Millisecond)
 		reply.End, reply.Era, reply.Settled, reply.Snapshot, reply.Loaded = b.End, b.Era, b.Settled, b.Snapshot, t.Loaded()
-		reply.AsOfShared = b.AsOfShared
+		reply.AsOfShared, reply.Handled = b.AsOfShared, b.Handled
 		reply.Records, reply.Compressed = s.compressor.encode(topic, from, b)
 
 		if !b.AsOf.IsZero() {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -396,6 +396,8 @@
 	if len(changes) > 0 {
 		f.cfg.OnChanges(now, changes)
 	}
+
+	f.cfg.Topic.SetHandled(f.cfg.Topic.End())
 }
 
 // fetchAll merges all records of the peers.
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -406,3 +406,23 @@
 		}
 	})
 }
+
+// Guards against a process that counts as knowing a change before it has acted on it.
+func TestChangesAreHandledAfterOnChanges(t *testing.T) {
+	topic := NewTopic(TopicConfig{})
+	during := int64(-1)
+	f := NewFollower(FollowerConfig{
+		Name: "t", Topic: topic, Log: logr.Discard(),
+		OnChanges: func(time.Time, []Record) { during = topic.Since(Position{}).Handled },
+	})
+
+	f.merge(t.Context(), time.Now(), Batch{Snapshot: true, Records: []Record{{Key: "k", Value: []byte("v"), Offset: 4}}, End: 5})
+
+	if during != 0 {
+		t.Errorf("while it is acted on: got %d handled, want 0", during)
+	}
+
+	if got := topic.Since(Position{}).Handled; got != 5 {
+		t.Errorf("afterwards: got %d handled, want 5", got)
+	}
+}
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -82,6 +82,9 @@
 	AsOf time.Time
 	// AsOfShared is such a time on the clock that the processes share, see Moment; zero if there is none.
 	AsOfShared int64
+	// Handled is the offset after the last record whose changes the process has acted on, see
+	// Topic.SetHandled.
+	Handled int64
 }
 
 // Moment is a moment on two clocks. The local one stands still while the process's VM is suspended, so an age on
@@ -112,6 +115,7 @@
 	tombstones        int
 	era               int64
 	end               int64
+	handled           Position
 	completeFrom      int64 // offset in the era from which no deletion is missing
 	loaded            bool
 	synced            Moment
@@ -354,6 +358,10 @@
 	all := from.Era != t.era || from.Offset < t.completeFrom || (from.Offset == 0 && t.end > 0)
 	b := Batch{End: t.end, Era: t.era, AsOf: t.synced.Local, AsOfShared: t.synced.Shared, Snapshot: all && t.loaded, Settled: !t.reset.unsettled}
 
+	if t.handled.Era == t.era {
+		b.Handled = t.handled.Offset
+	}
+
 	for key, r := range t.records {
 		if _, missing := t.reset.pending[key]; missing {
 			continue // the log doesn't have it, as far as is known
@@ -399,6 +407,15 @@
 	return Position{t.era, t.end}
 }
 
+// SetHandled records that this process has acted on all changes before a position. What it merged and has not
+// acted on yet, it doesn't know.
+func (t *Topic) SetHandled(p Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.handled = p
+}
+
 // Loaded reports whether a snapshot has been merged, so that continuing to read from End misses
 // no records.
 func (t *Topic) Loaded() bool {
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -79,7 +79,7 @@
 	// this process doesn't know yet that the log has returned from a copy, see Watcher.LogReset.
 	Registered(ctx context.Context) ([]string, error)
 	// Knows reports whether a process has read the operators' topic up to and including a
-	// position.
+	// position, and no longer acts on what it held before.
 	Knows(ctx context.Context, peer string, at mirror.Position) bool
 }
 
