vault: a process that has just started takes registrations for incomplete

What could be seen: a part freed while an engine fetches it.

Change: such a process counts the log as returned from a copy at its start, unless all processes started then for the first time. For 15 s it frees nothing earlier on the word of the registered processes; the others still do for it, two seconds later by their ranks.

Evidence: TestStartingProcessTakesRegistrationsForIncomplete; its first case fails without the change.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -111,7 +111,7 @@
 	e.watcher = vault.NewWatcher(vault.WatcherConfig{
 		Directory: directory, Source: platformClient, Peers: storePeers{e.client, e.registration, operators, cfg.PeerAddress}, Log: log,
 		Rank:    func(address string) int { return members.Rank(time.Now(), address) },
-		Engines: fetchingEngines{e}, Start: time.Now(),
+		Engines: fetchingEngines{e}, Start: time.Now(), FirstStart: cfg.Bootstrap,
 	})
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -97,8 +97,10 @@
 	Rank func(address string) int
 	// Engines are those that may be fetching; nil means that there are none.
 	Engines Engines
-	// Start is when this process started.
-	Start time.Time
+	// Start is when this process started, FirstStart whether all processes started then for the first
+	// time.
+	Start      time.Time
+	FirstStart bool
 	// Log receives a line whenever a store is lost, is reachable again, misses events or
 	// has parts freed.
 	Log logr.Logger
@@ -140,7 +142,7 @@
 	replaced map[string][]replacement      // by model, oldest version first
 	reported map[string]bool               // addresses of the stores that another process reported
 	changed  chan struct{}                 // signals that Configure was called
-	resetAt  time.Time                     // when LogReset was last called; zero for never
+	resetAt  time.Time                     // when the log last returned from a copy, as far as this process knows; zero for never
 
 	// Only the pollPeers goroutine may use these.
 	peerFailedAt    map[string]time.Time // last failures to respond, by process
@@ -163,11 +165,17 @@
 
 // NewWatcher returns a Watcher that Run starts.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	return &Watcher{
+	w := &Watcher{
 		cfg: cfg, stops: make(map[string]context.CancelFunc), replaced: make(map[string][]replacement),
 		reported: make(map[string]bool), changed: make(chan struct{}, 1), peerFailedAt: make(map[string]time.Time),
 		unreportedSince: make(map[string]time.Time),
 	}
+
+	if !cfg.FirstStart {
+		w.resetAt = cfg.Start // the log may have returned from a copy just before
+	}
+
+	return w
 }
 
 // Configure sets the stores.
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -294,6 +294,34 @@
 	}
 }
 
+// Guards against freeing a part that an entry still fetches, which isn't asked because the log lost its
+// registration before this process started.
+func TestStartingProcessTakesRegistrationsForIncomplete(t *testing.T) {
+	tests := []struct {
+		name       string
+		started    time.Duration // how long ago
+		firstStart bool
+		want       time.Duration // how long after the version all processes count as knowing it
+	}{
+		{"just started", 0, false, Unconfirmed},
+		{"started long ago", RegisteredGrace + time.Second, false, 0},
+		{"all started for the first time", 0, true, 0},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			w := NewWatcher(WatcherConfig{Start: now.Add(-tt.started), FirstStart: tt.firstStart})
+			w.SetNewestVersion(now, "m", 2, mirror.Position{})
+			w.markConfirmed(now, "m", 2)
+
+			if got := w.replaced["m"][0].confirmedAfter; got != tt.want {
+				t.Errorf("got the version confirmed after %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against freeing a part that an entry still fetches, which isn't asked because the log has lost its
 // registration.
 func TestLostRegistrationsConfirmNothing(t *testing.T) {
