roster: engines that have left the register count until they are known to have run

Cause: an engine that the register dropped counted for 6 s, and only if its load reports were missing by the local time of their arrival. An entry that is paused with it reads, when it resumes, a report from just before the pause and then the drop: the engine counts as heard until now, and is forgotten. The register drops as early as 2.4 s into a pause, so that 6 s end at 8.4 s, while ten are said to be covered.

Change: each model engine that leaves the register counts for 11 s with what its load reports prove by the engines' clock, unless another start is listed at its address. Its reports still count while it runs, and it is asked for them. What it proved is kept when it is listed again. Before anything is listed, nothing is proven.

TestDroppedEngineCountsWhileItMayResume asked for the 6 s and for engines that were heard to be forgotten, which was the fault; its rows ask for 11 s and for what was proven instead.

--- a/roster/departed.go
+++ b/roster/departed.go
@@ -14,9 +14,8 @@
 	startedMs   int64
 	at          time.Time
 	address     string
-	// silent is true of a model engine whose load reports were missing; run is what they proved before.
-	silent bool
-	run    runState
+	modelEngine bool
+	run         runState
 }
 
 // depart returns what is remembered of a target that leaves the register.
--- a/roster/report.go
+++ b/roster/report.go
@@ -31,6 +31,8 @@
 	id = r.currentRegistration(p.Engine).id
 	e, ok := r.engines[id]
 	if !ok {
+		r.observeDeparted(now, p)
+
 		return "", false
 	}
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -321,7 +321,7 @@
 	e, ok := r.engines[l.ID]
 	if !ok {
 		d := r.departed[l.ID]
-		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, retryAt: d.retryAt, saidLeaving: d.saidLeaving, startedMs: d.startedMs}
+		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, retryAt: d.retryAt, saidLeaving: d.saidLeaving, startedMs: d.startedMs, run: d.run}
 		r.engines[l.ID] = e
 	}
 
@@ -389,7 +389,7 @@
 	r.removeRegistration(r.engines[id].listing.Address, id)
 
 	d := r.engines[id].depart(now)
-	d.silent = r.isModelEngine(r.engines[id].listing.Service) && r.engines[id].silent(now)
+	d.modelEngine = r.isModelEngine(r.engines[id].listing.Service)
 	r.departed[id] = d
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
--- a/roster/running.go
+++ b/roster/running.go
@@ -16,9 +16,10 @@
 const (
 	// resumeTime is how long a resumed engine takes to end the operations that were overdue meanwhile.
 	resumeTime = time.Second
-	// departedRunTime is how long a target counts after the register dropped it while it was silent. The
-	// register drops a paused target after about 4 s, and the target may resume some seconds later.
-	departedRunTime = 6 * time.Second
+	// departedRunTime is how long a target counts after the register dropped it. The register drops a paused target
+	// after some seconds, and the target resumes up to ten seconds after the pause began; others are dropped and
+	// serve on for a while.
+	departedRunTime = 11 * time.Second
 )
 
 // runState is what the load reports of an engine prove of when it ran. Times are on the engines' clock, in ms.
@@ -52,26 +53,46 @@
 	}
 }
 
-// silent reports whether a target's load reports are missing.
-func (e *engine) silent(now time.Time) bool {
-	return e.suspected() || now.Sub(e.reportedAt) > e.maxReportAge()
-}
-
-// running calls f with the run state of each model engine that may have a request of any entry in progress.
-// The caller holds mu.
-func (r *Roster) running(now time.Time, f func(e *engine, s runState)) {
+// running calls f with the run state and the address of each model engine that may have a request of any entry in
+// progress. Subscribed is false if this process gets no load reports of it unasked. The caller holds mu.
+func (r *Roster) running(now time.Time, f func(address string, s runState, subscribed bool)) {
 	for id, e := range r.engines {
 		// Of two listings at an address, only the one that was written last is a running target.
 		if r.isModelEngine(e.listing.Service) && r.currentRegistration(e.listing.Address).id == id {
-			f(e, e.run)
+			f(e.listing.Address, e.run, !e.subscribedAt.IsZero())
 		}
 	}
 
-	for _, d := range r.departed {
-		if d.silent && now.Sub(d.at) < departedRunTime && r.currentRegistration(d.address).id == "" {
-			f(nil, d.run)
+	for address, id := range r.latestDeparted(now) {
+		f(address, r.departed[id].run, false)
+	}
+}
+
+// latestDeparted returns the ids of the model engines that left the register so lately that they may run, by
+// address. If another target is listed at the address, the engine has ended. The caller holds mu.
+func (r *Roster) latestDeparted(now time.Time) map[string]string {
+	latest := make(map[string]string)
+
+	for id, d := range r.departed {
+		if !d.modelEngine || now.Sub(d.at) >= departedRunTime || r.currentRegistration(d.address).id != "" {
+			continue
+		}
+
+		if other, ok := latest[d.address]; !ok || r.departed[other].at.Before(d.at) {
+			latest[d.address] = id
 		}
 	}
+
+	return latest
+}
+
+// observeDeparted applies a load report of an engine that has left the register and still runs. The caller holds mu.
+func (r *Roster) observeDeparted(now time.Time, p pulse.Report) {
+	if id, ok := r.latestDeparted(now)[p.Engine]; ok {
+		d := r.departed[id]
+		d.run.observe(p.Clock, p.Interval)
+		r.departed[id] = d
+	}
 }
 
 func (r *Roster) isModelEngine(service string) bool {
@@ -79,31 +100,36 @@
 }
 
 // RanUntil returns the latest time on the engines' clock, in ms, until which each model engine is known to have run, with
-// time to end what was overdue then. It is math.MaxInt64 if there are no engines.
+// time to end what was overdue then. It is zero if no target was ever listed, and math.MaxInt64 if none is a model
+// engine.
 func (r *Roster) RanUntil(now time.Time) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	if r.firstListedAt.IsZero() {
+		return 0
+	}
+
 	until := int64(math.MaxInt64)
-	r.running(now, func(_ *engine, s runState) { until = min(until, s.proven) })
+	r.running(now, func(_ string, s runState, _ bool) { until = min(until, s.proven) })
 
 	return until
 }
 
-// Unproven returns the addresses of the listed model engines that are not known to have run until a time on the engines'
-// clock, in ms. Unsubscribed are those of them to whose load reports this process doesn't subscribe.
+// Unproven returns the addresses of the model engines that are not known to have run until a time on the engines'
+// clock, in ms. Unsubscribed are those of them whose load reports this process gets only if it asks for them.
 func (r *Roster) Unproven(now time.Time, clock int64) (all, unsubscribed []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.running(now, func(e *engine, s runState) {
-		if e == nil || s.proven >= clock {
+	r.running(now, func(address string, s runState, subscribed bool) {
+		if s.proven >= clock {
 			return
 		}
 
-		all = append(all, e.listing.Address)
-		if e.subscribedAt.IsZero() {
-			unsubscribed = append(unsubscribed, e.listing.Address)
+		all = append(all, address)
+		if !subscribed {
+			unsubscribed = append(unsubscribed, address)
 		}
 	})
 
--- a/roster/running_test.go
+++ b/roster/running_test.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// Guards against freeing what a paused engine is fetching that the register has dropped meanwhile, and against
-// keeping parts for targets that have ended or leave in order.
+// Guards against freeing what an engine is fetching that has left the register: its VM is paused, or it serves for some
+// seconds more, as those do that don't say that they leave. Parts are not kept for a start that has ended.
 func TestDroppedEngineCountsWhileItMayResume(t *testing.T) {
 	const a, b = "10.0.0.1:80", "10.0.0.2:80"
 
@@ -90,12 +90,25 @@
 		now  int
 		want int64
 	}{
-		{"silent", func(r *Roster) { r.ObserveRemoval(at(8000), "a") }, 13_900, 4000},
-		{"silent, long ago", func(r *Roster) { r.ObserveRemoval(at(8000), "a") }, 14_100, 14_000},
+		{"silent", func(r *Roster) { r.ObserveRemoval(at(8000), "a") }, 18_900, 4000},
+		{"silent, long ago", func(r *Roster) { r.ObserveRemoval(at(8000), "a") }, 19_000, 19_000},
 		{"heard until it was dropped", func(r *Roster) {
 			reportRange(r, a, 4200, 8000)
 			r.ObserveRemoval(at(8000), "a")
+		}, 10_000, 8000},
+		{"runs on", func(r *Roster) {
+			r.ObserveRemoval(at(8000), "a")
+			reportRange(r, a, 8200, 10_000)
 		}, 10_000, 10_000},
+		{"listed again when it has just resumed", func(r *Roster) {
+			r.ObserveRemoval(at(8000), "a")
+			r.ObserveListing(at(9800), testListing("a", a, 1))
+			reportRange(r, a, 9800, 10_000)
+		}, 10_000, 4000},
+		{"this process stood still with it and reads a report of before", func(r *Roster) {
+			r.ObserveReport(at(8500), pulse.Report{Engine: a, Clock: 4050, Interval: 200 * time.Millisecond})
+			r.ObserveRemoval(at(8510), "a")
+		}, 8600, 4050},
 		{"another start at its address", func(r *Roster) {
 			r.ObserveListing(at(7000), Listing{ID: "a2", Service: "llm", Address: a, Offset: 9})
 			reportRange(r, a, 7000, 10_000)
@@ -120,6 +133,11 @@
 // Guards against freeing nothing any more where a service's targets are no engines.
 func TestOnlyModelEnginesHaveToBeHeard(t *testing.T) {
 	r := New(Config{Self: "entry-1", HasEngines: func(service string) bool { return service == "other" }, Log: logr.Discard()})
+
+	if got := r.RanUntil(at(0)); got != 0 {
+		t.Errorf("before anything is listed: got %d, want 0", got)
+	}
+
 	r.ObserveListing(at(0), testListing("a", "10.0.0.1:80", 1))
 
 	if got, want := r.RanUntil(at(1000)), int64(math.MaxInt64); got != want {
--- a/vault/paused_test.go
+++ b/vault/paused_test.go
@@ -106,6 +106,29 @@
 
 	reports []modelSent
 	known   bool // the process knows the newer version
+	changes []modelListing
+}
+
+// modelListing is a change of the register: an engine is dropped or listed again.
+type modelListing struct {
+	engine, at int
+	listed     bool
+}
+
+// register has engines dropped whose heartbeats, one in 1.2 s, are missing for 3.6 s, and listed again.
+func (m *pausedModel) register(_ context.Context, ms int) {
+	m.changes = slices.DeleteFunc(m.changes, func(c modelListing) bool {
+		switch {
+		case c.at > ms:
+			return false
+		case c.listed:
+			m.roster.ObserveListing(at(ms), roster.Listing{ID: strconv.Itoa(c.engine), Service: "llm", Address: engineAddress(c.engine)})
+		default:
+			m.roster.ObserveRemoval(at(ms), strconv.Itoa(c.engine))
+		}
+
+		return true
+	})
 }
 
 // modelSent is a load report on its way.
@@ -123,6 +146,11 @@
 		store: &modelStore{}, directory: vault.NewDirectory(1), roster: roster.New(roster.Config{Self: "entry", Log: logr.Discard()}),
 	}
 
+	if rapid.Bool().Draw(t, "with engine 0") {
+		e := m.engines[0]
+		m.process = modelPause{e.from - rapid.IntRange(0, 150).Draw(t, "before"), max(e.to-rapid.IntRange(100, 600).Draw(t, "sooner"), e.from)}
+	}
+
 	m.directory.Configure([]vault.Store{{Address: "s", CapacityTokens: 1000}})
 	m.directory.ApplyListing(at(0), "s", vault.Listing{Epoch: 1, Clock: modelStart, Held: []vault.Held{{Part: m.part, Tokens: 10}}})
 
@@ -130,6 +158,12 @@
 		m.roster.ObserveListing(at(0), roster.Listing{ID: strconv.Itoa(i), Service: "llm", Address: engineAddress(i)})
 	}
 
+	for i, p := range m.engines {
+		if dropped := p.from + rapid.IntRange(2400, 3600).Draw(t, "dropped after"); dropped < p.to {
+			m.changes = append(m.changes, modelListing{i, dropped, false}, modelListing{i, p.to + rapid.IntRange(50, 1200).Draw(t, "listed again after"), true})
+		}
+	}
+
 	m.watcher = vault.NewWatcher(vault.WatcherConfig{
 		Directory: m.directory, Source: m.store, Engines: modelEngines{m.roster}, Start: at(-60_000), Rank: func(string) int { return 0 }, Log: logr.Discard(),
 	})
@@ -159,7 +193,7 @@
 	}
 
 	// A process that resumes does what is overdue in any order.
-	tasks := rapid.Permutation([]func(context.Context, int){m.receive, m.sweep, m.tick}).Draw(t, "tasks")
+	tasks := rapid.Permutation([]func(context.Context, int){m.receive, m.sweep, m.tick, m.register}).Draw(t, "tasks")
 	for _, task := range tasks {
 		task(t.Context(), ms)
 	}
@@ -202,6 +236,15 @@
 		deadline := granted + int(vault.MaxFetch.Milliseconds())
 		fetching := rapid.SampledFrom(m.engines).Draw(t, "fetching engine")
 		begin := rapid.IntRange(granted, deadline-1).Draw(t, "fetch begins at")
+
+		switch {
+		case !fetching.covers(begin):
+		case fetching.from > granted:
+			begin = fetching.from - 1
+		default:
+			return // nothing begins before the engine resumes
+		}
+
 		end := fetchEnd(fetching, begin, rapid.IntRange(1, maxModelWork).Draw(t, "work of the fetch"), deadline)
 
 		for ms := 0; ms < modelEnd && m.store.freedAt == 0; ms += modelStep {
