roster: load reports are expected only from engines to which the process subscribes

What callers would see, in deployments of more than 64 engines: requests given up at healthy engines. Since an entry asks engines that it doesn't follow for load reports when parts are due to be freed.

Change: checks are missed only by engines to which this process subscribes, once it subscribes to any; the count ends with the subscription.

--- a/roster/liveness.go
+++ b/roster/liveness.go
@@ -83,7 +83,7 @@
 
 	// The target's last seen time is compared with that of any target, not with the
 	// clock, since no target is seen while this process is paused.
-	return ok && e.liveness.everReported && r.lastSeen.Sub(e.liveness.lastSeen) > reportOverdueAfter+max(e.report.Interval-pulse.MinInterval, 0)
+	return ok && r.expectsReports(e) && r.lastSeen.Sub(e.liveness.lastSeen) > reportOverdueAfter+max(e.report.Interval-pulse.MinInterval, 0)
 }
 
 // Unresponsive returns the ids of the unresponsive targets: those not seen for so long that
@@ -118,7 +118,7 @@
 	}
 
 	for _, e := range r.engines {
-		if e.liveness.everReported && !e.liveness.seen {
+		if r.expectsReports(e) && !e.liveness.seen {
 			e.liveness.missedChecks++
 		}
 
@@ -126,6 +126,12 @@
 	}
 }
 
+// expectsReports reports whether load reports of a target are missing if none arrive. Those that arrive without a
+// subscription were asked for once. The caller holds mu.
+func (r *Roster) expectsReports(e *engine) bool {
+	return e.liveness.everReported && (!r.subscribes || !e.subscribedAt.IsZero())
+}
+
 // observeReport records that a load report arrived.
 func (e *engine) observeReport(now time.Time) {
 	e.reportedAt = now
--- a/roster/liveness_test.go
+++ b/roster/liveness_test.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,3 +101,38 @@
 		t.Error("got an overdue report of a target that never reported, want none")
 	}
 }
+
+// Guards against giving up the requests at engines that are only probed: when the probes end, no load reports are
+// expected, so that none are missing.
+func TestProbedEngineIsNotSuspectedWhenProbesEnd(t *testing.T) {
+	r := newTestRoster()
+	for i := range 70 {
+		r.ObserveListing(at(0), testListing(fmt.Sprintf("e%d", i), fmt.Sprintf("10.0.1.%d:80", i), 1))
+	}
+
+	subscribed, interval := r.Subscriptions(at(0), func(string) bool { return true })
+
+	_, unsubscribed := r.Unproven(at(0), 1000)
+	if len(unsubscribed) == 0 {
+		t.Fatal("got no engine without a subscription, want some")
+	}
+
+	probed := unsubscribed[0]
+	id, _ := r.ByAddress(probed)
+
+	for ms := 0; ms <= 10_000; ms += 250 {
+		for _, a := range subscribed {
+			r.ObserveReport(at(ms), pulse.Report{Engine: a, Clock: int64(ms + 1), Interval: interval})
+		}
+
+		if ms <= 3500 && ms%1250 == 0 {
+			r.ObserveReport(at(ms), pulse.Report{Engine: probed, Clock: int64(ms + 1), Interval: interval})
+		}
+
+		r.Tick(at(ms))
+
+		if slices.Contains(r.Unresponsive(), id) {
+			t.Fatalf("got the engine unresponsive after %d ms, want it not", ms)
+		}
+	}
+}
--- a/roster/report.go
+++ b/roster/report.go
@@ -70,6 +70,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	r.subscribes = true
+
 	var all []*engine
 
 	for _, e := range r.engines {
@@ -84,7 +86,7 @@
 
 	for i, e := range all {
 		if i >= maxSubscribed {
-			e.subscribedAt = time.Time{}
+			e.subscribedAt, e.liveness.missedChecks = time.Time{}, 0
 
 			continue
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -226,6 +226,7 @@
 	dropsDelayedUntil time.Time                 // until when drops are delayed
 	logUnavailable    bool                      // as last set by SetLogUnavailable
 	lastSeen          time.Time                 // when any target was last seen
+	subscribes        bool                      // Subscriptions has been called
 	evacuated         map[string]bool           // data centres whose targets get no work
 	firstListedAt     time.Time                 // when the first target was listed
 	liveEntries       int                       // number of live entries as of the last Tick
