roster, pulse: a gap between load reports proves no running

Cause: load reports up to two and a half intervals apart counted as proof that the engine ran in between. With 200 engines that is 2.1 s, so that the first report after a pause of 1.9 s proved everything at once; with 64 it is 0.67 s, above the margin of 0.3 s. After a longer gap, a report counted as soon as a second had passed since, in which the engine may have been paused again.

Change: above 0.3 s between two reports the engine may have been paused. An earlier report counts once the engine has run for a second since, of which a gap counts for at most the time in which a report was due. Engines that aren't followed are asked every 0.4 s, at most 100 reports a second in all, so that this comes to an end soon.

Evidence: TestEngineThatHasJustResumedProvesNothing fails before (5526 and 7000 instead of at most 3526 and 2100). Two rows of TestEngineNotHeardLatelyCountsAsPaused, with reports 0.6 s apart and with probes, expect what the new rule proves, which is less than before.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -341,9 +341,7 @@
 func (e fetchingEngines) Probe(now time.Time, clock int64) []string {
 	all, unsubscribed := e.roster.Unproven(now, clock)
 
-	for _, address := range unsubscribed {
-		e.reports.Probe(address)
-	}
+	e.reports.Probe(unsubscribed)
 
 	return all
 }
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -152,10 +152,14 @@
 	l.send(engine, l.encode(engine, s))
 }
 
-// Probe asks the side process of an engine to which this process doesn't subscribe for load reports at a long
-// interval, until subscriptionTTL has passed.
-func (l *Listener) Probe(engine string) {
-	l.send(engine, l.encode(engine, Subscription{IntervalMs: probeInterval.Milliseconds(), Start: l.claims.start}))
+// Probe asks the side processes of engines to which this process doesn't subscribe for load reports, until
+// subscriptionTTL has passed. The interval is longer the more engines there are.
+func (l *Listener) Probe(engines []string) {
+	interval := max(minProbeInterval, time.Duration(len(engines))*time.Second/maxProbesPerSecond)
+
+	for _, engine := range engines {
+		l.send(engine, l.encode(engine, Subscription{IntervalMs: interval.Milliseconds(), Start: l.claims.start}))
+	}
 }
 
 // send sends a datagram to the side process of an engine.
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -150,8 +150,10 @@
 	subscribeInterval = time.Second
 	// demandInterval replaces subscribeInterval while engines divide their permits by the reported demand.
 	demandInterval = 250 * time.Millisecond
-	// probeInterval is the time between two load reports of an engine that is probed.
-	probeInterval = 1200 * time.Millisecond
+	// minProbeInterval is the shortest time between two load reports of an engine that is probed, maxProbesPerSecond
+	// the most load reports of all of them.
+	minProbeInterval   = 400 * time.Millisecond
+	maxProbesPerSecond = 100
 	// subscriptionTTL is the lifetime of a subscription; up to two datagrams in a row may be
 	// lost.
 	subscriptionTTL = 3500 * time.Millisecond
--- a/roster/running.go
+++ b/roster/running.go
@@ -24,28 +24,42 @@
 
 // runState is what the load reports of an engine prove of when it ran. Times are on the engines' clock, in ms.
 type runState struct {
-	last      int64 // of the latest report
-	resumed   int64 // of the first report after a gap
-	candidate int64 // of a report that proves more once resumeTime has passed
-	proven    int64 // until when it ran and has ended what was overdue
+	last    int64 // of the latest report
+	resumed int64 // of the first report after a gap in which the engine may have been paused
+	proven  int64 // until when it ran and has ended what was overdue
+	ran     int64 // how long it has run at least since the first report
+	// pending are the reports since which it may have run for less than resumeTime, in order.
+	pending []pendingReport
 }
 
+// pendingReport is a load report that was made at clock, when the engine had run for ran.
+type pendingReport struct{ clock, ran int64 }
+
+// maxRunGap is the time between two load reports above which an engine may have been paused between them. A
+// shorter pause delays the end of a fetch by less than the margin that a free allows for.
+const maxRunGap = 300 * time.Millisecond
+
 // observe applies a load report that was made at clock. Interval is the time between two reports.
 func (s *runState) observe(clock int64, interval time.Duration) {
 	if clock <= s.last {
 		return
 	}
 
-	if clock-s.last > (5 * max(interval, pulse.MinInterval) / 2).Milliseconds() {
+	gap := clock - s.last
+	if gap > maxRunGap.Milliseconds() {
 		s.resumed = clock
 	}
 
 	s.last = clock
 
-	if clock-s.candidate >= resumeTime.Milliseconds() {
-		// Reports may be missing, or the engine was paused, but it had resumeTime since.
-		s.proven = max(s.proven, s.candidate)
-		s.candidate = clock
+	// Of a longer gap, as reports are missing or rare, the engine has run for no more than the time in which a
+	// report was due.
+	s.ran += min(gap, max(interval, maxRunGap).Milliseconds())
+	s.pending = append(s.pending, pendingReport{clock, s.ran})
+
+	for s.ran-s.pending[0].ran >= resumeTime.Milliseconds() {
+		s.proven = max(s.proven, s.pending[0].clock)
+		s.pending = s.pending[1:]
 	}
 
 	if clock-s.resumed >= resumeTime.Milliseconds() {
