vault: one report doesn't move the engines' clock far

What could be seen: fetches whose deadline lies far ahead, and replaced parts that are kept ten seconds longer for good.

Cause: the engines' clock was taken from each report as it came. One that is too high gives deadlines that engines never reach until the next report, and passes to other entries as the moment at which weights were known to be the newest, of which the latest counts; later reports of that engine were ignored as older. One that is read late set the clock back, so that stores refused frees as too late.

Change: a report up to 0.1 s ahead of the clock as known counts at once, one up to 1 s behind changes nothing, and any other only if a second one agrees with it. What a store or an engine reports with an implausible clock counts as without one.

Evidence: TestSingleReportDoesNotMoveTheClockFar; three of its cases fail if each report counts as it comes.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -253,7 +253,10 @@
 
 // onReport handles a side process's load report.
 func (e *gatewayProcess) onReport(now time.Time, p pulse.Report) {
-	e.directory.SetClock(now, p.Clock)
+	if !e.directory.SetClock(now, p.Clock) {
+		p.Clock = 0
+	}
+
 	e.roster.ObserveReport(now, p)
 	e.gateway.CapacityChanged(now)
 }
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -51,6 +51,9 @@
 	incarnation  int64     // identifies this start of the process
 	clock        int64     // the engines' clock in ms as last reported; zero if it never was
 	clockAt      time.Time // when the report of clock arrived
+	// A report that is too far from the clock as known, and when it arrived.
+	unconfirmedClock   int64
+	unconfirmedClockAt time.Time
 }
 
 // NewDirectory returns an empty Directory. Incarnation is any number that differs between
@@ -129,14 +132,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.setClock(now, l.Clock)
+	clock := d.plausibleClock(now, l.Clock)
 
 	st := d.stores[address]
 	if st == nil {
 		return
 	}
 
-	st.observeEpoch(l.Epoch, l.Clock, l.Clock)
+	st.observeEpoch(l.Epoch, clock, clock)
 	st.next, st.listed, st.unreachable, st.direct, st.callFailed = l.Next, true, false, true, false
 	st.tokens, st.shortTokens = 0, 0
 	st.changes.reset()
@@ -154,7 +157,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.setClock(now, e.Clock)
+	clock := d.plausibleClock(now, e.Clock)
 
 	st := d.stores[address]
 	if st == nil {
@@ -164,7 +167,7 @@
 	st.unreachable, st.callFailed = false, false
 
 	restarted := e.Epoch != st.epoch
-	st.observeEpoch(e.Epoch, e.Clock, e.Clock)
+	st.observeEpoch(e.Epoch, clock, clock)
 
 	if e.Lost || restarted {
 		// A store is empty after a restart, and missing events leave the parts uncertain.
@@ -241,20 +244,65 @@
 	s.changes.record(Event{Held: Held{Part: p}})
 }
 
-// setClock records the engines' clock; zero means that it was not reported. The caller
-// holds mu.
-func (d *Directory) setClock(now time.Time, clock int64) {
-	if clock > 0 {
+// Limits on how far a report may be from the engines' clock as known, in ms. One that is further off is either damaged,
+// or it is right and this process didn't run for a while: then the next one agrees with it.
+const (
+	// maxClockLead is how far it may be ahead, since earlier reports took longer to arrive.
+	maxClockLead = 100
+	// maxClockLag is how far it may be behind, since it took longer to arrive.
+	maxClockLag = 1000
+	// maxClockDifference is how much two reports that agree may differ.
+	maxClockDifference = 250
+)
+
+// setClock records the engines' clock, in ms, and reports whether it is plausible; zero means that it was
+// not reported. The caller holds mu.
+func (d *Directory) setClock(now time.Time, clock int64) bool {
+	if clock <= 0 {
+		return false
+	}
+
+	// A report is made before it arrives, so of two that agree the later time is right.
+	known := d.clockNow(now)
+	if d.clock == 0 || (clock >= known && clock-known <= maxClockLead) {
 		d.clock, d.clockAt = clock, now
+
+		return true
+	}
+
+	if clock < known && known-clock <= maxClockLag {
+		return true
+	}
+
+	// A repeat of the same report confirms nothing.
+	expected := d.unconfirmedClock + now.Sub(d.unconfirmedClockAt).Milliseconds()
+	if clock != d.unconfirmedClock && max(clock-expected, expected-clock) <= maxClockDifference {
+		d.clock, d.clockAt, d.unconfirmedClock = clock, now, 0
+
+		return true
 	}
+
+	d.unconfirmedClock, d.unconfirmedClockAt = clock, now
+
+	return false
+}
+
+// plausibleClock records the engines' clock and returns it, or zero if it isn't plausible. The caller holds mu.
+func (d *Directory) plausibleClock(now time.Time, clock int64) int64 {
+	if !d.setClock(now, clock) {
+		return 0
+	}
+
+	return clock
 }
 
-// SetClock records the engines' clock, in ms, as an engine reported it.
-func (d *Directory) SetClock(now time.Time, clock int64) {
+// SetClock records the engines' clock, in ms, as an engine reported it. It reports whether that agrees with what
+// is known of the clock.
+func (d *Directory) SetClock(now time.Time, clock int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.setClock(now, clock)
+	return d.setClock(now, clock)
 }
 
 // Clock returns the engines' clock in ms, and false if it was never reported. The result
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -365,6 +365,41 @@
 	}
 }
 
+// Guards against fetches without an effective deadline, and against parts that are kept for good, after one damaged
+// report of the engines' clock, and against a clock that stays behind after this process was suspended.
+func TestSingleReportDoesNotMoveTheClockFar(t *testing.T) {
+	start := time.Unix(100, 0)
+
+	tests := []struct {
+		name    string
+		reports []int64 // one each 100 ms
+		want    int64   // 100 ms after the last one
+	}{
+		{"in step", []int64{7000, 7100, 7200}, 7300},
+		{"late", []int64{7000, 6900, 7150}, 7300},
+		{"damaged", []int64{7000, 97_100}, 7200},
+		{"damaged a little", []int64{7000, 7900, 7200}, 7300},
+		{"damaged and repeated", []int64{7000, 97_100, 97_100}, 7300},
+		{"damaged in two ways", []int64{7000, 97_100, 1_700_000, 7300}, 7400},
+		{"this process was suspended", []int64{7000, 27_100, 27_190}, 27_290},
+		{"reports of before a pause", []int64{27_000, 7000, 27_200}, 27_300},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := NewDirectory(1)
+
+			for i, clock := range tt.reports {
+				d.SetClock(start.Add(time.Duration(i)*100*time.Millisecond), clock)
+			}
+
+			if got, _ := d.Clock(start.Add(time.Duration(len(tt.reports)) * 100 * time.Millisecond)); got != tt.want {
+				t.Errorf("got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against overloading a store's link, which carries one transfer at a time. Without
 // counting the transfers planned already, processes start more than the link can carry. Those
 // transfers wait for seconds and are discarded, and the prompts are recomputed.
