vault: a store that hangs delays no frees at the others

Change: it counts from the call. What the decision rests on (time passed, confirmations, engines that have run) stays true meanwhile.

Evidence: TestStoreThatHangsDelaysNoFreesOfOthers fails before, with 0 ms left.

--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -544,7 +544,8 @@
 			due := dueParts{now: now, newer: newer, ranUntil: ranUntil, rank: w.cfg.Rank}
 
 			for _, parts := range w.cfg.Directory.Freeable(model, newer.version, due.allows, maxFreedParts) {
-				w.free(ctx, now, model, newer, ranUntil, parts)
+				// What the decision rests on stays true, however long the calls before this one took.
+				w.free(ctx, time.Now(), model, newer, ranUntil, parts)
 			}
 
 			w.probeEngines(now, model, newer, ranUntil, due)
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -390,3 +391,47 @@
 func (silentFreeStore) List(context.Context, string) (Listing, error) { return Listing{}, nil }
 
 func (s silentFreeStore) Free(context.Context, string, int64, []Part, int64) error { return s.err }
+
+// hangingStore is several stores of one process, of which one doesn't respond to calls to free parts. It records by how
+// much the others were called before the end of the time in which they take the call.
+type hangingStore struct {
+	fakeStore
+	left []int64 // in ms
+}
+
+func (s *hangingStore) Free(ctx context.Context, address string, _ int64, _ []Part, until int64) error {
+	if address == "a" {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
+	s.left = append(s.left, until-time.Now().UnixMilli())
+
+	return nil
+}
+
+// Guards against stores that refuse to free parts as the call comes too late, since an earlier store did not respond.
+func TestStoreThatHangsDelaysNoFreesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &hangingStore{}
+		d := NewDirectory(1)
+		w := NewWatcher(WatcherConfig{Directory: d, Source: s, Rank: func(string) int { return 0 }, Log: logr.Discard()})
+		now := time.Now()
+
+		w.Configure([]Store{{Address: "a"}, {Address: "b"}})
+
+		for _, address := range []string{"a", "b"} {
+			d.ApplyListing(now, address, Listing{Epoch: 1, Clock: now.UnixMilli(), Held: []Held{oldPart}})
+		}
+
+		w.SetNewestVersion(now, "m", 2, mirror.Position{})
+		w.markConfirmed(now, "m", 2)
+		time.Sleep(oldPart.FreeAfter(0))
+		w.sweep(t.Context(), time.Now())
+
+		if want := []int64{freeTimeout.Milliseconds()}; !slices.Equal(s.left, want) {
+			t.Errorf("got %v ms left, want %v", s.left, want)
+		}
+	})
+}
