vault: a restarted store is saved to once engines have run past earlier fetches

What could be seen: a response made from a part that its store was still writing (MIXED): the same cause elsewhere, found in the review. Nothing is saved to a store in a new epoch for 3.3 s after it was first known, by which fetches by the word of the earlier epoch have ended, unless their engine's VM is paused meanwhile. An update of a process that doesn't know of the restart also took a process back to the earlier epoch, in which the 3.3 s had long passed.

Change: saves wait for the same proof as frees, or ten seconds, if the process has known an earlier epoch. An update that is older than the present epoch is ignored.

Evidence: TestRestartedStoreIsSavedToAfterEnginesRan and TestUpdateOfAnEarlierEpochIsIgnored; each fails without its part of the change.

--- a/vault/directory.go
+++ b/vault/directory.go
@@ -29,6 +29,7 @@
 	// When the store was first and last known to be in epoch, in ms on the engines'
 	// clock; zero if unknown.
 	epochFirstSeen, epochLastSeen int64
+	restarted                     bool // the store was known in an earlier epoch
 
 	direct       bool      // its events are read by this process
 	callFailed   bool      // the last direct call failed, and no other process has reported the store since
@@ -54,12 +55,13 @@
 	// A report that is too far from the clock as known, and when it arrived.
 	unconfirmedClock   int64
 	unconfirmedClockAt time.Time
+	enginesRanUntil    int64 // see SetEnginesRanUntil
 }
 
 // NewDirectory returns an empty Directory. Incarnation is any number that differs between
 // starts of the process, such as the time in ns.
 func NewDirectory(incarnation int64) *Directory {
-	return &Directory{stores: make(map[string]*storeState), incarnation: incarnation, processCount: 1}
+	return &Directory{stores: make(map[string]*storeState), incarnation: incarnation, processCount: 1, enginesRanUntil: math.MaxInt64}
 }
 
 // SetProcessCount sets how many processes use the stores, including this one. A process sees
@@ -71,6 +73,16 @@
 	d.processCount = max(n, 1)
 }
 
+// SetEnginesRanUntil sets until when all engines are known to have run, in ms on their clock. Nothing is saved in a
+// store that has restarted before they have run past the deadlines of earlier fetches. Without a call, they count as
+// having done so.
+func (d *Directory) SetEnginesRanUntil(clock int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.enginesRanUntil = clock
+}
+
 // ReserveLink reserves the link of the copy's store for the fetch of the copy.
 func (d *Directory) ReserveLink(now time.Time, c Copy) {
 	d.mu.Lock()
@@ -189,6 +201,7 @@
 // on the engines' clock; zero means unknown. It discards the times of a different epoch.
 func (s *storeState) observeEpoch(epoch, firstSeen, lastSeen int64) {
 	if epoch != s.epoch {
+		s.restarted = s.epoch != 0
 		s.epoch, s.epochFirstSeen, s.epochLastSeen = epoch, firstSeen, lastSeen
 
 		return
@@ -336,9 +349,15 @@
 // must end.
 func (s *storeState) fetchUntil() int64 { return s.epochLastSeen + epochGrace.Milliseconds() }
 
-// earlierFetchesEnded reports whether all fetches granted in earlier epochs have ended.
-func (s *storeState) earlierFetchesEnded(clock int64) bool {
-	return s.epochFirstSeen > 0 && clock >= s.epochFirstSeen+(epochGrace+freeMargin).Milliseconds()
+// earlierFetchesEnded reports whether all fetches granted in earlier epochs have ended, given until when all engines
+// are known to have run.
+func (s *storeState) earlierFetchesEnded(clock, ranUntil int64) bool {
+	ended := s.epochFirstSeen + (epochGrace + freeMargin).Milliseconds()
+	if s.epochFirstSeen == 0 || clock < ended {
+		return false
+	}
+
+	return !s.restarted || ranUntil >= ended || clock >= ended+pausedGrace.Milliseconds()
 }
 
 // Find returns the copy of a part that an engine in a data centre could fetch soonest, and
@@ -400,7 +419,7 @@
 	clock := d.clockNow(now)
 
 	for a, st := range d.stores {
-		if !st.earlierFetchesEnded(clock) || !st.accepts(now, h.Tokens) {
+		if !st.earlierFetchesEnded(clock, d.enginesRanUntil) || !st.accepts(now, h.Tokens) {
 			continue
 		}
 
--- a/vault/epoch_test.go
+++ b/vault/epoch_test.go
@@ -237,6 +237,57 @@
 	}
 }
 
+// Guards against saving to a restarted store what a paused engine goes on fetching when it resumes.
+func TestRestartedStoreIsSavedToAfterEnginesRan(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := newTestDirectory(t, now)
+	clock := func(at time.Time) int64 { return 1000 + at.Sub(now.Add(-epochGrace-freeMargin)).Milliseconds() }
+	ended := clock(now) + (epochGrace + freeMargin).Milliseconds()
+
+	d.ApplyEvents(now, "large", Events{Epoch: 2, Clock: clock(now)})
+	d.MarkUnreachable("quick")
+	d.ApplyListing(now, "large", Listing{Epoch: 2})
+
+	tests := []struct {
+		name     string
+		after    time.Duration
+		ranUntil int64
+		want     bool
+	}{
+		{"an engine is paused", epochGrace + freeMargin, ended - 1, false},
+		{"it has resumed", epochGrace + freeMargin, ended, true},
+		{"it never resumes", epochGrace + freeMargin + pausedGrace, ended - 1, true},
+	}
+
+	for i, tt := range tests {
+		at := now.Add(tt.after)
+		d.ApplyEvents(at, "large", Events{Epoch: 2, Clock: clock(at)})
+		d.SetEnginesRanUntil(tt.ranUntil)
+
+		if _, got := d.Place(at, newHeld(fmt.Sprint("a", i), 2000)); got != tt.want {
+			t.Errorf("%s: got a place %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against fetching from a restarted store, and saving to it, by the word of a process that doesn't know yet
+// that it has restarted.
+func TestUpdateOfAnEarlierEpochIsIgnored(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := newTestDirectory(t, now)
+	clock, _ := d.Clock(now)
+	d.ApplyListing(now, "large", Listing{Epoch: 2, Clock: clock})
+
+	old := Update{Position: Position{Address: "large"}, Reachable: true, Snapshot: true, Epoch: 1, EpochFirstSeen: clock - 9000, EpochLastSeen: clock - 1000, Events: []Event{{Held: newHeld("a", 200), Added: true}}}
+	if d.ApplyUpdate(now, old) {
+		t.Error("got an update of an earlier epoch applied, want it ignored")
+	}
+
+	if _, ok := d.Find(now, newHeld("a", 200).Part, "east"); ok {
+		t.Error("got a part of an earlier epoch, want none")
+	}
+}
+
 // Guards against fetches from a store that may have restarted since its epoch was last
 // known.
 func TestStoreWithUncertainEpochIsNotFetchedFrom(t *testing.T) {
--- a/vault/share.go
+++ b/vault/share.go
@@ -162,6 +162,10 @@
 		return false
 	}
 
+	if u.Epoch != st.epoch && u.EpochLastSeen > 0 && u.EpochLastSeen < st.epochFirstSeen {
+		return false // the other process doesn't know yet that the store has restarted
+	}
+
 	if u.Snapshot {
 		clear(st.parts)
 		st.tokens, st.shortTokens = 0, 0
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -538,6 +538,7 @@
 // sweep frees the parts that are due to be freed.
 func (w *Watcher) sweep(ctx context.Context, now time.Time) {
 	ranUntil := w.ranUntil(now)
+	w.cfg.Directory.SetEnginesRanUntil(ranUntil)
 
 	for model, all := range w.replacements(now) {
 		for _, newer := range all {
