--- a/roster/roster.go
+++ b/roster/roster.go
@@ -226,6 +226,7 @@
 	dropsDelayedUntil time.Time                 // until when drops are delayed
 	logUnavailable    bool                      // as last set by SetLogUnavailable
 	lastSeen          time.Time                 // when any target was last seen
+	subscribes        bool                      // Subscriptions has been called
 	evacuated         map[string]bool           // data centres whose targets get no work
 	firstListedAt     time.Time                 // when the first target was listed
 	liveEntries       int                       // number of live entries as of the last Tick
@@ -321,7 +322,7 @@
 	e, ok := r.engines[l.ID]
 	if !ok {
 		d := r.departed[l.ID]
-		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, retryAt: d.retryAt, saidLeaving: d.saidLeaving, startedMs: d.startedMs}
+		e = &engine{versions: make(map[string]int64), rateLimit: d.limit, retryAt: d.retryAt, saidLeaving: d.saidLeaving, startedMs: d.startedMs, run: d.run}
 		r.engines[l.ID] = e
 	}
 
@@ -389,7 +390,7 @@
 	r.removeRegistration(r.engines[id].listing.Address, id)
 
 	d := r.engines[id].depart(now)
-	d.silent = r.isModelEngine(r.engines[id].listing.Service) && r.engines[id].silent(now)
+	d.modelEngine = r.isModelEngine(r.engines[id].listing.Service)
 	r.departed[id] = d
 	delete(r.engines, id)
 	event.Log(r.cfg.Log, event.EngineDropped, "target", id, "reason", reason)
--- a/vault/directory.go
+++ b/vault/directory.go
@@ -29,6 +29,7 @@
 	// When the store was first and last known to be in epoch, in ms on the engines'
 	// clock; zero if unknown.
 	epochFirstSeen, epochLastSeen int64
+	restarted                     bool // the store was known in an earlier epoch
 
 	direct       bool      // its events are read by this process
 	callFailed   bool      // the last direct call failed, and no other process has reported the store since
@@ -51,12 +52,16 @@
 	incarnation  int64     // identifies this start of the process
 	clock        int64     // the engines' clock in ms as last reported; zero if it never was
 	clockAt      time.Time // when the report of clock arrived
+	// A report that is too far from the clock as known, and when it arrived.
+	unconfirmedClock   int64
+	unconfirmedClockAt time.Time
+	enginesRanUntil    int64 // see SetEnginesRanUntil
 }
 
 // NewDirectory returns an empty Directory. Incarnation is any number that differs between
 // starts of the process, such as the time in ns.
 func NewDirectory(incarnation int64) *Directory {
-	return &Directory{stores: make(map[string]*storeState), incarnation: incarnation, processCount: 1}
+	return &Directory{stores: make(map[string]*storeState), incarnation: incarnation, processCount: 1, enginesRanUntil: math.MaxInt64}
 }
 
 // SetProcessCount sets how many processes use the stores, including this one. A process sees
@@ -68,6 +73,16 @@
 	d.processCount = max(n, 1)
 }
 
+// SetEnginesRanUntil sets until when all engines are known to have run, in ms on their clock. Nothing is saved in a
+// store that has restarted before they have run past the deadlines of earlier fetches. Without a call, they count as
+// having done so.
+func (d *Directory) SetEnginesRanUntil(clock int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.enginesRanUntil = clock
+}
+
 // ReserveLink reserves the link of the copy's store for the fetch of the copy.
 func (d *Directory) ReserveLink(now time.Time, c Copy) {
 	d.mu.Lock()
@@ -129,14 +144,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.setClock(now, l.Clock)
+	clock := d.plausibleClock(now, l.Clock)
 
 	st := d.stores[address]
 	if st == nil {
 		return
 	}
 
-	st.observeEpoch(l.Epoch, l.Clock, l.Clock)
+	st.observeEpoch(l.Epoch, clock, clock)
 	st.next, st.listed, st.unreachable, st.direct, st.callFailed = l.Next, true, false, true, false
 	st.tokens, st.shortTokens = 0, 0
 	st.changes.reset()
@@ -154,7 +169,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.setClock(now, e.Clock)
+	clock := d.plausibleClock(now, e.Clock)
 
 	st := d.stores[address]
 	if st == nil {
@@ -164,7 +179,7 @@
 	st.unreachable, st.callFailed = false, false
 
 	restarted := e.Epoch != st.epoch
-	st.observeEpoch(e.Epoch, e.Clock, e.Clock)
+	st.observeEpoch(e.Epoch, clock, clock)
 
 	if e.Lost || restarted {
 		// A store is empty after a restart, and missing events leave the parts uncertain.
@@ -186,6 +201,7 @@
 // on the engines' clock; zero means unknown. It discards the times of a different epoch.
 func (s *storeState) observeEpoch(epoch, firstSeen, lastSeen int64) {
 	if epoch != s.epoch {
+		s.restarted = s.epoch != 0
 		s.epoch, s.epochFirstSeen, s.epochLastSeen = epoch, firstSeen, lastSeen
 
 		return
@@ -241,20 +257,65 @@
 	s.changes.record(Event{Held: Held{Part: p}})
 }
 
-// setClock records the engines' clock; zero means that it was not reported. The caller
-// holds mu.
-func (d *Directory) setClock(now time.Time, clock int64) {
-	if clock > 0 {
+// Limits on how far a report may be from the engines' clock as known, in ms. One that is further off is either damaged,
+// or it is right and this process didn't run for a while: then the next one agrees with it.
+const (
+	// maxClockLead is how far it may be ahead, since earlier reports took longer to arrive.
+	maxClockLead = 100
+	// maxClockLag is how far it may be behind, since it took longer to arrive.
+	maxClockLag = 1000
+	// maxClockDifference is how much two reports that agree may differ.
+	maxClockDifference = 250
+)
+
+// setClock records the engines' clock, in ms, and reports whether it is plausible; zero means that it was
+// not reported. The caller holds mu.
+func (d *Directory) setClock(now time.Time, clock int64) bool {
+	if clock <= 0 {
+		return false
+	}
+
+	// A report is made before it arrives, so of two that agree the later time is right.
+	known := d.clockNow(now)
+	if d.clock == 0 || (clock >= known && clock-known <= maxClockLead) {
 		d.clock, d.clockAt = clock, now
+
+		return true
+	}
+
+	if clock < known && known-clock <= maxClockLag {
+		return true
 	}
+
+	// A repeat of the same report confirms nothing.
+	expected := d.unconfirmedClock + now.Sub(d.unconfirmedClockAt).Milliseconds()
+	if clock != d.unconfirmedClock && max(clock-expected, expected-clock) <= maxClockDifference {
+		d.clock, d.clockAt, d.unconfirmedClock = clock, now, 0
+
+		return true
+	}
+
+	d.unconfirmedClock, d.unconfirmedClockAt = clock, now
+
+	return false
 }
 
-// SetClock records the engines' clock, in ms, as an engine reported it.
-func (d *Directory) SetClock(now time.Time, clock int64) {
+// plausibleClock records the engines' clock and returns it, or zero if it isn't plausible. The caller holds mu.
+func (d *Directory) plausibleClock(now time.Time, clock int64) int64 {
+	if !d.setClock(now, clock) {
+		return 0
+	}
+
+	return clock
+}
+
+// SetClock records the engines' clock, in ms, as an engine reported it. It reports whether that agrees with what
+// is known of the clock.
+func (d *Directory) SetClock(now time.Time, clock int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.setClock(now, clock)
+	return d.setClock(now, clock)
 }
 
 // Clock returns the engines' clock in ms, and false if it was never reported. The result
@@ -288,9 +349,15 @@
 // must end.
 func (s *storeState) fetchUntil() int64 { return s.epochLastSeen + epochGrace.Milliseconds() }
 
-// earlierFetchesEnded reports whether all fetches granted in earlier epochs have ended.
-func (s *storeState) earlierFetchesEnded(clock int64) bool {
-	return s.epochFirstSeen > 0 && clock >= s.epochFirstSeen+(epochGrace+freeMargin).Milliseconds()
+// earlierFetchesEnded reports whether all fetches granted in earlier epochs have ended, given until when all engines
+// are known to have run.
+func (s *storeState) earlierFetchesEnded(clock, ranUntil int64) bool {
+	ended := s.epochFirstSeen + (epochGrace + freeMargin).Milliseconds()
+	if s.epochFirstSeen == 0 || clock < ended {
+		return false
+	}
+
+	return !s.restarted || ranUntil >= ended || clock >= ended+pausedGrace.Milliseconds()
 }
 
 // Find returns the copy of a part that an engine in a data centre could fetch soonest, and
@@ -352,7 +419,7 @@
 	clock := d.clockNow(now)
 
 	for a, st := range d.stores {
-		if !st.earlierFetchesEnded(clock) || !st.accepts(now, h.Tokens) {
+		if !st.earlierFetchesEnded(clock, d.enginesRanUntil) || !st.accepts(now, h.Tokens) {
 			continue
 		}
 
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -538,13 +538,15 @@
 // sweep frees the parts that are due to be freed.
 func (w *Watcher) sweep(ctx context.Context, now time.Time) {
 	ranUntil := w.ranUntil(now)
+	w.cfg.Directory.SetEnginesRanUntil(ranUntil)
 
 	for model, all := range w.replacements(now) {
 		for _, newer := range all {
 			due := dueParts{now: now, newer: newer, ranUntil: ranUntil, rank: w.cfg.Rank}
 
 			for _, parts := range w.cfg.Directory.Freeable(model, newer.version, due.allows, maxFreedParts) {
-				w.free(ctx, now, model, newer, ranUntil, parts)
+				// What the decision rests on stays true, however long the calls before this one took.
+				w.free(ctx, time.Now(), model, newer, ranUntil, parts)
 			}
 
 			w.probeEngines(now, model, newer, ranUntil, due)
