controlcall: calls between processes that take only their own responses

A client for calls that are not callers' requests, in place of http.Clients: an id with each call, unique over restarts; what a connection's first response says of ids decides whether later ones must carry them; a response to another call fails the call, closes its connection, is counted and logged (2600, 2601, one line a second at most). Connections to targets that echo no ids rest before they are used again. Limits on header, body and duration. A call is sent twice only if that is allowed and a reused connection broke before any byte of a response; other failures say whether the call may have been carried out.

Nothing uses it yet.

--- /dev/null
+++ b/controlcall/conn.go
@@ -0,0 +1,186 @@
+package controlcall
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"boragehub/pause"
+	"boragehub/wholebody"
+)
+
+const (
+	readBufferBytes = 8 << 10
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
+	// maxInformational is how many informational responses (1xx) are skipped before one response.
+	maxInformational = 5
+	// maxLoggedID bounds what is logged of a target's text.
+	maxLoggedID = 80
+	// keepAliveMargin is subtracted from the idle timeout that a target announces, as the next call has to
+	// arrive before the target closes the connection.
+	keepAliveMargin = 500 * time.Millisecond
+)
+
+// echoing is what the responses on a connection say about ids.
+type echoing uint8
+
+const (
+	noEcho  echoing = iota // no response had the id of its call so far
+	echoes                 // responses carry the ids of their calls
+	foreign                // the first response, which was its call's own, had another id
+)
+
+// conn is one connection.
+type conn struct {
+	nc       net.Conn
+	limited  *io.LimitedReader
+	br       *bufio.Reader
+	echoing  echoing
+	calls    int    // responses so far
+	answered bool   // a byte of a response to the present call has arrived
+	otherID  string // of a response to another call
+	followed bool   // further bytes followed the last response
+
+	restsSince, expires time.Time // while idle
+}
+
+func newConn(nc net.Conn) *conn {
+	l := &io.LimitedReader{R: nc, N: math.MaxInt64}
+
+	return &conn{nc: nc, limited: l, br: bufio.NewReaderSize(l, readBufferBytes)}
+}
+
+func (c *conn) reused() bool { return c.calls > 0 }
+
+// close closes the connection. The only error that Close can return is that the connection is closed
+// already, which is the desired state.
+func (c *conn) close() {
+	//nolint:errcheck,gosec // see above
+	c.nc.Close()
+}
+
+type exchangeConfig struct {
+	idHeader, id string // empty without ids
+	maxBody      int64
+}
+
+// exchange writes a call and reads its response. keep is how long the connection may stay idle, zero if it has
+// to be closed, negative if the target announced no time.
+func (c *conn) exchange(ctx context.Context, text []byte, req *http.Request, cfg exchangeConfig) (r Response, keep time.Duration, err error) {
+	c.answered = false
+
+	if _, err := c.nc.Write(text); err != nil {
+		return Response{}, 0, err
+	}
+
+	resp, err := c.readHead(req)
+	if err != nil {
+		return Response{}, 0, err
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if !c.isOwn(resp.Header, cfg) {
+		return Response{}, 0, ErrOtherResponse
+	}
+
+	body, err := wholebody.ReadAll(pause.ProgressReader(ctx, resp.Body), cfg.maxBody)
+	if err != nil {
+		return Response{}, 0, err
+	}
+
+	c.calls++
+
+	// Bytes behind a complete response belong to no call.
+	c.followed = c.br.Buffered() > 0
+
+	if resp.Close || endsWithConnection(resp) || c.followed {
+		keep = 0
+	} else {
+		keep = keepAliveTimeout(resp.Header)
+	}
+
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+}
+
+// readHead reads the header of a response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.limited.N = maxHeaderBytes
+	defer func() { c.limited.N = math.MaxInt64 }()
+
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+
+	c.answered = true
+
+	for range maxInformational {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+
+	return nil, errors.New("too many informational responses")
+}
+
+// isOwn reports whether a response is that to the present call, as far as ids tell, and records whether the
+// connection's responses carry ids.
+func (c *conn) isOwn(h http.Header, cfg exchangeConfig) bool {
+	if cfg.idHeader == "" {
+		return true
+	}
+
+	id := h.Get(cfg.idHeader)
+
+	switch {
+	case id == cfg.id:
+		c.echoing = echoes
+
+		return true
+	case id != "" && c.calls == 0:
+		c.echoing = foreign
+
+		return true
+	case c.echoing == echoes, id != "" && c.echoing == noEcho:
+		c.otherID = id[:min(len(id), maxLoggedID)]
+
+		return false
+	default:
+		return true
+	}
+}
+
+// endsWithConnection reports whether a response's body ends with its connection.
+func endsWithConnection(resp *http.Response) bool {
+	return len(resp.TransferEncoding) == 0 && resp.ContentLength < 0 && resp.Body != http.NoBody
+}
+
+// keepAliveTimeout returns the idle timeout that a target announces in its Keep-Alive header, less
+// keepAliveMargin; negative if it announces none.
+func keepAliveTimeout(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+
+		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && s > 0 {
+			return time.Duration(min(s, math.MaxInt32))*time.Second - keepAliveMargin
+		}
+	}
+
+	return -1
+}
