--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -72,7 +72,7 @@
 	operators := mirror.NewTopic(mirror.TopicConfig{Revision: platform.OperatorRevision, KeepLost: true})
 	register := mirror.NewTopic(mirror.TopicConfig{Equivalent: platform.SameListing, Revision: platform.ListingRevision})
 	members := exchange.NewMembers(cfg.PeerAddress, cfg.Seeds)
-	platformClient := platform.NewClient()
+	platformClient := platform.NewClient(platform.ClientConfig{Log: log})
 	source := platform.NewLogClient(cfg.LogAddress)
 	directory := vault.NewDirectory(time.Now().UnixNano())
 
--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -37,7 +37,7 @@
 	lines := output.New(output.Config{To: os.Stdout})
 	log := newLogger(cfg, "loader", lines)
 	source := platform.NewLogClient(cfg.LogAddress)
-	platformClient := platform.NewClient()
+	platformClient := platform.NewClient(platform.ClientConfig{Log: log})
 	client := exchange.NewClient(exchange.NewMembers("", cfg.Seeds))
 
 	var reporter *pulse.Reporter // set before the loader and the probe run
