experiment: targets that send responses a second time, late

The model of the plain service had no second responses, so tables said nothing of what callers lose by them. Under fault answers_twice a tenth of its responses comes again within 300 ms on the same connection; the entry closes the connection, and sends a call that waited there again. Requests to engines aren't modelled: they have no connections.

--- a/experiment/calls.go
+++ b/experiment/calls.go
@@ -22,7 +22,7 @@
 // plainTarget models one target of the plain service.
 type plainTarget struct {
 	running     int
-	waiting     []func()
+	waiting     []func() bool // start a call, and report false if it was dropped
 	reports     [maxReports]report
 	reportCount int
 }
@@ -38,14 +38,16 @@
 	inFlight   [][]int             // calls without a response, by entry and target
 	nextTarget []int
 	stats      Stats
+	twice      *secondResponses
 }
 
-// calls measures the time from arrival to response of the plain service's calls. Each data
-// centre has one entry.
-func (r run) calls() Stats {
+// calls measures the time from arrival to response of the plain service's calls, and returns how many of them were sent
+// again. Each data centre has one entry.
+func (r run) calls() (stats Stats, sentAgain int) {
 	s := &callSimulation{
 		d: r.d, policy: r.policy, clock: &clock{}, rng: rand.New(rand.NewPCG(r.seed, 3)),
 		nextTarget: make([]int, len(r.d.DataCentres)), stats: newStats(r.d.Service),
+		twice: newSecondResponses(r.fault == AnswersTwice, r.seed),
 	}
 
 	for range r.d.PlainTargets {
@@ -62,7 +64,7 @@
 	s.scheduleArrivals(meanInterval, r.measured)
 	s.clock.run(r.measured + drainTime)
 
-	return s.stats
+	return s.stats, s.twice.met
 }
 
 func (s *callSimulation) scheduleArrivals(meanInterval float64, end time.Duration) {
@@ -71,44 +73,92 @@
 			return
 		}
 
-		s.call(s.rng.IntN(len(s.sent)), s.rng.Uint64(), time.Duration(logNormal(s.rng, float64(medianCallTime), callTimeSigma)))
+		s.call(s.clock.now, s.rng.IntN(len(s.sent)), s.rng.Uint64(), time.Duration(logNormal(s.rng, float64(medianCallTime), callTimeSigma)))
 		s.scheduleArrivals(meanInterval, end)
 	})
 }
 
-func (s *callSimulation) call(entry int, seed uint64, duration time.Duration) {
+// call sends a call that arrived at a time. It is sent again if its connection is closed before its response.
+func (s *callSimulation) call(arrivedAt time.Duration, entry int, seed uint64, duration time.Duration) {
 	i := s.choose(entry, seed)
 	s.sent[entry][i] = append(s.sent[entry][i], s.clock.now)
-	arrivedAt := s.clock.now
 	s.inFlight[entry][i]++
-	s.targets[i].serve(s.clock, duration, func() {
+
+	drop := s.targets[i].serve(s.clock, duration, func() {
 		s.inFlight[entry][i]--
+		s.twice.put(s.clock.now, entry, i)
 		s.stats.observe(s.clock.now - arrivedAt)
 	})
+
+	if at, ok := s.twice.take(s.clock.now, entry, i); ok {
+		s.clock.at(at, func() {
+			if drop() {
+				s.inFlight[entry][i]--
+				s.twice.met++
+				s.call(arrivedAt, entry, seed+1, duration)
+			}
+		})
+	}
 }
 
-// serve processes a call, or queues it while maxConcurrentCalls run.
-func (t *plainTarget) serve(c *clock, duration time.Duration, done func()) {
-	start := func() {
+// serve processes a call, or queues it while maxConcurrentCalls run. The returned function drops the call, and reports
+// false if it has ended.
+func (t *plainTarget) serve(c *clock, duration time.Duration, done func()) (drop func() bool) {
+	runs, ended := false, false
+	start := func() bool {
+		if ended {
+			return false
+		}
+
 		t.running++
+		runs = true
+
 		c.after(duration, func() {
+			if ended {
+				return
+			}
+
+			ended = true
 			t.running--
 			done()
-
-			if len(t.waiting) > 0 {
-				next := t.waiting[0]
-				t.waiting = t.waiting[1:]
-				next()
-			}
+			t.startNext()
 		})
+
+		return true
 	}
 
 	if t.running >= maxConcurrentCalls {
 		t.waiting = append(t.waiting, start)
-		return
+	} else {
+		start()
 	}
 
-	start()
+	return func() bool {
+		if ended {
+			return false
+		}
+
+		ended = true
+
+		if runs {
+			t.running--
+			t.startNext()
+		}
+
+		return true
+	}
+}
+
+// startNext starts the first call in the queue that wasn't dropped.
+func (t *plainTarget) startNext() {
+	for len(t.waiting) > 0 {
+		start := t.waiting[0]
+		t.waiting = t.waiting[1:]
+
+		if start() {
+			return
+		}
+	}
 }
 
 func (s *callSimulation) choose(entry int, seed uint64) int {
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// Guards against calls that a second response to an earlier one makes disappear from the results.
+func TestCallsBehindSecondResponsesAreSentAgain(t *testing.T) {
+	r := run{d: Coastal(), policy: Boragehub, load: 0.5, seed: 3, measured: 3 * time.Minute}
+	want, _ := r.calls()
+
+	r.fault = AnswersTwice
+
+	got, again := r.calls()
+	if got.Requests != want.Requests || again == 0 {
+		t.Errorf("got %d calls with a response, %d sent again; want %d, and some sent again", got.Requests, again, want.Requests)
+	}
+
+	t.Logf("%d calls, %d sent again; p99 %v, without the fault %v", got.Requests, again, got.Percentile(99), want.Percentile(99))
+}
+
 func TestUnknownNamesAreRefused(t *testing.T) {
 	cases := []struct {
 		name string
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -132,6 +132,9 @@
 	WeightSwap
 	// AnswersBroken has engines break off a tenth of their answers half-way for FaultDuration.
 	AnswersBroken
+	// AnswersTwice has targets of the plain service send a tenth of their responses a second time, late, during the whole
+	// run. The entry closes the connection on which one arrives and sends the call that waits there again.
+	AnswersTwice
 	faultCount int = iota
 )
 
@@ -141,7 +144,7 @@
 // String returns the name of f in flags and output.
 func (f Fault) String() string {
 	return [...]string{
-		"none", "store_lost", "link_tenth", "data_centre_cut", "events_lost", "load_old", "tenfold", "weight_swap", "answers_broken",
+		"none", "store_lost", "link_tenth", "data_centre_cut", "events_lost", "load_old", "tenfold", "weight_swap", "answers_broken", "answers_twice",
 	}[f]
 }
 
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -29,6 +29,8 @@
 	// same fraction of its own capacity. They are empty at a load of 1 or more, at
 	// which its queues would grow without bound.
 	Calls Stats
+	// CallsSentAgain counts the calls whose connection was closed because of a second response to an earlier one.
+	CallsSentAgain int
 	// LinkBytes are the bytes sent over links by class, from the start of the run to
 	// the end of the measurement.
 	LinkBytes [2]float64
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -51,7 +51,7 @@
 
 	res.Calls = newStats(r.d.Service)
 	if r.load < 1 {
-		res.Calls = r.calls()
+		res.Calls, res.CallsSentAgain = r.calls()
 	}
 
 	for _, st := range s.stores {
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -32,6 +32,11 @@
 
 		writeWorkload(&b, g, d.Service, func(r *Result) *Stats { return &r.Calls })
 
+		if cfg.Fault == AnswersTwice {
+			again := g.summarise(func(r *Result) float64 { return float64(r.CallsSentAgain) / float64(max(r.Calls.Requests, 1)) })
+			fmt.Fprintf(&b, "%.2f\t%s\t%s\t%s sent again, share\t%s\n", g.load, g.policy, g.ablation, d.Service, again)
+		}
+
 		if cfg.Fault != NoFault {
 			for i := range phaseCount {
 				writeWorkload(&b, g, d.Workloads[0].Name+" "+g.results[0].Phases[i].Name, func(r *Result) *Stats { return &r.Phases[i] })
