experiment: an entry that gets most new connections

Not in the model: other disruptions at the same time, retries of callers at other entries, leases and permits of cold targets (both drawn by demand). No product change.

--- a/experiment/command.go
+++ b/experiment/command.go
@@ -12,6 +12,7 @@
 	"boragehub/experiment/drawn"
 	"boragehub/experiment/limited"
 	"boragehub/experiment/repeated"
+	"boragehub/experiment/skewed"
 )
 
 // Command is the subcommand "experiment" of the program. Create it with Attach.
@@ -22,7 +23,7 @@
 	drawnSeeds                        int
 	asJSON                            bool
 	limitedSeeds, repeatedSeeds       int
-	crashedSeeds                      int
+	crashedSeeds, skewedSeeds         int
 }
 
 // allValues selects every value in a flag that takes a list of names.
@@ -51,6 +52,7 @@
 	c.sub.Int(&c.limitedSeeds, "", "limited", "play how entries keep to rate limits of targets, with so many seeds, and nothing else")
 	c.sub.Int(&c.repeatedSeeds, "", "repeated", "play how entries divide what they may repeat, with so many seeds, and nothing else")
 	c.sub.Int(&c.crashedSeeds, "", "crashed", "play how entries find parts of prompts that crash engines, with so many seeds, and nothing else")
+	c.sub.Int(&c.skewedSeeds, "", "skewed", "play an entry that gets most new connections, with so many seeds, and nothing else")
 	flaggy.AttachSubcommand(c.sub, position)
 
 	return c
@@ -78,6 +80,10 @@
 		return crashed.Write(w, c.cfg.Seed, c.crashedSeeds)
 	}
 
+	if c.skewedSeeds > 0 {
+		return skewed.Write(w, c.cfg.Seed, c.skewedSeeds)
+	}
+
 	cfg := c.cfg
 
 	var err error
