upstream, gateway: a connection carries a request once

Cause: an engine refused the first attempt of a request with 421, the gateway sent the next one, to the same engine with its actual version, on the same connection, and the second copy of the refusal arrived first. The id that tells whose a response is belongs to the request, not to the attempt.

Change: a connection remembers the ids of the last requests that it carried, and none of them is sent there again; another connection is used or opened.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -158,6 +158,7 @@
 		Method:  r.Method,
 		Head:    d.RequestHead(r, a, s, length),
 		Body:    body,
+		ID:      a.ID,
 		Match:   func(h http.Header) bool { return d.MatchesRequest(a, h) },
 	}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,8 +22,29 @@
 	br      *bufio.Reader
 	expires time.Time // end of its idle time in the pool
 	reused  bool
+	ids     []string // of the requests that it carried last
 }
 
+// maxCarriedIDs is the number of requests that a connection remembers. The attempts of one request follow each other
+// within its deadline.
+const maxCarriedIDs = 32
+
+// carry records that the connection carries the request with an id.
+func (c *conn) carry(id string) {
+	if id == "" {
+		return
+	}
+
+	if len(c.ids) >= maxCarriedIDs {
+		c.ids = slices.Delete(c.ids, 0, 1)
+	}
+
+	c.ids = append(c.ids, id)
+}
+
+// carried reports whether the connection has carried the request with an id.
+func (c *conn) carried(id string) bool { return id != "" && slices.Contains(c.ids, id) }
+
 func newConn(address string, nc net.Conn) *conn {
 	return &conn{address: address, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -50,7 +50,7 @@
 // ends, the connection is closed, which tells the target to stop. Errors are of type
 // *Error.
 func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
-	c := p.idleConn(time.Now(), r.Address)
+	c := p.idleConn(time.Now(), r.Address, r.ID)
 	if c == nil {
 		var err error
 
@@ -60,6 +60,8 @@
 		}
 	}
 
+	c.carry(r.ID)
+
 	x := &Exchange{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort)}
 
 	// The context ended before the first byte was written.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,6 +29,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -103,6 +104,9 @@
 	Body []byte
 	// Match reports whether a response belongs to the request; nil accepts any.
 	Match func(http.Header) bool
+	// ID is the same for all attempts of a request and differs between requests; empty if unknown. Match can't tell the
+	// response to one attempt from that to another, so a connection carries a request once.
+	ID string
 }
 
 // Config configures a Pool. Zero values get a default.
@@ -201,23 +205,15 @@
 	}
 }
 
-// idleConn returns a usable idle connection, nil for none. It takes the most recently used
-// one first, so that a pool that grew in a burst shrinks again.
-func (p *Pool) idleConn(now time.Time, address string) *conn {
+// idleConn returns a usable idle connection that hasn't carried the request with an id, nil for none. It takes the
+// most recently used one first, so that a pool that grew in a burst shrinks again.
+func (p *Pool) idleConn(now time.Time, address, id string) *conn {
 	for {
-		p.mu.Lock()
-
-		conns := p.idle[address]
-		if len(conns) == 0 {
-			p.mu.Unlock()
-
+		c := p.take(address, id)
+		if c == nil {
 			return nil
 		}
 
-		c := conns[len(conns)-1]
-		p.idle[address] = conns[:len(conns)-1]
-		p.mu.Unlock()
-
 		// On a connection that the target closed the next response would be lost; with
 		// unread bytes of an earlier request it could be taken for another one.
 		if now.Before(c.expires) && c.usable() {
@@ -228,6 +224,25 @@
 	}
 }
 
+// take removes the most recently used idle connection that hasn't carried the request with an id from the pool, and
+// returns it, nil if there is none.
+func (p *Pool) take(address, id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	conns := p.idle[address]
+
+	for i := len(conns) - 1; i >= 0; i-- {
+		if c := conns[i]; !c.carried(id) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+
+			return c
+		}
+	}
+
+	return nil
+}
+
 // put returns a connection to the pool after a complete response.
 func (p *Pool) put(now time.Time, c *conn, idleTimeout time.Duration) {
 	if idleTimeout <= 0 {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -388,3 +388,30 @@
 		t.Errorf("got %v, want a refused connection", err)
 	}
 }
+
+// Guards against taking a target's response to one attempt of a request, arriving a second time, for that to the next
+// one: both have the same id.
+func TestConnectionCarriesARequestOnce(t *testing.T) {
+	address := newTarget(t, respondEach(okResponse))
+	p := NewPool(Config{})
+
+	for _, tt := range []struct {
+		id   string
+		want uint64 // connections opened so far
+	}{{"a", 1}, {"b", 1}, {"a", 2}, {"c", 2}, {"a", 3}, {"", 3}, {"", 3}} {
+		x, err := p.Send(t.Context(), Request{Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), ID: tt.id})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		if _, err := io.ReadAll(x); err != nil {
+			t.Fatal(err)
+		}
+
+		x.Close()
+
+		if got := p.Dials(); got != tt.want {
+			t.Errorf("request %q: got %d connections opened, want %d", tt.id, got, tt.want)
+		}
+	}
+}
