--- a/roster/slow_start_test.go
+++ b/roster/slow_start_test.go
@@ -57,6 +57,7 @@
 type simEntry struct {
 	r           *Roster
 	frozenUntil time.Time
+	buffered    []pulse.Report // that arrived while the entry was paused
 }
 
 // simFleet simulates entries that send requests to engines that may be cold, in virtual time and
@@ -149,6 +150,10 @@
 func (f *simFleet) step(perSecond float64) {
 	f.now = f.now.Add(simStep)
 
+	for _, x := range f.entries {
+		f.resume(x)
+	}
+
 	for i, e := range f.engines {
 		f.sendReports(i, e)
 
@@ -180,6 +185,30 @@
 	return max(n, 1)
 }
 
+// receive applies a load report, or keeps it until the entry resumes.
+func (f *simFleet) receive(x *simEntry, p pulse.Report) {
+	if f.now.Before(x.frozenUntil) {
+		x.buffered = append(x.buffered, p)
+
+		return
+	}
+
+	x.r.ObserveReport(f.now, p)
+}
+
+// resume applies the load reports that arrived while an entry was paused.
+func (f *simFleet) resume(x *simEntry) {
+	if f.now.Before(x.frozenUntil) {
+		return
+	}
+
+	for _, p := range x.buffered {
+		x.r.ObserveReport(f.now, p)
+	}
+
+	x.buffered = nil
+}
+
 // sendReports sends an engine's load reports that are due and runs its health check when due.
 func (f *simFleet) sendReports(i int, e *simEngine) {
 	if f.now.Sub(e.probedAt) >= time.Second {
@@ -203,8 +232,8 @@
 	permits := e.guard.Permits(f.now, to)
 
 	for n, x := range f.entries {
-		if (n+tick/10)%2 == 0 && f.rnd.Float64() >= f.loss && !f.now.Before(x.frozenUntil) {
-			x.r.ObserveReport(f.now, pulse.Report{
+		if (n+tick/10)%2 == 0 && f.rnd.Float64() >= f.loss {
+			f.receive(x, pulse.Report{
 				Engine: e.address, Model: "m", Version: 1, StartedMs: e.startedMs, Interval: 200 * time.Millisecond,
 				ColdMs: e.guard.Remaining(f.now).Milliseconds(), Warm: e.guard.Warm(f.now), Permits: permits[fmt.Sprint(n)],
 			})
