--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -120,18 +120,20 @@
 	})
 
 	meter := metrics.New(e.registry, metrics.Gauges{
-		Active:         func() float64 { return float64(e.gateway.Active()) },
-		LimitedTargets: func() float64 { return float64(e.roster.LimitedTargets()) },
-		Slowdowns:      func() (least, median, largest float64) { return e.roster.Slowdowns(time.Now()) },
-		Targets:        func() float64 { return float64(e.roster.Len()) },
-		ConfigVersion:  func() float64 { return float64(e.gateway.ConfigVersion()) },
-		LogAge:         func() float64 { return time.Since(operators.SyncedAt()).Seconds() },
-		Dials:          func() float64 { return float64(e.pool.Dials()) },
-		VaultTokens:    func() float64 { held, _, _ := directory.Usage(); return float64(held) },
-		VaultCapacity:  func() float64 { _, capacity, _ := directory.Usage(); return float64(capacity) },
-		LinesLeftOut:   func() float64 { return float64(lines.Dropped()) },
-		TokensPerMs:    func() float64 { return e.gateway.TokensPerMs() },
-		Backlog:        func() float64 { return float64(e.roster.Backlog(time.Now())) },
+		Active:           func() float64 { return float64(e.gateway.Active()) },
+		LimitedTargets:   func() float64 { return float64(e.roster.LimitedTargets()) },
+		Slowdowns:        func() (least, median, largest float64) { return e.roster.Slowdowns(time.Now()) },
+		Targets:          func() float64 { return float64(e.roster.Len()) },
+		ConfigVersion:    func() float64 { return float64(e.gateway.ConfigVersion()) },
+		LogAge:           func() float64 { return time.Since(operators.SyncedAt()).Seconds() },
+		Dials:            func() float64 { return float64(e.pool.Dials()) },
+		OtherResponses:   func() float64 { return float64(platformClient.Counts().Mismatched) },
+		UnsolicitedBytes: func() float64 { return float64(platformClient.Counts().Unsolicited) },
+		VaultTokens:      func() float64 { held, _, _ := directory.Usage(); return float64(held) },
+		VaultCapacity:    func() float64 { _, capacity, _ := directory.Usage(); return float64(capacity) },
+		LinesLeftOut:     func() float64 { return float64(lines.Dropped()) },
+		TokensPerMs:      func() float64 { return e.gateway.TokensPerMs() },
+		Backlog:          func() float64 { return float64(e.roster.Backlog(time.Now())) },
 	})
 
 	e.gateway = gateway.New(gateway.Config{
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -43,6 +43,11 @@
 	LogAge func() float64
 	// Dials returns the number of connections opened to targets.
 	Dials func() float64
+	// OtherResponses returns the number of control calls that got a response to another call.
+	OtherResponses func() float64
+	// UnsolicitedBytes returns the number of connections for control calls that were closed because bytes
+	// arrived on them between calls.
+	UnsolicitedBytes func() float64
 	// VaultTokens and VaultCapacity return the tokens held in stores and the stores' capacity.
 	VaultTokens, VaultCapacity func() float64
 	// LinesLeftOut returns the number of log lines left out.
@@ -87,6 +92,8 @@
 		{"boragehub_config_version", "Version of the configuration in force.", g.ConfigVersion},
 		{"boragehub_log_age_seconds", "How old what is known of the log may be.", g.LogAge},
 		{"boragehub_target_connections_opened", "Connections opened to targets since the start.", g.Dials},
+		{"boragehub_control_other_responses", "Control calls that failed since the start because they got a response to another call.", g.OtherResponses},
+		{"boragehub_control_unsolicited", "Connections for control calls closed since the start because bytes arrived between calls.", g.UnsolicitedBytes},
 		{"boragehub_vault_tokens", "Tokens kept in stores that answer.", g.VaultTokens},
 		{"boragehub_vault_room_tokens", "Room of stores that answer.", g.VaultCapacity},
 		{"boragehub_log_lines_left_out", "Log lines left out since the start.", g.LinesLeftOut},
