mirror/exchange: calls between entries take only their own responses

Entries echo the id of a call, and their clients check it: records, their age, what stores hold and which entries know a version came from the response to another call if one arrived twice. Responses of entries of an older build have no id; their connections rest between calls.

--- a/controlcall/conn.go
+++ b/controlcall/conn.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	readBufferBytes = 8 << 10
+	readBufferBytes = 4 << 10
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
 	// maxInformational is how many informational responses (1xx) are skipped before one response.
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -1,11 +1,9 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,11 +14,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"boragehub/controlcall"
 	"boragehub/mirror"
 	"boragehub/pause"
 	"boragehub/quarantine"
 	"boragehub/vault"
-	"boragehub/wholebody"
 )
 
 var errNoEntries = errors.New("no known entries")
@@ -61,7 +59,7 @@
 // RegistrationPeers.
 type Client struct {
 	members       *Members
-	http          *http.Client
+	calls         *controlcall.Client
 	responded     chan struct{} // closed once another entry has returned its members
 	respondedOnce sync.Once     // guards the closing of responded
 	converged     chan struct{} // closed once the view of another entry is equal
@@ -69,13 +67,9 @@
 
 // NewClient returns a Client that calls the entries in m.
 func NewClient(m *Members) *Client {
-	return &Client{members: m, responded: make(chan struct{}), converged: make(chan struct{}), http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     12 * time.Second,
-		ReadBufferSize:      4 << 10,
-		WriteBufferSize:     4 << 10,
-	}}}
+	return &Client{members: m, responded: make(chan struct{}), converged: make(chan struct{}), calls: controlcall.NewClient(controlcall.Config{
+		IDHeader: callIDHeader, DialTimeout: callTimeout, MaxIdlePerAddress: 1, IdleTimeout: 12 * time.Second, MaxBodyBytes: maxMessage,
+	})}
 }
 
 // Fetch requests the records of a topic from a position on from fetchFanout entries, and returns
@@ -212,62 +206,53 @@
 	ctx, cancel := pause.WithIdleTimeout(ctx, callTimeout+wait, wait+maxTransfer)
 	defer cancel()
 
-	req, err := newRequest(ctx, method, "http://"+address+path, body)
+	body, h, err := encodeBody(body)
 	if err != nil {
 		return nil, err
 	}
 
-	resp, err := c.http.Do(req)
+	resp, err := c.calls.Do(ctx, controlcall.Call{Method: method, Address: address, Path: path, Header: h, Body: body, Repeatable: method == http.MethodGet})
 	if err != nil {
 		return nil, err
 	}
 
-	respBody, err := wholebody.ReadAll(pause.ProgressReader(ctx, resp.Body), maxMessage)
-	err = errs.Combine(err, resp.Body.Close())
-
-	if err == nil && resp.StatusCode/100 != 2 {
-		err = errs.New("%s responded with status %d", address, resp.StatusCode)
+	if resp.Status/100 != 2 {
+		return nil, errs.New("%s responded with status %d", address, resp.Status)
 	}
 
-	if err == nil && resp.Header.Get(contentEncodingHeader) == encodingDeflate {
-		return decompress(respBody)
+	if resp.Header.Get(contentEncodingHeader) == encodingDeflate {
+		return decompress(resp.Body)
 	}
 
-	return respBody, err
+	return resp.Body, nil
 }
 
+// callIDHeader carries the id of a call and of its response.
+const callIDHeader = "Call-Id"
+
 // HTTP headers that declare and negotiate compression.
 const (
 	contentEncodingHeader = "Content-Encoding"
 	acceptEncodingHeader  = "Accept-Encoding"
 )
 
-// newRequest returns a request that accepts a compressed response. A body of at least
-// compressAbove bytes is compressed.
-func newRequest(ctx context.Context, method, rawURL string, body []byte) (*http.Request, error) {
-	encoding := ""
-
-	if len(body) >= compressAbove {
-		compressed, err := compress(body)
-		if err != nil {
-			return nil, err
-		}
+// encodeBody returns the body of a call, compressed if it has compressAbove bytes or more, and its header, which
+// accepts a compressed response.
+func encodeBody(body []byte) ([]byte, http.Header, error) {
+	h := http.Header{acceptEncodingHeader: {encodingDeflate}}
 
-		body, encoding = compressed, encodingDeflate
+	if len(body) < compressAbove {
+		return body, h, nil
 	}
 
-	req, err := http.NewRequestWithContext(ctx, method, rawURL, bytes.NewReader(body))
+	compressed, err := compress(body)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 
-	req.Header.Set(acceptEncodingHeader, encodingDeflate)
-
-	if encoding != "" {
-		req.Header.Set(contentEncodingHeader, encoding)
-	}
+	h.Set(contentEncodingHeader, encodingDeflate)
 
-	return req, nil
+	return compressed, h, nil
 }
 
 // announceTimeout is how long AnnounceVersion waits for responses. Otherwise a paused entry would
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -71,8 +71,14 @@
 	return s
 }
 
-// ServeHTTP serves one call.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+// ServeHTTP serves one call. The response has the call's id, so that no other one is taken for it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(callIDHeader); id != "" {
+		w.Header().Set(callIDHeader, id)
+	}
+
+	s.mux.ServeHTTP(w, r)
+}
 
 // records returns this process's records of a topic or, if the request has no topic, the entries
 // that it knows.
