--- a/controlcall/controlcall.go
+++ b/controlcall/controlcall.go
@@ -34,6 +34,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -317,7 +318,7 @@
 	}
 
 	if ctx.Err() != nil {
-		err = errors.Join(ctx.Err(), err)
+		err = fmt.Errorf("%w: %w", ctx.Err(), err)
 	}
 
 	return Response{}, &Error{Unknown, err}
