controlcall: ids are expected by path and class of status

A target that echoes ids on its health path and not on /report, as the stand-ins do, failed every other report: once a response on a connection had an id, all had to. Now a connection remembers which kinds of responses had ids.

TestTargetMayEchoOnSomePathsAlone failed before in this way and passes.

--- a/controlcall/conn.go
+++ b/controlcall/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxInformational is how many informational responses (1xx) are skipped before one response.
 	maxInformational = 5
+	// maxKinds bounds the kinds of responses that a connection remembers; calls have a few paths.
+	maxKinds = 32
 	// maxLoggedID bounds what is logged of a target's text.
 	maxLoggedID = 80
 	// keepAliveMargin is subtracted from the idle timeout that a target announces, as the next call has to
@@ -29,21 +32,20 @@
 	keepAliveMargin = 500 * time.Millisecond
 )
 
-// echoing is what the responses on a connection say about ids.
-type echoing uint8
-
-const (
-	noEcho  echoing = iota // no response had the id of its call so far
-	echoes                 // responses carry the ids of their calls
-	foreign                // the first response, which was its call's own, had another id
-)
+// kind is a kind of response: a target may echo ids on some paths alone, or in successful responses alone.
+type kind struct {
+	path        string // without the query
+	statusClass int    // first digit of the status
+}
 
 // conn is one connection.
 type conn struct {
 	nc       net.Conn
 	limited  *io.LimitedReader
 	br       *bufio.Reader
-	echoing  echoing
+	echoing  []kind // whose responses have had the ids of their calls
+	echoed   bool   // the last response had its call's id
+	ownIDs   bool   // the first response, which was its call's own, had another id
 	calls    int    // responses so far
 	answered bool   // a byte of a response to the present call has arrived
 	otherID  string // of a response to another call
@@ -88,7 +90,7 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	if !c.isOwn(resp.Header, cfg) {
+	if !c.isOwn(resp, cfg) {
 		return Response{}, 0, ErrOtherResponse
 	}
 
@@ -136,31 +138,34 @@
 	return nil, errors.New("too many informational responses")
 }
 
-// isOwn reports whether a response is that to the present call, as far as ids tell, and records whether the
+// isOwn reports whether a response is that to the present call, as far as ids tell, and records which of the
 // connection's responses carry ids.
-func (c *conn) isOwn(h http.Header, cfg exchangeConfig) bool {
+func (c *conn) isOwn(resp *http.Response, cfg exchangeConfig) bool {
 	if cfg.idHeader == "" {
 		return true
 	}
 
-	id := h.Get(cfg.idHeader)
+	id := resp.Header.Get(cfg.idHeader)
+	k := kind{resp.Request.URL.Path, resp.StatusCode / 100}
+	echoes := slices.Contains(c.echoing, k)
 
-	switch {
-	case id == cfg.id:
-		c.echoing = echoes
+	if c.calls == 0 {
+		c.ownIDs = id != "" && id != cfg.id
+	}
 
-		return true
-	case id != "" && c.calls == 0:
-		c.echoing = foreign
+	c.echoed = id == cfg.id
 
-		return true
-	case c.echoing == echoes, id != "" && c.echoing == noEcho:
+	if c.echoed && !echoes && len(c.echoing) < maxKinds {
+		c.echoing = append(c.echoing, k)
+	}
+
+	if !c.echoed && (echoes || (id != "" && !c.ownIDs)) {
 		c.otherID = id[:min(len(id), maxLoggedID)]
 
 		return false
-	default:
-		return true
 	}
+
+	return true
 }
 
 // endsWithConnection reports whether a response's body ends with its connection.
--- a/controlcall/controlcall.go
+++ b/controlcall/controlcall.go
@@ -6,15 +6,15 @@
 // A target may answer a call twice, the second time late. HTTP/1.1 has no number for a response, so the
 // second one is taken for the response to the next call on the connection, and each later call gets the
 // response to the one before it. A Client sends an id with each call, in the header Config.IDHeader names,
-// and learns for each connection whether the target echoes it: the first response on a connection can only
-// belong to the first call.
+// and learns on each connection for each path and class of status whether the target echoes it.
 //
-//   - On a connection whose responses carry their ids, a response without the call's id fails the call with
-//     ErrOtherResponse and closes the connection.
-//   - Any other connection is used again only after it has rested for Config.Rest and nothing has arrived on
-//     it meanwhile; a call waits for that. A Call that is Strict uses one that has rested for
-//     Config.StrictRest, or a new one. A response that is later than that is not recognised here; the content
-//     of responses is to be checked as well.
+//   - A response with another id fails the call with ErrOtherResponse and closes the connection. So does one
+//     without an id of a kind that has carried ids on that connection. Only if the first response on a
+//     connection, which can belong to no other call, has another id, the target's ids are ignored.
+//   - A connection whose last response had no id is used again only after it has rested for Config.Rest and
+//     nothing has arrived on it meanwhile; a call waits for that. A Call that is Strict uses one that has
+//     rested for Config.StrictRest, or a new one. A response that is later than that is not recognised here;
+//     the content of responses is to be checked as well.
 //
 // On every connection, bytes that arrive between calls close it.
 //
@@ -139,8 +139,7 @@
 	MaxIdlePerAddress int
 	// MaxBodyBytes bounds the body of a response: 8 MiB when zero.
 	MaxBodyBytes int64
-	// Rest is how long a connection to a target that echoes no ids is not used after a response: 50 ms when
-	// zero.
+	// Rest is how long a connection is not used after a response without its call's id: 50 ms when zero.
 	Rest time.Duration
 	// StrictRest is the same for calls that are Strict: 1 s when zero.
 	StrictRest time.Duration
--- a/controlcall/controlcall_test.go
+++ b/controlcall/controlcall_test.go
@@ -166,6 +166,39 @@
 	}
 }
 
+// Guards against a target that echoes ids on some paths alone, or in successful responses alone, and of which
+// every other call would fail.
+func TestTargetMayEchoOnSomePathsAlone(t *testing.T) {
+	s := serve(t, func(nc net.Conn, r *http.Request, _, n int) bool {
+		switch {
+		case r.URL.Path != "/health":
+			write(nc, "", "report")
+		case n > 6:
+			_, _ = io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		default:
+			write(nc, r.Header.Get(idHeader), "health")
+		}
+
+		return true
+	})
+	c := NewClient(Config{IDHeader: idHeader, Rest: time.Millisecond})
+
+	for i := range 8 {
+		call := get(s.address)
+		if call.Path = "/report?n=1"; i%2 == 0 {
+			call.Path = "/health"
+		}
+
+		if _, err := c.Do(t.Context(), call); err != nil {
+			t.Errorf("call %d: %v", i, err)
+		}
+	}
+
+	if got := c.Counts(); got.Mismatched != 0 || got.Dials != 1 {
+		t.Errorf("got %+v, want one connection", got)
+	}
+}
+
 // Guards against a late second response of a target that echoes no ids, which arrives between two calls.
 func TestConnectionWithoutEchoIsUsedAgainOnlyAfterARest(t *testing.T) {
 	const rest = 30 * time.Millisecond
--- a/controlcall/pool.go
+++ b/controlcall/pool.go
@@ -77,7 +77,7 @@
 // remainingRest returns how long a connection is not to be used yet.
 func (p *pool) remainingRest(now time.Time, c *conn, strict bool) time.Duration {
 	switch {
-	case c.echoing == echoes:
+	case c.echoed:
 		return 0
 	case strict:
 		return p.strictRest - now.Sub(c.restsSince)
