gateway: one long response doesn't make a stopping entry refuse all requests for its target

Callers of a stopping entry got 503 draining for calls of a few ms from 3 to 4 s of its stop on until its end, beside load (TestStoppingEntryAcceptsNewConnections).

Cause: three faults of the estimate by which a stopping entry refuses requests for slow targets. One long response moved the mean of the ratios so far that the target counted as slow. What counts as long was relative only, so that calls of 5 ms did beside calls of 3 ms, at which no stop is held up. And the estimate changes by responses alone, of which there are none once all requests are refused, so that it lasted until the end. The same holds for calls of tenths of a second: a response of 3 s among five of 0.3 s.

Change: the estimate is the median of the target's last five responses; nothing up to 100 ms is long; and a target that was found slow gets one request each time that its last responses together took, so that the estimate recovers where the target has, and a target that is still slow doesn't hold the stop up by one request after the other. What marks requests in flight as long (for the port) uses the same estimate.

TestOneLongResponseDoesNotMakeATargetSlow, TestResponsesOfMillisecondsAreNotLong and TestSlowTargetIsTriedAgainInDrain fail before. The earlier tests of the drain pass unchanged.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,17 +15,20 @@
 const (
 	// longFactor is the multiple of the mean duration of all responses above which one is long.
 	longFactor = 1.5
+	// minLong is the duration up to which a response is never long: a stop is not held up by it, even
+	// where the other responses are much shorter.
+	minLong = 100 * time.Millisecond
 	// maxDurationFactor is how many times its usual duration a response may take, on overloaded
 	// engines too.
 	maxDurationFactor = 10
 	// longestRetention is how long the longest duration of a route and what is known of a target
 	// are remembered.
 	longestRetention = time.Minute
-	// slownessPrior is how many usual responses are added to those of a target, so that a single
-	// one that took somewhat longer does not make the target slow.
+	// slownessPrior is how many usual responses are added to those of a target, so that a first one
+	// that took somewhat longer does not make the target slow.
 	slownessPrior = 4
-	// slownessMinWeight is the least weight of a target's last response.
-	slownessMinWeight = 0.1
+	// slownessResponses is the number of a target's last responses that are remembered.
+	slownessResponses = 5
 	// finalWindow is how long before its end an entry may close its port even if long requests
 	// run, so that calls that follow closely on each other end as well. It is also the lowest
 	// limit that maxDuration derives from a route's longest duration.
@@ -87,24 +91,59 @@
 	return max(limit, takes, longest)
 }
 
-// targetSlowness is how many times the usual duration of their routes a target's responses take.
+// targetSlowness is how many times the usual duration of their routes a target's responses take. The
+// median of the last ones is used, as a single response may take long for other reasons.
 type targetSlowness struct {
-	count int
-	ratio float64 // moving mean
-	last  time.Time
+	recent []targetResponse // the last slownessResponses, oldest first
+	last   time.Time        // when the last of them was complete
+	tried  time.Time        // when a request was last let through by mayTry
 }
 
-func (s *targetSlowness) observe(now time.Time, ratio float64) {
-	s.count++
-	s.ratio += (ratio - s.ratio) * max(slownessMinWeight, 1/float64(s.count))
+// targetResponse is a complete response of a target.
+type targetResponse struct {
+	took  time.Duration
+	ratio float64 // to the mean duration of the route
+}
+
+func (s *targetSlowness) observe(now time.Time, took time.Duration, ratio float64) {
+	if len(s.recent) == slownessResponses {
+		s.recent = slices.Delete(s.recent, 0, 1)
+	}
+
+	s.recent = append(s.recent, targetResponse{took, ratio})
 	s.last = now
 }
 
 // estimate returns the ratio, which is nearer to one the fewer responses there were.
 func (s *targetSlowness) estimate() float64 {
-	n := float64(s.count)
+	ratios := make([]float64, 0, slownessResponses)
+	for _, r := range s.recent {
+		ratios = append(ratios, r.ratio)
+	}
+
+	slices.Sort(ratios)
+
+	n := float64(len(ratios))
+
+	return (n*ratios[(len(ratios)-1)/2] + slownessPrior) / (n + slownessPrior)
+}
+
+// mayTry reports whether a request may be sent to a target that was found slow, and records it. The
+// estimate changes by new responses only, so a single request is sent whenever as much time has passed
+// as the target's last responses took together.
+func (s *targetSlowness) mayTry(now time.Time) bool {
+	var total time.Duration
+	for _, r := range s.recent {
+		total += r.took
+	}
+
+	if now.Sub(s.last) < total || now.Sub(s.tried) < total {
+		return false
+	}
 
-	return (n*s.ratio + slownessPrior) / (n + slownessPrior)
+	s.tried = now
+
+	return true
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -186,11 +225,12 @@
 // mayUse returns nil if a request may be sent to a target, or why it isn't served. In the last phase
 // of a stop, new requests that would be long at the target chosen for them are refused like those
 // of long routes, unless they may have run: each would keep the port open for as long as it runs.
+// Single ones are sent there, to learn whether the target is still slow.
 func (d *drainControl) mayUse(now time.Time, t *task, target string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.inFlight[t].acceptedDraining && t.possibleRuns == 0 && d.isLongAt(now, t.route.Name, target) {
+	if d.inFlight[t].acceptedDraining && t.possibleRuns == 0 && d.isLongAt(now, t.route.Name, target) && !d.targets[target].mayTry(now) {
 		return errDraining("responses of its target %s take %.1f times as long as usual", target, d.targets[target].estimate())
 	}
 
@@ -222,12 +262,12 @@
 	return ok && slowness > longFactor && d.isLong(time.Duration(ms*slowness*float64(time.Millisecond)))
 }
 
-// isLong reports whether a duration is clearly longer than the mean of all responses, or
-// that mean is unknown. The caller holds mu.
+// isLong reports whether a duration is longer than minLong and clearly longer than the mean of all
+// responses, or that mean is unknown. The caller holds mu.
 func (d *drainControl) isLong(takes time.Duration) bool {
 	ms, ok := d.allRoutes.Value()
 
-	return !ok || millis(takes) > longFactor*ms
+	return !ok || takes > minLong && millis(takes) > longFactor*ms
 }
 
 // finishesInTime reports whether a response that takes up to maxDuration is complete, or its
@@ -312,7 +352,7 @@
 		*s = targetSlowness{}
 	}
 
-	s.observe(now, millis(took)/ms)
+	s.observe(now, took, millis(took)/ms)
 }
 
 // route returns the durations of a route. The caller holds mu.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -333,6 +333,128 @@
 	}
 }
 
+// Guards against one long response that makes a service's only target count as slow: all requests were
+// refused until the end of the stop, as nothing changes the estimate once no request is sent there.
+func TestOneLongResponseDoesNotMakeATargetSlow(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	tests := []struct {
+		name        string
+		usual, long time.Duration
+	}{
+		{"some milliseconds", 3 * time.Millisecond, 30 * time.Millisecond},
+		{"some tenths of a second", 300 * time.Millisecond, 3 * time.Second},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDrainControl()
+
+			for _, took := range []time.Duration{tt.usual, tt.usual, tt.usual, tt.usual, tt.usual, tt.long} {
+				d.observeTarget(t0, "seat", "sole", took)
+				d.observe("seat", took)
+			}
+
+			d.start(t0, t0.Add(time.Minute))
+
+			x := &task{route: &site.Route{Name: "seat"}, deadline: t0.Add(time.Minute)}
+			if err := d.admit(t0, x); err != nil {
+				t.Fatal(err)
+			}
+
+			if err := d.mayUse(t0, x, "sole"); err != nil {
+				t.Errorf("got %v, want it sent", err)
+			}
+		})
+	}
+}
+
+// Guards against responses of some milliseconds that count as long because most take a few: during a
+// stop a route or a target was refused whose requests can't hold it up.
+func TestResponsesOfMillisecondsAreNotLong(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	d := newDrainControl()
+
+	for range 100 {
+		d.observe("seat", 2*time.Millisecond)
+		d.observe("fare", 2*time.Millisecond)
+	}
+
+	for range 20 {
+		d.observe("map", 8*time.Millisecond)
+		d.observeTarget(t0, "seat", "slow", 20*time.Millisecond)
+	}
+
+	d.start(t0, t0.Add(5*time.Second))
+
+	for _, tt := range []struct{ route, target string }{{"map", "fast"}, {"seat", "slow"}} {
+		x := &task{route: &site.Route{Name: tt.route}, deadline: t0.Add(time.Minute)}
+		if err := d.admit(t0, x); err != nil {
+			t.Errorf("%s: got %v, want it accepted", tt.route, err)
+		}
+
+		if err := d.mayUse(t0, x, tt.target); err != nil {
+			t.Errorf("%s at a target that is %s: got %v, want it sent", tt.route, tt.target, err)
+		}
+	}
+}
+
+// A target was slow until the stop began. Guards against an estimate that never changes during a stop, as
+// no request is sent to the target; and against sending requests there one after the other, which
+// would hold up the stop while it is still slow.
+func TestSlowTargetIsTriedAgainInDrain(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	d := newTrainedDrainControl()
+
+	for range 5 {
+		d.observeTarget(t0, "seat", "slow", time.Second)
+	}
+
+	d.start(t0, t0.Add(time.Minute))
+
+	mayUse := func(after time.Duration) bool {
+		now := t0.Add(after)
+
+		x := &task{route: &site.Route{Name: "seat"}, deadline: now.Add(time.Second)}
+		if err := d.admit(now, x); err != nil {
+			t.Fatal(err)
+		}
+
+		defer d.remove(now, x)
+
+		return d.mayUse(now, x, "slow") == nil
+	}
+
+	tests := []struct {
+		after time.Duration
+		took  time.Duration // of a response that is complete just before; zero for none
+		want  bool
+	}{
+		{0, 0, false},
+		{5*time.Second - 1, 0, false},
+		{5 * time.Second, 0, true},
+		{5*time.Second + 1, 0, false},
+		{6 * time.Second, time.Second, false}, // still slow
+		{11*time.Second - 1, 0, false},
+		{11 * time.Second, 0, true},
+		{11200 * time.Millisecond, 100 * time.Millisecond, false},
+		{15300 * time.Millisecond, 0, true},
+		{15400 * time.Millisecond, 100 * time.Millisecond, false},
+		{18600 * time.Millisecond, 0, true},
+		{18700 * time.Millisecond, 100 * time.Millisecond, true}, // most of the last ones are fast
+		{18700*time.Millisecond + 1, 0, true},
+	}
+
+	for _, tt := range tests {
+		if tt.took > 0 {
+			d.observeTarget(t0.Add(tt.after), "seat", "slow", tt.took)
+		}
+
+		if got := mayUse(tt.after); got != tt.want {
+			t.Errorf("after %v: got sent %v, want %v", tt.after, got, tt.want)
+		}
+	}
+}
+
 // Targets come and go for as long as an entry lives. Guards against keeping all of them.
 func TestDrainForgetsTargets(t *testing.T) {
 	d := newTrainedDrainControl()
