upstream, gateway: a response without an id belongs to no request where others had one

What callers got, in TestSoakStores with targets whose second responses lack the id: the whole response to another caller's request (MIXED), of streams and of plain services.

Cause: a response without an id counted as the request's own, also on connections whose responses had carried ids.

Change: the connection remembers for each class of status whether responses have had one, as controlcall does; one of that class without it is read past, as one with another id is. A target that never sends ids back is served as before.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -140,6 +140,8 @@
 	RequestHead(r *http.Request, a *CallerRequest, s *TargetParams, length int) []byte
 	// ParseResponse parses the headers of a response.
 	ParseResponse(h http.Header) ResponseHead
+	// HasRequestID reports whether a response carries the id of a request.
+	HasRequestID(h http.Header) bool
 	// MatchesRequest reports whether a response is the one to a request.
 	MatchesRequest(a *CallerRequest, h http.Header) bool
 	// SetRequestID sets a request's id on a response that the gateway itself generated.
@@ -159,6 +161,8 @@
 		Head:    d.RequestHead(r, a, s, length),
 		Body:    body,
 		ID:      a.ID,
-		Match:   func(h http.Header) bool { return d.MatchesRequest(a, h) },
+
+		Identified: d.HasRequestID,
+		Match:      func(h http.Header) bool { return d.MatchesRequest(a, h) },
 	}
 }
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -87,6 +87,8 @@
 	return h.Get("Id") == "" || h.Get("Id") == a.ID
 }
 
+func (testDialect) HasRequestID(h http.Header) bool { return h.Get("Id") != "" }
+
 func (testDialect) SetRequestID(h http.Header, a *CallerRequest) { h.Set("Id", a.ID) }
 
 // fakeEngine is a fake target: each request is handled by the next behaviour, those beyond
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -23,6 +24,28 @@
 	expires time.Time // end of its idle time in the pool
 	reused  bool
 	ids     []string // of the requests that it carried last
+	// identified are the classes of status, the first digit, of which responses have said to which request they belong.
+	identified [10]bool
+}
+
+// belongs reports whether a response belongs to a request.
+func (c *conn) belongs(r Request, resp *http.Response) bool {
+	if r.Match != nil && !r.Match(resp.Header) {
+		return false
+	}
+
+	if r.Identified == nil {
+		return true
+	}
+
+	class := resp.StatusCode / 100 % len(c.identified)
+	if !r.Identified(resp.Header) {
+		return !c.identified[class]
+	}
+
+	c.identified[class] = true
+
+	return true
 }
 
 // maxCarriedIDs is the number of requests that a connection remembers. The attempts of one request follow each other
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -127,7 +127,7 @@
 			continue
 		}
 
-		if r.Match == nil || r.Match(resp.Header) {
+		if x.conn.belongs(r, resp) {
 			return resp, nil
 		}
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -104,6 +104,9 @@
 	Body []byte
 	// Match reports whether a response belongs to the request; nil accepts any.
 	Match func(http.Header) bool
+	// Identified reports whether a response says to which request it belongs; nil if none does. One that doesn't is
+	// another request's if responses of that class of status have done so on its connection.
+	Identified func(http.Header) bool
 	// ID is the same for all attempts of a request and differs between requests; empty if unknown. Match can't tell the
 	// response to one attempt from that to another, so a connection carries a request once.
 	ID string
