mirror, platform: whether a read of the log is short is for its reader to say

The client of the log remembered the era in which each topic was read, to tell a response to another read from a log that has returned from a copy; translating is all that the package is for, and the follower knows the era of its offset. The client reports that the log ends before the offset, and the follower takes that for an error in its own era, as before.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -296,6 +296,9 @@
 // errEarlierEra is returned for a response that the log made before it returned from a copy.
 var errEarlierEra = errors.New("the response is of an earlier era of the log")
 
+// errShort is returned for a response that belongs to another read: within an era the log's end never goes back.
+var errShort = errors.New("the log ends before the records that were read")
+
 // readLog makes one read of the log. It reads a snapshot if the topic isn't loaded, the log no longer
 // keeps the records from the topic's end on, or it has returned from a copy.
 func (f *Follower) readLog(ctx context.Context) (Batch, error) {
@@ -317,6 +320,8 @@
 			return b, err
 		case b.Era < end.Era:
 			return b, errEarlierEra
+		case err == nil && b.Era == end.Era && b.Short:
+			return Batch{}, errShort
 		case err == nil && b.Era == end.Era:
 			return b, nil
 		}
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -426,3 +426,37 @@
 		t.Errorf("afterwards: got %d handled, want 5", got)
 	}
 }
+
+// shortLog is a log whose reads get the response to an earlier one, or that has returned from a copy.
+type shortLog struct {
+	fakeLog
+	shortEra int64
+}
+
+func (l *shortLog) Read(context.Context, string, int64, time.Duration) (Batch, error) {
+	return Batch{End: 5, Era: l.shortEra, Short: true}, nil
+}
+
+// Guards against a response to an earlier read that counts as one without changes. In a later era the log may end
+// before: it has returned from a copy.
+func TestReadThatEndsBeforeItsOffsetIsAnError(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		era  int64
+		want error
+	}{
+		{"same era", 1, errShort},
+		{"later era", 2, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			topic := NewTopic(TopicConfig{})
+			topic.Merge(Batch{Snapshot: true, Era: 1, End: 5})
+
+			f := NewFollower(FollowerConfig{Name: "t", Topic: topic, Source: &shortLog{fakeLog{era: tt.era}, tt.era}, OnChanges: func(time.Time, []Record) {}, Log: logr.Discard()})
+
+			if _, err := f.readLog(t.Context()); !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
--- a/mirror/topic.go
+++ b/mirror/topic.go
@@ -82,6 +82,8 @@
 	AsOf time.Time
 	// AsOfShared is such a time on the clock that the processes share, see Moment; zero if there is none.
 	AsOfShared int64
+	// Short is set if the log ends before the offset that was asked for.
+	Short bool
 	// Handled is the offset after the last record whose changes the process has acted on, see
 	// Topic.SetHandled.
 	Handled int64
