--- a/gateway/cache.go
+++ b/gateway/cache.go
@@ -52,14 +52,14 @@
 		return nil
 	}
 
-	newestAt, newestAge := f.right.right.NewestAt, int64(-1)
+	newestAt, newestAge := f.right.NewestAt, int64(-1)
 	if !newestAt.Local.IsZero() {
 		newestAge = f.decidedAt.Sub(newestAt.Local).Milliseconds()
 	}
 
 	return []any{
 		"fetch", strings.Join(f.parts, ","), "fetch_until", until, "clock", f.clock, "clock_age_ms", f.clockAge.Milliseconds(),
-		"newest", f.right.newest, "newest_age_ms", newestAge, "newest_clock", newestAt.Shared, "registered", f.right.right.Registered,
+		"newest", f.right.newest, "newest_age_ms", newestAge, "newest_clock", newestAt.Shared, "registered", f.right.Registered,
 	}
 }
 
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -57,7 +57,7 @@
 
 // versionRight is the right to fetch the parts of a weight version, as of one decision.
 type versionRight struct {
-	right vault.FetchRight
+	vault.FetchRight
 	// newest is true if this process knows of no newer version.
 	newest bool
 }
@@ -66,7 +66,7 @@
 func (l *lookup) right(version int64) versionRight {
 	r, ok := l.rights[version]
 	if !ok {
-		r.right, r.newest = l.t.g.fetchRight(l.t.arrival.Prompt.Model, version)
+		r.FetchRight, r.newest = l.t.g.fetchRight(l.t.arrival.Prompt.Model, version)
 		l.rights[version] = r
 	}
 
@@ -107,7 +107,7 @@
 
 // fastestCopy returns the copy of a part that reaches an engine soonest.
 func (l *lookup) fastestCopy(x *partLocation, e roster.Engine) (vault.Copy, bool) {
-	best, ok := l.t.g.cfg.Vaults.FindFetchable(l.now, x.part, l.right(x.version).right, e.DataCentre)
+	best, ok := l.t.g.cfg.Vaults.FindFetchable(l.now, x.part, l.right(x.version).FetchRight, e.DataCentre)
 
 	for _, h := range x.engines {
 		if h.ID == e.ID || l.linkTokensPerMs <= 0 {
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -106,26 +106,6 @@
 	Log logr.Logger
 }
 
-// Engines says what is known of the engines that fetch from the stores.
-//
-// A fetch in flight is paused with its engine's VM and continues with it, past the deadline at which the engine should
-// have discarded it. The part that it then reads must not have been freed. So a part is freed only
-// when all engines are known to have run past the deadlines of its fetches.
-type Engines interface {
-	// RanUntil returns the latest time, in ms on the engines' clock, until which each engine is known to have
-	// run, with time to end what was overdue then.
-	RanUntil(now time.Time) int64
-	// Probe asks the engines that are not known to have run until a time on their clock, in ms, for a sign of it,
-	// and returns their addresses.
-	Probe(now time.Time, clock int64) []string
-}
-
-// pausedGrace is how much longer parts are kept if an engine is not known to have run past the deadlines. VMs are
-// paused for some seconds. One that is paused for longer is taken for dead, since the space of
-// replaced parts would otherwise never be freed. A process that has just started doesn't know which engines
-// there were, and keeps parts for as long.
-const pausedGrace = 10 * time.Second
-
 // RankDelay is the delay per rank before a process frees parts, so that usually only one
 // process calls a store.
 const RankDelay = 2 * time.Second
@@ -152,17 +132,6 @@
 // maxReplacements is the maximum number of versions kept per model.
 const maxReplacements = 8
 
-// replacement is a weight version of a model that replaced the earlier ones.
-type replacement struct {
-	version   int64
-	learnedAt time.Time
-	// learnedClock is the engines' clock at learnedAt, in ms; zero while it isn't known.
-	learnedClock int64
-	// confirmedAfter is how long after learnedAt all registered processes had responded that they know
-	// the version; Unconfirmed until then.
-	confirmedAfter time.Duration
-}
-
 // NewWatcher returns a Watcher that Run starts.
 func NewWatcher(cfg WatcherConfig) *Watcher {
 	w := &Watcher{
@@ -590,63 +559,6 @@
 	return replaced
 }
 
-// dueParts decides which parts of versions before a newer one are due to be freed.
-type dueParts struct {
-	now      time.Time
-	newer    replacement
-	ranUntil int64
-	rank     func(address string) int
-
-	// kept counts the parts that are kept because engines may be paused, keptUntil is the time that all
-	// engines have to be known to have run until for the first of them.
-	kept      int
-	keptUntil int64
-	overdue   time.Duration // of the one kept longest
-}
-
-// allows reports whether a part in the store at address is due.
-func (d *dueParts) allows(address string, p Part) bool {
-	after := p.FreeAfter(d.newer.confirmedAfter)
-
-	late := d.now.Sub(d.newer.learnedAt) - time.Duration(d.rank(address))*RankDelay - after
-	if late < 0 {
-		return false
-	}
-
-	ended := d.newer.fetchesEnded(p)
-	if d.ranUntil >= ended || late >= pausedGrace {
-		return true
-	}
-
-	d.kept++
-	d.overdue = max(d.overdue, late)
-
-	if d.keptUntil == 0 || ended < d.keptUntil {
-		d.keptUntil = ended
-	}
-
-	return false
-}
-
-// confirmedAfterMs returns confirmedAfter in ms, -1 for Unconfirmed.
-func (r replacement) confirmedAfterMs() int64 {
-	if r.confirmedAfter == Unconfirmed {
-		return -1
-	}
-
-	return r.confirmedAfter.Milliseconds()
-}
-
-// fetchesEnded returns the time, in ms on the engines' clock, by which all fetches of a replaced part have ended at
-// engines that ran until then; math.MaxInt64 if it isn't known.
-func (r replacement) fetchesEnded(p Part) int64 {
-	if r.learnedClock == 0 {
-		return math.MaxInt64
-	}
-
-	return r.learnedClock + p.FreeAfter(r.confirmedAfter).Milliseconds()
-}
-
 // probeEngines asks the engines because of which parts are kept for a sign that they run.
 func (w *Watcher) probeEngines(now time.Time, model string, newer replacement, ranUntil int64, due dueParts) {
 	if due.kept == 0 || w.cfg.Engines == nil {
@@ -695,16 +607,6 @@
 	event.Log(w.cfg.Log, event.VaultFreed, fields...)
 }
 
-// lastEnd returns the time, in ms on the engines' clock, by which all fetches of replaced parts have ended.
-func lastEnd(newer replacement, parts []Part) int64 {
-	last := int64(0)
-	for _, p := range parts {
-		last = max(last, newer.fetchesEnded(p))
-	}
-
-	return last
-}
-
 // partIDs returns the ids of parts, separated by commas.
 func partIDs(parts []Part) string {
 	ids := make([]string, len(parts))
