event/output, vault: many log lines at once are written whole, or counted as dropped

Cause: a batch had no bound, and an error of the write, with what was not written, was dropped.

Change: batches of whole lines up to what a pipe takes in one piece (4 KB); lines of a write that fails count as dropped and are reported by 2320. 2502 and 2504 name 200 parts a line at most, with further lines for the others.

--- a/event/output/output.go
+++ b/event/output/output.go
@@ -102,18 +102,43 @@
 	w.flush()
 }
 
-// flush writes the lines in the ring as one batch. An error of standard output can't be
-// reported anywhere and must not stop the process.
+// maxBatchBytes is the size of a batch above which no line is added. A pipe takes as much in one piece
+// (PIPE_BUF), so that a reader that is slow or shared by several processes gets whole lines.
+const maxBatchBytes = 4 << 10
+
+// flush writes the lines in the ring in batches of whole lines.
 func (w *Writer) flush() {
-	var batch []byte
+	var (
+		batch []byte
+		lines int64
+	)
 
 	for range w.lines.Len() {
-		batch = append(batch, <-w.lines.C()...)
+		line := <-w.lines.C()
+
+		if len(batch)+len(line) > maxBatchBytes {
+			w.writeBatch(batch, lines)
+
+			batch, lines = batch[:0], 0
+		}
+
+		batch = append(batch, line...)
+		lines++
+	}
+
+	w.writeBatch(batch, lines)
+}
+
+// writeBatch writes a batch of so many lines. An error of standard output must not stop the process; the lines
+// count as dropped, also those of them that were written.
+func (w *Writer) writeBatch(batch []byte, lines int64) {
+	if len(batch) == 0 {
+		return
 	}
 
-	if len(batch) > 0 {
-		//nolint:errcheck,gosec // see above
-		w.cfg.To.Write(batch)
+	if _, err := w.cfg.To.Write(batch); err != nil {
+		w.unreported.Add(lines)
+		w.dropped.Add(lines)
 	}
 }
 
--- a/event/output/output_test.go
+++ b/event/output/output_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -89,3 +91,53 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// pipe takes so many bytes in one piece and fails a longer write after them, and every write while it is full.
+type pipe struct {
+	bytes.Buffer
+	full bool
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	if p.full {
+		return 0, io.ErrShortWrite
+	}
+
+	n := min(len(b), maxBatchBytes)
+	_, _ = p.Buffer.Write(b[:n])
+
+	if n < len(b) {
+		return n, io.ErrShortWrite
+	}
+
+	return n, nil
+}
+
+// Guards against lines that are lost without a trace when a process that was paused writes many at once, as those that say
+// what it freed were.
+func TestManyLinesAreWrittenWhole(t *testing.T) {
+	var p pipe
+
+	w := New(Config{To: &p})
+	want := ""
+
+	for i := range 200 {
+		line := fmt.Sprintf("%0*d\n", 300+i, i)
+		want += line
+		_, _ = w.Write([]byte(line))
+	}
+
+	w.flush()
+
+	if got := p.String(); got != want {
+		t.Errorf("got %d bytes, want %d", len(got), len(want))
+	}
+
+	p.full = true
+	_, _ = w.Write([]byte("lost\n"))
+	w.flush()
+
+	if got := w.Dropped(); got != 1 {
+		t.Errorf("got %d lines counted as dropped, want 1", got)
+	}
+}
--- a/vault/watcher.go
+++ b/vault/watcher.go
@@ -594,17 +594,31 @@
 		"vault", parts.Address, "epoch", parts.Epoch, "parts", len(parts.Parts), "tokens", parts.Tokens, "model", model, "before", newer.version,
 		"confirmed", newer.confirmedAfter != Unconfirmed, "confirmed_after_ms", newer.confirmedAfterMs(), "known_ms", now.Sub(newer.learnedAt).Milliseconds(), "rank", w.cfg.Rank(parts.Address),
 		"clock", clock, "clock_age_ms", w.cfg.Directory.ClockAge(now).Milliseconds(), "until", until,
-		"ended", lastEnd(newer, parts.Parts), "ran_until", ranUntil, "part", partIDs(parts.Parts),
+		"ended", lastEnd(newer, parts.Parts), "ran_until", ranUntil,
 	}
 
-	if err := w.cfg.Source.Free(c, parts.Address, parts.Epoch, parts.Parts, until); err != nil {
-		event.Fail(w.cfg.Log, err, event.FreeUnknown, fields...)
-
-		return
+	err := w.cfg.Source.Free(c, parts.Address, parts.Epoch, parts.Parts, until)
+	if err == nil {
+		w.cfg.Directory.MarkFreed(parts)
 	}
 
-	w.cfg.Directory.MarkFreed(parts)
-	event.Log(w.cfg.Log, event.VaultFreed, fields...)
+	w.logFree(err, fields, parts.Parts)
+}
+
+// maxLoggedParts is the maximum number of parts that one log line names. Longer lines may be cut off.
+const maxLoggedParts = 200
+
+// logFree logs a call to free parts and its error, in as many lines as name all parts.
+func (w *Watcher) logFree(err error, fields []any, parts []Part) {
+	for some := range slices.Chunk(parts, maxLoggedParts) {
+		fields := append(slices.Clone(fields), "part", partIDs(some))
+
+		if err != nil {
+			event.Fail(w.cfg.Log, err, event.FreeUnknown, fields...)
+		} else {
+			event.Log(w.cfg.Log, event.VaultFreed, fields...)
+		}
+	}
 }
 
 // partIDs returns the ids of parts, separated by commas.
--- a/vault/watcher_test.go
+++ b/vault/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -381,6 +382,30 @@
 	}
 }
 
+// Guards against lines about frees that are too long to be written whole.
+func TestFreeOfManyPartsIsLoggedInSeveralLines(t *testing.T) {
+	var lines []string
+
+	w := NewWatcher(WatcherConfig{Log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{Verbosity: 10})})
+	parts := make([]Part, maxLoggedParts+1)
+
+	for i := range parts {
+		parts[i].ID = fmt.Sprintf("part-%d.", i)
+	}
+
+	w.logFree(nil, []any{"vault", "s"}, parts)
+
+	if len(lines) != 2 {
+		t.Fatalf("got %d lines, want 2", len(lines))
+	}
+
+	for i, p := range parts {
+		if !strings.Contains(lines[i/maxLoggedParts], p.ID) || !strings.Contains(lines[i/maxLoggedParts], `"vault"="s"`) {
+			t.Errorf("got %q, want %s in it", lines[i/maxLoggedParts], p.ID)
+		}
+	}
+}
+
 // silentFreeStore responds to calls to free parts with an error, or with success if err is nil.
 type silentFreeStore struct{ err error }
 
