upstream: a connection with a response to another request is closed

Whatever put the responses out of order may go on: the next request there would get another late one.

Change: the connection is closed after the exchange, as controlcall does.

Evidence: TestConnectionWithAResponseToAnotherRequestIsClosed fails before (one connection for both requests).

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -44,6 +44,7 @@
 	bodyWritten chan error // result of writing the body; nil if it was written with the head
 	complete    bool
 	failed      bool
+	mismatched  bool // a response to another request arrived first
 }
 
 // Send writes a request and returns once the header of its response was read. When ctx
@@ -131,6 +132,8 @@
 			return resp, nil
 		}
 
+		x.mismatched = true
+
 		if err := discard(resp); err != nil {
 			return nil, err
 		}
@@ -186,8 +189,8 @@
 // connection.
 func (x *Exchange) MarkBroken() { x.failed = true }
 
-// Close ends the exchange. The connection is kept if the response was read to its end and
-// no bytes follow it; otherwise it is closed, which tells the target to stop.
+// Close ends the exchange. The connection is kept if the response was read to its end, no bytes follow it and it
+// was the first one to arrive; otherwise it is closed, which tells the target to stop.
 func (x *Exchange) Close() {
 	if !x.stopAbort() || !x.reusable() {
 		x.conn.close()
@@ -205,7 +208,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if !x.complete || x.failed || x.resp.Close || x.Framing() == CloseFraming || x.conn.br.Buffered() > 0 {
+	if !x.complete || x.failed || x.mismatched || x.resp.Close || x.Framing() == CloseFraming || x.conn.br.Buffered() > 0 {
 		return false
 	}
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -415,3 +415,41 @@
 		}
 	}
 }
+
+// Guards against further requests on a connection on which responses no longer arrive in the order of the requests.
+func TestConnectionWithAResponseToAnotherRequestIsClosed(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nother"
+
+	address := newTarget(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(br); err != nil {
+				return
+			}
+
+			if _, err := io.WriteString(c, other+okResponse); err != nil {
+				return
+			}
+		}
+	})
+	p := NewPool(Config{})
+
+	for want := range uint64(2) {
+		x, err := p.Send(t.Context(), Request{
+			Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+			Match: func(h http.Header) bool { return h.Get("X-Id") == "1" },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		if body, err := io.ReadAll(x); err != nil || string(body) != "ok" {
+			t.Errorf("got %q, %v, want the request's own response", body, err)
+		}
+
+		x.Close()
+
+		if got := p.Dials(); got != want+1 {
+			t.Errorf("got %d connections opened, want %d", got, want+1)
+		}
+	}
+}
