--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -32,3 +32,24 @@
 func tenant(name, key string) map[string]any {
 	return map[string]any{"name": name, "apiKeys": []string{key}, "priority": 1}
 }
+
+// manifestPull returns the route of the lookups.
+func manifestPull() map[string]any {
+	return map[string]any{
+		"name": "manifest-pull", "host": host, "pathPrefix": "/manifest/", "kind": "idempotent", "timeoutMs": 800, "targetLatencyMs": 150,
+		"priority": 2, "service": "booking-api", "maxAttempts": 2, "public": false, "sticky": false, "resumable": false,
+	}
+}
+
+// bookingWrite returns the route of the bookings, which must not run twice.
+func bookingWrite() map[string]any {
+	return map[string]any{
+		"name": "booking-write", "host": host, "pathPrefix": "/booking/", "kind": "non_idempotent", "timeoutMs": 800, "targetLatencyMs": 150,
+		"priority": 2, "service": "booking-api", "maxAttempts": 1, "public": false, "sticky": false, "resumable": false,
+	}
+}
+
+// bookingService returns the configuration of the plain service.
+func bookingService() map[string]any {
+	return map[string]any{"name": "booking-api", "healthPath": "/healthz", "maxConnections": 96, "protocol": "h1", "tls": false}
+}
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -33,7 +33,7 @@
 	firstEvent, eventInterval time.Duration
 	events                    int
 	loadTime                  time.Duration // for new weights, at least
-	deadly                    string        // body of a request that crashes the engine which begins to run it; empty for none
+	deadly                    string        // body, or path with query, of a request that crashes the engine which begins to run it; empty for none
 	onDeadly                  func(e *engine, request string)
 	store                     *store
 	rec                       *record
@@ -417,7 +417,7 @@
 		tenants[name]--
 	}()
 
-	if e.cfg.deadly != "" && string(body) == e.cfg.deadly {
+	if e.cfg.deadly != "" && (string(body) == e.cfg.deadly || r.RequestURI == e.cfg.deadly) {
 		go e.cfg.onDeadly(e, request)
 		<-down
 		panic(http.ErrAbortHandler)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,10 +26,11 @@
 type testCase func(root, dir string, rec *record, trouble bool) (ruleBroken bool, err error)
 
 var cases = map[string]testCase{
-	"shared-part": sharedPart,
-	"two-models":  twoModels,
-	"deadly":      deadlyRequest,
-	"same-call":   sameCall,
+	"shared-part":  sharedPart,
+	"two-models":   twoModels,
+	"deadly":       deadlyRequest,
+	"deadly-query": deadlyQuery,
+	"same-call":    sameCall,
 }
 
 func main() {
--- a/review/harness/same_call.go
+++ b/review/harness/same_call.go
@@ -27,13 +27,8 @@
 	zones := []string{"yvr-east", "yvr-west", "burnaby-a"}
 
 	cfg := fleetConfig{root: root, dir: dir, zones: zones, rec: rec, config: map[string]any{
-		"revision": 1, "limits": limits,
-		"routes": []any{map[string]any{
-			"name": "manifest-pull", "host": host, "pathPrefix": "/manifest/", "kind": "idempotent", "timeoutMs": 800, "targetLatencyMs": 150,
-			"priority": 2, "service": "booking-api", "maxAttempts": 2, "public": false, "sticky": false, "resumable": false,
-		}},
-		"services": []any{map[string]any{"name": "booking-api", "healthPath": "/healthz", "maxConnections": 96, "protocol": "h1", "tls": false}},
-		"tenants":  []any{tenant("desk-a", "keya"), tenant("desk-b", "keyb")},
+		"revision": 1, "limits": limits, "routes": []any{manifestPull()}, "services": []any{bookingService()},
+		"tenants": []any{tenant("desk-a", "keya"), tenant("desk-b", "keyb")},
 	}}
 
 	for i := range engines {
