--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -54,7 +54,9 @@
 	tenants  map[string]int // number of running requests by tenant
 	ran      map[string]int // runs by request id, of all starts
 	orders   []order
-	parts    map[[3]string]int // salt, id and model of cached parts: tokens
+	parts    map[[3]string]int    // salt, id and model of cached parts: tokens
+	makers   map[[3]string]string // tenants whose requests made them
+	uses     []partUse
 	events   [][]any
 	changed  chan struct{}
 	beats    int
@@ -62,6 +64,12 @@
 	down     chan struct{} // closed by the end of the present start
 }
 
+// partUse is the use of a cached part by a request of another tenant than the one that made it.
+type partUse struct {
+	engine, request, tenant, maker, part string
+	at                                   time.Time
+}
+
 // order is an order that the engine received.
 type order struct {
 	Op       string `json:"op"`
@@ -96,7 +104,7 @@
 	e.starts++
 	e.id = fmt.Sprintf("i-%s-%d", e.cfg.name, e.starts)
 	e.busy, e.sequence, e.beats, e.running, e.tenants = false, 0, 0, make(map[string]int), make(map[string]int)
-	e.parts, e.events, e.changed = make(map[[3]string]int), nil, make(chan struct{})
+	e.parts, e.makers, e.events, e.changed = make(map[[3]string]int), make(map[[3]string]string), nil, make(chan struct{})
 	e.down = make(chan struct{})
 	e.server = &http.Server{Handler: e.handler(e.id, e.down), ReadHeaderTimeout: time.Minute}
 	s, id, down := e.server, e.id, e.down
@@ -431,6 +439,7 @@
 		return
 	}
 
+	e.useParts(r, id)
 	e.stream(w, r, down)
 	e.keepParts(r)
 }
@@ -473,6 +482,27 @@
 	}
 }
 
+// useParts records which cached parts of other tenants a prompt uses: those before which all are cached too.
+func (e *engine) useParts(r *http.Request, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	h := r.Header
+
+	for x := range strings.SplitSeq(h.Get("X-Prompt-Prefix"), ",") {
+		part, _, _ := strings.Cut(x, ":")
+		p := [3]string{h.Get("X-Cache-Salt"), part, h.Get("X-Model")}
+
+		if _, ok := e.parts[p]; !ok {
+			return
+		}
+
+		if maker := e.makers[p]; maker != h.Get("X-Tenant") {
+			e.uses = append(e.uses, partUse{id, h.Get("X-Request-Id"), h.Get("X-Tenant"), maker, part, time.Now()})
+		}
+	}
+}
+
 // keepParts caches the parts of a prompt that was read.
 func (e *engine) keepParts(r *http.Request) {
 	e.mu.Lock()
@@ -487,6 +517,7 @@
 
 		if _, ok := e.parts[p]; !ok && n >= 16 {
 			e.parts[p] = n
+			e.makers[p] = r.Header.Get("X-Tenant")
 			e.addEvent("+", p, n)
 		}
 	}
@@ -525,6 +556,14 @@
 	return slices.Clone(e.orders)
 }
 
+// foreignUses returns the uses of parts that other tenants made, so far.
+func (e *engine) foreignUses() []partUse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return slices.Clone(e.uses)
+}
+
 // hasVersion reports whether the engine has a version of a model.
 func (e *engine) hasVersion(model string, version int64) bool {
 	e.mu.Lock()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 	"two-models":   twoModels,
 	"deadly":       deadlyRequest,
 	"deadly-query": deadlyQuery,
+	"isolated":     isolated,
 	"same-call":    sameCall,
 }
 
