quarantine: tell requests apart by method, host and query

Cause: the gateway's fingerprint was made of the organisation, the decoded path and the body. Lookups of the same caller that differ in the query have the same one, and each of their complete responses cleared it.

TestResponsesToSimilarRequestsDoNotClearACrashingOne failed before in all five cases: 10 of 10 targets ended, 3 allowed, 503 at last for 422.

Change: quarantine.Request defines what a request is when it comes again, at both doors: organisation, host or service, method, path and query as they are forwarded, body. A finer key alone would miss a request that has another query each time. What all queries of a path have in common is therefore a part for PartTracker: responses to other queries clear the path, but never the request. TestCrashingRequestWithAnotherQueryEachTimeIsRefused passed before, as the key was coarse, and holds that.

Also logged now: a response that clears a request (2355 request_cleared).

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -102,11 +102,11 @@
 		return nil, failure.New(failure.BadRequest, "%s is longer than %d bytes", headerIdempotencyKey, maxIdempotencyKey)
 	}
 
-	content := append([]byte(name+" "+r.Method+" "+path+"\x00"), b...)
+	identity := quarantine.Request{Organisation: q.organisation, Service: name, Method: r.Method, Target: path, Body: b}
 	c.message = message.Call{
 		RequestID:    q.id,
 		Organisation: q.organisation,
-		Fingerprint:  quarantine.FingerprintOf(q.organisation, content),
+		Fingerprint:  identity.Fingerprint(),
 		Service:      name,
 		Method:       r.Method,
 		Path:         path,
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +39,26 @@
 	return e
 }
 
+// newEngineCrashedBy returns a target that ends when it gets a request of which a function reports true, and
+// responds with ok200 otherwise.
+func newEngineCrashedBy(t *testing.T, id string, crashes func(r *http.Request) bool) *fakeEngine {
+	t.Helper()
+
+	var e *fakeEngine
+
+	e = newFakeEngine(t, id, func(c net.Conn, r *http.Request) bool {
+		if !crashes(r) {
+			return respond(ok200)(c, r)
+		}
+
+		e.end()
+
+		return false
+	})
+
+	return e
+}
+
 // newEntryFleet returns entries that know the same targets and report crashes to each other.
 func newEntryFleet(t *testing.T, entries int, engines ...*fakeEngine) []*testEnv {
 	t.Helper()
@@ -130,6 +152,101 @@
 	}
 }
 
+// Guards against a request that is cleared by the responses to others of its caller, which differ from it in the query,
+// the method or the encoding of the path alone, and goes on ending targets.
+func TestResponsesToSimilarRequestsDoNotClearACrashingOne(t *testing.T) {
+	tests := []struct {
+		name, method, path, body string
+		others                   []string // method and path of each
+	}{
+		{"another query", http.MethodGet, "/idem/today?driver=0", "", []string{"GET /idem/today?driver=1", "GET /idem/today?driver=2", "GET /idem/today"}},
+		{"without a query", http.MethodGet, "/idem/today", "", []string{"GET /idem/today?driver=1", "GET /idem/today?"}},
+		{"another order of parameters", http.MethodGet, "/idem/today?a=1&b=2", "", []string{"GET /idem/today?b=2&a=1"}},
+		{"another method", http.MethodPut, "/idem/today", "x", []string{"PATCH /idem/today"}},
+		{"another encoding of the path", http.MethodGet, "/idem/a%2Fb", "", []string{"GET /idem/a/b"}},
+	}
+
+	const (
+		entries  = 3
+		targets  = 10
+		requests = 9
+		limit    = 3
+	)
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engines := make([]*fakeEngine, targets)
+			for i := range engines {
+				engines[i] = newEngineCrashedBy(t, strconv.Itoa(i), func(r *http.Request) bool { return r.Method == tt.method && r.RequestURI == tt.path })
+			}
+
+			fleet := newEntryFleet(t, entries, engines...)
+
+			var last reply
+
+			for i := range requests {
+				last = fleet[i%entries].request(t, tt.method, tt.path, tt.body, "Id", "r"+strconv.Itoa(i))
+
+				for j, env := range fleet {
+					for k, other := range tt.others {
+						method, path, _ := strings.Cut(other, " ")
+
+						got := env.request(t, method, path, tt.body, "Id", fmt.Sprintf("o%d.%d.%d", i, j, k))
+						if want := http.StatusOK; got.status != want && countEnded(engines) < targets {
+							t.Errorf("%s: got status %d, want %d", other, got.status, want)
+						}
+					}
+				}
+			}
+
+			if got := countEnded(engines); got != limit {
+				t.Errorf("got %d targets ended under the request, want %d", got, limit)
+			}
+
+			if got, want := last.status, http.StatusUnprocessableEntity; got != want {
+				t.Errorf("got status %d at last, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a request that ends targets and comes with another query each time: no two of them have the same
+// fingerprint.
+func TestCrashingRequestWithAnotherQueryEachTimeIsRefused(t *testing.T) {
+	const (
+		entries  = 3
+		targets  = 24
+		requests = 16
+		// limit is the number of ends behind which three more are allowed.
+		limit = 5 + 3
+	)
+
+	engines := make([]*fakeEngine, targets)
+	for i := range engines {
+		engines[i] = newEngineCrashedBy(t, strconv.Itoa(i), func(r *http.Request) bool { return r.URL.Path == "/idem/bad" })
+	}
+
+	fleet := newEntryFleet(t, entries, engines...)
+
+	var last reply
+
+	for i := range requests {
+		last = fleet[i%entries].request(t, http.MethodGet, "/idem/bad?n="+strconv.Itoa(i), "", "Id", "r"+strconv.Itoa(i))
+
+		if got := fleet[i%entries].request(t, http.MethodGet, "/idem/good?n="+strconv.Itoa(i), "", "Id", "o"+strconv.Itoa(i)); got.status != http.StatusOK && countEnded(engines) < targets {
+			t.Errorf("request %d at another path: got status %d, want 200", i, got.status)
+		}
+	}
+
+	if got := countEnded(engines); got > limit {
+		t.Errorf("got %d targets ended under the requests, want at most %d", got, limit)
+	}
+
+	if got, want := last.status, http.StatusUnprocessableEntity; got != want {
+		t.Errorf("got status %d at last, want %d", got, want)
+	}
+}
+
 // Guards against ends that count against nobody because the evidence comes late or from elsewhere,
 // and against connections that count as ends although their target lives on.
 func TestEvidenceOfATargetsEnd(t *testing.T) {
@@ -279,7 +396,9 @@
 
 			await(t, "waiting", func() int { return tt.waiting(env) }, 2)
 
-			f := quarantine.FingerprintOf("ferry", []byte(path+"\n"+crashingBody))
+			q := quarantine.Request{Organisation: "ferry", Service: "desk", Method: http.MethodPost, Target: path, Body: []byte(crashingBody)}
+			f := q.Fingerprint()
+
 			for _, id := range []string{"t1", "t2", "t3"} {
 				env.gateway.AddReportedCrash(time.Now(), quarantine.Crash{Target: id, Boot: id, Running: []quarantine.Fingerprint{f}})
 			}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -321,13 +321,13 @@
 func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
 	env := newTestEnv(t, newFakeEngine(t, "a", respond(ok200)))
 	f := func(body string) error {
-		k := &task{g: env.gateway, r: &http.Request{URL: mustURL(t, "/once/1")}, body: []byte(body), organisation: &site.Organisation{Name: "ferry"}}
+		k := &task{g: env.gateway, route: &routes[0], r: &http.Request{URL: mustURL(t, "/once/1")}, body: []byte(body), organisation: &site.Organisation{Name: "ferry"}}
 
 		return k.checkQuarantine(time.Now())
 	}
 
 	for i, target := range []string{"t1", "t2", "t3"} {
-		k := &task{g: env.gateway, r: &http.Request{URL: mustURL(t, "/once/1")}, body: []byte("poison"), organisation: &site.Organisation{Name: "ferry"}}
+		k := &task{g: env.gateway, route: &routes[0], r: &http.Request{URL: mustURL(t, "/once/1")}, body: []byte("poison"), organisation: &site.Organisation{Name: "ferry"}}
 		if err := k.checkQuarantine(time.Now()); err != nil {
 			t.Fatalf("crash %d: got request quarantined: %v", i, err)
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,14 +21,14 @@
 // it, or prompts with one of its parts.
 func (t *task) checkQuarantine(now time.Time) error {
 	if t.fingerprint == (quarantine.Fingerprint{}) {
-		t.fingerprint = quarantine.FingerprintOf(t.organisationName(), append([]byte(t.r.URL.Path+"\n"), t.body...))
+		t.identify()
 	}
 
 	if _, err := t.g.cfg.Crashes.Check(now, t.fingerprint); err != nil {
 		return err
 	}
 
-	v := t.g.cfg.CrashParts.Check(now, t.sharedParts())
+	v := t.g.cfg.CrashParts.Check(now, t.sharedParts)
 	if t.probes(now, v) {
 		return nil
 	}
@@ -36,12 +36,23 @@
 	return v.Err()
 }
 
-// sharedParts returns the ids of the parts of the prompt that other prompts may have too.
-func (t *task) sharedParts() []string { return t.arrival.Prompt.SharedPartIDs() }
+// identify sets what crashes of targets are counted against. A target that ends requests of a path, whatever their
+// query, is found by that path: it is a part that they share.
+func (t *task) identify() {
+	q := quarantine.Request{
+		Organisation: t.organisationName(), Service: t.route.Host, Method: t.r.Method, Target: t.r.RequestURI, Body: t.body,
+	}
+	t.fingerprint = q.Fingerprint()
+	t.sharedParts = t.arrival.Prompt.SharedPartIDs()
+
+	if t.r.URL.RawQuery != "" {
+		t.sharedParts = append(t.sharedParts, q.PathPart(t.r.URL.EscapedPath()))
+	}
+}
 
 // crashCandidate returns what may have ended a target under the request.
 func (t *task) crashCandidate() crashCandidate {
-	return crashCandidate{fingerprint: t.fingerprint, parts: t.sharedParts()}
+	return crashCandidate{fingerprint: t.fingerprint, parts: t.sharedParts}
 }
 
 // probes reports whether the request tries whether a quarantined part still ends its target: one request of
@@ -64,13 +75,13 @@
 // mayRepeatSuspect reports whether the request may be sent to another target after an attempt in which it may
 // have run: not if one of its parts may have ended the target.
 func (t *task) mayRepeatSuspect(now time.Time, o outcome) bool {
-	return !o.mayHaveRun || t.g.cfg.CrashParts.Check(now, t.sharedParts()).Status == quarantine.Clear
+	return !o.mayHaveRun || t.g.cfg.CrashParts.Check(now, t.sharedParts).Status == quarantine.Clear
 }
 
 // beginParts records that the prompt is about to be sent. It returns an error if one of its parts is suspect and
 // another prompt with that part has no response yet: if the part ends targets, one at a time has to suffice.
 func (t *task) beginParts(now time.Time) error {
-	parts := t.sharedParts()
+	parts := t.sharedParts
 	if len(parts) == 0 || t.beginning {
 		return nil
 	}
@@ -89,7 +100,7 @@
 // endParts records that the prompt has got its first event, or isn't sent.
 func (t *task) endParts() {
 	if t.beginning {
-		t.g.crashes.end(t.sharedParts())
+		t.g.crashes.end(t.sharedParts)
 		t.beginning = false
 	}
 }
@@ -124,9 +135,11 @@
 
 // recordCompletion records that the request got a complete response.
 func (t *task) recordCompletion(now time.Time) {
-	t.g.cfg.Crashes.RecordCompletion(now, t.fingerprint)
+	if n := t.g.cfg.Crashes.RecordCompletion(now, t.fingerprint); n > 0 {
+		event.Log(t.g.cfg.Log, event.RequestCleared, "request_id", t.arrival.ID, "fingerprint", t.fingerprint.String(), "crashes", n)
+	}
 
-	cleared := t.g.cfg.CrashParts.RecordCompletion(now, t.sharedParts())
+	cleared := t.g.cfg.CrashParts.RecordCompletion(now, t.sharedParts)
 	if len(cleared) == 0 {
 		return
 	}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -35,8 +35,9 @@
 	service      site.Service
 	hash         uint64 // of the request id: evenly spread, the same for all attempts
 	fingerprint  quarantine.Fingerprint
-	probedPart   string // quarantined part that the request tries; empty for none
-	beginning    bool   // whether it is sent and has no event yet, see beginParts
+	sharedParts  []string // ids of its parts that other requests may have too, see identify
+	probedPart   string   // quarantined part that the request tries; empty for none
+	beginning    bool     // whether it is sent and has no event yet, see beginParts
 
 	attempts       int             // sent so far
 	possibleRuns   int             // attempts in which the request may have run
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -16,8 +16,9 @@
 // a target turns out to be running with the same boot id, its report is withdrawn
 // (WithdrawCrash): only a connection was broken.
 //
-// Some crashes are not caused by a whole request but by one part of a prompt, which other
-// requests have too, no two of them alike. A PartTracker finds these.
+// Some crashes are not caused by a whole request but by one part of it, which other
+// requests have too, no two of them alike: a part of a prompt, or a path that comes with
+// another query each time (see PathPart). A PartTracker finds these.
 //
 // The result depends only on the set of reports and completions and not on their order,
 // so entries that merged the same set agree.
@@ -29,34 +30,13 @@
 package quarantine
 
 import (
-	"encoding/hex"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"boragehub/failure"
 )
 
-// Fingerprint identifies a request by its organisation and content.
-type Fingerprint [16]byte
-
-// String returns f in hexadecimal.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
-
-// FingerprintOf returns the fingerprint of an organisation's content. It is not a
-// cryptographic hash: a caller that produces a collision harms only its own organisation,
-// whose name is part of the hashed data.
-func FingerprintOf(organisation string, content []byte) Fingerprint {
-	h := xxh3.New()
-	_, _ = h.WriteString(organisation)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(content)
-
-	return h.Sum128().Bytes()
-}
-
 // Crash is the report of a target that crashed.
 type Crash struct {
 	// Target is the target's VM.
@@ -246,14 +226,20 @@
 }
 
 // RecordCompletion clears a suspect that has completed, which a request that crashes every
-// target would not have. Only crashes received after now count from then on.
-func (t *Tracker) RecordCompletion(now time.Time, f Fingerprint) {
+// target would not have. Only crashes received after now count from then on. It returns the
+// number of crashes that counted against f until now.
+func (t *Tracker) RecordCompletion(now time.Time, f Fingerprint) (cleared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if _, ok := t.suspects[f]; ok {
-		t.completed[f] = now
+	if _, ok := t.suspects[f]; !ok {
+		return 0
 	}
+
+	cleared = t.crashCount(f)
+	t.completed[f] = now
+
+	return cleared
 }
 
 // Check returns the status of f; for Quarantined also an error of kind
