--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -79,7 +79,7 @@
 	e.directory, e.members = directory, members
 	e.crashes = quarantine.Evidence{
 		Requests: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: quarantineCrashes}),
-		Parts:    quarantine.NewPartTracker(quarantine.PartTrackerConfig{CrashLimit: quarantineCrashes}),
+		Parts:    quarantine.NewPartTracker(quarantine.PartTrackerConfig{CrashLimit: quarantineCrashes, FirstProbe: firstProbe}),
 	}
 	e.client = exchange.NewClient(members)
 	e.archive = archive.New(archive.Config{
@@ -139,12 +139,12 @@
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
 		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, PartQuarantined: e.archive.PartQuarantined,
-		ReportCleared: func(parts []string) {
-			e.archive.PartsCleared(parts)
-			e.client.ReportClearedParts(parts)
+		ReportCleared: func(all []quarantine.Acquittal) {
+			e.archive.PartsCleared(partsOf(all))
+			e.client.ReportCleared(all)
 		},
-		ProbesPart: func(part string) bool { return members.Rank(time.Now(), part) == 0 },
-		Start:      time.Now(), FirstStart: cfg.Bootstrap,
+		ProbeRank: func(part string) int { return members.Rank(time.Now(), part) },
+		Start:     time.Now(), FirstStart: cfg.Bootstrap,
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
@@ -154,7 +154,7 @@
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
 	e.addFollowers(source, operators, register, meter)
 	e.peers = exchange.NewServer(exchange.ServerConfig{
-		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, OnClearedParts: e.onClearedParts, Register: e.registration.Add,
+		Members: members, Vaults: directory, Crashes: e.crashes, OnAnnouncement: e.onAnnouncement, OnCrash: e.gateway.AddReportedCrash, OnRateLimit: e.onRateLimit, OnLeaving: e.onLeaving, OnCleared: e.onCleared, Register: e.registration.Add,
 		Topics: map[string]*mirror.Topic{platform.OperatorTopic: operators, platform.RegisterTopic: register},
 	})
 
@@ -310,10 +310,23 @@
 	e.roster.ObserveAnnouncedLeaving(now, roster.Leaving{ID: l.Target, StartedMs: l.StartedMs})
 }
 
-// onClearedParts handles parts of prompts that a response at another entry has cleared.
-func (e *gatewayProcess) onClearedParts(now time.Time, parts []string) {
-	e.archive.PartsDropped(parts)
-	e.gateway.AddClearedParts(now, parts)
+// onCleared handles responses at another entry that have cleared requests or parts of them.
+func (e *gatewayProcess) onCleared(now time.Time, all []quarantine.Acquittal) {
+	e.archive.PartsDropped(partsOf(all))
+	e.gateway.AddAcquittals(now, all)
+}
+
+// partsOf returns the parts that responses have cleared.
+func partsOf(all []quarantine.Acquittal) []string {
+	var parts []string
+
+	for _, a := range all {
+		if a.Part != "" {
+			parts = append(parts, a.Part)
+		}
+	}
+
+	return parts
 }
 
 // AnnounceVersion announces to all entries, this one included, that a target which this entry
@@ -333,7 +346,7 @@
 // syncCrashes learns from other entries of crashes that were not reported to this one.
 func (e *gatewayProcess) syncCrashes(ctx context.Context) {
 	e.waitForPeers(ctx)
-	e.client.SyncCrashes(ctx, e.crashes, e.gateway.AddKnownCrash)
+	e.client.SyncCrashes(ctx, e.crashes, e.gateway)
 }
 
 // tick runs periodic work until ctx ends.
--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -84,6 +84,9 @@
 // are refused.
 const quarantineCrashes = 3
 
+// firstProbe is how long after its last crash a quarantined part of prompts is first tried again.
+const firstProbe = 5 * time.Second
+
 // archiveWriters is the number of entries that write a quarantined part to the log.
 const archiveWriters = 2
 
--- a/experiment/crashed/crashed_test.go
+++ b/experiment/crashed/crashed_test.go
@@ -23,6 +23,24 @@
 	}
 }
 
+// Guards against sound parts that are refused because engines crash in series for other reasons, and against a bad part
+// that crashes engines on beside them.
+func TestPartsAreToldApartBesideSeriesOfCrashes(t *testing.T) {
+	for _, d := range SeriesDeployments() {
+		for seed := range uint64(3) {
+			r := Simulate(d, ByPart, seed)
+
+			if r.Late > 3 {
+				t.Errorf("%+v, seed %d: got %d prompts with the bad part late, want 3 at most", d, seed, r.Late)
+			}
+
+			if refused, want := r.Refused*float64(r.Sound), 5+float64(r.Sound)/500; refused > want {
+				t.Errorf("%+v, seed %d: got %.0f of %d sound prompts refused, want %.0f at most", d, seed, refused, r.Sound, want)
+			}
+		}
+	}
+}
+
 func TestTableHasAllWays(t *testing.T) {
 	var b strings.Builder
 
--- a/experiment/crashed/simulation.go
+++ b/experiment/crashed/simulation.go
@@ -35,8 +35,12 @@
 	// Bad is the number of bad parts, BadPerSecond the rate of prompts with one of them.
 	Bad          int
 	BadPerSecond float64
-	// Crashes is the number of times that engines crash for other reasons.
+	// Crashes is the number of times that engines crash for other reasons, one by one or many at once.
 	Crashes int
+	// Every, if not zero, is the time from one crash of a fraction Share of the engines to the next. They are back
+	// after a second.
+	Every time.Duration
+	Share float64
 }
 
 // Way is a way to find what crashes engines.
@@ -68,6 +72,8 @@
 	// Served is the fraction of sound prompts that were served, Refused that of those that were refused as
 	// they had a quarantined part.
 	Served, Refused float64
+	// Sound is the number of sound prompts.
+	Sound int
 }
 
 // Parameters of a simulation.
@@ -76,12 +82,15 @@
 	length     = 40 * time.Second
 	firstParts = 3
 	down       = 3 * time.Second
+	shortDown  = time.Second
 	// badDelay is the time from the arrival of a bad prompt until its engine crashes, at least.
 	badDelay = 60 * time.Millisecond
 	// reportDelay is how long after a crash or a response other entries know, at most.
 	reportDelay = 60 * time.Millisecond
 	// startDelay is how long after its start an entry knows what others know.
 	startDelay = 300 * time.Millisecond
+	// firstProbe is how long after its last crash a quarantined part is first tried.
+	firstProbe = 5 * time.Second
 	// late is how long after the fifth crash a prompt counts as late.
 	late, fifth = 3 * time.Second, 5
 )
@@ -113,6 +122,7 @@
 type entry struct {
 	requests *quarantine.Tracker
 	parts    *quarantine.PartTracker
+	ended    quarantine.RecentTally
 }
 
 // simulation is the state of one run.
@@ -132,7 +142,7 @@
 
 // Simulate plays a load, determined by a seed, with one way.
 func Simulate(d Deployment, w Way, seed uint64) Result {
-	s := &simulation{d: d, way: w, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Time{}.Add(time.Hour), reached: make(map[string][]time.Time)}
+	s := &simulation{d: d, way: w, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), reached: make(map[string][]time.Time)}
 
 	for range d.Entries {
 		s.entries = append(s.entries, newEntry())
@@ -159,10 +169,14 @@
 
 		for _, c := range crashAt {
 			if c >= at && c < at+step {
-				s.crashSome(faults)
+				s.crashSome(faults, []float64{0, 0.3, 1}[faults.IntN(3)], down)
 			}
 		}
 
+		if d.Every > 0 && at > 0 && at%d.Every < step {
+			s.crashSome(faults, d.Share, shortDown)
+		}
+
 		if restartAt >= at && restartAt < at+step {
 			s.restart(faults.IntN(d.Entries))
 		}
@@ -172,34 +186,33 @@
 }
 
 func newEntry() *entry {
-	return &entry{quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3}), quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
+	return &entry{
+		requests: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3}),
+		parts:    quarantine.NewPartTracker(quarantine.PartTrackerConfig{FirstProbe: firstProbe}),
+	}
 }
 
-// tell lets all entries learn of something: one at once, the others later.
-func (s *simulation) tell(first int, learn func(now time.Time, e *entry)) {
+// tellOthers lets all entries but one learn of something some time later.
+func (s *simulation) tellOthers(but int, learn func(now time.Time, e *entry)) {
 	for i := range s.entries {
-		at := s.now
-		if i != first {
-			at = at.Add(time.Duration(s.rng.Int64N(int64(reportDelay))))
+		if i != but {
+			s.messages = append(s.messages, message{s.now.Add(time.Duration(s.rng.Int64N(int64(reportDelay)))), i, learn})
 		}
-
-		s.messages = append(s.messages, message{at, i, learn})
 	}
 }
 
 // deliver lets entries learn what is due.
 func (s *simulation) deliver() {
-	kept := s.messages[:0]
+	all := s.messages
+	s.messages = nil // entries may send further ones
 
-	for _, m := range s.messages {
+	for _, m := range all {
 		if m.at.After(s.now) {
-			kept = append(kept, m)
+			s.messages = append(s.messages, m)
 		} else {
 			m.learn(s.now, s.entries[m.entry])
 		}
 	}
-
-	s.messages = kept
 }
 
 // restart starts an entry anew, which learns later what the others know.
@@ -218,6 +231,8 @@
 			for _, c := range other.parts.Crashes(now) {
 				e.parts.RecordCrash(now, c)
 			}
+
+			e.parts.Acquit(now, other.parts.Acquittals())
 		}
 	}})
 }
@@ -240,17 +255,28 @@
 		for _, p := range due {
 			s.served++
 
-			s.tell(p.entry, func(now time.Time, e *entry) { e.parts.RecordCompletion(now, p.parts) })
+			s.complete(p)
 		}
 
 		if slices.ContainsFunc(x.running, func(p *prompt) bool { return !p.endsAt.After(s.now) }) {
-			s.crash(i)
+			s.crash(i, down)
 		}
 	}
 }
 
-// crash ends an engine. Each entry reports the prompts that it had there.
-func (s *simulation) crash(i int) {
+// complete completes the response to a prompt. Its entry tells the others of the parts that it clears.
+func (s *simulation) complete(p *prompt) {
+	e, at := s.entries[p.entry], s.now
+	e.ended.Add(at, quarantine.Tally{Complete: 1})
+
+	for _, part := range e.parts.RecordCompletion(at, p.parts) {
+		s.tellOthers(p.entry, func(now time.Time, e *entry) { e.parts.Acquit(now, []quarantine.Acquittal{{Part: part, At: at}}) })
+	}
+}
+
+// crash ends an engine for some time. Each entry reports the prompts that it had there, and others tell it of the parts
+// that got responses there shortly before.
+func (s *simulation) crash(i int, down time.Duration) {
 	x := s.engines[i]
 	c := quarantine.Crash{Target: fmt.Sprint(i), Boot: fmt.Sprint(x.starts), At: s.now}
 	byEntry := make(map[int]quarantine.Crash)
@@ -268,10 +294,7 @@
 
 	for n := range s.entries {
 		if own, ok := byEntry[n]; ok {
-			s.tell(n, func(now time.Time, e *entry) {
-				e.requests.RecordCrash(now, own)
-				e.parts.RecordCrash(now, own)
-			})
+			s.report(n, own)
 		}
 	}
 
@@ -279,14 +302,36 @@
 	x.starts++
 }
 
-// crashSome ends one engine, or many at once.
-func (s *simulation) crashSome(faults *rand.Rand) {
-	share := []float64{0, 0.3, 1}[faults.IntN(3)]
+// report reports the crash of an engine with the prompts of one entry.
+func (s *simulation) report(n int, own quarantine.Crash) {
+	e := s.entries[n]
+	own.Beside = e.ended.Worst(s.now)
+	e.ended.Add(s.now, quarantine.Tally{Broken: len(own.Running)})
+	own.Parts = e.parts.CountsAgainst(s.now, own.Parts)
+	e.requests.RecordCrash(s.now, own)
+	e.parts.RecordCrash(s.now, own)
+
+	s.tellOthers(n, func(now time.Time, e *entry) {
+		acquitted := slices.DeleteFunc(slices.Clone(own.Parts), func(p string) bool { return len(e.parts.CountsAgainst(now, []string{p})) > 0 })
+		e.requests.RecordCrash(now, own)
+		e.parts.RecordCrash(now, own)
+
+		if len(acquitted) == 0 {
+			return
+		}
+
+		all := e.parts.Acquittals(acquitted...)
+		s.tellOthers(-1, func(now time.Time, e *entry) { e.parts.Acquit(now, all) })
+	})
+}
+
+// crashSome ends one engine and a fraction of the others for some time.
+func (s *simulation) crashSome(faults *rand.Rand, share float64, down time.Duration) {
 	one := faults.IntN(len(s.engines))
 
 	for i, x := range s.engines {
 		if (i == one || faults.Float64() < share) && x.upAt.Before(s.now) {
-			s.crash(i)
+			s.crash(i, down)
 		}
 	}
 }
@@ -325,7 +370,7 @@
 	_, err := e.requests.Check(s.now, p.fingerprint)
 
 	switch {
-	case s.way != Nothing && err != nil, s.way == ByPart && e.parts.Check(s.now, p.parts).Status == quarantine.Quarantined:
+	case s.way != Nothing && err != nil, s.way == ByPart && s.refuses(p, e):
 		if !bad {
 			s.refused++
 		}
@@ -342,8 +387,15 @@
 	to.running = append(to.running, p)
 }
 
+// refuses reports whether an entry refuses a prompt for one of its parts. Entries rank by their numbers.
+func (s *simulation) refuses(p *prompt, e *entry) bool {
+	v := e.parts.Check(s.now, p.parts)
+
+	return v.Status == quarantine.Quarantined && (v.Quarantined > 1 || !e.parts.BeginProbe(s.now, v.Part, p.entry))
+}
+
 func (s *simulation) result() Result {
-	r := Result{Served: float64(s.served) / float64(max(s.sound, 1)), Refused: float64(s.refused) / float64(max(s.sound, 1))}
+	r := Result{Sound: s.sound, Served: float64(s.served) / float64(max(s.sound, 1)), Refused: float64(s.refused) / float64(max(s.sound, 1))}
 
 	for _, all := range s.reached {
 		r.Ended = max(r.Ended, len(all))
--- a/experiment/crashed/table.go
+++ b/experiment/crashed/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 )
 
 // Deployments returns the deployments that Write compares: rare and frequent bad prompts, none at all, and
@@ -17,6 +18,29 @@
 	}
 }
 
+// SeriesDeployments returns deployments whose engines crash in series for other reasons, with and without bad parts:
+// rarely and often, a few or all at once, with parts that many or few prompts share.
+func SeriesDeployments() []Deployment {
+	var all []Deployment
+
+	for _, every := range []time.Duration{1000, 1500, 2500, 3500, 6000} {
+		for _, share := range []float64{0, 0.15, 0.3} {
+			for _, bad := range []int{0, 1} {
+				all = append(all,
+					Deployment{Entries: 4, Engines: 12, PerSecond: 220, Documents: 300, Bad: bad, BadPerSecond: 2 * float64(bad), Every: every * time.Millisecond, Share: share},
+					Deployment{Entries: 6, Engines: 9, PerSecond: 60, Documents: 1500, Bad: bad, BadPerSecond: 2 * float64(bad), Every: every * time.Millisecond, Share: share},
+				)
+			}
+		}
+	}
+
+	for _, every := range []time.Duration{1200, 2000, 3500} {
+		all = append(all, Deployment{Entries: 4, Engines: 12, PerSecond: 220, Documents: 300, Every: every * time.Millisecond, Share: 1})
+	}
+
+	return all
+}
+
 // Write writes the results of some seeds for each deployment and way: the largest of Result.Ended, Late and
 // Refused, and the mean of Result.Served. It returns an error if a write fails.
 func Write(w io.Writer, first uint64, seeds int) error {
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -41,10 +41,12 @@
 	watchers map[watchKey]map[*context.CancelCauseFunc]struct{}
 	// beginning holds, for each part, the number of prompts sent that have no event yet.
 	beginning map[string]int
-	// cleared holds the parts that responses have cleared and that are still to be reported to the other
+	// cleared holds the responses that have cleared something and that are still to be reported to the other
 	// entries; reporting is true while some are being reported.
-	cleared   map[string]struct{}
+	cleared   map[clearedKey]quarantine.Acquittal
 	reporting bool
+	// ended counts the requests with parts that ended at this entry.
+	ended quarantine.RecentTally
 }
 
 // crashDetectorConfig configures a crashDetector.
@@ -52,10 +54,10 @@
 	// Requests and Parts hold the crashes.
 	Requests *quarantine.Tracker
 	Parts    *quarantine.PartTracker
-	// Report reports a crash to the other entries, ReportCleared the parts that responses have cleared;
-	// nil reports nothing.
-	Report        func(quarantine.Crash)
-	ReportCleared func(parts []string)
+	// Report reports a crash to the other entries, and returns the responses at those entries that clear some of
+	// its parts. ReportCleared reports responses that have cleared requests or parts. Nil reports nothing.
+	Report        func(quarantine.Crash) []quarantine.Acquittal
+	ReportCleared func([]quarantine.Acquittal)
 	// PartQuarantined is called when a part is quarantined, and must not block; nil skips the call.
 	PartQuarantined func(part string)
 	// Log gets a line for each decision.
@@ -82,7 +84,8 @@
 	broken     []brokenRequest          // not counted, oldest first
 	endedAt    time.Time                // when this entry last had evidence of its end; zero for never
 	counted    []quarantine.Fingerprint // requests of this entry that were running at its end
-	parts      []string                 // parts of their prompts
+	parts      []string                 // parts of their prompts that it counts against
+	beside     *quarantine.Tally        // requests of this entry that ended in the seconds before; nil while none is counted
 	unreported chan struct{}            // closed when all of them are reported; nil if they are
 	reporting  bool                     // whether a report is being sent
 }
@@ -147,7 +150,7 @@
 
 	return &crashDetector{
 		cfg: cfg, starts: starts, watchers: make(map[watchKey]map[*context.CancelCauseFunc]struct{}),
-		beginning: make(map[string]int), cleared: make(map[string]struct{}),
+		beginning: make(map[string]int), cleared: make(map[clearedKey]quarantine.Acquittal),
 	}
 }
 
@@ -268,7 +271,7 @@
 		running    []quarantine.Fingerprint
 	)
 
-	parts := make(map[string]struct{})
+	parts, broken := make(map[string]struct{}), 0
 	for _, p := range x.parts {
 		parts[p] = struct{}{}
 	}
@@ -282,6 +285,8 @@
 
 		// What this entry gave up may have ended long before, or not have begun.
 		if !b.abandoned {
+			broken += min(len(b.parts), 1)
+
 			for _, p := range b.parts {
 				parts[p] = struct{}{}
 			}
@@ -294,9 +299,16 @@
 		return nil
 	}
 
+	if x.beside == nil {
+		beside := d.ended.Worst(now)
+		x.beside = &beside
+	}
+
+	d.ended.Add(now, quarantine.Tally{Broken: broken})
+
 	x.counted = append(x.counted, running...)
-	x.parts = slices.Sorted(maps.Keys(parts))
-	d.recordCrash(now, quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: running, Parts: x.parts})
+	x.parts = d.cfg.Parts.CountsAgainst(now, slices.Sorted(maps.Keys(parts)))
+	d.recordCrash(now, quarantine.Crash{Target: s.id, Boot: s.boot, At: now, Running: running, Parts: x.parts, Beside: *x.beside})
 
 	for _, c := range candidates {
 		status, _ := d.cfg.Requests.Check(now, c.fingerprint)
@@ -304,7 +316,8 @@
 			"crashes", d.cfg.Requests.CrashCount(now, c.fingerprint), "status", status.String())
 	}
 
-	event.Log(d.cfg.Log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "basis", basis)
+	event.Log(d.cfg.Log, event.CrashSuspected, "target", s.id, "requests", len(x.counted), "parts", strings.Join(x.parts, ","), "basis", basis,
+		"beside_broken", x.beside.Broken, "beside_complete", x.beside.Complete)
 
 	return d.startReport(s, x)
 }
--- a/gateway/crash_detector_test.go
+++ b/gateway/crash_detector_test.go
@@ -23,12 +23,14 @@
 
 		for i := range all {
 			trackers[i] = quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3})
-			all[i] = newCrashDetector(crashDetectorConfig{Requests: trackers[i], Parts: newParts(), Log: logr.Discard(), Report: func(c quarantine.Crash) {
+			all[i] = newCrashDetector(crashDetectorConfig{Requests: trackers[i], Parts: newParts(), Log: logr.Discard(), Report: func(c quarantine.Crash) []quarantine.Acquittal {
 				for j, other := range all {
 					if j != i {
 						other.addReported(time.Now(), c)
 					}
 				}
+
+				return nil
 			}})
 		}
 
@@ -65,7 +67,7 @@
 func TestSingleBrokenConnectionIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reports := 0
-		d := newCrashDetector(crashDetectorConfig{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: newParts(), Log: logr.Discard(), Report: func(quarantine.Crash) { reports++ }})
+		d := newCrashDetector(crashDetectorConfig{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: newParts(), Log: logr.Discard(), Report: func(quarantine.Crash) []quarantine.Acquittal { reports++; return nil }})
 
 		for i := range 5 {
 			d.add(time.Now(), startOf("t1", 0), crashCandidate{fingerprint: quarantine.FingerprintOf("ferry", []byte{byte(i)})})
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"boragehub/quarantine"
 )
@@ -96,3 +97,65 @@
 		})
 	}
 }
+
+// Guards against a part that one entry serves all the time and another one has never seen, and that the other one
+// refuses after engines have crashed for another reason while prompts with it were running.
+func TestPartThatAnotherEntryServesIsNotRefused(t *testing.T) {
+	const crashes = 4
+
+	var running chan *fakeEngine
+
+	engines := make([]*fakeEngine, crashes+2)
+	for i := range engines {
+		var e *fakeEngine
+
+		e = newFakeEngine(t, strconv.Itoa(i), func(c net.Conn, r *http.Request) bool {
+			if e.lastBody() != "slow" {
+				return respond(streamHead+events(1, 1)+streamEnd)(c, r)
+			}
+
+			respond(streamHead+events(1, 1))(c, r)
+			running <- e
+
+			return hang(c, r)
+		})
+		engines[i] = e
+	}
+
+	running = make(chan *fakeEngine, 1)
+
+	fleet := newEntryFleet(t, 3, engines...)
+	send := func(entry int, id, body, parts string) int {
+		return fleet[entry].request(t, http.MethodPost, "/stream/"+id, body, "Id", id, "Tokens", "500", "Parts", parts+","+id).status
+	}
+
+	for i := range crashes {
+		if got := send(0, "before"+strconv.Itoa(i), "x", "first"); got != http.StatusOK {
+			t.Fatalf("crash %d: got status %d before it, want 200", i, got)
+		}
+
+		ended := make(chan int, 1)
+
+		// The reporter is an entry that has not served the part lately.
+		go func() { ended <- send(1, "during"+strconv.Itoa(i), "slow", "first") }()
+
+		select {
+		case e := <-running:
+			e.end()
+			<-ended
+		case got := <-ended:
+			t.Fatalf("crash %d: got status %d, want the prompt sent", i, got)
+		}
+	}
+
+	for i := range 3 {
+		// Responses that clear a part are reported in the background.
+		await(t, "quarantined", func() int {
+			return fleet[i].gateway.cfg.CrashParts.Check(time.Now(), []string{"first"}).Quarantined
+		}, 0)
+
+		if got := send(i, "after"+strconv.Itoa(i), "x", "first"); got != http.StatusOK {
+			t.Errorf("entry %d: got status %d after the crashes, want 200", i, got)
+		}
+	}
+}
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -71,17 +71,19 @@
 	for i, env := range all {
 		env.gateway.crashes = newCrashDetector(crashDetectorConfig{
 			Requests: env.gateway.cfg.Crashes, Parts: env.gateway.cfg.CrashParts, Log: logr.Discard(),
-			Report: func(c quarantine.Crash) {
+			Report: func(c quarantine.Crash) (acquitted []quarantine.Acquittal) {
 				for j, other := range all {
 					if j != i {
-						other.gateway.AddReportedCrash(time.Now(), c)
+						acquitted = append(acquitted, other.gateway.AddReportedCrash(time.Now(), c)...)
 					}
 				}
+
+				return acquitted
 			},
-			ReportCleared: func(parts []string) {
+			ReportCleared: func(cleared []quarantine.Acquittal) {
 				for j, other := range all {
 					if j != i {
-						other.gateway.AddClearedParts(time.Now(), parts)
+						other.gateway.AddAcquittals(time.Now(), cleared)
 					}
 				}
 			},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,15 +58,16 @@
 	Crashes *quarantine.Tracker
 	// CrashParts tracks parts of prompts that crash targets. Nil means a new one.
 	CrashParts *quarantine.PartTracker
-	// ReportCrash reports to the other entries what was on a target when it crashed, ReportCleared the
-	// parts of prompts that got a response after crashes; nil reports nothing.
-	ReportCrash   func(quarantine.Crash)
-	ReportCleared func(parts []string)
+	// ReportCrash reports to the other entries what was on a target when it crashed, and returns the
+	// responses there that clear some of its parts. ReportCleared reports responses that cleared requests or
+	// parts of them after crashes. Nil reports nothing.
+	ReportCrash   func(quarantine.Crash) []quarantine.Acquittal
+	ReportCleared func([]quarantine.Acquittal)
 	// PartQuarantined is called when a part is quarantined, and must not block; nil skips the call.
 	PartQuarantined func(part string)
-	// ProbesPart reports whether this entry is the one that tries a quarantined part again; nil means
-	// that it never is.
-	ProbesPart func(part string) bool
+	// ProbeRank returns this entry's rank among those that try a quarantined part again, 0 for the first;
+	// nil means that it never does.
+	ProbeRank func(part string) int
 	// Start is when the process started; zero means now.
 	Start time.Time
 	// FirstStart is true if the whole system starts for the first time, so that no earlier process
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -56,13 +56,13 @@
 }
 
 // probes reports whether the request tries whether a quarantined part still ends its target: one request of
-// one entry does from time to time.
+// all entries does from time to time.
 func (t *task) probes(now time.Time, v quarantine.PartVerdict) bool {
 	switch {
 	case t.probedPart != "":
 		// It is sent once, whatever becomes of it.
 		return t.attempts == 0 && v.Quarantined == 1 && v.Part == t.probedPart
-	case v.Quarantined != 1 || t.g.cfg.ProbesPart == nil || !t.g.cfg.ProbesPart(v.Part) || !t.g.cfg.CrashParts.BeginProbe(now, v.Part):
+	case v.Quarantined != 1 || t.g.cfg.ProbeRank == nil || !t.g.cfg.CrashParts.BeginProbe(now, v.Part, t.g.cfg.ProbeRank(v.Part)):
 		return false
 	}
 
@@ -135,17 +135,22 @@
 
 // recordCompletion records that the request got a complete response.
 func (t *task) recordCompletion(now time.Time) {
+	var all []quarantine.Acquittal
+
 	if n := t.g.cfg.Crashes.RecordCompletion(now, t.fingerprint); n > 0 {
-		event.Log(t.g.cfg.Log, event.RequestCleared, "request_id", t.arrival.ID, "fingerprint", t.fingerprint.String(), "crashes", n)
-	}
+		event.Log(t.g.cfg.Log, event.RequestCleared, "request_id", t.arrival.ID, "fingerprint", t.fingerprint.String(), "crashes", n, "basis", "response")
 
-	cleared := t.g.cfg.CrashParts.RecordCompletion(now, t.sharedParts)
-	if len(cleared) == 0 {
-		return
+		all = append(all, quarantine.Acquittal{Request: t.fingerprint, At: now})
 	}
 
-	for _, p := range cleared {
+	for _, p := range t.g.cfg.CrashParts.RecordCompletion(now, t.sharedParts) {
 		event.Log(t.g.cfg.Log, event.PartCleared, "request_id", t.arrival.ID, "part", p, "basis", "response")
+
+		all = append(all, quarantine.Acquittal{Part: p, At: now})
+	}
+
+	if len(t.sharedParts) == 0 && len(all) == 0 {
+		return
 	}
 
 	d := t.g.crashes
@@ -153,7 +158,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.startClearedReport(cleared)
+	d.ended.Add(now, quarantine.Tally{Complete: min(len(t.sharedParts), 1)})
+	d.startClearedReport(all)
 }
 
 // awaitUnlessQuarantined calls a function that waits for a target. It ends the wait when the request is
@@ -174,12 +180,31 @@
 // caller holds mu.
 func (d *crashDetector) recordCrash(now time.Time, c quarantine.Crash) {
 	if len(c.Running) > 0 {
-		for _, f := range d.cfg.Requests.RecordCrash(now, c) {
-			event.Log(d.cfg.Log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
-			d.endWaits(watchKey{fingerprint: f})
-		}
+		d.requestsQuarantined(d.cfg.Requests.RecordCrash(now, c), c)
+	}
+
+	d.recordPartCrash(now, c)
+}
+
+// recordKnownCrash does the same with a crash that another entry knew before. The caller holds mu.
+func (d *crashDetector) recordKnownCrash(now time.Time, c quarantine.Crash) {
+	if len(c.Running) > 0 {
+		d.requestsQuarantined(d.cfg.Requests.RecordKnownCrash(now, c), c)
 	}
 
+	d.recordPartCrash(now, c)
+}
+
+// requestsQuarantined ends the wait of requests that are quarantined after a crash. The caller holds mu.
+func (d *crashDetector) requestsQuarantined(all []quarantine.Fingerprint, c quarantine.Crash) {
+	for _, f := range all {
+		event.Log(d.cfg.Log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
+		d.endWaits(watchKey{fingerprint: f})
+	}
+}
+
+// recordPartCrash records the parts of a crash, see recordCrash. The caller holds mu.
+func (d *crashDetector) recordPartCrash(now time.Time, c quarantine.Crash) {
 	for _, p := range d.cfg.Parts.RecordCrash(now, c) {
 		event.Log(d.cfg.Log, event.PartQuarantined, "part", p, "target", c.Target, "crashes", d.cfg.Parts.Check(now, []string{p}).Crashes)
 		d.endWaits(watchKey{part: p})
--- a/mirror/exchange/client.go
+++ b/mirror/exchange/client.go
@@ -270,7 +270,7 @@
 	go func() {
 		defer close(done)
 
-		broadcast(ctx, c, noticePath, VersionAnnouncement{Address: address, Model: model, Version: version, Loaded: loaded})
+		broadcast(ctx, c, noticePath, VersionAnnouncement{Address: address, Model: model, Version: version, Loaded: loaded}, nil)
 	}()
 
 	select {
@@ -279,32 +279,53 @@
 	}
 }
 
-// ReportCrash reports to all entries which requests were running on a target when it crashed. An
-// entry that doesn't receive the report learns of it by SyncCrashes.
-func (c *Client) ReportCrash(crash quarantine.Crash) {
-	broadcast(context.Background(), c, crashPath, crash)
+// ReportCrash reports to all entries which requests were running on a target when it crashed, and returns the
+// responses there that clear parts of them. An entry that doesn't receive the report learns of it by SyncCrashes.
+func (c *Client) ReportCrash(crash quarantine.Crash) []quarantine.Acquittal {
+	var (
+		mu  sync.Mutex
+		all []quarantine.Acquittal
+	)
+
+	broadcast(context.Background(), c, crashPath, crash, func(body []byte) {
+		var m Cleared
+		if len(body) == 0 || decoder.Unmarshal(body, &m) != nil {
+			return // an entry that has nothing to say
+		}
+
+		mu.Lock()
+		defer mu.Unlock()
+
+		all = append(all, m.acquittals(time.Now())...)
+	})
+
+	mu.Lock()
+	defer mu.Unlock()
+
+	return all
 }
 
-// ReportClearedParts reports to all entries that prompts with some parts got a complete response, so that
-// crashes until now don't count against them.
-func (c *Client) ReportClearedParts(parts []string) {
-	broadcast(context.Background(), c, clearedPath, ClearedParts{Parts: parts})
+// ReportCleared reports to all entries responses that cleared requests or parts of them. An entry that doesn't
+// receive the report learns of it by SyncCrashes.
+func (c *Client) ReportCleared(all []quarantine.Acquittal) {
+	broadcast(context.Background(), c, clearedPath, newCleared(time.Now(), all), nil)
 }
 
 // AnnounceRateLimit announces to all entries the rate limit that a target names. An entry that
 // doesn't receive the message learns of the limit from the target's responses to its own requests.
 func (c *Client) AnnounceRateLimit(ctx context.Context, l RateLimitAnnouncement) {
-	broadcast(ctx, c, limitPath, l)
+	broadcast(ctx, c, limitPath, l, nil)
 }
 
 // AnnounceLeaving announces to all entries that a target is about to leave. An entry that doesn't
 // receive the message learns of it from the target's responses to its own requests.
 func (c *Client) AnnounceLeaving(ctx context.Context, l LeavingAnnouncement) {
-	broadcast(ctx, c, leavingPath, l)
+	broadcast(ctx, c, leavingPath, l, nil)
 }
 
-// broadcast sends a message to all live entries and seeds, and waits for their responses.
-func broadcast[T any](ctx context.Context, c *Client, path string, message T) {
+// broadcast sends a message to all live entries and seeds, and waits for their responses. It calls a function, if not
+// nil, with the body of each, several at a time.
+func broadcast[T any](ctx context.Context, c *Client, path string, message T, onResponse func(body []byte)) {
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		return // not expected: structs of strings and numbers can be encoded
@@ -314,8 +335,10 @@
 
 	for _, a := range c.members.LiveAndSeeds(time.Now()) {
 		wg.Go(func() {
-			//nolint:errcheck,gosec // an entry that gets no message learns of it later
-			c.call(ctx, http.MethodPost, a, path, body, 0)
+			// An entry that gets no message learns of it later.
+			if resp, err := c.call(ctx, http.MethodPost, a, path, body, 0); err == nil && onResponse != nil {
+				onResponse(resp)
+			}
 		})
 	}
 
--- a/mirror/exchange/exchange.go
+++ b/mirror/exchange/exchange.go
@@ -16,9 +16,12 @@
 package exchange
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"boragehub/mirror"
+	"boragehub/quarantine"
 )
 
 // Paths of the HTTP calls.
@@ -103,12 +106,66 @@
 	StartedMs int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// ClearedParts announces parts of prompts that got a complete response after crashes counted against them.
-type ClearedParts struct {
-	// Parts are their ids.
-	Parts []string `cbor:"1,keyasint"`
+// Cleared announces requests, or parts of them, that got a complete response after crashes counted against them.
+type Cleared struct {
+	// Parts are the ids of the parts, Requests the fingerprints of whole requests.
+	Parts    []string                 `cbor:"1,keyasint,omitempty"`
+	Requests []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
+	// AgesMs tells how long ago the responses were complete, in ms, first those with the parts; 0 if left out.
+	AgesMs []int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// newCleared returns the message of some responses, maxCleared of each kind at most.
+func newCleared(now time.Time, all []quarantine.Acquittal) Cleared {
+	var (
+		m                Cleared
+		partAges, reqAge []int64
+	)
+
+	for _, a := range all {
+		age := max(now.Sub(a.At).Milliseconds(), 0)
+
+		switch {
+		case a.Part != "" && len(m.Parts) < maxCleared:
+			m.Parts, partAges = append(m.Parts, a.Part), append(partAges, age)
+		case a.Part == "" && len(m.Requests) < maxCleared:
+			m.Requests, reqAge = append(m.Requests, a.Request), append(reqAge, age)
+		}
+	}
+
+	m.AgesMs = append(partAges, reqAge...)
+
+	return m
+}
+
+// acquittals returns the responses that m announces, by this process's clock.
+func (m Cleared) acquittals(now time.Time) []quarantine.Acquittal {
+	at := func(i int) time.Time {
+		if i >= len(m.AgesMs) {
+			return now
+		}
+
+		return now.Add(-time.Duration(max(m.AgesMs[i], 0)) * time.Millisecond)
+	}
+
+	var all []quarantine.Acquittal
+
+	for i, p := range m.Parts {
+		if p != "" {
+			all = append(all, quarantine.Acquittal{Part: p, At: at(i)})
+		}
+	}
+
+	for i, f := range m.Requests {
+		all = append(all, quarantine.Acquittal{Request: f, At: at(len(m.Parts) + i)})
+	}
+
+	return all
 }
 
+// maxCleared is the number of parts, and of requests, in one message.
+const maxCleared = 1024
+
 // maxMessage bounds the bytes read of one message, before and after decompression. It suffices for
 // a configuration with thousands of routes.
 const maxMessage = 16 << 20
--- a/mirror/exchange/exchange_test.go
+++ b/mirror/exchange/exchange_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,7 +29,7 @@
 	crashes       chan quarantine.Crash
 	limits        chan RateLimitAnnouncement
 	leaving       chan LeavingAnnouncement
-	cleared       chan []string
+	cleared       chan []quarantine.Acquittal
 }
 
 // received returns the announcements received so far.
@@ -44,7 +43,7 @@
 func newEntry(t *testing.T, seeds ...string) *testEntry {
 	t.Helper()
 
-	e := &testEntry{vaults: vault.NewDirectory(1), known: quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{Separation: 1})}, crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1), cleared: make(chan []string, 1)}
+	e := &testEntry{vaults: vault.NewDirectory(1), known: quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{Separation: 1})}, crashes: make(chan quarantine.Crash, 1), limits: make(chan RateLimitAnnouncement, 1), leaving: make(chan LeavingAnnouncement, 1), cleared: make(chan []quarantine.Acquittal, 1)}
 	s := httptest.NewUnstartedServer(nil)
 	e.address = s.Listener.Addr().String()
 	e.members = NewMembers(e.address, seeds)
@@ -56,10 +55,14 @@
 
 			e.announcements = append(e.announcements, n)
 		},
-		OnCrash:        func(_ time.Time, c quarantine.Crash) { e.crashes <- c },
-		OnRateLimit:    func(_ time.Time, l RateLimitAnnouncement) { e.limits <- l },
-		OnLeaving:      func(_ time.Time, l LeavingAnnouncement) { e.leaving <- l },
-		OnClearedParts: func(_ time.Time, parts []string) { e.cleared <- parts },
+		OnCrash: func(_ time.Time, c quarantine.Crash) []quarantine.Acquittal {
+			e.crashes <- c
+
+			return e.known.Parts.Acquittals(c.Parts...)
+		},
+		OnRateLimit: func(_ time.Time, l RateLimitAnnouncement) { e.limits <- l },
+		OnLeaving:   func(_ time.Time, l LeavingAnnouncement) { e.leaving <- l },
+		OnCleared:   func(_ time.Time, all []quarantine.Acquittal) { e.cleared <- all },
 	})
 	s.Start()
 	t.Cleanup(s.Close)
@@ -407,25 +410,16 @@
 
 	started := quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
 	c := NewClient(NewMembers("", []string{old.address}))
-	added := 0
-	add := func(now time.Time, k quarantine.Crash) {
-		added++
-
-		if len(k.Running) > 0 {
-			started.Requests.RecordCrash(now, k)
-		}
-
-		started.Parts.RecordCrash(now, k)
-	}
+	l := &learner{known: started}
 
 	for range 2 {
-		if err := c.syncCrashes(t.Context(), started, add); err != nil {
+		if err := c.syncCrashes(t.Context(), started, l); err != nil {
 			t.Fatal(err)
 		}
 	}
 
-	if status, _ := started.Requests.Check(time.Now(), f); status != quarantine.Quarantined || added != 5 {
-		t.Errorf("got the request %v, and %d crashes, want it quarantined, and five crashes sent once", status, added)
+	if status, _ := started.Requests.Check(time.Now(), f); status != quarantine.Quarantined || l.crashes != 5 {
+		t.Errorf("got the request %v, and %d crashes, want it quarantined, and five crashes sent once", status, l.crashes)
 	}
 
 	if got, want := started.Parts.Check(time.Now(), []string{"p"}).Status, quarantine.Quarantined; got != want {
@@ -437,14 +431,99 @@
 	}
 }
 
-// Guards against entries that go on refusing prompts with a part that got a response at another one.
-func TestClearedPartsAreReportedToOtherEntries(t *testing.T) {
+// learner adds what others know to what a process knows.
+type learner struct {
+	known   quarantine.Evidence
+	crashes int
+}
+
+func (l *learner) AddKnownCrash(now time.Time, c quarantine.Crash) {
+	l.crashes++
+
+	if len(c.Running) > 0 {
+		l.known.Requests.RecordKnownCrash(now, c)
+	}
+
+	l.known.Parts.RecordCrash(now, c)
+}
+
+func (l *learner) AddAcquittals(now time.Time, all []quarantine.Acquittal) { l.known.Acquit(now, all) }
+
+// Guards against an entry that refuses what got responses after the crashes that it has heard of: one that started
+// meanwhile, or that the report of the response did not reach.
+func TestEntryLearnsWhatWasClearedElsewhere(t *testing.T) {
+	other := newEntry(t)
+	f := quarantine.FingerprintOf("ferry", []byte("f"))
+	missed := quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
+	began := time.Now().Add(-time.Minute)
+
+	for i, id := range []string{"t1", "t2", "t3"} {
+		at := began.Add(time.Duration(i) * time.Second)
+		c := quarantine.Crash{Target: id, Boot: id, At: at, Running: []quarantine.Fingerprint{f}, Parts: []string{"p"}}
+
+		for _, k := range []quarantine.Evidence{other.known, missed} {
+			k.Requests.RecordCrash(at, c)
+			k.Parts.RecordCrash(at, c)
+		}
+	}
+
+	other.known.Requests.RecordCompletion(began.Add(10*time.Second), f)
+	other.known.Parts.RecordCompletion(began.Add(10*time.Second), []string{"p"})
+
+	started := quarantine.Evidence{Requests: quarantine.NewTracker(quarantine.TrackerConfig{}), Parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
+	c := NewClient(NewMembers("", []string{other.address}))
+
+	for _, tt := range []struct {
+		name  string
+		known quarantine.Evidence
+	}{{"started", started}, {"missed the report", missed}} {
+		if err := c.syncCrashes(t.Context(), tt.known, &learner{known: tt.known}); err != nil {
+			t.Fatal(err)
+		}
+
+		if status, _ := tt.known.Requests.Check(time.Now(), f); status != quarantine.Clear {
+			t.Errorf("%s: got the request %v, want it clear", tt.name, status)
+		}
+
+		if v := tt.known.Parts.Check(time.Now(), []string{"p"}); v.Status != quarantine.Clear {
+			t.Errorf("%s: got the part %v, want it clear", tt.name, v.Status)
+		}
+	}
+}
+
+// Guards against a part that got a response at another entry shortly before a crash, and that the entry which reports
+// the crash goes on suspecting.
+func TestReporterOfACrashLearnsWhatOthersHaveServed(t *testing.T) {
 	e := newEntry(t)
+	now := time.Now()
+	e.known.Parts.RecordCompletion(now, []string{"served"})
+	e.known.Parts.RecordCrash(now, quarantine.Crash{Target: "t0", Boot: "t0", At: now, Parts: []string{"served"}})
+
+	all := NewClient(NewMembers("", []string{e.address, unresponsiveEntry(t)})).ReportCrash(quarantine.Crash{Target: "t1", Boot: "t1", Parts: []string{"served", "new"}})
 
-	NewClient(NewMembers("", []string{e.address})).ReportClearedParts([]string{"a", "b"})
+	if len(all) != 1 || all[0].Part != "served" || all[0].At.Sub(now).Abs() > time.Minute {
+		t.Errorf("got %+v, want the part served", all)
+	}
+}
 
-	if got, want := <-e.cleared, []string{"a", "b"}; !slices.Equal(got, want) {
-		t.Errorf("got %v, want %v", got, want)
+// Guards against entries that go on refusing requests, or prompts with a part, that got a response at another one, and
+// against a response that clears crashes which came after it.
+func TestResponsesThatClearAreReportedToOtherEntries(t *testing.T) {
+	e := newEntry(t)
+	f := quarantine.FingerprintOf("ferry", []byte("f"))
+	want := []quarantine.Acquittal{{Part: "a", At: time.Now().Add(-time.Hour)}, {Part: "b", At: time.Now()}, {Request: f, At: time.Now().Add(-2 * time.Hour)}}
+
+	NewClient(NewMembers("", []string{e.address})).ReportCleared(want)
+
+	got := <-e.cleared
+	if len(got) != len(want) {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+
+	for i, a := range got {
+		if w := want[i]; a.Part != w.Part || a.Request != w.Request || a.At.Sub(w.At).Abs() > time.Minute {
+			t.Errorf("got %+v, want %+v", a, w)
+		}
 	}
 }
 
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -21,10 +21,10 @@
 	members        *Members
 	topics         map[string]*mirror.Topic
 	onAnnouncement func(now time.Time, n VersionAnnouncement)
-	onCrash        func(now time.Time, c quarantine.Crash)
+	onCrash        func(now time.Time, c quarantine.Crash) []quarantine.Acquittal
 	onRateLimit    func(now time.Time, l RateLimitAnnouncement)
 	onLeaving      func(now time.Time, l LeavingAnnouncement)
-	onCleared      func(now time.Time, parts []string)
+	onCleared      func(now time.Time, all []quarantine.Acquittal)
 	registerEntry  func(ctx context.Context, entry Registrant) error
 	vaults         *vault.Directory
 	crashes        CrashSet
@@ -43,29 +43,33 @@
 	Crashes CrashSet
 	// OnAnnouncement is called with the announcements of changes of engines' weights.
 	OnAnnouncement func(now time.Time, n VersionAnnouncement)
-	// OnCrash is called with the crash reports of other entries.
-	OnCrash func(now time.Time, c quarantine.Crash)
+	// OnCrash is called with the crash reports of other entries, and returns the responses that clear some of their
+	// parts.
+	OnCrash func(now time.Time, c quarantine.Crash) []quarantine.Acquittal
 	// OnRateLimit is called with the rate limits that other entries announce.
 	OnRateLimit func(now time.Time, l RateLimitAnnouncement)
 	// OnLeaving is called with the targets that other entries report as leaving.
 	OnLeaving func(now time.Time, l LeavingAnnouncement)
-	// OnClearedParts is called with the parts of prompts that responses at other entries have cleared.
-	OnClearedParts func(now time.Time, parts []string)
+	// OnCleared is called with the responses at other entries that have cleared requests or parts of them.
+	OnCleared func(now time.Time, all []quarantine.Acquittal)
 	// Register registers another entry. If nil, requests to register entries are refused.
 	Register func(ctx context.Context, entry Registrant) error
 }
 
 // NewServer returns a Server with the given configuration.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, onCleared: cfg.OnClearedParts, registerEntry: cfg.Register, vaults: cfg.Vaults, crashes: cfg.Crashes}
+	s := &Server{mux: http.NewServeMux(), members: cfg.Members, topics: cfg.Topics, onAnnouncement: cfg.OnAnnouncement, onCrash: cfg.OnCrash, onRateLimit: cfg.OnRateLimit, onLeaving: cfg.OnLeaving, onCleared: cfg.OnCleared, registerEntry: cfg.Register, vaults: cfg.Vaults, crashes: cfg.Crashes}
 	s.mux.HandleFunc("POST "+vaultsPath, s.storeUpdates)
 	s.mux.HandleFunc("GET "+recordsPath, s.records)
 	s.mux.HandleFunc("POST "+entriesPath, s.register)
 	s.mux.HandleFunc("POST "+noticePath, handleMessage(func(n VersionAnnouncement) { s.onAnnouncement(time.Now(), n) }))
-	s.mux.HandleFunc("POST "+crashPath, handleMessage(func(c quarantine.Crash) { s.onCrash(time.Now(), c) }))
+	s.mux.HandleFunc("POST "+crashPath, s.crash)
 	s.mux.HandleFunc("GET "+crashPath, s.knownCrashes)
 	s.mux.HandleFunc("POST "+limitPath, handleMessage(func(l RateLimitAnnouncement) { s.onRateLimit(time.Now(), l) }))
-	s.mux.HandleFunc("POST "+clearedPath, handleMessage(func(p ClearedParts) { s.onCleared(time.Now(), p.Parts) }))
+	s.mux.HandleFunc("POST "+clearedPath, handleMessage(func(m Cleared) {
+		now := time.Now()
+		s.onCleared(now, m.acquittals(now))
+	}))
 	s.mux.HandleFunc("POST "+leavingPath, handleMessage(func(l LeavingAnnouncement) { s.onLeaving(time.Now(), l) }))
 
 	return s
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -6,8 +6,7 @@
 	"github.com/zeebo/xxh3"
 )
 
-// Digest returns a hash of the crashes that were not withdrawn. Trackers that hold the same ones have
-// the same Digest.
+// Digest returns a hash of what Crashes returns, apart from times.
 func (t *Tracker) Digest(now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -21,13 +20,11 @@
 	t.digest, t.digestValid = 0, true
 
 	for _, k := range t.byTime {
-		if k.survived {
-			continue
-		}
-
 		h := xxh3.HashString(k.target + "\x00" + k.boot)
 		for _, f := range k.running {
-			t.digest += xxh3.HashSeed(f[:], h)
+			if t.countsAgainst(f, k) {
+				t.digest += xxh3.HashSeed(f[:], h)
+			}
 		}
 	}
 
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,8 +14,9 @@
 
 // PartTrackerConfig configures a PartTracker. Zero fields have a default.
 type PartTrackerConfig struct {
-	// CrashLimit is the number of separate crashes at which a part is quarantined; zero means 3.
-	CrashLimit int
+	// CrashLimit is the number of separate crashes at which a part is quarantined if no others happen; zero
+	// means 3. MaxSeparate is the number at which it is quarantined although others happen; zero means 5.
+	CrashLimit, MaxSeparate int
 	// Separation is the time within which crashes count once, since one cause, such as a loss of
 	// power, may have ended several targets; zero means 250 ms.
 	Separation time.Duration
@@ -26,6 +28,8 @@
 	// ProbeDelay is how long after its last crash a quarantined part is tried again. It doubles with
 	// each further crash. Zero means one minute.
 	ProbeDelay time.Duration
+	// FirstProbe is the same for the first try; zero means ProbeDelay.
+	FirstProbe time.Duration
 	// MaxCrashes is the maximum number of crashes kept, MaxParts that of parts of one crash, and
 	// MaxCompleted that of parts whose last response is known. Zero means 1024, 512 and 16384.
 	MaxCrashes, MaxParts, MaxCompleted int
@@ -35,10 +39,12 @@
 // whatever else the prompts contain.
 //
 // A crash counts against all parts of the prompts that were running, but the last parts. They are
-// told apart by the responses: a complete response clears the parts of its prompt, so that
-// those which sound prompts have in common are clear again before the next crash. A part that is left
-// with CrashLimit separate crashes is quarantined, unless all of them have another explanation, see
-// explains.
+// told apart by the responses: a complete response at any entry clears the parts of its prompt, so that
+// those which sound prompts have in common are clear again before the next crash.
+//
+// Prompts break off for other reasons, too. A part that is left with separate crashes is quarantined when a sound
+// one would hardly have had them, see weight, and with MaxSeparate in any case; unless all of them have another
+// explanation, see explains.
 //
 // Create it with NewPartTracker. Its methods may be called concurrently.
 type PartTracker struct {
@@ -49,14 +55,16 @@
 	byTime    []*partCrash            // oldest first
 	byPart    map[string][]*partCrash // those that count against a part, oldest first
 	completed *simplelru.LRU[string, time.Time]
-	probes    map[string]time.Time // when a quarantined part was last tried
+	acquitted *simplelru.LRU[string, time.Time] // those of completed that a crash counted against, here or elsewhere
+	probes    map[string]time.Time              // when a quarantined part was last tried
 }
 
 // partCrash is a crash and the parts that it counts against.
 type partCrash struct {
 	crashKey
-	at    time.Time // by this process's clock
-	parts []string
+	at     time.Time // by this process's clock
+	parts  []string
+	beside Tally // see Crash.Beside
 }
 
 // NewPartTracker returns an empty PartTracker.
@@ -64,7 +72,7 @@
 	for _, x := range []struct {
 		field *int
 		value int
-	}{{&cfg.CrashLimit, 3}, {&cfg.MaxCrashes, 1024}, {&cfg.MaxParts, 512}, {&cfg.MaxCompleted, 16384}} {
+	}{{&cfg.CrashLimit, 3}, {&cfg.MaxSeparate, 5}, {&cfg.MaxCrashes, 1024}, {&cfg.MaxParts, 512}, {&cfg.MaxCompleted, 16384}} {
 		if *x.field <= 0 {
 			*x.field = x.value
 		}
@@ -79,15 +87,24 @@
 		}
 	}
 
-	completed, err := simplelru.NewLRU[string, time.Time](cfg.MaxCompleted, nil)
-	if err != nil {
-		panic(err) // the size is positive
+	if cfg.FirstProbe <= 0 {
+		cfg.FirstProbe = cfg.ProbeDelay
 	}
 
 	return &PartTracker{
 		cfg: cfg, crashes: make(map[crashKey]*partCrash), byPart: make(map[string][]*partCrash),
-		completed: completed, probes: make(map[string]time.Time),
+		completed: newTimes(cfg.MaxCompleted), acquitted: newTimes(maxAcquittals), probes: make(map[string]time.Time),
+	}
+}
+
+// newTimes returns an empty map of a limited size.
+func newTimes(size int) *simplelru.LRU[string, time.Time] {
+	m, err := simplelru.NewLRU[string, time.Time](size, nil)
+	if err != nil {
+		panic(err) // the size is positive
 	}
+
+	return m
 }
 
 // RecordCrash records the parts of a crash, and returns those that are quarantined as a result.
@@ -97,10 +114,6 @@
 
 	t.expire(now)
 
-	if len(c.Parts) == 0 {
-		return nil
-	}
-
 	at := crashKey{c.Target, c.Boot}
 
 	k, ok := t.crashes[at]
@@ -114,10 +127,17 @@
 		t.byTime = insertByTime(t.byTime, k)
 	}
 
+	k.beside = k.beside.max(c.Beside)
+
 	var added []string
 
 	for _, p := range c.Parts {
-		if len(k.parts) < t.cfg.MaxParts && !slices.Contains(k.parts, p) && t.countsAgainst(p, k) {
+		switch {
+		case len(k.parts) >= t.cfg.MaxParts || slices.Contains(k.parts, p):
+		case !t.countsAgainst(p, k):
+			done, _ := t.completed.Peek(p)
+			t.acquitted.Add(p, done)
+		default:
 			k.parts = append(k.parts, p)
 			t.byPart[p] = insertByTime(t.byPart[p], k)
 			added = append(added, p)
@@ -148,6 +168,16 @@
 	return !ok || k.at.After(done.Add(t.cfg.Recent))
 }
 
+// CountsAgainst returns those of some parts against which a crash at a time counts.
+func (t *PartTracker) CountsAgainst(at time.Time, parts []string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	k := &partCrash{at: at}
+
+	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return !t.countsAgainst(p, k) })
+}
+
 // RecordCompletion records that a prompt with some parts got a complete response, which one with a part that
 // crashes targets would not have got. It returns the parts that crashes counted against until now.
 func (t *PartTracker) RecordCompletion(now time.Time, parts []string) (cleared []string) {
@@ -155,26 +185,92 @@
 	defer t.mu.Unlock()
 
 	for _, p := range parts {
-		t.completed.Add(p, now)
+		if t.complete(now, p) {
+			cleared = append(cleared, p)
+		}
+	}
 
-		if len(t.byPart[p]) > 0 {
-			t.clear(p)
+	return cleared
+}
 
-			cleared = append(cleared, p)
+// Acquit records complete responses that other processes know of. It returns the parts that crashes counted against
+// until now.
+func (t *PartTracker) Acquit(now time.Time, all []Acquittal) (cleared []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, a := range all {
+		if a.Part == "" {
+			continue
+		}
+
+		if t.complete(earliest(a.At, now), a.Part) {
+			cleared = append(cleared, a.Part)
 		}
 	}
 
 	return cleared
 }
 
-// clear removes a part from all crashes. The caller holds mu.
-func (t *PartTracker) clear(part string) {
-	for _, k := range t.byPart[part] {
-		k.parts = slices.DeleteFunc(k.parts, func(p string) bool { return p == part })
+// Acquittals returns the complete responses that cleared parts, here or at other processes. With parts given, it
+// returns those with these alone.
+func (t *PartTracker) Acquittals(parts ...string) []Acquittal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if len(parts) == 0 {
+		parts = t.acquitted.Keys()
+	}
+
+	var all []Acquittal
+
+	for _, p := range parts {
+		if at, ok := t.acquitted.Peek(p); ok {
+			all = append(all, Acquittal{Part: p, At: at})
+		}
+	}
+
+	return all
+}
+
+// complete records a complete response at a time, and reports whether crashes counted against the part that no
+// longer do. The caller holds mu.
+func (t *PartTracker) complete(at time.Time, part string) bool {
+	if done, ok := t.completed.Get(part); ok && !at.After(done) {
+		return false
+	}
+
+	t.completed.Add(part, at)
+
+	if t.acquitted.Contains(part) {
+		t.acquitted.Add(part, at)
+	}
+
+	all := t.byPart[part]
+	left := slices.DeleteFunc(slices.Clone(all), func(k *partCrash) bool { return !t.countsAgainst(part, k) })
+
+	if len(left) == len(all) {
+		return false
+	}
+
+	t.acquitted.Add(part, at)
+
+	for _, k := range all {
+		if !slices.Contains(left, k) {
+			k.parts = slices.DeleteFunc(k.parts, func(p string) bool { return p == part })
+		}
+	}
+
+	if len(left) > 0 {
+		t.byPart[part] = left
+
+		return true
 	}
 
 	delete(t.byPart, part)
 	delete(t.probes, part)
+
+	return true
 }
 
 // PartVerdict is what is known of the parts of one prompt.
@@ -187,12 +283,18 @@
 	Crashes int
 	// Quarantined is the number of its parts that are quarantined.
 	Quarantined int
+	// RetryAfter is when the part is tried again, if a sound one might have had its crashes; zero otherwise.
+	RetryAfter time.Duration
 }
 
-// Err returns an error of kind failure.Quarantined if a part is quarantined, nil otherwise.
+// Err returns an error if a part is quarantined, nil otherwise. Its kind is failure.Quarantined, or failure.Unavailable
+// while other crashes leave it in doubt.
 func (v PartVerdict) Err() error {
-	if v.Status != Quarantined {
+	switch {
+	case v.Status != Quarantined:
 		return nil
+	case v.RetryAfter > 0:
+		return failure.New(failure.Unavailable, "prompts with the part %s were running when targets crashed %d times beside others", v.Part, v.Crashes).WithRetryAfter(v.RetryAfter)
 	}
 
 	return failure.New(failure.Quarantined, "prompts with the part %s were running when targets crashed %d times", v.Part, v.Crashes)
@@ -214,7 +316,12 @@
 		}
 
 		if s > v.Status {
-			v.Status, v.Part, v.Crashes = s, p, t.separateCrashes(p)
+			e := t.evidence(p)
+			v.Status, v.Part, v.Crashes, v.RetryAfter = s, p, e.separate, 0
+
+			if s == Quarantined {
+				v.RetryAfter = t.doubtEnd(now, e)
+			}
 		}
 	}
 
@@ -227,32 +334,136 @@
 		return Clear
 	}
 
-	crashes := t.separateCrashes(part)
+	e := t.evidence(part)
 
 	switch {
-	case crashes < t.cfg.CrashLimit-1:
+	case e.separate < t.cfg.CrashLimit-1:
 		return Clear
 	case !slices.ContainsFunc(t.byPart[part], func(k *partCrash) bool { return !t.explainedByOther(part, k) }):
 		return Clear
-	case crashes < t.cfg.CrashLimit:
+	case !t.suffices(e):
 		return Suspect
 	default:
 		return Quarantined
 	}
 }
 
-// separateCrashes returns the number of crashes that count against a part, those within Separation of
-// each other once. The caller holds mu.
-func (t *PartTracker) separateCrashes(part string) int {
-	n := 0
+// partEvidence is what crashes say against a part.
+type partEvidence struct {
+	// separate is the number of its separate crashes, weight their total weight.
+	separate int
+	weight   float64
+	// late is the number of those that came later than settleTime after CrashLimit targets had ended.
+	late int
+	// last is when the last of them was, gap the time from the one before it.
+	last time.Time
+	gap  time.Duration
+}
 
-	var last time.Time
+const (
+	// settleTime is how long after CrashLimit targets have ended a part may end no more than a few, and
+	// maxLate the number of those, without the tries of a quarantined part.
+	settleTime = 3 * time.Second
+	maxLate    = 2
+)
 
-	for _, k := range t.byPart[part] {
-		if n == 0 || k.at.Sub(last) >= t.cfg.Separation {
-			n++
-			last = k.at
+// suffices reports whether evidence suffices to quarantine a part.
+func (t *PartTracker) suffices(e partEvidence) bool {
+	return e.separate >= t.cfg.MaxSeparate || e.late >= maxLate || e.separate >= t.cfg.CrashLimit && e.weight >= float64(t.cfg.CrashLimit)
+}
+
+// doubtEnd returns the time until a quarantined part is first tried, if its crashes weigh too little to be sure; zero
+// otherwise.
+func (t *PartTracker) doubtEnd(now time.Time, e partEvidence) time.Duration {
+	if e.weight >= float64(t.cfg.CrashLimit) || e.late >= maxLate || t.wasProbed(e) {
+		return 0
+	}
+
+	return max(e.last.Add(t.cfg.FirstProbe).Sub(now), minDoubt)
+}
+
+// minDoubt is the shortest PartVerdict.RetryAfter.
+const minDoubt = 500 * time.Millisecond
+
+// wasProbed reports whether the last crash came so late that it was probably that of a try.
+func (t *PartTracker) wasProbed(e partEvidence) bool { return e.gap >= t.cfg.FirstProbe }
+
+// evidence returns the evidence against a part. Crashes within Separation of each other count once. The caller holds
+// mu.
+func (t *PartTracker) evidence(part string) partEvidence {
+	var e partEvidence
+
+	all := t.byPart[part]
+
+	for i := 0; i < len(all); {
+		j := i + 1
+		for j < len(all) && all[j].at.Sub(all[i].at) < t.cfg.Separation {
+			j++
+		}
+
+		if w := t.weight(all[i:j]); w > 0 {
+			if e.separate > 0 {
+				e.gap = all[i].at.Sub(e.last)
+			}
+
+			e.separate++
+			e.weight += w
+			e.last = all[i].at
+
+			if n := t.cfg.CrashLimit; i >= n && all[i].at.Sub(all[n-1].at) > settleTime {
+				e.late++
+			}
 		}
+
+		i = j
+	}
+
+	return e
+}
+
+const (
+	// soundQuarantined is the probability with which a part that doesn't crash targets may be quarantined, for
+	// each of its prompts.
+	soundQuarantined = 1e-4
+	// maxBroken is the fraction of broken requests from which a crash says nothing about its requests.
+	maxBroken = 0.5
+	// commonCause is the number of targets, for each that had a part, whose simultaneous end has another cause.
+	commonCause = 4
+	// simultaneous is the time between reports of targets that ended at once.
+	simultaneous = 50 * time.Millisecond
+)
+
+// weight returns how much separate crashes, which were within Separation of each other, say against a part that all
+// of them had: 1 for crashes that nothing else explains, 0 for none. If requests with other parts break off, too, those with
+// this one do by chance: CrashLimit crashes in a row have to have a probability below soundQuarantined.
+func (t *PartTracker) weight(all []*partCrash) float64 {
+	var beside Tally
+	for _, k := range all {
+		beside = beside.max(k.beside)
+	}
+
+	broken := beside.brokenFraction()
+
+	switch {
+	case t.endedTogether(all[0].at) >= commonCause*len(all):
+		return 0
+	case broken >= maxBroken:
+		return 0
+	case broken == 0:
+		return 1
+	default:
+		return min(1, math.Log(broken)*float64(t.cfg.CrashLimit)/math.Log(soundQuarantined))
+	}
+}
+
+// endedTogether returns the number of targets that ended at a time. The caller holds mu.
+func (t *PartTracker) endedTogether(at time.Time) int {
+	simultaneous := min(simultaneous, t.cfg.Separation)
+	i, _ := slices.BinarySearchFunc(t.byTime, at.Add(-simultaneous), func(k *partCrash, at time.Time) int { return k.at.Compare(at) })
+	n := 0
+
+	for ; i < len(t.byTime) && t.byTime[i].at.Sub(at) <= simultaneous; i++ {
+		n++
 	}
 
 	return n
@@ -268,7 +479,7 @@
 // would quarantine it, and either only the other part ever got a response, or it had crashes without the
 // other. Without that, two parts that always ran together would clear each other. The caller holds mu.
 func (t *PartTracker) explains(part, other string) bool {
-	if t.separateCrashes(part) < t.cfg.CrashLimit {
+	if !t.suffices(t.evidence(part)) {
 		return false
 	}
 
@@ -279,26 +490,31 @@
 	return slices.ContainsFunc(t.byPart[part], func(k *partCrash) bool { return !slices.Contains(k.parts, other) })
 }
 
-// BeginProbe reports whether a quarantined part is due to be tried again, and records that it is tried. One
-// that was quarantined by mistake is cleared by the response.
-func (t *PartTracker) BeginProbe(now time.Time, part string) bool {
+// BeginProbe reports whether a process of a rank is due to try a quarantined part again, and records that it is tried. One
+// that was quarantined by mistake is cleared by the response. The process of rank 0 is due first; others follow if they
+// learn nothing of it, as it may get no prompt with the part.
+func (t *PartTracker) BeginProbe(now time.Time, part string, rank int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	all := t.byPart[part]
-	if len(all) == 0 {
+	if rank < 0 || rank >= maxProbeRanks || len(t.byPart[part]) == 0 {
 		return false
 	}
 
-	last := all[len(all)-1].at
+	e := t.evidence(part)
+	last, delay := t.byPart[part][len(t.byPart[part])-1].at, t.cfg.FirstProbe
+
+	if t.wasProbed(e) || e.late >= maxLate {
+		const maxDoublings = 6
+
+		delay = t.cfg.ProbeDelay << min(max(e.separate-t.cfg.CrashLimit, 0), maxDoublings)
+	}
+
 	if at, ok := t.probes[part]; ok && at.After(last) {
 		last = at
 	}
 
-	const maxDoublings = 6
-
-	further := min(max(t.separateCrashes(part)-t.cfg.CrashLimit, 0), maxDoublings)
-	if now.Sub(last) < t.cfg.ProbeDelay<<further {
+	if now.Sub(last) < delay+time.Duration(rank)*probeStagger {
 		return false
 	}
 
@@ -307,6 +523,12 @@
 	return true
 }
 
+const (
+	// maxProbeRanks is the number of processes that may try a part, probeStagger the time from one to the next.
+	maxProbeRanks = 4
+	probeStagger  = 3 * time.Second
+)
+
 // CrashesOf returns the crashes that count against a part, oldest first.
 func (t *PartTracker) CrashesOf(now time.Time, part string) []Crash {
 	t.mu.Lock()
@@ -333,9 +555,13 @@
 	var all []Crash
 
 	for _, k := range t.byTime {
+		if len(k.parts) == 0 || t.weight([]*partCrash{k}) == 0 {
+			continue
+		}
+
 		parts := slices.DeleteFunc(slices.Clone(k.parts), func(p string) bool { return t.status(p) == Clear })
 		if len(parts) > 0 {
-			all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Parts: parts})
+			all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Parts: parts, Beside: k.beside})
 		}
 	}
 
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -127,7 +127,7 @@
 	}
 
 	for ; at < 600; at++ {
-		if tr.BeginProbe(seconds(at), "a") {
+		if tr.BeginProbe(seconds(at), "a", 0) {
 			probes = append(probes, at)
 
 			crash()
@@ -142,7 +142,7 @@
 		t.Errorf("got %v cleared by a response, want a", cleared)
 	}
 
-	if tr.BeginProbe(seconds(10*at), "a") || tr.Check(seconds(at), []string{"a"}).Status != Clear {
+	if tr.BeginProbe(seconds(10*at), "a", 0) || tr.Check(seconds(at), []string{"a"}).Status != Clear {
 		t.Error("got a part that is still refused after a response")
 	}
 }
@@ -288,7 +288,7 @@
 func (f *partFleet) probe(rt *rapid.T) {
 	for _, e := range f.entries {
 		for _, p := range soundParts {
-			if e.tracker.Check(f.now, []string{p}).Status == Quarantined && e.tracker.BeginProbe(f.now, p) {
+			if e.tracker.Check(f.now, []string{p}).Status == Quarantined && e.tracker.BeginProbe(f.now, p, 0) {
 				f.complete(rt, p)
 			}
 		}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -48,8 +48,12 @@
 	At time.Time `cbor:"3,keyasint" json:"at"`
 	// Running are the requests that were running.
 	Running []Fingerprint `cbor:"4,keyasint" json:"running"`
-	// Parts are the ids of the parts of their prompts that other prompts may have too.
+	// Parts are the ids of the parts of their prompts that other prompts may have too, without those that got a
+	// response at the reporter shortly before.
 	Parts []string `cbor:"5,keyasint,omitempty" json:"parts,omitempty"`
+	// Beside counts the reporter's requests with such parts that ended in the seconds before, to tell how many break
+	// off in any case.
+	Beside Tally `cbor:"6,keyasint,omitzero" json:"beside,omitzero"`
 }
 
 // Status is the status of a fingerprint. The zero Status is Clear.
@@ -148,6 +152,17 @@
 // RecordCrash records a crash that was reported directly, by another entry or in a log
 // stream, and returns the fingerprints that are quarantined as a result.
 func (t *Tracker) RecordCrash(now time.Time, c Crash) []Fingerprint {
+	return t.record(now, now, c)
+}
+
+// RecordKnownCrash does the same with a crash that another process knew before, and whose
+// time is by this process's clock: responses since then clear it.
+func (t *Tracker) RecordKnownCrash(now time.Time, c Crash) []Fingerprint {
+	return t.record(now, earliest(c.At, now), c)
+}
+
+// record records a crash that was received at a time.
+func (t *Tracker) record(now, receivedAt time.Time, c Crash) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -157,7 +172,7 @@
 
 	k, ok := t.crashes[at]
 	if !ok {
-		k = &crash{crashKey: at, at: c.At, receivedAt: now}
+		k = &crash{crashKey: at, at: c.At, receivedAt: receivedAt}
 		if k.at.IsZero() || k.at.After(now) {
 			k.at = now
 		}
@@ -232,14 +247,55 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if _, ok := t.suspects[f]; !ok {
+	return t.complete(now, f)
+}
+
+// Acquit records complete responses that other processes know of. It returns the
+// fingerprints that crashes counted against until now.
+func (t *Tracker) Acquit(now time.Time, all []Acquittal) (cleared []Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, a := range all {
+		if a.Part == "" && t.complete(earliest(a.At, now), a.Request) > 0 {
+			cleared = append(cleared, a.Request)
+		}
+	}
+
+	return cleared
+}
+
+// Acquittals returns the complete responses that cleared requests, here or at other
+// processes, in no order.
+func (t *Tracker) Acquittals() []Acquittal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var all []Acquittal
+
+	for f, at := range t.completed {
+		if len(all) == maxAcquittals {
+			break
+		}
+
+		all = append(all, Acquittal{Request: f, At: at})
+	}
+
+	return all
+}
+
+// complete records a complete response at a time, and returns the number of crashes that
+// no longer count against f. The caller holds mu.
+func (t *Tracker) complete(at time.Time, f Fingerprint) int {
+	if _, ok := t.suspects[f]; !ok || !at.After(t.completed[f]) {
 		return 0
 	}
 
-	cleared = t.crashCount(f)
-	t.completed[f] = now
+	before := t.crashCount(f)
+	t.completed[f] = at
+	t.digestValid = false
 
-	return cleared
+	return before - t.crashCount(f)
 }
 
 // Check returns the status of f; for Quarantined also an error of kind
@@ -339,7 +395,9 @@
 	return false
 }
 
-// Crashes returns all crashes that were not withdrawn, oldest first.
+// Crashes returns all crashes that were not withdrawn, oldest first, with the requests that
+// they count against. A process that doesn't know which requests got responses would suspect
+// the others wrongly.
 func (t *Tracker) Crashes(now time.Time) []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -347,9 +405,11 @@
 	t.expire(now)
 
 	all := make([]Crash, 0, len(t.byTime))
+
 	for _, k := range t.byTime {
-		if !k.survived {
-			all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Running: slices.Clone(k.running)})
+		running := slices.DeleteFunc(slices.Clone(k.running), func(f Fingerprint) bool { return !t.countsAgainst(f, k) })
+		if len(running) > 0 {
+			all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Running: running})
 		}
 	}
 
