gateway: keep shared parts apart by the set of isolated organisations

Callers saw: nothing; an organisation that becomes isolated went on sharing.

Cause: the salt under which engines and stores keep parts names an organisation only if it is isolated now. All others share one salt, which was the same before and after the change.

Change: the common salt has a hash of the set of isolated organisations. It follows from the configuration in force alone, so entries that start agree. What lies under it was left by organisations outside of that set and is used by organisations outside of it. A prompt that waited at a change is sent by the newest configuration that its entry knows.

Costs: nothing if nobody is isolated by a change; otherwise shared parts are computed again. Room in stores under a salt that is no longer used is regained with the next weights.

--- a/gateway/cache.go
+++ b/gateway/cache.go
@@ -7,14 +7,23 @@
 	"boragehub/vault"
 )
 
-// scope returns which requests may share the cached parts that this request leaves.
-func (t *task) scope(version int64) vault.Scope {
-	s := vault.Scope{Model: t.arrival.Prompt.Model, Version: version}
-	if t.organisation != nil && t.organisation.Isolated {
-		s.Organisation = t.organisation.Name
+// scope returns which requests may share the cached parts that this request leaves under a weight version.
+func (l *lookup) scope(version int64) vault.Scope {
+	return vault.Scope{Model: l.t.arrival.Prompt.Model, Version: version, Organisation: l.isolated, Apart: l.apart}
+}
+
+// isolation returns the scope's organisation and isolated organisations, by the newest configuration: the request may
+// have waited since it was accepted. An organisation that is no longer configured shares nothing.
+func (t *task) isolation() (isolated, apart string) {
+	c := t.g.current.Load()
+
+	if t.organisation != nil {
+		if o, ok := c.Organisation(t.organisation.Name); !ok || o.Isolated {
+			return t.organisation.Name, ""
+		}
 	}
 
-	return s
+	return "", c.Apart()
 }
 
 // setCacheParams sets which cached parts the engine may use: only parts computed with the
@@ -30,7 +39,7 @@
 	}
 
 	s.Version = c.engine.Version
-	s.Salt = t.scope(s.Version).Salt()
+	s.Salt = l.scope(s.Version).Salt()
 
 	t.fetchAndSave(l, c)
 }
--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -42,7 +42,7 @@
 		}
 
 		env := newTestEnv(t, engines["a"], engines["b"])
-		part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+		part := vault.Part{Salt: sharedScope.Salt(), ID: "shared"}
 		env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 71_990}, Added: true}}})
 		env.roster.ObserveSlowdown(time.Now(), "llm"+slow, 1)
 
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -334,6 +334,9 @@
 	Limits: site.Limits{BodyBytes: 1 << 16},
 }
 
+// sharedScope is the scope of the parts of prompts for model "m" whose organisations aren't isolated.
+var sharedScope = vault.Scope{Model: "m", Version: 1, Apart: site.New(published).Apart()}
+
 func newTestEnv(t *testing.T, engines ...*fakeEngine) *testEnv {
 	t.Helper()
 
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -17,6 +17,8 @@
 	t       *task
 	now     time.Time
 	engines []roster.Engine
+	// isolated and apart are those of the scope, see task.isolation.
+	isolated, apart string
 	// linkTokensPerMs is the bandwidth of an engine's link; zero if it isn't known, and then
 	// nothing is fetched from engines.
 	linkTokensPerMs float64
@@ -48,9 +50,10 @@
 // lookup returns a lookup of the request's parts among the engines in all.
 func (t *task) lookup(now time.Time, all []roster.Engine) *lookup {
 	e := t.service.Engines
+	isolated, apart := t.isolation()
 
 	return &lookup{
-		t: t, now: now, engines: all, longestPart: t.longestSharedPart(), parts: make(map[partKey]*partLocation), rights: make(map[int64]versionRight),
+		t: t, now: now, engines: all, isolated: isolated, apart: apart, longestPart: t.longestSharedPart(), parts: make(map[partKey]*partLocation), rights: make(map[int64]versionRight),
 		linkTokensPerMs: site.TokensPerMs(e.LinkMbps, e.TokenBytes),
 	}
 }
@@ -81,7 +84,7 @@
 	}
 
 	g, p := l.t.g, l.t.arrival.Prompt
-	x := &partLocation{part: vault.Part{Salt: l.t.scope(version).Salt(), ID: p.Parts[i].ID}, version: version, tokens: p.Parts[i].Tokens}
+	x := &partLocation{part: vault.Part{Salt: l.scope(version).Salt(), ID: p.Parts[i].ID}, version: version, tokens: p.Parts[i].Tokens}
 	_, x.stored = g.cfg.Vaults.Find(l.now, x.part, g.cfg.DataCentre)
 	x.long = x.tokens >= resident.LongPart
 
--- a/gateway/lookup_test.go
+++ b/gateway/lookup_test.go
@@ -10,7 +10,7 @@
 )
 
 // sharedPart is the shared prefix of prompts of 5000 tokens under version 1.
-var sharedPart = vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+var sharedPart = vault.Part{Salt: sharedScope.Salt(), ID: "shared"}
 
 // otherID is the id of an engine beside b and c.
 const otherID = "a"
--- a/gateway/prompt_test.go
+++ b/gateway/prompt_test.go
@@ -35,7 +35,7 @@
 func TestStoredPartIsFetchedOnlyWhileAllowed(t *testing.T) {
 	e := newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd))
 	env := newTestEnv(t, e)
-	part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+	part := vault.Part{Salt: sharedScope.Salt(), ID: "shared"}
 	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
 
 	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
@@ -178,7 +178,7 @@
 	e := newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd))
 	env := newTestEnv(t, e)
 	env.gateway.cfg.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{Verbosity: 10})
-	part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+	part := vault.Part{Salt: sharedScope.Salt(), ID: "shared"}
 	env.vaults.ApplyEvents(time.Now(), "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}})
 	env.request(t, "POST", "/llm/1", "x", "Tokens", "5000")
 
@@ -211,7 +211,7 @@
 			e := newFakeEngine(t, "a", respond(streamHead+events(1, 1)+streamEnd))
 			env := newTestEnv(t, e)
 			now := time.Now()
-			part := vault.Part{Salt: vault.Scope{Model: "m", Version: 1}.Salt(), ID: "shared"}
+			part := vault.Part{Salt: sharedScope.Salt(), ID: "shared"}
 			added := []vault.Event{{Held: vault.Held{Part: part, Tokens: 4990}, Added: true}}
 
 			env.vaults.ApplyEvents(now, "vault:1", vault.Events{Epoch: 1, Next: 1, Clock: 105_000, Events: added})
--- a/site/site.go
+++ b/site/site.go
@@ -15,9 +15,13 @@
 package site
 
 import (
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says whether a route's requests may run more than once.
@@ -230,6 +234,8 @@
 	routesByHost       map[string][]*Route
 	services           map[string]Service
 	organisationsByKey map[string]*Organisation
+	organisations      map[string]*Organisation
+	apart              string
 	requiresKey        bool
 	limits             Limits
 }
@@ -241,6 +247,7 @@
 		routesByHost:       make(map[string][]*Route),
 		services:           make(map[string]Service, len(p.Services)),
 		organisationsByKey: make(map[string]*Organisation),
+		organisations:      make(map[string]*Organisation, len(p.Organisations)),
 		requiresKey:        len(p.Organisations) > 0,
 		limits:             p.Limits,
 	}
@@ -259,16 +266,52 @@
 		c.services[s.Name] = s
 	}
 
+	var isolated []string
+
 	for i := range p.Organisations {
 		o := &p.Organisations[i]
 		for _, k := range o.Keys {
 			c.organisationsByKey[k] = o
 		}
+
+		c.organisations[o.Name] = o
+
+		if o.Isolated {
+			isolated = append(isolated, o.Name)
+		}
 	}
 
+	c.apart = hashOfSet(isolated)
+
 	return c
 }
 
+// hashOfSet returns a hash of a set of texts; empty for none.
+func hashOfSet(all []string) string {
+	if len(all) == 0 {
+		return ""
+	}
+
+	h := xxhash.New()
+
+	for _, s := range slices.Compact(slices.Sorted(slices.Values(all))) {
+		_, _ = h.WriteString(strconv.Quote(s))
+	}
+
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Apart identifies the set of isolated organisations; empty for none. Cached contexts that the other organisations share
+// are kept under it: what an organisation left there before it was isolated is then out of their reach.
+func (c *Configuration) Apart() string { return c.apart }
+
+// Organisation returns an organisation by name; false if there is none.
+func (c *Configuration) Organisation(name string) (*Organisation, bool) {
+	o, ok := c.organisations[name]
+
+	return o, ok
+}
+
 // Version returns the version, which increases with each change.
 func (c *Configuration) Version() int64 { return c.version }
 
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -61,3 +61,29 @@
 		}
 	}
 }
+
+// Guards against cached contexts that are shared although another set of organisations is isolated, and against a change
+// that isolates nobody and has all contexts computed again.
+func TestApartIdentifiesTheIsolatedOrganisations(t *testing.T) {
+	of := func(organisations ...Organisation) string {
+		return New(Published{Organisations: organisations}).Apart()
+	}
+	a, b, plain := Organisation{Name: "a", Isolated: true}, Organisation{Name: "b", Isolated: true}, Organisation{Name: "c"}
+
+	for _, tt := range []struct {
+		name      string
+		got, want string
+		equal     bool
+	}{
+		{"none isolated", of(plain), "", true},
+		{"another order and other organisations", of(a, plain, b), of(b, a), true},
+		{"keys change", of(a), of(Organisation{Name: "a", Isolated: true, Keys: []string{"k"}}), true},
+		{"one more", of(a), of(a, b), false},
+		{"another one", of(a), of(b), false},
+		{"names that join to the same text", of(a, b), of(Organisation{Name: `a""b`, Isolated: true}), false},
+	} {
+		if (tt.got == tt.want) != tt.equal {
+			t.Errorf("%s: got %q and %q, want equal: %v", tt.name, tt.got, tt.want, tt.equal)
+		}
+	}
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -46,6 +46,7 @@
 
 import (
 	"math"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -56,7 +57,7 @@
 )
 
 // Scope limits which requests may use a cached part: only those with the same model,
-// weight version and Organisation.
+// weight version, Organisation and Apart.
 type Scope struct {
 	// Model is the name of the model.
 	Model string
@@ -65,11 +66,23 @@
 	// Organisation is the isolated organisation that alone may use the part; empty for parts
 	// that all other organisations share.
 	Organisation string
+	// Apart identifies the set of isolated organisations, which share nothing with the others, for parts that
+	// the others share; empty if there are none. See site.Configuration.Apart.
+	Apart string
 }
 
 // Salt returns the cache salt with which engines and stores keep the parts of the scope.
 func (s Scope) Salt() string {
-	return s.Model + "/" + strconv.FormatInt(s.Version, 10) + "/" + s.Organisation
+	salt := s.Model + "/" + strconv.FormatInt(s.Version, 10) + "/"
+
+	switch {
+	case s.Organisation != "":
+		return salt + url.PathEscape(s.Organisation)
+	case s.Apart != "":
+		return salt + "/" + s.Apart
+	default:
+		return salt
+	}
 }
 
 // ParseSalt returns the scope of a text that Salt returned, and false for any other text.
@@ -79,7 +92,7 @@
 		return Scope{}, false
 	}
 
-	version, organisation, ok := strings.Cut(rest, "/")
+	version, rest, ok := strings.Cut(rest, "/")
 	if !ok {
 		return Scope{}, false
 	}
@@ -89,7 +102,18 @@
 		return Scope{}, false
 	}
 
-	return Scope{Model: model, Version: v, Organisation: organisation}, true
+	s := Scope{Model: model, Version: v}
+
+	// The escaped name of an organisation has no slash.
+	if apart, ok := strings.CutPrefix(rest, "/"); ok {
+		s.Apart = apart
+
+		return s, true
+	}
+
+	s.Organisation, err = url.PathUnescape(rest)
+
+	return s, err == nil
 }
 
 // Part identifies one part of a prompt's KV cache in a store.
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -129,6 +129,8 @@
 	scopes := []Scope{
 		{Model: "m", Version: 1}, {Model: "m", Version: 11}, {Model: "m1", Version: 1},
 		{Model: "m", Version: 1, Organisation: "bureau"}, {Model: "m", Version: 1, Organisation: "1"},
+		{Model: "m", Version: 1, Organisation: "bureau/2 é"}, {Model: "m", Version: 1, Apart: "1"}, {Model: "m", Version: 1, Organisation: "/1"},
+		{Model: "m", Version: 1, Apart: "2"},
 	}
 	seen := map[string]Scope{}
 
