archive: keep quarantined requests for a start of all entries

Cause: evidence against whole requests was in no record, only that against parts of prompts. With all entries gone it was gone.

Change: the archive keeps quarantined requests as it keeps parts, under keys of their own. Records whose crashes no longer count are dropped at a start; those of parts stayed for ever. Keys that can't be read are logged and left.

TestQuarantinedRequestsOutliveAllEntries is new with the archive of requests.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -83,9 +83,9 @@
 	}
 	e.client = exchange.NewClient(members)
 	e.archive = archive.New(archive.Config{
-		Log: source, Topic: platform.CrashesTopic, Parts: e.crashes.Parts, Logger: log,
+		Log: source, Topic: platform.CrashesTopic, Requests: e.crashes.Requests, Parts: e.crashes.Parts, Logger: log,
 		Add:    func(now time.Time, c quarantine.Crash) { e.gateway.AddKnownCrash(now, c) },
-		Writes: func(part string) bool { return members.Rank(time.Now(), part) < archiveWriters },
+		Writes: func(key string) bool { return members.Rank(time.Now(), key) < archiveWriters },
 	})
 	e.registration = exchange.NewRegistration(exchange.RegistrationConfig{Log: source, Topic: platform.EntriesTopic, Peers: e.client, Logger: log})
 	e.roster = roster.New(roster.Config{
@@ -138,9 +138,9 @@
 
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
-		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, PartQuarantined: e.archive.PartQuarantined,
+		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, RequestQuarantined: e.archive.RequestQuarantined, PartQuarantined: e.archive.PartQuarantined,
 		ReportCleared: func(all []quarantine.Acquittal) {
-			e.archive.PartsCleared(partsOf(all))
+			e.archive.Cleared(all)
 			e.client.ReportCleared(all)
 		},
 		ProbeRank: func(part string) int { return members.Rank(time.Now(), part) },
@@ -312,23 +312,10 @@
 
 // onCleared handles responses at another entry that have cleared requests or parts of them.
 func (e *gatewayProcess) onCleared(now time.Time, all []quarantine.Acquittal) {
-	e.archive.PartsDropped(partsOf(all))
+	e.archive.Dropped(all)
 	e.gateway.AddAcquittals(now, all)
 }
 
-// partsOf returns the parts that responses have cleared.
-func partsOf(all []quarantine.Acquittal) []string {
-	var parts []string
-
-	for _, a := range all {
-		if a.Part != "" {
-			parts = append(parts, a.Part)
-		}
-	}
-
-	return parts
-}
-
 // AnnounceVersion announces to all entries, this one included, that a target which this entry
 // orders to load a version is about to load it or has loaded it.
 func (e *gatewayProcess) AnnounceVersion(ctx context.Context, address, model string, version int64, loaded bool) {
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -58,8 +58,10 @@
 	// its parts. ReportCleared reports responses that have cleared requests or parts. Nil reports nothing.
 	Report        func(quarantine.Crash) []quarantine.Acquittal
 	ReportCleared func([]quarantine.Acquittal)
-	// PartQuarantined is called when a part is quarantined, and must not block; nil skips the call.
-	PartQuarantined func(part string)
+	// RequestQuarantined and PartQuarantined are called when a request or a part is quarantined, and must not
+	// block; nil skips the call.
+	RequestQuarantined func(f quarantine.Fingerprint)
+	PartQuarantined    func(part string)
 	// Log gets a line for each decision.
 	Log logr.Logger
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,8 +63,10 @@
 	// parts of them after crashes. Nil reports nothing.
 	ReportCrash   func(quarantine.Crash) []quarantine.Acquittal
 	ReportCleared func([]quarantine.Acquittal)
-	// PartQuarantined is called when a part is quarantined, and must not block; nil skips the call.
-	PartQuarantined func(part string)
+	// RequestQuarantined and PartQuarantined are called when a request or a part is quarantined, and must not
+	// block; nil skips the call.
+	RequestQuarantined func(f quarantine.Fingerprint)
+	PartQuarantined    func(part string)
 	// ProbeRank returns this entry's rank among those that try a quarantined part again, 0 for the first;
 	// nil means that it never does.
 	ProbeRank func(part string) int
@@ -166,7 +168,7 @@
 		versions:        make(map[string][]publishedVersion),
 		versionsKnownAt: versionsKnownAt,
 		registeredSince: registeredSince,
-		crashes:         newCrashDetector(crashDetectorConfig{Requests: cfg.Crashes, Parts: cfg.CrashParts, Report: cfg.ReportCrash, ReportCleared: cfg.ReportCleared, PartQuarantined: cfg.PartQuarantined, Log: cfg.Log}),
+		crashes:         newCrashDetector(crashDetectorConfig{Requests: cfg.Crashes, Parts: cfg.CrashParts, Report: cfg.ReportCrash, ReportCleared: cfg.ReportCleared, RequestQuarantined: cfg.RequestQuarantined, PartQuarantined: cfg.PartQuarantined, Log: cfg.Log}),
 		waitQueue:       newWaitQueue(),
 		slowReaders:     newSlowReaders(cfg.UnreadBytes),
 		drain:           newDrainControl(),
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -200,6 +200,10 @@
 	for _, f := range all {
 		event.Log(d.cfg.Log, event.RequestQuarantined, "fingerprint", f.String(), "vm", c.Target)
 		d.endWaits(watchKey{fingerprint: f})
+
+		if d.cfg.RequestQuarantined != nil {
+			d.cfg.RequestQuarantined(f)
+		}
 	}
 }
 
--- a/quarantine/archive/archive_test.go
+++ b/quarantine/archive/archive_test.go
@@ -70,19 +70,24 @@
 
 // testEntry is an entry with an archive.
 type testEntry struct {
-	parts   *quarantine.PartTracker
-	archive *Archive
+	requests *quarantine.Tracker
+	parts    *quarantine.PartTracker
+	archive  *Archive
 }
 
 func (e *testEntry) crash(now time.Time, c quarantine.Crash) {
+	for _, f := range e.requests.RecordKnownCrash(now, c) {
+		e.archive.RequestQuarantined(f)
+	}
+
 	for _, p := range e.parts.RecordCrash(now, c) {
 		e.archive.PartQuarantined(p)
 	}
 }
 
 func startEntry(ctx context.Context, l *testLog, writes bool) *testEntry {
-	e := &testEntry{parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
-	e.archive = New(Config{Log: l, Topic: "t", Parts: e.parts, Add: e.crash, Writes: func(string) bool { return writes }, Logger: logr.Discard()})
+	e := &testEntry{requests: quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3}), parts: quarantine.NewPartTracker(quarantine.PartTrackerConfig{})}
+	e.archive = New(Config{Log: l, Topic: "t", Requests: e.requests, Parts: e.parts, Add: e.crash, Writes: func(string) bool { return writes }, Logger: logr.Discard()})
 
 	go e.archive.Run(ctx)
 
@@ -129,7 +134,8 @@
 		}
 
 		l.setDown(true)
-		started.archive.PartsCleared(started.parts.RecordCompletion(time.Now(), []string{"sound"}))
+		started.parts.RecordCompletion(time.Now(), []string{"sound"})
+		started.archive.Cleared([]quarantine.Acquittal{{Part: "sound", At: time.Now()}})
 		time.Sleep(10 * time.Second)
 		l.setDown(false)
 		time.Sleep(2 * retryPause)
@@ -148,6 +154,67 @@
 	})
 }
 
+// Guards against a request that crashes engines again after all entries have lost power at once, against one that is
+// refused again although a response has cleared it, and against records that stay when their crashes no longer count.
+func TestQuarantinedRequestsOutliveAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &testLog{records: map[string][]byte{"request/00": {0x80}, "request/of another build": {0x80}}}
+		bad, sound := quarantine.FingerprintOf("ferry", []byte("bad")), quarantine.FingerprintOf("ferry", []byte("sound"))
+		ctx, kill := context.WithCancel(t.Context())
+		e := startEntry(ctx, l, true)
+
+		synctest.Wait()
+
+		for _, id := range []string{"t1", "t2", "t3"} {
+			time.Sleep(time.Second)
+			e.crash(time.Now(), quarantine.Crash{Target: id, Boot: id, At: time.Now(), Running: []quarantine.Fingerprint{bad, sound}})
+		}
+
+		synctest.Wait()
+		kill()
+		synctest.Wait()
+
+		ctx, kill = context.WithCancel(t.Context())
+		e = startEntry(ctx, l, true)
+
+		synctest.Wait()
+
+		for _, f := range []quarantine.Fingerprint{bad, sound} {
+			if got, _ := e.requests.Check(time.Now(), f); got != quarantine.Quarantined {
+				t.Errorf("%v: got %v after all entries have started again, want quarantined", f, got)
+			}
+		}
+
+		time.Sleep(time.Second)
+		e.requests.RecordCompletion(time.Now(), sound)
+		e.archive.Cleared([]quarantine.Acquittal{{Request: sound, At: time.Now()}})
+		synctest.Wait()
+		kill()
+		synctest.Wait()
+
+		ctx, kill = context.WithCancel(t.Context())
+		e = startEntry(ctx, l, true)
+
+		synctest.Wait()
+
+		for f, want := range map[quarantine.Fingerprint]quarantine.Status{bad: quarantine.Quarantined, sound: quarantine.Clear} {
+			if got, _ := e.requests.Check(time.Now(), f); got != want {
+				t.Errorf("%v: got %v once a response has cleared the sound one, want %v", f, got, want)
+			}
+		}
+
+		kill()
+		time.Sleep(25 * time.Hour)
+		startEntry(t.Context(), l, true)
+		synctest.Wait()
+
+		// What can't be read is left alone.
+		if got, want := len(l.records), 2; got != want {
+			t.Errorf("got %d records a day later, want %d", got, want)
+		}
+	})
+}
+
 // Guards against a part that was freed by a response at another entry, crashes engines again, and isn't kept.
 func TestPartThatIsQuarantinedAgainIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -165,7 +232,7 @@
 		quarantinePart("t1", "t2", "t3")
 
 		e.parts.RecordCompletion(time.Now(), []string{"p"})
-		e.archive.PartsDropped([]string{"p"})
+		e.archive.Dropped([]quarantine.Acquittal{{Part: "p", At: time.Now()}})
 		delete(l.records, "p") // by the other entry
 		time.Sleep(10 * time.Second)
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -416,6 +416,26 @@
 	return all
 }
 
+// CrashesOf returns the crashes that count against f, oldest first, without other requests.
+func (t *Tracker) CrashesOf(now time.Time, f Fingerprint) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.expire(now)
+
+	var all []Crash
+
+	for _, k := range t.suspects[f] {
+		if t.countsAgainst(f, k) {
+			all = append(all, Crash{Target: k.target, Boot: k.boot, At: k.at, Running: []Fingerprint{f}})
+		}
+	}
+
+	slices.SortStableFunc(all, func(a, b Crash) int { return a.At.Compare(b.At) })
+
+	return all
+}
+
 // Len returns the number of crashes and the number of distinct fingerprints in them.
 func (t *Tracker) Len() (crashes, fingerprints int) {
 	t.mu.Lock()
