quarantine: try refused requests again, three times at most

Cause: only PartTracker had tries.

Change: the entry of the first rank tries after one, two and four minutes; the next ranks follow if they learn nothing.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -30,6 +30,7 @@
 	PartRead            = register(2353, "part_read", "The log has a part of prompts, or a request, that was quarantined before this process started: `part` (of a request: request/ and its fingerprint), `crashes`.")
 	PartWritten         = register(2354, "part_written", "A quarantined part of prompts, or a request, was written to the log, for entries that start later, or dropped there: `part` (as in 2353), `dropped`.")
 	RequestCleared      = register(2355, "request_cleared", "A request got a complete response, so that earlier ends of targets don't count against it: `request_id`, `fingerprint`, `crashes` (that counted until now), `basis` (response, another entry).")
+	RequestProbed       = register(2356, "request_probed", "A request that is quarantined is tried once more: `request_id`, `fingerprint`, `crashes`.")
 	PartProbed          = register(2352, "part_probed", "A request tries whether a quarantined part still ends its target: `request_id`, `part`, `crashes`.")
 	CrashCounted        = register(2316, "crash_counted", "The end of a target counts against a request that was running there: `fingerprint`, `parts` (of its prompt, but the last one), `target`, `basis`, `crashes` (that count against it so far), `status`.")
 	CrashNotCounted     = register(2317, "crash_not_counted", "A connection to a target broke under a request, and nothing shows that the target has ended: `fingerprint`, `parts`, `target`, `broken` (requests cut off there lately), `basis`.")
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -249,6 +249,35 @@
 	}
 }
 
+// Guards against a sound request that stays refused after its targets ended for another reason.
+func TestQuarantinedRequestIsTriedOnce(t *testing.T) {
+	for _, sound := range []bool{true, false} {
+		engines := []*fakeEngine{newCrashingEngine(t, "a", ""), newCrashingEngine(t, "b", "")}
+		env := newTestEnv(t, engines...)
+		env.gateway.cfg.ProbeRank = func(string) int { return 0 }
+		env.gateway.cfg.Crashes = quarantine.NewTracker(quarantine.TrackerConfig{CrashLimit: 3, ProbeDelay: time.Millisecond})
+		env.gateway.crashes.cfg.Requests = env.gateway.cfg.Crashes
+
+		body := crashingBody
+		if sound {
+			body = "sound"
+		}
+
+		q := quarantine.Request{Organisation: "ferry", Service: "desk", Method: http.MethodPost, Target: "/idem/1", Body: []byte(body)}
+
+		for _, id := range []string{"t1", "t2", "t3"} {
+			env.gateway.AddReportedCrash(time.Now(), quarantine.Crash{Target: id, Boot: id, Running: []quarantine.Fingerprint{q.Fingerprint()}})
+		}
+
+		time.Sleep(2 * time.Millisecond)
+
+		first, ended := env.request(t, http.MethodPost, "/idem/1", body).status, countEnded(engines)
+		if want := map[bool]int{true: http.StatusOK, false: http.StatusBadGateway}[sound]; first != want || ended > 1 {
+			t.Errorf("sound %v: got status %d, %d targets ended, want %d and one at most", sound, first, ended, want)
+		}
+	}
+}
+
 // Guards against ends that count against nobody because the evidence comes late or from elsewhere,
 // and against connections that count as ends although their target lives on.
 func TestEvidenceOfATargetsEnd(t *testing.T) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -24,7 +24,7 @@
 		t.identify()
 	}
 
-	if _, err := t.g.cfg.Crashes.Check(now, t.fingerprint); err != nil {
+	if _, err := t.g.cfg.Crashes.Check(now, t.fingerprint); err != nil && !t.probesRequest(now) {
 		return err
 	}
 
@@ -72,6 +72,22 @@
 	return true
 }
 
+// probesRequest reports whether the request, which is quarantined, tries whether it still ends its target.
+func (t *task) probesRequest(now time.Time) bool {
+	if t.probed {
+		return t.attempts == 0 // it is sent once, whatever becomes of it
+	}
+
+	if t.g.cfg.ProbeRank == nil || !t.g.cfg.Crashes.BeginProbe(now, t.fingerprint, t.g.cfg.ProbeRank(t.fingerprint.String())) {
+		return false
+	}
+
+	t.probed = true
+	event.Log(t.g.cfg.Log, event.RequestProbed, "request_id", t.arrival.ID, "fingerprint", t.fingerprint.String(), "crashes", t.g.cfg.Crashes.CrashCount(now, t.fingerprint))
+
+	return true
+}
+
 // mayRepeatSuspect reports whether the request may be sent to another target after an attempt in which it may
 // have run: not if one of its parts may have ended the target.
 func (t *task) mayRepeatSuspect(now time.Time, o outcome) bool {
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -36,6 +36,7 @@
 	hash         uint64 // of the request id: evenly spread, the same for all attempts
 	fingerprint  quarantine.Fingerprint
 	sharedParts  []string // ids of its parts that other requests may have too, see identify
+	probed       bool     // whether it is quarantined, and tries whether it still ends its target
 	probedPart   string   // quarantined part that the request tries; empty for none
 	beginning    bool     // whether it is sent and has no event yet, see beginParts
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -94,6 +94,9 @@
 	MaxCrashes int
 	// MaxRunning is the maximum number of fingerprints kept per crash; zero means 512.
 	MaxRunning int
+	// ProbeDelay is how long after its last crash a refused request is tried again, see
+	// BeginProbe. It doubles with each further crash. Zero means one minute.
+	ProbeDelay time.Duration
 }
 
 // Tracker holds the reported crashes and derives the Status of fingerprints. Create it
@@ -106,6 +109,7 @@
 	byTime    []*crash // oldest first
 	suspects  map[Fingerprint][]*crash
 	completed map[Fingerprint]time.Time
+	probes    map[Fingerprint]time.Time // when a refused request was last tried
 
 	digest      uint64 // see Digest
 	digestValid bool
@@ -141,11 +145,16 @@
 		cfg.MaxRunning = 512
 	}
 
+	if cfg.ProbeDelay <= 0 {
+		cfg.ProbeDelay = time.Minute
+	}
+
 	return &Tracker{
 		cfg:       cfg,
 		crashes:   map[crashKey]*crash{},
 		suspects:  map[Fingerprint][]*crash{},
 		completed: map[Fingerprint]time.Time{},
+		probes:    map[Fingerprint]time.Time{},
 	}
 }
 
@@ -314,6 +323,39 @@
 	return s, nil
 }
 
+// maxRequestProbes is the number of times that a refused request is tried again, by all processes together.
+const maxRequestProbes = 3
+
+// BeginProbe reports whether a process of a rank is due to try a refused request again, and
+// records that it is tried. A response clears one that was refused by mistake. One that
+// crashes its targets is tried maxRequestProbes times. For the ranks see
+// PartTracker.BeginProbe.
+func (t *Tracker) BeginProbe(now time.Time, f Fingerprint, rank int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	further := t.crashCount(f) - t.cfg.CrashLimit
+	if rank < 0 || rank >= maxProbeRanks || further < 0 || further >= maxRequestProbes {
+		return false
+	}
+
+	last := t.probes[f]
+
+	for _, k := range t.suspects[f] {
+		if t.countsAgainst(f, k) && k.receivedAt.After(last) {
+			last = k.receivedAt
+		}
+	}
+
+	if now.Sub(last) < t.cfg.ProbeDelay<<further+time.Duration(rank)*probeStagger {
+		return false
+	}
+
+	t.probes[f] = now
+
+	return true
+}
+
 // CrashCount returns the number of crashes that count against f.
 func (t *Tracker) CrashCount(now time.Time, f Fingerprint) int {
 	t.mu.Lock()
@@ -474,5 +516,6 @@
 
 		delete(t.suspects, f)
 		delete(t.completed, f)
+		delete(t.probes, f)
 	}
 }
