quarantine: a part that is certain decides over one in doubt

A prompt with two quarantined parts got 503 with the time of the first try if the first of them was in doubt, although the other one refuses it for good. By reading; no test had two such parts.

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -317,17 +317,19 @@
 
 	for _, p := range parts {
 		s := t.status(p)
+		if s == Clear {
+			continue
+		}
+
+		e, doubt := t.evidence(p), time.Duration(0)
 		if s == Quarantined {
 			v.Quarantined++
+			doubt = t.doubtEnd(now, e)
 		}
 
-		if s > v.Status {
-			e := t.evidence(p)
-			v.Status, v.Part, v.Crashes, v.RetryAfter = s, p, e.separate, 0
-
-			if s == Quarantined {
-				v.RetryAfter = t.doubtEnd(now, e)
-			}
+		// A part that is quarantined for certain decides over one in doubt.
+		if s > v.Status || s == Quarantined && doubt < v.RetryAfter {
+			v.Status, v.Part, v.Crashes, v.RetryAfter = s, p, e.separate, doubt
 		}
 	}
 
