--- a/quarantine/doubt_test.go
+++ b/quarantine/doubt_test.go
@@ -150,3 +150,25 @@
 		}
 	}
 }
+
+// Guards against a prompt that is told to come again although one of its parts is refused for good, since another one
+// is in doubt.
+func TestCertainPartDecidesOverOneInDoubt(t *testing.T) {
+	tr := NewPartTracker(PartTrackerConfig{FirstProbe: 5 * time.Second})
+
+	for i := range 5 {
+		at := seconds(1.5 * float64(i))
+
+		doubt := crashedAt(i, at, "doubt")
+		doubt.Beside = Tally{100, 300}
+		tr.RecordCrash(at, doubt)
+		tr.RecordCrash(at.Add(700*time.Millisecond), crashedAt(10+i, at.Add(700*time.Millisecond), "certain"))
+	}
+
+	for _, parts := range [][]string{{"doubt", "certain"}, {"certain", "doubt"}} {
+		v := tr.Check(seconds(7), parts)
+		if got, want := failure.KindOf(v.Err()), failure.Quarantined; got != want || v.Quarantined != 2 {
+			t.Errorf("%v: got kind %v and %d parts quarantined, want %v and 2", parts, got, v.Quarantined, want)
+		}
+	}
+}
