--- /dev/null
+++ b/review/second/caller.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// answer is what a caller got for one request.
+type answer struct {
+	id     string
+	sentAt time.Time
+	status int // 0 for a connection that ended without an answer
+	sealed bool
+	took   time.Duration
+	err    error // why there is no answer
+}
+
+// callers send requests to a machine at a rate, and collect the answers.
+type callers struct {
+	prefix, url, host string
+	interval          time.Duration
+
+	client http.Client
+	stop   chan struct{}
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	sent    map[string]time.Time
+	answers []answer
+}
+
+// callerTimeout is how long a caller waits.
+const callerTimeout = 1500 * time.Millisecond
+
+func newCallers(prefix, url, host string, interval time.Duration) *callers {
+	return &callers{
+		prefix: prefix, url: url, host: host, interval: interval, stop: make(chan struct{}), sent: make(map[string]time.Time),
+		client: http.Client{Timeout: callerTimeout + 500*time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 1500 * time.Millisecond}},
+	}
+}
+
+// run sends requests until end is called.
+func (c *callers) run() {
+	ticker := time.NewTicker(c.interval)
+	defer ticker.Stop()
+
+	for n := 1; ; n++ {
+		select {
+		case <-c.stop:
+			return
+		case <-ticker.C:
+		}
+
+		id := fmt.Sprintf("%s-%05d", c.prefix, n)
+
+		c.wg.Go(func() { c.send(id) })
+	}
+}
+
+// end stops sending, waits for the answers and returns them.
+func (c *callers) end() []answer {
+	close(c.stop)
+	time.Sleep(2 * c.interval)
+	c.wg.Wait()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.answers
+}
+
+func (c *callers) send(id string) {
+	a := answer{id: id, sentAt: time.Now()}
+
+	c.mu.Lock()
+	c.sent[id] = a.sentAt
+	c.mu.Unlock()
+
+	r, err := http.NewRequest(http.MethodPost, c.url, strings.NewReader("seat 1 for "+id)) //nolint:noctx // the client has a timeout
+	if err != nil {
+		return
+	}
+
+	r.Host = c.host
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	r.Header.Set("Authorization", "Token "+callerKey)
+
+	resp, err := c.client.Do(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+
+		if err == nil {
+			a.status, a.sealed = resp.StatusCode, resp.Header.Get("X-Server-Seal") != ""
+		}
+	}
+
+	a.took, a.err = time.Since(a.sentAt), err
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.answers = append(c.answers, a)
+}
+
+// sentAt returns when a request was sent; false if it is not one of these callers'.
+func (c *callers) sentAt(id string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	at, ok := c.sent[id]
+
+	return at, ok
+}
--- /dev/null
+++ b/review/second/deployment.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"boragehub/platform/standin"
+)
+
+// zone is the zone of all machines and targets.
+const zone = "yvr-east"
+
+// deployment is what a case runs: the log, and processes and stand-ins that end with it.
+type deployment struct {
+	deploy     standin.DeployFile
+	dir        string // of settings and output of processes
+	subnet     *standin.Subnet
+	log        *standin.Log
+	logAddress string
+	closers    []func()
+}
+
+// newDeployment starts the log with a configuration.
+func newDeployment(c configuration) (*deployment, error) {
+	d := &deployment{log: standin.NewLog()}
+
+	if err := d.start(c); err != nil {
+		d.close()
+
+		return nil, err
+	}
+
+	return d, nil
+}
+
+func (d *deployment) start(c configuration) error {
+	var err error
+
+	if d.deploy, err = standin.LoadDeployFile(filepath.Join("deploy", "system.toml")); err != nil {
+		return err
+	}
+
+	if d.dir, err = os.MkdirTemp("", "review-second-"); err != nil {
+		return err
+	}
+
+	d.onClose(func() { _ = os.RemoveAll(d.dir) })
+
+	if d.subnet, err = standin.LockSubnet(); err != nil {
+		return err
+	}
+
+	d.onClose(func() { _ = d.subnet.Release() })
+
+	address, stop, err := standin.Serve("127.0.0.1:0", d.log)
+	if err != nil {
+		return err
+	}
+
+	d.logAddress = address
+	d.onClose(stop)
+
+	return d.publish("config", c)
+}
+
+// onClose has a function called at the end, the last one first.
+func (d *deployment) onClose(f func()) { d.closers = append(d.closers, f) }
+
+// close ends all that was started.
+func (d *deployment) close() {
+	for _, f := range slices.Backward(d.closers) {
+		f()
+	}
+}
+
+// publish writes a record of the operator.
+func (d *deployment) publish(key string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+
+	d.log.Put(operatorTopic, key, b)
+
+	return nil
+}
+
+// startEntry starts the n-th machine that callers reach, counted from zero, with the log at an address.
+func (d *deployment) startEntry(n int, logAddress string) (*machine, error) {
+	m := &machine{name: fmt.Sprintf("edge-%d", n+1), ip: d.subnet.IP(standin.EntryAddresses, n), log: logAddress, seeds: d.seeds()}
+
+	return m, d.startMachine(m, "gateway")
+}
+
+// startSide starts the n-th machine beside an engine.
+func (d *deployment) startSide(n int, e *engine) error {
+	return d.startMachine(&machine{
+		name: fmt.Sprintf("side-%d", n+1), ip: d.subnet.IP(standin.TargetAddresses, n), log: d.logAddress, seeds: d.seeds(),
+		engine: e.address(), service: e.service,
+	}, "loader")
+}
+
+func (d *deployment) startMachine(m *machine, role string) error {
+	if err := m.start(d.deploy, role, d.dir); err != nil {
+		return errors.Join(err, errors.New(m.name+" did not start"))
+	}
+
+	d.onClose(m.kill)
+
+	return nil
+}
+
+// seeds are the control addresses of the first entry.
+func (d *deployment) seeds() []string {
+	return []string{fmt.Sprintf("%s:%d", d.subnet.IP(standin.EntryAddresses, 0), peerPort)}
+}
--- /dev/null
+++ b/review/second/engine.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"boragehub/platform/standin"
+)
+
+// loadTime is how long an engine takes to load weights.
+const loadTime = 570 * time.Millisecond
+
+// engineStage and engineSlots are what all engines say of themselves.
+const (
+	engineStage = "colocated"
+	engineSlots = 64
+)
+
+// order is an order as an engine received it.
+type order struct {
+	at             time.Time
+	model          string
+	revision       int64
+	holder         string
+	fence          int64
+	status         int
+	highestFence   int64 // of the orders accepted before
+	highestFenceOf string
+}
+
+// engine is a stand-in for a model engine with several models. It reports its state and carries out orders.
+type engine struct {
+	id, service  string
+	checksFences bool
+
+	listener net.Listener
+	server   *http.Server
+	ended    chan struct{}
+	born     time.Time
+
+	mu       sync.Mutex
+	versions map[string]int64
+	models   []string // in the order in which they are reported
+	named    map[string]int64
+	busy     bool
+	sequence int64
+	fence    int64
+	fenceOf  string
+	orders   []order
+}
+
+// startEngine starts an engine at the address of its machine.
+func startEngine(id, ip, service string, models []string, checksFences bool) (*engine, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0")) //nolint:noctx // binds at once
+	if err != nil {
+		return nil, err
+	}
+
+	e := &engine{
+		id: id, service: service, checksFences: checksFences, listener: l, ended: make(chan struct{}), born: time.Now(),
+		versions: make(map[string]int64), models: models, named: make(map[string]int64),
+	}
+
+	for _, m := range models {
+		e.versions[m], e.named[m] = 1, 1
+	}
+
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+
+	go func() { _ = e.server.Serve(l) }()
+
+	return e, nil
+}
+
+func (e *engine) address() string { return e.listener.Addr().String() }
+
+// name tells the engine of a version that the operator has named.
+func (e *engine) name(model string, revision int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.named[model] = revision
+}
+
+// modelList returns the engine's models. The caller holds mu.
+func (e *engine) modelList() []modelRecord {
+	all := make([]modelRecord, len(e.models))
+	for i, m := range e.models {
+		all[i] = modelRecord{Name: m, Revision: e.versions[m], Adapters: []string{}}
+	}
+
+	return all
+}
+
+// register writes the engine's entry until it ends.
+func (e *engine) register(log *standin.Log) {
+	for sequence := 1; ; sequence++ {
+		e.mu.Lock()
+		log.PutJSON(registerTopic, e.id, entryRecord{
+			Service: e.service, Address: e.address(), Zone: zone, Revision: "1", Slots: engineSlots, State: "ready", Sequence: sequence,
+			Stage: engineStage, Models: e.modelList(),
+		})
+		e.mu.Unlock()
+
+		select {
+		case <-e.ended:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+func (e *engine) end() {
+	close(e.ended)
+	_ = e.server.Close()
+}
+
+// ServeHTTP handles one call.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Instance-Id", e.id)
+
+	switch r.URL.Path {
+	case "/report":
+		e.report(w)
+	case "/order":
+		e.order(w, r)
+	case "/kv-events":
+		e.events(w, r)
+	case "/kv-list":
+		writeJSON(w, http.StatusOK, map[string]any{"bootEpoch": e.born.UnixMilli(), "next": 0, "held": []any{}})
+	case "/healthz":
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (e *engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	writeJSON(w, http.StatusOK, map[string]any{
+		"stage": engineStage, "models": e.modelList(), "busy": e.busy, "sequence": e.sequence, "queued": 0, "running": 0,
+		"kvUsed": 0, "kvTotal": 77648, "handles": 0, "runs": []any{},
+	})
+}
+
+func (e *engine) events(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+
+	select {
+	case <-time.After(time.Duration(min(wait, 1000)) * time.Millisecond):
+	case <-r.Context().Done():
+		return
+	case <-e.ended:
+		return
+	}
+
+	writeJSON(w, http.StatusOK, map[string]any{"bootEpoch": e.born.UnixMilli(), "next": since, "lost": false, "events": []any{}})
+}
+
+// orderBody is the body of an order.
+type orderBody struct {
+	Op       string `json:"op"`
+	Model    string `json:"model"`
+	Revision int64  `json:"revision"`
+	Holder   string `json:"holder"`
+	Fence    *int64 `json:"fence"`
+	Expected *int64 `json:"expected"`
+}
+
+// order carries out an order to load weights, or refuses it.
+func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	var o orderBody
+
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &o)
+	}
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	status := http.StatusBadRequest
+
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
+		status = http.StatusMisdirectedRequest
+	} else if err == nil {
+		status = e.decide(o)
+	}
+
+	x := order{at: time.Now(), model: o.Model, revision: o.Revision, holder: o.Holder, status: status, highestFence: e.fence, highestFenceOf: e.fenceOf}
+	if o.Fence != nil {
+		x.fence = *o.Fence
+	}
+
+	e.orders = append(e.orders, x)
+
+	if status == http.StatusAccepted {
+		e.accept(x)
+	}
+
+	w.WriteHeader(status)
+}
+
+// decide returns the status of the response to an order. The caller holds mu.
+func (e *engine) decide(o orderBody) int {
+	switch {
+	case o.Op != "revision" || o.Holder == "" || o.Fence == nil || e.versions[o.Model] == 0 || o.Revision > e.named[o.Model]:
+		return http.StatusBadRequest
+	case e.checksFences && *o.Fence < e.fence:
+		return http.StatusPreconditionFailed
+	case e.busy || o.Expected != nil && *o.Expected != e.sequence:
+		return http.StatusConflict
+	case o.Revision == e.versions[o.Model]:
+		return http.StatusOK
+	default:
+		return http.StatusAccepted
+	}
+}
+
+// accept begins to carry out an order. The caller holds mu.
+func (e *engine) accept(x order) {
+	e.sequence++
+	e.busy = true
+
+	if x.fence > e.fence {
+		e.fence, e.fenceOf = x.fence, x.model
+	}
+
+	time.AfterFunc(loadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+
+		e.busy = false
+		e.versions[x.model] = x.revision
+	})
+}
+
+// seen returns the orders that reached the engine and its versions.
+func (e *engine) seen() (orders []order, versions map[string]int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	versions = make(map[string]int64)
+	for m, v := range e.versions {
+		versions[m] = v
+	}
+
+	return append([]order(nil), e.orders...), versions
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+
+	_ = json.NewEncoder(w).Encode(v)
+}
