--- a/review/second/caller.go
+++ b/review/second/caller.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +25,8 @@
 type callers struct {
 	prefix, url, host string
 	interval          time.Duration
+	timeout           time.Duration                  // how long a caller waits
+	header            func(id string, h http.Header) // sets further headers; may be nil
 
 	client http.Client
 	stop   chan struct{}
@@ -33,13 +37,13 @@
 	answers []answer
 }
 
-// callerTimeout is how long a caller waits.
-const callerTimeout = 1500 * time.Millisecond
+// bookingTimeout is how long a caller waits by default.
+const bookingTimeout = 1500 * time.Millisecond
 
 func newCallers(prefix, url, host string, interval time.Duration) *callers {
 	return &callers{
-		prefix: prefix, url: url, host: host, interval: interval, stop: make(chan struct{}), sent: make(map[string]time.Time),
-		client: http.Client{Timeout: callerTimeout + 500*time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 1500 * time.Millisecond}},
+		prefix: prefix, url: url, host: host, interval: interval, timeout: bookingTimeout, stop: make(chan struct{}), sent: make(map[string]time.Time),
+		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 1500 * time.Millisecond}},
 	}
 }
 
@@ -80,16 +84,23 @@
 	c.sent[id] = a.sentAt
 	c.mu.Unlock()
 
-	r, err := http.NewRequest(http.MethodPost, c.url, strings.NewReader("seat 1 for "+id)) //nolint:noctx // the client has a timeout
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout+500*time.Millisecond)
+	defer cancel()
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader("seat 1 for "+id))
 	if err != nil {
 		return
 	}
 
 	r.Host = c.host
 	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.timeout.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Token "+callerKey)
 
+	if c.header != nil {
+		c.header(id, r.Header)
+	}
+
 	resp, err := c.client.Do(r)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -21,6 +21,7 @@
 	subnet     *standin.Subnet
 	log        *standin.Log
 	logAddress string
+	machines   []*machine
 	closers    []func()
 }
 
@@ -99,7 +100,7 @@
 // startSide starts the n-th machine beside an engine.
 func (d *deployment) startSide(n int, e *engine) error {
 	return d.startMachine(&machine{
-		name: fmt.Sprintf("side-%d", n+1), ip: d.subnet.IP(standin.TargetAddresses, n), log: d.logAddress, seeds: d.seeds(),
+		name: fmt.Sprintf("side-%d", n+1), ip: d.targetIP(n), log: d.logAddress, seeds: d.seeds(),
 		engine: e.address(), service: e.service,
 	}, "loader")
 }
@@ -110,6 +111,7 @@
 	}
 
 	d.onClose(m.kill)
+	d.machines = append(d.machines, m)
 
 	return nil
 }
@@ -118,3 +120,6 @@
 func (d *deployment) seeds() []string {
 	return []string{fmt.Sprintf("%s:%d", d.subnet.IP(standin.EntryAddresses, 0), peerPort)}
 }
+
+// targetIP is the address of the n-th machine beside an engine.
+func (d *deployment) targetIP(n int) string { return d.subnet.IP(standin.TargetAddresses, n) }
--- a/review/second/engine.go
+++ b/review/second/engine.go
@@ -15,10 +15,15 @@
 // loadTime is how long an engine takes to load weights.
 const loadTime = 570 * time.Millisecond
 
+// loadPoll is how often an engine looks whether its runs have finished.
+const loadPoll = 5 * time.Millisecond
+
 // engineStage and engineSlots are what all engines say of themselves.
 const (
 	engineStage = "colocated"
 	engineSlots = 64
+	// engineMemory is the memory in tokens.
+	engineMemory = 77648
 )
 
 // order is an order as an engine received it.
@@ -52,6 +57,9 @@
 	fence    int64
 	fenceOf  string
 	orders   []order
+	prompts  map[*prompt]struct{} // that are being read or run
+	begun    []begun
+	reading  chan struct{} // holds a value while a prompt is read
 }
 
 // startEngine starts an engine at the address of its machine.
@@ -64,6 +72,7 @@
 	e := &engine{
 		id: id, service: service, checksFences: checksFences, listener: l, ended: make(chan struct{}), born: time.Now(),
 		versions: make(map[string]int64), models: models, named: make(map[string]int64),
+		prompts: make(map[*prompt]struct{}), reading: make(chan struct{}, 1),
 	}
 
 	for _, m := range models {
@@ -136,7 +145,7 @@
 		writeJSON(w, http.StatusOK, map[string]any{"bootEpoch": e.born.UnixMilli(), "next": 0, "held": []any{}})
 	case "/healthz":
 	default:
-		w.WriteHeader(http.StatusNotFound)
+		e.request(w, r)
 	}
 }
 
@@ -145,8 +154,8 @@
 	defer e.mu.Unlock()
 
 	writeJSON(w, http.StatusOK, map[string]any{
-		"stage": engineStage, "models": e.modelList(), "busy": e.busy, "sequence": e.sequence, "queued": 0, "running": 0,
-		"kvUsed": 0, "kvTotal": 77648, "handles": 0, "runs": []any{},
+		"stage": engineStage, "models": e.modelList(), "busy": e.busy, "sequence": e.sequence, "queued": 0, "running": len(e.prompts),
+		"kvUsed": e.used(), "kvTotal": engineMemory, "handles": 0, "runs": e.runs(),
 	})
 }
 
@@ -184,12 +193,17 @@
 		err = json.Unmarshal(body, &o)
 	}
 
+	w.WriteHeader(e.take(o, err, r.Header.Get("X-Expect-Instance")))
+}
+
+// take carries out an order, or refuses it, and returns the status of the response.
+func (e *engine) take(o orderBody, err error, expected string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
 	status := http.StatusBadRequest
 
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
+	if expected != "" && expected != e.id {
 		status = http.StatusMisdirectedRequest
 	} else if err == nil {
 		status = e.decide(o)
@@ -206,7 +220,7 @@
 		e.accept(x)
 	}
 
-	w.WriteHeader(status)
+	return status
 }
 
 // decide returns the status of the response to an order. The caller holds mu.
@@ -234,13 +248,29 @@
 		e.fence, e.fenceOf = x.fence, x.model
 	}
 
-	time.AfterFunc(loadTime, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
+	go e.load(x)
+}
 
-		e.busy = false
-		e.versions[x.model] = x.revision
-	})
+// load loads weights when the runs have finished.
+func (e *engine) load(x order) {
+	for e.runningPrompts() > 0 {
+		time.Sleep(loadPoll)
+	}
+
+	time.Sleep(loadTime)
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.busy = false
+	e.versions[x.model] = x.revision
+}
+
+func (e *engine) runningPrompts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return len(e.prompts)
 }
 
 // seen returns the orders that reached the engine and its versions.
@@ -262,3 +292,11 @@
 
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// begunRequests returns the requests that have begun.
+func (e *engine) begunRequests() []begun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return append([]begun(nil), e.begun...)
+}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -24,8 +24,9 @@
 
 // cases are the scripted cases by name. Trouble is false if the case runs without its disruption.
 var cases = map[string]func(rec *record, trouble bool) error{
-	"silent-log": runSilentLog,
-	"two-models": runTwoModels,
+	"silent-log":   runSilentLog,
+	"two-models":   runTwoModels,
+	"late-version": runLateVersion,
 }
 
 func main() {
--- a/review/second/two_models.go
+++ b/review/second/two_models.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"boragehub/platform/standin"
 )
 
 // Engines run two models, whose versions are named independently of each other. ONE: no order to an engine may
@@ -79,7 +77,7 @@
 // startModels starts two engines of two models with their processes, and an entry.
 func startModels(d *deployment, checks bool) (engines []*engine, err error) {
 	for i := range 2 {
-		e, err := startEngine(fmt.Sprintf("i-%04d", i+1), d.subnet.IP(standin.TargetAddresses, i), modelService, []string{modelA, modelB}, checks)
+		e, err := startEngine(fmt.Sprintf("i-%04d", i+1), d.targetIP(i), modelService, []string{modelA, modelB}, checks)
 		if err != nil {
 			return nil, err
 		}
