--- a/review/second/caller.go
+++ b/review/second/caller.go
@@ -77,7 +77,18 @@
 	return c.answers
 }
 
+// send sends one request and keeps the answer.
 func (c *callers) send(id string) {
+	a := c.sendBody(id, "seat 1 for "+id)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.answers = append(c.answers, a)
+}
+
+// sendBody sends one request and returns the answer.
+func (c *callers) sendBody(id, body string) answer {
 	a := answer{id: id, sentAt: time.Now()}
 
 	c.mu.Lock()
@@ -87,9 +98,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout+500*time.Millisecond)
 	defer cancel()
 
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader("seat 1 for "+id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
 	if err != nil {
-		return
+		a.err = err
+
+		return a
 	}
 
 	r.Host = c.host
@@ -113,10 +126,7 @@
 
 	a.took, a.err = time.Since(a.sentAt), err
 
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	c.answers = append(c.answers, a)
+	return a
 }
 
 // sentAt returns when a request was sent; false if it is not one of these callers'.
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,6 +27,7 @@
 	"silent-log":   runSilentLog,
 	"two-models":   runTwoModels,
 	"late-version": runLateVersion,
+	"deadly":       runDeadly,
 }
 
 func main() {
--- a/review/second/process.go
+++ b/review/second/process.go
@@ -123,6 +123,9 @@
 	return nil
 }
 
+// killAsync ends the process.
+func (m *machine) killAsync() { _ = m.cmd.Process.Signal(syscall.SIGKILL) }
+
 // kill ends the process and waits for its end.
 func (m *machine) kill() {
 	if m.cmd == nil {
--- a/review/second/silent_log.go
+++ b/review/second/silent_log.go
@@ -128,14 +128,14 @@
 func (c *silentLog) addTarget() error {
 	c.started++
 
-	t, err := startTarget(fmt.Sprintf("i-%04d", c.started), bookingService, 6, bookingWork)
+	t, err := startTarget(c.log, fmt.Sprintf("i-%04d", c.started), bookingService, 6, bookingWork)
 	if err != nil {
 		return err
 	}
 
 	c.targets = append(c.targets, t)
 
-	go t.register(c.log)
+	go t.register()
 
 	return nil
 }
@@ -160,7 +160,7 @@
 
 	leaving := c.targets[0]
 	c.targets = c.targets[1:]
-	unlistedAt := leaving.unlist(c.log)
+	unlistedAt := leaving.unlist()
 	c.rec.addAt(unlistedAt, "round %d: the log has accepted the removal of %s, which serves for another %v", n, leaving.id, drainTime+lingerTime)
 
 	time.Sleep(drainTime + lingerTime)
--- a/review/second/target.go
+++ b/review/second/target.go
@@ -38,6 +38,11 @@
 	listener net.Listener
 	server   *http.Server
 	ended    chan struct{}
+	endOnce  sync.Once
+	log      *standin.Log // that it is listed in
+
+	// deadly is called with a request whose body ends the target; nil for none.
+	deadly func(t *target, id string)
 
 	mu       sync.Mutex
 	arrivals []*arrival
@@ -45,13 +50,13 @@
 	unlisted bool
 }
 
-func startTarget(id, service string, slots int, work time.Duration) (*target, error) {
+func startTarget(log *standin.Log, id, service string, slots int, work time.Duration) (*target, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // binds at once
 	if err != nil {
 		return nil, err
 	}
 
-	t := &target{id: id, service: service, slots: slots, work: work, listener: l, ended: make(chan struct{})}
+	t := &target{log: log, id: id, service: service, slots: slots, work: work, listener: l, ended: make(chan struct{})}
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 
 	go func() { _ = t.server.Serve(l) }()
@@ -62,9 +67,9 @@
 func (t *target) address() string { return t.listener.Addr().String() }
 
 // register writes the target's entry until it is unlisted or has ended.
-func (t *target) register(log *standin.Log) {
+func (t *target) register() {
 	for sequence := 1; ; sequence++ {
-		if !t.writeEntry(log, sequence) {
+		if !t.writeEntry(sequence) {
 			return
 		}
 
@@ -77,7 +82,7 @@
 }
 
 // writeEntry writes the target's entry, unless it is no longer listed.
-func (t *target) writeEntry(log *standin.Log, sequence int) bool {
+func (t *target) writeEntry(sequence int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -85,7 +90,7 @@
 		return false
 	}
 
-	log.PutJSON(registerTopic, t.id, entryRecord{
+	t.log.PutJSON(registerTopic, t.id, entryRecord{
 		Service: t.service, Address: t.address(), Zone: zone, Revision: "1", Slots: t.slots, State: "ready", Sequence: sequence,
 	})
 
@@ -93,20 +98,30 @@
 }
 
 // unlist removes the target's entry and returns when the log had accepted that.
-func (t *target) unlist(log *standin.Log) time.Time {
+func (t *target) unlist() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	t.unlisted = true
-	log.Put(registerTopic, t.id, nil)
+	t.log.Put(registerTopic, t.id, nil)
 
 	return time.Now()
 }
 
+// crash ends the target without removing its entry: it lapses after three heartbeats.
+func (t *target) crash() {
+	t.end()
+
+	time.AfterFunc(3*heartbeat, func() { t.unlist() })
+}
+
 // end ends the target with all that it runs.
 func (t *target) end() {
-	close(t.ended)
-	_ = t.server.Close()
+	t.endOnce.Do(func() {
+		close(t.ended)
+
+		_ = t.server.Close()
+	})
 }
 
 // ServeHTTP runs or refuses one request.
@@ -115,7 +130,8 @@
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Instance-Id", t.id)
 
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	received, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 
@@ -130,6 +146,12 @@
 		return
 	}
 
+	if t.deadly != nil && string(received) == deadlyBody {
+		t.deadly(t, id)
+
+		panic(http.ErrAbortHandler)
+	}
+
 	a := t.begin(id)
 	defer t.done()
 
