--- a/review/second/caller.go
+++ b/review/second/caller.go
@@ -24,6 +24,7 @@
 // callers send requests to a machine at a rate, and collect the answers.
 type callers struct {
 	prefix, url, host string
+	method            string // POST if empty
 	interval          time.Duration
 	timeout           time.Duration                  // how long a caller waits
 	header            func(id string, h http.Header) // sets further headers; may be nil
@@ -98,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout+500*time.Millisecond)
 	defer cancel()
 
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
+	r, err := c.request(ctx, body)
 	if err != nil {
 		a.err = err
 
@@ -129,6 +130,14 @@
 	return a
 }
 
+func (c *callers) request(ctx context.Context, body string) (*http.Request, error) {
+	if c.method == http.MethodGet {
+		return http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	}
+
+	return http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
+}
+
 // sentAt returns when a request was sent; false if it is not one of these callers'.
 func (c *callers) sentAt(id string) (time.Time, bool) {
 	c.mu.Lock()
--- a/review/second/engine.go
+++ b/review/second/engine.go
@@ -143,7 +143,7 @@
 		e.events(w, r)
 	case "/kv-list":
 		writeJSON(w, http.StatusOK, map[string]any{"bootEpoch": e.born.UnixMilli(), "next": 0, "held": []any{}})
-	case "/healthz":
+	case healthPath:
 	default:
 		e.request(w, r)
 	}
--- a/review/second/late_version.go
+++ b/review/second/late_version.go
@@ -201,7 +201,7 @@
 			TimeoutMs: 10000, TargetLatencyMs: 800, GapAimMs: 300, Priority: 1, MaxAttempts: 1, Sticky: true,
 		}},
 		Services: []serviceRecord{{
-			Name: modelService, MaxConnections: 360, HealthPath: "/healthz",
+			Name: modelService, MaxConnections: 360, HealthPath: healthPath,
 			Engine: &engineRecord{
 				Slots: engineSlots, KvCapacityTokens: engineMemory, TokenKvBytes: 163840, LinkMbps: 550000, Models: []modelRecord{{Name: modelA, Adapters: []string{}}},
 			},
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -28,6 +28,7 @@
 	"two-models":   runTwoModels,
 	"late-version": runLateVersion,
 	"deadly":       runDeadly,
+	"all-crash":    runAllCrash,
 }
 
 func main() {
--- a/review/second/silent_log.go
+++ b/review/second/silent_log.go
@@ -119,7 +119,7 @@
 			Name: "booking-write", Host: bookingHost, PathPrefix: "/book/", Kind: "non_idempotent", Service: bookingService,
 			TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 2, MaxAttempts: 1,
 		}},
-		Services: []serviceRecord{{Name: bookingService, MaxConnections: 96, HealthPath: "/healthz"}},
+		Services: []serviceRecord{{Name: bookingService, MaxConnections: 96, HealthPath: healthPath}},
 		Tenants:  oneTenant(), Limits: smallLimits(),
 	}
 }
--- a/review/second/target.go
+++ b/review/second/target.go
@@ -12,6 +12,9 @@
 	"boragehub/platform/standin"
 )
 
+// healthPath is the path of all targets' health checks.
+const healthPath = "/healthz"
+
 // heartbeat is how often a target writes to the register.
 const heartbeat = 1200 * time.Millisecond
 
@@ -135,7 +138,7 @@
 		return
 	}
 
-	if r.URL.Path == "/healthz" {
+	if r.URL.Path == healthPath {
 		return
 	}
 
--- a/review/second/two_models.go
+++ b/review/second/two_models.go
@@ -140,7 +140,7 @@
 			TimeoutMs: 5000, TargetLatencyMs: 400, GapAimMs: 300, MaxAttempts: 1, Sticky: true,
 		}},
 		Services: []serviceRecord{{
-			Name: modelService, MaxConnections: 360, HealthPath: "/healthz",
+			Name: modelService, MaxConnections: 360, HealthPath: healthPath,
 			Engine: &engineRecord{
 				Slots: engineSlots, KvCapacityTokens: 77648, TokenKvBytes: 163840, LinkMbps: 550000,
 				Models: []modelRecord{{Name: modelA, Adapters: []string{}}, {Name: modelB, Adapters: []string{}}},
