--- a/review/second/main.go
+++ b/review/second/main.go
@@ -29,6 +29,8 @@
 	"late-version": runLateVersion,
 	"deadly":       runDeadly,
 	"all-crash":    runAllCrash,
+	// models-together is a trial, no case.
+	"models-together": runModelsTogether,
 }
 
 func main() {
--- a/review/second/two_models.go
+++ b/review/second/two_models.go
@@ -43,26 +43,18 @@
 	}
 	defer d.close()
 
-	engines, err := startModels(d, checks)
+	engines, err := startModels(d, 2, checks)
 	if err != nil {
 		return false, err
 	}
 
-	time.Sleep(2 * time.Second)
-
 	versions := []namedVersion{{modelA, 2}, {modelA, 3}}
 	if trouble {
 		versions = append(versions, namedVersion{modelB, 2})
 	}
 
 	for _, v := range versions {
-		for _, e := range engines {
-			e.name(v.Model, v.Revision)
-		}
-
-		rec.add("the log has accepted version %d of %s", v.Revision, v.Model)
-
-		if err := d.publish("version/"+v.Model, v); err != nil {
+		if err := nameVersion(rec, d, engines, v); err != nil {
 			return false, err
 		}
 
@@ -74,9 +66,72 @@
 	return judgeOrders(rec, engines, checks), nil
 }
 
-// startModels starts two engines of two models with their processes, and an entry.
-func startModels(d *deployment, checks bool) (engines []*engine, err error) {
-	for i := range 2 {
+// runModelsTogether names versions of both models at once, on twelve engines. VERSION: 1.5 x versionMs later no more
+// than one engine and a tenth of them may have an older version. It is no case of the review.
+func runModelsTogether(rec *record, trouble bool) error {
+	d, err := newDeployment(modelConfiguration())
+	if err != nil {
+		return err
+	}
+	defer d.close()
+
+	engines, err := startModels(d, 12, false)
+	if err != nil {
+		return err
+	}
+
+	time.Sleep(calmTime)
+
+	versions := []namedVersion{{modelA, 2}}
+	if trouble {
+		versions = append(versions, namedVersion{modelB, 2})
+	}
+
+	for _, v := range versions {
+		if err := nameVersion(rec, d, engines, v); err != nil {
+			return err
+		}
+	}
+
+	time.Sleep(versionTime + versionTime/2)
+
+	old := 0
+
+	for _, e := range engines {
+		orders, versions := e.seen()
+
+		for _, o := range orders {
+			rec.addAt(o.at, "%s takes the order for version %d of %s with token %d: status %d", e.id, o.revision, o.model, o.fence, o.status)
+		}
+
+		if versions[modelA] < e.named[modelA] || versions[modelB] < e.named[modelB] {
+			old++
+		}
+	}
+
+	rec.add("%d of %d engines have an older version after %v", old, len(engines), versionTime+versionTime/2)
+
+	if old > 1 && 10*old > len(engines) {
+		return errBroken
+	}
+
+	return nil
+}
+
+// nameVersion publishes a version.
+func nameVersion(rec *record, d *deployment, engines []*engine, v namedVersion) error {
+	for _, e := range engines {
+		e.name(v.Model, v.Revision)
+	}
+
+	rec.add("the log has accepted version %d of %s", v.Revision, v.Model)
+
+	return d.publish("version/"+v.Model, v)
+}
+
+// startModels starts engines of two models with their processes, and an entry.
+func startModels(d *deployment, n int, checks bool) (engines []*engine, err error) {
+	for i := range n {
 		e, err := startEngine(fmt.Sprintf("i-%04d", i+1), d.targetIP(i), modelService, []string{modelA, modelB}, checks)
 		if err != nil {
 			return nil, err
@@ -98,7 +153,13 @@
 		return nil, err
 	}
 
-	return engines, entry.awaitReady()
+	if err := entry.awaitReady(); err != nil {
+		return nil, err
+	}
+
+	time.Sleep(2 * time.Second)
+
+	return engines, nil
 }
 
 // judgeOrders reports whether a rule was broken by the orders that the engines received.
