--- a/review/second/all_crash.go
+++ b/review/second/all_crash.go
@@ -14,7 +14,7 @@
 	lookPath     = "/look/today"
 	downTime     = 2 * time.Second
 	lookTimeout  = 1500 * time.Millisecond
-	lookInterval = 20 * time.Millisecond
+	lookInterval = 10 * time.Millisecond
 	// beforeCrash and afterReturn are the times with callers before the crash and after the targets are back.
 	beforeCrash = 10 * time.Second
 	afterReturn = 30 * time.Second
--- a/review/second/late_version.go
+++ b/review/second/late_version.go
@@ -9,7 +9,7 @@
 // New weights are named just after the open connections to the log went silent. VERSION: no request may begin on the
 // older version later than versionMs after that, sent on by a machine in touch.
 const (
-	versionRounds  = 5
+	versionRounds  = 6
 	versionEngines = 12
 	// namedAfter is the time from the silence to the named version.
 	namedAfter = 50 * time.Millisecond
@@ -17,7 +17,7 @@
 	roundTime = 17 * time.Second
 
 	promptTokens   = 36000
-	promptInterval = 145 * time.Millisecond
+	promptInterval = 135 * time.Millisecond
 	promptTimeout  = 10 * time.Second
 	reviewHost     = "review.example"
 )
