--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"sync"
+	"syscall"
 
 	"boragehub/platform/standin"
 )
@@ -22,13 +25,20 @@
 	log        *standin.Log
 	logAddress string
 	machines   []*machine
-	closers    []func()
+
+	mu      sync.Mutex
+	closed  bool
+	closers []func()
 }
 
 // newDeployment starts the log with a configuration.
 func newDeployment(c configuration) (*deployment, error) {
 	d := &deployment{log: standin.NewLog()}
 
+	running.Lock()
+	running.deployment = d
+	running.Unlock()
+
 	if err := d.start(c); err != nil {
 		d.close()
 
@@ -38,6 +48,31 @@
 	return d, nil
 }
 
+// running is the deployment that runs, whose processes end also if this one gets a signal.
+var running struct {
+	sync.Mutex
+
+	deployment *deployment
+}
+
+// closeOnSignal ends everything and this process when it gets a signal to stop.
+func closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+
+	go func() {
+		<-signals
+
+		running.Lock()
+
+		if running.deployment != nil {
+			running.deployment.close()
+		}
+
+		os.Exit(exitFailed)
+	}()
+}
+
 func (d *deployment) start(c configuration) error {
 	var err error
 
@@ -68,11 +103,31 @@
 	return d.publish("config", c)
 }
 
-// onClose has a function called at the end, the last one first.
-func (d *deployment) onClose(f func()) { d.closers = append(d.closers, f) }
+// onClose has a function called at the end, the last one first. After the end it is called at once.
+func (d *deployment) onClose(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.closed {
+		f()
+
+		return
+	}
+
+	d.closers = append(d.closers, f)
+}
 
 // close ends all that was started.
 func (d *deployment) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.closed {
+		return
+	}
+
+	d.closed = true
+
 	for _, f := range slices.Backward(d.closers) {
 		f()
 	}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -36,6 +36,7 @@
 func main() {
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
+	closeOnSignal()
 
 	os.Exit(run(flag.Arg(0), *path, os.Getenv("TROUBLE") != "0"))
 }
