Review case 7: entries order engines whose own process lives, where more than 64 subscribe to one

A process beside an engine sends load reports to 64 entries at most. Any further entry takes the engine for one without such a process after 12 s and orders new weights itself.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec bin/review-2 -record review/7/record.txt two-models
+exec bin/review-2 -record review/7/record.txt many-entries
--- a/review/second/engine.go
+++ b/review/second/engine.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +20,12 @@
 // loadPoll is how often an engine looks whether its runs have finished.
 const loadPoll = 5 * time.Millisecond
 
+// Orders without a response are carried out between firstLate and lateSpread later.
+const (
+	firstLate  = 2 * time.Second
+	lateSpread = 10 * time.Second
+)
+
 // engineStage and engineSlots are what all engines say of themselves.
 const (
 	engineStage = "colocated"
@@ -36,6 +44,18 @@
 	status         int
 	highestFence   int64 // of the orders accepted before
 	highestFenceOf string
+	late           bool // whether it got no response and is carried out late
+}
+
+// took reports whether the engine took an order: at once, or without a response.
+func (o order) took() bool { return o.late || o.status == http.StatusAccepted }
+
+func (o order) outcome() string {
+	if o.late {
+		return "no response, carried out late"
+	}
+
+	return fmt.Sprintf("status %d", o.status)
 }
 
 // engine is a stand-in for a model engine with several models. It reports its state and carries out orders.
@@ -60,6 +80,9 @@
 	prompts  map[*prompt]struct{} // that are being read or run
 	begun    []begun
 	reading  chan struct{} // holds a value while a prompt is read
+
+	lostShare float64 // of orders without a response
+	lostUntil time.Time
 }
 
 // startEngine starts an engine at the address of its machine.
@@ -193,9 +216,58 @@
 		err = json.Unmarshal(body, &o)
 	}
 
+	if err == nil && e.loses(o) {
+		select {
+		case <-r.Context().Done():
+		case <-e.ended:
+		}
+
+		panic(http.ErrAbortHandler)
+	}
+
 	w.WriteHeader(e.take(o, err, r.Header.Get("X-Expect-Instance")))
 }
 
+// loseOrders has the engine leave a share of the orders without a response until a time, and carry them out late.
+func (e *engine) loseOrders(share float64, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.lostShare, e.lostUntil = share, until
+}
+
+// loses reports whether an order gets no response, and has it carried out late.
+func (e *engine) loses(o orderBody) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	now := time.Now()
+	if !now.Before(e.lostUntil) || rand.Float64() >= e.lostShare {
+		return false
+	}
+
+	x := order{at: now, model: o.Model, revision: o.Revision, holder: o.Holder, late: true, highestFence: e.fence, highestFenceOf: e.fenceOf}
+	if o.Fence != nil {
+		x.fence = *o.Fence
+	}
+
+	e.orders = append(e.orders, x)
+
+	time.AfterFunc(firstLate+rand.N(lateSpread), func() { e.takeLate(o, x) })
+
+	return true
+}
+
+// takeLate carries out an order that got no response, if it still may be.
+func (e *engine) takeLate(o orderBody, x order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if e.decide(o) == http.StatusAccepted && o.Revision > e.versions[o.Model] {
+		e.accept(x)
+	}
+}
+
 // take carries out an order, or refuses it, and returns the status of the response.
 func (e *engine) take(o orderBody, err error, expected string) int {
 	e.mu.Lock()
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,11 +25,12 @@
 // cases are the scripted cases by name. Trouble is false if the case runs without its disruption.
 var cases = map[string]func(rec *record, trouble bool) error{
 	"silent-log":   runSilentLog,
-	"two-models":   runTwoModels,
 	"late-version": runLateVersion,
 	"deadly":       runDeadly,
 	"all-crash":    runAllCrash,
-	// models-together is a trial, no case.
+	"many-entries": runManyEntries,
+	// These are trials, no cases.
+	"two-models":      runTwoModels,
 	"models-together": runModelsTogether,
 }
 
