loader, roster, pulse: order an engine only where no loader can run

Callers' engines were ordered twice: with 80 entries and 30 engines, entries ordered engines beside which a loader runs, and where such an order got no response, the loader ordered with a lower fencing number (3000000 after 3001000).

Cause: an entry took 12 s without a load report for the absence of a loader, and a loader silently dropped the subscriptions of all entries but 64; lost datagrams and paused loaders look the same. The loader's number was always the lowest of a version, and with several models of an engine it fell with their versions.

Now an entry orders only while the engine's VM refuses connections to the loader's port, for three seconds and right before each order. A loader that has just started gives no order for four seconds. Numbers follow the engines' clock, or the time of day. The bound of subscribers is 4,096, counted and logged; whoever is beyond it is told; reports to all of them stay within a total, and name the longer interval.

Failed before: pulse.TestAllEntriesOfAFleetGetReports (64 of 65, 80, 160, 400 served), loader.TestStandbyOrdersNoEngineThatMayHaveALoader, loader.TestLoaderThatStartsAfterAnEntrysOrderIsTheLaterHolder (4 of 6 starts) and loader.TestFencesRiseOverTheModelsOfAnEngine, the loader's tests with the new configuration fields left out. roster.TestHoldingsReportMissingSideProcess expected silence to suffice; it is replaced by one that expects the VM's replies, too.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -116,7 +116,7 @@
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
 		Holder: cfg.VM, Rollout: loader.RolloutConfig{MaxDuration: cfg.Bounds.VersionDeadline}, Engine: platformClient, Entries: e, Fleet: e.roster,
-		Ring: members, VersionsSyncedAt: operators.CertainAt, Log: log,
+		Ring: members, SideProcess: func(ctx context.Context, address string) pulse.Presence { return e.reports.SideProcess(ctx, address) }, VersionsSyncedAt: operators.CertainAt, Log: log,
 	})
 
 	meter := metrics.New(e.registry, metrics.Gauges{
@@ -377,7 +377,7 @@
 	e.claims.Listener = reports
 	e.reports = reports
 
-	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.tick, reports.Run, e.runRegistration, e.syncCrashes, e.archive.Run}
+	tasks := []func(context.Context){e.lines.Run, e.watcher.Run, e.client.Run, e.standby.Run, e.probeSideProcesses, e.tick, reports.Run, e.runRegistration, e.syncCrashes, e.archive.Run}
 
 	for _, f := range e.followers {
 		tasks = append(tasks, func(ctx context.Context) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -5,15 +5,17 @@
 //
 // Each side process orders only its own engine, so an engine has one holder by
 // construction and no leader election is needed. The fencing number of an order rises
-// with the version to load: versions only rise, so a delayed order always has
-// the lower number. An order also states how many orders the engine must have accepted
+// with time, so that a delayed order always has the lower number, and so does one of an
+// earlier holder. An order also states how many orders the engine must have accepted
 // before, so that an order that arrives seconds late, after another one, is rejected.
 //
 // Engines load in rollout slots (AssignSlot): each process computes the slot of its
 // engine from the register. The load is announced to the entries before the order, so
 // that they send their requests to other engines, and the new version after the load.
 //
-// A Standby, in each entry, orders the engines that have no loader.
+// A Standby, in each entry, orders the engines that have no loader. It asks the engine's VM for one
+// right before each order, and a loader that has just started holds its orders back for HoldOff, so
+// that the two are never holders of an engine within the time that an order counts.
 package loader
 
 import (
@@ -40,6 +42,9 @@
 	// StartTime is the start time in milliseconds of the engine's clock; zero when the
 	// engine doesn't report it.
 	StartTime int64
+	// Clock is the time in milliseconds of the clock that all engines share when the state was
+	// taken; zero when the engine doesn't report it.
+	Clock int64
 }
 
 // Order is an order to load a weight version.
@@ -120,6 +125,11 @@
 	Engine   Engine
 	Register Register
 	Entries  Entries
+	// Start is the time since which entries find this process, FirstStart reports whether the whole
+	// system starts for the first time, so that no entry has given an order. Orders begin HoldOff
+	// after Start otherwise.
+	Start      time.Time
+	FirstStart bool
 	// Utilisation returns the part of the engines' prefill capacity that is in use, from 0 to 1, and
 	// the age of that figure; zero when unknown. Nil means that it is never known.
 	Utilisation func(now time.Time) (share float64, age time.Duration)
@@ -138,6 +148,11 @@
 	registerTimeout = 800 * time.Millisecond
 )
 
+// HoldOff is the time after its start in which a loader gives no order: an entry that found no loader just
+// before may have an order under way for callTimeout, and then counts as the engine's holder for three
+// seconds.
+const HoldOff = 4 * time.Second
+
 // updateQueueSize is the number of published versions that are queued while a load is
 // under way; beyond it SetDesired blocks.
 const updateQueueSize = 64
@@ -159,6 +174,7 @@
 	desired      map[string]DesiredVersion
 	updates      chan DesiredVersion
 	unresponsive bool
+	fence        fences
 	slotStart    atomic.Pointer[time.Time] // start of the engine's rollout slot; nil for none
 }
 
@@ -269,11 +285,25 @@
 
 	r := reloader{
 		engine: l.cfg.Engine, entries: l.cfg.Entries, address: l.cfg.Address, holder: l.cfg.Holder,
-		pollInterval: loadPollInterval, queryState: l.state, log: l.cfg.Log,
+		pollInterval: loadPollInterval, queryState: l.state, fence: &l.fence, log: l.cfg.Log,
 	}
 	r.reload(ctx, self, n)
 }
 
+// heldFor returns for how long orders are still held back after the start of this process.
+func (l *Loader) heldFor(now time.Time) time.Duration {
+	if l.cfg.FirstStart {
+		return 0
+	}
+
+	wait := max(l.cfg.Start.Add(HoldOff).Sub(now), 0)
+	if wait > 0 {
+		event.Log(l.cfg.Log, event.OrdersHeld, "wait_ms", wait.Milliseconds())
+	}
+
+	return wait
+}
+
 // slotCheckInterval is the time between two looks at the utilisation while a loader waits for its
 // slot.
 const slotCheckInterval = 500 * time.Millisecond
@@ -290,6 +320,7 @@
 
 	began := time.Now()
 	planned := time.Duration(-1) // the last planned time of the slot after began
+	heldFor := l.heldFor(began)
 
 	for {
 		now := time.Now()
@@ -300,8 +331,8 @@
 			cfg.Utilisation, age = max(cfg.Utilisation, share), shareAge
 		}
 
-		if slot := AssignSlot(cfg, self, n.Version, siblings); slot.Wait > planned {
-			planned = slot.Wait
+		if slot := AssignSlot(cfg, self, n.Version, siblings); max(slot.Wait, heldFor) > planned {
+			planned = max(slot.Wait, heldFor)
 			at := began.Add(planned)
 			l.slotStart.Store(&at)
 			event.Log(l.cfg.Log, event.TurnPlanned, "model", n.Model, "version", n.Version, "rank", slot.Rank, "of", slot.Of, "wait_ms", at.Sub(now).Milliseconds(),
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -71,9 +71,13 @@
 	busy       bool
 	orders     int64
 	received   []Order // accepted or not
+	receivedAt []time.Time
 	accepted   []Order
-	delayed    int // number of next orders that get no reply and are processed 4 s later
-	refusals   int // number of next orders that are refused as for another start
+	lost       int   // number of next orders that get no reply and are not processed
+	other      int64 // version of a second model, which is never loaded; zero for none
+	clock      int64 // in ms; zero if not reported
+	delayed    int   // number of next orders that get no reply and are processed 4 s later
+	refusals   int   // number of next orders that are refused as for another start
 	loadTime   time.Duration
 	startTime  int64
 	starts     int  // number of restarts
@@ -86,7 +90,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return State{Versions: map[string]int64{"m": e.version}, Busy: e.busy, AcceptedOrders: e.orders, StartTime: e.startTime}, nil
+	versions := map[string]int64{"m": e.version}
+	if e.other > 0 {
+		versions["other"] = e.other
+	}
+
+	return State{Versions: versions, Busy: e.busy, AcceptedOrders: e.orders, StartTime: e.startTime, Clock: e.clock}, nil
 }
 
 func (e *fakeEngine) Order(ctx context.Context, _ string, o Order) (Reply, error) {
@@ -94,6 +103,13 @@
 	defer e.mu.Unlock()
 
 	e.received = append(e.received, o)
+	e.receivedAt = append(e.receivedAt, time.Now())
+
+	if e.lost > 0 {
+		e.lost--
+
+		return NoReply, errNoReply
+	}
 
 	if e.refusals > 0 {
 		e.refusals--
@@ -210,15 +226,15 @@
 }
 
 func TestLoaderAnnouncesAndLoadsVersion(t *testing.T) {
-	engine := &fakeEngine{version: 1, loadTime: 500 * time.Millisecond}
+	engine := &fakeEngine{version: 1, loadTime: 500 * time.Millisecond, clock: 7}
 	entries := runLoader(t, engine, 6*time.Second, map[time.Duration]int64{time.Second: 2})
 
 	if engine.version != 2 || len(engine.accepted) != 1 {
 		t.Fatalf("got version %d after %d orders, want 2 after 1", engine.version, len(engine.accepted))
 	}
 
-	if o := engine.accepted[0]; o.Holder != "vm-1" || o.Fence != 2*fenceWindows*fenceRanks || o.ExpectedOrders != 0 || o.Target != "engine-0" {
-		t.Errorf("got order %+v, want holder vm-1, target engine-0, no orders expected and the fence of version 2", o)
+	if o := engine.accepted[0]; o.Holder != "vm-1" || o.Fence != 7*fenceHolders || o.ExpectedOrders != 0 || o.Target != "engine-0" {
+		t.Errorf("got order %+v, want holder vm-1, target engine-0, no orders expected and the fence of the engine's clock", o)
 	}
 
 	if got, want := fmt.Sprint(entries.announcements), "[2 false 2 true]"; got != want {
--- a/loader/reloader.go
+++ b/loader/reloader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -31,11 +32,13 @@
 	address      string // of the engine
 	holder       string // VM of this process
 	pollInterval time.Duration
-	rank         int       // of this process among those that may order the engine
-	window       int       // ordering window in which the order is sent; 0 is that of the engine's loader
+	number       int       // of this process among the holders: 0 for the loader, one more than its rank for an entry
+	fence        *fences   // of this process for the engine
 	orderUntil   time.Time // end of the window for orders; zero for no limit
-	queryState   func(ctx context.Context) (State, bool)
-	log          logr.Logger
+	// mayHold returns whether this process may give the engine an order now; nil if it always may.
+	mayHold    func(ctx context.Context) bool
+	queryState func(ctx context.Context) (State, bool)
+	log        logr.Logger
 }
 
 // reload announces the load to the entries, so that they send their requests to other
@@ -80,7 +83,7 @@
 			r.entries.AnnounceVersion(ctx, r.address, n.Model, s.Versions[n.Model], true)
 
 			return
-		case ok && !s.Busy && now.Sub(orderedAt) > orderRetryInterval && r.mayOrder(now):
+		case ok && !s.Busy && now.Sub(orderedAt) > orderRetryInterval && r.mayOrder(ctx, now):
 			orderedAt = now
 
 			if r.order(ctx, self, n, s) == Refused {
@@ -94,32 +97,43 @@
 	}
 }
 
-// Bounds of the fencing number's parts: more than the ordering windows that pass before an
-// engine has a version, and more than there are entries.
-const (
-	fenceWindows = 1000
-	fenceRanks   = 1000
-)
+// fenceHolders bounds the numbers of holders in a fencing number.
+const fenceHolders = 1000
+
+// fences gives out the fencing numbers of one process for one engine. They follow the engines' clock, or
+// the time of day if the engine reports none, so that whoever orders an engine later has the higher
+// number, whatever version or model it orders. The holder's number makes those of two holders differ.
+type fences struct {
+	mu     sync.Mutex
+	latest int64 // time of the last number, in ms
+}
+
+// next returns the number of an order that a holder sends now, after it received the engine's state.
+func (f *fences) next(now time.Time, s State, holder int) int64 {
+	at := s.Clock
+	if at == 0 {
+		at = now.UnixMilli()
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
 
-// fence returns the fencing number of an order. It rises with the version, and within a
-// version with the ordering window; below fenceWindows and fenceRanks, two holders never
-// use the same number.
-func (r *reloader) fence(version int64) int64 {
-	window, rank := min(r.window, fenceWindows-1), min(r.rank, fenceRanks-1)
+	f.latest = max(f.latest, at)
 
-	return (version*fenceWindows+int64(window))*fenceRanks + int64(rank)
+	return f.latest*fenceHolders + int64(min(holder, fenceHolders-1))
 }
 
-// mayOrder reports whether the ordering window is still open.
-func (r *reloader) mayOrder(now time.Time) bool {
-	return r.orderUntil.IsZero() || now.Before(r.orderUntil)
+// mayOrder reports whether the ordering window is still open, and whether this process may hold the
+// engine.
+func (r *reloader) mayOrder(ctx context.Context, now time.Time) bool {
+	return (r.orderUntil.IsZero() || now.Before(r.orderUntil)) && (r.mayHold == nil || r.mayHold(ctx))
 }
 
 func (r *reloader) order(ctx context.Context, self string, n DesiredVersion, s State) Reply {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
-	fence := r.fence(n.Version)
+	fence := r.fence.next(time.Now(), s, r.number)
 
 	reply, err := r.engine.Order(c, r.address, Order{
 		Target: self, Model: n.Model, Version: n.Version, Holder: r.holder, Fence: fence, ExpectedOrders: s.AcceptedOrders,
--- a/loader/standby.go
+++ b/loader/standby.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"boragehub/event"
+	"boragehub/pulse"
 	"boragehub/roster"
 )
 
@@ -15,11 +16,11 @@
 // Its requests then go to the other engines, and where there are no loaders at all every
 // caller is refused once the old weights may no longer be used.
 //
-// Entries therefore order the engines whose loader was never seen, although its load reports
-// were asked for. Which entry does follows from a hash over the live entries: each has an
+// Entries therefore order the engines whose VM says that no loader runs there, and from which no load
+// report ever came although they were asked for. Which entry does follows from a hash over the live entries: each has an
 // ordering window after the engine's rollout slot, in which it may order and the others may
-// not. An engine whose loader is dead or paused is left to that loader: it may be back at any
-// moment, and not all engines check the holder of an order.
+// not. An engine whose loader was seen before, or whose VM doesn't reply, is left to that loader: it may
+// be back at any moment, and not all engines check the holder of an order.
 
 // Fleet lists the engines; *roster.Roster implements it.
 type Fleet interface {
@@ -49,6 +50,8 @@
 	Entries Entries
 	Fleet   Fleet
 	Ring    Ring
+	// SideProcess asks the VM of the engine at an address whether a side process runs there.
+	SideProcess func(ctx context.Context, address string) pulse.Presence
 	// VersionsSyncedAt returns the latest time at which this process certainly knew the newest
 	// version.
 	VersionsSyncedAt func() time.Time
@@ -81,6 +84,7 @@
 	updates chan DesiredVersion
 
 	mu         sync.Mutex
+	fences     map[string]*fences  // by address of the engine
 	rollouts   map[string]*rollout // by model
 	inProgress map[string]struct{} // engines that this process is reloading, by id
 }
@@ -97,7 +101,7 @@
 	cfg.Rollout.Utilisation = 0
 
 	return &Standby{
-		cfg: cfg, updates: make(chan DesiredVersion, updateQueueSize), rollouts: make(map[string]*rollout), inProgress: make(map[string]struct{}),
+		cfg: cfg, updates: make(chan DesiredVersion, updateQueueSize), fences: make(map[string]*fences), rollouts: make(map[string]*rollout), inProgress: make(map[string]struct{}),
 	}
 }
 
@@ -270,7 +274,8 @@
 	event.Log(s.cfg.Log, event.StandbyOrders, "target", e.ID, "model", n.Model, "version", n.Version, "has", state.Versions[n.Model], "slot", j.window)
 
 	r := reloader{
-		engine: s.cfg.Engine, entries: s.cfg.Entries, address: e.Address, holder: s.cfg.Holder, pollInterval: standbyLoadPollInterval, window: j.window + 1, rank: j.rank, orderUntil: j.orderUntil, log: s.cfg.Log,
+		engine: s.cfg.Engine, entries: s.cfg.Entries, address: e.Address, holder: s.cfg.Holder, pollInterval: standbyLoadPollInterval, number: j.rank + 1, fence: s.fencesOf(e.Address), orderUntil: j.orderUntil, log: s.cfg.Log,
+		mayHold: func(ctx context.Context) bool { return s.absent(ctx, j) },
 		queryState: func(ctx context.Context) (State, bool) {
 			state, err := pollState(ctx, s.cfg.Engine, e.Address)
 
@@ -279,3 +284,37 @@
 	}
 	r.reload(ctx, e.ID, n)
 }
+
+// absent reports whether the VM of the engine replies that no side process runs there.
+func (s *Standby) absent(ctx context.Context, j job) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	p := s.cfg.SideProcess(ctx, j.engine.Address)
+	if p != pulse.Absent {
+		event.Log(s.cfg.Log, event.StandbyWithheld, "target", j.engine.ID, "model", j.desired.Model, "version", j.desired.Version, "side_process", p.String())
+	}
+
+	return p == pulse.Absent
+}
+
+// maxFences bounds the engines whose last fencing number is kept.
+const maxFences = 4096
+
+// fencesOf returns the fencing numbers of this process for the engine at an address.
+func (s *Standby) fencesOf(address string) *fences {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	f, ok := s.fences[address]
+	if !ok {
+		if len(s.fences) >= maxFences {
+			clear(s.fences)
+		}
+
+		f = &fences{}
+		s.fences[address] = f
+	}
+
+	return f
+}
--- a/loader/standby_test.go
+++ b/loader/standby_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"boragehub/pulse"
 	"boragehub/roster"
 )
 
@@ -20,12 +21,14 @@
 	mu          sync.Mutex
 	engines     map[string]*fakeEngine
 	hasLoader   map[string]bool    // by engine id
+	silent      map[string]bool    // engines that entries take to have no loader
+	unreachable map[string]bool    // engines whose VM doesn't reply
 	unlisted    map[string]bool    // engines that entries don't know of
 	partitioned map[fixedRank]bool // entries that can't learn of versions
 }
 
 func newFakeFleet(n int) *fakeFleet {
-	f := &fakeFleet{engines: make(map[string]*fakeEngine), hasLoader: make(map[string]bool), unlisted: make(map[string]bool), partitioned: make(map[fixedRank]bool)}
+	f := &fakeFleet{engines: make(map[string]*fakeEngine), hasLoader: make(map[string]bool), silent: make(map[string]bool), unreachable: make(map[string]bool), unlisted: make(map[string]bool), partitioned: make(map[fixedRank]bool)}
 	for i := range n {
 		f.engines[fmt.Sprintf("engine-%d", i)] = &fakeEngine{version: 1, loadTime: 500 * time.Millisecond}
 	}
@@ -41,7 +44,7 @@
 
 	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
 		if e := f.engines[id]; !f.unlisted[id] {
-			all = append(all, roster.Holding{ID: id, Address: id, Version: e.loadedVersion(), NoSideProcess: !f.hasLoader[id]})
+			all = append(all, roster.Holding{ID: id, Address: id, Version: e.loadedVersion(), NoSideProcess: !f.hasLoader[id] || f.silent[id]})
 		}
 	}
 
@@ -68,6 +71,21 @@
 	f.partitioned[p] = partitioned
 }
 
+// sideProcess returns what the VM of an engine replies.
+func (f *fakeFleet) sideProcess(_ context.Context, address string) pulse.Presence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	switch {
+	case f.unreachable[address]:
+		return pulse.Unknown
+	case f.hasLoader[address]:
+		return pulse.Present
+	default:
+		return pulse.Absent
+	}
+}
+
 func (f *fakeFleet) State(ctx context.Context, address string) (State, error) {
 	return f.engines[address].State(ctx, address)
 }
@@ -133,7 +151,7 @@
 // startStandby starts the Standby of an entry; it runs until ctx ends.
 func (f *fakeFleet) startStandby(ctx context.Context, p fixedRank) *Standby {
 	s := NewStandby(StandbyConfig{
-		Holder: fmt.Sprintf("entry-%d", p), Engine: f, Entries: &fakeEntries{}, Fleet: f, Ring: p, VersionsSyncedAt: func() time.Time { return f.versionsSyncedAt(p) }, Log: logr.Discard(),
+		Holder: fmt.Sprintf("entry-%d", p), Engine: f, Entries: &fakeEntries{}, Fleet: f, Ring: p, SideProcess: f.sideProcess, VersionsSyncedAt: func() time.Time { return f.versionsSyncedAt(p) }, Log: logr.Discard(),
 	})
 
 	go s.Run(ctx)
@@ -220,3 +238,106 @@
 		}
 	})
 }
+
+// Guards against two holders of an engine whose load reports an entry doesn't get: the loader runs, or its
+// VM can't be asked, and missing reports are no sign that there is none.
+func TestStandbyOrdersNoEngineThatMayHaveALoader(t *testing.T) {
+	runFleet(t, 2, func(ctx context.Context, f *fakeFleet) {
+		f.silent["engine-0"], f.hasLoader["engine-0"] = true, true
+		f.silent["engine-1"], f.unreachable["engine-1"] = true, true
+
+		for p := range 3 {
+			f.startStandby(ctx, fixedRank(p)).SetDesired(DesiredVersion{Model: "m", Version: 2})
+		}
+
+		time.Sleep(time.Minute)
+
+		for id, e := range f.engines {
+			if got := e.acceptedHolders(); len(got) > 0 {
+				t.Errorf("%s: got orders by %v, want none", id, got)
+			}
+		}
+	})
+}
+
+// Guards against an order of the loader with a lower fencing number than the one before it: an entry has ordered
+// an engine without a loader, got no response, and the loader starts.
+func TestLoaderThatStartsAfterAnEntrysOrderIsTheLaterHolder(t *testing.T) {
+	for _, startAfter := range []time.Duration{1300, 1500, 2000, 2700, 4200, 8000} {
+		runFleet(t, 1, func(ctx context.Context, f *fakeFleet) {
+			e := f.engines["engine-0"]
+			e.lost = 1
+
+			f.startStandby(ctx, 0).SetDesired(DesiredVersion{Model: "m", Version: 2})
+			time.Sleep(startAfter * time.Millisecond)
+
+			f.mu.Lock()
+			f.hasLoader["engine-0"] = true
+			f.mu.Unlock()
+
+			l := New(Config{Address: "engine-0", Holder: "vm", Engine: f, Register: fakeRegister{e}, Entries: &fakeEntries{}, Start: time.Now(), Log: logr.Discard()})
+			go l.Run(ctx)
+
+			l.SetDesired(DesiredVersion{Model: "m", Version: 2, PublishedBeforeStart: true})
+			time.Sleep(30 * time.Second)
+
+			if got := e.loadedVersion(); got != 2 {
+				t.Errorf("start after %d ms: got version %d, want 2", startAfter, got)
+			}
+
+			if p := e.fenceViolation(); p != "" {
+				t.Errorf("start after %d ms: %s", startAfter, p)
+			}
+
+			if p := e.sharedHold(3 * time.Second); p != "" {
+				t.Errorf("start after %d ms: %s", startAfter, p)
+			}
+		})
+	}
+}
+
+// Guards against lower fencing numbers after higher ones when an engine has several models: each has versions of its own.
+func TestFencesRiseOverTheModelsOfAnEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		e := &fakeEngine{version: 1, loadTime: 500 * time.Millisecond}
+		l := New(Config{Address: "a", Holder: "vm", Engine: e, Register: fakeRegister{e}, Entries: &fakeEntries{}, Log: logr.Discard()})
+
+		go l.Run(ctx)
+
+		l.SetDesired(DesiredVersion{Model: "m", Version: 5})
+		time.Sleep(10 * time.Second)
+
+		e.mu.Lock()
+		e.other = 1
+		e.mu.Unlock()
+
+		l.SetDesired(DesiredVersion{Model: "other", Version: 2})
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+
+		if got := len(e.received); got < 2 {
+			t.Fatalf("got %d orders, want one for each model", got)
+		}
+
+		if p := e.fenceViolation(); p != "" {
+			t.Error(p)
+		}
+	})
+}
+
+// sharedHold describes two orders of different holders that were received within the time for which the
+// sender of an order counts as the holder; empty for none.
+func (e *fakeEngine) sharedHold(lease time.Duration) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	for i := 1; i < len(e.received); i++ {
+		if gap := e.receivedAt[i].Sub(e.receivedAt[i-1]); e.received[i].Holder != e.received[i-1].Holder && gap < lease {
+			return fmt.Sprintf("got an order by %s %v after one by %s, want at least %v", e.received[i].Holder, gap, e.received[i-1].Holder, lease)
+		}
+	}
+
+	return ""
+}
--- a/pulse/lease.go
+++ b/pulse/lease.go
@@ -92,33 +92,36 @@
 		case <-r.leases.changed:
 		}
 
-		r.push(time.Now())
+		sent := r.push(time.Now())
 
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pushInterval):
+		case <-time.After(max(pushInterval, time.Duration(sent)*time.Second/maxPushedPerSecond)):
 		}
 	}
 }
 
-// push sends the figures of leases to the subscribers that know of them.
-func (r *Reporter) push(now time.Time) {
+// push sends the figures of leases to the subscribers that know of them, and returns their number.
+func (r *Reporter) push(now time.Time) int {
 	s := &r.leases
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.stateSequence == 0 {
-		return // the engine has not been queried yet
+		return 0 // the engine has not been queried yet
 	}
 
 	body := encode(r.leasesOnly(now, nil))
+	all := r.leaseSubscribers(now)
 
-	for _, to := range r.leaseSubscribers(now) {
+	for _, to := range all {
 		//nolint:errcheck,gosec // equivalent to a lost datagram
 		r.conn.WriteToUDP(body, to)
 	}
+
+	return len(all)
 }
 
 // leaseSubscribers returns the addresses of the subscribers that know of leases.
--- a/pulse/listener.go
+++ b/pulse/listener.go
@@ -79,7 +79,7 @@
 		}
 
 		if l.newer(p) {
-			p.Interval = time.Duration(l.interval.Load())
+			p.Interval = max(time.Duration(l.interval.Load()), time.Duration(p.StretchedMs)*time.Millisecond)
 			l.cfg.OnReport(time.Now(), p)
 		}
 
--- a/pulse/report.go
+++ b/pulse/report.go
@@ -91,11 +91,18 @@
 	// Of the engine's state it has Backlog, Leased and Leases only: the rest would be up to 100 ms
 	// older than it seems.
 	LeasesOnly bool `cbor:"29,keyasint,omitempty"`
+	// StretchedMs is the time between two load reports to this subscriber if it is longer than the one
+	// asked for, as there are many subscribers.
+	StretchedMs int64 `cbor:"30,keyasint,omitempty"`
+	// Refused reports whether the subscription that this report replies to was refused: no other
+	// reports follow. LeasesOnly is set, too.
+	Refused bool `cbor:"31,keyasint,omitempty"`
 	// Grants are the replies to claims of the receiving entry.
 	Grants []room.Grant `cbor:"28,keyasint,omitempty"`
 	// Resident lists the long parts of prompts in the engine's KV cache.
 	Resident []resident.Part `cbor:"11,keyasint,omitempty"`
-	// Interval is the time between two load reports that the listener asked for.
+	// Interval is the time between two load reports: the one that the listener asked for, or a longer
+	// one that the side process names.
 	Interval time.Duration `cbor:"-"`
 }
 
@@ -168,6 +175,11 @@
 	maxDatagram = 1400
 	// receiveBufferBytes is the size of receive buffers.
 	receiveBufferBytes = 2048
-	// maxSubscribers bounds the number of entries that get reports of one engine.
-	maxSubscribers = 64
+	// maxSubscribers bounds the number of entries that get reports of one engine, and with it the memory
+	// that they take; more than that are told that they get none.
+	maxSubscribers = 4096
+	// maxSentPerSecond bounds the load reports of one engine to all its subscribers.
+	maxSentPerSecond = 640
+	// maxPushedPerSecond bounds the reports that are sent because leases changed.
+	maxPushedPerSecond = 1600
 )
--- a/pulse/report_test.go
+++ b/pulse/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
@@ -98,6 +100,144 @@
 	}
 }
 
+// Guards against entries without load reports: more of them subscribe to an engine than 64, the former
+// bound, and those beyond it took the engine for one without a side process.
+func TestAllEntriesOfAFleetGetReports(t *testing.T) {
+	for _, entries := range []int{64, 65, 80, 160, 400} {
+		r := &Reporter{subscribers: map[string]subscriber{}}
+		now := time.Unix(100, 0)
+
+		for i := range entries {
+			r.subscribe(now, &net.UDPAddr{Port: 10 + i}, Subscription{Start: 1})
+		}
+
+		if got := len(r.due(now)); got != entries {
+			t.Errorf("%d entries: got reports for %d, want all", entries, got)
+		}
+
+		sent := 0
+		for i := 1; i <= 100; i++ {
+			sent += len(r.due(now.Add(time.Duration(i) * MinInterval)))
+		}
+
+		if got, want := sent, 10*maxSentPerSecond+entries; got > want {
+			t.Errorf("%d entries: got %d reports in 10 s, want %d at most", entries, got, want)
+		}
+	}
+}
+
+// Guards against an entry that isn't told that it gets no load reports: it would not know of the side process.
+func TestRefusedSubscriberIsTold(t *testing.T) {
+	r, err := NewReporter(ReporterConfig{Address: "127.0.0.1:0", Engine: fixedEngine{Report{}}, EngineAddress: "127.0.0.1:9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	for i := range maxSubscribers {
+		r.subscribers[strconv.Itoa(i)] = subscriber{address: &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}, expiresAt: time.Now().Add(time.Hour)}
+	}
+
+	conn, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer closeConn(conn)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+
+	go r.subscriptions(ctx)
+	defer closeConn(r.conn)
+
+	to, ok := r.conn.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		t.Fatal("got no UDP address")
+	}
+
+	if _, err := conn.WriteToUDP(encodeSubscription(Subscription{Start: 1}), to); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+
+	buf := make([]byte, receiveBufferBytes)
+
+	n, _, err := conn.ReadFromUDP(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	var got Report
+	if err := cbor.Unmarshal(buf[:n], &got); err != nil {
+		t.Fatal(err)
+	}
+
+	if want := (Report{Engine: "127.0.0.1:9", LeasesOnly: true, Refused: true}); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a side process that is taken for absent: it has the port from the moment that the Reporter
+// exists, paused or not, and a VM that doesn't reply is no sign of its absence.
+func TestSideProcessIsPresentFromItsStart(t *testing.T) {
+	r, err := NewReporter(ReporterConfig{Address: "127.0.0.1:0", Engine: fixedEngine{Report{}}, EngineAddress: "127.0.0.1:9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	to, ok := r.conn.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		t.Fatal("got no UDP address")
+	}
+
+	l := &Listener{cfg: ListenerConfig{Port: to.Port}}
+
+	if got := l.SideProcess(t.Context(), "127.0.0.1:9"); got != Present {
+		t.Errorf("before Run: got %v, want %v", got, Present)
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		r.Run(ctx)
+	}()
+
+	for range 300 {
+		if got := l.SideProcess(t.Context(), "127.0.0.1:9"); got != Present {
+			t.Fatalf("running: got %v, want %v", got, Present)
+		}
+	}
+
+	ended, stop := context.WithCancel(t.Context())
+	stop()
+
+	if got := l.SideProcess(ended, "127.0.0.1:9"); got != Unknown {
+		t.Errorf("without a reply in time: got %v, want %v", got, Unknown)
+	}
+
+	cancel()
+	<-done
+
+	// The sockets are closed in the background.
+	got := Present
+	for end := time.Now().Add(10 * time.Second); got != Absent && time.Now().Before(end); {
+		c, giveUp := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		got = l.SideProcess(c, "127.0.0.1:9")
+
+		giveUp()
+	}
+
+	if got != Absent {
+		t.Errorf("after its end: got %v, want %v", got, Absent)
+	}
+}
+
 func TestSubscribersGetReportsAtTheirInterval(t *testing.T) {
 	tests := []struct {
 		interval time.Duration
--- a/pulse/reporter.go
+++ b/pulse/reporter.go
@@ -53,7 +53,9 @@
 
 	mu          sync.Mutex
 	subscribers map[string]subscriber
+	refusals    refusals
 
+	presence net.Listener
 	leases   leaseReports
 	slowdown latestSlowdown
 }
@@ -62,22 +64,32 @@
 	address   *net.UDPAddr
 	expiresAt time.Time
 	interval  time.Duration
-	demand    int       // rate of prompts at the entry, per second
-	dueAt     time.Time // when its next load report is due
+	demand    int           // rate of prompts at the entry, per second
+	dueAt     time.Time     // when its next load report is due
+	stretched time.Duration // interval that it gets instead of the requested one; zero if that one
 
 	utilisation reportedUtilisation
 	start       int64 // Subscription.Start
 	speed       capacity.Speed
 }
 
-// NewReporter returns a Reporter that is bound to cfg.Address.
+// NewReporter returns a Reporter that is bound to cfg.Address. From then on Listener.SideProcess finds
+// this process.
 func NewReporter(cfg ReporterConfig) (*Reporter, error) {
-	conn, err := listen(cfg.Address)
+	presence, err := net.Listen("tcp4", cfg.Address) //nolint:noctx // bound once, at start
 	if err != nil {
 		return nil, err
 	}
 
-	return &Reporter{cfg: cfg, conn: conn, subscribers: make(map[string]subscriber), leases: newLeaseReports()}, nil
+	// With port 0 both sockets get the port that the first one was given.
+	conn, err := listen(presence.Addr().String())
+	if err != nil {
+		closeListener(presence)
+
+		return nil, err
+	}
+
+	return &Reporter{cfg: cfg, conn: conn, presence: presence, subscribers: make(map[string]subscriber), leases: newLeaseReports()}, nil
 }
 
 func listen(address string) (*net.UDPConn, error) {
@@ -91,9 +103,13 @@
 
 // Run serves subscriptions and sends load reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { closeConn(r.conn) })
+	stop := context.AfterFunc(ctx, func() {
+		closeConn(r.conn)
+		closeListener(r.presence)
+	})
 	defer stop()
 
+	go r.showPresence(ctx)
 	go r.subscriptions(ctx)
 	go r.pushChanges(ctx)
 
@@ -208,18 +224,22 @@
 			s = Subscription{}
 		}
 
-		r.subscribe(time.Now(), from, s)
+		if !r.subscribe(time.Now(), from, s) {
+			r.refuse(time.Now(), from, s)
+		}
+
 		r.applyClaims(time.Now(), from, s)
 	}
 }
 
-func (r *Reporter) subscribe(now time.Time, from *net.UDPAddr, s Subscription) {
+// subscribe adds or renews a subscription. It returns false if there are maxSubscribers already.
+func (r *Reporter) subscribe(now time.Time, from *net.UDPAddr, s Subscription) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	old, ok := r.subscribers[from.String()]
 	if !ok && len(r.subscribers) >= maxSubscribers {
-		return
+		return false
 	}
 
 	old.address, old.expiresAt, old.interval, old.demand = from, now.Add(subscriptionTTL), time.Duration(s.IntervalMs)*time.Millisecond, s.Demand
@@ -227,6 +247,14 @@
 	old.start = s.Start
 	r.observeCapacity(now, &old, s)
 	r.subscribers[from.String()] = old
+
+	return true
+}
+
+// minInterval returns the shortest time between two reports to one subscriber, given the number of
+// subscribers. All of them together get no more than maxSentPerSecond reports.
+func minInterval(subscribers int) time.Duration {
+	return max(time.Duration(subscribers)*time.Second/maxSentPerSecond, MinInterval)
 }
 
 // due returns the subscribers whose next load report is due.
@@ -236,6 +264,8 @@
 
 	var all []subscriber
 
+	shortest := minInterval(len(r.subscribers))
+
 	for name, s := range r.subscribers {
 		if now.After(s.expiresAt) {
 			delete(r.subscribers, name)
@@ -249,7 +279,12 @@
 			continue
 		}
 
-		s.dueAt = now.Add(s.interval)
+		s.stretched = 0
+		if shortest > max(s.interval, MinInterval) {
+			s.stretched = shortest
+		}
+
+		s.dueAt = now.Add(max(s.interval, s.stretched))
 		r.subscribers[name] = s
 		all = append(all, s)
 	}
@@ -266,18 +301,17 @@
 		permits = g.Permits(now, demands(to))
 	}
 
-	plain, legacy := encodeFor(subscriber{start: 1}, p), encodeFor(subscriber{}, p)
+	encoded := make(map[reportVariant][]byte)
 
 	for _, s := range to {
-		body := plain
-		if s.start == 0 {
-			body = legacy
-		}
+		v := reportVariant{permits: permits[s.address.String()], stretched: s.stretched, legacy: s.start == 0}
 
-		if n := permits[s.address.String()]; n > 0 {
+		body, ok := encoded[v]
+		if !ok {
 			q := p
-			q.Permits = n
+			q.Permits, q.StretchedMs = v.permits, v.stretched.Milliseconds()
 			body = encodeFor(s, q)
+			encoded[v] = body
 		}
 
 		// A datagram that can't be sent is equivalent to a lost one.
@@ -286,6 +320,13 @@
 	}
 }
 
+// reportVariant is what a report says to some of its receivers only.
+type reportVariant struct {
+	permits   int
+	stretched time.Duration
+	legacy    bool
+}
+
 // demands returns the subscribers' demands for the permits of a cold engine.
 func demands(to []subscriber) []slowstart.Entry {
 	all := make([]slowstart.Entry, len(to))
--- a/roster/holding_test.go
+++ b/roster/holding_test.go
@@ -8,8 +8,8 @@
 )
 
 // Guards against two sources of load orders for one engine: an entry orders loads for engines
-// without a side process, and takes the side process for missing when it never subscribed to the
-// engine's load reports or did so only just now.
+// without a side process, and takes the side process for missing because load reports are, or because
+// it never subscribed to them or did so only just now.
 func TestHoldingsReportMissingSideProcess(t *testing.T) {
 	t0 := time.Unix(1000, 0)
 	r := New(Config{Self: "entry-1", DataCentre: "east"})
@@ -22,19 +22,45 @@
 		r.ObserveListing(t0, l)
 	}
 
+	reply := func(p pulse.Presence, at ...time.Duration) func() {
+		return func() {
+			for _, d := range at {
+				r.ObserveSideProcess(t0.Add(d), "a:1", p)
+			}
+		}
+	}
+
+	const late = noSideProcessAfter + time.Minute
+
 	steps := []struct {
 		name string
 		do   func()
 		at   time.Duration
 		want bool
 	}{
-		{"not subscribed", func() {}, time.Hour, false},
-		{"subscribed", func() { r.Subscriptions(t0, func(string) bool { return true }) }, noSideProcessAfter - 1, false},
-		{"subscription unanswered for long", func() {}, noSideProcessAfter, true},
+		{"not subscribed", reply(pulse.Absent, time.Second, time.Second+absentFor), time.Second + absentFor, false},
+		{"subscribed", func() {
+			r.Subscriptions(t0, func(string) bool { return true })
+			reply(pulse.Absent, noSideProcessAfter-absentFor-1, noSideProcessAfter-1)()
+		}, noSideProcessAfter - 1, false},
+		{"subscription unanswered for long, absent", func() {}, noSideProcessAfter, true},
+		{"last reply too old", func() {}, noSideProcessAfter + maxProbeInterval, false},
+		{"absent once", reply(pulse.Absent, late), late, false},
+		{"absent for too short a time", reply(pulse.Absent, late+absentFor-1), late + absentFor - 1, false},
+		{"absent for long enough", reply(pulse.Absent, late+absentFor), late + absentFor, true},
+		{"present", reply(pulse.Present, late+absentFor+1), late + absentFor + 1, false},
+		{"no reply behind it", reply(pulse.Unknown, late+time.Hour, late+time.Hour+absentFor), late + time.Hour + absentFor, false},
+		{"replies too far apart", reply(pulse.Absent, late+2*time.Hour, late+2*time.Hour+maxProbeInterval+1), late + 2*time.Hour + maxProbeInterval + 1, false},
+		{"no reply between two", func() {
+			reply(pulse.Absent, late+3*time.Hour)()
+			reply(pulse.Unknown, late+3*time.Hour+time.Second)()
+			reply(pulse.Absent, late+3*time.Hour+absentFor)()
+		}, late + 3*time.Hour + absentFor, false},
+		{"absent again", reply(pulse.Absent, late+3*time.Hour+2*absentFor), late + 3*time.Hour + 2*absentFor, true},
 		{"report received", func() {
 			r.ObserveReport(t0, pulse.Report{Engine: "a:1", Sequence: 1, SourceStart: 1, Model: "m", Version: 3})
-		}, noSideProcessAfter, false},
-		{"report received long ago", func() {}, time.Hour, false},
+		}, late + 3*time.Hour + 2*absentFor, false},
+		{"report received long ago", func() {}, late + 4*time.Hour, false},
 	}
 
 	for _, s := range steps {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -198,6 +198,7 @@
 	reportedAt   time.Time
 	backlogAt    time.Time // when the report's figures of leases arrived
 	subscribedAt time.Time // since when this process subscribes to its load reports; zero while it doesn't
+	sideProcess  sideProcess
 	sentSince    Sent
 	lastSentAt   time.Time // when it was last sent a request
 	listing      Listing
