mirror, roster: tell a broken connection from an outage of the log

Callers' bookings went to a target that had left up to 3.0 s after its removal, and its end cut some of them off (502), where the open connections to the log had gone silent half a second before.

Cause: any read of the register that failed counted as an outage of the log, in which entries of living targets may expire. Removals were kept for 2.2 s from its start, and from its end again, 3.7 s after the silence in all. Also, a removal learned during an outage was carried out with the first tick after the log's return, when a living target isn't listed again yet.

Now a read that fails is followed at once by one on a new connection. Records of another process that are less than 1.2 s old show that the log is available. Only an outage of 1.8 s or longer since the last current records delays removals (entries expire after three heartbeats of 1.2 s), until 2.2 s after its end, those learned meanwhile as well.

Failed before: roster.TestDropAfterAShortOutageTakesEffectAtOnce, roster.TestDropReadDuringALongOutageWaitsForItsEnd, mirror.TestNoOutageWhileOthersHaveCurrentRecords and mirror.TestSilentConnectionIsNoOutageOfTheLog (learned after 1.32 s).

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -94,7 +94,7 @@
 		Restarted:  func(id string) { e.gateway.TargetRestarted(id) },
 		SlowStart:  func(service string) slowstart.Limit { return e.gateway.SlowStart(service) },
 		Entries:    members,
-		Contention: cfg.Contention, MemoryPressure: cfg.MemoryPressure,
+		Contention: cfg.Contention, MemoryPressure: cfg.MemoryPressure, MinLapse: minLapse(cfg.Heartbeat),
 		HasEngines: func(service string) bool { return e.gateway.HasEngines(service) },
 		SlowdownChanged: func(address string, percent int) {
 			e.reports.Notify(address, pulse.Subscription{Slowdown: percent})
@@ -178,11 +178,11 @@
 
 	e.followers = []*mirror.Follower{
 		mirror.NewFollower(mirror.FollowerConfig{
-			Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: e.client, Relay: e.client,
+			Name: platform.OperatorTopic, Topic: operators, Source: source, Reconnect: source.Reconnect, Peers: e.client, Relay: e.client,
 			LoadWait: e.loadWait(), Wait: operatorReadWait, SharedClock: e.engineClock, OnChanges: publications.Handle, OnReset: e.onOperatorReset, Log: e.log,
 		}),
 		mirror.NewFollower(mirror.FollowerConfig{
-			Name: platform.RegisterTopic, Topic: register, Source: source, Peers: e.client, Relay: e.client,
+			Name: platform.RegisterTopic, Topic: register, Source: source, Reconnect: source.Reconnect, Peers: e.client, Relay: e.client,
 			LoadWait: e.loadWait(), ReadPause: registerReadPause(e.cfg.Bounds.DrainDeadline), OnChanges: listings.Handle, OnOutage: e.roster.SetLogUnavailable, OnReset: e.roster.LogReset, Log: e.log,
 		}),
 	}
@@ -207,6 +207,11 @@
 	}
 }
 
+// minLapse returns the shortest outage of the log in which the entry of a living target may expire. It does
+// after three heartbeats of silence, of which one may have passed before; half of one is left for heartbeats that
+// are late.
+func minLapse(heartbeat time.Duration) time.Duration { return heartbeat * 3 / 2 }
+
 // registerReadPause returns the pause between two reads of the register, given the time after
 // which draining targets may get no more requests; 0 means no such limit.
 func registerReadPause(drainDeadline time.Duration) time.Duration {
--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -91,7 +91,7 @@
 		Log: log,
 	}
 	follower := mirror.NewFollower(mirror.FollowerConfig{
-		Name: platform.OperatorTopic, Topic: operators, Source: source, Peers: client, Relay: exchange.NewSubscriber(client, cfg.VM), LoadWait: sideLoadWait,
+		Name: platform.OperatorTopic, Topic: operators, Source: source, Reconnect: source.Reconnect, Peers: client, Relay: exchange.NewSubscriber(client, cfg.VM), LoadWait: sideLoadWait,
 		Wait: sideOperatorReadWait, PeerInterval: sidePeerInterval, OnChanges: publications.Handle, Log: log,
 	})
 
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -2,14 +2,15 @@
 
 // Events of the log topics that a process mirrors.
 var (
-	TopicLost        = register(2200, "topic_lost", "A topic of the log is unreachable; its last known records stay in force and other processes are polled.")
-	TopicRegained    = register(2201, "topic_regained", "A topic of the log is reachable again; `after_ms` is the duration of the outage.")
-	RecordUnreadable = register(2202, "record_unreadable", "A record of the log could not be decoded; the previous one stays in force: `topic`, `key`, `offset`.")
-	ConfigInForce    = register(2203, "config_in_force", "A configuration is in force in this process: `version`, `era`, `offset`, `bytes`.")
-	LogReset         = register(2206, "log_reset", "The log has returned from an older copy and lost what was written since; its offsets are given out again: `topic`, `era`, `before`, `end`, `end_before` (as known here), `changes` (that it brought).")
-	LogSettled       = register(2207, "log_settled", "What the log had lost and was not written again for two seconds after 2206 is dropped now: `topic`, `changes`.")
-	EntryRegistered  = register(2205, "entry_registered", "The log holds the address of this entry; the entry may fetch contexts for longer during an outage: `name`, `address`.")
-	VersionNamed     = register(2204, "version_named", "A weight version was published: `model`, `version`, `era`, `offset`.")
+	TopicLost         = register(2200, "topic_lost", "A topic of the log is unreachable, on a new connection too; its last known records stay in force and other processes are polled: `topic`, `era`, `offset`, `records_age_ms`.")
+	LogConnectionLost = register(2208, "log_connection_lost", "A read of the log failed, and one on a new connection succeeded at once, so that the connection was broken and not the log: `topic`, `records_age_ms` (of the last current records before).")
+	TopicRegained     = register(2201, "topic_regained", "A topic of the log is reachable again; `after_ms` is the duration of the outage.")
+	RecordUnreadable  = register(2202, "record_unreadable", "A record of the log could not be decoded; the previous one stays in force: `topic`, `key`, `offset`.")
+	ConfigInForce     = register(2203, "config_in_force", "A configuration is in force in this process: `version`, `era`, `offset`, `bytes`.")
+	LogReset          = register(2206, "log_reset", "The log has returned from an older copy and lost what was written since; its offsets are given out again: `topic`, `era`, `before`, `end`, `end_before` (as known here), `changes` (that it brought).")
+	LogSettled        = register(2207, "log_settled", "What the log had lost and was not written again for two seconds after 2206 is dropped now: `topic`, `changes`.")
+	EntryRegistered   = register(2205, "entry_registered", "The log holds the address of this entry; the entry may fetch contexts for longer during an outage: `name`, `address`.")
+	VersionNamed      = register(2204, "version_named", "A weight version was published: `model`, `version`, `era`, `offset`.")
 )
 
 // Events of the gateway: requests routed by host and path.
@@ -39,6 +40,7 @@
 	DataCentreEvacuated = register(2319, "data_centre_evacuated", "Operators excluded the targets of a data centre from new work, or ended that: `data_centre`, `evacuated`, `known` (false if no data centre has that name).")
 	SideProcessProbed   = register(2327, "side_process_probed", "No load report of a target was ever received, and its VM was asked whether a side process runs there; the result changed: `target`, `address`, `side_process` (present, absent, or unknown if the VM did not reply), `before`, `silent_ms`.")
 	EngineRestarted     = register(2314, "engine_restarted", "A target restarted under the same ID; the state known of it is dropped, and the attempts that wait for it are abandoned: `target`, `born`.")
+	DropsDelayed        = register(2328, "drops_delayed", "The log was unavailable for so long that entries of living targets may have expired in the register; those that it drops are kept until a time: `until`, `outage_ms`.")
 	EngineDropped       = register(2311, "engine_dropped", "The register no longer lists a target; it gets no new work: `target`, `reason`.")
 	EngineLoading       = register(2312, "engine_loading", "A target announced the load of a weight version; it gets no work until the load ends or its maximum duration has passed: `target`, `version`.")
 	EngineVersion       = register(2313, "engine_version", "The weight version of a target changed: `target`, `version`, `basis`.")
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -91,10 +91,13 @@
 	PeerInterval time.Duration
 	// OnChanges is called with the changed records in order of offset, one call at a time.
 	OnChanges func(now time.Time, changes []Record)
-	// OnOutage is called with true at the start of an outage, when a read of the log fails, and
-	// with false at its end, when the log or an assigned process returns current records. If
-	// nil, it isn't called.
-	OnOutage func(now time.Time, unavailable bool)
+	// Reconnect closes the idle connections to the log, so that the next read gets a new one; nil if
+	// there are none. A connection that has gone silent looks like a log that is down.
+	Reconnect func()
+	// OnOutage is called with true when neither the log nor another process returns current records,
+	// with the time since which that is so, and with false when one does again, with the present
+	// time and before they are passed to OnChanges. If nil, it isn't called.
+	OnOutage func(at time.Time, unavailable bool)
 	// OnReset is called when the log has returned from a copy, see Topic; it may be nil.
 	OnReset func(now time.Time)
 	// SharedClock returns the clock that the processes share, in ms, never ahead of it, and zero while it
@@ -157,7 +160,8 @@
 // Follower keeps a Topic up to date. Use NewFollower.
 type Follower struct {
 	cfg       FollowerConfig
-	lostSince time.Time // start of the outage, see OnOutage; zero outside an outage
+	lostSince time.Time // since when reads of the log fail; zero while they don't
+	outage    bool      // as last passed to OnOutage
 
 	mu sync.Mutex // serialises merges and calls of OnChanges, which keeps the changes in order
 
@@ -189,6 +193,11 @@
 		}
 
 		b, err := f.readLog(ctx)
+
+		if err != nil && f.lostSince.IsZero() && ctx.Err() == nil {
+			b, err = f.readAgain(ctx, err)
+		}
+
 		now := time.Now()
 
 		if err == nil {
@@ -204,11 +213,40 @@
 		}
 
 		f.markLost(now, err)
-		f.fetchFromPeers(ctx)
+		f.noteOutage(f.fetchFromPeers(ctx))
 		pause.For(ctx, retryPause)
 	}
 }
 
+// readAgain reads the log once more after a read has failed, on a new connection. If that succeeds,
+// the connection was broken and not the log. It fetches from the peers meanwhile, since the log may be
+// unresponsive.
+func (f *Follower) readAgain(ctx context.Context, cause error) (Batch, error) {
+	if f.cfg.Reconnect != nil {
+		f.cfg.Reconnect()
+	}
+
+	go f.fetchFromPeers(ctx)
+
+	currentAt := f.cfg.Topic.SyncedAt()
+	b, err := f.readWithin(ctx, 0)
+
+	if err != nil {
+		return b, err
+	}
+
+	now := time.Now()
+	event.Fail(f.cfg.Log, cause, event.LogConnectionLost, "topic", f.cfg.Name, "records_age_ms", now.Sub(currentAt).Milliseconds())
+
+	// What happened to the log in the meantime is known only if it was a short time.
+	if f.cfg.OnOutage != nil {
+		f.cfg.OnOutage(currentAt, true)
+		f.cfg.OnOutage(now, false)
+	}
+
+	return b, nil
+}
+
 // load polls other processes for the whole topic until it is loaded, LoadWait has passed or
 // this process is to read the log itself.
 func (f *Follower) load(ctx context.Context) {
@@ -299,15 +337,19 @@
 // errShort is returned for a response that belongs to another read: within an era the log's end never goes back.
 var errShort = errors.New("the log ends before the records that were read")
 
-// readLog makes one read of the log. It reads a snapshot if the topic isn't loaded, the log no longer
-// keeps the records from the topic's end on, or it has returned from a copy.
-func (f *Follower) readLog(ctx context.Context) (Batch, error) {
+// readLog makes one read of the log, which waits for a record for Wait.
+func (f *Follower) readLog(ctx context.Context) (Batch, error) { return f.readWithin(ctx, f.cfg.Wait) }
+
+// readWithin makes one read of the log, which waits for a record for a time. It reads a snapshot if the
+// topic isn't loaded, the log no longer keeps the records from the topic's end on, or it has returned from a
+// copy.
+func (f *Follower) readWithin(ctx context.Context, wait time.Duration) (Batch, error) {
 	end := f.cfg.Topic.End()
 
 	if f.cfg.Topic.Loaded() {
 		sentAt := f.moment(time.Now())
-		c, cancel := pause.WithIdleTimeout(ctx, f.cfg.Wait+readSlack, f.cfg.Wait+maxTransfer)
-		b, err := f.cfg.Source.Read(c, f.cfg.Name, end.Offset, f.cfg.Wait)
+		c, cancel := pause.WithIdleTimeout(ctx, wait+readSlack, wait+maxTransfer)
+		b, err := f.cfg.Source.Read(c, f.cfg.Name, end.Offset, wait)
 
 		cancel()
 
@@ -351,10 +393,11 @@
 	return Moment{now, f.cfg.SharedClock(now)}
 }
 
-// fetchFromPeers merges the records that the peers have beyond those of this process.
-func (f *Follower) fetchFromPeers(ctx context.Context) {
+// fetchFromPeers merges the records that the peers have beyond those of this process. It returns whether
+// one of them had current records: the log is available to others.
+func (f *Follower) fetchFromPeers(ctx context.Context) (current bool) {
 	if f.cfg.Peers == nil {
-		return
+		return false
 	}
 
 	c, cancel := pause.WithIdleTimeout(ctx, peerTimeout, maxTransfer)
@@ -364,10 +407,13 @@
 	if err != nil {
 		f.cfg.Log.V(1).Info("fetch from peers failed", "topic", f.cfg.Name, "error", err.Error())
 
-		return
+		return false
 	}
 
-	f.merge(ctx, time.Now(), b)
+	now := time.Now()
+	f.merge(ctx, now, b)
+
+	return b.Era >= f.cfg.Topic.End().Era && now.Sub(b.AsOf) < relayStaleAfter
 }
 
 // fetchPeriodically fetches from the peers while reads of the log wait, since an unresponsive
@@ -430,22 +476,35 @@
 	}
 }
 
-// markLost records that a read of the log failed.
+// markLost records that reads of the log fail.
 func (f *Follower) markLost(now time.Time, err error) {
 	if !f.lostSince.IsZero() {
 		return
 	}
 
 	f.lostSince = now
+	event.Fail(f.cfg.Log, err, event.TopicLost, "topic", f.cfg.Name, "era", f.cfg.Topic.End().Era, "offset", f.cfg.Topic.End().Offset,
+		"records_age_ms", now.Sub(f.cfg.Topic.SyncedAt()).Milliseconds())
+}
 
-	if f.cfg.OnOutage != nil {
-		f.cfg.OnOutage(now, true)
+// noteOutage passes on the start and the end of an outage while reads of the log fail here. Elsewhere
+// reports whether another process has current records.
+func (f *Follower) noteOutage(elsewhere bool) {
+	if f.cfg.OnOutage == nil || f.outage == !elsewhere {
+		return
 	}
 
-	event.Fail(f.cfg.Log, err, event.TopicLost, "topic", f.cfg.Name, "era", f.cfg.Topic.End().Era, "offset", f.cfg.Topic.End().Offset)
+	f.outage = !elsewhere
+
+	if f.outage {
+		f.cfg.OnOutage(f.cfg.Topic.SyncedAt(), true)
+	} else {
+		f.cfg.OnOutage(time.Now(), false)
+	}
 }
 
-// markRecovered records that the log or an assigned process returned current records.
+// markRecovered records that the log or an assigned process returned current records. It is called before
+// they are merged.
 func (f *Follower) markRecovered(now time.Time) {
 	if f.lostSince.IsZero() {
 		return
@@ -453,8 +512,5 @@
 
 	event.Log(f.cfg.Log, event.TopicRegained, "topic", f.cfg.Name, "after_ms", now.Sub(f.lostSince).Milliseconds())
 	f.lostSince = time.Time{}
-
-	if f.cfg.OnOutage != nil {
-		f.cfg.OnOutage(now, false)
-	}
+	f.noteOutage(true)
 }
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -199,6 +199,103 @@
 	})
 }
 
+// Guards against a broken connection that is taken for an outage of the log, whose removals are delayed: open
+// connections go silent, and new ones work at once.
+func TestSilentConnectionIsNoOutageOfTheLog(t *testing.T) {
+	for _, pauseBefore := range []time.Duration{2000, 2200, 2400} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+
+			log := &fakeLog{}
+			log.append("target", "1")
+
+			var (
+				topic    Topic
+				mu       sync.Mutex
+				since    time.Time
+				longest  time.Duration
+				outages  int
+				learned  time.Time
+				silentAt time.Time
+			)
+
+			f := NewFollower(FollowerConfig{
+				Name: "t", Topic: &topic, Source: log, Reconnect: func() { log.setDown(false) }, ReadPause: 500 * time.Millisecond,
+				OnChanges: func(now time.Time, _ []Record) {
+					mu.Lock()
+					defer mu.Unlock()
+
+					learned = now
+				},
+				OnOutage: func(at time.Time, unavailable bool) {
+					mu.Lock()
+					defer mu.Unlock()
+
+					if unavailable {
+						since = at
+						outages++
+					} else {
+						longest = max(longest, at.Sub(since))
+					}
+				},
+				Log: logr.Discard(),
+			})
+
+			var running sync.WaitGroup
+
+			running.Go(func() { f.Run(ctx) })
+			time.Sleep(pauseBefore * time.Millisecond)
+
+			silentAt = time.Now()
+
+			log.setDown(true)
+			time.Sleep(100 * time.Millisecond)
+			log.append("target", "")
+			time.Sleep(5 * time.Second)
+			cancel()
+			running.Wait()
+
+			// The register's entries of living targets expire after 2.4 s of silence.
+			if longest >= 1800*time.Millisecond || outages > 1 {
+				t.Errorf("got %d outages of up to %v, want one that is too short for an entry to expire", outages, longest)
+			}
+
+			if got, want := learned.Sub(silentAt), 1300*time.Millisecond; got <= 0 || got > want {
+				t.Errorf("got the change %v after the silence, want it within %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against an outage of the log that is one for this process only: others have current records, and what
+// they pass on is what the log has.
+func TestNoOutageWhileOthersHaveCurrentRecords(t *testing.T) {
+	log := &fakeLog{}
+	log.append("config", "1")
+
+	peers := &fakePeers{}
+
+	runFollower(t, log, peers, func(_ *Topic, outage func() bool) {
+		time.Sleep(100 * time.Millisecond)
+		log.setDown(true)
+
+		for range 100 {
+			peers.setBatch(Batch{End: 1, AsOf: time.Now()})
+			time.Sleep(50 * time.Millisecond)
+
+			if outage() {
+				t.Fatal("got an outage of the log, want none")
+			}
+		}
+
+		time.Sleep(5 * time.Second) // the peers' records get old
+
+		if !outage() {
+			t.Error("got no outage of the log, want one")
+		}
+	})
+}
+
 // Guards against missed changes when the log is unreachable for this process only, for instance
 // because a load balancer lost its connections. If an API key is revoked meanwhile, the process
 // must learn of it from another one, or it accepts the key until the log is reachable again.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,8 +10,9 @@
 // target gets no new work.
 //
 // While the log is unavailable, the register may drop targets that are alive; they are
-// listed again shortly after the log returns. A drop that is read during an outage, or
-// within Config.DropDelay of it, therefore takes effect only after that time.
+// listed again shortly after the log returns. A drop that is read during an outage of
+// Config.MinLapse or longer, or within Config.DropDelay of it, therefore takes effect only
+// after that time. No target that is alive is dropped in a shorter outage.
 //
 // Weight versions are learned from the register, from responses, from refusals and from
 // side processes. The highest one is current, since an engine never loads an older one.
@@ -89,6 +90,9 @@
 	// DropDelay is how long after a log outage drops are delayed; 2.2 s when zero,
 	// since entries that expired during the outage are listed again within 2 s.
 	DropDelay time.Duration
+	// MinLapse is the shortest outage of the log in which the entry of a target that is alive may
+	// expire; 1.8 s when zero, as entries expire after three heartbeats of 1.2 s of silence.
+	MinLapse time.Duration
 	// MaxLoadTime is how long a target counts as loading after a weight load was
 	// announced and its completion is not reported; 4 s when zero. A load takes about
 	// 0.5 s, and the requests that run before it another 1 to 2 s.
@@ -204,7 +208,7 @@
 	listing      Listing
 	versions     map[string]int64
 	loadingUntil time.Time // until when it is taken to be loading weights
-	dropAfter    time.Time // when a delayed drop takes effect; zero for none
+	dropPending  bool      // the register dropped it, and the drop is delayed
 	liveness     liveness
 	run          runState
 	startedMs    int64 // start time in ms of its own clock; zero when not reported
@@ -226,6 +230,7 @@
 	reporting         map[string]bool           // addresses from which a load report was ever received
 	dropsDelayedUntil time.Time                 // until when drops are delayed
 	logUnavailable    bool                      // as last set by SetLogUnavailable
+	unavailableSince  time.Time                 // when that began
 	lastSeen          time.Time                 // when any target was last seen
 	subscribes        bool                      // Subscriptions has been called
 	evacuated         map[string]bool           // data centres whose targets get no work
@@ -269,6 +274,10 @@
 		cfg.DropDelay = 2200 * time.Millisecond
 	}
 
+	if cfg.MinLapse <= 0 {
+		cfg.MinLapse = 1800 * time.Millisecond
+	}
+
 	if cfg.MaxLoadTime <= 0 {
 		cfg.MaxLoadTime = 4 * time.Second
 	}
@@ -290,14 +299,33 @@
 	}
 }
 
-// SetLogUnavailable records whether the log is unavailable. Drops are delayed during an outage and
-// for Config.DropDelay after it.
-func (r *Roster) SetLogUnavailable(now time.Time, unavailable bool) {
+// SetLogUnavailable records that the log is unavailable since a time, or that it is available again.
+// Drops are delayed during an outage, and for Config.DropDelay after one of Config.MinLapse or longer.
+func (r *Roster) SetLogUnavailable(at time.Time, unavailable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.logUnavailable = unavailable
+	if unavailable {
+		if !r.logUnavailable {
+			r.unavailableSince = at
+		}
+
+		r.logUnavailable = true
+
+		return
+	}
+
+	if r.logUnavailable && at.Sub(r.unavailableSince) >= r.cfg.MinLapse {
+		r.delayDrops(at)
+	}
+
+	r.logUnavailable = false
+}
+
+// delayDrops delays drops for Config.DropDelay. The caller holds mu.
+func (r *Roster) delayDrops(now time.Time) {
 	r.dropsDelayedUntil = now.Add(r.cfg.DropDelay)
+	event.Log(r.cfg.Log, event.DropsDelayed, "until", r.dropsDelayedUntil, "outage_ms", now.Sub(r.unavailableSince).Milliseconds())
 }
 
 // LogReset records that the log has returned from a copy. Drops are delayed as after an outage.
@@ -305,7 +333,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.dropsDelayedUntil = now.Add(r.cfg.DropDelay)
+	r.unavailableSince = now
+	r.delayDrops(now)
 }
 
 // ObserveListing applies the register's entry for one target.
@@ -341,7 +370,7 @@
 	before := r.currentRegistration(l.Address).id
 	r.addRegistration(l)
 
-	e.dropAfter = time.Time{}
+	e.dropPending = false
 	changed := !ok || !e.listing.equal(l) || r.currentRegistration(l.Address).id != before
 
 	if !e.isEarlierStart(l.StartedMs) {
@@ -376,8 +405,8 @@
 		return
 	}
 
-	if (r.logUnavailable || now.Before(r.dropsDelayedUntil)) && !e.leaving() {
-		e.dropAfter = r.dropsDelayedUntil
+	if r.dropsDelayed(now) && !e.leaving() {
+		e.dropPending = true
 
 		return
 	}
@@ -385,6 +414,11 @@
 	r.remove(now, id, "dropped")
 }
 
+// dropsDelayed reports whether drops are delayed at present. The caller holds mu.
+func (r *Roster) dropsDelayed(now time.Time) bool {
+	return r.logUnavailable || now.Before(r.dropsDelayedUntil)
+}
+
 // remove deletes a target. The caller holds mu.
 func (r *Roster) remove(now time.Time, id, reason string) {
 	r.markEnded(id, false)
@@ -437,12 +471,12 @@
 
 	limits := r.tickRateLimits(now)
 
-	if r.logUnavailable {
+	if r.dropsDelayed(now) {
 		return limits
 	}
 
 	for id, e := range r.engines {
-		if !e.dropAfter.IsZero() && now.After(e.dropAfter) {
+		if e.dropPending {
 			r.remove(now, id, "still missing after an outage of the log")
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -83,6 +83,51 @@
 	}
 }
 
+// Guards against requests to a target that has left: a connection to the log breaks, and the removal that is
+// read on the next one counts as one by a register that has lost its heartbeats.
+func TestDropAfterAShortOutageTakesEffectAtOnce(t *testing.T) {
+	for _, during := range []bool{false, true} {
+		r := newTestRoster()
+		r.SetLogUnavailable(at(0), true)
+
+		if during {
+			r.ObserveRemoval(at(1000), "a")
+		}
+
+		r.SetLogUnavailable(at(1300), false)
+
+		if !during {
+			r.ObserveRemoval(at(1310), "a")
+		}
+
+		r.Tick(at(1320))
+
+		if _, ok := candidatesByID(r, at(1320))["a"]; ok {
+			t.Errorf("read during the outage %v: got a kept, want it removed", during)
+		}
+	}
+}
+
+// Guards against the loss of living targets at the end of an outage: another process passed on the removal
+// during it, and the target is listed again within 2 s of the log's return.
+func TestDropReadDuringALongOutageWaitsForItsEnd(t *testing.T) {
+	r := newTestRoster()
+	r.SetLogUnavailable(at(0), true)
+	r.ObserveRemoval(at(1000), "a")
+	r.SetLogUnavailable(at(5000), false)
+
+	for _, s := range []struct {
+		ms   int
+		want bool
+	}{{5010, true}, {7190, true}, {7210, false}} {
+		r.Tick(at(s.ms))
+
+		if _, got := candidatesByID(r, at(s.ms))["a"]; got != s.want {
+			t.Errorf("at %d ms: got it kept %v, want %v", s.ms, got, s.want)
+		}
+	}
+}
+
 func TestDropWithoutLogOutageTakesEffectAtOnce(t *testing.T) {
 	r := newTestRoster()
 	r.ObserveRemoval(at(10), "a")
