upstream: bound the heads of targets' responses

A target that sent a status line, a header field, header fields or other bytes without end took 0.4 to 4.4 GB of an entry's memory for one request, until its deadline; an entry has 134 to 284 MB. The caller got a 504 late, or nothing.

Cause: upstream read heads with http.ReadResponse, which has no bound; controlcall bounded its reader before it did the same. The reader is a package of its own now, responsehead, which both use: 64 KiB, four times what callers may send in a head. The clients of net/http have that bound in place of 10 MiB, and the operators' port in place of 1 MiB.

A head that stops midway is no response for any reader, before and after; the test over eight readers keeps it so.

Failed before: responsehead.TestEveryReaderGivesUpAHeadWithoutEnd, for callers' requests in all five forms (all 128 MB of the target read); the other readers had a bound.

--- a/controlcall/conn.go
+++ b/controlcall/conn.go
@@ -1,10 +1,8 @@
 package controlcall
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -14,13 +12,12 @@
 	"time"
 
 	"boragehub/pause"
+	"boragehub/responsehead"
 	"boragehub/wholebody"
 )
 
 const (
 	readBufferBytes = 4 << 10
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 64 << 10
 	// maxInformational is how many informational responses (1xx) are skipped before one response.
 	maxInformational = 5
 	// maxKinds bounds the kinds of responses that a connection remembers; calls have a few paths.
@@ -41,8 +38,7 @@
 // conn is one connection.
 type conn struct {
 	nc       net.Conn
-	limited  *io.LimitedReader
-	br       *bufio.Reader
+	in       *responsehead.Reader
 	echoing  []kind // whose responses have had the ids of their calls
 	echoed   bool   // the last response had its call's id
 	ownIDs   bool   // the first response, which was its call's own, had another id
@@ -55,9 +51,7 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	l := &io.LimitedReader{R: nc, N: math.MaxInt64}
-
-	return &conn{nc: nc, limited: l, br: bufio.NewReaderSize(l, readBufferBytes)}
+	return &conn{nc: nc, in: responsehead.NewReader(nc, readBufferBytes)}
 }
 
 func (c *conn) reused() bool { return c.calls > 0 }
@@ -102,7 +96,7 @@
 	c.calls++
 
 	// Bytes behind a complete response belong to no call.
-	c.followed = c.br.Buffered() > 0
+	c.followed = c.in.Buffered() > 0
 
 	if resp.Close || endsWithConnection(resp) || c.followed {
 		keep = 0
@@ -115,17 +109,14 @@
 
 // readHead reads the header of a response.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.limited.N = maxHeaderBytes
-	defer func() { c.limited.N = math.MaxInt64 }()
-
-	if _, err := c.br.Peek(1); err != nil {
+	if err := c.in.Await(); err != nil {
 		return nil, err
 	}
 
 	c.answered = true
 
 	for range maxInformational {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.in.Read(req)
 		if err != nil {
 			return nil, err
 		}
--- a/controlcall/controlcall_test.go
+++ b/controlcall/controlcall_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-logr/logr/funcr"
+
+	"boragehub/responsehead"
 )
 
 const idHeader = "X-Call-Id"
@@ -346,7 +348,7 @@
 func TestResponsesAreBounded(t *testing.T) {
 	tests := []struct{ name, text string }{
 		{"no response", ""},
-		{"no end of the header", "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", 2*maxHeaderBytes)},
+		{"no end of the header", "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", 2*responsehead.MaxBytes)},
 		{"long body", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("a", 101)},
 		{"long chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("a", 101) + "\r\n0\r\n\r\n"},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc"},
--- a/journal/client.go
+++ b/journal/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"boragehub/failure"
+	"boragehub/responsehead"
 	"boragehub/wholebody"
 )
 
@@ -60,8 +61,8 @@
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.HTTP == nil {
 		cfg.HTTP = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections,
-			DialContext:         (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
+			MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: responsehead.MaxBytes,
+			DialContext: (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
 		}}
 	}
 
--- a/once/client.go
+++ b/once/client.go
@@ -9,12 +9,16 @@
 // while the request is in transit.
 package once
 
-import "net/http"
+import (
+	"net/http"
+
+	"boragehub/responsehead"
+)
 
 // NewClient returns a client that sends each request once. It has no timeout.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: responsehead.MaxBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/operator/server.go
+++ b/operator/server.go
@@ -29,6 +29,9 @@
 	shutdownTimeout   = 2 * time.Second
 )
 
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 64 << 10
+
 // Check is one condition for readiness.
 type Check struct {
 	// Name is listed in the response to /readyz if the check fails.
@@ -85,7 +88,7 @@
 		return nil, failure.Wrap(failure.BadSettings, err, "operators' address %q can't be bound", cfg.Addr)
 	}
 
-	return &Server{listener: l, server: &http.Server{Handler: Handler(cfg), ReadHeaderTimeout: readHeaderTimeout}}, nil
+	return &Server{listener: l, server: &http.Server{Handler: Handler(cfg), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}}, nil
 }
 
 // Addr returns the bound address.
--- a/side/side.go
+++ b/side/side.go
@@ -40,8 +40,10 @@
 	"boragehub/operator"
 	"boragehub/peer"
 	"boragehub/quarantine"
+	"boragehub/responsehead"
 	"boragehub/ring"
 	"boragehub/setting/exchange"
+	"boragehub/store"
 	"boragehub/vm"
 )
 
@@ -165,11 +167,11 @@
 
 	s := &Side{
 		cfg:       cfg,
-		engine:    engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleEngineConns}}},
+		engine:    engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleEngineConns, MaxResponseHeaderBytes: responsehead.MaxBytes}}},
 		runEngine: engine.Client{Address: cfg.Address, HTTP: once.NewClient()},
 		plainHTTP: once.NewClient(),
-		storeHTTP: &http.Client{Timeout: storeTimeout, Transport: &http.Transport{}},
-		spaceHTTP: &http.Client{Timeout: spaceTimeout, Transport: &http.Transport{}},
+		storeHTTP: store.NewHTTP(storeTimeout),
+		spaceHTTP: store.NewHTTP(spaceTimeout),
 		target:    newTargetState(cfg.MaxWaiting),
 		cache:     newCacheIndex(),
 		parkJobs:  ring.New[parkJob](parkQueueSize),
--- a/store/client.go
+++ b/store/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"boragehub/failure"
+	"boragehub/responsehead"
 	"boragehub/wholebody"
 )
 
@@ -203,5 +204,5 @@
 
 // NewHTTP returns an HTTP client whose calls fail after timeout, transfer of the body included.
 func NewHTTP(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout}
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: responsehead.MaxBytes}}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,13 +1,13 @@
 package upstream
 
 import (
-	"bufio"
 	"net"
 	"net/http"
 	"slices"
 	"syscall"
 	"time"
 
+	"boragehub/responsehead"
 	"boragehub/socket"
 )
 
@@ -20,7 +20,7 @@
 type conn struct {
 	address string
 	nc      net.Conn
-	br      *bufio.Reader
+	in      *responsehead.Reader
 	expires time.Time // end of its idle time in the pool
 	reused  bool
 	ids     []string // of the requests that it carried last
@@ -69,7 +69,7 @@
 func (c *conn) carried(id string) bool { return id != "" && slices.Contains(c.ids, id) }
 
 func newConn(address string, nc net.Conn) *conn {
-	return &conn{address: address, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}
+	return &conn{address: address, nc: nc, in: responsehead.NewReader(nc, readBuffer)}
 }
 
 // close closes the connection. The only error that Close can return is that the
@@ -93,7 +93,7 @@
 // usable reports whether the connection is open with nothing to read. It peeks at the
 // socket and consumes no bytes.
 func (c *conn) usable() bool {
-	if c.br.Buffered() > 0 {
+	if c.in.Buffered() > 0 {
 		return false
 	}
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -119,7 +119,7 @@
 	req := &http.Request{Method: r.Method}
 
 	for range maxResponses {
-		resp, err := http.ReadResponse(x.conn.br, req)
+		resp, err := x.conn.in.Read(req)
 		if err != nil {
 			return nil, err
 		}
@@ -208,7 +208,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if !x.complete || x.failed || x.mismatched || x.resp.Close || x.Framing() == CloseFraming || x.conn.br.Buffered() > 0 {
+	if !x.complete || x.failed || x.mismatched || x.resp.Close || x.Framing() == CloseFraming || x.conn.in.Buffered() > 0 {
 		return false
 	}
 
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -13,6 +13,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/pause"
+	"boragehub/responsehead"
 	"boragehub/wholebody"
 )
 
@@ -46,7 +47,7 @@
 
 // NewFollower returns a Follower with an empty list.
 func NewFollower(cfg FollowerConfig) *Follower {
-	f := &Follower{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{}}}
+	f := &Follower{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: responsehead.MaxBytes}}}
 	f.list.Store(NewList(0, nil))
 
 	return f
