gateway, engine: bound the memory of all long responses together

Responses that aren't streams are read to their end, 16 MiB at most, before anything goes to the caller: a target that sends bodies without end to some twenty requests at once takes more than an entry has. engine.Client read bodies without a bound.

What is held beyond 64 KiB of each response now takes an eighth of the VM's memory at most, incomplete events of streams as well; a response beyond that fails as that of a faulty target, and short ones pass. engine.Client reads 64 MiB, exports 1 GiB. The ports of an entry take heads of 64 KiB in place of 1 MiB.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -148,7 +148,7 @@
 		RetryRatio: cfg.Bounds.RetryRatio * retryRatioShare, RetryWindow: cfg.Bounds.RetryWindow,
 		RetrySlack: cfg.Bounds.RetrySlack, VersionDeadline: cfg.Bounds.VersionDeadline,
 		SlowStartOverage: cfg.Bounds.SlowStartOverage, SlowStartSlack: cfg.Bounds.SlowStartSlack,
-		HoldUntil: time.Now().Add(startupWindow), UnreadBytes: unreadBytes(cfg), Claims: &e.claims, Meter: meter, Log: log,
+		HoldUntil: time.Now().Add(startupWindow), UnreadBytes: unreadBytes(cfg), ResponseBytes: responseBytes(cfg), Claims: &e.claims, Meter: meter, Log: log,
 	}, operators.Certain, e.registration.RegisteredAt)
 
 	e.balancer = drain.NewHealthCheck(e.gateway.Ready)
@@ -394,10 +394,10 @@
 	stop := runInBackground(tasks...)
 	defer stop()
 
-	callers := drain.NewServer(drain.Config{Handler: e.gateway, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, KeepAlive: callerKeepAlive})
-	balancer := &http.Server{Handler: e.balancer, ReadHeaderTimeout: headerTimeout}
-	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerTimeout}
-	metricsServer := &http.Server{Handler: promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout}
+	callers := drain.NewServer(drain.Config{Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, KeepAlive: callerKeepAlive})
+	balancer := &http.Server{Handler: e.balancer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	metricsServer := &http.Server{Handler: promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 
 	failed := make(chan error, 4)
 
--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -70,6 +70,8 @@
 	callerIdleTimeout = 2 * time.Minute
 	// headerTimeout is the maximum time to receive a request header.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the header of a request at every port. Configurations allow 16 KiB.
+	maxHeaderBytes = 64 << 10
 )
 
 // memoryLimitRatio is the Go runtime's memory limit as a fraction of the VM's memory;
@@ -164,6 +166,15 @@
 	return int(unreadMemoryRatio * float64(cfg.MemoryMB<<20))
 }
 
+// responseMemoryRatio is the part of the VM's memory for long responses that have not ended. Their buffers
+// take up to twice that.
+const responseMemoryRatio = 0.125
+
+// responseBytes returns the memory for long responses that have not ended, zero for the default.
+func responseBytes(cfg platform.Settings) int64 {
+	return int64(responseMemoryRatio * float64(cfg.MemoryMB<<20))
+}
+
 // setRuntimeLimits limits the Go runtime to the VM's cores and memory.
 func setRuntimeLimits(cfg platform.Settings) {
 	runtime.GOMAXPROCS(cfg.Cores)
--- a/engine/client.go
+++ b/engine/client.go
@@ -15,13 +15,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"boragehub/failure"
 	"boragehub/prompt"
+	"boragehub/wholebody"
+)
+
+const (
+	// maxExportBytes bounds an export; a store takes no larger object (store.DefaultMaxBytes).
+	maxExportBytes = 1 << 30
+	// maxReplyBytes bounds every other response that isn't a stream. The longest is the list of the blocks
+	// in the KV cache.
+	maxReplyBytes = 64 << 20
 )
 
 // Client sends requests to one engine.
@@ -157,7 +165,7 @@
 		return nil, 0, "", failure.Wrap(failure.Internal, err, "an export could not be encoded")
 	}
 
-	resp, err := c.call(ctx, http.MethodPost, "/cache/export", "application/json", b)
+	resp, err := c.call(ctx, http.MethodPost, "/cache/export", "application/json", b, maxExportBytes)
 	if err != nil {
 		return nil, 0, "", err
 	}
@@ -183,7 +191,7 @@
 // error is failure.WrongVersion if they were computed with other weights than those
 // loaded.
 func (c Client) Import(ctx context.Context, body []byte) (blocks int, err error) {
-	resp, err := c.call(ctx, http.MethodPost, "/cache/import", "application/octet-stream", body)
+	resp, err := c.call(ctx, http.MethodPost, "/cache/import", "application/octet-stream", body, maxReplyBytes)
 	if err != nil {
 		return 0, err
 	}
@@ -211,7 +219,7 @@
 		return failure.Wrap(failure.Internal, err, "an order could not be encoded")
 	}
 
-	resp, err := c.call(ctx, http.MethodPost, "/orders", "application/json", b)
+	resp, err := c.call(ctx, http.MethodPost, "/orders", "application/json", b, maxReplyBytes)
 	if err != nil {
 		return err
 	}
@@ -247,7 +255,7 @@
 func getJSON[T any](ctx context.Context, c Client, path string) (T, error) {
 	var result T
 
-	resp, err := c.call(ctx, http.MethodGet, path, "", nil)
+	resp, err := c.call(ctx, http.MethodGet, path, "", nil, maxReplyBytes)
 	if err != nil {
 		return result, err
 	}
@@ -263,7 +271,8 @@
 	return result, nil
 }
 
-func (c Client) call(ctx context.Context, method, path, contentType string, body []byte) (response, error) {
+// call makes a call and returns its response, whose body has limit bytes at most.
+func (c Client) call(ctx context.Context, method, path, contentType string, body []byte, limit int64) (response, error) {
 	resp, err := c.send(ctx, method, path, contentType, body)
 	if err != nil {
 		return response{}, err
@@ -271,7 +280,7 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	data, err := io.ReadAll(resp.Body)
+	data, err := wholebody.ReadAll(resp.Body, limit)
 	if err != nil {
 		return response{}, failure.Wrap(failure.TargetLost, err, "the engine's response to %s was incomplete", path)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,8 @@
 	// UnreadBytes bounds the memory that responses take which callers read slowly or not at all. If
 	// zero, there is no bound, and a stream whose caller doesn't read isn't read either.
 	UnreadBytes int
+	// ResponseBytes bounds the memory that long responses take until they have ended; 64 MiB when zero.
+	ResponseBytes int64
 	// Claims claims capacity at the engines of contended services for long prompts; nil means that
 	// they are sent without claims.
 	Claims Claims
@@ -146,6 +148,7 @@
 
 	throttledCallers throttledCallers
 	slowReaders      *slowReaders
+	responseMemory   *responseMemory
 	admission        admissionQueues
 }
 
@@ -171,6 +174,7 @@
 		crashes:         newCrashDetector(crashDetectorConfig{Requests: cfg.Crashes, Parts: cfg.CrashParts, Report: cfg.ReportCrash, ReportCleared: cfg.ReportCleared, RequestQuarantined: cfg.RequestQuarantined, PartQuarantined: cfg.PartQuarantined, Log: cfg.Log}),
 		waitQueue:       newWaitQueue(),
 		slowReaders:     newSlowReaders(cfg.UnreadBytes),
+		responseMemory:  newResponseMemory(cfg.ResponseBytes),
 		drain:           newDrainControl(),
 	}
 	g.startup = newStartupHold(cfg.HoldUntil, func() bool { return g.Ready() || g.stopping.Load() })
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -42,7 +42,10 @@
 
 // readResponse reads a response to its end before any of it goes to the caller.
 func (t *task) readResponse(ctx context.Context, c choice, x *upstream.Exchange, a ResponseHead) outcome {
-	body, err := wholebody.ReadAll(x, maxResponseBytes)
+	held := heldResponse{memory: t.g.responseMemory}
+	defer held.release()
+
+	body, err := wholebody.ReadAll(&heldReader{src: x, held: &held}, maxResponseBytes)
 	t.received.bytes = len(body)
 
 	if err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -73,6 +73,9 @@
 
 	var pending []byte
 
+	held := heldResponse{memory: t.g.responseMemory}
+	defer held.release()
+
 	buf := make([]byte, readBufferBytes)
 
 	for {
@@ -105,9 +108,10 @@
 		pending = pending[:copy(pending, pending[end:])]
 
 		switch {
-		case err == nil && len(pending) > maxEventBytes:
-			return outcome{mayHaveRun: true, kind: failure.TargetLost, cause: errEventTooLong, targetOutcome: target.Failed}
 		case err == nil:
+			if err := held.growEvent(len(pending)); err != nil {
+				return outcome{mayHaveRun: true, kind: failure.TargetLost, cause: err, targetOutcome: target.Failed}
+			}
 		case errors.Is(err, io.EOF):
 			return t.finish(c, x)
 		case reader.brokenByCaller(time.Now()):
