roster: carry out a delayed removal only with current records

An entry that the log turned away at the end of an outage dropped four living targets: the others' records that it had were a second old, and the targets had written again in that second.

A removal that was kept is carried out once the register is known as of the end of the delay.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -94,7 +94,7 @@
 		Restarted:  func(id string) { e.gateway.TargetRestarted(id) },
 		SlowStart:  func(service string) slowstart.Limit { return e.gateway.SlowStart(service) },
 		Entries:    members,
-		Contention: cfg.Contention, MemoryPressure: cfg.MemoryPressure, MinLapse: minLapse(cfg.Heartbeat),
+		Contention: cfg.Contention, MemoryPressure: cfg.MemoryPressure, MinLapse: minLapse(cfg.Heartbeat), ListedAsOf: register.SyncedAt,
 		HasEngines: func(service string) bool { return e.gateway.HasEngines(service) },
 		SlowdownChanged: func(address string, percent int) {
 			e.reports.Notify(address, pulse.Subscription{Slowdown: percent})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -93,6 +93,9 @@
 	// MinLapse is the shortest outage of the log in which the entry of a target that is alive may
 	// expire; 1.8 s when zero, as entries expire after three heartbeats of 1.2 s of silence.
 	MinLapse time.Duration
+	// ListedAsOf returns a time as of which the register's entries are known. A delayed drop takes effect
+	// once they are known as of the end of its delay. Nil means that they always are.
+	ListedAsOf func() time.Time
 	// MaxLoadTime is how long a target counts as loading after a weight load was
 	// announced and its completion is not reported; 4 s when zero. A load takes about
 	// 0.5 s, and the requests that run before it another 1 to 2 s.
@@ -471,7 +474,7 @@
 
 	limits := r.tickRateLimits(now)
 
-	if r.dropsDelayed(now) {
+	if r.dropsDelayed(now) || (r.cfg.ListedAsOf != nil && r.cfg.ListedAsOf().Before(r.dropsDelayedUntil)) {
 		return limits
 	}
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -128,6 +128,30 @@
 	}
 }
 
+// Guards against the loss of living targets by an entry that can't read the register at the end of the delay: what it
+// knows may be older than the entries that were written again.
+func TestDelayedDropWaitsForCurrentRecords(t *testing.T) {
+	r := newTestRoster()
+	asOf := at(5000)
+	r.cfg.ListedAsOf = func() time.Time { return asOf }
+
+	r.SetLogUnavailable(at(0), true)
+	r.SetLogUnavailable(at(5000), false)
+	r.ObserveRemoval(at(5010), "a")
+	r.Tick(at(9000))
+
+	if _, ok := candidatesByID(r, at(9000))["a"]; !ok {
+		t.Error("known as of 5 s: got a removed, want it kept")
+	}
+
+	asOf = at(7200)
+	r.Tick(at(9250))
+
+	if _, ok := candidatesByID(r, at(9250))["a"]; ok {
+		t.Error("known as of 7.2 s: got a kept, want it removed")
+	}
+}
+
 func TestDropWithoutLogOutageTakesEffectAtOnce(t *testing.T) {
 	r := newTestRoster()
 	r.ObserveRemoval(at(10), "a")
