--- a/gateway/endless_response_test.go
+++ b/gateway/endless_response_test.go
@@ -49,6 +49,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			a := newFakeEngine(t, "a", tt.endless)
 			env := newTestEnv(t, a)
+			env.gateway.responseMemory = newResponseMemory(1 << 20)
 
 			got := env.request(t, "POST", "/unhurried/1", "x")
 			if got.status != http.StatusBadGateway || a.count() != 1 {
