loader: hold orders back only behind an entry's orders

After a restart of its loader an engine kept replaced weights for four seconds longer, and prompts got 503 where no other engine had the new ones: holds back the orders of every loader that starts, since an entry may just have ordered its engine.

An entry now writes a record of the engine to the log before it asks the VM for a loader and orders. A loader that has its port reads it: one of the two learns of the other. Without a record it orders at once, and holds back if the log can't be read.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -116,7 +116,7 @@
 
 	e.standby = loader.NewStandby(loader.StandbyConfig{
 		Holder: cfg.VM, Rollout: loader.RolloutConfig{MaxDuration: cfg.Bounds.VersionDeadline}, Engine: platformClient, Entries: e, Fleet: e.roster,
-		Ring: members, SideProcess: func(ctx context.Context, address string) pulse.Presence { return e.reports.SideProcess(ctx, address) }, VersionsSyncedAt: operators.CertainAt, Log: log,
+		Ring: members, Holders: platform.Holders{Log: source, Holder: cfg.VM}, SideProcess: func(ctx context.Context, address string) pulse.Presence { return e.reports.SideProcess(ctx, address) }, VersionsSyncedAt: operators.CertainAt, Log: log,
 	})
 
 	meter := metrics.New(e.registry, metrics.Gauges{
--- a/cmd/boragehub/loader.go
+++ b/cmd/boragehub/loader.go
@@ -45,7 +45,7 @@
 	l := loader.New(loader.Config{
 		Address: cfg.EngineAddress, Holder: cfg.VM, Engine: platformClient, Rollout: loader.RolloutConfig{MaxDuration: cfg.Bounds.VersionDeadline},
 		Register: platform.Siblings{Log: source, Service: cfg.Service}, Entries: client, Log: log,
-		Start: time.Now(), FirstStart: cfg.Bootstrap,
+		Start: time.Now(), FirstStart: cfg.Bootstrap, Holders: platform.Holders{Log: source, Holder: cfg.VM},
 		Utilisation: func(now time.Time) (float64, time.Duration) {
 			if cfg.Contention == roster.ContentionOff {
 				return 0, 0
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -79,8 +79,8 @@
 	RoomDone            = register(2415, "room_done", "The request of a lease has ended, as its entry says: as 2414.")
 	RoomReset           = register(2416, "room_reset", "The engine has restarted, and all leases at it ended: `leases`, `leased`.")
 	SubscriptionRefused = register(2417, "subscription_refused", "An entry asked this side process for load reports and gets none, as too many entries do already; it is told: `entry`, `subscribers`, `refused` (since the start). At most one line in 10 s.")
-	OrdersHeld          = register(2418, "orders_held", "This side process has just started and gives its engine no order yet, as an entry may have ordered it until now: `wait_ms`.")
-	StandbyWithheld     = register(2407, "standby_withheld", "A target is to load a weight version, and this entry gives no order, as a side process may run beside it: `target`, `model`, `version`, `side_process` (present, or unknown if its VM did not reply).")
+	OrdersHeld          = register(2418, "orders_held", "This side process has just started and gives its engine no order yet, as an entry may have ordered it until now: `wait_ms`, `recorded` (false if the log could not be read).")
+	StandbyWithheld     = register(2407, "standby_withheld", "A target is to load a weight version, and this entry gives no order, as a side process may run beside it: `target`, `model`, `version`, `side_process` (present, unknown if its VM did not reply, or not_asked if the log could not be written).")
 	StandbyUnheard      = register(2406, "standby_unheard", "A target without a loader that is to load a weight version is unresponsive: `target`, `model`, `version`.")
 )
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -15,7 +15,8 @@
 //
 // A Standby, in each entry, orders the engines that have no loader. It asks the engine's VM for one
 // right before each order, and a loader that has just started holds its orders back for HoldOff, so
-// that the two are never holders of an engine within the time that an order counts.
+// that the two are never holders of an engine within the time that an order counts. It needs to only
+// if the log says that entries have ordered its engine (Holders).
 package loader
 
 import (
@@ -113,6 +114,15 @@
 	AnnounceVersion(ctx context.Context, address, model string, version int64, loaded bool)
 }
 
+// Holders records in the log which engines entries order. An entry writes its record before it asks the
+// engine's VM for a loader, and a loader reads it after its start, so that one of the two learns of the other.
+type Holders interface {
+	// Record records that entries order a target.
+	Record(ctx context.Context, target string) error
+	// Recorded reports whether there is such a record.
+	Recorded(ctx context.Context, target string) (bool, error)
+}
+
 // Config configures a Loader.
 type Config struct {
 	// Address is the address of the engine.
@@ -126,10 +136,11 @@
 	Register Register
 	Entries  Entries
 	// Start is the time since which entries find this process, FirstStart reports whether the whole
-	// system starts for the first time, so that no entry has given an order. Orders begin HoldOff
-	// after Start otherwise.
+	// system starts for the first time, so that no entry has given an order. Otherwise orders begin
+	// HoldOff after Start if Holders has a record of the engine or can't be read.
 	Start      time.Time
 	FirstStart bool
+	Holders    Holders
 	// Utilisation returns the part of the engines' prefill capacity that is in use, from 0 to 1, and
 	// the age of that figure; zero when unknown. Nil means that it is never known.
 	Utilisation func(now time.Time) (share float64, age time.Duration)
@@ -291,16 +302,22 @@
 }
 
 // heldFor returns for how long orders are still held back after the start of this process.
-func (l *Loader) heldFor(now time.Time) time.Duration {
-	if l.cfg.FirstStart {
+func (l *Loader) heldFor(ctx context.Context, now time.Time, self string) time.Duration {
+	wait := l.cfg.Start.Add(HoldOff).Sub(now)
+	if l.cfg.FirstStart || wait <= 0 {
 		return 0
 	}
 
-	wait := max(l.cfg.Start.Add(HoldOff).Sub(now), 0)
-	if wait > 0 {
-		event.Log(l.cfg.Log, event.OrdersHeld, "wait_ms", wait.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+
+	recorded, err := l.cfg.Holders.Recorded(ctx, self)
+	if err == nil && !recorded {
+		return 0
 	}
 
+	event.Log(l.cfg.Log, event.OrdersHeld, "wait_ms", wait.Milliseconds(), "recorded", recorded)
+
 	return wait
 }
 
@@ -320,7 +337,7 @@
 
 	began := time.Now()
 	planned := time.Duration(-1) // the last planned time of the slot after began
-	heldFor := l.heldFor(began)
+	heldFor := l.heldFor(ctx, began, self)
 
 	for {
 		now := time.Now()
--- a/loader/standby.go
+++ b/loader/standby.go
@@ -50,6 +50,8 @@
 	Entries Entries
 	Fleet   Fleet
 	Ring    Ring
+	// Holders records the engines that this process orders, before it orders them.
+	Holders Holders
 	// SideProcess asks the VM of the engine at an address whether a side process runs there.
 	SideProcess func(ctx context.Context, address string) pulse.Presence
 	// VersionsSyncedAt returns the latest time at which this process certainly knew the newest
@@ -85,6 +87,7 @@
 
 	mu         sync.Mutex
 	fences     map[string]*fences  // by address of the engine
+	recorded   map[string]struct{} // engines that Holders has a record of, by id
 	rollouts   map[string]*rollout // by model
 	inProgress map[string]struct{} // engines that this process is reloading, by id
 }
@@ -101,7 +104,7 @@
 	cfg.Rollout.Utilisation = 0
 
 	return &Standby{
-		cfg: cfg, updates: make(chan DesiredVersion, updateQueueSize), fences: make(map[string]*fences), rollouts: make(map[string]*rollout), inProgress: make(map[string]struct{}),
+		cfg: cfg, updates: make(chan DesiredVersion, updateQueueSize), fences: make(map[string]*fences), recorded: make(map[string]struct{}), rollouts: make(map[string]*rollout), inProgress: make(map[string]struct{}),
 	}
 }
 
@@ -275,7 +278,7 @@
 
 	r := reloader{
 		engine: s.cfg.Engine, entries: s.cfg.Entries, address: e.Address, holder: s.cfg.Holder, pollInterval: standbyLoadPollInterval, number: j.rank + 1, fence: s.fencesOf(e.Address), orderUntil: j.orderUntil, log: s.cfg.Log,
-		mayHold: func(ctx context.Context) bool { return s.absent(ctx, j) },
+		mayHold: func(ctx context.Context) bool { return s.record(ctx, j) && s.absent(ctx, j) },
 		queryState: func(ctx context.Context) (State, bool) {
 			state, err := pollState(ctx, s.cfg.Engine, e.Address)
 
@@ -285,6 +288,37 @@
 	r.reload(ctx, e.ID, n)
 }
 
+// record makes sure that the log has a record of the engine.
+func (s *Standby) record(ctx context.Context, j job) bool {
+	s.mu.Lock()
+	_, ok := s.recorded[j.engine.ID]
+	s.mu.Unlock()
+
+	if ok {
+		return true
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	if err := s.cfg.Holders.Record(ctx, j.engine.ID); err != nil {
+		event.Fail(s.cfg.Log, err, event.StandbyWithheld, "target", j.engine.ID, "model", j.desired.Model, "version", j.desired.Version, "side_process", "not_asked")
+
+		return false
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if len(s.recorded) >= maxFences {
+		clear(s.recorded)
+	}
+
+	s.recorded[j.engine.ID] = struct{}{}
+
+	return true
+}
+
 // absent reports whether the VM of the engine replies that no side process runs there.
 func (s *Standby) absent(ctx context.Context, j job) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -298,7 +332,7 @@
 	return p == pulse.Absent
 }
 
-// maxFences bounds the engines whose last fencing number is kept.
+// maxFences bounds the engines whose last fencing number is kept, and those known to be recorded.
 const maxFences = 4096
 
 // fencesOf returns the fencing numbers of this process for the engine at an address.
--- a/loader/standby_test.go
+++ b/loader/standby_test.go
@@ -20,15 +20,17 @@
 type fakeFleet struct {
 	mu          sync.Mutex
 	engines     map[string]*fakeEngine
-	hasLoader   map[string]bool    // by engine id
-	silent      map[string]bool    // engines that entries take to have no loader
-	unreachable map[string]bool    // engines whose VM doesn't reply
+	hasLoader   map[string]bool // by engine id
+	silent      map[string]bool // engines that entries take to have no loader
+	unreachable map[string]bool // engines whose VM doesn't reply
+	recorded    map[string]bool // engines that the log says entries order
+	logDown     bool
 	unlisted    map[string]bool    // engines that entries don't know of
 	partitioned map[fixedRank]bool // entries that can't learn of versions
 }
 
 func newFakeFleet(n int) *fakeFleet {
-	f := &fakeFleet{engines: make(map[string]*fakeEngine), hasLoader: make(map[string]bool), silent: make(map[string]bool), unreachable: make(map[string]bool), unlisted: make(map[string]bool), partitioned: make(map[fixedRank]bool)}
+	f := &fakeFleet{engines: make(map[string]*fakeEngine), hasLoader: make(map[string]bool), silent: make(map[string]bool), unreachable: make(map[string]bool), recorded: make(map[string]bool), unlisted: make(map[string]bool), partitioned: make(map[fixedRank]bool)}
 	for i := range n {
 		f.engines[fmt.Sprintf("engine-%d", i)] = &fakeEngine{version: 1, loadTime: 500 * time.Millisecond}
 	}
@@ -71,6 +73,30 @@
 	f.partitioned[p] = partitioned
 }
 
+func (f *fakeFleet) Record(_ context.Context, target string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.logDown {
+		return errNoReply
+	}
+
+	f.recorded[target] = true
+
+	return nil
+}
+
+func (f *fakeFleet) Recorded(_ context.Context, target string) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.logDown {
+		return false, errNoReply
+	}
+
+	return f.recorded[target], nil
+}
+
 // sideProcess returns what the VM of an engine replies.
 func (f *fakeFleet) sideProcess(_ context.Context, address string) pulse.Presence {
 	f.mu.Lock()
@@ -151,7 +177,7 @@
 // startStandby starts the Standby of an entry; it runs until ctx ends.
 func (f *fakeFleet) startStandby(ctx context.Context, p fixedRank) *Standby {
 	s := NewStandby(StandbyConfig{
-		Holder: fmt.Sprintf("entry-%d", p), Engine: f, Entries: &fakeEntries{}, Fleet: f, Ring: p, SideProcess: f.sideProcess, VersionsSyncedAt: func() time.Time { return f.versionsSyncedAt(p) }, Log: logr.Discard(),
+		Holder: fmt.Sprintf("entry-%d", p), Engine: f, Entries: &fakeEntries{}, Fleet: f, Ring: p, Holders: f, SideProcess: f.sideProcess, VersionsSyncedAt: func() time.Time { return f.versionsSyncedAt(p) }, Log: logr.Discard(),
 	})
 
 	go s.Run(ctx)
@@ -275,7 +301,7 @@
 			f.hasLoader["engine-0"] = true
 			f.mu.Unlock()
 
-			l := New(Config{Address: "engine-0", Holder: "vm", Engine: f, Register: fakeRegister{e}, Entries: &fakeEntries{}, Start: time.Now(), Log: logr.Discard()})
+			l := New(Config{Address: "engine-0", Holder: "vm", Engine: f, Register: fakeRegister{e}, Entries: &fakeEntries{}, Start: time.Now(), Holders: f, Log: logr.Discard()})
 			go l.Run(ctx)
 
 			l.SetDesired(DesiredVersion{Model: "m", Version: 2, PublishedBeforeStart: true})
@@ -296,6 +322,42 @@
 	}
 }
 
+// Guards against engines that keep replaced weights behind restarts of their loaders: only a loader whose engine entries
+// order, or that can't know, holds its orders back.
+func TestRestartedLoaderHoldsOrdersOnlyBehindAnEntry(t *testing.T) {
+	tests := []struct {
+		name              string
+		recorded, logDown bool
+		want              time.Duration
+	}{
+		{"no entry orders the engine", false, false, 2 * time.Second},
+		{"an entry does", true, false, HoldOff + 2*time.Second},
+		{"the log can't be read", false, true, HoldOff + 2*time.Second},
+	}
+
+	for _, tt := range tests {
+		runFleet(t, 1, func(ctx context.Context, f *fakeFleet) {
+			e := f.engines["engine-0"]
+			f.hasLoader["engine-0"], f.recorded["engine-0"], f.logDown = true, tt.recorded, tt.logDown
+			began := time.Now()
+
+			l := New(Config{Address: "engine-0", Holder: "vm", Engine: f, Register: fakeRegister{e}, Entries: &fakeEntries{}, Start: began, Holders: f, Log: logr.Discard()})
+			go l.Run(ctx)
+
+			l.SetDesired(DesiredVersion{Model: "m", Version: 2, PublishedBeforeStart: true})
+			time.Sleep(tt.want)
+
+			if got := e.loadedVersion(); got != 2 {
+				t.Errorf("%s: got version %d after %v, want 2", tt.name, got, tt.want)
+			}
+
+			if got := e.receivedAt[0].Sub(began); tt.want > HoldOff && got < HoldOff {
+				t.Errorf("%s: got the first order after %v, want %v at least", tt.name, got, HoldOff)
+			}
+		})
+	}
+}
+
 // Guards against lower fencing numbers after higher ones when an engine has several models: each has versions of its own.
 func TestFencesRiseOverTheModelsOfAnEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
