--- a/roster/holding.go
+++ b/roster/holding.go
@@ -29,8 +29,7 @@
 	// probeAfter is how long it stays unanswered before the target's VM is asked.
 	probeAfter = 8 * time.Second
 	// ProbeInterval is the time between two questions, and maxProbeInterval the longest one after
-	// which two replies count as being in a row: a process that starts in between has been there for
-	// less than loader.HoldOff by then, and has given no order.
+	// which two replies count as being in a row.
 	ProbeInterval    = 3200 * time.Millisecond
 	maxProbeInterval = 3500 * time.Millisecond
 	// absentFor is the time over which the VM has to reply that no side process runs there. It exceeds
