misuse: crowds of clients that don't keep to the limits, measured on real processes

Clients that send bodies and heads which are large, slow, endless or stop midway, and then stay, take an entry's memory and descriptors.

--- /dev/null
+++ b/misuse/gateway_test.go
@@ -0,0 +1,287 @@
+package misuse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"boragehub/platform"
+	"boragehub/platform/standin"
+)
+
+// gatewayBounds are the memory of the smallest entries on the users' platform and a sixth of their descriptors.
+var gatewayBounds = bounds{memoryMB: 104, descriptors: 700}
+
+const gatewayKey = "k1"
+
+const gatewayConfiguration = `{"revision":1,"routes":[
+ {"name":"seat","host":"a.example","pathPrefix":"/seat/","kind":"streaming","timeoutMs":5000,"service":"llm","maxAttempts":1},
+ {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":5000,"service":"desk","maxAttempts":1},
+ {"name":"look","host":"a.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":5000,"service":"desk","maxAttempts":2},
+ {"name":"large","host":"a.example","pathPrefix":"/large/","kind":"idempotent","timeoutMs":30000,"service":"desk","maxAttempts":2}],
+ "services":[{"name":"llm","engine":{"slots":8,"kvCapacityTokens":70000,"models":[{"name":"m"}]}},{"name":"desk"}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"ferry","apiKeys":["k1"]}]}`
+
+// fleet is an entry on the users' platform with a loader, an engine and a plain service.
+type fleet struct {
+	entry, loader *standin.Process
+}
+
+// startFleet starts a fleet with the settings that a test names in addition.
+func startFleet(t *testing.T, contracts ...string) *fleet {
+	t.Helper()
+
+	root, err := filepath.Abs("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	plan, err := standin.BuildAll(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	subnet, err := standin.LockSubnet()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() {
+		if err := subnet.Release(); err != nil {
+			t.Error(err)
+		}
+	})
+
+	log := standin.NewLog()
+	logAddress := serve(t, subnet.IP(standin.StandinAddresses, 0)+":0", log)
+
+	plain := standin.NewEngine(standin.EngineConfig{ID: "p1"})
+	plainAddress := serve(t, subnet.IP(standin.StandinAddresses, 0)+":0", largeResponses{plain})
+	log.PutJSON(platform.RegisterTopic, "p1", plain.RegisterRecord("desk", plainAddress, "east", "ready"))
+
+	engine := standin.NewEngine(standin.EngineConfig{ID: "e1", Model: "m", EventCount: 3, EventInterval: 20 * time.Millisecond})
+	engineAddress := serve(t, subnet.IP(standin.TargetAddresses, 0)+":0", engine)
+	log.PutJSON(platform.RegisterTopic, "e1", engine.RegisterRecord("llm", engineAddress, "east", "ready"))
+	log.Put(platform.OperatorTopic, "config", []byte(gatewayConfiguration))
+
+	dir := t.TempDir()
+	seeds := []string{subnet.IP(standin.EntryAddresses, 0)}
+	common := standin.ProcessConfig{
+		Root: root, Dir: dir, Zone: "east", Seeds: seeds, Log: logAddress, GraceSeconds: 8,
+		MemoryMB: gatewayBounds.memoryMB, Descriptors: gatewayBounds.descriptors, Contracts: contracts,
+	}
+
+	loader, entry := common, common
+	loader.Command, loader.Name, loader.IP, loader.Engine = plan.Roles["loader"].Run, "side-e1", subnet.IP(standin.TargetAddresses, 0), engineAddress
+	entry.Command, entry.Name, entry.IP, entry.Bootstrap = plan.Roles["gateway"].Run, "edge-1", seeds[0], true
+
+	f := &fleet{loader: start(t, loader), entry: start(t, entry)}
+	eventually(t, "the entry is ready", f.entry.Ready)
+
+	return f
+}
+
+func serve(t *testing.T, address string, h http.Handler) string {
+	t.Helper()
+
+	bound, stop, err := standin.Serve(address, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(stop)
+
+	return bound
+}
+
+func start(t *testing.T, cfg standin.ProcessConfig) *standin.Process {
+	t.Helper()
+
+	p, err := standin.NewProcess(cfg)
+	if err == nil {
+		err = p.Start()
+	}
+
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(p.Kill)
+
+	return p
+}
+
+// largeResponseBytes is the size of the responses to requests below /large/.
+const largeResponseBytes = mebibyte
+
+// largeResponses is a plain service that has large responses, too.
+type largeResponses struct{ *standin.Engine }
+
+func (l largeResponses) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/large/") {
+		l.Engine.ServeHTTP(w, r)
+
+		return
+	}
+
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Server-Seal", "p1.large")
+	w.Header().Set("Content-Length", fmt.Sprint(largeResponseBytes))
+
+	_, _ = io.WriteString(w, strings.Repeat("r", largeResponseBytes))
+}
+
+var lastID atomic.Int64
+
+// request sends one request on a connection of its own and returns the status; zero for no complete response.
+func (f *fleet) request(method, path, body string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.entry.CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+
+	id := fmt.Sprintf("%08x", lastID.Add(1))
+	r.Host, r.Close = "a.example", true
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "5000")
+	r.Header.Set("Authorization", "Token "+gatewayKey)
+
+	if strings.HasPrefix(path, "/seat/") {
+		r.Header.Set("X-Model", "m")
+		r.Header.Set("X-Token-Usage", "300,3")
+		r.Header.Set("X-Prompt-Prefix", "aa:250,"+id+":50")
+	}
+
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+
+	return resp.StatusCode
+}
+
+// serves checks that the entry serves a request. Like callers, it tries again when it is refused.
+func (f *fleet) serves(t *testing.T, what, method, path, body string) {
+	t.Helper()
+	eventually(t, what, func() bool { return f.request(method, path, body) == http.StatusOK })
+}
+
+// servesBeside checks that the entry serves ordinary requests beside a crowd.
+func (f *fleet) servesBeside(t *testing.T) {
+	t.Helper()
+	f.serves(t, "an ordinary lookup beside the crowd", "GET", "/look/1", "")
+	f.serves(t, "an ordinary booking beside the crowd", "POST", "/book/1", "body")
+}
+
+// servesInCalm checks that the entry serves one request of each kind, and one with the largest body.
+func (f *fleet) servesInCalm(t *testing.T) {
+	t.Helper()
+	f.serves(t, "a lookup", "GET", "/look/1", "")
+	f.serves(t, "a booking", "POST", "/book/1", "body")
+	f.serves(t, "a prompt", "POST", "/seat/1", "body")
+	f.serves(t, "a request with the largest body", "POST", "/look/1", strings.Repeat("x", bodyLimit))
+}
+
+// callerHead returns the head of a request at the gateway without the empty line at its end.
+func callerHead(method, path string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 77\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token " + gatewayKey + "\r\n"
+}
+
+// bear checks that the entry bears one crowd after another.
+func (f *fleet) bear(t *testing.T, address string, crowds ...[]form) {
+	t.Helper()
+
+	w := watchProcess(f.entry.PID(), f.entry.IP)
+
+	for _, forms := range crowds {
+		c := startCrowd(address, forms...)
+		f.servesBeside(t)
+		c.end()
+	}
+
+	f.servesInCalm(t)
+	w.check(t, gatewayBounds)
+}
+
+// Guards against an entry that runs out of memory or descriptors by bodies that are large, slow, endless or
+// stop midway.
+func TestGatewayBearsBodies(t *testing.T) {
+	for _, crowd := range bodyForms(callerHead("POST", "/look/1")) {
+		t.Run(crowd.name, func(t *testing.T) {
+			f := startFleet(t)
+			f.bear(t, f.entry.CallerAddress(), []form{crowd})
+		})
+	}
+}
+
+// Guards against an entry that runs out of memory or descriptors by heads and unused connections.
+func TestGatewayBearsHeads(t *testing.T) {
+	for _, crowd := range headForms() {
+		t.Run(crowd.name, func(t *testing.T) {
+			f := startFleet(t)
+			f.bear(t, f.entry.CallerAddress(), []form{crowd})
+		})
+	}
+}
+
+// Guards against an entry that holds many complete heads of the largest size while their bodies stop.
+func TestGatewayBearsLargeHeadsWithBodiesThatStop(t *testing.T) {
+	f := startFleet(t)
+	head := callerHead("POST", "/look/1") + strings.Repeat("X-Filler: "+strings.Repeat("f", 1000)+"\r\n", 15)
+	f.bear(t, f.entry.CallerAddress(), []form{{clients: 1000, head: head + "Content-Length: 100\r\n\r\nabc"}})
+}
+
+// Guards against an entry that holds large responses for many callers that don't read them.
+func TestGatewayBearsUnreadResponses(t *testing.T) {
+	f := startFleet(t)
+	unread := form{clients: 200, head: callerHead("GET", "/large/1") + "\r\n"}
+	stopping := bodyForms(callerHead("POST", "/look/1"))[0]
+	f.bear(t, f.entry.CallerAddress(), []form{unread}, []form{unread, stopping})
+}
+
+// Guards against an entry that bears one crowd and keeps memory or connections that the next one needs.
+func TestGatewayBearsMixedCrowdsInSeries(t *testing.T) {
+	f := startFleet(t)
+	all := mixed(append(bodyForms(callerHead("POST", "/look/1")), headForms()...))
+	f.bear(t, f.entry.CallerAddress(), all, all, all)
+}
+
+// Guards against an entry that runs out of memory or descriptors by what is sent to its other ports.
+func TestGatewayBearsCrowdsAtOtherPorts(t *testing.T) {
+	for _, port := range []struct{ name, address string }{
+		{"other processes", ":18000"}, {"readiness", ":18002"}, {"metrics", ":17710"},
+	} {
+		t.Run(port.name, func(t *testing.T) {
+			f := startFleet(t)
+			message := "POST /crash HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+			large := form{clients: 20, head: message, piece: chunks(mebibyte, 1), pieces: 15}
+			f.bear(t, f.entry.IP+port.address, append(headForms(), large))
+		})
+	}
+}
+
+// Guards against a side process that runs out of memory or descriptors by connections to its port.
+func TestLoaderBearsConnections(t *testing.T) {
+	f := startFleet(t)
+	w := watchProcess(f.loader.PID(), f.loader.IP)
+	c := startCrowd(f.loader.IP+":17702", headForms()...)
+	f.servesBeside(t)
+	c.end()
+	f.servesInCalm(t)
+	w.check(t, gatewayBounds)
+}
