gateway: bound the memory and the connections of callers together

Callers saw an entry end, out of memory: a hundred bodies that stop just short of their end took 587 MB of 134, heads without end 224, and a body that stops was held for ever, without a response. A refusal (401, 404, 400) of a request whose body stops never came either.

Cause: bodies were read whole before anything bounded them all together, by buffers that grow by copying, or allocated as announced; nothing had a time but the head; connections had no bound, and the descriptors that the settings state were not read.

Package intake accounts for what clients take: a fixed amount for each connection, which covers an ordinary request, and beyond it heads, bodies while they are read and kept, and held responses. The sum is 35% of the VM's memory. When it is used up, requests that aren't read completely give way: those that stopped, slow ones, then the largest; at the bound of connections (half of the descriptors that aren't for files, a quarter of that memory) the longest unused, then those that stopped. What gives way gets 503 and Retry-After, or is closed while nothing of it was read; a body that isn't complete at the deadline of its request gets 408. Ordinary requests need nothing beyond their connection, so they pass beside any number of others.

What the crowds of misuse measure follows with the receive buffers.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -20,6 +20,7 @@
 	"boragehub/failure"
 	"boragehub/gateway"
 	"boragehub/gateway/metrics"
+	"boragehub/intake"
 	"boragehub/loader"
 	"boragehub/mirror"
 	"boragehub/mirror/exchange"
@@ -53,6 +54,7 @@
 	balancer     *drain.HealthCheck
 	registry     *prometheus.Registry
 	claims       engineClaims
+	clients      *intake.Ledger
 	reports      *pulse.Listener // set before callers are served
 	crashes      quarantine.Evidence
 	archive      *archive.Archive
@@ -68,6 +70,7 @@
 	lines := output.New(output.Config{To: os.Stdout})
 	log := newLogger(cfg, "gateway", lines)
 	e := &gatewayProcess{cfg: cfg, log: log, lines: lines, registry: prometheus.NewRegistry()}
+	e.clients = intake.NewLedger(intake.Config{Bytes: clientBytes(cfg.MemoryMB), Log: log})
 
 	operators := mirror.NewTopic(mirror.TopicConfig{Revision: platform.OperatorRevision, KeepLost: true})
 	register := mirror.NewTopic(mirror.TopicConfig{Equivalent: platform.SameListing, Revision: platform.ListingRevision})
@@ -134,6 +137,10 @@
 		LinesLeftOut:     func() float64 { return float64(lines.Dropped()) },
 		TokensPerMs:      func() float64 { return e.gateway.TokensPerMs() },
 		Backlog:          func() float64 { return float64(e.roster.Backlog(time.Now())) },
+
+		ClientBytes:       func() float64 { return float64(e.clients.Usage().Bytes) },
+		ClientConnections: func() float64 { return float64(e.clients.Usage().Connections) },
+		ClientsYielded:    func() float64 { return float64(e.clients.Usage().Yielded) },
 	})
 
 	e.gateway = gateway.New(gateway.Config{
@@ -394,7 +401,11 @@
 	stop := runInBackground(tasks...)
 	defer stop()
 
-	callers := drain.NewServer(drain.Config{Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, KeepAlive: callerKeepAlive})
+	descriptors := freeDescriptors(cfg.Descriptors)
+	callers := drain.NewServer(drain.Config{
+		Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, KeepAlive: callerKeepAlive,
+		Port: e.clients.Port(intake.PortConfig{Name: "callers", Connections: descriptors / callerDescriptorDivisor}),
+	})
 	balancer := &http.Server{Handler: e.balancer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	metricsServer := &http.Server{Handler: promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
--- a/drain/conn.go
+++ b/drain/conn.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"boragehub/intake"
 	"boragehub/socket"
 )
 
@@ -32,13 +33,21 @@
 	phaseStart atomic.Int64 // when the phase began
 	lastRead   atomic.Int64 // when bytes were last read in this phase, plus one; zero for never
 	completion completion
+	account    *intake.Account // nil if nothing bounds it
 }
 
 // Read reads from the connection and records the time.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if n > 0 {
-		c.recordRead(time.Now())
+	if n == 0 {
+		return n, err
+	}
+
+	now := time.Now()
+	c.recordRead(now)
+
+	if full := c.account.Read(now, n); full != nil {
+		return 0, full
 	}
 
 	return n, err
--- a/drain/conn_tracker.go
+++ b/drain/conn_tracker.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"boragehub/intake"
+	"boragehub/socket"
 )
 
 // Count is the number of connections in each state.
@@ -19,23 +22,40 @@
 
 // connTracker tracks the open connections of callers.
 type connTracker struct {
+	port *intake.Port
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
-func newConnTracker() *connTracker { return &connTracker{conns: make(map[*conn]struct{})} }
+func newConnTracker(port *intake.Port) *connTracker {
+	return &connTracker{port: port, conns: make(map[*conn]struct{})}
+}
 
-// add registers a new connection.
-func (t *connTracker) add(now time.Time, tcp *net.TCPConn) *conn {
+// add registers a new connection. It returns false if there is no place for it.
+func (t *connTracker) add(now time.Time, tcp *net.TCPConn) (*conn, bool) {
 	c := &conn{TCPConn: tcp, acceptedAt: now}
 	c.setPhase(now, phaseOpened)
+	c.account = t.port.Open(now, intake.AccountConfig{
+		Close: func() {
+			//nolint:errcheck,gosec // fails only if it is closed already
+			tcp.Close()
+		},
+		Pending: func() bool { return socket.Peek(tcp) == socket.Readable },
+	})
+
+	if !t.port.Admit(now, c.account) {
+		c.account.Close(now)
+
+		return nil, false
+	}
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	t.conns[c] = struct{}{}
 
-	return c
+	return c, true
 }
 
 // setState records a state change that net/http reported for a connection.
@@ -47,11 +67,15 @@
 
 	switch state {
 	case http.StateActive:
+		c.account.Head()
 		c.setPhase(now, phaseBusy)
 	case http.StateIdle:
 		c.endResponse()
+		c.account.Unused(now)
 		c.setPhase(now, phaseIdle)
 	case http.StateClosed, http.StateHijacked:
+		c.account.Close(now)
+
 		t.mu.Lock()
 		defer t.mu.Unlock()
 
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -33,6 +33,7 @@
 	"sync/atomic"
 	"time"
 
+	"boragehub/intake"
 	"boragehub/pause"
 	"boragehub/socket"
 )
@@ -49,8 +50,13 @@
 	// KeepAlive is how long a connection may stay unused, as announced to callers in whole
 	// seconds; zero announces nothing. A drain takes at least that long.
 	KeepAlive time.Duration
+	// ReadTimeout and WriteTimeout are the maximum times to read a request and to write its response; zero means
+	// no limit.
+	ReadTimeout, WriteTimeout time.Duration
 	// MaxHeaderBytes bounds a request header; zero means the default of net/http.
 	MaxHeaderBytes int
+	// Port bounds the connections and the memory that clients take; nil sets no bounds.
+	Port *intake.Port
 }
 
 // Timing of a drain.
@@ -85,9 +91,9 @@
 
 // NewServer returns a Server; call Serve to start it.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, conns: newConnTracker()}
+	s := &Server{cfg: cfg, conns: newConnTracker(cfg.Port)}
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
+		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: cfg.ReadTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
 		ConnContext: connContext,
 		ConnState:   func(nc net.Conn, state http.ConnState) { s.conns.setState(time.Now(), nc, state) },
 	}
@@ -234,6 +240,14 @@
 	}
 }
 
+// Shutdown closes the port and waits until no request is in flight or ctx ends, as that of http.Server: a request
+// that is in transit is lost. It is for ports whose clients send another one.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.StartDrain()
+
+	return s.http.Shutdown(ctx)
+}
+
 // Close closes the port and all connections at once.
 func (s *Server) Close() {
 	s.StartDrain()
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -452,8 +452,8 @@
 
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := newConnTracker()
-			c := s.add(t0, idleConn(t))
+			s := newConnTracker(nil)
+			c, _ := s.add(t0, idleConn(t))
 			c.setPhase(t0, tt.phase)
 
 			now := t0.Add(tt.after)
--- a/drain/incomplete.go
+++ b/drain/incomplete.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"boragehub/intake"
 )
 
 // A response to HTTP/1.0 has no chunks. Without a length it ends with its connection, and its caller takes a
@@ -30,8 +32,12 @@
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
-// connContext adds the connection of a request to its context.
+// connContext adds the connection of a request and its account to its context.
 func connContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok && c.account != nil {
+		ctx = intake.NewContext(ctx, c.account)
+	}
+
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -12,16 +12,25 @@
 	conns *connTracker
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection for which there is a place.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
 
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		return l.conns.add(time.Now(), tcp), nil
-	}
+		tcp, ok := nc.(*net.TCPConn)
+		if !ok {
+			return nc, nil
+		}
 
-	return nc, nil
+		if c, ok := l.conns.add(time.Now(), tcp); ok {
+			return c, nil
+		}
+
+		// No request was read on it: its client may send one elsewhere.
+		//nolint:errcheck,gosec // fails only if it is closed already
+		tcp.Close()
+	}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -9,7 +9,7 @@
 //	1400 setting   1500 route    1600 claim     1700 fleet
 //	1800 limit     1900 context  2000 weights   2100 peer
 //	2200 topic     2300 gateway  2400 loader    2500 vault
-//	2600 controlcall
+//	2600 controlcall  2700 intake
 //	9000 standin
 //
 // Log writes one line:
--- a/failure/kind.go
+++ b/failure/kind.go
@@ -91,6 +91,10 @@
 	StoreFull
 	// Throttled means that a target takes no request now, by a limit that it names itself.
 	Throttled
+	// IntakeFull means that this process has no memory for the request, which was not read completely.
+	IntakeFull
+	// BodyTimeout means that the body of the request was not complete in time.
+	BodyTimeout
 
 	kinds int = iota
 )
--- a/failure/table.go
+++ b/failure/table.go
@@ -80,6 +80,8 @@
 	BadSettings:      {http.StatusBadRequest, typeRequest, "bad_settings", NotRun, false},
 	Conflict:         {http.StatusConflict, typeRequest, "conflict", NotRun, false},
 	TornCopy:         {http.StatusBadGateway, typeServer, "torn_copy", NotRun, true},
+	IntakeFull:       {http.StatusServiceUnavailable, typeServer, "intake_full", NotRun, true},
+	BodyTimeout:      {http.StatusRequestTimeout, typeRequest, "body_timeout", NotRun, true},
 	StoreFull:        {http.StatusInsufficientStorage, typeServer, "store_full", NotRun, true},
 }
 
--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -56,6 +56,9 @@
 	TokensPerMs func() float64
 	// Backlog returns the tokens that engines have yet to prefill for leased prompts.
 	Backlog func() float64
+	// ClientBytes and ClientConnections return the memory and the connections that clients take, ClientsYielded
+	// how many requests and connections were refused or closed for others.
+	ClientBytes, ClientConnections, ClientsYielded func() float64
 }
 
 // buckets are upper bounds in seconds, around the latency targets of 0.15, 0.4 and 0.8 s.
@@ -98,6 +101,9 @@
 		{"boragehub_vault_room_tokens", "Room of stores that answer.", g.VaultCapacity},
 		{"boragehub_log_lines_left_out", "Log lines left out since the start.", g.LinesLeftOut},
 		{"boragehub_engine_tokens_per_ms", "How fast engines read prompts as learned from answers, zero while not known.", g.TokensPerMs},
+		{"boragehub_client_bytes", "Memory that clients' connections, requests and held responses take.", g.ClientBytes},
+		{"boragehub_client_connections", "Open connections of clients at all ports.", g.ClientConnections},
+		{"boragehub_clients_yielded", "Requests and connections of clients that were refused or closed as others needed their memory or place.", g.ClientsYielded},
 		{"boragehub_engine_backlog_tokens", "Tokens that engines have yet to prefill for long prompts with a lease.", g.Backlog},
 	} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: x.name, Help: x.help}, x.value))
--- a/gateway/response_memory.go
+++ b/gateway/response_memory.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
+
+	"boragehub/intake"
 )
 
 const (
@@ -12,6 +15,10 @@
 	// heldFreely is how much of each response is held without a share of Config.ResponseBytes, so that a
 	// target that sends without end takes nothing from the responses of others.
 	heldFreely = 64 << 10
+	// bufferCopies is how many times what is held of a response is in memory while its buffer grows.
+	bufferCopies = 2
+	// chargedAbove is how much of a response the memory of its connection covers.
+	chargedAbove = 1 << 10
 )
 
 // errResponseMemory is the cause of a response that was given up as long ones take all memory for them.
@@ -34,12 +41,22 @@
 
 // heldResponse is what is held of one response.
 type heldResponse struct {
-	memory *responseMemory
-	share  int64
+	memory  *responseMemory
+	account *intake.Account // of the caller's connection
+	charged bool
+	share   int64
 }
 
 // grow takes the memory for a response of which n bytes are held. It returns errResponseMemory if there is none.
 func (h *heldResponse) grow(n int) error {
+	if n > chargedAbove {
+		if h.account.SetResponse(time.Now(), bufferCopies*int64(n), bufferCopies*heldFreely) != nil {
+			return errResponseMemory
+		}
+
+		h.charged = true
+	}
+
 	more := int64(n) - heldFreely - h.share
 	if more <= 0 {
 		return nil
@@ -69,6 +86,11 @@
 func (h *heldResponse) release() {
 	h.memory.used.Add(-h.share)
 	h.share = 0
+
+	if h.charged {
+		//nolint:errcheck,gosec // nothing is needed for no response
+		h.account.SetResponse(time.Now(), 0, 0)
+	}
 }
 
 // heldReader reads a response that is held to its end.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,6 +12,7 @@
 	"boragehub/event"
 	"boragehub/eventstream"
 	"boragehub/failure"
+	"boragehub/intake"
 	"boragehub/site"
 	"boragehub/target"
 	"boragehub/upstream"
@@ -73,7 +74,7 @@
 
 	var pending []byte
 
-	held := heldResponse{memory: t.g.responseMemory}
+	held := heldResponse{memory: t.g.responseMemory, account: intake.FromContext(t.r.Context())}
 	defer held.release()
 
 	buf := make([]byte, readBufferBytes)
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -12,6 +12,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/intake"
 	"boragehub/profile"
 	"boragehub/quarantine"
 	"boragehub/retry"
@@ -72,6 +73,8 @@
 	deadlineGrace = 60 * time.Millisecond
 	// defaultTimeout applies if neither caller nor route sets a limit.
 	defaultTimeout = time.Minute
+	// bodyRetryAfter is when a caller whose body found no memory should retry: other entries may have some.
+	bodyRetryAfter = 100 * time.Millisecond
 )
 
 // accept reads and checks the request, and admits it.
@@ -100,12 +103,12 @@
 		return err
 	}
 
+	t.setDeadline(now)
+
 	if err := t.readBody(); err != nil {
 		return err
 	}
 
-	t.setDeadline(now)
-
 	t.hash = xxhash.Sum64String(t.arrival.ID)
 
 	service, ok := t.cfg.Service(t.route.Pick(t.hash))
@@ -155,41 +158,23 @@
 		limit = defaultMaxBodyBytes
 	}
 
-	if t.r.ContentLength > limit {
-		return t.tooLarge(limit)
-	}
-
-	if t.r.ContentLength > 0 {
-		t.body = make([]byte, t.r.ContentLength)
-		if _, err := io.ReadFull(t.r.Body, t.body); err != nil {
-			return failure.Wrap(failure.Cancelled, err, "the connection broke while the body was read")
-		}
+	b, err := intake.ReadBody(t.w, t.r, limit, t.deadline)
+	t.body = b
 
+	switch {
+	case err == nil:
 		return nil
-	}
-
-	if t.r.ContentLength == 0 {
-		return nil
-	}
-
-	body, err := io.ReadAll(io.LimitReader(t.r.Body, limit+1))
-	if err != nil {
+	case errors.Is(err, intake.ErrTooLarge):
+		return failure.New(failure.TooLarge, "the body exceeds %d bytes", limit)
+	case errors.Is(err, intake.ErrTimeout):
+		return failure.New(failure.BodyTimeout, "the body was not complete when the time of the request was over")
+	case errors.Is(err, intake.ErrFull):
+		return failure.Wrap(failure.IntakeFull, err, "this entry has no memory for the body").WithRetryAfter(bodyRetryAfter)
+	case t.r.ContentLength > 0:
+		return failure.Wrap(failure.Cancelled, err, "the connection broke while the body was read")
+	default:
 		return failure.Wrap(failure.BadRequest, err, "reading the body failed")
 	}
-
-	if int64(len(body)) > limit {
-		return t.tooLarge(limit)
-	}
-
-	t.body = body
-
-	return nil
-}
-
-func (t *task) tooLarge(limit int64) error {
-	t.w.Header().Set("Connection", "close")
-
-	return failure.New(failure.TooLarge, "the body exceeds %d bytes", limit)
 }
 
 func (t *task) setDeadline(now time.Time) {
@@ -231,11 +216,16 @@
 	e := failure.As(err)
 	kind := e.Kind()
 
-	if t.r.Context().Err() != nil || kind == failure.Cancelled {
+	// The context of a request ends when reading its body is given up, but its caller may still be there.
+	givenUp := kind == failure.BodyTimeout || kind == failure.IntakeFull
+
+	if t.r.Context().Err() != nil && !givenUp || kind == failure.Cancelled {
 		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts)
 		panic(http.ErrAbortHandler)
 	}
 
+	intake.Refuse(t.w, t.r)
+
 	a := kind.Response()
 	h := t.w.Header()
 	clearHeaders(h)
--- a/misuse/watch_test.go
+++ b/misuse/watch_test.go
@@ -30,6 +30,7 @@
 
 	mu          sync.Mutex
 	memoryKB    int // largest sum of resident memory and bytes received on sockets and not read
+	unreadKB    int // largest number of bytes received on sockets and not read
 	descriptors int // largest number of open descriptors
 	gone        bool
 }
@@ -78,7 +79,7 @@
 		t.Errorf("got %d open descriptors at the peak, want at most %d", w.descriptors, limits.descriptors)
 	}
 
-	t.Logf("peak: %d MB, %d descriptors", memoryMB, w.descriptors)
+	t.Logf("peak: %d MB (resident %d MB, unread %d MB), %d descriptors", memoryMB, peak/1024, w.unreadKB/1024, w.descriptors)
 }
 
 // measure adds one measurement.
@@ -90,7 +91,9 @@
 	defer w.mu.Unlock()
 
 	w.gone = w.gone || gone || err != nil
-	w.memoryKB = max(w.memoryKB, residentKB+unreadBytes(w.ip)/1024)
+	unreadKB := unreadBytes(w.ip) / 1024
+	w.memoryKB = max(w.memoryKB, residentKB+unreadKB)
+	w.unreadKB = max(w.unreadKB, unreadKB)
 	w.descriptors = max(w.descriptors, len(open))
 }
 
