message: take memory for a frame as its bytes arrive

A peer that announces a frame of 8 MiB made its reader allocate all of it, whether anything followed or not, on each stream. Found by reading; only processes with a certificate of the deployment can open a stream.

The body is read into a buffer that begins with 64 KiB and doubles. TestAnnouncedFramesTakeNoMemory failed before: 84 MB for ten frames of which nothing came, 2 MB allowed.

--- a/message/codec.go
+++ b/message/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -73,14 +74,36 @@
 		return nil, failure.New(failure.BadMessage, "a frame of %d bytes exceeds the maximum of %d bytes", n, MaxFrame)
 	}
 
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(n))
+	if err != nil {
 		return nil, failure.Wrap(failure.BadMessage, err, "a frame is incomplete")
 	}
 
 	return decode(Type(header[5]), body)
 }
 
+// firstPart is how much memory is taken for a frame before any of its body has been read.
+const firstPart = 64 << 10
+
+// readBody reads a body of n bytes. It takes memory as they arrive, whatever the frame announces.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	var body []byte
+
+	for len(body) < n {
+		body = slices.Grow(body, min(max(len(body), firstPart), n-len(body)))
+		part := body[len(body):min(cap(body), n)]
+
+		m, err := io.ReadFull(r, part)
+		body = body[:len(body)+m]
+
+		if err != nil {
+			return nil, err
+		}
+	}
+
+	return body, nil
+}
+
 // decoders holds the decoder of each Type, by its number.
 var decoders = [...]func([]byte) (Message, error){
 	TypeHeartbeat:       decodeAs[Heartbeat],
--- a/message/message_test.go
+++ b/message/message_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"reflect"
+	"runtime"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -120,3 +123,43 @@
 		}
 	}
 }
+
+// Guards against a peer that announces large frames on many streams and sends nothing: memory must be taken as
+// bytes arrive.
+func TestAnnouncedFramesTakeNoMemory(t *testing.T) {
+	header := binary.BigEndian.AppendUint32(nil, MaxFrame)
+	header = append(header, Version, byte(TypeDocument))
+
+	var before, after runtime.MemStats
+
+	runtime.ReadMemStats(&before)
+
+	for range 10 {
+		if _, err := Read(bytes.NewReader(header)); failure.KindOf(err) != failure.BadMessage {
+			t.Errorf("got %v, want %v", err, failure.BadMessage)
+		}
+	}
+
+	runtime.ReadMemStats(&after)
+
+	if got, most := after.TotalAlloc-before.TotalAlloc, uint64(2<<20); got > most {
+		t.Errorf("got %d bytes allocated for ten announced frames, want at most %d", got, most)
+	}
+}
+
+// Guards against a frame that is cut or changed while its buffer grows.
+func TestLargeFramesAreReadWhole(t *testing.T) {
+	for _, n := range []int{0, 1, firstPart - 1, firstPart, firstPart + 1, 1 << 20} {
+		want := Document{JSON: bytes.Repeat([]byte{'j'}, n)}
+
+		var b bytes.Buffer
+		if err := Write(&b, want); err != nil {
+			t.Fatal(err)
+		}
+
+		got, err := Read(iotest.HalfReader(&b))
+		if d, ok := got.(Document); err != nil || !ok || !bytes.Equal(d.JSON, want.JSON) {
+			t.Errorf("%d bytes: got another frame, %v", n, err)
+		}
+	}
+}
