gateway: bound responses that callers don't read on every deployment

One caller that didn't read a response of 12.5 MiB got all later responses above 64 KiB a 502, for as long as it stayed: its response held the memory for long responses.

Cause: writes to callers had a time, and unread responses a bound, only where the settings list the contract `pressure`. Elsewhere a blocked write never ended. Clients that nobody controls are on every deployment, so the bounds apply wherever a memory is stated.

TestGatewayServesLongResponsesBesideUnreadOnes failed before (no long response within 30 s) and passes now.

--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -156,13 +156,8 @@
 // unreadMemoryRatio is the part of the VM's memory for responses that callers read slowly.
 const unreadMemoryRatio = 0.25
 
-// unreadBytes returns the memory for responses that callers read slowly, zero for no bound. Settings
-// that declare memory pressure also mean callers that read slowly.
+// unreadBytes returns the memory for responses that callers read slowly, zero for no bound.
 func unreadBytes(cfg platform.Settings) int {
-	if !cfg.MemoryPressure {
-		return 0
-	}
-
 	return int(unreadMemoryRatio * float64(cfg.MemoryMB<<20))
 }
 
--- a/misuse/gateway_test.go
+++ b/misuse/gateway_test.go
@@ -24,6 +24,7 @@
  {"name":"seat","host":"a.example","pathPrefix":"/seat/","kind":"streaming","timeoutMs":5000,"service":"llm","maxAttempts":1},
  {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":5000,"service":"desk","maxAttempts":1},
  {"name":"look","host":"a.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":5000,"service":"desk","maxAttempts":2},
+ {"name":"huge","host":"a.example","pathPrefix":"/huge/","kind":"idempotent","timeoutMs":30000,"service":"desk","maxAttempts":2},
  {"name":"large","host":"a.example","pathPrefix":"/large/","kind":"idempotent","timeoutMs":30000,"service":"desk","maxAttempts":2}],
  "services":[{"name":"llm","engine":{"slots":8,"kvCapacityTokens":70000,"models":[{"name":"m"}]}},{"name":"desk"}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -118,14 +119,23 @@
 	return p
 }
 
-// largeResponseBytes is the size of the responses to requests below /large/.
-const largeResponseBytes = mebibyte
+// Sizes of the responses to requests below /large/ and /huge/. Two of the latter don't fit into an entry's memory for
+// long responses, nor does one beside one of the former.
+const (
+	largeResponseBytes = mebibyte
+	hugeResponseBytes  = 12*mebibyte + mebibyte/2
+)
 
 // largeResponses is a plain service that has large responses, too.
 type largeResponses struct{ *standin.Engine }
 
 func (l largeResponses) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.HasPrefix(r.URL.Path, "/large/") {
+	size := largeResponseBytes
+
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/huge/"):
+		size = hugeResponseBytes
+	case !strings.HasPrefix(r.URL.Path, "/large/"):
 		l.Engine.ServeHTTP(w, r)
 
 		return
@@ -133,9 +143,9 @@
 
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Server-Seal", "p1.large")
-	w.Header().Set("Content-Length", fmt.Sprint(largeResponseBytes))
+	w.Header().Set("Content-Length", fmt.Sprint(size))
 
-	_, _ = io.WriteString(w, strings.Repeat("r", largeResponseBytes))
+	_, _ = io.WriteString(w, strings.Repeat("r", size))
 }
 
 var lastID atomic.Int64
@@ -254,6 +264,16 @@
 	f.bear(t, f.entry.CallerAddress(), []form{unread}, []form{unread, stopping})
 }
 
+// Guards against an entry whose memory for long responses is taken by a caller that doesn't read its own, so that those
+// of others fail.
+func TestGatewayServesLongResponsesBesideUnreadOnes(t *testing.T) {
+	f := startFleet(t)
+	c := startCrowd(f.entry.CallerAddress(), form{clients: 1, head: callerHead("GET", "/huge/1") + "\r\n"})
+	time.Sleep(2 * time.Second) // for the service's responses to arrive
+	f.serves(t, "a long response beside the crowd", "GET", "/large/1", "")
+	c.end()
+}
+
 // Guards against an entry that bears one crowd and keeps memory or connections that the next one needs.
 func TestGatewayBearsMixedCrowdsInSeries(t *testing.T) {
 	f := startFleet(t)
