gateway: bound what the ports of other processes, balancers and operators take

Twenty messages without end at the port of other processes took 539 MB of 104, and 3,000 connections to any of these ports that many descriptors, with which the entry's own connections to engines and to the log fail.

Cause: they were plain servers without a bound on connections, with a time for heads only; a message of up to 16 MiB was read whole on each, and expanded to as much again.

They have ports at the same ledger: an eighth of the descriptors for other processes, 32 connections for balancers, 16 for operators, and times to read, write and stay unused. Messages take memory as they arrive and as they are expanded.

--- a/cmd/boragehub/clients.go
+++ b/cmd/boragehub/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"boragehub/platform"
 )
@@ -19,6 +20,20 @@
 // engines, the log and other processes.
 const (
 	callerDescriptorDivisor = 2
+	peerDescriptorDivisor   = 8
+)
+
+// Maximum numbers of connections at the ports of load balancers and operators.
+const (
+	maxBalancerConnections = 32
+	maxOperatorConnections = 16
+)
+
+// Times of requests at the ports of other processes, load balancers and operators.
+const (
+	peerReadTimeout  = 10 * time.Second
+	peerWriteTimeout = time.Minute
+	peerIdleTimeout  = 30 * time.Second
 )
 
 // receiveBytes is the receive buffer of a connection that a process accepts: enough for 5 MB/s over a link of
--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -407,9 +407,9 @@
 		Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, KeepAlive: callerKeepAlive,
 		Port: e.clients.Port(intake.PortConfig{Name: "callers", Connections: descriptors / callerDescriptorDivisor}),
 	})
-	balancer := &http.Server{Handler: e.balancer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	peers := &http.Server{Handler: e.peers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	metricsServer := &http.Server{Handler: promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	balancer := e.newInternalServer("balancer", e.balancer, maxBalancerConnections)
+	peers := e.newInternalServer("peers", e.peers, descriptors/peerDescriptorDivisor)
+	metricsServer := e.newInternalServer("metrics", promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), maxOperatorConnections)
 
 	failed := make(chan error, 4)
 
@@ -427,6 +427,14 @@
 	return e.serveUntilSignal(callers, signals, failed)
 }
 
+// newInternalServer returns the server of a port that isn't for callers.
+func (e *gatewayProcess) newInternalServer(name string, h http.Handler, connections int) *drain.Server {
+	return drain.NewServer(drain.Config{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, ReadTimeout: peerReadTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
+		Port: e.clients.Port(intake.PortConfig{Name: name, Connections: connections}),
+	})
+}
+
 // server serves a listener; *http.Server and *drain.Server implement it.
 type server interface {
 	Serve(l net.Listener) error
--- a/mirror/exchange/server.go
+++ b/mirror/exchange/server.go
@@ -1,8 +1,9 @@
 package exchange
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"boragehub/intake"
 	"boragehub/mirror"
 	"boragehub/quarantine"
 	"boragehub/vault"
@@ -242,14 +244,17 @@
 	w.Write(body)
 }
 
+// messageTimeout is how long the body of a message may take.
+const messageTimeout = 10 * time.Second
+
 // readMessage reads a message from a request. If that fails, it responds with an error and returns
 // false.
 func readMessage[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
 	var message T
 
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
+	body, err := intake.ReadBody(w, r, maxMessage, time.Now().Add(messageTimeout))
 	if err == nil && r.Header.Get(contentEncodingHeader) == encodingDeflate {
-		body, err = decompress(body)
+		body, err = intake.ReadExpanded(r, flate.NewReader(bytes.NewReader(body)), int64(len(body)), maxMessage)
 	}
 
 	if err == nil {
