entry: bound callers' bodies, connections and the operators' port

Sixty bodies of 4 MiB took an entry to 594 MB, 128 allowed; 500 slow ones locked all others out, as further connections waited for one to close; the operators' port had a thousand connections.

Cause: bodies were read by io.ReadAll with nothing that bounds them all, or in time; the listener accepted nothing at its limit, so whoever stayed had the entry for himself; the operators' port had no bound.

The entry has a ledger of package intake as the gateway has, from its memory (limits.memory_mb, 4096 by default: 10,000 connections and the largest body that settings allow fit), a body has a minute, connections at the limit give way as there, and the operators' port has 16.

--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -173,8 +173,12 @@
 // setRuntimeLimits limits the Go runtime to the VM's cores and memory.
 func setRuntimeLimits(cfg platform.Settings) {
 	runtime.GOMAXPROCS(cfg.Cores)
+	limitMemory(cfg.MemoryMB)
+}
 
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryLimitRatio))
+// limitMemory limits the Go runtime to a VM's memory; zero sets no limit.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryMB<<20) * memoryLimitRatio))
 	}
 }
--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/signal"
 	"sync"
@@ -18,6 +17,7 @@
 	"boragehub/entry/placement"
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/intake"
 	"boragehub/journal/lease"
 	"boragehub/operator"
 	"boragehub/peer"
@@ -27,6 +27,7 @@
 	"boragehub/setting/exchange"
 	"boragehub/setting/publication"
 	"boragehub/side"
+	"boragehub/socket"
 	"boragehub/vm"
 )
 
@@ -58,6 +59,7 @@
 	settings *publication.Follower
 	crashes  *notice.Feed
 	handlers *updateHandlers
+	clients  *intake.Ledger
 }
 
 // backgroundTasks returns the tasks that run in every process until it ends.
@@ -91,6 +93,8 @@
 		return err
 	}
 
+	limitMemory(cfg.Limits.MemoryMB)
+
 	p, err := newEntryProcess(cfg)
 	if err != nil {
 		return err
@@ -148,7 +152,7 @@
 	p.handlers.onSettings = p.entry.OnSettings
 	p.handlers.onCrash = p.entry.AddCrash
 
-	l, err := net.Listen("tcp", p.cfg.Listen.Callers) //nolint:noctx // bound once, at start
+	l, err := socket.Listen(ctx, p.cfg.Listen.Callers, receiveBytes)
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "cannot listen for callers at address %q", p.cfg.Listen.Callers)
 	}
@@ -159,6 +163,9 @@
 		IdleTimeout:    callerIdleTimeout,
 		KeepAlive:      callerKeepAlive,
 		MaxHeaderBytes: p.cfg.Limits.MaxHeaderBytes,
+		Port: p.clients.Port(intake.PortConfig{
+			Name: "callers", Connections: min(p.cfg.Limits.MaxConnections, freeDescriptors(0)/callerDescriptorDivisor),
+		}),
 	})
 
 	stop := runInBackground(append(p.backgroundTasks(), p.entry.Run, p.lease.Run, p.leader.Run, p.snapshotLease.Run, p.snapshots.Run, p.operators.Run, func(ctx context.Context) {
@@ -169,7 +176,7 @@
 
 	serveErr := make(chan error, 1)
 
-	go func() { serveErr <- callers.Serve(newBoundedListener(l, p.cfg.Limits.MaxConnections, callers)) }()
+	go func() { serveErr <- callers.Serve(l) }()
 
 	select {
 	case err = <-serveErr:
--- a/cmd/boragehub/provide.go
+++ b/cmd/boragehub/provide.go
@@ -17,6 +17,7 @@
 	"boragehub/entry/placement"
 	"boragehub/event/recorder"
 	"boragehub/failure"
+	"boragehub/intake"
 	"boragehub/journal"
 	"boragehub/journal/lease"
 	"boragehub/operator"
@@ -37,6 +38,15 @@
 // view; at about 4 kB each they take 8 MB.
 const recordedRequests = 2048
 
+// provideClients returns the ledger of what the clients of the process's ports take.
+func provideClients(cfg setting.Process, log logr.Logger) *intake.Ledger {
+	return intake.NewLedger(intake.Config{Bytes: clientBytes(cfg.Limits.MemoryMB), Log: log})
+}
+
+func operatorPort(clients *intake.Ledger) *intake.Port {
+	return clients.Port(intake.PortConfig{Name: "operators", Connections: maxOperatorConnections})
+}
+
 func provideRecorder(cfg setting.Process) *recorder.Recorder {
 	return recorder.New(cfg.VM, recordedRequests)
 }
@@ -161,8 +171,9 @@
 	return operator.View{Name: "explain", Get: func(q string) any { return r.Lines(q) }}
 }
 
-func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, e *entry.Entry) (*operator.Server, error) {
+func provideEntryOperators(cfg setting.Process, registry *prometheus.Registry, clients *intake.Ledger, e *entry.Entry) (*operator.Server, error) {
 	return operator.Listen(operator.Config{
+		Port:     operatorPort(clients),
 		Addr:     cfg.Listen.Operators,
 		Registry: registry,
 		Checks:   []operator.Check{{Name: "entry", Ready: e.Ready}},
@@ -243,8 +254,9 @@
 	return side.New(c), nil
 }
 
-func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, s *side.Side, views []operator.View) (*operator.Server, error) {
+func provideSideOperators(cfg setting.Process, registry *prometheus.Registry, clients *intake.Ledger, s *side.Side, views []operator.View) (*operator.Server, error) {
 	return operator.Listen(operator.Config{
+		Port:     operatorPort(clients),
 		Addr:     cfg.Listen.Operators,
 		Registry: registry,
 		Checks:   []operator.Check{{Name: "target", Ready: s.Ready}},
--- a/cmd/boragehub/wire.go
+++ b/cmd/boragehub/wire.go
@@ -14,6 +14,7 @@
 var commonSet = wire.NewSet(
 	provideRecorder,
 	provideLogger,
+	provideClients,
 	provideKeys,
 	providePeerConfig,
 	providePeerServer,
--- a/cmd/boragehub/wire_gen.go
+++ b/cmd/boragehub/wire_gen.go
@@ -33,6 +33,7 @@
 	client := provideJournal(cfg)
 	publicationFollower := provideSettingsFollower(cfg, logger, client, dialer, follower, mainUpdateHandlers)
 	feed := provideCrashFeed(cfg, logger, client, mainUpdateHandlers)
+	ledger := provideClients(cfg, logger)
 	mainCommon := common{
 		cfg:      cfg,
 		log:      logger,
@@ -43,6 +44,7 @@
 		settings: publicationFollower,
 		crashes:  feed,
 		handlers: mainUpdateHandlers,
+		clients:  ledger,
 	}
 	keeper := provideRolloutLease(cfg, logger, client)
 	leader := provideLeader(cfg, logger, dialer, follower, publicationFollower, keeper)
@@ -50,7 +52,7 @@
 	entry := provideEntry(cfg, logger, dialer, follower, publicationFollower, feed, leader, recorder, registry)
 	mainSnapshotLease := provideSnapshotLease(cfg, logger, client)
 	snapshotter := provideSnapshotter(logger, mainSnapshotLease, publicationFollower)
-	operatorServer, err := provideEntryOperators(cfg, registry, entry)
+	operatorServer, err := provideEntryOperators(cfg, registry, ledger, entry)
 	if err != nil {
 		return nil, err
 	}
@@ -84,6 +86,7 @@
 	client := provideJournal(cfg)
 	publicationFollower := provideSettingsFollower(cfg, logger, client, dialer, follower, mainUpdateHandlers)
 	feed := provideCrashFeed(cfg, logger, client, mainUpdateHandlers)
+	ledger := provideClients(cfg, logger)
 	mainCommon := common{
 		cfg:      cfg,
 		log:      logger,
@@ -94,6 +97,7 @@
 		settings: publicationFollower,
 		crashes:  feed,
 		handlers: mainUpdateHandlers,
+		clients:  ledger,
 	}
 	deduplicator := provideDeduplicator(cfg, logger, client, follower)
 	v := provideSideViews(recorder, publicationFollower)
@@ -102,7 +106,7 @@
 		return nil, err
 	}
 	registry := operator.NewRegistry()
-	operatorServer, err := provideSideOperators(cfg, registry, side, v)
+	operatorServer, err := provideSideOperators(cfg, registry, ledger, side, v)
 	if err != nil {
 		return nil, err
 	}
@@ -121,6 +125,7 @@
 var commonSet = wire.NewSet(
 	provideRecorder,
 	provideLogger,
+	provideClients,
 	provideKeys,
 	providePeerConfig,
 	providePeerServer,
--- a/entry/http.go
+++ b/entry/http.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/intake"
 	"boragehub/quarantine"
 	"boragehub/setting"
 )
@@ -119,6 +119,7 @@
 		}
 
 		if err != nil {
+			intake.Refuse(w, req.Request)
 			e.writeError(w, id, err)
 		}
 	}
@@ -181,18 +182,25 @@
 	})
 }
 
-// readBody returns a request body of at most n bytes.
-func readBody(r *http.Request, n int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, n+1))
-	if err != nil {
+// maxBodyTime is how long a request body may take.
+const maxBodyTime = time.Minute
+
+// readBody returns a request body, within the limits of the settings.
+func readBody(w http.ResponseWriter, r *http.Request, arrived time.Time, v setting.Values) ([]byte, error) {
+	b, err := intake.ReadBody(w, r, v.MaxBodyBytes, arrived.Add(min(v.Timeout, maxBodyTime)))
+
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, failure.New(failure.TooLarge, "the request body is larger than %d bytes", v.MaxBodyBytes)
+	case errors.Is(err, intake.ErrTimeout):
+		return nil, failure.New(failure.BodyTimeout, "the request body was not complete in time")
+	case errors.Is(err, intake.ErrFull):
+		return nil, failure.Wrap(failure.IntakeFull, err, "this entry has no memory for the request body")
+	default:
 		return nil, failure.Wrap(failure.BadRequest, err, "the request body could not be read")
 	}
-
-	if int64(len(b)) > n {
-		return nil, failure.New(failure.TooLarge, "the request body is larger than %d bytes", n)
-	}
-
-	return b, nil
 }
 
 func (e *Entry) serveChat(ctx context.Context, q callerRequest, r *http.Request, w http.ResponseWriter) error {
@@ -205,7 +213,7 @@
 
 // servePrompt serves a request of the completions or the chat completions API.
 func (e *Entry) servePrompt(ctx context.Context, q callerRequest, r *http.Request, w http.ResponseWriter, api apiKind) error {
-	b, err := readBody(r, e.settingValues(q, "").MaxBodyBytes)
+	b, err := readBody(w, r, q.arrived, e.settingValues(q, ""))
 	if err != nil {
 		return err
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -33,7 +33,7 @@
 
 // serveCall serves one call to a plain service.
 func (e *Entry) serveCall(ctx context.Context, q callerRequest, r *http.Request, w http.ResponseWriter) error {
-	c, err := e.newCall(q, r)
+	c, err := e.newCall(q, r, w)
 	if err != nil {
 		return err
 	}
@@ -70,7 +70,7 @@
 	return nil
 }
 
-func (e *Entry) newCall(q callerRequest, r *http.Request) (*call, error) {
+func (e *Entry) newCall(q callerRequest, r *http.Request, w http.ResponseWriter) (*call, error) {
 	name, path, err := splitPath(r.URL)
 	if err != nil {
 		return nil, err
@@ -87,7 +87,7 @@
 
 	c := &call{e: e, request: q, service: service, values: e.settingValues(q, name), seed: e.nextSeed(), tried: map[string]bool{}}
 
-	b, err := readBody(r, c.values.MaxBodyBytes)
+	b, err := readBody(w, r, q.arrived, c.values)
 	if err != nil {
 		return nil, err
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -20,12 +20,17 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"boragehub/drain"
 	"boragehub/failure"
+	"boragehub/intake"
 )
 
 // Timeouts of the operators' server.
 const (
 	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 10 * time.Second
+	writeTimeout      = 2 * time.Minute // a profile takes up to a minute
+	idleTimeout       = time.Minute
 	shutdownTimeout   = 2 * time.Second
 )
 
@@ -65,6 +70,8 @@
 	Views []View
 	// Registry holds the metrics; nil serves none.
 	Registry *prometheus.Registry
+	// Port bounds the connections and the memory that clients take; nil sets no bounds.
+	Port *intake.Port
 }
 
 // NewRegistry returns a registry with the metrics of the Go runtime and the process.
@@ -78,7 +85,7 @@
 // Server serves the operators' port. Use Listen.
 type Server struct {
 	listener net.Listener
-	server   *http.Server
+	server   *drain.Server
 }
 
 // Listen binds the operators' port. Its errors are failure.BadSettings.
@@ -88,7 +95,10 @@
 		return nil, failure.Wrap(failure.BadSettings, err, "operators' address %q can't be bound", cfg.Addr)
 	}
 
-	return &Server{listener: l, server: &http.Server{Handler: Handler(cfg), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}}, nil
+	return &Server{listener: l, server: drain.NewServer(drain.Config{
+		Handler: Handler(cfg), HeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, Port: cfg.Port,
+	})}, nil
 }
 
 // Addr returns the bound address.
--- a/setting/process.go
+++ b/setting/process.go
@@ -88,6 +88,8 @@
 	MaxConnections int `toml:"max_connections" validate:"gte=0,lte=1000000"`
 	// MaxRequests is the maximum number of requests in flight.
 	MaxRequests int `toml:"max_requests" validate:"gte=0,lte=1000000"`
+	// MemoryMB is the memory of the process's VM, in MB. Callers' connections and requests get a part of it.
+	MemoryMB int `toml:"memory_mb" validate:"gte=0,lte=16777216"`
 	// MaxHeaderBytes is the maximum size of a request's header.
 	MaxHeaderBytes int `toml:"max_header_bytes" validate:"gte=0,lte=1048576"`
 	// BalancerGrace is how long a stopping entry still accepts requests after it
@@ -101,6 +103,7 @@
 const (
 	defaultMaxConnections = 10000
 	defaultMaxRequests    = 4096
+	defaultMemoryMB       = 4096
 	defaultMaxHeaderBytes = 16 << 10
 	defaultBalancerGrace  = 5 * time.Second
 	defaultDrainTimeout   = time.Minute
@@ -167,6 +170,10 @@
 		p.Limits.MaxRequests = defaultMaxRequests
 	}
 
+	if p.Limits.MemoryMB == 0 {
+		p.Limits.MemoryMB = defaultMemoryMB
+	}
+
 	if p.Limits.MaxHeaderBytes == 0 {
 		p.Limits.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
