gateway, entry: end a planned stop beside bodies that never come

Twenty callers whose bodies stop kept a stopping entry until the end of its grace time, when their connections were cut off.

Cause: a stop waits for requests in flight, and a request whose body is being read is one, however long nothing comes.

While a process stops, requests of whose bodies nothing came for 2 s at a gateway, 10 s at an entry, get 503 and have not run.

TestGatewayStopsBesideBodiesThatStopped failed before (connections cut off) and passes.

--- a/cmd/boragehub/clients.go
+++ b/cmd/boragehub/clients.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"syscall"
 	"time"
 
+	"boragehub/intake"
+	"boragehub/pause"
 	"boragehub/platform"
 )
 
@@ -57,3 +60,11 @@
 
 // maxDescriptors is the number of descriptors from which on they aren't what limits connections.
 const maxDescriptors = 1 << 20
+
+// yieldStopped refuses requests of whose bodies nothing comes for a time, until ctx ends: a stop doesn't wait for
+// them.
+func yieldStopped(ctx context.Context, clients *intake.Ledger, quiet time.Duration) {
+	for pause.For(ctx, tickInterval) {
+		clients.YieldStopped(time.Now(), quiet)
+	}
+}
--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -480,6 +480,9 @@
 	}
 }
 
+// gatewayQuiet is how long nothing of an incomplete request may come while the process stops.
+const gatewayQuiet = 2 * time.Second
+
 // drain announces the stop to the balancer and to callers, accepts requests until both have
 // had time to react, and then closes the port as soon as no long request is in flight. It
 // returns when the requests in flight have completed, or exitMargin before the end of the
@@ -495,6 +498,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 
+	stop := runInBackground(func(ctx context.Context) { yieldStopped(ctx, e.clients, gatewayQuiet) })
+	defer stop()
+
 	n := callers.Drain(ctx, drain.Options{
 		Deregistered: e.balancer.Deregistered, OnDeregistered: func() { e.gateway.StartDrain(time.Now(), end.Add(-lastResponsesMargin)) }, MayClosePort: e.gateway.MayClosePort,
 	})
--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -202,6 +202,9 @@
 	}
 }
 
+// entryQuiet is how long nothing of an incomplete request may come while the process stops.
+const entryQuiet = 10 * time.Second
+
 // drain makes /readyz fail, so that the balancer sends no new callers. It accepts requests
 // until none is in flight, and at least until the balancer grace and the callers' keep-alive
 // timeout have passed. It ends at the latest when the drain timeout has passed after the
@@ -210,6 +213,9 @@
 	event.Log(p.log, event.ProcessStopping, "requests", p.entry.Active())
 	p.entry.StartDrain()
 
+	stop := runInBackground(func(ctx context.Context) { yieldStopped(ctx, p.clients, entryQuiet) })
+	defer stop()
+
 	noticed := time.Now().Add(time.Duration(p.cfg.Limits.BalancerGrace))
 	end := noticed.Add(time.Duration(p.cfg.Limits.DrainTimeout))
 
--- a/misuse/gateway_test.go
+++ b/misuse/gateway_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -305,3 +307,28 @@
 	f.servesInCalm(t)
 	w.check(t, gatewayBounds)
 }
+
+// Guards against a planned stop that lasts until its grace time is over, as it waits for bodies that never come.
+func TestGatewayStopsBesideBodiesThatStopped(t *testing.T) {
+	f := startFleet(t)
+	head := strings.ReplaceAll(callerHead("POST", "/large/1"), "Ms: 5000", "Ms: 30000")
+	c := startCrowd(f.entry.CallerAddress(), form{clients: 20, head: head + "Content-Length: 100\r\n\r\nabc"})
+
+	f.servesBeside(t)
+	f.entry.Signal(syscall.SIGTERM)
+
+	if !f.entry.Wait(30 * time.Second) {
+		t.Error("got the process still running, want it ended")
+	}
+
+	c.end()
+
+	lines, err := os.ReadFile(f.entry.OutputPath())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if !strings.Contains(string(lines), `"event":1005,"opened":0,"busy":0,`) {
+		t.Error("got connections cut off at the end of the grace time, want none open")
+	}
+}
