recorder: bound the bytes of the lines kept for explain

The recorder of an entry keeps 64 lines of each of 2,048 requests, whatever they contain: the path of an unknown request, up to 16 KiB, is in two of them, so callers without a key can have it keep 2 GB. Found by reading.

Texts are kept up to 1 KiB, all lines up to 8 KiB a request on average; beyond it the oldest requests are dropped. TestTextsAreBounded is of new fields and was not run on the code before.

--- a/event/recorder/recorder.go
+++ b/event/recorder/recorder.go
@@ -13,6 +13,8 @@
 package recorder
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +29,14 @@
 // lines are dropped.
 const maxLinesPerRequest = 64
 
+// bytesPerRequest is how many bytes are kept for each request on average, lineBytes what a line takes besides its
+// texts.
+const (
+	bytesPerRequest = 8 << 10
+	lineBytes       = 512
+	minBytes        = 1 << 20
+)
+
 // Line is one line about a request.
 type Line struct {
 	// At is when it was logged.
@@ -47,6 +57,8 @@
 
 	mu       sync.Mutex
 	requests *lru.LRU[string, []recordedLine]
+	bytes    int // of all lines
+	maxBytes int
 }
 
 // recordedLine is a line as it was logged. It is converted to a Line only when it is
@@ -56,15 +68,22 @@
 	name          string
 	err           string
 	keysAndValues []any
+	bytes         int
 }
 
 // New returns a Recorder for the VM self that holds the lines of at most requests
 // requests, and of one if requests is less than 1.
 func New(self string, requests int) *Recorder {
+	r := &Recorder{self: self, maxBytes: max(requests*bytesPerRequest, minBytes)}
+
 	// NewLRU fails only for a size under one.
-	l, _ := lru.NewLRU[string, []recordedLine](max(requests, 1), nil)
+	r.requests, _ = lru.NewLRU(max(requests, 1), func(_ string, lines []recordedLine) {
+		for _, l := range lines {
+			r.bytes -= l.bytes
+		}
+	})
 
-	return &Recorder{self: self, requests: l}
+	return r
 }
 
 // Lines returns the recorded lines of a request in the order in which they were
@@ -97,7 +116,9 @@
 		return
 	}
 
-	line := recordedLine{at: time.Now(), name: name, err: errText, keysAndValues: keysAndValues}
+	line := recordedLine{at: time.Now(), name: name, err: shorten(errText)}
+	line.keysAndValues, line.bytes = shortenAll(keysAndValues)
+	line.bytes += len(line.err) + lineBytes
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,9 +126,52 @@
 	lines, _ := r.requests.Get(request)
 	if len(lines) < maxLinesPerRequest {
 		r.requests.Add(request, append(lines, line))
+		r.bytes += line.bytes
+	}
+
+	for r.bytes > r.maxBytes && r.requests.Len() > 1 {
+		r.requests.RemoveOldest()
 	}
 }
 
+// maxTextBytes is how much of a text in a line is kept.
+const maxTextBytes = 1 << 10
+
+// shorten returns the beginning of a text, without keeping the rest of it in memory.
+func shorten(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+
+	return strings.Clone(text[:maxTextBytes])
+}
+
+// shortenAll returns keys and values with shortened texts, and the length of these.
+func shortenAll(all []any) (short []any, bytes int) {
+	for i, v := range all {
+		text, ok := v.(string)
+		if !ok {
+			continue
+		}
+
+		if len(text) > maxTextBytes && short == nil {
+			short = slices.Clone(all)
+		}
+
+		if short != nil {
+			short[i] = shorten(text)
+		}
+
+		bytes += min(len(text), maxTextBytes)
+	}
+
+	if short == nil {
+		short = all
+	}
+
+	return short, bytes
+}
+
 // requestID returns the request ID in a line, empty if there is none.
 func requestID(keysAndValues []any) string {
 	for i := 0; i+1 < len(keysAndValues); i += 2 {
--- a/event/recorder/recorder_test.go
+++ b/event/recorder/recorder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -58,3 +60,33 @@
 		t.Errorf("lines of the oldest: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a process that runs out of memory by the paths and errors of callers' requests in its record.
+func TestTextsAreBounded(t *testing.T) {
+	const requests = 256
+
+	r := New("entry-1", requests)
+	log := logr.New(r.Sink(funcr.New(func(string, string) {}, funcr.Options{}).GetSink()))
+	long := strings.Repeat("p", 16<<10)
+
+	for i := range 4 * requests {
+		id := fmt.Sprint(i % requests)
+
+		log.Info("request_arrived", "request_id", id, "path", long)
+		log.Error(errors.New(long), "request_failed", "request_id", id, "status", 404)
+	}
+
+	if got, most := r.bytes, requests*bytesPerRequest; got > most || got < most/2 {
+		t.Errorf("got %d bytes kept, want up to %d", got, most)
+	}
+
+	for _, l := range r.Lines("255") {
+		if path, _ := l.Fields["path"].(string); len(path) > maxTextBytes || len(l.Error) > maxTextBytes {
+			t.Errorf("%s: got texts of %d and %d bytes, want at most %d", l.Name, len(path), len(l.Error), maxTextBytes)
+		}
+	}
+
+	if got := len(r.Lines("255")); got == 0 {
+		t.Error("got no line of the last request")
+	}
+}
