output: bound the bytes of lines that wait to be written

Four thousand requests with ids of 60 KB took an entry to 219 MB of 104 while nobody read its log: the ring has 4,096 lines, of any length.

The lines in the ring take 4 MiB at most, one line a hundredth of that; the rest is counted as left out. Lines name the first 128 bytes of a request's id, so that a client can't keep its decisions out of the log by a long one.

--- a/event/output/output.go
+++ b/event/output/output.go
@@ -28,8 +28,9 @@
 type Config struct {
 	// To is the destination of the lines.
 	To io.Writer
-	// MaxLines is the capacity of the ring in lines; zero is 4096, about 1.5 MB.
-	MaxLines int
+	// MaxLines is the capacity of the ring in lines; zero is 4096, about 1.5 MB. MaxBytes bounds what they take, and
+	// the longest line is a hundredth of it; zero is 4 MiB.
+	MaxLines, MaxBytes int
 	// MaxLinesPerSecond is the limit of lines accepted per second; zero is 3000. A
 	// request writes two or three lines, and an entry serves some hundred requests a
 	// second.
@@ -43,6 +44,7 @@
 type Writer struct {
 	cfg          Config
 	lines        *ring.Queue[[]byte]
+	bytes        atomic.Int64 // of the lines in the ring
 	budgetSecond atomic.Int64 // the second that budgetUsed counts, in Unix seconds
 	budgetUsed   atomic.Int64 // lines written in that second, dropped ones included
 	unreported   atomic.Int64 // lines dropped since the last report
@@ -55,6 +57,10 @@
 		cfg.MaxLines = 4096
 	}
 
+	if cfg.MaxBytes <= 0 {
+		cfg.MaxBytes = 4 << 20
+	}
+
 	if cfg.MaxLinesPerSecond <= 0 {
 		cfg.MaxLinesPerSecond = 3000
 	}
@@ -64,7 +70,7 @@
 
 // Write accepts or drops one line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.withinBudget(time.Now()) || !w.lines.Offer(bytes.Clone(line)) {
+	if !w.withinBudget(time.Now()) || !w.offer(line) {
 		w.unreported.Add(1)
 		w.dropped.Add(1)
 	}
@@ -72,6 +78,25 @@
 	return len(line), nil
 }
 
+// maxLinePart is the part of Config.MaxBytes that one line may take.
+const maxLinePart = 100
+
+// offer puts a line into the ring and reports whether it fits.
+func (w *Writer) offer(line []byte) bool {
+	n := int64(len(line))
+	if n > int64(w.cfg.MaxBytes/maxLinePart) {
+		return false
+	}
+
+	if w.bytes.Add(n) > int64(w.cfg.MaxBytes) || !w.lines.Offer(bytes.Clone(line)) {
+		w.bytes.Add(-n)
+
+		return false
+	}
+
+	return true
+}
+
 // Dropped returns the number of lines dropped since the start.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
@@ -115,6 +140,7 @@
 
 	for range w.lines.Len() {
 		line := <-w.lines.C()
+		w.bytes.Add(-int64(len(line)))
 
 		if len(batch)+len(line) > maxBatchBytes {
 			w.writeBatch(batch, lines)
--- a/event/output/output_test.go
+++ b/event/output/output_test.go
@@ -141,3 +141,34 @@
 		t.Errorf("got %d lines counted as dropped, want 1", got)
 	}
 }
+
+// Guards against a process that runs out of memory by long lines which nobody reads, and against one long line that
+// keeps others out.
+func TestMemoryOfLinesIsBounded(t *testing.T) {
+	const limit = 1 << 20
+
+	w := New(Config{To: io.Discard, MaxBytes: limit, MaxLinesPerSecond: 1 << 20})
+	line := bytes.Repeat([]byte{'x'}, 10<<10)
+
+	for range 1000 {
+		_, _ = w.Write(line)
+	}
+
+	if got := w.bytes.Load(); got > limit || got < limit-int64(len(line)) {
+		t.Errorf("got %d bytes held, want up to %d", got, limit)
+	}
+
+	w.flush()
+
+	if got := w.bytes.Load(); got != 0 {
+		t.Errorf("got %d bytes held behind the flush, want none", got)
+	}
+
+	before := w.Dropped()
+	_, _ = w.Write(bytes.Repeat(line, 2))
+	_, _ = w.Write([]byte("short\n"))
+
+	if got := w.Dropped() - before; got != 1 {
+		t.Errorf("got %d lines dropped, want the long one alone", got)
+	}
+}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -186,7 +186,7 @@
 		t.g.cfg.Meter.NotAdmitted(r.Reason.String())
 	}
 
-	event.Log(t.g.cfg.Log, event.PromptRefused, "request_id", t.arrival.ID, "route", t.route.Name, "reason", r.Reason.String(),
+	event.Log(t.g.cfg.Log, event.PromptRefused, "request_id", t.logID(), "route", t.route.Name, "reason", r.Reason.String(),
 		"waited_ms", r.Ticket.Waited(now).Milliseconds(), "ahead", r.Ahead, "waiting", r.Waiting, "expected_wait_ms", r.ExpectedWait.Milliseconds(),
 		"per_second", r.Rate.PerSecond, "rate_age_ms", r.Rate.Age.Milliseconds(), "due_ms", r.Ticket.Due().Sub(now).Milliseconds(),
 		"deadline_ms", t.deadline.Sub(now).Milliseconds(), "retry_after_ms", after.Milliseconds(), "cause", lastErr.Error())
--- a/gateway/admission_queue.go
+++ b/gateway/admission_queue.go
@@ -135,7 +135,7 @@
 
 	if _, ok := q.waiters[ticket]; ok {
 		rate := q.queue.Rate(now)
-		event.Log(q.g.cfg.Log, event.PromptQueued, "request_id", t.arrival.ID, "route", t.route.Name, "rank", p.Rank,
+		event.Log(q.g.cfg.Log, event.PromptQueued, "request_id", t.logID(), "route", t.route.Name, "rank", p.Rank,
 			"organisation", p.Organisation, "in_use", q.queue.InUse(p.Organisation), "tokens", p.MemoryTokens, "short", p.Short, "late", ticket.Late(),
 			"started", p.Started, "cause", cause.Error(), "ahead", ticket.Ahead(), "waiting", q.queue.Len(), "per_second", rate.PerSecond, "rate_age_ms", rate.Age.Milliseconds(),
 			"target_left_ms", p.Target.Sub(now).Milliseconds(), "due_ms", ticket.Due().Sub(now).Milliseconds())
@@ -166,7 +166,7 @@
 		return
 	}
 
-	event.Log(q.g.cfg.Log, event.PromptWithdrawn, "request_id", w.task.arrival.ID, "waited_ms", w.ticket.Waited(now).Milliseconds(),
+	event.Log(q.g.cfg.Log, event.PromptWithdrawn, "request_id", w.task.logID(), "waited_ms", w.ticket.Waited(now).Milliseconds(),
 		"ahead", w.ticket.Ahead(), "overtaken", w.ticket.Overtaken(), "cause", cause)
 	q.queue.Leave(now, w.ticket)
 	q.removed(w.ticket)
@@ -185,7 +185,7 @@
 		q.g.cfg.Meter.Admitted(a.Waited)
 	}
 
-	event.Log(q.g.cfg.Log, event.PromptAdmitted, "request_id", w.task.arrival.ID, "waited_ms", a.Waited.Milliseconds(), "ahead", a.Ahead,
+	event.Log(q.g.cfg.Log, event.PromptAdmitted, "request_id", w.task.logID(), "waited_ms", a.Waited.Milliseconds(), "ahead", a.Ahead,
 		"overtaken", a.Overtaken, "reserved", a.Reserved, "late", w.ticket.Late(), "waiting", q.queue.Len(), "per_second", a.Rate.PerSecond, "rate_age_ms", a.Rate.Age.Milliseconds())
 }
 
@@ -278,7 +278,7 @@
 
 	if holder != nil {
 		p := holder.Prompt()
-		event.Log(q.g.cfg.Log, event.PromptReserved, "request_id", q.waiters[holder].task.arrival.ID, "rank", p.Rank,
+		event.Log(q.g.cfg.Log, event.PromptReserved, "request_id", q.waiters[holder].task.logID(), "rank", p.Rank,
 			"waited_ms", holder.Waited(now).Milliseconds(), "overtaken", holder.Overtaken(), "tokens", p.MemoryTokens, "waiting", q.queue.Len())
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,11 +82,11 @@
 		// are overloaded.
 		return t.attemptError(o, failure.Timeout)
 	case t.checkQuarantine(now) != nil:
-		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "quarantined")
+		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.logID(), "attempt", t.attempts, "kind", o.kind.String(), "reason", "quarantined")
 
 		return t.attemptError(o, o.kind)
 	case !t.mayRepeatSuspect(now, o):
-		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "suspect")
+		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.logID(), "attempt", t.attempts, "kind", o.kind.String(), "reason", "suspect")
 
 		return t.attemptError(o, o.kind)
 	case !retry.MayRetry(retry.Attempt{
@@ -106,7 +106,7 @@
 	used, limit := b.Usage(now)
 
 	if !allowed {
-		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "reason", "budget",
+		event.Log(t.g.cfg.Log, event.RepeatRefused, "request_id", t.logID(), "attempt", t.attempts, "kind", o.kind.String(), "reason", "budget",
 			"service", t.service.Name, "budget_used", used, "budget", limit)
 
 		return t.attemptError(o, o.kind)
@@ -114,7 +114,7 @@
 
 	t.repeat = b
 
-	event.Log(t.g.cfg.Log, event.RequestRepeated, "request_id", t.arrival.ID, "attempt", t.attempts, "kind", o.kind.String(), "left_ms", t.deadline.Sub(now).Milliseconds(),
+	event.Log(t.g.cfg.Log, event.RequestRepeated, "request_id", t.logID(), "attempt", t.attempts, "kind", o.kind.String(), "left_ms", t.deadline.Sub(now).Milliseconds(),
 		"service", t.service.Name, "budget_used", used, "budget", limit)
 
 	return nil
@@ -156,7 +156,7 @@
 	if t.stream.started {
 		// The caller has received part of the stream: only a broken connection tells it that the
 		// rest is missing.
-		event.Log(t.g.cfg.Log, event.RequestGivenUp, "request_id", t.arrival.ID, "route", t.route.Name, "kind", "stream_cut",
+		event.Log(t.g.cfg.Log, event.RequestGivenUp, "request_id", t.logID(), "route", t.route.Name, "kind", "stream_cut",
 			"status", 0, "ran", "may_have_run", "retry_after_ms", 0, "attempts", t.attempts, "cause", causeText(err), "after_ms", time.Since(t.began).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
@@ -256,7 +256,7 @@
 		text = o.cause.Error()
 	}
 
-	event.Log(t.g.cfg.Log, event.AttemptFailed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
+	event.Log(t.g.cfg.Log, event.AttemptFailed, "request_id", t.logID(), "route", t.route.Name, "target", c.engine.ID,
 		"attempt", t.attempts, "outcome", o.kind.String(), "ran", o.mayHaveRun, "fingerprint", t.fingerprint.String(), "retry_after_ms", o.retryAfter.Milliseconds(),
 		"framing", t.received.framing.String(), "bytes", t.received.bytes, "unfinished_bytes", t.received.unfinished, "cause", text, "after_ms", time.Since(t.began).Milliseconds())
 
@@ -398,7 +398,7 @@
 
 // abortCallerLeft ends the request of a caller that closed its connection or reads nothing.
 func (t *task) abortCallerLeft(cause error) {
-	event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "after_ms", time.Since(t.began).Milliseconds(), "cause", cause.Error())
+	event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.logID(), "attempts", t.attempts, "after_ms", time.Since(t.began).Milliseconds(), "cause", cause.Error())
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -104,7 +104,7 @@
 
 		if !t.claimRoom(ctx, &c) {
 			if len(t.noRoom) >= maxDenials {
-				event.Log(t.g.cfg.Log, event.RoomExhausted, "request_id", t.arrival.ID, "engines", len(t.noRoom))
+				event.Log(t.g.cfg.Log, event.RoomExhausted, "request_id", t.logID(), "engines", len(t.noRoom))
 
 				return choice{}, errNoCapacity
 			}
@@ -420,7 +420,7 @@
 	e := c.engine
 
 	fields := []any{
-		"request_id", t.arrival.ID, "route", t.route.Name, "attempt", t.attempts + 1,
+		"request_id", t.logID(), "route", t.route.Name, "attempt", t.attempts + 1,
 		"target", e.ID, "reason", c.reason, "cost_ms", int(c.cost), "candidates", c.candidates, "cold_ms", e.ColdFor.Milliseconds(), "config", t.cfg.Version(),
 		"running", max(e.Report.Running, e.Load.Running), "reading", e.Report.Prefilling, "tokens_per_ms", int(t.profile().TokensPerMs()), "waiting", max(e.Report.Waiting, e.Load.Waiting),
 		"used_tokens", e.Report.UsedTokens, "pulse_age_ms", loadReportAge(e), "rate_limit", e.RateLimit, "slowdown", e.Slowdown, "sent_since", e.SentSince.Requests,
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -67,7 +67,7 @@
 	}
 
 	t.probedPart = v.Part
-	event.Log(t.g.cfg.Log, event.PartProbed, "request_id", t.arrival.ID, "part", v.Part, "crashes", v.Crashes)
+	event.Log(t.g.cfg.Log, event.PartProbed, "request_id", t.logID(), "part", v.Part, "crashes", v.Crashes)
 
 	return true
 }
@@ -83,7 +83,7 @@
 	}
 
 	t.probed = true
-	event.Log(t.g.cfg.Log, event.RequestProbed, "request_id", t.arrival.ID, "fingerprint", t.fingerprint.String(), "crashes", t.g.cfg.Crashes.CrashCount(now, t.fingerprint))
+	event.Log(t.g.cfg.Log, event.RequestProbed, "request_id", t.logID(), "fingerprint", t.fingerprint.String(), "crashes", t.g.cfg.Crashes.CrashCount(now, t.fingerprint))
 
 	return true
 }
@@ -154,13 +154,13 @@
 	var all []quarantine.Acquittal
 
 	if n := t.g.cfg.Crashes.RecordCompletion(now, t.fingerprint); n > 0 {
-		event.Log(t.g.cfg.Log, event.RequestCleared, "request_id", t.arrival.ID, "fingerprint", t.fingerprint.String(), "crashes", n, "basis", "response")
+		event.Log(t.g.cfg.Log, event.RequestCleared, "request_id", t.logID(), "fingerprint", t.fingerprint.String(), "crashes", n, "basis", "response")
 
 		all = append(all, quarantine.Acquittal{Request: t.fingerprint, At: now})
 	}
 
 	for _, p := range t.g.cfg.CrashParts.RecordCompletion(now, t.sharedParts) {
-		event.Log(t.g.cfg.Log, event.PartCleared, "request_id", t.arrival.ID, "part", p, "basis", "response")
+		event.Log(t.g.cfg.Log, event.PartCleared, "request_id", t.logID(), "part", p, "basis", "response")
 
 		all = append(all, quarantine.Acquittal{Part: p, At: now})
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -138,7 +138,7 @@
 	t.w.WriteHeader(a.status)
 
 	if err := t.g.slowReaders.write(t.w, a.body); err != nil {
-		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts, "cause", err.Error())
+		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.logID(), "attempts", t.attempts, "cause", err.Error())
 	}
 }
 
@@ -154,7 +154,7 @@
 		t.g.cfg.Meter.Served(t.route.Kind.String(), first.Sub(t.began), total, t.attempts)
 	}
 
-	event.Log(t.g.cfg.Log, event.RequestServed, "request_id", t.arrival.ID, "route", t.route.Name, "target", c.engine.ID,
+	event.Log(t.g.cfg.Log, event.RequestServed, "request_id", t.logID(), "route", t.route.Name, "target", c.engine.ID,
 		"status", status, "first_ms", first.Sub(t.began).Milliseconds(), "total_ms", total.Milliseconds(), "attempts", t.attempts,
 		"target_ms", t.route.LatencyTarget.Milliseconds(), "framing", t.received.framing.String(), "bytes", t.received.bytes, "unfinished_bytes", t.received.unfinished)
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -207,7 +207,7 @@
 	}
 
 	t.endRoom(c)
-	event.Log(t.g.cfg.Log, event.RoomReturned, "request_id", t.arrival.ID, "target", c.engine.ID, "claim", c.long.claim)
+	event.Log(t.g.cfg.Log, event.RoomReturned, "request_id", t.logID(), "target", c.engine.ID, "claim", c.long.claim)
 }
 
 // fillBacklog sets what is known of an engine's leases, in contended services only.
@@ -240,7 +240,7 @@
 func (t *task) logClaim(line event.Event, c *choice, claim room.Claim, began time.Time, more ...any) {
 	b := c.engine.Backlog
 	event.Log(t.g.cfg.Log, line, append([]any{
-		"request_id", t.arrival.ID, "target", c.engine.ID, "claim", c.long.claim, "prefill_tokens", claim.PrefillTokens, "memory_tokens", claim.MemoryTokens,
+		"request_id", t.logID(), "target", c.engine.ID, "claim", c.long.claim, "prefill_tokens", claim.PrefillTokens, "memory_tokens", claim.MemoryTokens,
 		"max_backlog", claim.MaxBacklog, "backlog", b.Tokens, "occupied", b.MemoryTokens, "leases", b.Leases, "backlog_age_ms", b.Age.Milliseconds(),
 		"pulse_age_ms", loadReportAge(c.engine), "wait_ms", time.Since(began).Milliseconds(),
 	}, more...)...)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,7 +64,7 @@
 	}
 
 	if t.stream.started {
-		event.Log(t.g.cfg.Log, event.StreamResumed, "request_id", t.arrival.ID, "target", c.engine.ID, "after_id", t.resumeAfter())
+		event.Log(t.g.cfg.Log, event.StreamResumed, "request_id", t.logID(), "target", c.engine.ID, "after_id", t.resumeAfter())
 	}
 
 	t.stream.mayRepeat, t.stream.inRepeat = t.stream.hasLastID, false
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -220,7 +220,7 @@
 	givenUp := kind == failure.BodyTimeout || kind == failure.IntakeFull
 
 	if t.r.Context().Err() != nil && !givenUp || kind == failure.Cancelled {
-		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts)
+		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.logID(), "attempts", t.attempts)
 		panic(http.ErrAbortHandler)
 	}
 
@@ -243,14 +243,14 @@
 	t.w.WriteHeader(a.Status)
 
 	if _, werr := io.WriteString(t.w, body); werr != nil {
-		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.arrival.ID, "attempts", t.attempts)
+		event.Log(t.g.cfg.Log, event.CallerLeft, "request_id", t.logID(), "attempts", t.attempts)
 	}
 
 	if t.g.cfg.Meter != nil {
 		t.g.cfg.Meter.Refused(t.routeKind(), kind.String())
 	}
 
-	event.Log(t.g.cfg.Log, event.RequestGivenUp, "request_id", t.arrival.ID, "route", t.routeName(), "kind", kind.String(),
+	event.Log(t.g.cfg.Log, event.RequestGivenUp, "request_id", t.logID(), "route", t.routeName(), "kind", kind.String(),
 		"status", a.Status, "fingerprint", t.fingerprint.String(), "ran", a.Ran.String(), "retry_after_ms", after.Milliseconds(), "attempts", t.attempts,
 		"cause", causeText(e), "after_ms", time.Since(t.began).Milliseconds())
 }
@@ -275,6 +275,12 @@
 	}
 }
 
+// maxLoggedID is how much of a request's id a log line has.
+const maxLoggedID = 128
+
+// logID returns the request's id for the log.
+func (t *task) logID() string { return t.arrival.ID[:min(len(t.arrival.ID), maxLoggedID)] }
+
 func (t *task) routeName() string {
 	if t.route == nil {
 		return ""
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -155,7 +155,7 @@
 		c, err := t.choose(ctx, time.Now())
 		if !errors.Is(err, errNoCapacity) {
 			q.recordAdmission(time.Now())
-			event.Log(t.g.cfg.Log, event.RoomAwaited, "request_id", t.arrival.ID, "waited_ms", time.Since(began).Milliseconds(), "waiting", len(q.waiting))
+			event.Log(t.g.cfg.Log, event.RoomAwaited, "request_id", t.logID(), "waited_ms", time.Since(began).Milliseconds(), "waiting", len(q.waiting))
 
 			return c, err
 		}
--- a/misuse/gateway_test.go
+++ b/misuse/gateway_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -37,8 +39,8 @@
 	entry, loader *standin.Process
 }
 
-// startFleet starts a fleet with the settings that a test names in addition.
-func startFleet(t *testing.T, contracts ...string) *fleet {
+// startFleet starts a fleet; configure changes what the processes are started with.
+func startFleet(t *testing.T, configure ...func(*standin.ProcessConfig)) *fleet {
 	t.Helper()
 
 	root, err := filepath.Abs("..")
@@ -78,7 +80,11 @@
 	seeds := []string{subnet.IP(standin.EntryAddresses, 0)}
 	common := standin.ProcessConfig{
 		Root: root, Dir: dir, Zone: "east", Seeds: seeds, Log: logAddress, GraceSeconds: 8,
-		MemoryMB: gatewayBounds.memoryMB, Descriptors: gatewayBounds.descriptors, Contracts: contracts,
+		MemoryMB: gatewayBounds.memoryMB, Descriptors: gatewayBounds.descriptors,
+	}
+
+	for _, change := range configure {
+		change(&common)
 	}
 
 	loader, entry := common, common
@@ -266,6 +272,46 @@
 	f.bear(t, f.entry.CallerAddress(), []form{unread}, []form{unread, stopping})
 }
 
+// roundTrip sends a request and reads until its connection is closed.
+func roundTrip(address, text string) {
+	nc, err := net.DialTimeout("tcp", address, sendTimeout)
+	if err != nil {
+		return
+	}
+
+	defer func() { _ = nc.Close() }()
+
+	if write(nc, text) == nil {
+		discard(nc)
+	}
+}
+
+// Guards against an entry whose log lines take its memory while nobody reads them.
+func TestGatewayBearsLongIDsInItsLog(t *testing.T) {
+	const callers, requests, idBytes = 20, 200, 60_000
+
+	f := startFleet(t, func(cfg *standin.ProcessConfig) { cfg.PipesOutput = true })
+	w := watchProcess(f.entry.PID(), f.entry.IP)
+
+	resume := f.entry.StallOutput()
+
+	var all sync.WaitGroup
+
+	for range callers {
+		all.Go(func() {
+			for range requests {
+				head := strings.Replace(callerHead("GET", "/look/1"), "X-Request-Id: 77", "X-Request-Id: "+strings.Repeat("7", idBytes), 1)
+				roundTrip(f.entry.CallerAddress(), head+"Connection: close\r\n\r\n")
+			}
+		})
+	}
+
+	all.Wait()
+	resume()
+	f.servesInCalm(t)
+	w.check(t, gatewayBounds)
+}
+
 // Guards against an entry whose memory for long responses is taken by a caller that doesn't read its own, so that those
 // of others fail.
 func TestGatewayServesLongResponsesBesideUnreadOnes(t *testing.T) {
