--- a/misuse/gateway_test.go
+++ b/misuse/gateway_test.go
@@ -272,6 +272,41 @@
 	f.bear(t, f.entry.CallerAddress(), []form{unread}, []form{unread, stopping})
 }
 
+// promptHead returns the head of a prompt at the gateway without the empty line at its end.
+func promptHead(parts string) string {
+	return callerHead("POST", "/seat/1") + "X-Model: m\r\nX-Token-Usage: 300,3\r\nX-Prompt-Prefix: " + parts + "\r\n"
+}
+
+// Guards against an entry that takes many times the size of a head for the parts of a prompt that it names.
+func TestGatewayBearsPromptsWithManyParts(t *testing.T) {
+	f := startFleet(t)
+	head := promptHead(strings.Repeat("a:1,", 14000) + "b:1")
+	f.bear(t, f.entry.CallerAddress(), []form{{clients: 1000, head: head + "Content-Length: 100\r\n\r\nabc"}})
+}
+
+// Guards against an entry that remembers the parts of complete prompts, however long their ids are.
+func TestGatewayForgetsLongIDs(t *testing.T) {
+	const callers, prompts, idBytes = 20, 100, 60_000
+
+	f := startFleet(t)
+	w := watchProcess(f.entry.PID(), f.entry.IP)
+
+	var all sync.WaitGroup
+
+	for i := range callers {
+		all.Go(func() {
+			for n := range prompts {
+				head := promptHead(strings.Repeat("f", idBytes) + fmt.Sprintf("%04x%04x:250,%x:50", i, n, n))
+				roundTrip(f.entry.CallerAddress(), head+"Content-Length: 0\r\nConnection: close\r\n\r\n")
+			}
+		})
+	}
+
+	all.Wait()
+	f.servesInCalm(t)
+	w.check(t, gatewayBounds)
+}
+
 // roundTrip sends a request and reads until its connection is closed.
 func roundTrip(address, text string) {
 	nc, err := net.DialTimeout("tcp", address, sendTimeout)
