--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 
 	"boragehub/event"
 	"boragehub/failure"
+	"boragehub/intake"
 	"boragehub/mirror"
 	"boragehub/quarantine"
 	"boragehub/retry"
@@ -293,7 +294,7 @@
 	defer g.active.Add(-1)
 
 	now := time.Now()
-	t := &task{g: g, w: w, r: r, began: now}
+	t := &task{g: g, w: w, r: r, account: intake.FromContext(r.Context()), began: now}
 
 	if len(r.TransferEncoding) > 0 {
 		// A chunked request that also states a length may hide a second request behind its
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -10,7 +10,6 @@
 
 	"boragehub/event"
 	"boragehub/failure"
-	"boragehub/intake"
 	"boragehub/target"
 	"boragehub/upstream"
 	"boragehub/wholebody"
@@ -43,7 +42,7 @@
 
 // readResponse reads a response to its end before any of it goes to the caller.
 func (t *task) readResponse(ctx context.Context, c choice, x *upstream.Exchange, a ResponseHead) outcome {
-	held := heldResponse{memory: t.g.responseMemory, account: intake.FromContext(t.r.Context())}
+	held := heldResponse{memory: t.g.responseMemory, account: t.account}
 	defer held.release()
 
 	body, err := wholebody.ReadAll(&heldReader{src: x, held: &held}, maxResponseBytes)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,7 +12,6 @@
 	"boragehub/event"
 	"boragehub/eventstream"
 	"boragehub/failure"
-	"boragehub/intake"
 	"boragehub/site"
 	"boragehub/target"
 	"boragehub/upstream"
@@ -74,7 +73,7 @@
 
 	var pending []byte
 
-	held := heldResponse{memory: t.g.responseMemory, account: intake.FromContext(t.r.Context())}
+	held := heldResponse{memory: t.g.responseMemory, account: t.account}
 	defer held.release()
 
 	buf := make([]byte, readBufferBytes)
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -25,6 +25,8 @@
 	g *Gateway
 	w http.ResponseWriter
 	r *http.Request
+	// account accounts for what the connection takes; nil for none.
+	account *intake.Account
 
 	began        time.Time
 	deadline     time.Time // when the caller's or the route's timeout ends
