entry: give up streams that their callers don't read

A caller that opened a stream and read nothing kept its run at the engine, and the entry's goroutines, until it left: a write had no time.

Each event has 30 s. TestUnreadStreamsAreGivenUp failed before. Not run with real processes.

--- a/cmd/boragehub/clients.go
+++ b/cmd/boragehub/clients.go
@@ -10,8 +10,6 @@
 	"boragehub/platform"
 )
 
-// Limits on what the clients of a process's ports take.
-
 // clientMemoryRatio is the part of the memory of a VM for all that clients take: connections, requests and
 // responses that are held.
 const clientMemoryRatio = 0.35
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -69,14 +70,18 @@
 // streamSink writes a response as server-sent events.
 type streamSink struct {
 	responseMeta
-	w         http.ResponseWriter
-	flush     func() error
-	withUsage bool
-	started   bool
+	w     http.ResponseWriter
+	flush func() error
+	// limitWrite sets the time until which a write may block.
+	limitWrite func(time.Time) error
+	withUsage  bool
+	started    bool
 }
 
 func newStreamSink(meta responseMeta, w http.ResponseWriter, withUsage bool) *streamSink {
-	return &streamSink{responseMeta: meta, w: w, flush: http.NewResponseController(w).Flush, withUsage: withUsage}
+	c := http.NewResponseController(w)
+
+	return &streamSink{responseMeta: meta, w: w, flush: c.Flush, limitWrite: c.SetWriteDeadline, withUsage: withUsage}
 }
 
 func (s *streamSink) hasWritten() bool { return s.started }
@@ -124,7 +129,15 @@
 	return s.writeData(string(b))
 }
 
+// eventWriteTimeout is how long a caller may take to read what it is sent of a stream. The run at the engine waits
+// meanwhile.
+const eventWriteTimeout = 30 * time.Second
+
 func (s *streamSink) writeData(data string) error {
+	if err := s.limitWrite(time.Now().Add(eventWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+
 	if _, err := s.w.Write([]byte("data: " + data + "\n\n")); err != nil {
 		return err
 	}
