intake: count the first bytes of a body with its connection

An ordinary request of 2 to 4 KB whose body came with its head was closed unread while large bodies had all memory: what is read in one piece was counted as a head, twice, and heads don't wait for others to give way.

The buffer that it is read into is part of the connection's memory. The test of ordinary requests, with such a one, failed before.

--- a/intake/account.go
+++ b/intake/account.go
@@ -100,7 +100,7 @@
 		return nil
 	}
 
-	return a.set(now, &a.head, headCopies*total)
+	return a.set(now, &a.head, headCopies*max(total-readBuffer, 0))
 }
 
 // set sets one of the parts of the account, without waiting for others to give way. The caller holds the ledger's mu.
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -31,6 +31,9 @@
 	ConnectionBytes = 24 << 10
 	// allowance is the part of ConnectionBytes for heads, bodies and responses.
 	allowance = 4 << 10
+	// readBuffer is the buffer of net/http for what is read from a connection, which ConnectionBytes covers. The first
+	// bytes of a body come with the head.
+	readBuffer = 4 << 10
 	// headCopies is how many times a head is held while it is read: as it was received, and parsed.
 	headCopies = 2
 	// stallTime is how long a request that isn't read completely may make no progress, or be behind minRate,
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -120,12 +120,12 @@
 	l := newTestLedger(4 * mebibyte)
 	p := l.Port(PortConfig{Name: "callers"})
 	large := open(t, t0, p)
-	large.sends(t, t0, 3*mebibyte+900<<10)
+	large.sends(t, t0, 4*mebibyte-2*ConnectionBytes+allowance)
 	large.endBody(true)
 
 	ordinary := open(t, t0, p)
-	if err := ordinary.Read(t0, 500); err != nil {
-		t.Errorf("head: got %v, want no error", err)
+	if err := ordinary.Read(t0, readBuffer); err != nil {
+		t.Errorf("head, and the body with it: got %v, want no error", err)
 	}
 
 	ordinary.Head()
--- a/intake/port.go
+++ b/intake/port.go
@@ -62,6 +62,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	if len(p.accounts) <= p.cfg.Connections {
+		return true
+	}
+
 	leaving, mostLeaving := 0, max(p.cfg.Connections/leavingDivisor, 1)
 
 	for a := range p.accounts {
