--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -145,7 +145,7 @@
 	})
 
 	e.gateway = gateway.New(gateway.Config{
-		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{}, Roster: e.roster, Pool: e.pool, Vaults: directory,
+		DataCentre: cfg.DataCentre, Dialect: platform.Dialect{MaxParts: cfg.MaxParts}, Roster: e.roster, Pool: e.pool, Vaults: directory,
 		Crashes: e.crashes.Requests, CrashParts: e.crashes.Parts, ReportCrash: e.client.ReportCrash, RequestQuarantined: e.archive.RequestQuarantined, PartQuarantined: e.archive.PartQuarantined,
 		ReportCleared: func(all []quarantine.Acquittal) {
 			e.archive.Cleared(all)
--- a/cmd/boragehub/platform.go
+++ b/cmd/boragehub/platform.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"boragehub/event/output"
+	"boragehub/failure"
 	"boragehub/platform"
 	"boragehub/roster"
 )
@@ -110,14 +111,15 @@
 		{"loader", "Runs the side process of an engine, which loads the published weight version.", runLoader},
 	} {
 		file := os.Getenv(platform.SettingsVariable)
-		contention := roster.ContentionAuto.String()
+		options := platformOptions{contention: roster.ContentionAuto.String(), maxParts: platform.DefaultMaxParts}
 		sub := flaggy.NewSubcommand(r.name)
 		sub.Description = r.description
 		sub.String(&file, "s", "settings", "the platform's settings file (JSON)")
-		sub.String(&contention, "c", "contention", "which services count as contended: auto, on or off")
+		sub.String(&options.contention, "c", "contention", "which services count as contended: auto, on or off")
+		sub.Int(&options.maxParts, "p", "max-parts", "how many parts a prompt may name to share any, 1 to 4096")
 		flaggy.AttachSubcommand(sub, 1)
 		commands = append(commands, command{sub, func() int {
-			cfg, err := loadPlatformSettings(file, contention)
+			cfg, err := loadPlatformSettings(file, options)
 			if err != nil {
 				return exitStatus(err)
 			}
@@ -129,15 +131,28 @@
 	return commands
 }
 
+// platformOptions are the options of the command line that settings files don't have.
+type platformOptions struct {
+	contention string
+	maxParts   int
+}
+
+// mostParts is the largest value of --max-parts.
+const mostParts = 4096
+
 // loadPlatformSettings reads the settings file and applies the command line to it.
-func loadPlatformSettings(file, contention string) (platform.Settings, error) {
-	mode, err := roster.ParseContention(contention)
+func loadPlatformSettings(file string, options platformOptions) (platform.Settings, error) {
+	mode, err := roster.ParseContention(options.contention)
 	if err != nil {
 		return platform.Settings{}, err
 	}
 
+	if options.maxParts < 1 || options.maxParts > mostParts {
+		return platform.Settings{}, failure.New(failure.BadSettings, "--max-parts %d is not between 1 and %d", options.maxParts, mostParts)
+	}
+
 	cfg, err := platform.LoadSettings(file)
-	cfg.Contention = mode
+	cfg.Contention, cfg.MaxParts = mode, options.maxParts
 
 	return cfg, err
 }
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -60,6 +60,7 @@
 	PromptRefused       = register(2342, "prompt_refused", "A prompt of a contended service is refused without having run: `request_id`, `reason` (full, expected_wait, half_time, expired, stopping), `waited_ms`, `ahead`, `waiting`, `expected_wait_ms`, `per_second`, `rate_age_ms`, `due_ms` (time left to send it), `deadline_ms`, `retry_after_ms`, `cause` (what kept it from being sent).")
 	PromptReserved      = register(2343, "prompt_reserved", "A prompt was overtaken for a quarter of its latency target; until it is sent, no other long prompt of its rank or a worse one is: `request_id`, `rank`, `waited_ms`, `overtaken`, `tokens`, `waiting`.")
 	PromptWithdrawn     = register(2344, "prompt_withdrawn", "A prompt left the queue without a decision about it: `request_id`, `waited_ms`, `ahead`, `overtaken`, `cause` (its caller left, or no engine is available at all).")
+	PartsNotUsed        = register(2357, "parts_not_used", "A prompt names more parts than `--max-parts` allows, or one with an id above 128 bytes; it is served as one that shares nothing: `request_id`, `parts`.")
 	LinesLeftOut        = register(2320, "lines_left_out", "Log lines were dropped to bound their volume: `lines` since the last such line.")
 )
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -24,6 +24,9 @@
 	// Parts are the parts of the prompt in order; the last one belongs to the request or
 	// its session alone.
 	Parts []Part
+	// UnusedParts is the number of parts that the request names if they are too many or too long to be used; Parts
+	// is empty then.
+	UnusedParts int
 }
 
 // SharedPartIDs returns the ids of the parts that other requests may have too.
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -105,6 +105,10 @@
 		return err
 	}
 
+	if p := t.arrival.Prompt; p != nil && p.UnusedParts > 0 {
+		event.Log(t.g.cfg.Log, event.PartsNotUsed, "request_id", t.logID(), "parts", p.UnusedParts)
+	}
+
 	t.setDeadline(now)
 
 	if err := t.readBody(); err != nil {
