responsehead: refuse statuses that HTTP doesn't have

An engine in trouble answered with status 000. Below 100 callers lost their connection with no answer, as writing such a response fails; 600, 777 and 999 reached them, seal and all.

Cause: http.ReadResponse takes any three characters that Atoi takes for a status: 000, +20, -00. Nothing looked at the figure behind it.

A Reader reads a head as bytes now before it is parsed, and refuses one whose status line isn't that of HTTP/1.x with a status of three digits from 100 to 599. A final 101 is refused as well: nobody asks for another protocol, and what follows it is no HTTP. Informational responses are skipped here, five at most, in place of in each reader.

--- a/controlcall/conn.go
+++ b/controlcall/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -18,8 +17,6 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxInformational is how many informational responses (1xx) are skipped before one response.
-	maxInformational = 5
 	// maxKinds bounds the kinds of responses that a connection remembers; calls have a few paths.
 	maxKinds = 32
 	// maxLoggedID bounds what is logged of a target's text.
@@ -115,18 +112,7 @@
 
 	c.answered = true
 
-	for range maxInformational {
-		resp, err := c.in.Read(req)
-		if err != nil {
-			return nil, err
-		}
-
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-
-	return nil, errors.New("too many informational responses")
+	return c.in.Read(req)
 }
 
 // isOwn reports whether a response is that to the present call, as far as ids tell, and records which of the
--- a/controlcall/controlcall_test.go
+++ b/controlcall/controlcall_test.go
@@ -352,7 +352,7 @@
 		{"long body", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("a", 101)},
 		{"long chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("a", 101) + "\r\n0\r\n\r\n"},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc"},
-		{"informational responses only", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInformational+1)},
+		{"informational responses only", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", responsehead.MaxInformational+1)},
 		{"no HTTP", "220 ready\r\n\r\n"},
 	}
 
--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -1,10 +1,14 @@
-// Package responsehead reads the heads of HTTP/1.1 responses, of a bounded size.
+// Package responsehead reads HTTP/1.1 responses, whose heads are proper and of a bounded size.
 //
 // # Model
 //
-// http.ReadResponse reads a status line or a header field to its end, however long it is. A target that
-// sends bytes without end, in a head or in place of one, would take all memory of the process within a
-// second. A Reader stops at MaxBytes.
+// http.ReadResponse takes what RFC 9112 doesn't allow: any three characters that are a number for a status.
+// It also reads a status line or a header field to its end, however long it is. A Reader reads a head as
+// bytes first: it stops at MaxBytes, and a head that isn't proper (ErrImproper) is no response.
+//
+// A head is proper if its status line is that of HTTP/1.x, with a status of three digits from 100 to 599 other
+// than 101, which answers a request for another protocol, and there are never more than a few informational
+// responses.
 //
 // # Example
 //
@@ -14,54 +18,190 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"math"
 	"net/http"
+	"slices"
 )
 
-// MaxBytes is the size of the largest head of a response, in bytes. It is also used as MaxResponseHeaderBytes
-// of http.Transport.
+// MaxBytes is the size of the largest head of a response, in bytes.
 const MaxBytes = 64 << 10
 
+// MaxInformational is how many informational responses (1xx) are skipped before one response.
+const MaxInformational = 5
+
 // ErrTooLong is returned for a head of more than MaxBytes.
 var ErrTooLong = errors.New("the head of the response is longer than its limit")
 
 // Reader reads the responses of a connection. Use NewReader.
 type Reader struct {
-	limited io.LimitedReader
-	br      *bufio.Reader
+	src source
+	br  *bufio.Reader
+}
+
+// source is what the buffer of a Reader is filled from: bytes that were returned to it, and then a connection.
+type source struct {
+	conn     io.Reader
+	left     int64 // bytes that may be read from conn
+	returned []byte
+}
+
+// Read implements io.Reader.
+func (s *source) Read(b []byte) (int, error) {
+	if len(s.returned) > 0 {
+		n := copy(b, s.returned)
+		if s.returned = s.returned[n:]; len(s.returned) == 0 {
+			s.returned = nil
+		}
+
+		return n, nil
+	}
+
+	if s.left <= 0 {
+		return 0, io.EOF
+	}
+
+	n, err := s.conn.Read(b[:min(int64(len(b)), s.left)])
+	s.left -= int64(n)
+
+	return n, err
 }
 
 // NewReader returns a Reader of a connection, with a buffer of a size in bytes.
 func NewReader(conn io.Reader, bufferBytes int) *Reader {
-	r := &Reader{limited: io.LimitedReader{R: conn, N: math.MaxInt64}}
-	r.br = bufio.NewReaderSize(&r.limited, bufferBytes)
+	r := &Reader{src: source{conn: conn, left: math.MaxInt64}}
+	r.br = bufio.NewReaderSize(&r.src, bufferBytes)
 
 	return r
 }
 
-// Await waits for the first byte of a response.
+// Await waits for the first byte of a response. The error is io.ErrUnexpectedEOF if the connection ends before it.
 func (r *Reader) Await() error {
-	_, err := r.br.Peek(1)
+	if _, err := r.br.Peek(1); err != nil {
+		return r.sectionError(err)
+	}
 
-	return err
+	return nil
 }
 
-// Read reads the head of a response to req. The body of the response is read from the connection. The
-// error is ErrTooLong if the head has more than MaxBytes; nothing else is to be read from the connection then.
+// Read reads the head of the final response to req, behind informational ones. The body of the response is read
+// from the connection. Errors are ErrTooLong if a head has more than MaxBytes, ErrImproper
+// if it isn't proper, and io.ErrUnexpectedEOF if it ends midway; nothing else is to be read from the connection then.
 func (r *Reader) Read(req *http.Request) (*http.Response, error) {
-	r.limited.N = MaxBytes
+	for range MaxInformational + 1 {
+		resp, err := r.readOne(req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
 
-	resp, err := http.ReadResponse(r.br, req)
-	if err != nil && r.limited.N <= 0 {
-		return nil, ErrTooLong
+	return nil, improper("more than %d informational responses", MaxInformational)
+}
+
+// readOne reads the head of the next response, which may be informational.
+func (r *Reader) readOne(req *http.Request) (*http.Response, error) {
+	head, err := r.peekSection()
+	if err != nil {
+		return nil, err
 	}
 
-	r.limited.N = math.MaxInt64
+	if err := checkHead(head); err != nil {
+		return nil, err
+	}
+
+	return http.ReadResponse(r.br, req)
+}
+
+// peekSection returns the next section, a head or a trailer with the empty line that ends it, without reading it.
+// The result is valid until the next read.
+func (r *Reader) peekSection() ([]byte, error) {
+	r.src.left = MaxBytes
+	defer func() { r.src.left = math.MaxInt64 }()
+
+	for line, need := 0, 1; ; {
+		b, err := r.br.Peek(need)
+		if err == nil {
+			b, err = r.br.Peek(r.br.Buffered())
+		}
+
+		end, next := sectionEnd(b, line)
 
-	return resp, err
+		switch {
+		case end > 0:
+			return b[:end], nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			return r.peekLongSection()
+		case err != nil:
+			return nil, r.sectionError(err)
+		}
+
+		line, need = next, len(b)+1
+	}
+}
+
+// peekLongSection is peekSection for a section that is longer than the buffer.
+func (r *Reader) peekLongSection() ([]byte, error) {
+	var section []byte
+
+	for line := 0; ; {
+		piece, err := r.br.ReadSlice('\n')
+		section = append(section, piece...)
+
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, r.sectionError(err)
+		}
+
+		end, next := sectionEnd(section, line)
+		if end > 0 {
+			break
+		}
+
+		line = next
+	}
+
+	buffered, err := r.br.Peek(r.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+
+	// What was returned before has been read into the buffer or comes behind it.
+	r.src.returned = slices.Concat(section, buffered, r.src.returned)
+	r.br.Reset(&r.src)
+
+	return section, nil
+}
+
+// sectionError returns the error for a section that ended with err before its empty line.
+func (r *Reader) sectionError(err error) error {
+	switch {
+	case r.src.left <= 0:
+		return ErrTooLong
+	case errors.Is(err, io.EOF):
+		return io.ErrUnexpectedEOF
+	default:
+		return err
+	}
+}
+
+// sectionEnd returns the length of the section that b begins with, up to and with its empty line, given where a line
+// of b begins that may be the last one. The length is zero if the section is incomplete; next is then where its
+// last line begins.
+func sectionEnd(b []byte, line int) (end, next int) {
+	for {
+		n := bytes.IndexByte(b[line:], '\n')
+		if n < 0 {
+			return 0, line
+		}
+
+		empty := n == 0 || n == 1 && b[line] == '\r'
+
+		if line += n + 1; empty {
+			return line, line
+		}
+	}
 }
 
 // Buffered returns the number of bytes that were received and not yet read.
-func (r *Reader) Buffered() int { return r.br.Buffered() }
+func (r *Reader) Buffered() int { return r.br.Buffered() + len(r.src.returned) }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -13,8 +13,7 @@
 // Limits of an exchange.
 const (
 	// maxResponses is the number of responses that are read for one request, including
-	// informational ones (1xx) and those to other requests, before the connection is
-	// closed.
+	// those to other requests, before the connection is closed.
 	maxResponses = 2
 	// maxDiscardedBody is the number of bytes that are read of the body of a response to
 	// another request.
@@ -124,10 +123,6 @@
 			return nil, err
 		}
 
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-
 		if x.conn.belongs(r, resp) {
 			return resp, nil
 		}
