responsehead: refuse header fields that HTTP doesn't have

An engine in trouble sent a head in which the name of a field held a blank. Callers got a 200 with the engine's seal, or a 404 with that line passed on; behind "Content-Length : 1" and "Transfer-Encoding : chunked" the body was another than the one that the engine framed. A line that continued the one before became part of the seal.

Cause: http.ReadResponse keeps a name with blanks as it is, and then ignores it, as it isn't the name it looks for. It joins folded lines, and leaves a length out where there are chunks.

The rule of a proper head, in one place, has the fields now too: a token, a colon behind it, a value without control characters, and one way to tell the length of the body. It holds for informational responses and for the trailer behind chunks, which is read here in place of by net/http.

Names with control characters were refused already; their cases stay.

--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// improperHeads are responses with the engine's seal, whose heads aren't HTTP.
+// improperHeads are responses with the engine's seal, whose heads, or a trailer, aren't HTTP.
 func improperHeads() []struct{ name, text string } {
 	const (
 		sealed = "Id: ID\r\nSeal: s\r\n"
@@ -14,6 +14,10 @@
 	)
 
 	all := []struct{ name, text string }{
+		{"folded line", "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n X-A: x\r\n" + length + "\r\nok"},
+		{"trailer", "HTTP/1.1 200 OK\r\n" + sealed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A : x\r\n\r\n"},
+		{"informational response", "HTTP/1.1 103 Early Hints\r\nX-A : x\r\n\r\nHTTP/1.1 200 OK\r\n" + sealed + length + "\r\nok"},
+		{"length beside chunks", "HTTP/1.1 200 OK\r\n" + sealed + length + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n" + sealed + "\r\n"},
 	}
 
@@ -21,6 +25,13 @@
 		all = append(all, struct{ name, text string }{"status " + status, "HTTP/1.1 " + status + " Odd\r\n" + sealed + length + "\r\nok"})
 	}
 
+	for _, line := range []string{"Se al: x", "X-A : x", "Content-Length : 1", "Transfer-Encoding : chunked", "Id : other", "Seal : y", "X\x01A: x", "X\x7fA: x"} {
+		all = append(all,
+			struct{ name, text string }{"line " + line, "HTTP/1.1 200 OK\r\n" + sealed + line + "\r\n" + length + "\r\nok"},
+			struct{ name, text string }{"open body, line " + line, "HTTP/1.1 200 OK\r\n" + sealed + line + "\r\n\r\nok"},
+			struct{ name, text string }{"failure, line " + line, "HTTP/1.1 404 Not Found\r\n" + sealed + line + "\r\n" + length + "\r\nno"})
+	}
+
 	return all
 }
 
--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -2,13 +2,24 @@
 //
 // # Model
 //
-// http.ReadResponse takes what RFC 9112 doesn't allow: any three characters that are a number for a status.
+// http.ReadResponse takes what RFC 9112 doesn't allow: any three characters that are a number for a status,
+// names of header fields with blanks, lines that continue the one before. It then ignores a field whose name
+// it doesn't know, such as "Content-Length ", so that the response gets another body than its target gave it.
 // It also reads a status line or a header field to its end, however long it is. A Reader reads a head as
-// bytes first: it stops at MaxBytes, and a head that isn't proper (ErrImproper) is no response.
+// bytes first: it stops at MaxBytes, and a head that isn't proper (ErrImproper) is no response. The trailer
+// behind a chunked body is read in the same way.
 //
-// A head is proper if its status line is that of HTTP/1.x, with a status of three digits from 100 to 599 other
-// than 101, which answers a request for another protocol, and there are never more than a few informational
-// responses.
+// A head is proper if
+//
+//   - its status line is that of HTTP/1.x, with a status of three digits from 100 to 599 other than 101, which
+//     answers a request for another protocol, and there are never more than a few informational responses;
+//   - each further line is a header field: a token, a colon right behind it, and a value without control
+//     characters;
+//   - it tells one length of its body at most: by Content-Length, the same one each time, or by
+//     Transfer-Encoding, which is "chunked" and of HTTP/1.1. An informational response and one of status 204
+//     tell none but zero.
+//
+// Lines end with CRLF or with LF alone.
 //
 // # Example
 //
@@ -23,6 +34,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/http/httputil"
 	"slices"
 )
 
@@ -89,6 +101,7 @@
 // Read reads the head of the final response to req, behind informational ones. The body of the response is read
 // from the connection. Errors are ErrTooLong if a head has more than MaxBytes, ErrImproper
 // if it isn't proper, and io.ErrUnexpectedEOF if it ends midway; nothing else is to be read from the connection then.
+// Reading the body of a chunked response returns the same errors for its trailer.
 func (r *Reader) Read(req *http.Request) (*http.Response, error) {
 	for range MaxInformational + 1 {
 		resp, err := r.readOne(req)
@@ -111,7 +124,16 @@
 		return nil, err
 	}
 
-	return http.ReadResponse(r.br, req)
+	resp, err := http.ReadResponse(r.br, req)
+	if err != nil {
+		return nil, err
+	}
+
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r.br)}
+	}
+
+	return resp, nil
 }
 
 // peekSection returns the next section, a head or a trailer with the empty line that ends it, without reading it.
@@ -205,3 +227,48 @@
 
 // Buffered returns the number of bytes that were received and not yet read.
 func (r *Reader) Buffered() int { return r.br.Buffered() + len(r.src.returned) }
+
+// chunkedBody is a chunked body with its trailer, whose fields are checked and dropped.
+type chunkedBody struct {
+	r      *Reader
+	chunks io.Reader
+	err    error // sticky
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+
+	n, err := b.chunks.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.r.readTrailer()
+		if err == nil {
+			err = io.EOF
+		}
+	}
+
+	b.err = err
+
+	return n, err
+}
+
+// Close does nothing; the connection is its owner's to close.
+func (b *chunkedBody) Close() error { return nil }
+
+// readTrailer reads a trailer.
+func (r *Reader) readTrailer() error {
+	trailer, err := r.peekSection()
+	if err != nil {
+		return err
+	}
+
+	if err := checkFields(trailer, &framing{}); err != nil {
+		return err
+	}
+
+	_, err = r.br.Discard(len(trailer))
+
+	return err
+}
