upstream: a transport for clients of net/http, which reads heads by the rule

What callers saw of broken heads holds wherever answers are read: a side process passed the status 000 of a plain service on to its entry, an engine's load, a store's space, the list of VMs and a record of the log were taken from a head with "X-A : x" or "Content-Length : 1".

Cause: http.Transport reads heads with the parser of http.ReadResponse and takes no other one.

upstream.Transport is a RoundTripper that sends requests through a Pool, so there is one reader of heads now. Clients of engines, plain services, stores, the product's own log, the list of VMs and the commands use it. As net/http's, it sends a GET once more if a reused connection broke before any byte of a response, and calls the hooks of httptrace that side processes look at. The command trial reads responses whole, of a bounded size.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -24,6 +24,7 @@
 	"github.com/integrii/flaggy"
 
 	"boragehub/failure"
+	"boragehub/upstream"
 )
 
 // loadRun is one run: its parameters, and what was measured so far.
@@ -78,7 +79,7 @@
 }
 
 func (l *loadRun) run() error {
-	l.http = &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: l.streams}}
+	l.http = &http.Client{Timeout: callTimeout, Transport: upstream.NewTransport(upstream.TransportConfig{MaxIdlePerAddress: l.streams})}
 
 	before, err := l.cpuTimes()
 	if err != nil {
--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -21,6 +21,8 @@
 	"github.com/integrii/flaggy"
 
 	"boragehub/failure"
+	"boragehub/upstream"
+	"boragehub/wholebody"
 )
 
 // Timeouts and retry interval.
@@ -30,6 +32,9 @@
 	retryInterval = 100 * time.Millisecond
 )
 
+// maxResponseBytes bounds the body of a response.
+const maxResponseBytes = 64 << 20
+
 // trial is one run against a system: its parameters and its HTTP client.
 type trial struct {
 	entries  []string
@@ -43,7 +48,7 @@
 }
 
 func main() {
-	t := &trial{http: &http.Client{Timeout: callTimeout}, model: "shuttle-8b", service: "booking-api"}
+	t := &trial{http: &http.Client{Timeout: callTimeout, Transport: upstream.NewTransport(upstream.TransportConfig{})}, model: "shuttle-8b", service: "booking-api"}
 
 	flaggy.SetName("trial")
 	flaggy.SetDescription("Checks the main steps on a running system.")
@@ -290,6 +295,11 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
+	text, err := wholebody.ReadAll(resp.Body, maxResponseBytes)
+	if err != nil {
+		return nil, err
+	}
+
 	if resp.StatusCode >= http.StatusBadRequest {
 		var failed struct {
 			Error struct {
@@ -298,7 +308,7 @@
 			} `json:"error"`
 		}
 
-		_ = json.NewDecoder(resp.Body).Decode(&failed)
+		_ = json.Unmarshal(text, &failed)
 
 		return nil, failure.New(failure.Internal, "%s: %s: %s", resp.Status, failed.Error.Code, failed.Error.Message)
 	}
@@ -307,5 +317,5 @@
 		return resp.Header, nil
 	}
 
-	return resp.Header, json.NewDecoder(resp.Body).Decode(got)
+	return resp.Header, json.Unmarshal(text, got)
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -7,7 +7,7 @@
 // state, load and cache; Export and Import transfer cache blocks in the engine's own
 // opaque format; Order makes it load weights or change its role. See docs/PLATFORM.md.
 //
-//	c := engine.Client{Address: "127.0.0.1:8000", HTTP: &http.Client{}}
+//	c := engine.Client{Address: "127.0.0.1:8000", HTTP: once.NewClient()}
 //	err := c.Complete(ctx, engine.Completion{Prompt: text}, func(p engine.Piece) error { … })
 package engine
 
@@ -36,8 +36,8 @@
 type Client struct {
 	// Address is the engine's IP address and port.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient. It must not have an overall
-	// timeout, since completions stream for long.
+	// HTTP sends the requests. It is required, and must not have an overall timeout, since completions stream
+	// for long.
 	HTTP *http.Client
 }
 
@@ -300,12 +300,7 @@
 		req.Header.Set("Content-Type", contentType)
 	}
 
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
-
-	resp, err := client.Do(req)
+	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return nil, failure.Wrap(failure.TargetLost, err, "the engine is unreachable")
 	}
--- a/journal/client.go
+++ b/journal/client.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"boragehub/failure"
-	"boragehub/responsehead"
+	"boragehub/upstream"
 	"boragehub/wholebody"
 )
 
@@ -60,10 +60,9 @@
 // NewClient returns a Client for cfg.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: responsehead.MaxBytes,
-			DialContext: (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
-		}}
+		cfg.HTTP = &http.Client{Transport: upstream.NewTransport(upstream.TransportConfig{
+			MaxIdlePerAddress: maxIdleConnections, Dialer: net.Dialer{Timeout: DefaultTimeout},
+		})}
 	}
 
 	cfg.Timeout = positiveOr(cfg.Timeout, DefaultTimeout)
--- a/once/client.go
+++ b/once/client.go
@@ -12,13 +12,13 @@
 import (
 	"net/http"
 
-	"boragehub/responsehead"
+	"boragehub/upstream"
 )
 
 // NewClient returns a client that sends each request once. It has no timeout.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: responsehead.MaxBytes},
+		Transport: upstream.NewTransport(upstream.TransportConfig{SingleUse: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/responsehead/readers_test.go
+++ b/responsehead/readers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	"boragehub/platform"
 	"boragehub/store"
 	"boragehub/upstream"
+	"boragehub/vm"
 	"boragehub/wholebody"
 )
 
@@ -133,6 +135,23 @@
 
 			return err
 		}},
+		{"plain services beside a side process", "ok", func(ctx context.Context, address string) error {
+			c := once.NewClient()
+			defer c.CloseIdleConnections()
+
+			return post(ctx, c, address, "x")
+		}},
+		{"the list of VMs", `{"version":1,"vms":[]}`, func(ctx context.Context, address string) error {
+			_, err := vm.Fetch(ctx, "http://"+address, time.Minute)
+
+			return err
+		}},
+		{"commands", "ok", func(ctx context.Context, address string) error {
+			c := &http.Client{Transport: upstream.NewTransport(upstream.TransportConfig{})}
+			defer c.CloseIdleConnections()
+
+			return post(ctx, c, address, "x")
+		}},
 		{"the product's own log", `{"records":[],"next":0,"end":0,"first":0}`, func(ctx context.Context, address string) error {
 			_, err := journal.NewClient(journal.ClientConfig{URL: "http://" + address}).Read(ctx, "s", 0, 1, 0)
 
@@ -141,6 +160,31 @@
 	}
 }
 
+// post sends a body and reads the whole response, which must be a success.
+func post(ctx context.Context, c *http.Client, address, body string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if _, err := wholebody.ReadAll(resp.Body, 1<<20); err != nil {
+		return err
+	}
+
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+
+	return nil
+}
+
 // form is a response of the protocol. complete is the number of bytes from which on it is complete, as far as the
 // protocol tells.
 type form struct {
@@ -257,3 +301,43 @@
 		})
 	}
 }
+
+// Guards against a broken response that one of the readers takes for an answer: a caller's, an engine's state, a record
+// of a log. Each head is followed by the body that the reader takes.
+func TestNoReaderTakesAnImproperHead(t *testing.T) {
+	for _, r := range readers() {
+		t.Run(r.name, func(t *testing.T) {
+			s := newTarget(t)
+			length := fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
+			chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(r.body), r.body)
+
+			tests := []struct{ name, text string }{
+				{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "X-A : 1\r\n\r\n"},
+				{"informational response", "HTTP/1.1 103 Early Hints\r\nX-A : 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length + "\r\n" + r.body},
+				{"length beside chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + length + "\r\n" + chunks + "\r\n"},
+			}
+
+			for _, status := range []string{"000", "001", "099", "+20", "-00", "600", "777", "999"} {
+				tests = append(tests, struct{ name, text string }{"status " + status, "HTTP/1.1 " + status + " OK\r\n" + length + "\r\n" + r.body})
+			}
+
+			for _, line := range []string{"Se al: x", "X-A : x", "Content-Length : 1", "Transfer-Encoding : chunked", " X-A: x", "X\x00A: x", "X-A: \x00"} {
+				tests = append(tests,
+					struct{ name, text string }{"line " + line, "HTTP/1.1 200 OK\r\nX-B: 1\r\n" + line + "\r\n" + length + "\r\n" + r.body},
+					struct{ name, text string }{"open body, line " + line, "HTTP/1.1 200 OK\r\nConnection: close\r\n" + line + "\r\n\r\n" + r.body})
+			}
+
+			for _, tt := range tests {
+				s.setRespond(func(nc net.Conn) error {
+					_, err := io.WriteString(nc, tt.text)
+
+					return err
+				})
+
+				if err := r.call(t.Context(), s.address); err == nil {
+					t.Errorf("%q: got no error, want one", tt.name)
+				}
+			}
+		})
+	}
+}
--- a/side/side.go
+++ b/side/side.go
@@ -40,10 +40,10 @@
 	"boragehub/operator"
 	"boragehub/peer"
 	"boragehub/quarantine"
-	"boragehub/responsehead"
 	"boragehub/ring"
 	"boragehub/setting/exchange"
 	"boragehub/store"
+	"boragehub/upstream"
 	"boragehub/vm"
 )
 
@@ -167,7 +167,7 @@
 
 	s := &Side{
 		cfg:       cfg,
-		engine:    engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleEngineConns, MaxResponseHeaderBytes: responsehead.MaxBytes}}},
+		engine:    engine.Client{Address: cfg.Address, HTTP: &http.Client{Transport: upstream.NewTransport(upstream.TransportConfig{MaxIdlePerAddress: maxIdleEngineConns})}},
 		runEngine: engine.Client{Address: cfg.Address, HTTP: once.NewClient()},
 		plainHTTP: once.NewClient(),
 		storeHTTP: store.NewHTTP(storeTimeout),
--- a/store/client.go
+++ b/store/client.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"boragehub/failure"
-	"boragehub/responsehead"
+	"boragehub/upstream"
 	"boragehub/wholebody"
 )
 
@@ -19,7 +19,7 @@
 type Client struct {
 	// Address is the store's IP address and port.
 	Address string
-	// HTTP makes the calls; nil means http.DefaultClient.
+	// HTTP makes the calls. It is required.
 	HTTP *http.Client
 	// MaxBytes is the maximum size of a response body in bytes; the rest is cut off. Zero means
 	// DefaultMaxBytes.
@@ -153,12 +153,7 @@
 		return response{}, failure.Wrap(failure.Internal, err, "invalid store address %q", c.Address)
 	}
 
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
-
-	resp, err := client.Do(req)
+	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return response{}, failure.Wrap(failure.TargetLost, err, "no response from store %s", c.Address)
 	}
@@ -204,5 +199,5 @@
 
 // NewHTTP returns an HTTP client whose calls fail after timeout, transfer of the body included.
 func NewHTTP(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: responsehead.MaxBytes}}
+	return &http.Client{Timeout: timeout, Transport: upstream.NewTransport(upstream.TransportConfig{})}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -40,7 +41,10 @@
 	conn        *conn
 	resp        *http.Response
 	stopAbort   func() bool
-	bodyWritten chan error // result of writing the body; nil if it was written with the head
+	bodyWritten chan struct{} // closed when the body was written or failed; nil if it was written with the head
+	writeErr    error         // of writing the body; valid once bodyWritten is closed
+	answered    bool          // a byte of a response has arrived
+	single      bool          // the connection is for this request alone
 	complete    bool
 	failed      bool
 	mismatched  bool // a response to another request arrived first
@@ -50,38 +54,53 @@
 // ends, the connection is closed, which tells the target to stop. Errors are of type
 // *Error.
 func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
-	c := p.idleConn(time.Now(), r.Address, r.ID)
-	if c == nil {
-		var err error
-
-		c, err = p.dial(ctx, r.Address)
-		if err != nil {
-			return nil, err
+	if !r.Close {
+		if c := p.idleConn(time.Now(), r.Address, r.ID); c != nil {
+			return p.sendOn(ctx, c, r)
 		}
 	}
 
+	return p.sendOnNew(ctx, r)
+}
+
+// sendOnNew sends a request on a new connection.
+func (p *Pool) sendOnNew(ctx context.Context, r Request) (*Exchange, error) {
+	c, err := p.dial(ctx, r.Address)
+	if err != nil {
+		return nil, err
+	}
+
+	return p.sendOn(ctx, c, r)
+}
+
+// sendOn sends a request on a connection.
+func (p *Pool) sendOn(ctx context.Context, c *conn, r Request) (*Exchange, error) {
 	c.carry(r.ID)
 
-	x := &Exchange{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort)}
+	if r.Trace != nil && r.Trace.GotConn != nil {
+		r.Trace.GotConn(httptrace.GotConnInfo{Conn: c.nc, Reused: c.reused})
+	}
+
+	x := &Exchange{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort), single: r.Close}
 
 	// The context ended before the first byte was written.
 	if err := ctx.Err(); err != nil {
 		x.abandon()
 
-		return nil, &Error{NotSent, stepWrite, err}
+		return nil, &Error{NotSent, stepWrite, err, false}
 	}
 
 	if err := x.writeRequest(r); err != nil {
 		x.abandon()
 
-		return nil, &Error{MaybeSent, stepWrite, err}
+		return nil, &Error{MaybeSent, stepWrite, err, c.reused}
 	}
 
 	resp, err := x.readResponse(r) //nolint:bodyclose // Close closes or keeps the connection itself
 	if err != nil {
 		x.abandon()
 
-		return nil, &Error{MaybeSent, stepHead, err}
+		return nil, &Error{MaybeSent, stepHead, err, c.reused && !x.answered}
 	}
 
 	x.resp = resp
@@ -90,9 +109,9 @@
 }
 
 // writeRequest writes the head and the body; a body above maxInlineBody is written by a
-// goroutine.
+// goroutine, as is one that is read from a stream.
 func (x *Exchange) writeRequest(r Request) error {
-	if len(r.Body) <= maxInlineBody {
+	if r.BodyStream == nil && len(r.Body) <= maxInlineBody {
 		_, err := x.conn.nc.Write(append(r.Head, r.Body...))
 
 		return err
@@ -102,11 +121,20 @@
 		return err
 	}
 
-	x.bodyWritten = make(chan error, 1)
+	x.bodyWritten = make(chan struct{})
 
 	go func() {
-		_, err := x.conn.nc.Write(r.Body)
-		x.bodyWritten <- err
+		defer close(x.bodyWritten)
+
+		if r.BodyStream == nil {
+			_, x.writeErr = x.conn.nc.Write(r.Body)
+		} else {
+			_, x.writeErr = io.CopyN(x.conn.nc, r.BodyStream, r.BodyLength)
+		}
+
+		if errors.Is(x.writeErr, io.EOF) {
+			x.writeErr = io.ErrUnexpectedEOF // the body is shorter than its length
+		}
 	}()
 
 	return nil
@@ -117,6 +145,16 @@
 func (x *Exchange) readResponse(r Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 
+	if err := x.conn.in.Await(); err != nil {
+		return nil, err
+	}
+
+	x.answered = true
+
+	if r.Trace != nil && r.Trace.GotFirstResponseByte != nil {
+		r.Trace.GotFirstResponseByte()
+	}
+
 	for range maxResponses {
 		resp, err := x.conn.in.Read(req)
 		if err != nil {
@@ -174,7 +212,7 @@
 		x.complete = true
 	default:
 		x.failed = true
-		err = &Error{MaybeSent, stepBody, err}
+		err = &Error{MaybeSent, stepBody, err, false}
 	}
 
 	return n, err
@@ -203,7 +241,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if !x.complete || x.failed || x.mismatched || x.resp.Close || x.Framing() == CloseFraming || x.conn.in.Buffered() > 0 {
+	if x.single || !x.complete || x.failed || x.mismatched || x.resp.Close || x.Framing() == CloseFraming || x.conn.in.Buffered() > 0 {
 		return false
 	}
 
@@ -215,8 +253,8 @@
 	defer t.Stop()
 
 	select {
-	case err := <-x.bodyWritten:
-		return err == nil
+	case <-x.bodyWritten:
+		return x.writeErr == nil
 	case <-t.C:
 		return false
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -27,8 +27,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"syscall"
@@ -60,6 +62,7 @@
 	delivery Delivery
 	step     string
 	cause    error
+	stale    bool // a reused connection broke before any byte of a response
 }
 
 // Error returns the step that failed and the cause.
@@ -110,6 +113,13 @@
 	// ID is the same for all attempts of a request and differs between requests; empty if unknown. Match can't tell the
 	// response to one attempt from that to another, so a connection carries a request once.
 	ID string
+	// BodyStream is the body in place of Body, of BodyLength bytes; nil for Body.
+	BodyStream io.Reader
+	BodyLength int64
+	// Close is whether the request gets a connection of its own, which is closed after the response.
+	Close bool
+	// Trace has hooks for the connection and the first byte of a response; nil for none.
+	Trace *httptrace.ClientTrace
 }
 
 // Config configures a Pool. Zero values get a default.
@@ -208,6 +218,20 @@
 	}
 }
 
+// closeIdle closes all idle connections.
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+
+	for _, conns := range idle {
+		for _, c := range conns {
+			c.close()
+		}
+	}
+}
+
 // idleConn returns a usable idle connection that hasn't carried the request with an id, nil for none. It takes the
 // most recently used one first, so that a pool that grew in a burst shrinks again.
 func (p *Pool) idleConn(now time.Time, address, id string) *conn {
@@ -293,7 +317,7 @@
 
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, &Error{NotSent, stepDial, err}
+		return nil, &Error{NotSent, stepDial, err, false}
 	}
 
 	return newConn(address, nc), nil
--- a/vm/follower.go
+++ b/vm/follower.go
@@ -13,7 +13,7 @@
 	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/pause"
-	"boragehub/responsehead"
+	"boragehub/upstream"
 	"boragehub/wholebody"
 )
 
@@ -47,7 +47,7 @@
 
 // NewFollower returns a Follower with an empty list.
 func NewFollower(cfg FollowerConfig) *Follower {
-	f := &Follower{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: responsehead.MaxBytes}}}
+	f := &Follower{cfg: cfg, http: &http.Client{Timeout: pollTimeout, Transport: upstream.NewTransport(upstream.TransportConfig{})}}
 	f.list.Store(NewList(0, nil))
 
 	return f
