upstream: take no part of an answer to an upload for all of it

An engine answered a long upload at once, with a 200 that had no length, sent a part of the body and reset the connection while the upload was being written. Callers got the part as a complete answer.

Cause: the kernel reports a reset to one call. If the writer of the request got it, whose error nobody looked at, the reader found an orderly end. And an engine that closes before the rest of the request arrives ends its side in order; the reset, for what comes then, follows the end.

The end of an open body counts only once the target's host has all of the request: the writer has ended without an error, and the kernel has the acknowledgement of all bytes. Otherwise the response is broken: 502, or a stream that is cut, and the request may have run. With a length or chunks a response is whole by these, as before, and its connection isn't kept. An engine that reads on, whether it keeps the connection, ends it behind the request or ended its side before, still gets the rest and its answer stays whole. A reset that only the writer got is also named as the cause where no response came.

--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -69,3 +73,73 @@
 		})
 	}
 }
+
+// newEarlyEngine returns a target that responds with a text once it has read the head of a request, and then ends the
+// connection.
+func newEarlyEngine(t *testing.T, text string, end func(c net.Conn)) *fakeEngine {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = l.Close() })
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+			}
+
+			end(c)
+
+			_ = c.Close()
+		}
+	}()
+
+	return &fakeEngine{id: "a", address: l.Addr().String(), llmAddress: l.Addr().String()}
+}
+
+// Guards against a part of an answer that a caller gets as all of it: the engine answers a long upload at once, without
+// a length, and its connection is reset while the upload is being written.
+func TestPartOfAnAnswerToAnUploadIsNoAnswer(t *testing.T) {
+	ends := []struct {
+		name string
+		end  func(c net.Conn)
+	}{
+		{"reset", func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }},
+		{"closed", func(net.Conn) {}},
+	}
+
+	texts := []struct{ name, text string }{
+		{"open body", "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\npart"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nId: ID\r\nSeal: s\r\n\r\npart"},
+		{"failure", "HTTP/1.1 404 Not Found\r\nId: ID\r\nSeal: s\r\n\r\npart"},
+		{"events", closeHead + eventText(1)},
+	}
+
+	const tries = 8
+
+	for _, end := range ends {
+		for _, tt := range texts {
+			env := newTestEnv(t, newEarlyEngine(t, tt.text, end.end))
+
+			for _, path := range []string{"/once/1", "/stream/1", "/resume/1"} {
+				for _, size := range []int{9 << 10, 60 << 10} {
+					for i := range tries {
+						got := env.request(t, "POST", path, strings.Repeat("x", size), "Id", fmt.Sprint(path, size, i))
+						if got.err == nil && got.status < http.StatusInternalServerError {
+							t.Errorf("%s, %s, %s, %d bytes: got %d %q, want 502 or a broken connection", end.name, tt.name, path, size, got.status, got.body)
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -63,6 +63,56 @@
 	}
 }
 
+// ErrClosed is returned for a connection that is closed or has failed.
+var ErrClosed = errors.New("the connection is closed")
+
+// tcpClose is the state TCP_CLOSE of Linux.
+const tcpClose = 7
+
+// Acknowledged reports whether the peer's host has acknowledged all bytes that were written to a connection, so that
+// a peer that closes the connection without reading them resets it. The error is ErrClosed if the connection is closed
+// on both sides or was reset; an end of the peer's side alone is none. A connection without a socket, or a system
+// that doesn't tell, counts as acknowledged.
+func Acknowledged(c net.Conn) (bool, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true, nil
+	}
+
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, ErrClosed
+	}
+
+	acknowledged := false
+
+	// The kernel reads the state before the queues, which a reset empties: what a look finds acknowledged, the
+	// next one's state confirms.
+	for range 2 {
+		var (
+			info *unix.TCPInfo
+			told error
+		)
+
+		err := raw.Control(func(fd uintptr) { info, told = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+
+		switch {
+		case err != nil:
+			return false, ErrClosed
+		case told != nil:
+			return true, nil
+		case info.State == tcpClose:
+			return false, ErrClosed
+		}
+
+		if acknowledged = info.Unacked == 0 && info.Notsent_bytes == 0; !acknowledged {
+			break
+		}
+	}
+
+	return acknowledged, nil
+}
+
 // Listen listens at a TCP address. Connections get receive buffers for about receiveBytes bytes, which the operating
 // system would otherwise let grow to several megabytes that count as the process's memory.
 func Listen(ctx context.Context, address string, receiveBytes int) (net.Listener, error) {
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -1,6 +1,7 @@
 package socket
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -98,3 +99,80 @@
 		t.Error("got the accepted connection changed, want it open and empty")
 	}
 }
+
+// Guards against a reset of what was written that is taken for its acknowledgement.
+func TestAcknowledgedTellsBytesThatArrivedFromAReset(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(t *testing.T, peer *net.TCPConn)
+		want error
+	}{
+		{"open", func(*testing.T, *net.TCPConn) {}, nil},
+		{"ended on the peer's side", func(t *testing.T, peer *net.TCPConn) {
+			t.Helper()
+
+			if err := peer.CloseWrite(); err != nil {
+				t.Error(err)
+			}
+		}, nil},
+		{"closed before", func(t *testing.T, peer *net.TCPConn) {
+			t.Helper()
+
+			if err := peer.Close(); err != nil {
+				t.Error(err)
+			}
+		}, ErrClosed},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, peer := tcpPair(t)
+			tt.end(t, peer)
+
+			if _, err := c.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+
+			acknowledged, err := Acknowledged(c)
+			for !acknowledged && err == nil {
+				acknowledged, err = Acknowledged(c)
+			}
+
+			if !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+
+			_ = c.Close()
+
+			if _, err := Acknowledged(c); !errors.Is(err, ErrClosed) {
+				t.Errorf("closed: got %v, want %v", err, ErrClosed)
+			}
+		})
+	}
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (c, peer *net.TCPConn) {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = l.Close() }()
+
+	a, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _, _ = a.Close(), b.Close() })
+
+	return a.(*net.TCPConn), b.(*net.TCPConn)
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -90,6 +90,21 @@
 	c.close()
 }
 
+// maxAckPause is the longest pause between two looks at what the target's host has acknowledged.
+const maxAckPause = 16 * time.Millisecond
+
+// awaitAcknowledged waits until the target's host has acknowledged all bytes written. It returns an error if the
+// connection is reset or closed before.
+func (c *conn) awaitAcknowledged() error {
+	for wait := time.Millisecond; ; wait = min(2*wait, maxAckPause) {
+		if acknowledged, err := socket.Acknowledged(c.nc); acknowledged || err != nil {
+			return err
+		}
+
+		time.Sleep(wait)
+	}
+}
+
 // usable reports whether the connection is open with nothing to read. It peeks at the
 // socket and consumes no bytes.
 func (c *conn) usable() bool {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,9 @@
 
 var errMismatched = errors.New("received no response that belongs to the request")
 
+// errUndelivered is the cause of the Error of a response whose connection ended before the target had the request.
+var errUndelivered = errors.New("the connection ended before the target had the whole request")
+
 // Exchange is a request that was sent and whose response header was read. The caller must
 // call Close.
 type Exchange struct {
@@ -43,6 +48,7 @@
 	stopAbort   func() bool
 	bodyWritten chan struct{} // closed when the body was written or failed; nil if it was written with the head
 	writeErr    error         // of writing the body; valid once bodyWritten is closed
+	hasBody     bool          // the request has a body
 	answered    bool          // a byte of a response has arrived
 	single      bool          // the connection is for this request alone
 	complete    bool
@@ -100,7 +106,7 @@
 	if err != nil {
 		x.abandon()
 
-		return nil, &Error{MaybeSent, stepHead, err, c.reused && !x.answered}
+		return nil, &Error{MaybeSent, stepHead, x.connectionError(err), c.reused && !x.answered}
 	}
 
 	x.resp = resp
@@ -111,6 +117,8 @@
 // writeRequest writes the head and the body; a body above maxInlineBody is written by a
 // goroutine, as is one that is read from a stream.
 func (x *Exchange) writeRequest(r Request) error {
+	x.hasBody = len(r.Body) > 0 || r.BodyStream != nil
+
 	if r.BodyStream == nil && len(r.Body) <= maxInlineBody {
 		_, err := x.conn.nc.Write(append(r.Head, r.Body...))
 
@@ -140,6 +148,22 @@
 	return nil
 }
 
+// connectionError returns the error of a closed connection, given that of its reader. The kernel reports a reset
+// to one call alone: if the writer got it, the reader finds an orderly end.
+func (x *Exchange) connectionError(err error) error {
+	if x.bodyWritten == nil {
+		return err
+	}
+
+	<-x.bodyWritten
+
+	if errors.Is(x.writeErr, syscall.ECONNRESET) {
+		return x.writeErr
+	}
+
+	return err
+}
+
 // readResponse reads response headers until one belongs to the request, at most
 // maxResponses.
 func (x *Exchange) readResponse(r Request) (*http.Response, error) {
@@ -202,9 +226,13 @@
 
 // Read reads the response body. It returns io.EOF only at the end of a complete body, and
 // an *Error if the body is truncated. A close-delimited body counts as complete when the
-// connection is closed; only its content can tell whether the target has broken off.
+// connection is closed in order and the target's host has the whole request; only its content can tell
+// whether the target has broken off.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
+	if errors.Is(err, io.EOF) && x.Framing() == CloseFraming && x.hasBody {
+		err = x.awaitDelivered()
+	}
 
 	switch {
 	case err == nil:
@@ -218,6 +246,26 @@
 	return n, err
 }
 
+// awaitDelivered waits until the target's host has all of the request, and returns io.EOF then. Before, the end of a
+// connection doesn't tell an orderly one from a reset: the writer may have got the error, or the target has closed the
+// connection and resets it for the rest of the request.
+func (x *Exchange) awaitDelivered() error {
+	if x.bodyWritten != nil {
+		<-x.bodyWritten
+	}
+
+	err := x.writeErr
+	if err == nil {
+		err = x.conn.awaitAcknowledged()
+	}
+
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUndelivered, err)
+	}
+
+	return io.EOF
+}
+
 // MarkBroken marks the response as incomplete although its body has ended, so that Close doesn't keep the
 // connection.
 func (x *Exchange) MarkBroken() { x.failed = true }
