responsehead: read nothing at the end of a response that nobody wants

A process that called a faulty target read on for as long as that sent a body, until the limit of the call, a minute at most. A side process kept up to 1 GiB of what a store answered when asked for its free space.

Cause: closing a body of net/http reads it to its end, and controlcall closes it when it is longer than its limit. store.Client had one limit, that of the largest copy, for all calls.

Closing a body of a Reader does nothing; the connection is closed by its owner. A store's answers that are no copies have 1 MiB, its list 64 MiB, and a copy that is fetched has the size that its holder announced.

--- a/responsehead/proper_test.go
+++ b/responsehead/proper_test.go
@@ -142,3 +142,21 @@
 }
 
 func (p inPieces) Read(b []byte) (int, error) { return p.r.Read(b[:min(len(b), p.size)]) }
+
+// Guards against a process that reads on at the end of a response that nobody wants, which may have no end.
+func TestClosingABodyReadsNothing(t *testing.T) {
+	for _, head := range []string{"Content-Length: 1000000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3b9aca00\r\n", "\r\n"} {
+		source := &endless{begin: "HTTP/1.1 200 OK\r\n" + head, repeated: "x"}
+
+		resp, err := NewReader(source, bufferBytes).Read(&http.Request{Method: http.MethodGet})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		_ = resp.Body.Close()
+
+		if got, want := source.read, 2*bufferBytes; got > want {
+			t.Errorf("%q: got %d bytes read, want %d at most", head, got, want)
+		}
+	}
+}
--- a/responsehead/readers_test.go
+++ b/responsehead/readers_test.go
@@ -341,3 +341,45 @@
 		})
 	}
 }
+
+// Guards against a process that runs out of memory, or a call without end, as a target sends a body without end.
+func TestEveryReaderGivesUpABodyWithoutEnd(t *testing.T) {
+	// The longest answers, records of a log and the blocks of an engine's cache, have 64 MiB.
+	const limit = 64<<20 + maxSent
+
+	starts := []struct{ name, begin, repeated string }{
+		{"length", "HTTP/1.1 500 Sad\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+		{"chunks", "HTTP/1.1 500 Sad\r\nTransfer-Encoding: chunked\r\n\r\n", "200\r\n" + strings.Repeat("x", 512) + "\r\n"},
+		{"end of the connection", "HTTP/1.1 500 Sad\r\n\r\n", "x"},
+	}
+
+	for _, r := range readers() {
+		t.Run(r.name, func(t *testing.T) {
+			s := newTarget(t)
+
+			for _, x := range starts {
+				piece := bytes.Repeat([]byte(x.repeated), 1<<16/len(x.repeated))
+				ended := make(chan int, 1)
+
+				s.setRespond(func(nc net.Conn) error {
+					n, err := io.WriteString(nc, x.begin)
+					for m := 0; err == nil && n < limit+maxSent; n += m {
+						m, err = nc.Write(piece)
+					}
+
+					ended <- n
+
+					return err
+				})
+
+				if err := r.call(t.Context(), s.address); err == nil || strings.Contains(err.Error(), context.DeadlineExceeded.Error()) {
+					t.Errorf("%s: got %v, want an error at once", x.name, err)
+				}
+
+				if got := <-ended; got > limit {
+					t.Errorf("%s: got %d bytes sent, want %d at most", x.name, got, limit)
+				}
+			}
+		})
+	}
+}
--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -99,7 +99,7 @@
 }
 
 // Read reads the head of the final response to req, behind informational ones. The body of the response is read
-// from the connection. Errors are ErrTooLong if a head has more than MaxBytes, ErrImproper
+// from the connection; closing it does nothing. Errors are ErrTooLong if a head has more than MaxBytes, ErrImproper
 // if it isn't proper, and io.ErrUnexpectedEOF if it ends midway; nothing else is to be read from the connection then.
 // Reading the body of a chunked response returns the same errors for its trailer.
 func (r *Reader) Read(req *http.Request) (*http.Response, error) {
@@ -131,6 +131,9 @@
 
 	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
 		resp.Body = &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r.br)}
+	} else if resp.Body != http.NoBody {
+		// Closing a body of net/http reads it to its end, which may never come.
+		resp.Body = io.NopCloser(resp.Body)
 	}
 
 	return resp, nil
--- a/side/fetch.go
+++ b/side/fetch.go
@@ -57,7 +57,7 @@
 
 	go r.abortSlowTransfer(ctx, cancel, c, warmBlocks, &received)
 
-	sealed, err := store.Client{Address: c.Address, HTTP: r.side.storeHTTP, Progress: &received}.Get(ctx, c.Copy)
+	sealed, err := store.Client{Address: c.Address, HTTP: r.side.storeHTTP, MaxBytes: c.Bytes, Progress: &received}.Get(ctx, c.Copy)
 	if err != nil && context.Cause(ctx) != nil {
 		err = context.Cause(ctx)
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -21,15 +21,20 @@
 	Address string
 	// HTTP makes the calls. It is required.
 	HTTP *http.Client
-	// MaxBytes is the maximum size of a response body in bytes; the rest is cut off. Zero means
+	// MaxBytes is the maximum size of a copy that Get returns, in bytes; a longer one is an error. Zero means
 	// DefaultMaxBytes.
 	MaxBytes int64
 	// Progress counts the bytes of response bodies as they arrive; nil disables it.
 	Progress *atomic.Int64
 }
 
-// DefaultMaxBytes is the default of Client.MaxBytes: 1 GiB.
-const DefaultMaxBytes = 1 << 30
+const (
+	// DefaultMaxBytes is the default of Client.MaxBytes: 1 GiB.
+	DefaultMaxBytes = 1 << 30
+	// maxListBytes bounds the list of a store's objects, and maxReplyBytes every other response that is no copy.
+	maxListBytes  = 64 << 20
+	maxReplyBytes = 1 << 20
+)
 
 // Space is a store's capacity and its use.
 type Space struct {
@@ -40,7 +45,7 @@
 
 // Put writes a copy under id. The error is failure.StoreFull if the store has no free space for it.
 func (c Client) Put(ctx context.Context, id string, b []byte) error {
-	resp, err := c.do(ctx, http.MethodPut, objectPath(id), b)
+	resp, err := c.do(ctx, http.MethodPut, objectPath(id), b, maxReplyBytes)
 	if err != nil {
 		return err
 	}
@@ -58,7 +63,12 @@
 // Get reads the bytes of a copy; the caller checks them with Open. A missing
 // copy is failure.TornCopy, like any other copy that can't be used.
 func (c Client) Get(ctx context.Context, id string) ([]byte, error) {
-	resp, err := c.do(ctx, http.MethodGet, objectPath(id), nil)
+	limit := c.MaxBytes
+	if limit <= 0 {
+		limit = DefaultMaxBytes
+	}
+
+	resp, err := c.do(ctx, http.MethodGet, objectPath(id), nil, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -75,7 +85,7 @@
 
 // Delete removes a copy. A missing copy is not an error.
 func (c Client) Delete(ctx context.Context, id string) error {
-	resp, err := c.do(ctx, http.MethodDelete, objectPath(id), nil)
+	resp, err := c.do(ctx, http.MethodDelete, objectPath(id), nil, maxReplyBytes)
 	if err != nil {
 		return err
 	}
@@ -91,7 +101,7 @@
 func (c Client) Space(ctx context.Context) (Space, error) {
 	var s Space
 
-	resp, err := c.do(ctx, http.MethodGet, "/space", nil)
+	resp, err := c.do(ctx, http.MethodGet, "/space", nil, maxReplyBytes)
 	if err != nil {
 		return s, err
 	}
@@ -117,7 +127,7 @@
 
 // List returns all objects in the store.
 func (c Client) List(ctx context.Context) ([]Object, error) {
-	resp, err := c.do(ctx, http.MethodGet, "/objects", nil)
+	resp, err := c.do(ctx, http.MethodGet, "/objects", nil, maxListBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +157,9 @@
 	return failure.New(failure.TargetLost, "the store responded with status %d", r.status)
 }
 
-func (c Client) do(ctx context.Context, method, path string, data []byte) (response, error) {
+// do makes a call and returns its response, whose body has limit bytes at most if the call succeeded, and
+// maxReplyBytes otherwise.
+func (c Client) do(ctx context.Context, method, path string, data []byte, limit int64) (response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(data))
 	if err != nil {
 		return response{}, failure.Wrap(failure.Internal, err, "invalid store address %q", c.Address)
@@ -160,9 +172,8 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	limit := c.MaxBytes
-	if limit <= 0 {
-		limit = DefaultMaxBytes
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		limit = min(limit, maxReplyBytes)
 	}
 
 	body, err := wholebody.ReadAll(countingReader{resp.Body, c.Progress}, limit)
