gateway: answer the requests that outlast a planned stop

In a planned stop of one entry, in calm, requests that came late in the grace and took longer than what was left were cut with no answer at its end, unsafe ones among them: their callers don't know whether they ran.

Cause: what a request will take is estimated, and nothing happened to those that took longer but the closing of their connections.

When the last responses are sent, the attempts whose callers have nothing of a response are abandoned and their callers told, with a 502, that the request may have run. A stream that has begun goes on until the end. From the signal on, before balancer and callers know of the stop, a request is refused unrun if responses like its usually take longer than the entry has.

--- a/cmd/boragehub/gateway.go
+++ b/cmd/boragehub/gateway.go
@@ -493,7 +493,7 @@
 
 	event.Log(e.log, event.ProcessStopping, "requests", e.gateway.Active())
 	e.balancer.StartDrain(began)
-	e.gateway.Stop()
+	e.gateway.Stop(end.Add(-lastResponsesMargin))
 
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -196,8 +196,14 @@
 
 	ctx, cancelAttempt := context.WithCancelCause(ctx)
 	t.inFlight = &inFlightAttempt{cancel: cancelAttempt, model: t.model(), version: c.params.Version}
+	t.inFlight.begun.Store(t.stream.started)
+
 	defer t.g.inFlight.add(c.engine.ID, t.inFlight)()
 
+	if t.g.drain.ended() && !t.stream.started {
+		cancelAttempt(errStopped)
+	}
+
 	if t.streaming() && t.route.EventTimeout > 0 {
 		go t.watchCallerTimeout(ctx, c.engine.ID, cancelAttempt)
 	}
@@ -341,7 +347,7 @@
 		// Failures of the previous process don't count against the restarted target. The request
 		// may have caused the crash.
 		o.cause, o.targetOutcome = why, target.Neutral
-	case errors.Is(why, errUnresponsive), errors.Is(why, errVersionOverdue), errors.Is(why, errCallerTimeout):
+	case errors.Is(why, errUnresponsive), errors.Is(why, errVersionOverdue), errors.Is(why, errCallerTimeout), errors.Is(why, errStopped):
 		// Not counted as a failure of the target: an unresponsive one is suspected until it reports
 		// again, and then still has its requests and its memory.
 		o.cause, o.targetOutcome = why, target.Neutral
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"boragehub/event"
 	"boragehub/failure"
 	"boragehub/profile"
 )
@@ -163,8 +164,16 @@
 	}
 }
 
-// start begins the last phase of a stop. At end the last responses are sent.
-func (d *drainControl) start(now, end time.Time) {
+// stop begins a stop. At end the last responses are sent.
+func (d *drainControl) stop(end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.end = end
+}
+
+// start begins the last phase of a stop. At end the last responses are sent, and onEnd is called.
+func (d *drainControl) start(now, end time.Time, onEnd func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -173,7 +182,10 @@
 	}
 
 	d.draining, d.end = true, end
-	time.AfterFunc(end.Sub(now), func() { close(d.endReached) })
+	time.AfterFunc(end.Sub(now), func() {
+		close(d.endReached)
+		onEnd()
+	})
 }
 
 // ended reports whether the last responses are being sent; what has not run by then never will.
@@ -200,6 +212,10 @@
 
 	long := d.isLong(takes)
 
+	if !d.draining && !d.end.IsZero() && !d.finishesInTime(now, t.deadline, takes) {
+		return errDraining("its route's responses take %v, and %v are left", takes, d.end.Sub(now))
+	}
+
 	if d.draining {
 		if long {
 			return errDraining("its route's responses take %v, which is long", takes)
@@ -366,13 +382,24 @@
 	return u
 }
 
-// Stop begins a planned stop: Ready returns false from now on, but all requests are still accepted.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop begins a planned stop: Ready returns false from now on. Requests are still accepted, but those whose responses
+// usually take longer than until end, when the last responses have to be sent.
+func (g *Gateway) Stop(end time.Time) {
+	g.drain.stop(end)
+	g.stopping.Store(true)
+}
 
 // StartDrain begins the last phase of a planned stop, when balancer and callers know of it: requests
 // that are long, or may still be running at end, are refused without having run. At end the last
-// responses have to be sent, and requests that still wait for an engine are refused.
-func (g *Gateway) StartDrain(now, end time.Time) { g.drain.start(now, end) }
+// responses have to be sent: requests that still wait for an engine are refused, and the callers of those that run are
+// told that they may have run, unless they have the beginning of a stream.
+func (g *Gateway) StartDrain(now, end time.Time) { g.drain.start(now, end, g.endUnanswered) }
+
+func (g *Gateway) endUnanswered() {
+	if n := g.inFlight.cancelUnanswered(errStopped); n > 0 {
+		event.Log(g.cfg.Log, event.AttemptsStopped, "attempts", n)
+	}
+}
 
 // MayClosePort reports whether the callers' port may close, as no long request is in flight or no
 // more can be served.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -59,7 +59,7 @@
 			}
 
 			d.remove(now, x)
-			d.start(t0, end)
+			d.start(t0, end, func() {})
 
 			err := d.admit(now, x)
 			if got := err == nil; got != tt.want {
@@ -92,7 +92,7 @@
 		}
 	}
 
-	d.start(t0, t0.Add(5*time.Second))
+	d.start(t0, t0.Add(5*time.Second), func() {})
 
 	tests := []struct {
 		at   time.Duration
@@ -126,7 +126,7 @@
 			t.Fatal(err)
 		}
 
-		d.start(t0, t0.Add(5*time.Second))
+		d.start(t0, t0.Add(5*time.Second), func() {})
 
 		now := t0.Add(3 * time.Second)
 		if ended {
@@ -241,7 +241,7 @@
 				}
 			}
 
-			d.start(t0, end)
+			d.start(t0, end, func() {})
 
 			if got := d.mayClosePort(tt.at); got != tt.want {
 				t.Errorf("got %v, want %v", got, tt.want)
@@ -300,7 +300,7 @@
 				t.Fatal(err)
 			}
 
-			d.start(t0, end)
+			d.start(t0, end, func() {})
 
 			if err := d.mayUse(t0, before, tt.target); err != nil {
 				t.Errorf("accepted before the last phase: got %v, want it sent", err)
@@ -354,7 +354,7 @@
 				d.observe("seat", took)
 			}
 
-			d.start(t0, t0.Add(time.Minute))
+			d.start(t0, t0.Add(time.Minute), func() {})
 
 			x := &task{route: &site.Route{Name: "seat"}, deadline: t0.Add(time.Minute)}
 			if err := d.admit(t0, x); err != nil {
@@ -384,7 +384,7 @@
 		d.observeTarget(t0, "seat", "slow", 20*time.Millisecond)
 	}
 
-	d.start(t0, t0.Add(5*time.Second))
+	d.start(t0, t0.Add(5*time.Second), func() {})
 
 	for _, tt := range []struct{ route, target string }{{"map", "fast"}, {"seat", "slow"}} {
 		x := &task{route: &site.Route{Name: tt.route}, deadline: t0.Add(time.Minute)}
@@ -409,7 +409,7 @@
 		d.observeTarget(t0, "seat", "slow", time.Second)
 	}
 
-	d.start(t0, t0.Add(time.Minute))
+	d.start(t0, t0.Add(time.Minute), func() {})
 
 	mayUse := func(after time.Duration) bool {
 		now := t0.Add(after)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -305,7 +305,7 @@
 
 func TestStoppingIsNotReadyAndServes(t *testing.T) {
 	env := newTestEnv(t, newFakeEngine(t, "a", respond(ok200)))
-	env.gateway.Stop()
+	env.gateway.Stop(time.Now().Add(time.Minute))
 
 	if got := env.request(t, "GET", "/idem/1", ""); got.status != 200 {
 		t.Errorf("got %d, want 200", got.status)
--- a/gateway/in_flight.go
+++ b/gateway/in_flight.go
@@ -13,6 +13,7 @@
 	errRestarted      = errors.New("the target was restarted")
 	errCallerTimeout  = errors.New("the target's load report is late and the caller is about to leave")
 	errVersionOverdue = errors.New("the request may no longer begin on the target's weights")
+	errStopped        = errors.New("this entry sends its last responses and stops")
 )
 
 // attemptTracker tracks the attempts in flight by target. The zero value is empty.
@@ -32,6 +33,7 @@
 	model    string
 	version  int64
 	answered atomic.Bool // the head of its response arrived
+	begun    atomic.Bool // the caller has the head of a response
 }
 
 // add tracks an attempt until the returned function is called.
@@ -78,6 +80,26 @@
 	return len(t.byTarget[id])
 }
 
+// cancelUnanswered cancels the attempts whose callers have nothing of a response yet, and returns how many there were.
+func (t *attemptTracker) cancelUnanswered(why error) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	n := 0
+
+	for _, all := range t.byTarget {
+		for a := range all {
+			if !a.begun.Load() {
+				a.cancel(why)
+
+				n++
+			}
+		}
+	}
+
+	return n
+}
+
 // cancelOverdue cancels the attempts without a response whose weights are older than due returns
 // for their model, and returns how many there were.
 //
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -212,6 +212,7 @@
 	t.w.Header().Del("Content-Length")
 	t.w.WriteHeader(status)
 	t.stream.started = true
+	t.inFlight.begun.Store(true)
 	t.stream.first = time.Now()
 }
 
