entry: answer the requests that outlast a planned stop

The product's own entry closed its callers' connections at the end of its drain timeout, with the requests in flight on them: EOF, for bookings too.

Cause: as in the gateway, nothing ended what took longer than the drain.

EndRequests, called just before, ends the requests in flight with an error of their own: 409 outcome_unknown for what must not run twice, 502 for others, and what has not run is told so.

wholepath.TestRequestsThatOutlastAStopAreAnswered fails without the call of EndRequests (EOF for both requests).

--- a/cmd/boragehub/process.go
+++ b/cmd/boragehub/process.go
@@ -227,6 +227,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 
+	last := time.AfterFunc(time.Until(end)-lastResponsesMargin, p.entry.EndRequests)
+	defer last.Stop()
+
 	n := callers.Drain(ctx, drain.Options{
 		Deregistered: func(now time.Time) bool { return !now.Before(noticed) },
 		MayClosePort: func(now time.Time) bool { return p.entry.Active() == 0 || !now.Before(halfTime) },
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	"boragehub/backpressure"
 	"boragehub/directory"
 	"boragehub/event"
+	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/once"
 	"boragehub/operator"
@@ -112,6 +113,8 @@
 	directClient *http.Client // for targets without a side process
 	active       atomic.Int64
 	draining     atomic.Bool
+	ended        chan struct{} // closed by EndRequests
+	endOnce      sync.Once
 	polledAll    atomic.Bool       // pollTargets has polled all targets once
 	connected    map[string]string // by entry, the address that pollTargets connected to
 
@@ -144,6 +147,7 @@
 		engines:      engineTable{byVM: map[string]engineInfo{}},
 		shardOwners:  newShardOwners(),
 		connected:    map[string]string{},
+		ended:        make(chan struct{}),
 		links:        newLinkTable(),
 		serviceTimes: newServiceTimes(),
 		directClient: once.NewClient(),
@@ -177,6 +181,29 @@
 // served.
 func (e *Entry) StartDrain() { e.draining.Store(true) }
 
+// errStopped is the error of a request that outlasts a planned stop.
+var errStopped = failure.New(failure.TargetLost, "this entry stops, and the request has not been answered")
+
+// EndRequests ends a planned stop: requests in flight get an error response, which says whether they may have run, in
+// place of a broken connection. Call it just before the connections are closed.
+func (e *Entry) EndRequests() { e.endOnce.Do(func() { close(e.ended) }) }
+
+// untilEnded returns a context of a request that ends with EndRequests, with errStopped as its cause. The returned
+// function releases it.
+func (e *Entry) untilEnded(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+
+	go func() {
+		select {
+		case <-e.ended:
+			cancel(errStopped)
+		case <-ctx.Done():
+		}
+	}()
+
+	return ctx, func() { cancel(nil) }
+}
+
 // Active returns the number of requests in flight.
 func (e *Entry) Active() int64 { return e.active.Load() }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -113,9 +113,12 @@
 			w.Header().Set(headerTraceParent, t)
 		}
 
+		ctx, release := e.untilEnded(req.Request.Context())
+		defer release()
+
 		q, err := e.readRequest(id, req.Request)
 		if err == nil {
-			err = h(req.Request.Context(), q, req.Request, w)
+			err = h(ctx, q, req.Request, w)
 		}
 
 		if err != nil {
