vm: leave out a VM of the list that can't be decoded

One odd entry in the platform's list of VMs, of an unknown kind, nested deeply or with a number too large, and no process followed the list any more; one that started then never got it. A port out of range was taken.

Cause: the list was decoded at once, and encoding/json refuses all of it for one value of another type, or for more than 10,000 levels.

The list is split into its VMs without regard to their content, and each is decoded by itself; 1012 vm_unreadable says how many were left out. A VM needs a name, a kind and, where it has an address, a port from 1 to 65535.

--- a/vm/follower.go
+++ b/vm/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -109,16 +108,16 @@
 }
 
 func (f *Follower) apply(now time.Time, body []byte) error {
-	var response struct {
-		Version uint64 `json:"version"`
-		VMs     []VM   `json:"vms"`
+	r, err := decode(body)
+	if err != nil {
+		return err
 	}
 
-	if err := json.Unmarshal(body, &response); err != nil {
-		return failure.Wrap(failure.BadMessage, err, "could not decode the VM list")
+	if n := len(r.unreadable); n > 0 {
+		event.Fail(f.cfg.Log, r.unreadable[0], event.VMUnreadable, "version", r.version, "vms", n)
 	}
 
-	l := NewList(response.Version, response.VMs)
+	l := NewList(r.version, r.vms)
 	f.list.Store(l)
 	f.lastResponse.Store(now.UnixMilli())
 	event.Log(f.cfg.Log, event.VMListChanged, "version", l.Version(), "vms", len(l.All()))
