--- a/vm/decode.go
+++ b/vm/decode.go
@@ -105,16 +105,10 @@
 		key := ""
 
 		if open == '{' {
-			n := valueLength(rest)
-			if err := json.Unmarshal(rest[:n], &key); err != nil {
+			var err error
+			if key, rest, err = cutKey(rest); err != nil {
 				return err
 			}
-
-			if rest = bytes.TrimLeft(rest[n:], jsonSpace); len(rest) == 0 || rest[0] != ':' {
-				return errSyntax
-			}
-
-			rest = bytes.TrimLeft(rest[1:], jsonSpace)
 		}
 
 		n := valueLength(rest)
@@ -139,6 +133,20 @@
 	}
 }
 
+// cutKey returns the key that a text begins with, and what follows its colon.
+func cutKey(text []byte) (key string, rest []byte, err error) {
+	n := valueLength(text)
+	if err := json.Unmarshal(text[:n], &key); err != nil {
+		return "", nil, err
+	}
+
+	if rest = bytes.TrimLeft(text[n:], jsonSpace); len(rest) == 0 || rest[0] != ':' {
+		return "", nil, errSyntax
+	}
+
+	return key, bytes.TrimLeft(rest[1:], jsonSpace), nil
+}
+
 // jsonSpace are the characters between the values of a JSON text.
 const jsonSpace = " \t\r\n"
 
