--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -63,7 +63,15 @@
 				}
 			}
 
-			env := newTestEnv(t, newFakeEngine(t, "a", respondAndClose(tt.text)), newFakeEngine(t, "b", respond(ok200)))
+			env := newTestEnv(t, newFakeEngine(t, "a", respondAndClose(tt.text)))
+
+			for i := range 5 {
+				if got := env.request(t, "POST", "/once/1", "the same", "Id", fmt.Sprint(i)); got.status != http.StatusBadGateway && got.status != http.StatusServiceUnavailable {
+					t.Errorf("request %d of a kind: got %d %q, want no blame for a crash", i, got.status, got.body)
+				}
+			}
+
+			env = newTestEnv(t, newFakeEngine(t, "a", respondAndClose(tt.text)), newFakeEngine(t, "b", respond(ok200)))
 
 			for i := range 4 {
 				if got := env.request(t, "GET", "/idem/1", "", "Id", fmt.Sprint(i)); got.status != http.StatusOK || got.body != "ok" {
