entry: end the requests of a stop without a goroutine each

context.AfterFunc calls back only if the stop ends a request; no change of behaviour. wholepath.TestRequestsThatOutlastAStopAreAnswered passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,8 +113,8 @@
 	directClient *http.Client // for targets without a side process
 	active       atomic.Int64
 	draining     atomic.Bool
-	ended        chan struct{} // closed by EndRequests
-	endOnce      sync.Once
+	ended        context.Context // ends with EndRequests
+	endRequests  context.CancelFunc
 	polledAll    atomic.Bool       // pollTargets has polled all targets once
 	connected    map[string]string // by entry, the address that pollTargets connected to
 
@@ -147,12 +147,12 @@
 		engines:      engineTable{byVM: map[string]engineInfo{}},
 		shardOwners:  newShardOwners(),
 		connected:    map[string]string{},
-		ended:        make(chan struct{}),
 		links:        newLinkTable(),
 		serviceTimes: newServiceTimes(),
 		directClient: once.NewClient(),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
+	e.ended, e.endRequests = context.WithCancel(context.Background())
 	e.directClient.Transport = backpressure.Transport{Base: e.directClient.Transport, Observe: e.observeDirectSignals}
 	e.cfg.Views = append(e.ownViews(), cfg.Views...)
 
@@ -186,22 +186,18 @@
 
 // EndRequests ends a planned stop: requests in flight get an error response, which says whether they may have run, in
 // place of a broken connection. Call it just before the connections are closed.
-func (e *Entry) EndRequests() { e.endOnce.Do(func() { close(e.ended) }) }
+func (e *Entry) EndRequests() { e.endRequests() }
 
 // untilEnded returns a context of a request that ends with EndRequests, with errStopped as its cause. The returned
 // function releases it.
 func (e *Entry) untilEnded(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.ended, func() { cancel(errStopped) })
 
-	go func() {
-		select {
-		case <-e.ended:
-			cancel(errStopped)
-		case <-ctx.Done():
-		}
-	}()
-
-	return ctx, func() { cancel(nil) }
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // Active returns the number of requests in flight.
