entry: check the status of a reply that a side process passes on

An entry wrote the status of a side process's reply as it came.

Cause: as for heads, a status was taken at its word. A reply without a final status from 200 to 599 is an error now, by the figures of responsehead: the call may have run, and an unsafe one isn't repeated.

The package comment of upstream said that nothing is sent twice there, which Transport had made untrue; it speaks of a Pool now.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -8,6 +8,7 @@
 	"boragehub/failure"
 	"boragehub/message"
 	"boragehub/peer"
+	"boragehub/responsehead"
 	"boragehub/target"
 )
 
@@ -89,6 +90,21 @@
 			continue
 		}
 
-		return message.Expect[message.Reply](m)
+		reply, err := message.Expect[message.Reply](m)
+		if err == nil {
+			err = checkReply(reply)
+		}
+
+		return reply, err
+	}
+}
+
+// checkReply returns an error if a reply has no status that a caller may get. A side process may pass on the recorded
+// outcome of a call whose response was broken.
+func checkReply(r message.Reply) error {
+	if !responsehead.IsFinalStatus(r.Status) {
+		return failure.New(failure.TargetLost, "the service responded with status %d", r.Status)
 	}
+
+	return nil
 }
--- a/responsehead/proper.go
+++ b/responsehead/proper.go
@@ -28,6 +28,9 @@
 	maxStatus = 599
 )
 
+// IsFinalStatus reports whether a status may be that of a final response.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // isToken holds the characters of a token (RFC 9110, section 5.6.2).
 var isToken = func() (is [256]bool) {
 	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -5,7 +5,7 @@
 //
 // A Pool keeps the idle connections of each address. An Exchange is one request
 // on one connection: Send writes it and reads the response header, Read returns
-// the body, Close ends it. This package never retries a request. An Error reports
+// the body, Close ends it. A Pool never retries a request. An Error reports
 // the Delivery of its request: before the first byte was written it has certainly
 // not run; afterwards this is unknown, unless the target reports it.
 //
